--- /dev/null
+++ b/modules/base/events/EventId.cpp
@@ -0,0 +1,84 @@
+#include "base/events/EventId.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace chestnut {
+
+namespace {
+
+    constexpr auto events = std::to_array<EventDescription>({
+        // kernel and programs
+        { EventId::DaemonStarted, "daemon_started", Severity::Info, "The process has read its settings and opens its listeners." },
+        { EventId::DaemonReady, "daemon_ready", Severity::Info, "The daemon has a configuration and accepts requests." },
+        { EventId::DaemonLeaving, "daemon_leaving", Severity::Info, "A termination signal arrived; the daemon finishes its work." },
+        { EventId::DaemonStopped, "daemon_stopped", Severity::Info, "All work is finished; the process exits." },
+        { EventId::SettingsRefused, "settings_refused", Severity::Error, "A setting is unknown, missing or out of range." },
+
+        // http
+        { EventId::ListenerStarted, "listener_started", Severity::Info, "A listener accepts connections." },
+        { EventId::ConnectionRefused, "connection_refused", Severity::Warning, "The connection limit of a listener is reached." },
+        { EventId::HandlerFailed, "handler_failed", Severity::Error, "A request handler ended with an exception." },
+
+        // platform
+        { EventId::PlatformLost, "platform_lost", Severity::Warning, "Calls to the key-value service fail." },
+        { EventId::PlatformRestored, "platform_restored", Severity::Info, "Calls to the key-value service succeed again." },
+        { EventId::PlatformBudgetExhausted, "platform_budget_exhausted", Severity::Warning, "The call budget for the key-value service is used up; calls are delayed." },
+
+        // backends
+
+        // peers
+
+        // claims
+
+        // control
+
+        // frontend
+        { EventId::RequestRouted, "request_routed", Severity::Info, "A replica was chosen for a request." },
+        { EventId::RequestRefused, "request_refused", Severity::Info, "A request was refused; the fields give kind and reason." },
+        { EventId::RequestCompleted, "request_completed", Severity::Info, "The whole answer was sent to the caller." },
+
+        // operations
+    });
+
+    constexpr bool numbersGrow()
+    {
+        for (size_t i = 1; i < events.size(); ++i) {
+            if (events[i - 1].id >= events[i].id)
+                return false;
+        }
+        return true;
+    }
+    static_assert(numbersGrow(), "events are listed in the order of their numbers, each once");
+
+} // namespace
+
+const EventDescription& describe(EventId id)
+{
+    auto row = std::ranges::lower_bound(events, id, {}, &EventDescription::id);
+    assert(row != events.end() && row->id == id);
+    return *row;
+}
+
+std::span<const EventDescription> allEvents()
+{
+    return events;
+}
+
+std::string_view nameOf(Severity severity)
+{
+    switch (severity) {
+    case Severity::Debug:
+        return "debug";
+    case Severity::Info:
+        return "info";
+    case Severity::Warning:
+        return "warning";
+    case Severity::Error:
+        return "error";
+    }
+    return "info";
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/base/events/EventId.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace chestnut {
+
+enum class Severity : uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/** Numbered log events. Each module has its own hundred, so that numbers stay stable when another module grows. */
+enum class EventId : uint16_t {
+    // kernel and programs: 1000 to 1099
+    DaemonStarted = 1000,
+    DaemonReady = 1001,
+    DaemonLeaving = 1002,
+    DaemonStopped = 1003,
+    SettingsRefused = 1004,
+
+    // http: 1100 to 1199
+    ListenerStarted = 1100,
+    ConnectionRefused = 1101,
+    HandlerFailed = 1102,
+
+    // platform: 1200 to 1299
+    PlatformLost = 1200,
+    PlatformRestored = 1201,
+    PlatformBudgetExhausted = 1202,
+
+    // backends: 1300 to 1399
+
+    // peers: 1400 to 1499
+
+    // claims: 1500 to 1599
+
+    // control: 1600 to 1699
+
+    // frontend: 2000 to 2099
+    RequestRouted = 2000,
+    RequestRefused = 2001,
+    RequestCompleted = 2002,
+
+    // operations: 2100 to 2199
+};
+
+struct EventDescription {
+    EventId id;
+    std::string_view name; /**< snake_case */
+    Severity severity;
+    std::string_view meaning;
+};
+
+const EventDescription& describe(EventId);
+std::span<const EventDescription> allEvents();
+std::string_view nameOf(Severity);
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/http/message/HttpMessage.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace chestnut {
+
+/** Header fields in their order; names compare without regard to case. */
+class HttpHeaders {
+public:
+    HttpHeaders() = default;
+    HttpHeaders(std::initializer_list<std::pair<std::string, std::string>> fields)
+        : m_fields(fields)
+    {
+    }
+
+    /** The first value, or an empty view. */
+    std::string_view value(std::string_view name) const;
+    bool contains(std::string_view name) const;
+    void set(std::string_view name, std::string_view value);
+    const std::vector<std::pair<std::string, std::string>>& fields() const { return m_fields; }
+
+    bool operator==(const HttpHeaders&) const = default;
+
+private:
+    std::vector<std::pair<std::string, std::string>> m_fields;
+};
+
+struct HttpRequest {
+    std::string method = "GET";
+    std::string target = "/"; /**< path and query */
+    HttpHeaders headers;
+    std::string body;
+
+    /** The target without its query. */
+    std::string_view path() const;
+    /** The decoded value of a query parameter, or an empty string. */
+    std::string queryValue(std::string_view name) const;
+};
+
+struct HttpResponse {
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/http/server/HttpServer.cpp
@@ -0,0 +1,353 @@
+#include "http/server/HttpServer.h"
+
+#include "http/message/BeastConversions.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cassert>
+
+namespace chestnut {
+
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+struct HttpServer::State {
+    asio::io_context& context;
+    Log& log;
+    tcp::acceptor acceptor;
+    HttpServerLimits limits;
+    HttpHandler handler;
+    HttpFaultAnswer faultAnswer;
+    size_t openConnections = 0;
+    bool isAccepting = true;
+};
+
+namespace {
+
+    using ServerState = std::shared_ptr<HttpServer::State>;
+
+    /** Watches a connection for its end while a handler runs. */
+    struct CloseWatch : std::enable_shared_from_this<CloseWatch> {
+        explicit CloseWatch(tcp::socket& watchedSocket)
+            : socket(watchedSocket)
+        {
+        }
+
+        void arm(std::function<void()> newCallback)
+        {
+            callback = std::move(newCallback);
+            if (isArmed)
+                return;
+            isArmed = true;
+            socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
+                self->isArmed = false;
+                if (error || !self->callback)
+                    return;
+                if (self->isClosed())
+                    std::exchange(self->callback, nullptr)();
+            });
+        }
+
+        bool isClosed()
+        {
+            char byte = 0;
+            error_code error;
+            socket.non_blocking(true, error);
+            auto count = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+            return error ? error != asio::error::would_block : count == 0;
+        }
+
+        tcp::socket& socket;
+        std::function<void()> callback;
+        bool isArmed = false;
+    };
+
+    class ResponseWriter final : public HttpResponseWriter {
+    public:
+        ResponseWriter(beast::tcp_stream& stream, std::shared_ptr<CloseWatch> watch, Duration writeTimeout, bool keepAlive, bool isHead)
+            : m_stream(stream)
+            , m_watch(std::move(watch))
+            , m_writeTimeout(writeTimeout)
+            , m_keepAlive(keepAlive)
+            , m_isHead(isHead)
+        {
+        }
+
+        ~ResponseWriter() override { m_watch->callback = nullptr; }
+
+        asio::awaitable<Result<void>> send(HttpResponse response) override
+        {
+            assert(!m_hasBegun);
+            m_hasBegun = true;
+            BeastResponse message(static_cast<http::status>(response.status), 11);
+            setHeaders(message, response.headers);
+            message.keep_alive(m_keepAlive);
+            message.body() = std::move(response.body);
+            message.prepare_payload();
+            if (m_isHead)
+                message.body().clear();
+            error_code error;
+            m_stream.expires_after(m_writeTimeout);
+            http::response_serializer<http::string_body> serializer(message);
+            co_await http::async_write(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+            m_isFinished = !error;
+            co_return resultOf(error);
+        }
+
+        asio::awaitable<Result<void>> begin(int status, HttpHeaders headers) override
+        {
+            assert(!m_hasBegun);
+            m_hasBegun = true;
+            http::response<http::empty_body> message(static_cast<http::status>(status), 11);
+            setHeaders(message, headers);
+            message.keep_alive(m_keepAlive);
+            message.chunked(true);
+            error_code error;
+            m_stream.expires_after(m_writeTimeout);
+            http::response_serializer<http::empty_body> serializer(message);
+            co_await http::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+            co_return resultOf(error);
+        }
+
+        asio::awaitable<Result<void>> write(std::string chunk) override
+        {
+            assert(m_hasBegun && !m_isFinished);
+            // An empty chunk would end the body.
+            if (chunk.empty())
+                co_return Result<void>();
+            error_code error;
+            m_stream.expires_after(m_writeTimeout);
+            co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(chunk)), asio::redirect_error(asio::use_awaitable, error));
+            co_return resultOf(error);
+        }
+
+        asio::awaitable<Result<void>> finish() override
+        {
+            error_code error;
+            m_stream.expires_after(m_writeTimeout);
+            co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+            m_isFinished = !error;
+            co_return resultOf(error);
+        }
+
+        void abort() override
+        {
+            error_code ignored;
+            m_stream.socket().close(ignored);
+        }
+
+        void onCallerGone(std::function<void()> callback) override { m_watch->arm(std::move(callback)); }
+        bool hasBegun() const override { return m_hasBegun; }
+        bool isFinished() const { return m_isFinished; }
+
+    private:
+        static Result<void> resultOf(const error_code& error)
+        {
+            if (error)
+                return makeError(ErrorKind::CallerGone, "write to caller: " + error.message());
+            return Result<void>();
+        }
+
+        beast::tcp_stream& m_stream;
+        std::shared_ptr<CloseWatch> m_watch;
+        Duration m_writeTimeout;
+        bool m_keepAlive;
+        bool m_isHead;
+        bool m_hasBegun = false;
+        bool m_isFinished = false;
+    };
+
+    ErrorKind kindOfParseError(const error_code& error)
+    {
+        if (error == http::error::header_limit)
+            return ErrorKind::HeaderTooLarge;
+        if (error == http::error::body_limit)
+            return ErrorKind::BodyTooLarge;
+        return ErrorKind::BadRequest;
+    }
+
+    /** Counts an open connection for as long as it lives. */
+    class ConnectionCount {
+    public:
+        explicit ConnectionCount(ServerState state)
+            : m_state(std::move(state))
+        {
+            ++m_state->openConnections;
+        }
+        ConnectionCount(const ConnectionCount&) = delete;
+        ConnectionCount& operator=(const ConnectionCount&) = delete;
+        ~ConnectionCount() { --m_state->openConnections; }
+
+    private:
+        ServerState m_state;
+    };
+
+    struct ServerConnection {
+        explicit ServerConnection(tcp::socket socket)
+            : stream(std::move(socket))
+            , watch(std::make_shared<CloseWatch>(stream.socket()))
+        {
+        }
+        ServerConnection(const ServerConnection&) = delete;
+        ServerConnection& operator=(const ServerConnection&) = delete;
+        ~ServerConnection() { watch->callback = nullptr; }
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        std::shared_ptr<CloseWatch> watch;
+    };
+
+    asio::awaitable<void> answerFault(ServerConnection& connection, const ServerState& state, const error_code& error)
+    {
+        ResponseWriter writer(connection.stream, connection.watch, state->limits.writeTimeout, false, false);
+        co_await writer.send(state->faultAnswer(makeError(kindOfParseError(error), error.message())));
+        // Without the shutdown, closing a socket with unread input resets it and the caller may lose the answer.
+        error_code ignored;
+        connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        connection.stream.expires_after(std::chrono::seconds(1));
+        char discarded[1024];
+        while (!ignored)
+            co_await connection.stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    asio::awaitable<Result<BeastRequest>> readRequest(ServerConnection& connection, const HttpServerLimits& limits, error_code& error)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<uint32_t>(limits.maximumHeader));
+        parser.body_limit(limits.maximumBody);
+        connection.stream.expires_after(limits.headerTimeout);
+        co_await http::async_read_header(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return makeError(ErrorKind::BadRequest, error.message());
+        connection.stream.expires_after(limits.bodyTimeout);
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+            constexpr std::string_view interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+            co_await asio::async_write(connection.stream, asio::buffer(interimResponse), asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (!error)
+            co_await http::async_read(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return makeError(ErrorKind::BadRequest, error.message());
+        co_return parser.release();
+    }
+
+    bool isSyntaxFault(const error_code& error)
+    {
+        return error.category() == http::make_error_code(http::error::end_of_stream).category()
+            && error != http::error::end_of_stream && error != http::error::partial_message;
+    }
+
+    /** Runs the handler for one request; false when the connection must close. */
+    asio::awaitable<bool> handleRequest(ServerConnection& connection, const ServerState& state, BeastRequest message)
+    {
+        bool keepAlive = message.keep_alive() && state->isAccepting;
+        HttpRequest request { std::string(viewOf(message.method_string())), std::string(viewOf(message.target())), headersOf(message.base()), std::move(message.body()) };
+        ResponseWriter writer(connection.stream, connection.watch, state->limits.writeTimeout, keepAlive, request.method == "HEAD");
+        connection.stream.expires_never();
+        std::string failure;
+        try {
+            co_await state->handler(std::move(request), writer);
+        } catch (const std::exception& exception) {
+            failure = exception.what();
+        }
+        if (!failure.empty()) {
+            state->log.write(EventId::HandlerFailed, { { "reason", failure } });
+            if (!writer.hasBegun())
+                co_await writer.send(state->faultAnswer(makeError(ErrorKind::Internal, "the request handler failed")));
+        }
+        co_return keepAlive&& writer.isFinished();
+    }
+
+    asio::awaitable<void> serveConnection(ServerState state, tcp::socket socket)
+    {
+        ConnectionCount count(state);
+        ServerConnection connection(std::move(socket));
+        error_code error;
+        connection.stream.socket().set_option(tcp::no_delay(true), error);
+        while (true) {
+            error = {};
+            auto request = co_await readRequest(connection, state->limits, error);
+            if (!request) {
+                if (isSyntaxFault(error))
+                    co_await answerFault(connection, state, error);
+                co_return;
+            }
+            if (!co_await handleRequest(connection, state, std::move(*request)))
+                co_return;
+        }
+    }
+
+    asio::awaitable<void> acceptLoop(ServerState state)
+    {
+        while (state->isAccepting) {
+            error_code error;
+            auto socket = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                continue;
+            if (state->openConnections >= state->limits.maximumConnections) {
+                state->log.write(EventId::ConnectionRefused, { { "open", state->openConnections } });
+                continue;
+            }
+            asio::co_spawn(state->context, serveConnection(state, std::move(socket)), asio::detached);
+        }
+    }
+
+    tcp::acceptor openAcceptor(asio::io_context& context, const Endpoint& endpoint)
+    {
+        tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
+        tcp::acceptor acceptor(context);
+        acceptor.open(address.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(address);
+        acceptor.listen();
+        return acceptor;
+    }
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context& context, Log& log, Endpoint endpoint, HttpServerLimits limits, HttpHandler handler, HttpFaultAnswer faultAnswer)
+    : m_state(std::make_shared<State>(State { context, log, openAcceptor(context, endpoint), limits, std::move(handler), std::move(faultAnswer) }))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+Endpoint HttpServer::endpoint() const
+{
+    auto address = m_state->acceptor.local_endpoint();
+    return { address.address().to_string(), address.port() };
+}
+
+void HttpServer::start()
+{
+    m_state->log.write(EventId::ListenerStarted, { { "address", formatEndpoint(endpoint()) } });
+    asio::co_spawn(m_state->context, acceptLoop(m_state), asio::detached);
+}
+
+void HttpServer::stopAccepting()
+{
+    m_state->isAccepting = false;
+    error_code ignored;
+    m_state->acceptor.close(ignored);
+}
+
+size_t HttpServer::openConnections() const
+{
+    return m_state->openConnections;
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/kernel/registry/Kernel.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "kernel/registry/Service.h"
+
+#include <cassert>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace chestnut {
+
+/** Owns the services of one daemon, starts them in order and stops them in reverse order. */
+class Kernel {
+public:
+    /** Registers a service. Asserts that its name is not taken. */
+    template <typename T, typename... Arguments>
+    T& emplace(Arguments&&... arguments)
+    {
+        auto service = std::make_unique<T>(std::forward<Arguments>(arguments)...);
+        T& reference = *service;
+        add(std::move(service));
+        return reference;
+    }
+
+    void add(std::unique_ptr<Service>);
+
+    /** Returns nullptr when no service has this name and type. */
+    template <typename T>
+    T* find(std::string_view name) const
+    {
+        return dynamic_cast<T*>(findService(name));
+    }
+
+    /** Like find(), for services that the caller cannot do without. */
+    template <typename T>
+    T& require(std::string_view name) const
+    {
+        T* service = find<T>(name);
+        assert(service);
+        return *service;
+    }
+
+    std::vector<std::string_view> serviceNames() const;
+
+    void start();
+    asio::awaitable<void> stop();
+
+private:
+    Service* findService(std::string_view name) const;
+
+    std::vector<std::unique_ptr<Service>> m_services;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/kernel/settings/SettingsReader.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "base/errors/Result.h"
+#include "base/time/TimePoint.h"
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chestnut {
+
+/** One fault in the settings: which setting, its value, and what is allowed. */
+struct SettingFault {
+    std::string setting; /**< section.key */
+    std::string value;
+    std::string allowed;
+
+    bool operator==(const SettingFault&) const = default;
+};
+
+/** An IP address and a TCP port. */
+struct Endpoint {
+    std::string address;
+    uint16_t port = 0;
+
+    auto operator<=>(const Endpoint&) const = default;
+};
+
+/** Parses `127.0.0.1:8000` or `[::1]:8000`; host names are refused because processes address each other by IP. */
+std::optional<Endpoint> parseEndpoint(std::string_view);
+std::string formatEndpoint(const Endpoint&);
+
+/** Parses a number with a unit: `250ms`, `5s`, `2m`, `24h`. */
+std::optional<Duration> parseDuration(std::string_view);
+std::string formatDuration(Duration);
+
+/** Reads typed settings from an INI document and collects every fault instead of stopping at the first. */
+class SettingsReader {
+public:
+    /** Fails with SettingsInvalid and the line when the text is not INI. */
+    static boost::leaf::result<SettingsReader> fromText(std::string_view text);
+    /** Fails with SettingsInvalid when the file cannot be read. */
+    static boost::leaf::result<SettingsReader> fromFile(const std::string& path);
+
+    SettingsReader(SettingsReader&&) noexcept;
+    SettingsReader& operator=(SettingsReader&&) noexcept;
+    ~SettingsReader();
+
+    /** A missing key without a fallback is a fault. */
+    std::string text(std::string_view section, std::string_view key, std::optional<std::string> fallback = {});
+    int64_t integer(std::string_view section, std::string_view key, int64_t fallback, int64_t lowest, int64_t highest);
+    double number(std::string_view section, std::string_view key, double fallback, double lowest, double highest);
+    bool boolean(std::string_view section, std::string_view key, bool fallback);
+    Duration duration(std::string_view section, std::string_view key, Duration fallback, Duration lowest, Duration highest);
+    Endpoint endpoint(std::string_view section, std::string_view key, std::optional<Endpoint> fallback = {});
+    /** Comma-separated endpoints; an empty list is allowed. */
+    std::vector<Endpoint> endpoints(std::string_view section, std::string_view key);
+    std::string oneOf(std::string_view section, std::string_view key, std::string_view fallback, const std::vector<std::string>& allowed);
+
+    /** Reports a fault that a caller found by comparing settings. */
+    void addFault(SettingFault);
+
+    /** All faults so far, with each key in the document that nothing has read. Call it after all reads. */
+    std::vector<SettingFault> faults() const;
+
+private:
+    struct Document;
+    explicit SettingsReader(std::unique_ptr<Document>);
+
+    std::optional<std::string> raw(std::string_view section, std::string_view key);
+
+    std::unique_ptr<Document> m_document;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/kernel/timers/AsioTimerService.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "kernel/timers/TimerService.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace chestnut {
+
+/** Real time on Asio timers. */
+class AsioTimerService final : public TimerService {
+public:
+    explicit AsioTimerService(asio::io_context&);
+
+    TimePoint now() const override;
+    UnixSeconds wallClock() const override;
+    TimerSubscription every(Duration period, std::function<void()> callback) override;
+    TimerSubscription once(Duration delay, std::function<void()> callback) override;
+    asio::awaitable<void> sleep(Duration) override;
+
+private:
+    asio::io_context& m_context;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/platform/keyvalue/KeyValueStore.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "base/errors/Result.h"
+#include "base/time/TimePoint.h"
+#include "kernel/registry/Service.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chestnut {
+
+/** One key of the key-value service. */
+struct KeyValueEntry {
+    std::string key;
+    std::string value;
+    uint64_t modifyIndex = 0; /**< version for compare-and-swap */
+    uint64_t lockIndex = 0; /**< grows with each acquisition; serves as the fencing number */
+    std::string session; /**< id of the session that holds the lock, or empty */
+
+    bool operator==(const KeyValueEntry&) const = default;
+};
+
+/** A read with the index to wait from. */
+struct KeyValueRead {
+    std::optional<KeyValueEntry> entry;
+    uint64_t index = 0;
+};
+
+/** One write of a transaction; all conditions must hold or nothing is written. */
+struct KeyValueOperation {
+    std::string key;
+    std::string value;
+    uint64_t expectedModifyIndex = 0; /**< zero: the key must not exist */
+};
+
+/** The platform's key-value service.
+    Errors: PlatformUnavailable when the call cannot have taken effect, PlatformAnswerLost when a write may have. */
+class KeyValueStore : public Service {
+public:
+    static constexpr std::string_view serviceName = "keyvalue";
+    std::string_view name() const final { return serviceName; }
+
+    /** Longest value that the service holds, in bytes. */
+    static constexpr size_t maximumValue = 1'000'000;
+
+    virtual asio::awaitable<Result<KeyValueRead>> read(std::string key) = 0;
+
+    /** Blocking query: returns when the key's index passes `index`, or unchanged after `maximumWait`. */
+    virtual asio::awaitable<Result<KeyValueRead>> wait(std::string key, uint64_t index, Duration maximumWait) = 0;
+
+    virtual asio::awaitable<Result<std::vector<KeyValueEntry>>> list(std::string prefix) = 0;
+
+    /** Writes if the modify index matches (zero: if the key does not exist). False when it does not match. */
+    virtual asio::awaitable<Result<bool>> compareAndSwap(std::string key, std::string value, uint64_t expectedModifyIndex) = 0;
+
+    /** Applies all operations or none; false when a condition fails. At most 64 operations. */
+    virtual asio::awaitable<Result<bool>> transact(std::vector<KeyValueOperation>) = 0;
+
+    virtual asio::awaitable<Result<void>> remove(std::string key) = 0;
+    virtual asio::awaitable<Result<void>> removePrefix(std::string prefix) = 0;
+
+    /** A session is a lease: it ends after its time to live unless renewed, and releases the keys it locked. */
+    virtual asio::awaitable<Result<std::string>> createSession(Duration timeToLive) = 0;
+    /** Fails with NotFound when the session has ended. */
+    virtual asio::awaitable<Result<void>> renewSession(std::string session) = 0;
+    virtual asio::awaitable<Result<void>> destroySession(std::string session) = 0;
+
+    /** Locks the key for the session and sets its value. False when another session holds it. */
+    virtual asio::awaitable<Result<bool>> acquire(std::string key, std::string value, std::string session) = 0;
+    virtual asio::awaitable<Result<bool>> release(std::string key, std::string value, std::string session) = 0;
+};
+
+} // namespace chestnut
