Declare the interfaces between the modules

Cause: the parts are built side by side and need headers that compile. Conclusion: each part can be built against fakes of the others.

--- /dev/null
+++ b/modules/decisions/admission/Admission.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/errors/ErrorKind.h"
+#include "base/time/TimePoint.h"
+#include "decisions/estimates/WorkEstimate.h"
+#include "decisions/routing/Routing.h"
+
+#include <optional>
+#include <span>
+
+namespace chestnut {
+
+/** Share of each engine's slots that only live work may use. */
+constexpr double liveReservedShare = 0.3;
+/** A running job older than this multiple of its expected time is a straggler, whatever its class. */
+constexpr double stragglerFactor = 4;
+
+/** What waits and runs at this daemon for one model or service. */
+struct QueueState {
+    uint32_t waitingLive = 0;
+    uint32_t waitingBatch = 0;
+    uint32_t maximumWaiting = 256;
+    WorkEstimate waitingLiveWork;
+    WorkEstimate waitingBatchWork;
+
+    auto operator<=>(const QueueState&) const = default;
+};
+
+/** Admit now, wait in the queue, or refuse with a kind of the closed list. */
+struct AdmissionDecision {
+    enum class Action : uint8_t {
+        Dispatch,
+        Queue,
+        Refuse,
+    };
+    Action action = Action::Refuse;
+    ErrorKind refusal = ErrorKind::Overloaded;
+    Duration expectedStart {}; /**< from now */
+    Duration retryAfter {};
+};
+
+AdmissionDecision admit(const RouteRequest&, TimePoint deadline, const QueueState&, std::span<const ReplicaView>, const RouteDecision&, TimePoint now);
+
+/** Whether the work counts as long: it would hold a slot for more than this daemon's typical live job by far. */
+bool isLongJob(const WorkEstimate&, const ServiceRates&);
+
+bool isStraggler(Duration age, Duration expectedServiceTime);
+
+/** Slots of one replica that work of this kind may fill, counting all running work there. */
+uint32_t slotLimit(uint32_t slots, PriorityClass, bool isLong);
+
+/** Adaptive limit of requests in flight at one replica. */
+struct ConcurrencyLimit {
+    double limit = 16;
+    double lowestServiceRatio = 1; /**< best measured over expected service time seen lately */
+    double meanServiceRatio = 1;
+
+    auto operator<=>(const ConcurrencyLimit&) const = default;
+};
+
+/** The limit after one more answer: grows while service time stays near its best, shrinks when it rises or work fails. */
+ConcurrencyLimit withAnswer(const ConcurrencyLimit&, double serviceRatio, bool hasFailed, uint32_t inFlight, uint32_t slots);
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/decisions/decisions.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/** @module decisions
+    Owns no state: free functions over plain structs decide where requests go, what is refused, retried or hedged, who
+    may give orders and how claims are logged. No I/O, no clock, no randomness but what is passed in, and no Boost, so
+    that the daemon, the benchmarks and the fuzzer run the same code. */
+
+#include "decisions/admission/Admission.h"
+#include "decisions/discovery/Discovery.h"
+#include "decisions/ejection/Ejection.h"
+#include "decisions/estimates/WorkEstimate.h"
+#include "decisions/fairness/FairQueue.h"
+#include "decisions/hedging/Hedging.h"
+#include "decisions/membership/Member.h"
+#include "decisions/retries/Retries.h"
+#include "decisions/roles/Roles.h"
+#include "decisions/routing/PrefixIndex.h"
+#include "decisions/routing/Routing.h"
+#include "decisions/subsets/Subsets.h"
+#include "decisions/suspects/Suspects.h"
+#include "decisions/tickets/Configuration.h"
--- /dev/null
+++ b/modules/decisions/discovery/Discovery.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/ids/StrongId.h"
+#include "base/time/TimePoint.h"
+#include "decisions/membership/Member.h"
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace chestnut {
+
+constexpr size_t entryPointCount = 3;
+/** Callers keep a discovery answer for this long; a leaving daemon serves at least until it has run out. */
+constexpr Duration discoveryValidity = std::chrono::seconds(10);
+
+struct EntryPoint {
+    std::string address;
+    AvailabilityZone zone;
+
+    auto operator<=>(const EntryPoint&) const = default;
+};
+
+/** Entry points for an account: few and stable, the caller's zone first, leaving and suspected members left out, moved
+    when a member fills up. The region follows from the zone's members. */
+std::vector<EntryPoint> entryPoints(const AccountId&, const AvailabilityZone& callerZone, std::span<const MemberRecord>);
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/decisions/fairness/FairQueue.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/ids/StrongId.h"
+#include "base/time/TimePoint.h"
+#include "decisions/estimates/WorkEstimate.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace chestnut {
+
+/** One waiting request. */
+struct QueuedRequest {
+    uint64_t ticket = 0; /**< unique within the queue */
+    AccountId account;
+    PriorityClass priorityClass = PriorityClass::Live;
+    double cost = 1; /**< tokens, or calls for plain services */
+    double weight = 1; /**< share of the account */
+    TimePoint deadline;
+};
+
+/** Start-time fair queueing between accounts; live work goes before batch work. */
+struct FairQueue {
+    struct Slot {
+        QueuedRequest request;
+        double startTag = 0;
+    };
+    std::multimap<double, Slot> live; /**< by start tag */
+    std::multimap<double, Slot> batch;
+    std::unordered_map<AccountId, double> lastFinishTag;
+    double virtualTime = 0;
+};
+
+void push(FairQueue&, QueuedRequest);
+
+/** Takes the next request; batch only when no live request waits or `batchAllowed` says that its reserve is free. */
+std::optional<QueuedRequest> pop(FairQueue&, bool batchAllowed);
+
+/** Removes a request whose caller went away or whose deadline passed. False when it is not waiting. */
+bool remove(FairQueue&, uint64_t ticket);
+
+/** Requests whose deadline is before `now`. */
+std::vector<QueuedRequest> expired(const FairQueue&, TimePoint now);
+
+size_t size(const FairQueue&, PriorityClass);
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/decisions/roles/Roles.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/ids/StrongId.h"
+#include "base/time/TimePoint.h"
+#include "decisions/estimates/WorkEstimate.h"
+#include "decisions/tickets/Configuration.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace chestnut {
+
+constexpr Duration roleHorizon = std::chrono::seconds(120);
+constexpr Duration roleChangeCost = std::chrono::seconds(8);
+constexpr Duration roleDwell = std::chrono::seconds(60);
+constexpr double roleDeadBand = 0.2;
+
+/** Demand and supply of one model, as work per second. */
+struct MixDemand {
+    double prefillTokensPerSecond = 0;
+    double decodeTokensPerSecond = 0;
+
+    auto operator<=>(const MixDemand&) const = default;
+};
+
+struct RoleEngine {
+    EngineId id;
+    AvailabilityZone zone;
+    EngineRole role = EngineRole::Mixed;
+    RolePolicy policy = RolePolicy::Automatic;
+    ServiceRates rates;
+    uint32_t slots = 32;
+    bool isAway = false; /**< changing, loading or draining */
+    TimePoint roleSince;
+};
+
+struct RoleChange {
+    EngineId engine;
+    EngineRole from = EngineRole::Mixed;
+    EngineRole to = EngineRole::Mixed;
+    double expectedGain = 0; /**< seconds of work saved over the horizon, beyond the cost */
+};
+
+/** Fading mean of the demand, so that a swing of seconds does not move a role. */
+MixDemand smoothedDemand(const MixDemand& mean, const MixDemand& sample, Duration elapsed);
+
+/** Decides at most one role change for the engines of one model. */
+std::optional<RoleChange> decideRoleChange(const MixDemand&, std::span<const RoleEngine>, uint32_t minimumPerZone, TimePoint now);
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/decisions/routing/PrefixIndex.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/ids/StrongId.h"
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace chestnut {
+
+/** Chained hashes of the prompt's whole blocks: the n-th value covers the first n blocks. */
+std::vector<uint64_t> prefixBlockHashes(std::string_view prompt);
+
+/** Which prefix blocks each replica is believed to cache, from events that come late and with gaps. */
+struct PrefixIndex {
+    struct ReplicaBlocks {
+        std::unordered_set<uint64_t> blocks;
+        uint64_t lastSequence = 0;
+        uint64_t gaps = 0; /**< events missed so far */
+    };
+
+    std::unordered_map<ReplicaId, ReplicaBlocks> replicas;
+    size_t maximumBlocksPerReplica = 16384;
+};
+
+/** Applies one event. After a gap, entries are kept but counted as uncertain. */
+void applyCacheEvent(PrefixIndex&, const ReplicaId&, uint64_t sequence, bool isStored, std::span<const uint64_t> blocks);
+
+/** Assumes that a prompt just sent will be cached there. */
+void noteSent(PrefixIndex&, const ReplicaId&, std::span<const uint64_t> blocks);
+
+/** Forgets a replica that restarted or changed its model. */
+void forgetReplica(PrefixIndex&, const ReplicaId&);
+
+/** Expected number of prompt tokens whose prefill the replica saves. */
+double cachedTokens(const PrefixIndex&, const ReplicaId&, std::span<const uint64_t> blocks);
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/decisions/subsets/Subsets.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/ids/StrongId.h"
+#include "decisions/tickets/Configuration.h"
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace chestnut {
+
+/** Replicas of one model or service that a daemon works on, at most. */
+constexpr size_t subsetSize = 24;
+constexpr size_t minimumSubsetZones = 2;
+
+struct SubsetCandidate {
+    ReplicaId id;
+    AvailabilityZone zone;
+    Region region;
+
+    auto operator<=>(const SubsetCandidate&) const = default;
+};
+
+/** The replicas that this daemon works on: its own zone first, then its region, at least two zones where there are
+    two. Each replica ends up with about the same number of daemons. */
+std::vector<ReplicaId> chooseSubset(const DaemonId&, const AvailabilityZone&, const Region&, std::span<const SubsetCandidate>, size_t size = subsetSize);
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/decisions/suspects/Suspects.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/digest/Digest.h"
+#include "base/ids/StrongId.h"
+#include "base/time/TimePoint.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace chestnut {
+
+/** Losses after which a request digest is quarantined. */
+constexpr uint32_t lossesToQuarantine = 2;
+constexpr Duration quarantineTime = std::chrono::minutes(10);
+
+/** Lost backends counted against one request digest. */
+struct Suspicion {
+    std::set<ReplicaId> lostReplicas; /**< distinct replicas lost while the request ran there */
+    TimePoint lastLoss;
+    bool ranAlone = false; /**< it was the only request on a replica that was lost */
+
+    auto operator<=>(const Suspicion&) const = default;
+};
+
+struct SuspectTable {
+    std::map<Digest, Suspicion> suspicions;
+    size_t maximumEntries = 4096;
+};
+
+/** Counts the loss of a replica against all requests that ran there. */
+void recordLoss(SuspectTable&, const ReplicaId&, std::span<const Digest> running, TimePoint now);
+
+/** Clears a request that completed: it did not crash its backend. */
+void recordCompletion(SuspectTable&, const Digest&);
+
+/** Merges what a peer knows. */
+void mergeSuspicion(SuspectTable&, const Digest&, const Suspicion&, TimePoint now);
+
+bool isQuarantined(const SuspectTable&, const Digest&, TimePoint now);
+
+/** Whether the request must run without others beside it, so that a second loss shows which one is to blame. */
+bool mustRunIsolated(const SuspectTable&, const Digest&, TimePoint now);
+
+void expireSuspicions(SuspectTable&, TimePoint now);
+
+} // namespace chestnut
