--- /dev/null
+++ b/tests/base/CatalogueTest.cpp
@@ -0,0 +1,93 @@
+#include "base/base.h"
+
+#include <doctest/doctest.h>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace chestnut;
+
+namespace {
+
+std::string fileText(const std::string& path)
+{
+    std::ifstream file(std::string(CHESTNUT_SOURCE_DIR) + "/" + path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::string row(const EventDescription& event)
+{
+    std::ostringstream text;
+    text << "| " << static_cast<unsigned>(event.id) << " | `" << event.name << "` | " << nameOf(event.severity) << " | " << event.meaning << " |\n";
+    return text.str();
+}
+
+std::string row(const ErrorAnswer& answer)
+{
+    std::ostringstream text;
+    text << "| `" << answer.name << "` | " << answer.status << " | " << nameOf(answer.outcome) << " | " << (answer.sendsRetryAfter ? "yes" : "no") << " | " << answer.meaning << " |\n";
+    return text.str();
+}
+
+size_t countRows(const std::string& text)
+{
+    size_t rows = 0;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);)
+        rows += line.starts_with("| ") ? 1 : 0;
+    return rows;
+}
+
+constexpr size_t headerRows = 2; // the title row and the row of dashes
+
+} // namespace
+
+// Guards against an event that operators cannot look up, and against a documented one that no longer exists.
+TEST_CASE("docs/events.md lists exactly the events of the code")
+{
+    auto text = fileText("docs/events.md");
+    for (const auto& event : allEvents())
+        CHECK_MESSAGE(text.find(row(event)) != std::string::npos, "missing row: " << row(event));
+    CHECK(countRows(text) == allEvents().size() + headerRows);
+}
+
+// Guards against a refusal whose outcome is documented otherwise than it is sent.
+TEST_CASE("docs/errors.md lists exactly the error kinds of the code")
+{
+    auto text = fileText("docs/errors.md");
+    for (const auto& answer : allErrorAnswers())
+        CHECK_MESSAGE(text.find(row(answer)) != std::string::npos, "missing row: " << row(answer));
+    CHECK(countRows(text) == allErrorAnswers().size() + headerRows);
+}
+
+// Guards against a 5xx or 429 refusal that says "not run" without telling the caller when to come back.
+TEST_CASE("each temporary refusal carries Retry-After")
+{
+    for (const auto& answer : allErrorAnswers()) {
+        if (answer.outcome == Outcome::NotRun && (answer.status == 503 || answer.status == 429))
+            CHECK_MESSAGE(answer.sendsRetryAfter, answer.name);
+    }
+}
+
+TEST_CASE("names of events and errors are unique")
+{
+    std::set<std::string_view> names;
+    for (const auto& event : allEvents())
+        CHECK_MESSAGE(names.insert(event.name).second, event.name);
+    names.clear();
+    for (const auto& answer : allErrorAnswers()) {
+        CHECK_MESSAGE(names.insert(answer.name).second, answer.name);
+        CHECK(errorKindFromName(answer.name) == answer.kind);
+    }
+}
+
+TEST_CASE("a digest survives its hexadecimal text")
+{
+    auto digest = digestOf("handle");
+    CHECK(digestFromHex(toHex(digest)) == digest);
+    CHECK(digestOf("grip") != digest);
+    CHECK_FALSE(digestFromHex("xyz"));
+    CHECK_FALSE(digestFromHex(std::string(32, 'g')));
+}
