--- /dev/null
+++ b/programs/chestnutrouted/DaemonSettings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/errors/Result.h"
+#include "base/ids/StrongId.h"
+#include "http/server/HttpServer.h"
+#include "kernel/logging/ConsoleLog.h"
+#include "kernel/settings/SettingsReader.h"
+
+#include <string>
+#include <vector>
+
+namespace chestnut {
+
+/** All settings of the daemon; docs/settings.md explains each. */
+struct DaemonSettings {
+    DaemonId id;
+    std::string deployment;
+    AvailabilityZone zone;
+    Region region;
+
+    Endpoint callerListener;
+    Endpoint operatorListener;
+    Endpoint peerListener;
+    std::vector<Endpoint> peerSeeds;
+
+    Endpoint keyValueService;
+    double keyValueReadsPerSecond = 6;
+    double keyValueWritesPerSecond = 3;
+    Duration vmListPeriod = std::chrono::seconds(2);
+    uint16_t vmPeerPort = 0;
+
+    HttpServerLimits callerLimits;
+    Duration shutdownTimeout = std::chrono::minutes(10);
+
+    LogFormat logFormat = LogFormat::Logfmt;
+    Severity logLevel = Severity::Info;
+};
+
+/** Reads and checks all settings. The faults are complete: nothing starts unless the list is empty. */
+DaemonSettings readDaemonSettings(SettingsReader&);
+
+/** One line for each fault: the setting, its value and what is allowed. */
+std::string describeFaults(const std::vector<SettingFault>&);
+
+} // namespace chestnut
