Implement the request-path decision functions

Cause: the modules that follow need estimates, routing, admission, fairness, retries, hedging, ejection, suspects, subsets, discovery and roles, of which only the headers existed. Change: one source file per topic without Boost, and tests for the failure each topic prevents. FairQueue keeps the tags of live and batch work apart, so that an account's queued batch does not delay its own live work. Roles.h declares prefillShareOf().

--- /dev/null
+++ b/modules/decisions/ejection/Ejection.cpp
@@ -0,0 +1,150 @@
+#include "decisions/ejection/Ejection.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chestnut {
+
+namespace {
+
+    /** A sample weighs at least one in this many, so that a slowdown shows within a few answers. */
+    constexpr double maximumSamples = 10;
+    constexpr double minimumSamples = 4;
+    constexpr double ejectionRatio = 2;
+    constexpr double recoveryRatio = 1.5;
+    constexpr uint32_t failuresToEject = 3;
+    constexpr Duration firstTimeAway = std::chrono::seconds(5);
+    constexpr uint32_t maximumDoublings = 4;
+    /** A replica on probation that gives no evidence of slowness for this long is healthy again. */
+    constexpr Duration probationTime = std::chrono::seconds(10);
+    constexpr double probationSamples = 2;
+    /** Peers' samples count this share of own ones, because they may describe another network path and time. */
+    constexpr double peerSampleShare = 0.25;
+
+    double medianRatio(const LatencyGroup& group)
+    {
+        std::vector<double> ratios;
+        for (const auto& [id, replica] : group.replicas) {
+            if (replica.health == ReplicaHealth::Healthy && replica.samples >= minimumSamples)
+                ratios.push_back(replica.meanRatio);
+        }
+        if (ratios.empty())
+            return 1;
+        // The lower median keeps a pair of replicas comparable: the faster one is the reference.
+        auto middle = ratios.begin() + static_cast<std::ptrdiff_t>((ratios.size() - 1) / 2);
+        std::ranges::nth_element(ratios, middle);
+        return std::max(*middle, 1e-6);
+    }
+
+    Duration timeAway(const ReplicaLatency& replica)
+    {
+        auto doublings = std::min(replica.ejections > 0 ? replica.ejections - 1 : 0, maximumDoublings);
+        return firstTimeAway * (1U << doublings);
+    }
+
+    bool deservesEjection(const ReplicaLatency& replica, double median)
+    {
+        if (replica.consecutiveFailures >= failuresToEject)
+            return true;
+        auto needed = replica.health == ReplicaHealth::Probation ? probationSamples : minimumSamples;
+        return replica.samples >= needed && replica.meanRatio > ejectionRatio * median;
+    }
+
+    void moveTo(ReplicaLatency& replica, ReplicaHealth health, TimePoint now)
+    {
+        replica.health = health;
+        replica.changedAt = now;
+        replica.consecutiveFailures = 0;
+        if (health == ReplicaHealth::Ejected)
+            replica.ejections++;
+        if (health == ReplicaHealth::Healthy)
+            replica.ejections = 0;
+        if (health == ReplicaHealth::Probation)
+            replica.samples = 0;
+    }
+
+    /** The next health apart from ejection. */
+    ReplicaHealth recovered(const ReplicaLatency& replica, double median, TimePoint now)
+    {
+        auto elapsed = now - replica.changedAt;
+        if (replica.health == ReplicaHealth::Ejected)
+            return elapsed >= timeAway(replica) ? ReplicaHealth::Probation : ReplicaHealth::Ejected;
+        if (replica.health != ReplicaHealth::Probation)
+            return replica.health;
+        auto isProven = replica.samples >= probationSamples && replica.meanRatio <= recoveryRatio * median;
+        auto isUnproven = replica.samples < probationSamples && elapsed >= probationTime;
+        return isProven || isUnproven ? ReplicaHealth::Healthy : ReplicaHealth::Probation;
+    }
+
+    using Entry = std::pair<const ReplicaId, ReplicaLatency>;
+
+    void applyChange(std::vector<HealthChange>& changes, Entry& entry, ReplicaHealth after, double median, TimePoint now)
+    {
+        changes.push_back({ entry.first, entry.second.health, after, entry.second.meanRatio / median });
+        moveTo(entry.second, after, now);
+    }
+
+    std::vector<Entry*> worstFirst(LatencyGroup& group, double median)
+    {
+        std::vector<Entry*> slow;
+        for (auto& entry : group.replicas) {
+            if (entry.second.health != ReplicaHealth::Ejected && deservesEjection(entry.second, median))
+                slow.push_back(&entry);
+        }
+        std::ranges::stable_sort(slow, [](const Entry* left, const Entry* right) {
+            if (left->second.consecutiveFailures != right->second.consecutiveFailures)
+                return left->second.consecutiveFailures > right->second.consecutiveFailures;
+            return left->second.meanRatio > right->second.meanRatio;
+        });
+        return slow;
+    }
+
+} // namespace
+
+void recordAnswer(LatencyGroup& group, const ReplicaId& id, double latencyRatio, TimePoint)
+{
+    auto& replica = group.replicas[id];
+    replica.consecutiveFailures = 0;
+    replica.samples = std::min(replica.samples + 1, maximumSamples);
+    replica.meanRatio += (latencyRatio - replica.meanRatio) / replica.samples;
+}
+
+void recordFailure(LatencyGroup& group, const ReplicaId& id, TimePoint)
+{
+    group.replicas[id].consecutiveFailures++;
+}
+
+void mergePeerSummary(LatencyGroup& group, const ReplicaId& id, double meanRatio, double samples, TimePoint)
+{
+    auto weight = std::min(samples, maximumSamples) * peerSampleShare;
+    if (weight <= 0)
+        return;
+    auto& replica = group.replicas[id];
+    auto total = replica.samples + weight;
+    replica.meanRatio = (replica.meanRatio * replica.samples + meanRatio * weight) / total;
+    replica.samples = std::min(total, maximumSamples);
+}
+
+std::vector<HealthChange> updateHealth(LatencyGroup& group, TimePoint now)
+{
+    std::vector<HealthChange> changes;
+    auto median = medianRatio(group);
+    size_t ejected = 0;
+    for (auto& entry : group.replicas) {
+        auto after = recovered(entry.second, median, now);
+        if (after != entry.second.health)
+            applyChange(changes, entry, after, median, now);
+        if (entry.second.health == ReplicaHealth::Ejected)
+            ejected++;
+    }
+    auto allowed = group.replicas.size() / 3;
+    for (auto* entry : worstFirst(group, median)) {
+        if (ejected >= allowed)
+            break;
+        applyChange(changes, *entry, ReplicaHealth::Ejected, median, now);
+        ejected++;
+    }
+    return changes;
+}
+
+} // namespace chestnut
--- a/modules/decisions/fairness/FairQueue.h
+++ b/modules/decisions/fairness/FairQueue.h
@@ -30,13 +30,20 @@
     };
     std::multimap<double, Slot> live; /**< by start tag */
     std::multimap<double, Slot> batch;
-    std::unordered_map<AccountId, double> lastFinishTag;
-    double virtualTime = 0;
+
+    struct Tags {
+        std::unordered_map<AccountId, double> lastFinishTag;
+        double virtualTime = 0;
+    };
+    /** Tags of the classes are separate, so that an account's queued batch does not delay its own live work. */
+    Tags liveTags;
+    Tags batchTags;
 };
 
 void push(FairQueue&, QueuedRequest);
 
-/** Takes the next request; batch only when no live request waits or `batchAllowed` says that its reserve is free. */
+/** Takes the next request; live first; batch only when no live request waits and `batchAllowed` says that the
+    reserve for live work stays free. */
 std::optional<QueuedRequest> pop(FairQueue&, bool batchAllowed);
 
 /** Removes a request whose caller went away or whose deadline passed. False when it is not waiting. */
--- a/modules/decisions/roles/Roles.h
+++ b/modules/decisions/roles/Roles.h
@@ -17,6 +17,9 @@
 constexpr Duration roleDwell = std::chrono::seconds(60);
 constexpr double roleDeadBand = 0.2;
 
+/** Share of an engine's time that its role guarantees to prefill while both kinds of work wait, 0 to 1. */
+double prefillShareOf(EngineRole);
+
 /** Demand and supply of one model, as work per second. */
 struct MixDemand {
     double prefillTokensPerSecond = 0;
--- /dev/null
+++ b/tests/decisions/AdmissionTest.cpp
@@ -0,0 +1,94 @@
+#include "decisions/admission/Admission.h"
+#include "decisions/fairness/FairQueue.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto now = TimePoint(100s);
+
+ReplicaView fullReplica()
+{
+    ReplicaView view;
+    view.id = ReplicaId("r0");
+    view.own.liveRequests = 32;
+    view.report.measuredAt = now;
+    return view;
+}
+
+AdmissionDecision decide(const RouteRequest& request, Duration timeout, const QueueState& queue, const ReplicaView& view)
+{
+    RandomGenerator random(3);
+    std::vector<ReplicaView> views { view };
+    auto route = chooseReplica(request, views, now, random);
+    return admit(request, now + timeout, queue, views, route, now);
+}
+
+} // namespace
+
+// Guards against accepting work that can only time out.
+TEST_CASE("work that cannot finish before its deadline is refused at once")
+{
+    RouteRequest request { .work = { 1000, 100 } };
+    CHECK(decide(request, 30s, {}, {}).action == AdmissionDecision::Action::Dispatch);
+    CHECK(decide(request, 2s, {}, {}).refusal == ErrorKind::DeadlineUnreachable);
+    CHECK(decide(request, 0s, {}, {}).refusal == ErrorKind::DeadlinePassed);
+    QueueState queue { .waitingLive = 100, .waitingLiveWork = { 100000, 20000 } };
+    CHECK(decide(request, 60s, queue, fullReplica()).action == AdmissionDecision::Action::Queue);
+    auto late = decide(request, 30s, queue, fullReplica());
+    CHECK(late.refusal == ErrorKind::DeadlineUnreachable);
+    CHECK(late.retryAfter >= 1s);
+}
+
+// Guards against a batch flood that leaves no place in the queue for live work.
+TEST_CASE("batch work cannot fill the queue")
+{
+    QueueState queue { .waitingBatch = 200 };
+    RouteRequest batch { .priorityClass = PriorityClass::Batch, .work = { 1000, 100 } };
+    CHECK(decide(batch, 600s, queue, fullReplica()).refusal == ErrorKind::Overloaded);
+    CHECK(decide({ .work = { 1000, 100 } }, 30s, queue, fullReplica()).action == AdmissionDecision::Action::Queue);
+    auto leaving = fullReplica();
+    leaving.acceptsNewWork = false;
+    CHECK(decide(batch, 600s, {}, leaving).refusal == ErrorKind::NoBackend);
+}
+
+// Guards against a limit that stays high while a backend slows down, or collapses while it is fast.
+TEST_CASE("the concurrency limit follows the service time")
+{
+    ConcurrencyLimit limit;
+    for (int answer = 0; answer < 50; answer++)
+        limit = withAnswer(limit, 1, false, 30, 32);
+    CHECK(limit.limit == 32);
+    for (int answer = 0; answer < 200; answer++)
+        limit = withAnswer(limit, 5, false, 30, 32);
+    CHECK(limit.limit < 8);
+    CHECK(withAnswer({}, 0, true, 1, 32).limit < 16);
+}
+
+// Guards against one account's flood starving the others, within the live class and across classes.
+TEST_CASE("accounts share by weight and live work goes first")
+{
+    FairQueue queue;
+    uint64_t ticket = 0;
+    for (int count = 0; count < 50; count++)
+        push(queue, { ++ticket, AccountId("flood"), PriorityClass::Live, 100, 1, now + 10s });
+    for (int count = 0; count < 10; count++)
+        push(queue, { ++ticket, AccountId("small"), PriorityClass::Live, 100, 2, now - 1s });
+    push(queue, { ++ticket, AccountId("flood"), PriorityClass::Batch, 1, 1, now + 10s });
+    CHECK(expired(queue, now).size() == 10);
+    CHECK(remove(queue, 1));
+    CHECK_FALSE(remove(queue, 1));
+    std::map<std::string, int> served;
+    for (int count = 0; count < 15; count++)
+        served[pop(queue, true)->account.value()]++;
+    CHECK(served["small"] == 10);
+    while (size(queue, PriorityClass::Live) > 0)
+        CHECK(pop(queue, true)->priorityClass == PriorityClass::Live);
+    CHECK_FALSE(pop(queue, false).has_value());
+    CHECK(pop(queue, true)->priorityClass == PriorityClass::Batch);
+}
