Add the platform adapters, the in-memory key-value model and kvstandin

Cause: the daemon had the interfaces of the key-value service, the VM list and the weight store, but no implementation.

Change: ConsulKeyValueStore, ConsulVmList and HttpWeightStore. PlatformClient is the one way to the platform: it holds the call budget, merges identical concurrent reads, and replaces calls by a single probe during an outage. KeyValueOperation has a new field isCheckOnly, so that a transaction can depend on the absence of a key that it does not write. FakeKeyValueStore and the program kvstandin share KeyValueModel.

Conclusion: other modules can use the key-value service, in tests under virtual time as well.

--- a/modules/platform/keyvalue/KeyValueStore.h
+++ b/modules/platform/keyvalue/KeyValueStore.h
@@ -33,6 +33,7 @@
     std::string key;
     std::string value;
     uint64_t expectedModifyIndex = 0; /**< zero: the key must not exist */
+    bool isCheckOnly = false; /**< checks the expected index and writes nothing */
 };
 
 /** The platform's key-value service.
--- /dev/null
+++ b/modules/platform/testing/KeyValueModel.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "platform/keyvalue/KeyValueStore.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chestnut {
+
+/** The contents of a key-value service in memory, with Consul's rules for indexes, locks and sessions. Used by
+    FakeKeyValueStore and by the stand-in program kvstandin; no part of the daemon. */
+class KeyValueModel {
+public:
+    KeyValueRead read(const std::string& key) const;
+    std::vector<KeyValueEntry> list(const std::string& prefix) const;
+
+    bool compareAndSwap(const std::string& key, const std::string& value, uint64_t expectedModifyIndex);
+    bool transact(const std::vector<KeyValueOperation>&);
+    void remove(const std::string& key);
+    void removePrefix(const std::string& prefix);
+
+    std::string createSession(Duration timeToLive, TimePoint now);
+    /** False when the session has ended. */
+    bool renewSession(const std::string& session, TimePoint now);
+    void destroySession(const std::string& session);
+    /** Ends the sessions whose time to live has passed. Call it before each other operation. */
+    void expireSessions(TimePoint now);
+
+    bool acquire(const std::string& key, const std::string& value, const std::string& session);
+    bool release(const std::string& key, const std::string& value, const std::string& session);
+
+    /** Sets a key without a condition. */
+    void put(const std::string& key, const std::string& value);
+
+private:
+    struct Session {
+        Duration timeToLive;
+        TimePoint end;
+    };
+
+    bool matches(const KeyValueOperation&) const;
+    KeyValueEntry& touch(const std::string& key);
+
+    std::map<std::string, KeyValueEntry> m_entries;
+    std::map<std::string, uint64_t> m_removedAt; // index of the removal, for blocking queries on absent keys
+    std::map<std::string, Session> m_sessions;
+    uint64_t m_index = 1;
+    uint64_t m_lastSession = 0;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/platform/vmlist/ConsulVmList.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "platform/client/PlatformClient.h"
+#include "platform/vmlist/VmList.h"
+
+namespace chestnut {
+
+/** The VM list from Consul's catalogue of nodes; the node metadata `state` and `zone` describe each VM. */
+class ConsulVmList final : public VmList {
+public:
+    explicit ConsulVmList(std::shared_ptr<PlatformClient>);
+
+    /** Errors: PlatformUnavailable. */
+    asio::awaitable<Result<std::vector<Vm>>> fetch() override;
+
+private:
+    std::shared_ptr<PlatformClient> m_client;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/standins/kvstandin/ConsulServer.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Faults.h"
+#include "http/server/HttpServer.h"
+#include "kernel/timers/TimerService.h"
+#include "NodeList.h"
+#include "platform/testing/KeyValueModel.h"
+
+#include <map>
+
+namespace chestnut::standin {
+
+/** Answers the part of Consul's HTTP API that the daemon uses, and the stand-in's own `/control` paths. */
+class ConsulServer {
+public:
+    ConsulServer(TimerService&, Faults, uint64_t seed);
+
+    /** The handler for an HttpServer; this object must outlive the server. */
+    HttpHandler handler();
+
+    /** Sets the VM list at the start. */
+    void setNodes(std::vector<Vm>);
+
+private:
+    using Response = asio::awaitable<HttpResponse>;
+
+    asio::awaitable<void> serve(HttpRequest, HttpResponseWriter&);
+    Response route(HttpRequest);
+    HttpResponse control(const HttpRequest&);
+    Response readKey(HttpRequest);
+    HttpResponse writeKey(const HttpRequest&);
+    HttpResponse removeKey(const HttpRequest&);
+    HttpResponse transact(const HttpRequest&);
+    HttpResponse session(const HttpRequest&);
+
+    TimerService& m_timers;
+    Faults m_faults;
+    std::mt19937_64 m_rng;
+    KeyValueModel m_model;
+    NodeList m_nodes;
+    std::map<std::string, uint64_t> m_counts;
+};
+
+} // namespace chestnut::standin
--- /dev/null
+++ b/tests/platform/PlatformClientTest.cpp
@@ -0,0 +1,152 @@
+#include "kernel/timers/VirtualTimerService.h"
+#include "platform/platform.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A platform whose next answers are set by the test. */
+struct Platform {
+    bool isDown = false;
+    bool losesAnswers = false;
+    int status = 200;
+    std::vector<TimePoint> arrivals;
+};
+
+asio::awaitable<Result<HttpResponse>> answer(Platform& platform, TimerService& timers)
+{
+    platform.arrivals.push_back(timers.now());
+    co_await timers.sleep(5ms);
+    if (platform.isDown)
+        co_return makeError(ErrorKind::ConnectFailed, "refused");
+    if (platform.losesAnswers)
+        co_return makeError(ErrorKind::BackendFailed, "closed");
+    co_return HttpResponse { platform.status, {}, "true" };
+}
+
+struct Fixture {
+    explicit Fixture(PlatformSettings settings = {})
+    {
+        auto transport = [this](HttpRequest, Duration) { return answer(platform, timers); };
+        client = std::make_shared<PlatformClient>(context.get_executor(), timers, log, metrics, transport, settings, 7);
+    }
+
+    /** Starts a call; its result is appended when it ends. */
+    void start(bool isWrite, const std::string& target = "/v1/kv/a")
+    {
+        PlatformCall call { isWrite ? "write" : "read", { isWrite ? "PUT" : "GET", target, {}, "" }, isWrite, {} };
+        asio::co_spawn(context, client->call(std::move(call)), [this](std::exception_ptr, Result<HttpResponse> result) { results.push_back(std::move(result)); });
+    }
+
+    ErrorKind lastError() const { return results.back().has_value() ? ErrorKind::Internal : results.back().error().kind; }
+
+    asio::io_context context;
+    VirtualTimerService timers { context };
+    MemoryLog log;
+    Metrics metrics;
+    Platform platform;
+    std::vector<Result<HttpResponse>> results;
+    std::shared_ptr<PlatformClient> client;
+};
+
+} // namespace
+
+// Guards against an answer of "not written" for a write that may have taken effect.
+TEST_CASE("a refused connection and a lost answer are told apart")
+{
+    Fixture fixture;
+    fixture.platform.isDown = true;
+    fixture.start(true);
+    fixture.timers.advance(10ms);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.lastError() == ErrorKind::PlatformUnavailable);
+
+    Fixture other;
+    other.platform.losesAnswers = true;
+    other.start(true);
+    other.timers.advance(10ms);
+    CHECK(other.lastError() == ErrorKind::PlatformAnswerLost);
+    other.platform.losesAnswers = false;
+    other.platform.status = 500;
+    other.start(true);
+    other.timers.advance(10ms);
+    CHECK(other.lastError() == ErrorKind::PlatformAnswerLost);
+}
+
+// Guards against many coroutines that multiply the same read.
+TEST_CASE("identical concurrent reads are one call, but not across a write")
+{
+    Fixture fixture;
+    for (int i = 0; i < 5; ++i)
+        fixture.start(false);
+    fixture.timers.advance(10ms);
+    CHECK(fixture.results.size() == 5);
+    CHECK(fixture.platform.arrivals.size() == 1);
+
+    fixture.start(true, "/v1/kv/b");
+    fixture.timers.advance(2ms);
+    fixture.start(false);
+    fixture.timers.advance(4ms); // the write ends, the read is under way
+    fixture.start(false);
+    fixture.timers.advance(10ms);
+    CHECK(fixture.platform.arrivals.size() == 4);
+    CHECK(fixture.metrics.value("chestnut_platform_calls_total", { { "kind", "read" } }) == 3);
+}
+
+// Guards against exceeding the service's rate limit.
+TEST_CASE("calls beyond the budget wait, and are refused beyond the longest delay")
+{
+    PlatformSettings settings;
+    settings.writesPerSecond = 10;
+    settings.burst = 2;
+    Fixture fixture(settings);
+    for (int i = 0; i < 30; ++i)
+        fixture.start(true);
+    fixture.timers.advance(1s + 1ms);
+    CHECK(fixture.platform.arrivals.size() == 12);
+    fixture.timers.advance(5s);
+    CHECK(fixture.platform.arrivals.size() == 22); // the burst and what 2 s of delay allow
+    CHECK(fixture.results.size() == 30);
+    CHECK(fixture.log.recent(EventId::PlatformBudgetExhausted).size() == 1);
+}
+
+// Guards against a burst of calls from all clients when an outage ends, and against a log line for each failed call.
+TEST_CASE("during an outage only a probe calls; afterwards calls return at the steady rate")
+{
+    PlatformSettings settings;
+    settings.readsPerSecond = 10;
+    Fixture fixture(settings);
+    fixture.platform.isDown = true;
+    for (int i = 0; i < 2; ++i)
+        fixture.start(false, "/v1/kv/" + std::to_string(i));
+    fixture.timers.advance(10ms);
+    CHECK(fixture.client->isInOutage());
+    fixture.platform.arrivals.clear();
+    for (int i = 0; i < 600; ++i) {
+        fixture.start(true);
+        fixture.timers.advance(100ms);
+    }
+    CHECK(fixture.platform.arrivals.size() <= 24); // one probe in at least 2.5 s once the backoff is at its longest
+    CHECK(fixture.lastError() == ErrorKind::PlatformUnavailable);
+    fixture.platform.isDown = false;
+    fixture.timers.advance(6s);
+    CHECK_FALSE(fixture.client->isInOutage());
+    CHECK(fixture.log.recent(EventId::PlatformLost).size() == 1);
+    CHECK(fixture.log.recent(EventId::PlatformRestored).size() == 1);
+}
+
+// Guards against a saved-up burst right after an outage.
+TEST_CASE("draining a bucket spreads the next calls")
+{
+    TokenBucket bucket(10, 20, TimePoint(0s));
+    bucket.drain(TimePoint(0s));
+    CHECK(bucket.reserve(TimePoint(0s), 1s) == Duration(100ms));
+    CHECK(bucket.reserve(TimePoint(0s), 1s) == Duration(200ms));
+    CHECK_FALSE(bucket.reserve(TimePoint(0s), 100ms).has_value());
+}
