--- a/modules/control/configuration/ConfigurationService.h
+++ b/modules/control/configuration/ConfigurationService.h
@@ -18,6 +18,9 @@
     /** The configuration in force, or nullptr before the first one is known. */
     virtual std::shared_ptr<const Configuration> current() const = 0;
 
+    /** False until the daemon may serve: it has a configuration that is as new as any it heard of at its start. */
+    virtual bool isReady() const { return current() != nullptr; }
+
     /** Calls back after each newer configuration has come into force. */
     virtual void onChange(std::function<void(std::shared_ptr<const Configuration>)>) = 0;
 };
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -19,3 +19,4 @@
 #include "decisions/subsets/Subsets.h"
 #include "decisions/suspects/Suspects.h"
 #include "decisions/tickets/Configuration.h"
+#include "decisions/tickets/Ticket.h"
--- a/modules/decisions/tickets/Configuration.h
+++ b/modules/decisions/tickets/Configuration.h
@@ -97,6 +97,10 @@
     auto operator<=>(const AcceptedTicket&) const = default;
 };
 
+/** Removed objects whose removing ticket the configuration still names; older ones are covered by a floor. */
+constexpr size_t keptRemovals = 512;
+constexpr size_t keptTickets = 256;
+
 /** The whole accepted state. Maps are keyed by the object's id. */
 struct Configuration {
     Revision revision = 0;
@@ -106,6 +110,8 @@
     std::map<std::string, AccountSpec> accounts;
     LimitsSpec limits;
     std::vector<AcceptedTicket> recentTickets; /**< newest last, at most 256 */
+    std::map<std::string, TicketNumber> removedBy; /**< by object key, so that an older ticket cannot bring the object back */
+    TicketNumber removalFloor = 0; /**< highest ticket number that was dropped from removedBy */
 
     bool operator==(const Configuration&) const = default;
 };
--- /dev/null
+++ b/tests/control/ConfigurationCodecTest.cpp
@@ -0,0 +1,106 @@
+#include "control/tickets/ConfigurationCodec.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+
+namespace {
+
+constexpr auto firstTicket = R"({"number": 12,
+    "models": {"m1": {"version": "v1", "adapters": ["a"], "weight_bytes": 10}},
+    "engines": {"e1": {"address": "10.0.0.1:9000", "zone": "a", "region": "r", "model": "m1", "role": "decode"}},
+    "backend_servers": {"b1": {"service": "orders", "address": "10.0.0.2:9000", "zone": "a", "region": "r"}},
+    "accounts": {"acme": {"weight": 2}}, "limits": {"maximum_queue": 10}})";
+
+Ticket ticketOf(std::string_view text)
+{
+    auto ticket = decodeTicket(text);
+    REQUIRE_MESSAGE(ticket.has_value(), (ticket ? "" : ticket.error().detail));
+    return *ticket;
+}
+
+Configuration acceptedBase()
+{
+    auto ticket = ticketOf(firstTicket);
+    REQUIRE(validateTicket({}, ticket).empty());
+    return withTicket({}, ticket, contentOf(ticket));
+}
+
+} // namespace
+
+// Guards against a field that is lost between acceptance and the daemons.
+TEST_CASE("a configuration and a ticket survive their JSON form")
+{
+    auto configuration = acceptedBase();
+    configuration.removedBy["engine/e9"] = 4;
+    auto decoded = decodeConfiguration(encodeConfiguration(configuration));
+    REQUIRE(decoded.has_value());
+    CHECK(*decoded == configuration);
+    auto ticket = ticketOf(firstTicket);
+    CHECK(ticketOf(ticketToJson(ticket).dump()) == ticket);
+}
+
+// Guards against an operator who corrects one fault at a time.
+TEST_CASE("all faults of a ticket are listed at once")
+{
+    auto parsed = decodeTicket(R"({"number": 1, "engines": {"e1": {"address": 5, "zone": "a", "region": "r", "model": "m", "rol": "x"}}, "typo": 1})");
+    REQUIRE_FALSE(parsed.has_value());
+    CHECK(parsed.error().kind == ErrorKind::TicketInvalid);
+    for (auto part : { "address must be a string", "unknown field rol", "unknown field typo" })
+        CHECK(parsed.error().detail.find(part) != std::string::npos);
+
+    auto ticket = ticketOf(R"({"number": 13, "engines": {"e2": {"address": "10.0.0.1:9000", "zone": "a", "region": "other", "model": "m7"}},
+        "accounts": {"x": {"weight": -1}}, "remove": ["engine/none"]})");
+    CHECK(validateTicket(acceptedBase(), ticket).size() == 5);
+}
+
+// Guards against a dangling reference: the model is removed while an engine still runs it.
+TEST_CASE("a ticket is validated against the whole state that it would produce")
+{
+    auto faults = validateTicket(acceptedBase(), ticketOf(R"({"number": 13, "remove": ["model/m1"]})"));
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0] == TicketFault { "engine/e1", "there is no model m1" });
+}
+
+TEST_CASE("number and content decide between the same ticket, a conflict and an overtaken one")
+{
+    auto configuration = acceptedBase();
+    auto same = ticketOf(firstTicket);
+    CHECK(standingOf(configuration, same, contentOf(same)).verdict == TicketVerdict::Same);
+    auto other = same;
+    other.models["m1"].version = "v2";
+    CHECK(standingOf(configuration, other, contentOf(other)).verdict == TicketVerdict::Conflict);
+    other.number = 11;
+    auto standing = standingOf(configuration, other, contentOf(other));
+    CHECK(standing.verdict == TicketVerdict::Overtaken);
+    CHECK(standing.newer == 12);
+    auto unrelated = ticketOf(R"({"number": 3, "accounts": {"new": {}}})");
+    CHECK(standingOf(configuration, unrelated, contentOf(unrelated)).verdict == TicketVerdict::Fresh);
+}
+
+// Guards against an old ticket that brings back what a newer one removed, also after the removal is forgotten.
+TEST_CASE("a removed object stays removed for older tickets")
+{
+    auto removal = ticketOf(R"({"number": 20, "remove": ["account/acme"]})");
+    auto configuration = withTicket(acceptedBase(), removal, contentOf(removal));
+    auto old = ticketOf(R"({"number": 15, "accounts": {"acme": {}}})");
+    CHECK(standingOf(configuration, old, contentOf(old)).newer == 20);
+    for (TicketNumber number = 21; number < 22 + keptRemovals; ++number) {
+        Ticket ticket { number, {}, {}, {}, {}, {}, { "account/x" + std::to_string(number) } };
+        configuration = withTicket(configuration, ticket, {});
+    }
+    CHECK_FALSE(configuration.removedBy.contains("account/acme"));
+    CHECK(standingOf(configuration, old, contentOf(old)).verdict == TicketVerdict::Overtaken);
+}
+
+// Guards against a state of the target size that the key-value service cannot hold.
+TEST_CASE("27,000 accounts and 650 replicas fit into one value of 1 MB")
+{
+    auto configuration = acceptedBase();
+    auto engine = configuration.engines.at("e1");
+    for (int i = 0; i < 650; ++i)
+        configuration.engines["engine-" + std::to_string(i)] = engine;
+    for (int i = 0; i < 27000; ++i)
+        configuration.accounts["account-" + std::to_string(i)] = { AccountId("a"), 1, 0, 1400 };
+    CHECK(encodeConfiguration(configuration).size() < 1'000'000);
+}
