Add the backends module and the engine and service doubles

Cause: the daemon needs clients for engines and backend servers, and every failure test needs a backend whose answers can be checked.

Change: HttpEngineClient and HttpBackendServerClient over HttpClient and SseParser; an answer or a chunk with another request's id, or a token out of order, is a ProtocolError. enginestandin generates tokens that are a function of prompt and index; servicestandin counts executions for each idempotency key. Both have fault switches.

Conclusion: the clients and the doubles can be used by the other modules.

--- /dev/null
+++ b/standins/common/StandinServer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "http/server/HttpServer.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <sys/resource.h>
+
+namespace chestnut {
+
+/** Keeps a deliberate abort from writing a core file. */
+inline void disableCoreFiles()
+{
+    rlimit none { 0, 0 };
+    setrlimit(RLIMIT_CORE, &none);
+}
+
+/** Runs a test double on a loopback address until the process is killed. Prints its address on one line. */
+inline int serveStandin(asio::io_context& context, const std::string& listen, HttpHandler handler)
+{
+    auto endpoint = parseEndpoint(listen);
+    if (!endpoint || !endpoint->address.starts_with("127.")) {
+        std::fprintf(stderr, "--listen must be a loopback address and port: %s\n", listen.c_str());
+        return 2;
+    }
+    disableCoreFiles();
+    MemoryLog log;
+    auto answerFault = [](const Error& error) { return HttpResponse { answerFor(error.kind).status, {}, error.detail }; };
+    HttpServerLimits limits;
+    limits.maximumBody = 64 << 20;
+    HttpServer server(context, log, *endpoint, limits, std::move(handler), answerFault);
+    server.start();
+    std::printf("listening on %s\n", formatEndpoint(server.endpoint()).c_str());
+    std::fflush(stdout);
+    context.run();
+    return 0;
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/standins/common/StandinText.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/digest/Digest.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <string_view>
+
+namespace chestnut {
+
+/** Text of the n-th token that the engine double generates for a prompt; any client can check it. */
+inline std::string standinToken(std::string_view prompt, uint64_t index)
+{
+    char text[16];
+    std::snprintf(text, sizeof(text), " %07x", static_cast<unsigned>(hash64(prompt, index) & 0xfffffff));
+    return text;
+}
+
+/** Number of tokens that the engine double generates: between half of the limit and the limit. */
+inline uint64_t standinTokenCount(std::string_view prompt, uint64_t limit)
+{
+    auto percent = 50 + hash64(prompt, 0) % 51;
+    return std::max<uint64_t>(1, limit * percent / 100);
+}
+
+/** Body that the service double returns for a call; any client can check it. */
+inline std::string standinServiceAnswer(std::string_view target, std::string_view body)
+{
+    return "{\"echo\":\"" + toHex(digestOf(std::string(target) + "\n" + std::string(body))) + "\"}";
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/standins/enginestandin/EngineSimulator.cpp
@@ -0,0 +1,265 @@
+#include "EngineSimulator.h"
+
+#include "common/StandinText.h"
+#include "decisions/routing/PrefixIndex.h"
+#include "decisions/routing/Routing.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cstdlib>
+
+namespace chestnut {
+
+namespace {
+
+    constexpr Duration samplePeriod = std::chrono::milliseconds(50);
+    constexpr size_t keptSamples = 1200;
+    constexpr size_t keptFinishedJobs = 256; /**< finished streams that can still be resumed */
+    constexpr size_t keptEvents = 4096;
+    constexpr size_t keptLog = 20000;
+
+    /** Chained hashes of the prompt's whole blocks. */
+    std::vector<uint64_t> blockHashes(std::string_view prompt)
+    {
+        constexpr auto blockCharacters = static_cast<size_t>(tokensPerBlock * charactersPerToken);
+        std::vector<uint64_t> hashes;
+        for (size_t end = blockCharacters; end <= prompt.size(); end += blockCharacters)
+            hashes.push_back(hash64(prompt.substr(end - blockCharacters, blockCharacters), hashes.empty() ? 0 : hashes.back()));
+        return hashes;
+    }
+
+} // namespace
+
+EngineSimulator::EngineSimulator(asio::io_context& context, EngineSettings settings, EngineFaults faults)
+    : m_context(context)
+    , m_timers(context)
+    , m_settings(std::move(settings))
+    , m_faults(std::move(faults))
+{
+    m_order.model = ModelId(m_settings.model);
+    m_order.version = m_settings.version;
+}
+
+void EngineSimulator::start()
+{
+    sampleLoad();
+    m_sampling = m_timers.every(samplePeriod, [this] { sampleLoad(); });
+}
+
+Result<std::shared_ptr<EngineJob>> EngineSimulator::submit(RequestId id, CompletionBody body, bool isChat, int priority)
+{
+    if (!m_isReady)
+        return makeError(ErrorKind::Overloaded, "the engine is changing");
+    if (body.model != m_order.model)
+        return makeError(ErrorKind::NotFound, "the engine runs model " + m_order.model.value());
+    auto job = std::make_shared<EngineJob>(m_context);
+    job->id = id;
+    job->isChat = isChat;
+    job->priority = priority;
+    job->arrival = ++m_arrivals;
+    job->totalTokens = standinTokenCount(body.prompt, body.maximumTokens);
+    job->producedTokens = body.resumeAfter;
+    job->body = std::move(body);
+    m_jobs[id] = job;
+    m_waiting.push_back(job);
+    startWaiting();
+    return job;
+}
+
+std::shared_ptr<EngineJob> EngineSimulator::find(const RequestId& id) const
+{
+    auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second;
+}
+
+bool EngineSimulator::cancel(const RequestId& id)
+{
+    auto job = find(id);
+    if (!job || job->isFinished)
+        return false;
+    job->isCut = true;
+    std::erase(m_waiting, job);
+    if (!job->isRunning)
+        finish(*job);
+    job->changed.cancel();
+    m_jobs.erase(id);
+    return true;
+}
+
+void EngineSimulator::startWaiting()
+{
+    while (m_running < m_settings.slots && !m_waiting.empty()) {
+        auto next = std::ranges::min_element(m_waiting, {}, [](const auto& job) { return std::pair(job->priority, job->arrival); });
+        auto job = *next;
+        m_waiting.erase(next);
+        job->isRunning = true;
+        ++m_running;
+        asio::co_spawn(m_context, run(shared_from_this(), job), asio::detached);
+    }
+}
+
+asio::awaitable<void> EngineSimulator::run(std::shared_ptr<EngineSimulator> self, std::shared_ptr<EngineJob> job)
+{
+    const auto& faults = self->m_faults;
+    if (!faults.crashPrompt.empty() && job->body.prompt.find(faults.crashPrompt) != std::string::npos)
+        std::abort();
+    auto text = job->body.prompt + job->body.resumeText;
+    auto prefillTokens = std::max(1.0, static_cast<double>(text.size()) / charactersPerToken - self->cachePrompt(job->body.prompt));
+    auto now = self->m_timers.now();
+    auto prefillTime = fromSeconds(prefillTokens / self->m_settings.prefillTokensPerSecond * faults.slowFactor);
+    self->m_prefillFreeAt = std::max(now, self->m_prefillFreeAt) + prefillTime;
+    co_await self->m_timers.sleep(self->m_prefillFreeAt - now);
+    while (!job->isCut && job->producedTokens < job->totalTokens) {
+        ++job->producedTokens;
+        job->changed.cancel();
+        co_await self->m_timers.sleep(fromSeconds(faults.slowFactor / self->m_settings.decodeTokensPerSecond));
+    }
+    job->isRunning = false;
+    --self->m_running;
+    self->finish(*job);
+    self->startWaiting();
+}
+
+void EngineSimulator::finish(EngineJob& job)
+{
+    job.isFinished = true;
+    job.changed.cancel();
+    m_finished.push_back(job.id);
+    if (m_finished.size() > keptFinishedJobs) {
+        m_jobs.erase(m_finished.front());
+        m_finished.pop_front();
+    }
+}
+
+double EngineSimulator::cachePrompt(const std::string& prompt)
+{
+    double cached = 0;
+    bool isPrefix = true;
+    for (auto hash : blockHashes(prompt)) {
+        isPrefix = isPrefix && m_cache.contains(hash);
+        if (isPrefix)
+            cached += tokensPerBlock;
+        if (!m_cache.insert(hash).second)
+            continue;
+        m_cacheOrder.push_back(hash);
+        addEvent(true, hash);
+    }
+    while (m_cacheOrder.size() > m_settings.cachedBlocks) {
+        addEvent(false, m_cacheOrder.front());
+        m_cache.erase(m_cacheOrder.front());
+        m_cacheOrder.pop_front();
+    }
+    return cached;
+}
+
+void EngineSimulator::addEvent(bool isStored, uint64_t hash)
+{
+    ++m_lastSequence;
+    if (m_faults.cacheGapEvery > 0 && m_lastSequence % m_faults.cacheGapEvery == 0)
+        return;
+    m_events.push_back({ m_timers.now() + m_settings.eventDelay, { m_lastSequence, isStored, { hash } } });
+    if (m_events.size() > keptEvents)
+        m_events.pop_front();
+}
+
+nlohmann::json EngineSimulator::cacheEvents(uint64_t after) const
+{
+    auto events = nlohmann::json::array();
+    for (const auto& [visibleAt, event] : m_events) {
+        if (event.sequence > after && visibleAt <= m_timers.now())
+            events.push_back(toJson(event));
+    }
+    return { { "first", after }, { "events", events } };
+}
+
+EngineLoad EngineSimulator::currentLoad() const
+{
+    EngineLoad load;
+    load.slots = m_settings.slots;
+    load.totalBlocks = m_settings.blocks;
+    load.running = m_running;
+    double heldTokens = 0;
+    for (const auto& [id, job] : m_jobs) {
+        if (job->isFinished)
+            continue;
+        auto promptTokens = static_cast<double>(job->body.prompt.size()) / charactersPerToken;
+        if (job->producedTokens == job->body.resumeAfter)
+            load.queuedPrefillTokens += promptTokens;
+        load.queuedDecodeTokens += static_cast<double>(job->totalTokens - std::min(job->totalTokens, job->producedTokens));
+        heldTokens += promptTokens + static_cast<double>(job->totalTokens);
+    }
+    auto used = std::min<double>(load.totalBlocks, heldTokens / tokensPerBlock);
+    load.freeBlocks = load.totalBlocks - static_cast<uint32_t>(used);
+    return load;
+}
+
+void EngineSimulator::sampleLoad()
+{
+    m_samples.push_back({ m_timers.now(), currentLoad() });
+    if (m_samples.size() > keptSamples)
+        m_samples.pop_front();
+}
+
+EngineLoad EngineSimulator::load() const
+{
+    if (m_faults.loadLagMs == 0)
+        return currentLoad();
+    auto wanted = m_timers.now() - std::chrono::milliseconds(m_faults.loadLagMs);
+    auto sample = m_samples.front();
+    for (const auto& candidate : m_samples) {
+        if (candidate.at <= wanted)
+            sample = candidate;
+    }
+    sample.load.age = m_timers.now() - sample.at;
+    return sample.load;
+}
+
+EngineState EngineSimulator::state() const
+{
+    return { m_order, m_isReady };
+}
+
+Result<void> EngineSimulator::order(const EngineOrder& order)
+{
+    bool isOld = std::pair(order.fencingNumber, order.sequence) < std::pair(m_order.fencingNumber, m_order.sequence);
+    if (isOld && m_settings.checksFencing && !m_faults.ignoresFencing)
+        return makeError(ErrorKind::StaleAuthority, "stale_authority");
+    bool changes = order.role != m_order.role || order.model != m_order.model || order.version != m_order.version || order.adapters != m_order.adapters;
+    m_order = order;
+    if (changes)
+        asio::co_spawn(m_context, change(shared_from_this(), order), asio::detached);
+    return Result<void>();
+}
+
+asio::awaitable<void> EngineSimulator::change(std::shared_ptr<EngineSimulator> self, EngineOrder)
+{
+    auto change = ++self->m_changes;
+    self->m_isReady = false;
+    auto jobs = self->m_jobs;
+    for (const auto& [id, job] : jobs) {
+        if (self->cancel(id))
+            ++self->m_interrupted;
+    }
+    self->m_cache.clear();
+    self->m_cacheOrder.clear();
+    co_await self->m_timers.sleep(self->m_settings.changeTime / 2);
+    if (self->m_faults.crashDuringChange)
+        std::abort();
+    co_await self->m_timers.sleep(self->m_settings.changeTime / 2);
+    if (change == self->m_changes)
+        self->m_isReady = true;
+}
+
+void EngineSimulator::record(nlohmann::json entry)
+{
+    m_log.push_back(std::move(entry));
+    if (m_log.size() > keptLog)
+        m_log.pop_front();
+}
+
+nlohmann::json EngineSimulator::log() const
+{
+    return { { "entries", m_log }, { "interrupted", m_interrupted } };
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/standins/servicestandin/main.cpp
@@ -0,0 +1,130 @@
+#include "common/StandinServer.h"
+#include "common/StandinText.h"
+#include "kernel/timers/AsioTimerService.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "loopback address and port to listen on");
+ABSL_FLAG(int64_t, service_ms, 10, "time that a call takes");
+ABSL_FLAG(uint32_t, slots, 32, "calls that run at once");
+ABSL_FLAG(double, slow_factor, 1, "fault: multiplies the time of a call");
+ABSL_FLAG(uint32_t, crash_before_execution, 0, "fault: abort on the n-th call before it is executed; 0: never");
+ABSL_FLAG(uint32_t, crash_after_execution, 0, "fault: abort on the n-th call after it was executed; 0: never");
+ABSL_FLAG(uint32_t, lost_answers, 0, "fault: close this many connections after the execution without an answer");
+
+using namespace chestnut;
+using nlohmann::json;
+
+namespace {
+
+struct ServiceFaults {
+    double slowFactor = 1;
+    uint32_t crashBeforeExecution = 0; /**< calls until the abort; 0: never */
+    uint32_t crashAfterExecution = 0;
+    uint32_t lostAnswers = 0;
+    int64_t serviceMs = 10;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(ServiceFaults, slowFactor, crashBeforeExecution, crashAfterExecution, lostAnswers, serviceMs)
+};
+
+/** Plain HTTP service that counts executions for each idempotency key. */
+class ServiceDouble {
+public:
+    ServiceDouble(asio::io_context& context, ServiceFaults faults, uint32_t slots)
+        : m_timers(context)
+        , m_faults(faults)
+        , m_slots(slots)
+    {
+    }
+
+    asio::awaitable<void> handle(HttpRequest request, HttpResponseWriter& writer)
+    {
+        if (auto answer = controlAnswer(request)) {
+            co_await writer.send({ 200, { { "Content-Type", "application/json" } }, answer->dump() });
+            co_return;
+        }
+        if (isDue(m_faults.crashBeforeExecution))
+            std::abort();
+        co_await takeSlot();
+        co_await m_timers.sleep(fromSeconds(static_cast<double>(m_faults.serviceMs) / 1000 * m_faults.slowFactor));
+        releaseSlot();
+        countExecution(request);
+        if (isDue(m_faults.crashAfterExecution))
+            std::abort();
+        if (m_faults.lostAnswers > 0) {
+            --m_faults.lostAnswers;
+            writer.abort();
+            co_return;
+        }
+        HttpHeaders headers { { "Content-Type", "application/json" }, { "X-Request-Id", std::string(request.headers.value("X-Request-Id")) } };
+        co_await writer.send({ 200, headers, standinServiceAnswer(request.target, request.body) });
+    }
+
+private:
+    static bool isDue(uint32_t& countdown) { return countdown > 0 && --countdown == 0; }
+
+    std::optional<json> controlAnswer(const HttpRequest& request)
+    {
+        auto path = request.path();
+        if (path == "/load")
+            return json { { "running", m_running }, { "slots", m_slots }, { "age_ms", 0 } };
+        if (path == "/control/executions")
+            return json { { "by_key", m_executions }, { "without_key", m_executionsWithoutKey } };
+        if (path != "/control/faults")
+            return std::nullopt;
+        json merged = m_faults;
+        auto update = json::parse(request.body, nullptr, false);
+        if (update.is_object())
+            merged.update(update);
+        m_faults = merged.get<ServiceFaults>();
+        return merged;
+    }
+
+    asio::awaitable<void> takeSlot()
+    {
+        constexpr Duration pollPeriod = std::chrono::milliseconds(2);
+        while (m_running >= m_slots)
+            co_await m_timers.sleep(pollPeriod);
+        ++m_running;
+    }
+
+    void releaseSlot() { --m_running; }
+
+    void countExecution(const HttpRequest& request)
+    {
+        auto key = request.headers.value("Idempotency-Key");
+        if (key.empty())
+            ++m_executionsWithoutKey;
+        else
+            ++m_executions[std::string(key)];
+    }
+
+    AsioTimerService m_timers;
+    ServiceFaults m_faults;
+    uint32_t m_slots;
+    uint32_t m_running = 0;
+    std::map<std::string, uint64_t> m_executions;
+    uint64_t m_executionsWithoutKey = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("Test double of a plain service's backend server.");
+    absl::ParseCommandLine(argc, argv);
+    ServiceFaults faults;
+    faults.slowFactor = absl::GetFlag(FLAGS_slow_factor);
+    faults.crashBeforeExecution = absl::GetFlag(FLAGS_crash_before_execution);
+    faults.crashAfterExecution = absl::GetFlag(FLAGS_crash_after_execution);
+    faults.lostAnswers = absl::GetFlag(FLAGS_lost_answers);
+    faults.serviceMs = absl::GetFlag(FLAGS_service_ms);
+    asio::io_context context;
+    ServiceDouble service(context, faults, absl::GetFlag(FLAGS_slots));
+    return serveStandin(context, absl::GetFlag(FLAGS_listen), [&service](HttpRequest request, HttpResponseWriter& writer) { return service.handle(std::move(request), writer); });
+}
--- /dev/null
+++ b/tests/backends/HttpEngineClientTest.cpp
@@ -0,0 +1,153 @@
+#include "backends/backends.h"
+#include "http/http.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+
+namespace {
+
+/** A scripted server and both clients in one io_context. */
+struct BackendFixture {
+    explicit BackendFixture(HttpHandler handler)
+        : server(context, log, { "127.0.0.1", 0 }, {}, std::move(handler), [](const Error& error) { return HttpResponse { answerFor(error.kind).status, {}, error.detail }; })
+    {
+        server.start();
+    }
+
+    template <typename T>
+    T run(asio::awaitable<T> work)
+    {
+        std::optional<T> result;
+        asio::co_spawn(context, std::move(work), [&](std::exception_ptr exception, T value) {
+            if (exception)
+                std::rethrow_exception(exception);
+            result = std::move(value);
+            context.stop();
+        });
+        context.run();
+        context.restart();
+        return std::move(*result);
+    }
+
+    asio::io_context context;
+    MemoryLog log;
+    HttpServer server;
+    HttpClient http { context };
+    HttpEngineClient engines { http };
+    HttpBackendServerClient servers { http };
+};
+
+CompletionCall callWith(std::string id)
+{
+    CompletionCall call;
+    call.request = RequestId(std::move(id));
+    call.body = R"({"model":"m1","prompt":"p","max_tokens":2,"stream":true})";
+    return call;
+}
+
+std::string tokenText(const std::string& id, uint64_t index, bool isLast)
+{
+    return formatSse({ std::to_string(index), formatCompletionChunk({ id, "t" + std::to_string(index), isLast ? "stop" : "" }, ModelId("m1"), false) });
+}
+
+/** Serves the given pieces as a stream under the given request id. */
+HttpHandler streamOf(std::string id, std::vector<std::string> pieces, bool breaks = false)
+{
+    return [id, pieces, breaks](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        return [](std::string streamId, std::vector<std::string> chunks, bool aborts, HttpResponseWriter& out) -> asio::awaitable<void> {
+            co_await out.begin(200, { { "X-Request-Id", streamId } });
+            for (auto& chunk : chunks)
+                co_await out.write(chunk);
+            if (aborts)
+                out.abort();
+            else
+                co_await out.finish();
+        }(id, pieces, breaks, writer);
+    };
+}
+
+asio::awaitable<Result<uint64_t>> countTokens(EngineClient& engines, Endpoint endpoint, CompletionCall call)
+{
+    auto stream = co_await engines.complete(endpoint, std::move(call));
+    if (!stream)
+        co_return stream.error();
+    uint64_t count = 0;
+    while (true) {
+        auto token = co_await (*stream)->next();
+        if (!token)
+            co_return token.error();
+        if (!*token)
+            co_return count;
+        ++count;
+    }
+}
+
+} // namespace
+
+TEST_CASE("a whole stream arrives token by token")
+{
+    BackendFixture fixture(streamOf("r1", { tokenText("r1", 1, false) + tokenText("r1", 2, true), formatSse({ "", "[DONE]" }) }));
+    auto count = fixture.run(countTokens(fixture.engines, fixture.server.endpoint(), callWith("r1")));
+    REQUIRE(count.has_value());
+    CHECK(*count == 2);
+}
+
+// Guards against relaying an answer that belongs to another request.
+TEST_CASE("a crossed answer is a protocol error")
+{
+    BackendFixture header(streamOf("r2", { tokenText("r2", 1, true), formatSse({ "", "[DONE]" }) }));
+    auto byHeader = header.run(countTokens(header.engines, header.server.endpoint(), callWith("r1")));
+    REQUIRE_FALSE(byHeader.has_value());
+    CHECK(byHeader.error().kind == ErrorKind::ProtocolError);
+
+    BackendFixture chunk(streamOf("r1", { tokenText("r2", 1, true), formatSse({ "", "[DONE]" }) }));
+    auto byChunk = chunk.run(countTokens(chunk.engines, chunk.server.endpoint(), callWith("r1")));
+    REQUIRE_FALSE(byChunk.has_value());
+    CHECK(byChunk.error().kind == ErrorKind::ProtocolError);
+}
+
+// Guards against a lost or doubled token that nobody notices.
+TEST_CASE("a token out of order is a protocol error")
+{
+    for (uint64_t second : { 1U, 3U }) {
+        BackendFixture fixture(streamOf("r1", { tokenText("r1", 1, false), tokenText("r1", second, true), formatSse({ "", "[DONE]" }) }));
+        auto count = fixture.run(countTokens(fixture.engines, fixture.server.endpoint(), callWith("r1")));
+        REQUIRE_FALSE(count.has_value());
+        CHECK(count.error().kind == ErrorKind::ProtocolError);
+    }
+}
+
+// Guards against taking a cut stream for a whole answer.
+TEST_CASE("a stream that breaks or ends before its last token has failed")
+{
+    for (bool breaks : { true, false }) {
+        BackendFixture fixture(streamOf("r1", { tokenText("r1", 1, false) }, breaks));
+        auto count = fixture.run(countTokens(fixture.engines, fixture.server.endpoint(), callWith("r1")));
+        REQUIRE_FALSE(count.has_value());
+        CHECK(count.error().kind == ErrorKind::BackendFailed);
+    }
+}
+
+// Guards against reporting "not run" for an order that may have been applied.
+TEST_CASE("an order without an answer has an unknown outcome and a refused one is stale")
+{
+    BackendFixture lost([](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> { writer.abort(); co_return; });
+    auto unknown = lost.run(lost.engines.order(lost.server.endpoint(), {}, std::chrono::seconds(1)));
+    REQUIRE_FALSE(unknown.has_value());
+    CHECK(unknown.error().kind == ErrorKind::OutcomeUnknown);
+
+    BackendFixture stale([](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> { co_await writer.send({ 409, {}, R"({"error":"stale_authority"})" }); });
+    auto refused = stale.run(stale.engines.order(stale.server.endpoint(), {}, std::chrono::seconds(1)));
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().kind == ErrorKind::StaleAuthority);
+}
+
+TEST_CASE("a backend server's crossed answer never reaches the caller")
+{
+    BackendFixture fixture([](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> { co_await writer.send({ 200, { { "X-Request-Id", "r2" } }, "other" }); });
+    auto response = fixture.run(fixture.servers.call(fixture.server.endpoint(), { "POST", "/x", { { "X-Request-Id", "r1" } }, "" }, std::chrono::seconds(1)));
+    REQUIRE_FALSE(response.has_value());
+    CHECK(response.error().kind == ErrorKind::ProtocolError);
+}
