--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -38,6 +38,16 @@
         { EventId::RequestRouted, "request_routed", Severity::Info, "A replica was chosen for a request." },
         { EventId::RequestRefused, "request_refused", Severity::Info, "A request was refused; the fields give kind and reason." },
         { EventId::RequestCompleted, "request_completed", Severity::Info, "The whole answer was sent to the caller." },
+        { EventId::RequestPreempted, "request_preempted", Severity::Info, "A batch request gave its slot to live work; it is resumed later." },
+        { EventId::AttemptFailed, "attempt_failed", Severity::Warning, "An attempt at a replica failed; the fields say what follows." },
+        { EventId::ReplicaHealthChanged, "replica_health_changed", Severity::Warning, "A replica was ejected, put on probation or taken back." },
+        { EventId::ReplicaUnresponsive, "replica_unresponsive", Severity::Warning, "A replica does not respond and gets no new work." },
+        { EventId::ReplicaResponsive, "replica_responsive", Severity::Info, "A replica responds again." },
+        { EventId::RequestSuspected, "request_suspected", Severity::Warning, "A replica was lost; the requests that ran there are suspected." },
+        { EventId::RequestHedged, "request_hedged", Severity::Info, "A second attempt was started because the first one is late." },
+        { EventId::StreamResumed, "stream_resumed", Severity::Info, "A caller resumed a stream." },
+        { EventId::FrontendStopping, "frontend_stopping", Severity::Info, "The callers' listener takes no new work and finishes what it has." },
+        { EventId::FrontendStopped, "frontend_stopped", Severity::Info, "No caller request is in progress any more." },
 
         // operations
     });
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -44,6 +44,16 @@
     RequestRouted = 2000,
     RequestRefused = 2001,
     RequestCompleted = 2002,
+    RequestPreempted = 2003,
+    AttemptFailed = 2004,
+    ReplicaHealthChanged = 2005,
+    ReplicaUnresponsive = 2006,
+    ReplicaResponsive = 2007,
+    RequestSuspected = 2008,
+    RequestHedged = 2009,
+    StreamResumed = 2010,
+    FrontendStopping = 2011,
+    FrontendStopped = 2012,
 
     // operations: 2100 to 2199
 };
--- /dev/null
+++ b/modules/frontend/replicas/Flight.cpp
@@ -0,0 +1,56 @@
+#include "frontend/replicas/ReplicaTable.h"
+
+namespace chestnut {
+
+Flight::Flight(std::weak_ptr<ReplicaTable> table, ReplicaId replica, FlightPlan plan, TimePoint startedAt)
+    : m_table(std::move(table))
+    , m_replica(std::move(replica))
+    , m_plan(std::move(plan))
+    , m_startedAt(startedAt)
+{
+}
+
+Flight::~Flight()
+{
+    if (auto table = m_table.lock())
+        table->end(*this);
+}
+
+void Flight::onToken(TimePoint now)
+{
+    auto table = m_table.lock();
+    if (m_tokens++ == 0) {
+        m_firstTokenAt = now;
+        if (table) {
+            table->learnFirstToken(*this, now);
+            table->recordLatency(*this, now - m_startedAt, m_plan.estimate.timeToFirstToken, now);
+        }
+    }
+    m_lastTokenAt = now;
+}
+
+void Flight::onAnswer(TimePoint now)
+{
+    m_tokens = 1;
+    m_firstTokenAt = m_startedAt;
+    m_lastTokenAt = now;
+    if (auto table = m_table.lock())
+        table->recordLatency(*this, now - m_startedAt, m_plan.estimate.serviceTime, now);
+}
+
+void Flight::onFailure(ErrorKind kind, TimePoint now)
+{
+    if (auto table = m_table.lock())
+        table->recordFailed(*this, kind, now);
+}
+
+WorkEstimate Flight::remaining() const
+{
+    WorkEstimate work = m_plan.work;
+    if (m_tokens > 0)
+        work.prefillTokens = 0;
+    work.decodeTokens = std::max(0.0, work.decodeTokens - static_cast<double>(m_tokens));
+    return work;
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/replicas/ReplicaTable.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include "backends/engines/EngineClient.h"
+#include "backends/servers/BackendServerClient.h"
+#include "decisions/admission/Admission.h"
+#include "decisions/ejection/Ejection.h"
+#include "decisions/hedging/Hedging.h"
+#include "decisions/routing/PrefixIndex.h"
+#include "decisions/routing/Routing.h"
+#include "decisions/subsets/Subsets.h"
+#include "kernel/logging/Log.h"
+#include "kernel/timers/TimerService.h"
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+
+namespace chestnut {
+
+class ReplicaTable;
+
+/** The replicas of one model (`model/m1`) or service (`service/orders`). */
+using ReplicaGroupId = StrongId<struct ReplicaGroupTag>;
+
+ReplicaGroupId groupOf(const ModelId&);
+ReplicaGroupId groupOf(const ServiceId&);
+
+/** What the table must know about work that is sent to a replica. */
+struct FlightPlan {
+    Digest content;
+    PriorityClass priorityClass = PriorityClass::Live;
+    WorkEstimate work;
+    ReplicaEstimate estimate; /**< at the time of the decision */
+    bool isLong = false;
+    bool isIsolated = false; /**< nothing else may be sent to the replica meanwhile */
+    std::function<void()> preempt; /**< frees the slot of a batch request; empty when it cannot be preempted */
+};
+
+/** Work in flight at one replica; it ends with the object. */
+class Flight {
+public:
+    Flight(std::weak_ptr<ReplicaTable>, ReplicaId, FlightPlan, TimePoint startedAt);
+    Flight(const Flight&) = delete;
+    Flight& operator=(const Flight&) = delete;
+    ~Flight();
+
+    const ReplicaId& replica() const { return m_replica; }
+    const FlightPlan& plan() const { return m_plan; }
+    TimePoint startedAt() const { return m_startedAt; }
+
+    /** One token arrived; the first one gives a latency sample. */
+    void onToken(TimePoint now);
+    /** The whole answer of a plain call arrived. */
+    void onAnswer(TimePoint now);
+    /** The attempt failed at the replica. */
+    void onFailure(ErrorKind, TimePoint now);
+
+    WorkEstimate remaining() const;
+    uint64_t tokens() const { return m_tokens; }
+    bool wasPreempted() const { return m_wasPreempted; }
+    void markPreempted() { m_wasPreempted = true; }
+
+private:
+    std::weak_ptr<ReplicaTable> m_table;
+    ReplicaId m_replica;
+    FlightPlan m_plan;
+    TimePoint m_startedAt;
+    TimePoint m_firstTokenAt {};
+    TimePoint m_lastTokenAt {};
+    uint64_t m_tokens = 0;
+    bool m_wasPreempted = false;
+    bool m_wasAlone = false;
+
+    friend class ReplicaTable;
+};
+
+using FlightHandle = std::shared_ptr<Flight>;
+
+/** Where this daemon runs and how far other places are. */
+struct Locality {
+    DaemonId self;
+    AvailabilityZone zone;
+    Region region;
+    Duration sameZoneDelay = std::chrono::microseconds(250);
+    Duration sameRegionDelay = std::chrono::microseconds(1500);
+    Duration otherRegionDelay = std::chrono::milliseconds(40);
+};
+
+/** Decided outside the table: membership, drains and slow start. */
+struct ReplicaGates {
+    std::function<bool(const ReplicaId&)> acceptsNewWork;
+    std::function<double(const ReplicaId&)> slowStartShare; /**< 0 to 1 */
+};
+
+/** Everything that this daemon knows about the replicas that it uses. Lost with the daemon and learned again. */
+class ReplicaTable : public std::enable_shared_from_this<ReplicaTable> {
+public:
+    /** Failed contacts in a row, or time since the first of them, after which a replica gets no new work. */
+    static constexpr uint32_t unresponsiveFailures = 3;
+    static constexpr Duration unresponsiveTime = std::chrono::seconds(5);
+
+    ReplicaTable(Locality, TimerService&, Log&, ReplicaGates);
+
+    /** Takes over the replicas of a configuration; flights at removed ones go on. */
+    void apply(const Configuration&);
+
+    bool hasGroup(const ReplicaGroupId&) const;
+    std::vector<ReplicaView> views(const ReplicaGroupId&) const;
+    std::vector<double> cachedTokens(std::span<const ReplicaView>, std::span<const uint64_t> blocks) const;
+    std::optional<Endpoint> endpoint(const ReplicaId&) const;
+
+    FlightHandle begin(const ReplicaId&, FlightPlan, std::span<const uint64_t> blocks);
+    std::vector<Digest> contentsRunningAt(const ReplicaId&) const;
+    /** Counts a loss once, although every request that ran there notices it. */
+    bool noteLoss(const ReplicaId&);
+    /** Frees the slot of the newest batch request there. False when there is none. */
+    bool preemptNewestBatch(const ReplicaId&);
+    /** Calls back whenever a flight has ended. */
+    void onFlightEnd(std::function<void(const ReplicaGroupId&)> callback) { m_onFlightEnd = std::move(callback); }
+
+    /** The next replica to poll, at least `period` after its last poll, or nothing. */
+    std::optional<ReplicaId> nextToPoll(Duration period);
+    bool isEngine(const ReplicaId&) const;
+    uint64_t lastCacheSequence(const ReplicaId&) const;
+    void applyLoad(const ReplicaId&, const EngineLoad&);
+    void applyLoad(const ReplicaId&, const BackendServerLoad&);
+    void applyCacheEvents(const ReplicaId&, std::span<const CacheEvent>);
+    void contactSucceeded(const ReplicaId&);
+    void contactFailed(const ReplicaId&);
+
+    LatencyQuantiles& quantiles(const ReplicaGroupId& group) { return m_groups[group].quantiles; }
+    std::map<ReplicaGroupId, LatencyGroup> latencies() const;
+    void mergePeerLatency(const ReplicaId&, double meanRatio, double samples);
+    void updateHealth();
+
+    uint32_t flightCount() const { return m_flightCount; }
+    uint32_t slotCount() const;
+
+private:
+    struct Sent {
+        TimePoint at;
+        WorkEstimate work;
+    };
+    struct Replica {
+        ReplicaGroupId group;
+        Endpoint endpoint;
+        bool isEngine = true;
+        ReplicaView view; /**< without the own work, health and gates, which views() adds */
+        ConcurrencyLimit limit;
+        std::list<Flight*> flights; /**< oldest first */
+        std::deque<Sent> sent;
+        TimePoint polledAt {};
+        bool isPolling = false;
+        uint32_t failures = 0;
+        TimePoint firstFailureAt {};
+        TimePoint lossNotedAt {};
+        bool hasLoss = false;
+        bool isConfigured = true;
+        std::string version; /**< model and version; the cache is forgotten when it changes */
+    };
+    struct Group {
+        std::vector<ReplicaId> members;
+        LatencyGroup latency;
+        LatencyQuantiles quantiles;
+    };
+
+    void addSubset(const ReplicaGroupId&, std::vector<std::pair<SubsetCandidate, Replica>>);
+    Duration delayTo(const AvailabilityZone&, const Region&) const;
+    OwnWork ownWork(const Replica&) const;
+    bool acceptsNewWork(const Replica&) const;
+    bool isUnresponsive(const Replica&) const;
+    void end(Flight&);
+    void learnFirstToken(Flight&, TimePoint now);
+    void learnDecodeRate(Flight&);
+    void recordLatency(const Flight&, Duration measured, Duration expected, TimePoint now);
+    void recordFailed(const Flight&, ErrorKind, TimePoint now);
+    Replica* find(const ReplicaId&);
+    const Replica* find(const ReplicaId&) const;
+
+    Locality m_locality;
+    TimerService& m_timers;
+    Log& m_log;
+    ReplicaGates m_gates;
+    std::map<ReplicaId, Replica> m_replicas;
+    std::map<ReplicaGroupId, Group> m_groups;
+    PrefixIndex m_prefixes;
+    std::function<void(const ReplicaGroupId&)> m_onFlightEnd;
+    uint32_t m_flightCount = 0;
+
+    friend class Flight;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/requests/CallerRequest.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/digest/Digest.h"
+#include "base/errors/Result.h"
+#include "base/ids/StrongId.h"
+#include "base/time/TimePoint.h"
+#include "decisions/estimates/WorkEstimate.h"
+#include "http/message/HttpMessage.h"
+
+#include <string>
+
+namespace chestnut {
+
+/** What the headers of section 2.1 say about a request. */
+struct CallerRequest {
+    RequestId id;
+    AccountId account;
+    PriorityClass priorityClass = PriorityClass::Live;
+    TimePoint arrival;
+    TimePoint deadline;
+    std::string idempotencyKey; /**< empty when absent */
+    Digest content; /**< of method, target and body; identifies a request that crashes its backends */
+};
+
+/** The caller's request id, or `fallback` when it is absent or not acceptable. */
+RequestId requestIdOf(const HttpHeaders&, const RequestId& fallback);
+
+/** Checks the headers. Errors: BadRequest, DeadlinePassed, BadKey. */
+Result<CallerRequest> parseCallerRequest(const HttpRequest&, RequestId, TimePoint now);
+
+/** The JSON error response of section 2.1 with X-Request-Id and, where the kind has it, Retry-After. */
+HttpResponse errorResponse(const Error&, const RequestId&);
+
+/** The JSON body of errorResponse(). */
+std::string errorBody(const Error&, const RequestId&);
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/support/Signal.cpp
@@ -0,0 +1,33 @@
+#include "frontend/support/Signal.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace chestnut {
+
+Signal::Signal(asio::io_context& context)
+    : m_gate(context, asio::steady_timer::time_point::max())
+{
+}
+
+void Signal::notify()
+{
+    m_isNotified = true;
+    m_gate.cancel();
+}
+
+asio::awaitable<bool> Signal::waitFor(TimerService& timers, Duration duration)
+{
+    bool hasTimedOut = duration <= Duration::zero();
+    auto timeout = timers.once(std::max(duration, Duration::zero()), [this, &hasTimedOut] {
+        hasTimedOut = true;
+        m_gate.cancel();
+    });
+    while (!m_isNotified && !hasTimedOut) {
+        boost::system::error_code ignored;
+        co_await m_gate.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return std::exchange(m_isNotified, false);
+}
+
+} // namespace chestnut
