Add the process cluster for whole-process tests

Cause: kills, pauses and outages must be tested on the real programs. Conclusion: used by the whole-process tests once the daemon is wired.

--- /dev/null
+++ b/tests/processes/ProcessCluster.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "http/http.h"
+#include "processes/ChildProcess.h"
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace chestnut::test {
+
+struct ClusterShape {
+    std::string name; /**< also the name of its output folder */
+    std::vector<std::string> zones { "a", "b", "c" };
+    size_t daemons = 6;
+    size_t engines = 3;
+    size_t backendServers = 3;
+    std::vector<std::string> engineFlags;
+    std::vector<std::string> serviceFlags;
+    std::vector<std::string> keyValueFlags;
+};
+
+/** The daemons and the stand-ins as real processes on loopback addresses. */
+class ProcessCluster {
+public:
+    explicit ProcessCluster(ClusterShape);
+
+    /** Starts everything, submits the first ticket and waits until all daemons are ready. */
+    bool start();
+
+    void startDaemon(size_t index);
+    void startEngine(size_t index);
+    void startBackendServer(size_t index);
+    void startKeyValue();
+
+    ChildProcess& daemon(size_t index) { return *m_daemons.at(index); }
+    ChildProcess& engine(size_t index) { return *m_engines.at(index); }
+    ChildProcess& backendServer(size_t index) { return *m_backendServers.at(index); }
+    ChildProcess& keyValue() { return *m_keyValue; }
+
+    Endpoint callers(size_t daemon) const { return { "127.0.0.1", m_callerPorts.at(daemon) }; }
+    Endpoint operators(size_t daemon) const { return { "127.0.0.1", m_operatorPorts.at(daemon) }; }
+    Endpoint engineEndpoint(size_t index) const { return { "127.0.0.1", m_enginePorts.at(index) }; }
+    Endpoint serverEndpoint(size_t index) const { return { "127.0.0.1", m_serverPorts.at(index) }; }
+    Endpoint keyValueEndpoint() const { return { "127.0.0.1", m_keyValuePort }; }
+    std::string operatorList() const;
+
+    /** One exchange from outside; an error result when the process cannot be reached. */
+    Result<HttpResponse> send(Endpoint, HttpRequest, Duration timeout = std::chrono::seconds(20));
+    nlohmann::json fetchJson(Endpoint, const std::string& target);
+    bool postJson(Endpoint, const std::string& target, const nlohmann::json& body);
+
+    /** Submits a ticket at any daemon; the HTTP status of the answer, or 0. */
+    int submit(const nlohmann::json& ticket, size_t daemon = 0);
+    nlohmann::json firstTicket() const;
+    bool isReady(size_t daemon);
+
+    /** Runs a program of the build to its end. */
+    struct Run {
+        int exitCode = -1;
+        std::string output;
+    };
+    Run runProgram(const std::string& relativePath, std::vector<std::string> arguments, double boundSeconds = 120);
+
+    size_t daemonCount() const { return m_shape.daemons; }
+    const std::string& folder() const { return m_folder; }
+
+private:
+    std::string zoneOf(size_t index) const { return m_shape.zones[index % m_shape.zones.size()]; }
+    std::string writeSettings(size_t index) const;
+    std::string output(const std::string& name) const { return m_folder + "/" + name + ".out"; }
+
+    ClusterShape m_shape;
+    std::string m_folder;
+    uint16_t m_keyValuePort = 0;
+    std::vector<uint16_t> m_callerPorts;
+    std::vector<uint16_t> m_operatorPorts;
+    std::vector<uint16_t> m_peerPorts;
+    std::vector<uint16_t> m_enginePorts;
+    std::vector<uint16_t> m_serverPorts;
+    std::unique_ptr<ChildProcess> m_keyValue;
+    std::map<size_t, std::unique_ptr<ChildProcess>> m_daemons;
+    std::map<size_t, std::unique_ptr<ChildProcess>> m_engines;
+    std::map<size_t, std::unique_ptr<ChildProcess>> m_backendServers;
+    size_t m_runs = 0;
+};
+
+} // namespace chestnut::test
