Change roles only where the engines' time is short

Cause: role changes were decided as if a mixed engine could not lend idle time of one kind of work to the other, and the demand counted prefill that prefix caches save. Change: lateness counts only beyond what roles guarantee and what the other kind leaves idle, by its square; the benchmark's demand leaves out prefixes that a replica caches.

--- a/bench/policy/Daemon.cpp
+++ b/bench/policy/Daemon.cpp
@@ -65,6 +65,15 @@
     return estimateWork(job.promptTokens + before, job.outputLimit, m_models[isBatch(job) ? 1 : 0]);
 }
 
+WorkEstimate Daemon::expectedWork(const Job& job) const
+{
+    auto work = estimate(job);
+    double cached = 0;
+    for (const auto& view : m_views)
+        cached = std::max(cached, cachedTokens(m_prefixes, view.id, job.prefixBlocks));
+    return { std::max(0.0, work.prefillTokens - cached), work.decodeTokens };
+}
+
 RouteRequest Daemon::requestFor(const Job& job)
 {
     RouteRequest request;
--- a/bench/policy/Daemon.h
+++ b/bench/policy/Daemon.h
@@ -40,12 +40,15 @@
     void reported(uint32_t engine, const LoadReport&, const std::vector<CacheEvent>&);
     void engineChanged(uint32_t engine);
 
-    WorkEstimate estimate(const Job&) const;
+    /** Work that engines have to do for the job: prefill of a prefix that some replica caches is left out. */
+    WorkEstimate expectedWork(const Job&) const;
     /** Latency samples since the last call, for the peers: replica, mean ratio and count. */
     std::map<ReplicaId, ReplicaLatency> takeSummary();
     void mergeSummary(const std::map<ReplicaId, ReplicaLatency>&);
 
 private:
+    WorkEstimate estimate(const Job&) const;
+
     struct Flight {
         Attempt attempt;
         WorkEstimate unfinished;
--- a/bench/policy/OwnPolicy.cpp
+++ b/bench/policy/OwnPolicy.cpp
@@ -26,7 +26,7 @@
 
 void OwnPolicy::arrived(const Job& job)
 {
-    auto work = m_daemons[job.daemon]->estimate(job);
+    auto work = m_daemons[job.daemon]->expectedWork(job);
     m_arrived.prefillTokensPerSecond += work.prefillTokens;
     m_arrived.decodeTokensPerSecond += work.decodeTokens;
     m_daemons[job.daemon]->arrived(job);
--- a/modules/decisions/roles/Roles.cpp
+++ b/modules/decisions/roles/Roles.cpp
@@ -9,25 +9,23 @@
 
     /** Demand is averaged over this time; the mix shifts within minutes and swings within seconds. */
     constexpr Duration demandMemory = std::chrono::seconds(20);
-    /** Work above this share of a capacity is counted as late. */
-    constexpr double usableShare = 0.8;
+    /** Work above this share of the engines' time is counted as late. */
+    constexpr double usableShare = 0.9;
     constexpr size_t enginesPerAbsence = 10;
 
     struct Supply {
-        double prefillTokensPerSecond = 0;
+        double engines = 0;
+        double guaranteedPrefill = 0; /**< engines' worth of time that roles guarantee to prefill */
+        double prefillTokensPerSecond = 0; /**< if all engines did only this */
         double decodeTokensPerSecond = 0;
-        double prefillRate = 1; /**< of one engine, largest */
-        double decodeRate = 1;
     };
 
     void addEngine(Supply& supply, const RoleEngine& engine, EngineRole role, double sign)
     {
-        auto share = prefillShareOf(role);
-        auto decode = engine.rates.decodeTokensPerSecond * engine.slots;
-        supply.prefillTokensPerSecond += sign * engine.rates.prefillTokensPerSecond * share;
-        supply.decodeTokensPerSecond += sign * decode * (1 - share);
-        supply.prefillRate = std::max(supply.prefillRate, engine.rates.prefillTokensPerSecond);
-        supply.decodeRate = std::max(supply.decodeRate, decode);
+        supply.engines += sign;
+        supply.guaranteedPrefill += sign * prefillShareOf(role);
+        supply.prefillTokensPerSecond += sign * engine.rates.prefillTokensPerSecond;
+        supply.decodeTokensPerSecond += sign * engine.rates.decodeTokensPerSecond * engine.slots;
     }
 
     Supply supplyOf(std::span<const RoleEngine> engines)
@@ -38,12 +36,21 @@
         return supply;
     }
 
-    /** Engine seconds of work each second that exceed the usable capacity of their kind. */
+    /** Engine seconds of late work each second. An engine gives time that one kind of work leaves idle to the other, so
+        roles matter only when both together exceed the usable time. Lateness counts by its square over the time that
+        the kind needs: a small delay of both kinds is better than a long one of a single kind. */
     double lateWork(const MixDemand& demand, const Supply& supply)
     {
-        auto prefill = std::max(0.0, demand.prefillTokensPerSecond - usableShare * supply.prefillTokensPerSecond);
-        auto decode = std::max(0.0, demand.decodeTokensPerSecond - usableShare * supply.decodeTokensPerSecond);
-        return prefill / supply.prefillRate + decode / supply.decodeRate;
+        if (supply.engines <= 0)
+            return demand.prefillTokensPerSecond + demand.decodeTokensPerSecond;
+        auto prefill = supply.engines * demand.prefillTokensPerSecond / std::max(1.0, supply.prefillTokensPerSecond);
+        auto decode = supply.engines * demand.decodeTokensPerSecond / std::max(1.0, supply.decodeTokensPerSecond);
+        auto usable = usableShare * supply.engines;
+        auto prefillShare = usableShare * supply.guaranteedPrefill;
+        auto latePrefill = std::max(0.0, prefill - std::max(prefillShare, usable - decode));
+        auto lateDecode = std::max(0.0, decode - std::max(usable - prefillShare, usable - prefill));
+        auto squared = [](double late, double needed) { return needed > 0 ? late * late / needed : 0; };
+        return squared(latePrefill, prefill) + squared(lateDecode, decode);
     }
 
     bool staysAboveFloor(const RoleEngine& engine, std::span<const RoleEngine> engines, uint32_t minimumPerZone)
