Assume that other daemons add as many requests as this one since a report

Cause: between two load reports all six daemons filled the same free slots, so live work waited at the engines, where fair queueing and priorities of accounts have no effect; the exponential discount made a full replica look half empty. Change: running requests are the report plus this daemon's net change since then divided by its share of the replica. OwnWork gains netRequestsSinceReport.

--- a/bench/policy/Daemon.cpp
+++ b/bench/policy/Daemon.cpp
@@ -43,7 +43,7 @@
     , m_options(options)
     , m_random(fleet.scenario().seed * 100 + index)
     , m_limits(fleet.engineCount())
-    , m_sent(fleet.engineCount())
+    , m_changes(fleet.engineCount())
 {
     for (uint32_t engine = 0; engine < fleet.engineCount(); engine++) {
         ReplicaView view;
@@ -201,6 +201,15 @@
     own.unfinished.decodeTokens += sign * flight.unfinished.decodeTokens;
 }
 
+void Daemon::noteChange(uint32_t engine, const WorkEstimate& sent, int32_t requests)
+{
+    m_changes[engine].push_back({ now(), sent, requests });
+    auto& own = m_views[engine].own;
+    own.sentSinceReport.prefillTokens += sent.prefillTokens;
+    own.sentSinceReport.decodeTokens += sent.decodeTokens;
+    own.netRequestsSinceReport += requests;
+}
+
 void Daemon::dispatch(const Job& job, size_t engine, const ReplicaEstimate& expected, double cached, bool isHedge)
 {
     auto work = estimate(job);
@@ -213,9 +222,7 @@
     auto id = m_fleet.send(job, static_cast<uint32_t>(engine), flight.isBatch ? 1 : 0, isHedge);
     flight.attempt = { id, job.id, static_cast<uint32_t>(engine), now(), isHedge };
     addOwn(flight, 1);
-    m_sent[engine].push_back({ now(), flight.unfinished });
-    auto& since = m_views[engine].own.sentSinceReport;
-    since = { since.prefillTokens + flight.unfinished.prefillTokens, since.decodeTokens + flight.unfinished.decodeTokens };
+    noteChange(flight.attempt.engine, flight.unfinished, 1);
     noteSent(m_prefixes, m_views[engine].id, job.prefixBlocks);
     m_flights[id] = flight;
     if (!isHedge)
@@ -285,6 +292,7 @@
     auto flight = entry->second;
     m_flights.erase(entry);
     addOwn(flight, -1);
+    noteChange(attempt.engine, {}, -1);
     const auto& job = m_fleet.job(attempt.job);
     if (isFinished) {
         auto& model = m_models[flight.isBatch ? 1 : 0];
@@ -317,13 +325,15 @@
 {
     auto& view = m_views[engine];
     view.report = report;
-    auto& sent = m_sent[engine];
-    while (!sent.empty() && sent.front().at + view.networkDelay <= report.measuredAt)
-        sent.pop_front();
+    auto& changes = m_changes[engine];
+    while (!changes.empty() && changes.front().at + view.networkDelay <= report.measuredAt)
+        changes.pop_front();
     view.own.sentSinceReport = {};
-    for (const auto& [at, work] : sent) {
-        view.own.sentSinceReport.prefillTokens += work.prefillTokens;
-        view.own.sentSinceReport.decodeTokens += work.decodeTokens;
+    view.own.netRequestsSinceReport = 0;
+    for (const auto& change : changes) {
+        view.own.sentSinceReport.prefillTokens += change.sent.prefillTokens;
+        view.own.sentSinceReport.decodeTokens += change.sent.decodeTokens;
+        view.own.netRequestsSinceReport += change.requests;
     }
     for (const auto& event : events)
         applyCacheEvent(m_prefixes, view.id, event.sequence, event.isStored, std::span(&event.block, 1));
--- a/bench/policy/Daemon.h
+++ b/bench/policy/Daemon.h
@@ -59,9 +59,11 @@
         bool isBatch = false;
         bool isLong = false;
     };
-    struct SentWork {
+    /** A request sent (+1) or ended (-1). */
+    struct OwnChange {
         TimePoint at;
-        WorkEstimate work;
+        WorkEstimate sent;
+        int32_t requests = 0;
     };
 
     RouteRequest requestFor(const Job&);
@@ -77,6 +79,7 @@
     void observe(uint32_t engine, double latencyRatio);
     void refreshHealth();
     void addOwn(const Flight&, int sign);
+    void noteChange(uint32_t engine, const WorkEstimate& sent, int32_t requests);
     TimePoint now() { return m_fleet.clock().now(); }
 
     Fleet& m_fleet;
@@ -95,7 +98,7 @@
     QueueState m_queueState;
     std::array<OutputLengthModel, 2> m_models;
     std::vector<ConcurrencyLimit> m_limits;
-    std::vector<std::deque<SentWork>> m_sent;
+    std::vector<std::deque<OwnChange>> m_changes;
     std::map<uint64_t, Flight> m_flights;
     std::map<uint64_t, WorkEstimate> m_waiting;
     bool m_isMakingRoom = false;
--- a/modules/decisions/routing/Routing.cpp
+++ b/modules/decisions/routing/Routing.cpp
@@ -19,6 +19,7 @@
     /** Proximity weight of a replica this far away is half of that of a replica in the own zone. */
     constexpr double halfWeightDelaySeconds = 0.005;
     constexpr double lowestRate = 1e-3;
+    constexpr double lowestDaemonShare = 1e-2;
 
     double others(double reported, double ownUnfinished, double ownSince, double freshness)
     {
@@ -36,6 +37,13 @@
         return std::exp(-std::max(0.0, toSeconds(now - view.report.measuredAt)) / reportMemorySeconds);
     }
 
+    /** Requests that all daemons together have added since the report: the others are assumed to add as many for their
+        share of the replica as this one. Without this, all daemons fill the same free slots before the next report. */
+    double netChange(const ReplicaView& view)
+    {
+        return view.own.netRequestsSinceReport / std::max(lowestDaemonShare, view.daemonShare);
+    }
+
     double slotWaitSeconds(const ReplicaEstimate& estimate, const ReplicaView& view, uint32_t limit)
     {
         auto excess = estimate.runningRequests + 1 - limit;
@@ -226,7 +234,7 @@
     estimate.backlog.decodeTokens = own.unfinished.decodeTokens
         + others(view.report.queuedDecodeTokens, own.unfinished.decodeTokens, own.sentSinceReport.decodeTokens, freshness);
     auto ownCount = static_cast<double>(ownRequests(view));
-    estimate.runningRequests = ownCount + std::max(0.0, view.report.running - ownCount) * freshness;
+    estimate.runningRequests = std::max(ownCount, view.report.running + netChange(view));
     auto limit = slotLimit(view.slots, request.priorityClass, isLongJob(request.work, view.rates));
     auto prefill = std::max(0.0, request.work.prefillTokens - cachedTokens) + estimate.backlog.prefillTokens;
     auto firstToken = prefill / std::max(view.rates.prefillTokensPerSecond, lowestRate)
--- a/modules/decisions/routing/Routing.h
+++ b/modules/decisions/routing/Routing.h
@@ -37,6 +37,7 @@
     uint32_t longRequests = 0; /**< jobs above the long-job limit and stragglers */
     WorkEstimate unfinished; /**< of all own requests in flight */
     WorkEstimate sentSinceReport; /**< sent after the report was measured, finished or not */
+    int32_t netRequestsSinceReport = 0; /**< requests sent minus requests ended since the report was measured */
 
     auto operator<=>(const OwnWork&) const = default;
 };
