Limit the work sent to an engine by its free memory

Cause: batch prompts of 15,000 tokens filled engine memory, and live work waited for one of them to end. Change: a replica whose free blocks, less what was sent since its report, do not hold a request counts as full; batch work leaves a tenth of the memory to live work. ReplicaView gains the total number of blocks, 0 where it is unknown.

--- a/bench/engine/FakeEngine.cpp
+++ b/bench/engine/FakeEngine.cpp
@@ -58,7 +58,8 @@
         }
     }
     report.running = static_cast<uint32_t>(m_running.size() + m_waiting.size());
-    report.freeBlocks = m_profile.blocks - m_privateBlocks - static_cast<uint32_t>(m_cache.size());
+    auto cachedInUse = std::ranges::count_if(m_cache, [](const auto& entry) { return entry.second.users > 0; });
+    report.freeBlocks = m_profile.blocks - m_privateBlocks - static_cast<uint32_t>(cachedInUse);
     report.measuredAt = m_clock.now();
     return report;
 }
--- a/bench/policy/Daemon.cpp
+++ b/bench/policy/Daemon.cpp
@@ -50,6 +50,8 @@
         view.id = ReplicaId("engine" + std::to_string(engine));
         view.zone = fleet.zoneOfEngine(engine);
         view.slots = fleet.engine(engine).slots();
+        view.blocks = options.memory ? fleet.scenario().deployment.engine.blocks : 0;
+        view.report.freeBlocks = fleet.scenario().deployment.engine.blocks;
         view.rates = ratesOf(EngineRole::Mixed);
         view.networkDelay = fleet.delay(index, engine);
         view.daemonShare = 1.0 / fleet.scenario().deployment.daemons;
@@ -93,10 +95,12 @@
 {
     if (m_options.liveReserve || request.priorityClass == PriorityClass::Live)
         return chooseReplica(request, m_views, now(), m_random);
-    // Without the reserve, batch work may fill all slots: the share that slotLimit() takes away is added first.
+    // Without the reserve, batch work may fill all slots and memory: what the reserve takes away is added first.
     auto views = m_views;
-    for (auto& view : views)
+    for (auto& view : views) {
+        view.report.freeBlocks += static_cast<uint32_t>(std::ceil(view.blocks * liveReservedMemoryShare));
         view.slots = static_cast<uint32_t>(std::ceil(view.slots / (1 - liveReservedShare)));
+    }
     return chooseReplica(request, views, now(), m_random);
 }
 
--- a/bench/policy/Daemon.h
+++ b/bench/policy/Daemon.h
@@ -17,6 +17,7 @@
 struct PolicyOptions {
     bool liveReserve = true;
     bool preemption = true;
+    bool memory = true; /**< free memory of engines limits what they are sent */
     bool hedging = true;
     bool ejection = true;
     bool prefixAffinity = true;
--- a/bench/run/Suite.cpp
+++ b/bench/run/Suite.cpp
@@ -83,6 +83,7 @@
         contenders.push_back({ std::string(nameOf(kind)), kind, {} });
     contenders.push_back(without("live_reserve", &PolicyOptions::liveReserve));
     contenders.push_back(without("preemption", &PolicyOptions::preemption));
+    contenders.push_back(without("memory_limit", &PolicyOptions::memory));
     contenders.push_back(without("hedging", &PolicyOptions::hedging));
     contenders.push_back(without("ejection", &PolicyOptions::ejection));
     contenders.push_back(without("prefix_affinity", &PolicyOptions::prefixAffinity));
--- a/modules/decisions/admission/Admission.h
+++ b/modules/decisions/admission/Admission.h
@@ -12,6 +12,8 @@
 
 /** Share of each engine's slots that only live work may use. */
 constexpr double liveReservedShare = 0.3;
+/** Share of each engine's memory that only live work may use. Live prompts are short and need little. */
+constexpr double liveReservedMemoryShare = 0.1;
 /** A running job older than this multiple of its expected time is a straggler, whatever its class. */
 constexpr double stragglerFactor = 4;
 
--- a/modules/decisions/routing/Routing.cpp
+++ b/modules/decisions/routing/Routing.cpp
@@ -71,9 +71,25 @@
         std::vector<size_t> full;
     };
 
-    bool isFull(const RouteRequest& request, const ReplicaView& view, TimePoint now)
+    double blocksFor(const WorkEstimate& work)
     {
-        if (ownRequests(view) >= view.concurrencyLimit)
+        return (work.prefillTokens + work.decodeTokens) / tokensPerBlock;
+    }
+
+    /** Whether the request would wait for memory. Batch work leaves a share of the memory to live work. */
+    bool lacksMemory(const RouteRequest& request, const ReplicaView& view, double cachedTokens)
+    {
+        if (view.blocks == 0)
+            return false;
+        auto sent = blocksFor(view.own.sentSinceReport) / std::max(lowestDaemonShare, view.daemonShare);
+        auto needed = std::ceil(blocksFor(request.work) - cachedTokens / tokensPerBlock);
+        auto reserve = request.priorityClass == PriorityClass::Batch ? liveReservedMemoryShare * view.blocks : 0;
+        return view.report.freeBlocks - sent < needed + reserve && view.report.running > 0;
+    }
+
+    bool isFull(const RouteRequest& request, const ReplicaView& view, double cachedTokens, TimePoint now)
+    {
+        if (ownRequests(view) >= view.concurrencyLimit || lacksMemory(request, view, cachedTokens))
             return true;
         auto limit = slotLimit(view.slots, request.priorityClass, isLongJob(request.work, view.rates));
         return estimateReplica(view, request, 0, now).runningRequests >= limit;
@@ -87,7 +103,7 @@
             const auto& view = views[index];
             if (!view.acceptsNewWork || contains(request.excluded, view.id))
                 continue;
-            if (isFull(request, view, now))
+            if (isFull(request, view, cachedAt(request, index), now))
                 eligible.full.push_back(index);
             else if (view.health == ReplicaHealth::Healthy)
                 eligible.open.push_back(index);
--- a/modules/decisions/routing/Routing.h
+++ b/modules/decisions/routing/Routing.h
@@ -24,7 +24,7 @@
     double queuedPrefillTokens = 0;
     double queuedDecodeTokens = 0;
     uint32_t running = 0;
-    uint32_t freeBlocks = 0;
+    uint32_t freeBlocks = 0; /**< free or holding prefixes that no running request uses */
     TimePoint measuredAt; /**< when the replica measured it, not when it arrived */
 
     auto operator<=>(const LoadReport&) const = default;
@@ -54,6 +54,7 @@
     AvailabilityZone zone;
     EngineRole role = EngineRole::Mixed;
     uint32_t slots = 32;
+    uint32_t blocks = 0; /**< total memory; 0 when the replica does not report it */
     ServiceRates rates;
     LoadReport report;
     OwnWork own;
--- a/tests/decisions/RoutingTest.cpp
+++ b/tests/decisions/RoutingTest.cpp
@@ -123,3 +123,20 @@
     forgetReplica(index, replica);
     CHECK(cachedTokens(index, replica, hashes) == 0);
 }
+
+// Guards against filling an engine's memory with batch work, which makes live work wait for a long job to end.
+TEST_CASE("batch work leaves memory for live work")
+{
+    auto views = replicas(1);
+    views[0].blocks = 96;
+    views[0].report.running = 8;
+    views[0].report.freeBlocks = 12;
+    RandomGenerator random(1);
+    RouteRequest batch { .priorityClass = PriorityClass::Batch, .work = { 16384, 100 } };
+    CHECK(chooseReplica(batch, views, now, random).reason == RouteReason::AllFull);
+    std::vector<double> cached { 14336 };
+    batch.cachedTokens = cached;
+    CHECK(chooseReplica(batch, views, now, random).chosen.has_value());
+    RouteRequest live { .work = { 16384, 100 } };
+    CHECK(chooseReplica(live, views, now, random).chosen.has_value());
+}
