--- a/modules/decisions/routing/Routing.cpp
+++ b/modules/decisions/routing/Routing.cpp
@@ -19,6 +19,7 @@
     /** Proximity weight of a replica this far away is half of that of a replica in the own zone. */
     constexpr double halfWeightDelaySeconds = 0.005;
     constexpr double lowestRate = 1e-3;
+    constexpr double lowestDaemonShare = 1e-2;
 
     double others(double reported, double ownUnfinished, double ownSince, double freshness)
     {
@@ -36,6 +37,13 @@
         return std::exp(-std::max(0.0, toSeconds(now - view.report.measuredAt)) / reportMemorySeconds);
     }
 
+    /** Requests that all daemons together have added since the report: the others are assumed to add as many for their
+        share of the replica as this one. Without this, all daemons fill the same free slots before the next report. */
+    double netChange(const ReplicaView& view)
+    {
+        return view.own.netRequestsSinceReport / std::max(lowestDaemonShare, view.daemonShare);
+    }
+
     double slotWaitSeconds(const ReplicaEstimate& estimate, const ReplicaView& view, uint32_t limit)
     {
         auto excess = estimate.runningRequests + 1 - limit;
@@ -63,9 +71,25 @@
         std::vector<size_t> full;
     };
 
-    bool isFull(const RouteRequest& request, const ReplicaView& view, TimePoint now)
+    double blocksFor(const WorkEstimate& work)
+    {
+        return (work.prefillTokens + work.decodeTokens) / tokensPerBlock;
+    }
+
+    /** Whether the request would wait for memory. Batch work leaves a share of the memory to live work. */
+    bool lacksMemory(const RouteRequest& request, const ReplicaView& view, double cachedTokens)
+    {
+        if (view.blocks == 0)
+            return false;
+        auto sent = blocksFor(view.own.sentSinceReport) / std::max(lowestDaemonShare, view.daemonShare);
+        auto needed = std::ceil(blocksFor(request.work) - cachedTokens / tokensPerBlock);
+        auto reserve = request.priorityClass == PriorityClass::Batch ? liveReservedMemoryShare * view.blocks : 0;
+        return view.report.freeBlocks - sent < needed + reserve && view.report.running > 0;
+    }
+
+    bool isFull(const RouteRequest& request, const ReplicaView& view, double cachedTokens, TimePoint now)
     {
-        if (ownRequests(view) >= view.concurrencyLimit)
+        if (ownRequests(view) >= view.concurrencyLimit || lacksMemory(request, view, cachedTokens))
             return true;
         auto limit = slotLimit(view.slots, request.priorityClass, isLongJob(request.work, view.rates));
         return estimateReplica(view, request, 0, now).runningRequests >= limit;
@@ -79,7 +103,7 @@
             const auto& view = views[index];
             if (!view.acceptsNewWork || contains(request.excluded, view.id))
                 continue;
-            if (isFull(request, view, now))
+            if (isFull(request, view, cachedAt(request, index), now))
                 eligible.full.push_back(index);
             else if (view.health == ReplicaHealth::Healthy)
                 eligible.open.push_back(index);
@@ -226,7 +250,7 @@
     estimate.backlog.decodeTokens = own.unfinished.decodeTokens
         + others(view.report.queuedDecodeTokens, own.unfinished.decodeTokens, own.sentSinceReport.decodeTokens, freshness);
     auto ownCount = static_cast<double>(ownRequests(view));
-    estimate.runningRequests = ownCount + std::max(0.0, view.report.running - ownCount) * freshness;
+    estimate.runningRequests = std::max(ownCount, view.report.running + netChange(view));
     auto limit = slotLimit(view.slots, request.priorityClass, isLongJob(request.work, view.rates));
     auto prefill = std::max(0.0, request.work.prefillTokens - cachedTokens) + estimate.backlog.prefillTokens;
     auto firstToken = prefill / std::max(view.rates.prefillTokensPerSecond, lowestRate)
