Add leases, orders, drains and the fleet view of replicas

Change: decisions/leases and decisions/drains decide the next order step, the drain and the slow start as free functions. LeaseService holds the groups through one session; OrderService drains, writes the intent by compare-and-swap, orders, reads back every 2 s and hands over at a graceful stop. The fencing number of an engine grows with each takeover of its intent, because the LockIndexes of two groups cannot be compared. Slots locked in the key-value service bound concurrent loads and replicas away over all holders. ReplicaFleet implements FleetService. Conclusion: a change reaches an engine through crashes, outages, pauses and overtaking tickets against the fakes.

--- a/modules/control/configuration/StoredConfigurationService.cpp
+++ b/modules/control/configuration/StoredConfigurationService.cpp
@@ -82,6 +82,7 @@
         };
         std::ranges::stable_sort(members, {}, distance);
         std::vector<DaemonId> ids;
+        ids.reserve(members.size());
         for (const auto& member : members)
             ids.push_back(member.id);
         return ids;
--- /dev/null
+++ b/modules/control/leases/LeaseService.cpp
@@ -0,0 +1,245 @@
+#include "control/leases/LeaseService.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace chestnut {
+
+namespace {
+
+    constexpr auto releasedValue = R"({"released":true})";
+
+    std::string leaseKey(const EngineGroupId& group)
+    {
+        return "leases/" + group.value();
+    }
+
+    struct Tenure {
+        FencingNumber number = 0;
+        TimePoint ordersFrom;
+        std::optional<TimePoint> notPreferredSince;
+    };
+
+} // namespace
+
+struct LeaseService::State {
+    KeyValueStore& store;
+    PeerService& peers;
+    ConfigurationService& configuration;
+    TimerService& timers;
+    Log& log;
+    std::string session {};
+    TimePoint renewedAt {};
+    TimePoint renewalDue {};
+    std::map<EngineGroupId, Tenure> held {};
+    std::function<bool(const EngineGroupId&)> isBusy {};
+    bool isTicking = false;
+    bool isStopped = false;
+
+    std::optional<Lease> leaseOf(const EngineGroupId& group) const
+    {
+        auto found = held.find(group);
+        if (found == held.end())
+            return std::nullopt;
+        Lease lease { group, found->second.number, renewedAt, found->second.ordersFrom };
+        return isHeld(lease, timers.now()) ? std::optional(lease) : std::nullopt;
+    }
+
+    std::map<EngineGroupId, Region> groups() const
+    {
+        std::map<EngineGroupId, Region> found;
+        if (auto current = configuration.current()) {
+            for (const auto& [id, engine] : current->engines)
+                found.emplace(groupOf(engine), engine.region);
+        }
+        return found;
+    }
+
+    void loseAll(std::string_view reason)
+    {
+        for (const auto& [group, tenure] : held)
+            log.write(EventId::LeaseLost, { { "group", group }, { "fencing_number", tenure.number }, { "reason", reason } });
+        held.clear();
+        session.clear();
+    }
+
+    asio::awaitable<void> renew()
+    {
+        if (session.empty())
+            co_return;
+        if (timers.now() >= renewedAt + leaseDuration) {
+            loseAll("not renewed in time");
+            co_return;
+        }
+        if (timers.now() < renewalDue)
+            co_return;
+        auto sentAt = timers.now();
+        auto renewedSession = session;
+        auto result = co_await store.renewSession(renewedSession);
+        if (session != renewedSession)
+            co_return;
+        if (result) {
+            // The service counts from the arrival of the renewal; counting from before the send is never later.
+            renewedAt = sentAt;
+            renewalDue = sentAt + leaseRenewalPeriod;
+        } else if (result.error().kind == ErrorKind::NotFound) {
+            loseAll("the session has ended");
+        }
+    }
+
+    asio::awaitable<bool> ensureSession()
+    {
+        if (!session.empty())
+            co_return true;
+        auto sentAt = timers.now();
+        auto created = co_await store.createSession(leaseDuration);
+        if (!created)
+            co_return false;
+        session = *created;
+        renewedAt = sentAt;
+        renewalDue = sentAt + leaseRenewalPeriod;
+        co_return true;
+    }
+
+    void begin(const EngineGroupId& group, FencingNumber number, Duration wait)
+    {
+        held[group] = { number, timers.now() + wait, std::nullopt };
+        log.write(EventId::LeaseAcquired, { { "group", group }, { "fencing_number", number }, { "wait_seconds", toSeconds(wait) } });
+    }
+
+    asio::awaitable<void> acquire(EngineGroupId group)
+    {
+        auto before = co_await store.read(leaseKey(group));
+        if (!before)
+            co_return;
+        const auto& entry = before->entry;
+        if (entry && !entry->session.empty() && entry->session != session)
+            co_return;
+        if (!co_await ensureSession())
+            co_return;
+        if (entry && entry->session == session) {
+            // The answer to an earlier acquisition was lost; who held the lease before it is not known.
+            begin(group, entry->lockIndex, successorWait);
+            co_return;
+        }
+        auto value = R"({"released":false,"holder":")" + peers.self().value() + R"("})";
+        auto ownSession = session;
+        auto acquired = co_await store.acquire(leaseKey(group), value, ownSession);
+        if (!acquired || !*acquired)
+            co_return;
+        auto after = co_await store.read(leaseKey(group));
+        if (!after || !after->entry || after->entry->session != ownSession || session != ownSession)
+            co_return;
+        auto previous = entry ? entry->lockIndex : 0;
+        bool wasFree = !entry || entry->lockIndex == 0 || entry->value == releasedValue;
+        bool isNext = after->entry->lockIndex == previous + 1;
+        begin(group, after->entry->lockIndex, wasFree && isNext ? Duration::zero() : successorWait);
+    }
+
+    asio::awaitable<void> release(EngineGroupId group)
+    {
+        auto ended = held.extract(group);
+        if (ended.empty())
+            co_return;
+        log.write(EventId::LeaseReleased, { { "group", group }, { "fencing_number", ended.mapped().number } });
+        co_await store.release(leaseKey(group), releasedValue, session);
+    }
+
+    /** Whether another member was preferred for so long that the group is to be handed over. */
+    bool shouldHandOver(const EngineGroupId& group, bool isPreferred)
+    {
+        auto& tenure = held.at(group);
+        if (isPreferred) {
+            tenure.notPreferredSince.reset();
+            return false;
+        }
+        if (!tenure.notPreferredSince)
+            tenure.notPreferredSince = timers.now();
+        return timers.now() - *tenure.notPreferredSince >= handoverDelay && !(isBusy && isBusy(group));
+    }
+
+    asio::awaitable<void> visit(EngineGroupId group, std::optional<DaemonId> preferred)
+    {
+        bool isPreferred = preferred == peers.self();
+        if (held.contains(group)) {
+            if (shouldHandOver(group, isPreferred))
+                co_await release(group);
+        } else if (isPreferred) {
+            co_await acquire(group);
+        }
+    }
+};
+
+LeaseService::LeaseService(asio::io_context& context, KeyValueStore& store, PeerService& peers, ConfigurationService& configuration, TimerService& timers, Log& log)
+    : m_context(context)
+    , m_state(std::make_shared<State>(State { store, peers, configuration, timers, log }))
+{
+}
+
+LeaseService::~LeaseService()
+{
+    m_state->isStopped = true;
+}
+
+void LeaseService::start()
+{
+    m_timer = m_state->timers.every(tickPeriod, [this] { asio::co_spawn(m_context, tick(m_state), asio::detached); });
+}
+
+asio::awaitable<void> LeaseService::tick(std::shared_ptr<State> state)
+{
+    if (state->isTicking || state->isStopped)
+        co_return;
+    state->isTicking = true;
+    auto groups = state->groups();
+    std::vector<EngineGroupId> vanished;
+    for (const auto& [group, tenure] : state->held) {
+        if (!groups.contains(group))
+            vanished.push_back(group);
+    }
+    co_await state->renew();
+    for (const auto& group : vanished)
+        co_await state->visit(group, std::nullopt);
+    for (const auto& [group, region] : groups) {
+        if (state->isStopped)
+            break;
+        co_await state->visit(group, preferredHolder(group, region, state->peers.members()));
+        co_await state->renew();
+    }
+    state->isTicking = false;
+}
+
+asio::awaitable<void> LeaseService::stop()
+{
+    auto state = m_state;
+    state->isStopped = true;
+    m_timer.cancel();
+    while (!state->held.empty())
+        co_await state->release(state->held.begin()->first);
+    if (!state->session.empty())
+        co_await state->store.destroySession(state->session);
+    state->session.clear();
+}
+
+std::optional<Lease> LeaseService::leaseOf(const EngineGroupId& group) const
+{
+    return m_state->leaseOf(group);
+}
+
+std::string LeaseService::tenureOf(const Lease& lease) const
+{
+    const auto& peers = m_state->peers;
+    return peers.self().value() + "/" + std::to_string(peers.incarnation()) + "/" + lease.group.value() + "/" + std::to_string(lease.number);
+}
+
+std::string LeaseService::session() const
+{
+    return m_state->session;
+}
+
+void LeaseService::setBusyCheck(std::function<bool(const EngineGroupId&)> check)
+{
+    m_state->isBusy = std::move(check);
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/control/leases/LeaseService.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "control/configuration/ConfigurationService.h"
+#include "decisions/leases/Lease.h"
+#include "kernel/logging/Log.h"
+#include "kernel/timers/TimerService.h"
+#include "peers/service/PeerService.h"
+#include "platform/keyvalue/KeyValueStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+
+namespace chestnut {
+
+/** Holds the leases of the engine groups that this daemon is to order, all through one session. */
+class LeaseService final : public Service {
+public:
+    static constexpr std::string_view serviceName = "leases";
+    std::string_view name() const override { return serviceName; }
+
+    static constexpr Duration tickPeriod = std::chrono::seconds(1);
+    /** A holder hands its group over only after another member was preferred for this long, so that a member that comes
+        and goes does not move the leases each time. */
+    static constexpr Duration handoverDelay = std::chrono::seconds(30);
+
+    LeaseService(asio::io_context&, KeyValueStore&, PeerService&, ConfigurationService&, TimerService&, Log&);
+    ~LeaseService() override;
+
+    void start() override;
+    /** Releases all leases, so that the successors need not wait. Orders must have ended before. */
+    asio::awaitable<void> stop() override;
+
+    /** The lease if it is held now. It may be too close to its end to send orders; see mayOrder(). */
+    std::optional<Lease> leaseOf(const EngineGroupId&) const;
+    /** Names this tenure in intent records: daemon, incarnation, group and LockIndex. */
+    std::string tenureOf(const Lease&) const;
+    /** The session, for keys that are to be freed with the leases; empty when there is none. */
+    std::string session() const;
+
+    /** Asks before a handover whether the group has a change in progress. */
+    void setBusyCheck(std::function<bool(const EngineGroupId&)>);
+
+private:
+    struct State;
+
+    static asio::awaitable<void> tick(std::shared_ptr<State>);
+
+    asio::io_context& m_context;
+    std::shared_ptr<State> m_state;
+    TimerSubscription m_timer;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/control/orders/OrderService.cpp
@@ -0,0 +1,87 @@
+#include "control/orders/OrderService.h"
+
+#include "control/orders/EngineWork.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace chestnut {
+
+namespace {
+
+    constexpr Duration stopPoll = std::chrono::milliseconds(100);
+
+    std::string phaseOf(const EngineWork& work)
+    {
+        if (work.lastAction == OrderAction::Settled)
+            return "running";
+        if (work.lastAction == OrderAction::Drain)
+            return "draining";
+        if (work.observed && !work.observed->isReady)
+            return "changing";
+        return "waiting";
+    }
+
+    asio::awaitable<void> runTick(std::shared_ptr<OrderService::State> state)
+    {
+        co_await state->tick();
+    }
+
+} // namespace
+
+OrderService::OrderService(asio::io_context& context, OrderDependencies dependencies)
+    : m_context(context)
+    , m_state(std::make_shared<State>(context, dependencies))
+{
+}
+
+OrderService::~OrderService()
+{
+    m_state->isStopped = true;
+}
+
+void OrderService::start()
+{
+    auto state = m_state;
+    state->on.leases.setBusyCheck([state](const EngineGroupId& group) { return state->isBusy(group); });
+    m_timer = state->on.timers.every(readBackPeriod, [state] { asio::co_spawn(state->context, runTick(state), asio::detached); });
+}
+
+asio::awaitable<void> OrderService::stop()
+{
+    auto state = m_state;
+    state->isStopped = true;
+    m_timer.cancel();
+    auto end = state->on.timers.now() + orderTimeout + leaseMargin;
+    while (state->hasWorkInProgress() && state->on.timers.now() < end)
+        co_await state->on.timers.sleep(stopPoll);
+    co_await state->finish();
+}
+
+bool OrderService::requestRole(const EngineId& engine, EngineRole role)
+{
+    auto found = m_state->works.find(engine);
+    if (found == m_state->works.end() || found->second->lastAction != OrderAction::Settled || found->second->decidedRole)
+        return false;
+    found->second->decidedRole = role;
+    return true;
+}
+
+std::optional<TimePoint> OrderService::roleSince(const EngineId& engine) const
+{
+    auto found = m_state->works.find(engine);
+    return found == m_state->works.end() ? std::nullopt : std::optional(found->second->roleSince);
+}
+
+std::vector<EngineStatus> OrderService::statuses() const
+{
+    std::vector<EngineStatus> statuses;
+    statuses.reserve(m_state->works.size());
+    for (const auto& [id, work] : m_state->works) {
+        auto number = work->intent ? work->intent->fencingNumber : 0;
+        statuses.push_back({ id, work->group, number, phaseOf(*work), work->problem, work->desired.revision, work->desired, work->observed });
+    }
+    return statuses;
+}
+
+} // namespace chestnut
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -7,11 +7,13 @@
 
 #include "decisions/admission/Admission.h"
 #include "decisions/discovery/Discovery.h"
+#include "decisions/drains/Drain.h"
 #include "decisions/ejection/Ejection.h"
 #include "decisions/estimates/WorkEstimate.h"
 #include "decisions/fairness/FairQueue.h"
 #include "decisions/hedging/Hedging.h"
 #include "decisions/leases/Lease.h"
+#include "decisions/leases/Order.h"
 #include "decisions/membership/Member.h"
 #include "decisions/retries/Retries.h"
 #include "decisions/roles/Roles.h"
--- /dev/null
+++ b/modules/decisions/drains/Drain.cpp
@@ -0,0 +1,50 @@
+#include "decisions/drains/Drain.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace chestnut {
+
+namespace {
+
+    constexpr size_t replicasPerAway = 10;
+
+    double readyShare(const AwayCandidate& candidate)
+    {
+        return candidate.joined == 0 ? 1 : static_cast<double>(candidate.ready) / candidate.joined;
+    }
+
+} // namespace
+
+bool isDrained(const DrainProgress& progress, TimePoint now)
+{
+    if (now - progress.since >= drainBound)
+        return true;
+    auto informedAt = progress.informedAt.value_or(progress.since + informBound);
+    return now >= informedAt && progress.running == 0U && progress.reportedAt >= informedAt + dispatchGrace;
+}
+
+double slowStartShare(Duration sinceReturn)
+{
+    auto progress = toSeconds(sinceReturn) / toSeconds(slowStartDuration);
+    return std::clamp(slowStartFloor + (1 - slowStartFloor) * progress, slowStartFloor, 1.0);
+}
+
+uint32_t awayLimit(size_t joinedReplicas)
+{
+    if (joinedReplicas <= 2)
+        return 1;
+    return static_cast<uint32_t>(std::max<size_t>(1, joinedReplicas / replicasPerAway));
+}
+
+std::vector<AwayCandidate> byNeed(std::vector<AwayCandidate> candidates)
+{
+    std::ranges::sort(candidates, [](const AwayCandidate& a, const AwayCandidate& b) {
+        if (readyShare(a) != readyShare(b))
+            return readyShare(a) < readyShare(b);
+        return std::tie(a.waitingSince, a.engine) < std::tie(b.waitingSince, b.engine);
+    });
+    return candidates;
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/tests/control/OrderServiceTest.cpp
@@ -0,0 +1,265 @@
+#include "control/FleetFixture.h"
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+TEST_CASE("one of several daemons holds the group and brings an engine to its desired role")
+{
+    FleetFixture fleet;
+    for (auto id : { "d1", "d2", "d3" })
+        fleet.addDaemon(id);
+    fleet.timers.advance(20s);
+    auto* holder = fleet.holderOf("a/m1");
+    REQUIRE(holder);
+    CHECK(fleet.engineAt(1).applied.size() == 1);
+    fleet.setRole(2, 1, "decode");
+    fleet.timers.advance(8s);
+    for (const auto& daemon : fleet.daemons)
+        CHECK_FALSE(daemon->fleet.acceptsNewWork(ReplicaId("e1")));
+    fleet.timers.advance(15s);
+    CHECK(fleet.engineAt(1).state.role == EngineRole::Decode);
+    for (const auto& daemon : fleet.daemons) {
+        CHECK(daemon->fleet.acceptsNewWork(ReplicaId("e1")));
+        CHECK(daemon->fleet.roleOf(EngineId("e1")) == EngineRole::Decode);
+        CHECK(daemon->fleet.slowStartShare(ReplicaId("e1")) < 1);
+    }
+    fleet.timers.advance(30s);
+    CHECK(holder->fleet.slowStartShare(ReplicaId("e1")) == 1);
+    CHECK(fleet.conflicts() == 0);
+}
+
+// Guards against a request that a planned change interrupts (H2).
+TEST_CASE("a role change waits for the running work of an engine, and at most until the drain bound")
+{
+    FleetFixture fleet;
+    fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    fleet.engineAt(1).running = 1;
+    fleet.setRole(2, 1, "decode");
+    fleet.timers.advance(60s);
+    CHECK(fleet.engineAt(1).applied.size() == 1);
+    CHECK(fleet.daemons[0]->orders.statuses()[0].phase == "draining");
+    fleet.engineAt(1).running = 0;
+    fleet.timers.advance(20s);
+    CHECK(fleet.engineAt(1).state.role == EngineRole::Decode);
+    CHECK(fleet.engineAt(1).interrupted == 0);
+    fleet.engineAt(2).running = 1;
+    fleet.setRole(3, 2, "decode");
+    fleet.timers.advance(drainBound + 20s);
+    CHECK(fleet.engineAt(2).state.role == EngineRole::Decode);
+}
+
+// Guards against an engine that stays in its old role after a crash in the middle of the change, or a lost answer.
+TEST_CASE("an engine that crashes in a role change is ordered again")
+{
+    FleetFixture fleet;
+    fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    fleet.engineAt(1).crashesInChange = 2;
+    fleet.engineAt(1).lostAnswers = 1;
+    fleet.setRole(2, 1, "prefill");
+    fleet.timers.advance(120s);
+    CHECK(fleet.engineAt(1).state.role == EngineRole::Prefill);
+    CHECK(fleet.engineAt(1).applied.size() == 4);
+    CHECK(fleet.daemons[0]->fleet.acceptsNewWork(ReplicaId("e1")));
+    CHECK(fleet.conflicts() == 0);
+}
+
+// Guards against an order whose intent is not recorded, and against a change that is forgotten in an outage.
+TEST_CASE("a key-value outage over the whole life of a change delays it and stops orders before the lease ends")
+{
+    FleetFixture fleet;
+    fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    fleet.setRole(2, 1, "decode");
+    fleet.store.isDown = true;
+    fleet.timers.advance(120s);
+    CHECK(fleet.engineAt(1).applied.size() == 1);
+    CHECK(fleet.daemons[0]->configuration.isReady());
+    fleet.store.isDown = false;
+    fleet.timers.advance(60s);
+    CHECK(fleet.engineAt(1).state.role == EngineRole::Decode);
+    CHECK(fleet.daemons[0]->fleet.acceptsNewWork(ReplicaId("e1")));
+    CHECK(fleet.conflicts() == 0);
+}
+
+// Guards against the older of two tickets that wins because its change was under way.
+TEST_CASE("a ticket overtaken halfway: the newer one is applied after the change in progress")
+{
+    FleetFixture fleet;
+    fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    fleet.setRole(2, 1, "decode");
+    for (int second = 0; second < 20 && !fleet.engineAt(1).target; ++second)
+        fleet.timers.advance(1s);
+    REQUIRE(fleet.engineAt(1).target);
+    fleet.setRole(3, 1, "prefill");
+    fleet.timers.advance(3s);
+    CHECK(fleet.engineAt(1).applied.size() == 2); // not ordered again while it changes
+    fleet.timers.advance(60s);
+    CHECK(fleet.engineAt(1).state.role == EngineRole::Prefill);
+    CHECK(fleet.daemons[0]->fleet.roleOf(EngineId("e1")) == EngineRole::Prefill);
+    CHECK(fleet.conflicts() == 0);
+}
+
+// Guards against a half-done change that nobody finishes, and against a successor that orders too early.
+TEST_CASE("a successor waits, then finishes the change of a holder that died")
+{
+    FleetFixture fleet;
+    fleet.addDaemon("d1");
+    fleet.addDaemon("d2");
+    fleet.timers.advance(20s);
+    auto* holder = fleet.holderOf("a/m1");
+    REQUIRE(holder);
+    fleet.engineAt(1).crashesInChange = 1;
+    fleet.setRole(2, 1, "decode");
+    fleet.timers.advance(5s);
+    REQUIRE(fleet.engineAt(1).applied.size() == 2);
+    fleet.network.records[holder->peers.self()].state = MemberState::Dropped;
+    std::erase_if(fleet.daemons, [holder](const auto& daemon) { return daemon.get() == holder; });
+    fleet.timers.advance(successorWait);
+    CHECK(fleet.engineAt(1).applied.size() == 2);
+    fleet.timers.advance(60s);
+    CHECK(fleet.engineAt(1).state.role == EngineRole::Decode);
+    CHECK(fleet.daemons[0]->fleet.acceptsNewWork(ReplicaId("e1")));
+    CHECK(fleet.conflicts() == 0);
+}
+
+namespace {
+
+/** Holder d1 is paused around the send of ticket 2 until its lease has gone to d2, which applies ticket 3. */
+void pauseHolderAroundSend(FleetFixture& fleet)
+{
+    fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    fleet.addDaemon("d2");
+    auto& holder = *fleet.daemons[0];
+    fleet.engineAt(1).orderDelay = 40s;
+    fleet.setRole(2, 1, "decode");
+    while (holder.log.recent(EventId::OrderSent).size() < 4)
+        fleet.timers.advance(100ms);
+    fleet.engineAt(1).orderDelay = Duration::zero();
+    asio::co_spawn(fleet.context, fleet.store.destroySession(holder.leases.session()), asio::detached);
+    fleet.network.records[holder.peers.self()].state = MemberState::Dropped;
+    fleet.setRole(3, 1, "prefill");
+    fleet.timers.advance(33s);
+    REQUIRE(fleet.engineAt(1).state.role == EngineRole::Prefill);
+}
+
+} // namespace
+
+// Guards against an order of a holder that has lost its authority (H3).
+TEST_CASE("an order of a holder paused past its lease is refused by an engine that checks")
+{
+    FleetFixture fleet;
+    pauseHolderAroundSend(fleet);
+    fleet.timers.advance(30s);
+    CHECK(fleet.engineAt(1).state.role == EngineRole::Prefill);
+    CHECK(fleet.daemons[0]->log.recent("reason", "stale_authority: stale fencing number").size() == 1);
+    CHECK(fleet.conflicts() == 0);
+}
+
+TEST_CASE("an order of a holder paused past its lease is overwritten at an engine that does not check")
+{
+    FleetFixture fleet;
+    fleet.engineAt(1).checksFencing = false;
+    pauseHolderAroundSend(fleet);
+    fleet.timers.advance(6s);
+    REQUIRE(fleet.engineAt(1).conflicts == 1); // the late order took effect
+    fleet.timers.advance(30s);
+    CHECK(fleet.engineAt(1).state.role == EngineRole::Prefill);
+    CHECK(fleet.daemons[1]->fleet.acceptsNewWork(ReplicaId("e1")));
+}
+
+// Guards against orders under a lease whose renewals arrive so late that it may end during the order.
+TEST_CASE("a slow key-value service stops orders although the session lives")
+{
+    FleetFixture fleet;
+    fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    fleet.setRole(2, 1, "decode");
+    fleet.store.latency = 7s;
+    fleet.timers.advance(120s);
+    CHECK(fleet.engineAt(1).applied.size() == 1);
+}
+
+// Guards against a planned stop that leaves its engines without a holder for the successor's wait.
+TEST_CASE("a graceful stop hands the group over without the successor's wait")
+{
+    FleetFixture fleet;
+    fleet.addDaemon("d1");
+    fleet.addDaemon("d2");
+    fleet.timers.advance(20s);
+    auto* holder = fleet.holderOf("a/m1");
+    REQUIRE(holder);
+    fleet.network.records[holder->peers.self()].state = MemberState::Leaving;
+    asio::co_spawn(fleet.context, holder->orders.stop(), asio::detached);
+    fleet.timers.advance(1s);
+    asio::co_spawn(fleet.context, holder->leases.stop(), asio::detached);
+    fleet.timers.advance(3s);
+    auto* successor = fleet.holderOf("a/m1");
+    REQUIRE(successor);
+    CHECK(successor != holder);
+    fleet.setRole(2, 1, "decode");
+    fleet.timers.advance(20s);
+    CHECK(fleet.engineAt(1).state.role == EngineRole::Decode);
+}
+
+// Guards against two holders that order one engine: its group changes with its model, and one holder is behind.
+TEST_CASE("an engine that moves between groups is never ordered in conflict")
+{
+    FleetFixture fleet;
+    for (auto id : { "d1", "d2", "d3", "d4" })
+        fleet.addDaemon(id);
+    fleet.setRole(2, 3, "mixed", "m2");
+    fleet.timers.advance(40s);
+    REQUIRE(fleet.engineAt(3).state.model == ModelId("m2"));
+    auto* first = fleet.holderOf("a/m1");
+    auto* second = fleet.holderOf("a/m2");
+    REQUIRE((first && second));
+    fleet.network.cutOff.insert(first->peers.self()); // does not hear of the next revision from peers
+    fleet.setRole(3, 1, "mixed", "m2");
+    fleet.setRole(4, 3, "mixed", "m1");
+    fleet.timers.advance(120s);
+    fleet.network.cutOff.clear();
+    fleet.timers.advance(60s);
+    CHECK(fleet.engineAt(1).state.model == ModelId("m2"));
+    CHECK(fleet.engineAt(3).state.model == ModelId("m1"));
+    CHECK(fleet.conflicts() == 0);
+}
+
+// Guards against a model without any replica because all of them load new weights at once.
+TEST_CASE("a new version reaches the engines of a model one after another")
+{
+    FleetFixture fleet(4);
+    fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    fleet.submit({ { "number", 2 }, { "models", { { "m1", { { "version", "v2" } } } } } });
+    for (int second = 0; second < 120; ++second) {
+        fleet.timers.advance(1s);
+        int away = 0;
+        for (int i = 1; i <= 4; ++i)
+            away += fleet.daemons[0]->fleet.acceptsNewWork(ReplicaId("e" + std::to_string(i))) ? 0 : 1;
+        CHECK(away <= 1);
+    }
+    for (int i = 1; i <= 4; ++i)
+        CHECK(fleet.engineAt(i).state.version == "v2");
+}
+
+// Guards against a ticket that silently never comes true.
+TEST_CASE("an engine that does not answer is reported with the reason until a newer ticket replaces the old one")
+{
+    FleetFixture fleet;
+    fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    fleet.engineAt(1).isDown = true;
+    fleet.setRole(2, 1, "decode");
+    fleet.timers.advance(30s);
+    auto status = fleet.daemons[0]->orders.statuses()[0];
+    CHECK(status.phase == "waiting");
+    CHECK(status.problem == "the engine does not report its state");
+    fleet.submit({ { "number", 3 }, { "remove", { "engine/e1" } } });
+    fleet.timers.advance(5s);
+    CHECK(fleet.daemons[0]->orders.statuses().size() == 2);
+    CHECK_FALSE(fleet.daemons[0]->fleet.acceptsNewWork(ReplicaId("e1")));
+}
--- a/tests/control/TicketServiceTest.cpp
+++ b/tests/control/TicketServiceTest.cpp
@@ -119,6 +119,7 @@
     TicketFixture fixture;
     PeerNetwork network;
     std::vector<std::unique_ptr<Daemon>> daemons;
+    daemons.reserve(6);
     for (int i = 0; i < 6; ++i)
         daemons.push_back(std::make_unique<Daemon>(fixture.context, fixture.store, network, fixture.timers, "d" + std::to_string(i), i % 2 ? "a" : "b"));
     REQUIRE(fixture.settle(accountTicket(1, "acme")).has_value());
