--- /dev/null
+++ b/modules/frontend/completions/EngineAttempt.cpp
@@ -0,0 +1,128 @@
+#include "frontend/completions/EngineAttempt.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace chestnut {
+
+namespace {
+
+    /** Tokens that wait for a slow caller before the engine's connection is no longer read. */
+    constexpr size_t maximumQueuedTokens = 64;
+    constexpr Duration spaceWait = std::chrono::seconds(60);
+
+    using StreamResult = Result<std::unique_ptr<CompletionStream>>;
+
+    asio::awaitable<void> cancelAtEngine(FrontendStatePointer state, Endpoint endpoint, RequestId id)
+    {
+        co_await state->services.engines.cancel(endpoint, id);
+    }
+
+    void spawnCancel(const FrontendStatePointer& state, const EngineAttempt& attempt)
+    {
+        asio::co_spawn(state->services.context, cancelAtEngine(state, attempt.endpoint, attempt.id), asio::detached);
+    }
+
+    void fail(EngineAttempt& attempt, Error error)
+    {
+        attempt.error = std::move(error);
+        attempt.news->notify();
+    }
+
+    asio::awaitable<void> readTokens(FrontendStatePointer state, EngineAttemptPointer attempt, CompletionStream& stream)
+    {
+        while (!attempt->isAbandoned) {
+            auto token = co_await stream.next();
+            if (attempt->isAbandoned)
+                co_return;
+            if (!token) {
+                fail(*attempt, token.error());
+                co_return;
+            }
+            attempt->isDone = !token->has_value();
+            if (*token)
+                attempt->tokens.push_back(std::move(**token));
+            attempt->news->notify();
+            if (attempt->isDone)
+                co_return;
+            while (attempt->tokens.size() >= maximumQueuedTokens && !attempt->isAbandoned)
+                co_await attempt->space->waitFor(state->services.timers, spaceWait);
+        }
+    }
+
+    asio::awaitable<void> readStream(FrontendStatePointer state, EngineAttemptPointer attempt, StreamResult stream)
+    {
+        if (attempt->isAbandoned) {
+            // The cancel that was sent when the attempt was abandoned may have overtaken the call.
+            if (stream)
+                spawnCancel(state, *attempt);
+            co_return;
+        }
+        if (!stream) {
+            fail(*attempt, stream.error());
+            co_return;
+        }
+        co_await readTokens(state, attempt, **stream);
+    }
+
+    asio::awaitable<void> runCompletion(FrontendStatePointer state, EngineAttemptPointer attempt, CompletionCall call)
+    {
+        auto stream = co_await state->services.engines.complete(attempt->endpoint, std::move(call));
+        co_await readStream(state, attempt, std::move(stream));
+    }
+
+    asio::awaitable<void> runResumption(FrontendStatePointer state, EngineAttemptPointer attempt, uint64_t afterToken)
+    {
+        auto stream = co_await state->services.engines.resume(attempt->endpoint, attempt->id, afterToken);
+        co_await readStream(state, attempt, std::move(stream));
+    }
+
+} // namespace
+
+EngineAttemptPointer makeAttempt(FrontendState& state, Dispatched dispatched, std::shared_ptr<Signal> news)
+{
+    auto attempt = std::make_shared<EngineAttempt>();
+    attempt->id = state.nextAttemptId();
+    attempt->engine = dispatched.replica;
+    attempt->endpoint = dispatched.endpoint;
+    attempt->flight = std::move(dispatched.flight);
+    attempt->startedAt = state.now();
+    attempt->news = std::move(news);
+    attempt->space = std::make_shared<Signal>(state.services.context);
+    return attempt;
+}
+
+void startCompletion(FrontendStatePointer state, EngineAttemptPointer attempt, CompletionCall call)
+{
+    auto& context = state->services.context;
+    asio::co_spawn(context, runCompletion(std::move(state), std::move(attempt), std::move(call)), asio::detached);
+}
+
+void startResumption(FrontendStatePointer state, EngineAttemptPointer attempt, uint64_t afterToken)
+{
+    auto& context = state->services.context;
+    attempt->isResumption = true;
+    asio::co_spawn(context, runResumption(std::move(state), std::move(attempt), afterToken), asio::detached);
+}
+
+TokenEvent takeToken(EngineAttempt& attempt)
+{
+    auto token = std::move(attempt.tokens.front());
+    attempt.tokens.pop_front();
+    attempt.space->notify();
+    return token;
+}
+
+void abandon(FrontendStatePointer state, EngineAttempt& attempt)
+{
+    if (attempt.isAbandoned)
+        return;
+    attempt.isAbandoned = true;
+    attempt.flight.reset();
+    attempt.space->notify();
+    bool hasEnded = attempt.error && attempt.error->kind != ErrorKind::ProtocolError;
+    if (!hasEnded && !attempt.isDone)
+        spawnCancel(state, attempt);
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/completions/RequestSession.cpp
@@ -0,0 +1,381 @@
+#include "frontend/completions/RequestSession.h"
+
+#include "frontend/streams/StreamId.h"
+
+#include <algorithm>
+
+namespace chestnut {
+
+namespace {
+
+    /** How often a waiting session looks whether its engines still respond. */
+    constexpr Duration responsivenessCheck = std::chrono::seconds(1);
+    /** An attempt at an engine that answers no polls is given up after this silence. */
+    constexpr Duration unresponsiveSilence = std::chrono::seconds(2);
+    /** Engine priorities: 0 is most urgent. */
+    constexpr int livePriority = 0;
+    constexpr int batchPriority = 10;
+    constexpr Duration shortestExpected = std::chrono::milliseconds(2);
+
+    std::string chunkOf(const HeldStream& stream, uint64_t index)
+    {
+        bool isLast = index == stream.lastIndex() && !stream.finishReason.empty();
+        CompletionChunk chunk { stream.caller.id.value(), stream.tokens[index - stream.firstIndex], isLast ? stream.finishReason : "" };
+        return formatCompletionChunk(chunk, stream.model, stream.isChat);
+    }
+
+    bool isNotRun(ErrorKind kind)
+    {
+        return answerFor(kind).outcome == Outcome::NotRun;
+    }
+
+    /** What an engine's refusal means for the request. */
+    Error asAttemptError(const Error& error)
+    {
+        // The engine runs another model at the moment; other replicas may run it.
+        if (error.kind == ErrorKind::NotFound)
+            return makeError(ErrorKind::NoBackend, error.detail);
+        return error;
+    }
+
+} // namespace
+
+RequestSession::RequestSession(FrontendStatePointer state, std::shared_ptr<Dispatcher> dispatcher, std::shared_ptr<HeldStreams> held, std::shared_ptr<HeldStream> record)
+    : m_state(std::move(state))
+    , m_dispatcher(std::move(dispatcher))
+    , m_held(std::move(held))
+    , m_record(std::move(record))
+    , m_news(std::make_shared<Signal>(m_state->services.context))
+    , m_startedAt(m_state->now())
+{
+}
+
+void RequestSession::callerGone()
+{
+    m_isCallerGone = true;
+    m_news->notify();
+}
+
+DispatchRequest RequestSession::dispatchRequest()
+{
+    auto weak = weak_from_this();
+    const auto& caller = m_record->caller;
+    auto produced = static_cast<double>(m_record->lastIndex());
+    DispatchRequest request;
+    request.request = caller.id;
+    request.group = groupOf(m_record->model);
+    request.account = caller.account;
+    request.priorityClass = caller.priorityClass;
+    request.work = estimateWork(m_record->promptTokens + produced, std::max(1.0, m_record->maximumTokens - produced), m_state->outputModel(caller.account, caller.priorityClass));
+    request.blocks = m_record->blocks;
+    request.deadline = caller.deadline;
+    request.content = caller.content;
+    request.excluded = m_excluded;
+    request.attempt = m_attemptCount + 1;
+    request.isContinuation = m_isContinuation;
+    request.mayIsolate = m_record->tokens.empty();
+    request.signal = m_news;
+    request.isAbandoned = [weak] {
+        auto self = weak.lock();
+        return !self || self->m_isCallerGone;
+    };
+    if (caller.priorityClass == PriorityClass::Batch) {
+        request.preempt = [weak] {
+            if (auto self = weak.lock()) {
+                self->m_isPreempted = true;
+                self->m_news->notify();
+            }
+        };
+    }
+    return request;
+}
+
+asio::awaitable<Result<void>> RequestSession::run(CompletionSink& sink, uint64_t afterToken)
+{
+    auto self = shared_from_this();
+    m_sent = afterToken;
+    if (auto replayed = co_await replay(sink); !replayed)
+        co_return replayed;
+    m_isContinuation = m_sent > 0;
+    while (m_record->finishReason.empty()) {
+        auto dispatched = co_await m_dispatcher->acquire(dispatchRequest());
+        if (!dispatched)
+            co_return finalError(dispatched.error());
+        startAttempt(std::move(*dispatched));
+        auto end = co_await stream(sink);
+        if (end == End::Done)
+            break;
+        if (end == End::Preempted) {
+            m_state->services.metrics.count("chestnut_preemptions_total");
+            m_state->services.log.write(EventId::RequestPreempted, { { "request", m_record->caller.id }, { "replica", m_lastEngine }, { "tokens", m_sent } });
+            m_isContinuation = true;
+            continue;
+        }
+        if (!co_await mayRetry())
+            co_return finalError(*m_error);
+    }
+    co_return co_await finish(sink);
+}
+
+asio::awaitable<Result<void>> RequestSession::join(CompletionSink& sink, Dispatched dispatched, RequestId engineRequest, uint64_t afterToken)
+{
+    auto self = shared_from_this();
+    m_sent = afterToken;
+    m_mayHaveRun = true;
+    auto attempt = makeAttempt(*m_state, std::move(dispatched), m_news);
+    attempt->id = std::move(engineRequest);
+    m_lastEngine = attempt->engine;
+    m_attempts = { attempt };
+    ++m_attemptCount;
+    m_lastProgress = m_state->now();
+    startResumption(m_state, attempt, afterToken);
+    if (co_await stream(sink) == End::Done)
+        co_return co_await finish(sink);
+    if (m_error->kind == ErrorKind::CallerGone || m_error->kind == ErrorKind::DeadlineExceeded)
+        co_return *m_error;
+    co_return makeError(ErrorKind::StreamLost, m_error->detail);
+}
+
+asio::awaitable<Result<void>> RequestSession::replay(CompletionSink& sink)
+{
+    while (m_sent < m_record->lastIndex()) {
+        ++m_sent;
+        if (auto taken = co_await sink.token(*m_record, m_sent, chunkOf(*m_record, m_sent)); !taken)
+            co_return taken;
+    }
+    co_return Result<void>();
+}
+
+void RequestSession::startAttempt(Dispatched dispatched)
+{
+    auto attempt = makeAttempt(*m_state, std::move(dispatched), m_news);
+    CompletionCall call;
+    call.request = attempt->id;
+    call.target = m_record->target;
+    call.body = engineBody(m_record->body, m_record->textThrough(m_sent), m_sent);
+    call.priority = m_record->caller.priorityClass == PriorityClass::Live ? livePriority : batchPriority;
+    call.timeout = m_record->caller.deadline - m_state->now();
+    m_lastEngine = attempt->engine;
+    m_lastProgress = m_state->now();
+    m_isPreempted = false;
+    ++m_attemptCount;
+    if (m_attempts.empty()) {
+        const auto& plan = attempt->flight->plan();
+        HedgeQuery query { m_sent == 0, plan.isLong, plan.priorityClass, std::max(plan.estimate.timeToFirstToken, shortestExpected), false, m_attemptCount };
+        auto delay = hedgeDelay(query, m_state->replicas->quantiles(groupOf(m_record->model)), m_state->hedgeBudget);
+        m_hedgeAt = delay ? std::optional(m_state->now() + *delay) : std::nullopt;
+        if (m_attemptCount == 1)
+            m_state->hedgeBudget.requests += 1;
+    }
+    m_attempts.push_back(attempt);
+    startCompletion(m_state, attempt, std::move(call));
+}
+
+void RequestSession::startHedge()
+{
+    m_hedgeAt.reset();
+    auto request = dispatchRequest();
+    for (const auto& attempt : m_attempts)
+        request.excluded.push_back(attempt->engine);
+    auto dispatched = m_dispatcher->tryAcquire(request);
+    if (!dispatched)
+        return;
+    m_state->hedgeBudget.hedges += 1;
+    m_state->services.metrics.count("chestnut_hedges_total");
+    m_state->services.log.write(EventId::RequestHedged, { { "request", m_record->caller.id }, { "first", m_lastEngine }, { "second", dispatched->replica } });
+    startAttempt(std::move(*dispatched));
+}
+
+asio::awaitable<RequestSession::End> RequestSession::stream(CompletionSink& sink)
+{
+    m_error.reset();
+    m_winner = nullptr;
+    while (true) {
+        chooseWinner();
+        if (m_winner && !co_await deliverTokens(sink)) {
+            abandonAll();
+            co_return End::Failed;
+        }
+        if (m_winner && m_winner->isDone && m_winner->tokens.empty())
+            co_return End::Done;
+        dropFailedAttempts();
+        if (m_attempts.empty())
+            co_return End::Failed;
+        if (hasOutsideEnd()) {
+            abandonAll();
+            co_return m_error ? End::Failed : End::Preempted;
+        }
+        if (!m_winner && m_hedgeAt && m_state->now() >= *m_hedgeAt)
+            startHedge();
+        co_await m_news->waitFor(m_state->services.timers, nextCheck());
+    }
+}
+
+void RequestSession::chooseWinner()
+{
+    if (m_winner)
+        return;
+    auto found = std::ranges::find_if(m_attempts, [](const auto& attempt) { return !attempt->tokens.empty() || attempt->isDone; });
+    if (found == m_attempts.end())
+        return;
+    m_winner = *found;
+    m_lastEngine = m_winner->engine;
+    m_hedgeAt.reset();
+    for (const auto& attempt : m_attempts) {
+        if (attempt != m_winner)
+            abandon(m_state, *attempt);
+    }
+    m_attempts = { m_winner };
+    m_record->streamId = formatStreamId({ EngineId(m_winner->engine.value()), m_winner->id, m_record->contentMark });
+    m_held->add(m_record);
+}
+
+asio::awaitable<bool> RequestSession::deliverTokens(CompletionSink& sink)
+{
+    while (!m_winner->tokens.empty()) {
+        if (m_isCallerGone) {
+            m_error = makeError(ErrorKind::CallerGone, "the caller closed the connection");
+            co_return false;
+        }
+        auto delivered = co_await deliver(sink, takeToken(*m_winner));
+        if (!delivered) {
+            m_error = delivered.error();
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<Result<void>> RequestSession::deliver(CompletionSink& sink, TokenEvent token)
+{
+    auto chunk = parseCompletionChunk(token.chunk);
+    if (!chunk || token.index != m_sent + 1)
+        co_return makeError(ErrorKind::ProtocolError, "the engine sent an unexpected token");
+    auto now = m_state->now();
+    m_winner->flight->onToken(now);
+    if (!m_firstTokenDelay) {
+        m_firstTokenDelay = now - m_startedAt;
+        m_state->services.metrics.observeSeconds("chestnut_first_token_seconds", toSeconds(*m_firstTokenDelay));
+    } else
+        m_state->services.metrics.observeSeconds("chestnut_token_gap_seconds", toSeconds(now - m_lastProgress));
+    m_record->tokens.push_back(std::move(chunk->text));
+    if (token.isLast)
+        m_record->finishReason = chunk->finishReason;
+    m_sent = token.index;
+    auto taken = co_await sink.token(*m_record, token.index, std::move(token.chunk));
+    m_lastProgress = m_state->now();
+    co_return taken;
+}
+
+void RequestSession::dropFailedAttempts()
+{
+    for (const auto& attempt : m_attempts) {
+        bool isSilentNow = !attempt->error && isSilent(*attempt);
+        if (!attempt->error && !isSilentNow)
+            continue;
+        m_error = isSilentNow ? makeError(ErrorKind::BackendFailed, "the engine is silent") : asAttemptError(*attempt->error);
+        recordAttemptFailure(*attempt, *m_error);
+        // A broken connection means that the engine or its process is gone; silence does not.
+        if (m_error->kind == ErrorKind::BackendFailed && !isSilentNow)
+            m_state->noteLoss(attempt->engine);
+        abandon(m_state, *attempt);
+    }
+    std::erase_if(m_attempts, [](const auto& attempt) { return attempt->isAbandoned; });
+}
+
+bool RequestSession::isSilent(const EngineAttempt& attempt) const
+{
+    bool isWinner = m_winner.get() == &attempt;
+    auto silence = m_state->now() - (isWinner ? m_lastProgress : attempt.startedAt);
+    if (isWinner && silence >= m_state->settings.stallTimeout)
+        return true;
+    return silence >= unresponsiveSilence && !m_state->replicas->isResponsive(attempt.engine);
+}
+
+bool RequestSession::hasOutsideEnd()
+{
+    if (m_isCallerGone)
+        m_error = makeError(ErrorKind::CallerGone, "the caller closed the connection");
+    else if (m_state->now() >= m_record->caller.deadline)
+        m_error = makeError(ErrorKind::DeadlineExceeded, "the deadline passed while the request ran");
+    else if (m_isPreempted)
+        m_error.reset();
+    else
+        return false;
+    m_mayHaveRun = true;
+    return true;
+}
+
+Duration RequestSession::nextCheck() const
+{
+    auto next = std::min(m_record->caller.deadline, m_state->now() + responsivenessCheck);
+    if (!m_winner && m_hedgeAt)
+        next = std::min(next, *m_hedgeAt);
+    return next - m_state->now();
+}
+
+void RequestSession::recordAttemptFailure(EngineAttempt& attempt, const Error& error)
+{
+    attempt.flight->onFailure(error.kind, m_state->now());
+    m_excluded.push_back(attempt.engine);
+    m_mayHaveRun = m_mayHaveRun || !isNotRun(error.kind);
+    if (error.kind == ErrorKind::BackendFailed)
+        ++m_backendsLost;
+    m_state->services.metrics.count("chestnut_attempts_failed_total", { { "kind", std::string(answerFor(error.kind).name) } });
+    m_state->services.log.write(EventId::AttemptFailed, {
+                                                            { "request", m_record->caller.id },
+                                                            { "replica", attempt.engine },
+                                                            { "kind", answerFor(error.kind).name },
+                                                            { "detail", error.detail },
+                                                            { "tokens", m_sent },
+                                                        });
+}
+
+asio::awaitable<bool> RequestSession::mayRetry()
+{
+    auto kind = m_error->kind;
+    if (kind == ErrorKind::CallerGone || kind == ErrorKind::DeadlineExceeded || m_record->body.empty())
+        co_return false;
+    RetryQuery query { kind, true, m_attemptCount, m_backendsLost, m_record->caller.deadline, Duration::zero() };
+    // One lost backend strikes many requests at once and each may go on once, so this first loss needs no budget.
+    bool isFirstLoss = kind == ErrorKind::BackendFailed && m_backendsLost == 1;
+    auto budget = isFirstLoss ? RetryBudget {} : m_state->retryBudget;
+    auto decision = decideRetry(query, budget, m_state->now(), m_state->random);
+    if (!decision.retry)
+        co_return false;
+    if (!isFirstLoss)
+        m_state->retryBudget = decision.budget;
+    m_state->services.metrics.count(m_sent > 0 ? "chestnut_failovers_total" : "chestnut_retries_total");
+    m_isContinuation = m_isContinuation || m_mayHaveRun;
+    co_await m_state->services.timers.sleep(decision.delay);
+    co_return true;
+}
+
+asio::awaitable<Result<void>> RequestSession::finish(CompletionSink& sink)
+{
+    abandonAll();
+    const auto& caller = m_record->caller;
+    recordCompletion(m_state->suspects, caller.content);
+    if (m_record->maximumTokens > 0) {
+        auto& model = m_state->outputModel(caller.account, caller.priorityClass);
+        model = withSample(model, m_record->maximumTokens, static_cast<double>(m_record->lastIndex()));
+    }
+    co_return co_await sink.done(*m_record);
+}
+
+Error RequestSession::finalError(Error error) const
+{
+    // A refusal of a later attempt must not claim that an earlier one did not run.
+    if (m_mayHaveRun && isNotRun(error.kind))
+        return makeError(m_sent > 0 ? ErrorKind::StreamLost : ErrorKind::BackendFailed, error.detail);
+    return error;
+}
+
+void RequestSession::abandonAll()
+{
+    for (const auto& attempt : m_attempts)
+        abandon(m_state, *attempt);
+    m_attempts.clear();
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/discovery/DiscoveryAnswer.cpp
@@ -0,0 +1,26 @@
+#include "frontend/discovery/DiscoveryAnswer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chestnut {
+
+using nlohmann::json;
+
+HttpResponse discoveryAnswer(const HttpRequest& request, const RequestId& id, const PeerService& peers, const std::string& keyPrefix, const AvailabilityZone& ownZone)
+{
+    auto account = request.headers.value("X-Account");
+    auto zone = request.headers.value("X-Zone");
+    auto members = peers.members();
+    auto points = json::array();
+    for (const auto& point : entryPoints(AccountId(account.empty() ? "default" : std::string(account)), zone.empty() ? ownZone : AvailabilityZone(std::string(zone)), members))
+        points.push_back({ { "address", point.address }, { "zone", point.zone.value() } });
+    json document {
+        { "entrypoints", points },
+        { "valid_for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(discoveryValidity).count() },
+        { "key_prefix", keyPrefix },
+    };
+    HttpHeaders headers { { "Content-Type", "application/json" }, { "X-Request-Id", id.value() } };
+    return { 200, std::move(headers), document.dump(-1, ' ', false, json::error_handler_t::replace) };
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/dispatch/Dispatcher.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "frontend/dispatch/FrontendState.h"
+#include "frontend/support/Signal.h"
+
+namespace chestnut {
+
+/** What the dispatcher needs to find a replica for one attempt. */
+struct DispatchRequest {
+    RequestId request; /**< the caller's */
+    ReplicaGroupId group;
+    AccountId account;
+    PriorityClass priorityClass = PriorityClass::Live;
+    WorkEstimate work;
+    std::vector<uint64_t> blocks; /**< prefix blocks of the prompt */
+    TimePoint deadline;
+    Digest content;
+    std::vector<ReplicaId> excluded; /**< replicas that failed this request */
+    uint32_t attempt = 1;
+    /** It has run already (preempted, or its engine was lost): it waits until its deadline and is never refused before. */
+    bool isContinuation = false;
+    bool mayIsolate = true; /**< a suspected request that has shown no sign of life gets a replica for itself */
+    std::function<void()> preempt; /**< see FlightPlan */
+    std::function<bool()> isAbandoned; /**< the caller is gone */
+    std::shared_ptr<Signal> signal; /**< wakes the waiting request; also notified when it is abandoned */
+};
+
+/** A replica with the work already counted there. */
+struct Dispatched {
+    ReplicaId replica;
+    Endpoint endpoint;
+    FlightHandle flight;
+};
+
+/** Admission, fair queueing and routing. */
+class Dispatcher : public std::enable_shared_from_this<Dispatcher> {
+public:
+    explicit Dispatcher(FrontendStatePointer);
+
+    /** Subscribes to the ends of flights, which let waiting requests go on. */
+    void start();
+
+    /** Finds a replica, waiting in the queue when admission says so. The refusals are all "not run":
+        Overloaded, DeadlineUnreachable, NoBackend, SuspectRequest; and CallerGone. */
+    asio::awaitable<Result<Dispatched>> acquire(DispatchRequest);
+
+    /** Finds a replica without waiting; nothing when none is free. Used for hedges. */
+    std::optional<Dispatched> tryAcquire(const DispatchRequest&);
+
+    size_t waiting() const;
+
+private:
+    struct Waiter {
+        DispatchRequest request;
+        std::optional<Dispatched> result;
+    };
+    struct Queue {
+        FairQueue fair;
+        std::map<uint64_t, std::shared_ptr<Waiter>> waiters;
+    };
+
+    RouteDecision route(const DispatchRequest&, const std::vector<ReplicaView>&);
+    Dispatched reserve(const DispatchRequest&, const RouteDecision&, const std::vector<ReplicaView>&);
+    std::vector<ReplicaView> viewsFor(const DispatchRequest&, bool& isIsolated) const;
+    QueueState queueState(const ReplicaGroupId&) const;
+    uint64_t enqueue(std::shared_ptr<Waiter>);
+    void preemptFor(const RouteDecision&, const std::vector<ReplicaView>&);
+    void pump(const ReplicaGroupId&);
+    bool serveHead(Queue&);
+    asio::awaitable<Result<Dispatched>> wait(DispatchRequest, Duration expectedStart);
+    void logRouted(const DispatchRequest&, const RouteDecision&, const std::vector<ReplicaView>&, bool isIsolated);
+
+    FrontendStatePointer m_state;
+    std::map<ReplicaGroupId, Queue> m_queues;
+    uint64_t m_lastTicket = 0;
+    TimerSubscription m_pumping;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/dispatch/FrontendState.cpp
@@ -0,0 +1,35 @@
+#include "frontend/dispatch/FrontendState.h"
+
+namespace chestnut {
+
+namespace {
+
+    /** Accounts and classes whose output lengths are remembered; bounds memory with 27,000 accounts. */
+    constexpr size_t maximumOutputModels = 60000;
+
+} // namespace
+
+RequestId FrontendState::nextAttemptId()
+{
+    char text[48];
+    std::snprintf(text, sizeof(text), "%llx-%llx", static_cast<unsigned long long>(services.peers.incarnation()), static_cast<unsigned long long>(++lastAttempt));
+    return RequestId(services.peers.self().value() + "-" + text);
+}
+
+OutputLengthModel& FrontendState::outputModel(const AccountId& account, PriorityClass priorityClass)
+{
+    if (outputModels.size() > maximumOutputModels)
+        outputModels.clear();
+    return outputModels[{ account, priorityClass }];
+}
+
+void FrontendState::noteLoss(const ReplicaId& replica)
+{
+    if (!replicas->noteLoss(replica))
+        return;
+    auto running = replicas->contentsRunningAt(replica);
+    recordLoss(suspects, replica, running, now());
+    services.log.write(EventId::RequestSuspected, { { "replica", replica }, { "requests", running.size() } });
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/listener/Frontend.cpp
@@ -0,0 +1,407 @@
+#include "frontend/listener/Frontend.h"
+
+#include "frontend/discovery/DiscoveryAnswer.h"
+#include "frontend/replicas/HeartbeatExchange.h"
+
+#include <charconv>
+
+namespace chestnut {
+
+namespace {
+
+    constexpr std::string_view streamsPrefix = "/v1/streams/";
+    constexpr std::string_view servicesPrefix = "/services/";
+    constexpr Duration expiryPeriod = std::chrono::seconds(5);
+    constexpr Duration idleCheck = std::chrono::seconds(1);
+
+    bool isCompletionPath(std::string_view path)
+    {
+        return path == "/v1/completions" || path == "/v1/chat/completions";
+    }
+
+    /** Estimated tokens of a prompt. */
+    double promptTokensOf(const std::string& prompt)
+    {
+        return std::max(1.0, static_cast<double>(prompt.size()) / charactersPerToken);
+    }
+
+    std::string_view nameOfClass(PriorityClass priorityClass)
+    {
+        return priorityClass == PriorityClass::Live ? "live" : "batch";
+    }
+
+    std::optional<uint64_t> parseNumber(std::string_view text)
+    {
+        uint64_t number = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return number;
+    }
+
+} // namespace
+
+struct Frontend::ProgressCount {
+    explicit ProgressCount(asio::io_context& context)
+        : idle(context)
+    {
+    }
+
+    size_t requests = 0;
+    Signal idle;
+};
+
+/** Counts a request for as long as its handler runs. */
+class Frontend::Progress {
+public:
+    explicit Progress(std::shared_ptr<ProgressCount> progress)
+        : m_progress(std::move(progress))
+    {
+        ++m_progress->requests;
+    }
+    Progress(const Progress&) = delete;
+    Progress& operator=(const Progress&) = delete;
+    ~Progress()
+    {
+        if (--m_progress->requests == 0)
+            m_progress->idle.notify();
+    }
+
+private:
+    std::shared_ptr<ProgressCount> m_progress;
+};
+
+/** Counts a request against its account's limit. */
+class Frontend::AccountSlot {
+public:
+    AccountSlot(FrontendStatePointer state, AccountId account)
+        : m_state(std::move(state))
+        , m_account(std::move(account))
+    {
+        ++m_state->inFlight[m_account];
+    }
+    AccountSlot(const AccountSlot&) = delete;
+    AccountSlot& operator=(const AccountSlot&) = delete;
+    ~AccountSlot()
+    {
+        auto count = m_state->inFlight.find(m_account);
+        if (--count->second == 0)
+            m_state->inFlight.erase(count);
+    }
+
+private:
+    FrontendStatePointer m_state;
+    AccountId m_account;
+};
+
+Frontend::Frontend(FrontendServices services, FrontendSettings settings, ReplicaGates gates)
+    : m_state(std::make_shared<FrontendState>(services, std::move(settings), std::move(gates)))
+    , m_dispatcher(std::make_shared<Dispatcher>(m_state))
+    , m_held(std::make_shared<HeldStreams>())
+    , m_poller(m_state)
+    , m_progress(std::make_shared<ProgressCount>(services.context))
+{
+}
+
+Frontend::~Frontend()
+{
+    // Sessions that are still suspended end their flights later; nothing is dispatched for them any more.
+    m_state->replicas->onFlightEnd({});
+}
+
+size_t Frontend::inProgress() const
+{
+    return m_progress->requests;
+}
+
+void Frontend::start()
+{
+    auto& services = m_state->services;
+    std::weak_ptr<FrontendState> weak = m_state;
+    if (auto configuration = services.configuration.current())
+        m_state->replicas->apply(*configuration);
+    services.configuration.onChange([weak](const std::shared_ptr<const Configuration>& configuration) {
+        if (auto state = weak.lock())
+            state->replicas->apply(*configuration);
+    });
+    exchangeByHeartbeat(m_state);
+    m_dispatcher->start();
+    m_poller.start();
+    m_expiry = services.timers.every(expiryPeriod, [held = m_held, weak] {
+        if (auto state = weak.lock())
+            held->expire(state->now());
+    });
+}
+
+asio::awaitable<void> Frontend::stop()
+{
+    auto& services = m_state->services;
+    services.log.write(EventId::FrontendStopping, { { "in_progress", m_progress->requests } });
+    services.peers.announceState(MemberState::Leaving);
+    co_await services.timers.sleep(m_state->settings.leaveDelay);
+    m_isStopping = true;
+    while (m_progress->requests > 0)
+        co_await m_progress->idle.waitFor(services.timers, idleCheck);
+    services.log.write(EventId::FrontendStopped, {});
+}
+
+HttpResponse Frontend::answerFault(const Error& error)
+{
+    return errorResponse(error, RequestId("none"));
+}
+
+asio::awaitable<void> Frontend::handle(HttpRequest request, HttpResponseWriter& writer)
+{
+    Progress progress(m_progress);
+    auto id = requestIdOf(request.headers, m_state->nextAttemptId());
+    if (request.path() == "/v1/entrypoints") {
+        if (request.method == "GET")
+            co_await writer.send(discoveryAnswer(request, id, m_state->services.peers, m_state->services.claims.keyPrefix(), m_state->settings.locality.zone));
+        else
+            co_await writer.send(errorResponse(makeError(ErrorKind::BadRequest, "discovery is a GET"), id));
+        co_return;
+    }
+    co_await handleWork(std::move(request), std::move(id), writer);
+}
+
+asio::awaitable<void> Frontend::handleWork(HttpRequest request, RequestId id, HttpResponseWriter& writer)
+{
+    auto parsed = parseCallerRequest(request, id, m_state->now());
+    CallerRequest caller;
+    caller.id = id;
+    if (parsed)
+        caller = *parsed;
+    auto refusal = refusalBeforeWork();
+    if (!refusal && !parsed)
+        refusal = parsed.error();
+    if (!refusal && !takesAccount(caller.account))
+        refusal = makeError(ErrorKind::AccountLimit, "the account has as many requests in flight as it may have");
+    if (refusal) {
+        co_await refuse(caller, *refusal, writer);
+        co_return;
+    }
+    AccountSlot slot(m_state, caller.account);
+    m_state->retryBudget = withRequest(m_state->retryBudget);
+    std::string path(request.path());
+    if (isCompletionPath(path) && request.method == "POST")
+        co_await complete(std::move(caller), std::move(request), writer);
+    else if (path.starts_with(streamsPrefix) && request.method == "GET")
+        co_await resume(std::move(caller), std::move(request), writer);
+    else if (path.starts_with(servicesPrefix))
+        co_await callService(std::move(caller), std::move(request), writer);
+    else
+        co_await refuse(caller, makeError(ErrorKind::NotFound, "no such path or method"), writer);
+}
+
+std::optional<Error> Frontend::refusalBeforeWork() const
+{
+    if (m_isStopping)
+        return makeError(ErrorKind::Leaving, "this daemon is shutting down");
+    if (!m_state->services.configuration.current())
+        return makeError(ErrorKind::NotReady, "this daemon has no configuration yet");
+    return std::nullopt;
+}
+
+bool Frontend::takesAccount(const AccountId& account) const
+{
+    const auto configuration = m_state->services.configuration.current();
+    auto spec = configuration->accounts.find(account.value());
+    if (spec == configuration->accounts.end() || spec->second.maximumInFlight == 0)
+        return true;
+    auto count = m_state->inFlight.find(account);
+    return count == m_state->inFlight.end() || count->second < spec->second.maximumInFlight;
+}
+
+Result<std::shared_ptr<HeldStream>> Frontend::recordFor(CallerRequest caller, const HttpRequest& request, bool& isStreamed) const
+{
+    auto body = parseCompletionBody(request.body);
+    if (!body)
+        return body.error();
+    if (body->resumeAfter > 0)
+        return makeError(ErrorKind::BadRequest, "resume_after is reserved; resume through /v1/streams");
+    if (!m_state->replicas->hasGroup(groupOf(body->model)))
+        return makeError(ErrorKind::UnknownModel, "no model " + body->model.value());
+    isStreamed = body->isStreamed;
+    auto record = std::make_shared<HeldStream>();
+    record->caller = std::move(caller);
+    record->target = request.path();
+    record->body = request.body;
+    record->model = body->model;
+    record->isChat = record->target == "/v1/chat/completions";
+    record->maximumTokens = body->maximumTokens;
+    record->blocks = prefixBlockHashes(body->prompt);
+    record->promptTokens = promptTokensOf(body->prompt);
+    record->contentMark = contentMarkOf(record->caller.content);
+    return record;
+}
+
+asio::awaitable<void> Frontend::complete(CallerRequest caller, HttpRequest request, HttpResponseWriter& writer)
+{
+    bool isStreamed = false;
+    auto record = recordFor(caller, request, isStreamed);
+    if (!record) {
+        co_await refuse(caller, record.error(), writer);
+        co_return;
+    }
+    StreamRelay relay(writer, caller.id);
+    WholeAnswer whole(writer, caller.id);
+    CompletionSink& sink = isStreamed ? static_cast<CompletionSink&>(relay) : whole;
+    co_await runSession(*record, sink, writer, 0);
+}
+
+asio::awaitable<void> Frontend::runSession(std::shared_ptr<HeldStream> record, CompletionSink& sink, HttpResponseWriter& writer, uint64_t afterToken)
+{
+    auto session = std::make_shared<RequestSession>(m_state, m_dispatcher, m_held, record);
+    std::weak_ptr<RequestSession> weak = session;
+    auto end = [weak] {
+        if (auto running = weak.lock())
+            running->callerGone();
+    };
+    if (record->displace)
+        record->displace();
+    record->displace = end;
+    writer.onCallerGone(end);
+    auto caller = record->caller;
+    auto result = co_await session->run(sink, afterToken);
+    if (result)
+        logCompleted(caller, session->lastEngine(), session->attempts(), record->lastIndex(), session->firstTokenDelay());
+    else {
+        logRefused(caller, result.error());
+        if (result.error().kind == ErrorKind::CallerGone)
+            writer.abort();
+        else
+            co_await sink.fail(result.error());
+    }
+    m_held->end(record, m_state->now());
+}
+
+asio::awaitable<void> Frontend::resume(CallerRequest caller, HttpRequest request, HttpResponseWriter& writer)
+{
+    std::string text(request.path().substr(streamsPrefix.size()));
+    auto id = parseStreamId(text);
+    auto after = parseNumber(request.queryValue("after"));
+    if (!id || !after) {
+        co_await refuse(caller, makeError(ErrorKind::BadRequest, "the stream id or the token index is malformed"), writer);
+        co_return;
+    }
+    auto record = m_held->find(text);
+    m_state->services.log.write(EventId::StreamResumed, { { "request", caller.id }, { "stream", text }, { "after", *after }, { "held", record ? "true" : "false" } });
+    if (!record || *after + 1 < record->firstIndex) {
+        co_await joinStream(std::move(caller), std::move(*id), *after, writer);
+        co_return;
+    }
+    if (*after > record->lastIndex()) {
+        co_await refuse(caller, makeError(ErrorKind::BadRequest, "the stream has not reached this token"), writer);
+        co_return;
+    }
+    record->caller.id = caller.id;
+    record->caller.deadline = std::max(record->caller.deadline, caller.deadline);
+    StreamRelay relay(writer, caller.id);
+    co_await runSession(record, relay, writer, *after);
+}
+
+asio::awaitable<void> Frontend::joinStream(CallerRequest caller, StreamId id, uint64_t afterToken, HttpResponseWriter& writer)
+{
+    auto configuration = m_state->services.configuration.current();
+    auto engine = configuration->engines.find(id.engine.value());
+    auto endpoint = engine == configuration->engines.end() ? std::nullopt : parseEndpoint(engine->second.address);
+    if (!endpoint) {
+        co_await refuse(caller, makeError(ErrorKind::StreamLost, "the engine of the stream is not configured"), writer);
+        co_return;
+    }
+    auto record = std::make_shared<HeldStream>();
+    record->caller = caller;
+    record->model = engine->second.model;
+    record->contentMark = id.contentMark;
+    record->firstIndex = afterToken + 1;
+    ReplicaId replica(id.engine.value());
+    FlightPlan plan;
+    plan.content = caller.content;
+    plan.priorityClass = caller.priorityClass;
+    plan.work = { 0, 1 };
+    auto flight = std::make_shared<Flight>(std::weak_ptr<ReplicaTable>(), replica, std::move(plan), m_state->now());
+    auto session = std::make_shared<RequestSession>(m_state, m_dispatcher, m_held, record);
+    std::weak_ptr<RequestSession> weak = session;
+    writer.onCallerGone([weak] {
+        if (auto running = weak.lock())
+            running->callerGone();
+    });
+    StreamRelay relay(writer, caller.id);
+    auto result = co_await session->join(relay, { replica, *endpoint, std::move(flight) }, id.engineRequest, afterToken);
+    if (result)
+        logCompleted(caller, replica, 1, record->lastIndex(), session->firstTokenDelay());
+    else {
+        logRefused(caller, result.error());
+        co_await relay.fail(result.error());
+    }
+    m_held->end(record, m_state->now());
+}
+
+asio::awaitable<void> Frontend::callService(CallerRequest caller, HttpRequest request, HttpResponseWriter& writer)
+{
+    auto parsed = parseServiceRequest(caller, request);
+    if (!parsed) {
+        co_await refuse(caller, parsed.error(), writer);
+        co_return;
+    }
+    if (!m_state->replicas->hasGroup(groupOf(parsed->service))) {
+        co_await refuse(caller, makeError(ErrorKind::UnknownService, "no service " + parsed->service.value()), writer);
+        co_return;
+    }
+    auto call = std::make_shared<ServiceCall>(m_state, m_dispatcher, std::move(*parsed));
+    std::weak_ptr<ServiceCall> weak = call;
+    writer.onCallerGone([weak] {
+        if (auto running = weak.lock())
+            running->callerGone();
+    });
+    auto response = co_await call->run();
+    if (!response) {
+        co_await refuse(caller, response.error(), writer);
+        co_return;
+    }
+    logCompleted(caller, call->lastReplica(), call->attempts(), 0, std::nullopt);
+    HttpHeaders headers { { "X-Request-Id", caller.id.value() } };
+    if (auto type = response->headers.value("Content-Type"); !type.empty())
+        headers.set("Content-Type", type);
+    co_await writer.send({ response->status, std::move(headers), std::move(response->body) });
+}
+
+asio::awaitable<void> Frontend::refuse(const CallerRequest& caller, Error error, HttpResponseWriter& writer)
+{
+    logRefused(caller, error);
+    auto response = errorResponse(error, caller.id);
+    co_await writer.send(std::move(response));
+}
+
+void Frontend::logRefused(const CallerRequest& caller, const Error& error)
+{
+    const auto& answer = answerFor(error.kind);
+    m_state->services.metrics.count("chestnut_requests_refused_total", { { "kind", std::string(answer.name) } });
+    m_state->services.log.write(EventId::RequestRefused, {
+                                                             { "request", caller.id },
+                                                             { "kind", answer.name },
+                                                             { "outcome", nameOf(answer.outcome) },
+                                                             { "reason", error.detail },
+                                                             { "class", nameOfClass(caller.priorityClass) },
+                                                             { "account", caller.account },
+                                                         });
+}
+
+void Frontend::logCompleted(const CallerRequest& caller, const ReplicaId& replica, uint32_t attempts, uint64_t tokens, std::optional<Duration> firstToken)
+{
+    m_state->services.metrics.count("chestnut_requests_completed_total", { { "class", std::string(nameOfClass(caller.priorityClass)) } });
+    LogFields fields {
+        { "request", caller.id },
+        { "replica", replica },
+        { "attempts", attempts },
+        { "tokens", tokens },
+        { "total_ms", (m_state->now() - caller.arrival).count() / 1000 },
+        { "class", nameOfClass(caller.priorityClass) },
+        { "account", caller.account },
+    };
+    if (firstToken)
+        fields.emplace_back("first_token_ms", firstToken->count() / 1000);
+    m_state->services.log.write(EventId::RequestCompleted, std::move(fields));
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/replicas/HeartbeatExchange.cpp
@@ -0,0 +1,99 @@
+#include "frontend/replicas/HeartbeatExchange.h"
+
+#include <algorithm>
+
+namespace chestnut {
+
+using nlohmann::json;
+
+namespace {
+
+    /** Entries in one heartbeat; with ids of usual length they stay below the limit of 1 KB. */
+    constexpr size_t maximumSuspects = 6;
+    constexpr size_t maximumLatencies = 12;
+    /** Replicas at most this slow are not worth a peer's attention. */
+    constexpr double reportedRatio = 1.5;
+
+    json suspectsOf(FrontendState& state)
+    {
+        std::vector<std::pair<Digest, Suspicion>> newest(state.suspects.suspicions.begin(), state.suspects.suspicions.end());
+        std::ranges::sort(newest, std::greater(), [](const auto& entry) { return entry.second.lastLoss; });
+        if (newest.size() > maximumSuspects)
+            newest.resize(maximumSuspects);
+        auto list = json::array();
+        for (const auto& [digest, suspicion] : newest) {
+            auto replicas = json::array();
+            for (const auto& replica : suspicion.lostReplicas)
+                replicas.push_back(replica.value());
+            auto age = std::chrono::duration_cast<std::chrono::milliseconds>(state.now() - suspicion.lastLoss);
+            list.push_back({ { "d", toHex(digest) }, { "r", replicas }, { "a", suspicion.ranAlone }, { "age_ms", age.count() } });
+        }
+        return list;
+    }
+
+    void mergeSuspects(FrontendState& state, const json& list)
+    {
+        for (const auto& item : list) {
+            auto digest = digestFromHex(item.at("d").get<std::string>());
+            if (!digest)
+                continue;
+            Suspicion suspicion;
+            for (const auto& replica : item.at("r"))
+                suspicion.lostReplicas.insert(ReplicaId(replica.get<std::string>()));
+            suspicion.ranAlone = item.at("a").get<bool>();
+            suspicion.lastLoss = state.now() - std::chrono::milliseconds(item.at("age_ms").get<int64_t>());
+            mergeSuspicion(state.suspects, *digest, suspicion, state.now());
+        }
+    }
+
+    json latenciesOf(FrontendState& state)
+    {
+        auto list = json::array();
+        for (const auto& [group, latencies] : state.replicas->latencies()) {
+            for (const auto& [id, latency] : latencies.replicas) {
+                bool isNotable = latency.meanRatio >= reportedRatio || latency.health != ReplicaHealth::Healthy;
+                if (isNotable && list.size() < maximumLatencies)
+                    list.push_back(json::array({ id.value(), latency.meanRatio, latency.samples }));
+            }
+        }
+        return list;
+    }
+
+    void mergeLatencies(FrontendState& state, const json& list)
+    {
+        for (const auto& item : list)
+            state.replicas->mergePeerLatency(ReplicaId(item.at(0).get<std::string>()), item.at(1).get<double>(), item.at(2).get<double>());
+    }
+
+    using Produce = json (*)(FrontendState&);
+    using Merge = void (*)(FrontendState&, const json&);
+
+    void extend(const FrontendStatePointer& state, std::string key, Produce produce, Merge merge)
+    {
+        std::weak_ptr<FrontendState> weak = state;
+        auto produceNow = [weak, produce]() -> json {
+            auto locked = weak.lock();
+            return locked ? produce(*locked) : json();
+        };
+        auto consume = [weak, merge](const DaemonId&, const json& value) {
+            auto locked = weak.lock();
+            if (!locked)
+                return;
+            try {
+                merge(*locked, value);
+            } catch (const json::exception&) {
+                // A peer of another version may send another form; its news is not needed.
+            }
+        };
+        state->services.peers.extendHeartbeat({ std::move(key), produceNow, consume });
+    }
+
+} // namespace
+
+void exchangeByHeartbeat(const FrontendStatePointer& state)
+{
+    extend(state, "suspects", suspectsOf, mergeSuspects);
+    extend(state, "latencies", latenciesOf, mergeLatencies);
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/replicas/ReplicaPoller.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "frontend/dispatch/FrontendState.h"
+
+namespace chestnut {
+
+/** Polls load reports and cache events of the replicas in use, at a bounded rate whatever their number. */
+class ReplicaPoller {
+public:
+    explicit ReplicaPoller(FrontendStatePointer);
+
+    void start();
+
+private:
+    FrontendStatePointer m_state;
+    TimerSubscription m_polling;
+    TimerSubscription m_health;
+};
+
+} // namespace chestnut
--- a/modules/frontend/replicas/ReplicaTable.cpp
+++ b/modules/frontend/replicas/ReplicaTable.cpp
@@ -181,6 +181,12 @@
     return replica.failures >= unresponsiveFailures || m_timers.now() - replica.firstFailureAt >= unresponsiveTime;
 }
 
+bool ReplicaTable::isResponsive(const ReplicaId& id) const
+{
+    const auto* replica = find(id);
+    return !replica || !isUnresponsive(*replica);
+}
+
 bool ReplicaTable::acceptsNewWork(const Replica& replica) const
 {
     bool isIsolated = std::ranges::any_of(replica.flights, [](const Flight* flight) { return flight->plan().isIsolated; });
--- a/modules/frontend/replicas/ReplicaTable.h
+++ b/modules/frontend/replicas/ReplicaTable.h
@@ -111,6 +111,9 @@
     std::vector<double> cachedTokens(std::span<const ReplicaView>, std::span<const uint64_t> blocks) const;
     std::optional<Endpoint> endpoint(const ReplicaId&) const;
 
+    /** False when the last contacts failed; see unresponsiveFailures. */
+    bool isResponsive(const ReplicaId&) const;
+
     FlightHandle begin(const ReplicaId&, FlightPlan, std::span<const uint64_t> blocks);
     std::vector<Digest> contentsRunningAt(const ReplicaId&) const;
     /** Counts a loss once, although every request that ran there notices it. */
--- /dev/null
+++ b/modules/frontend/services/ServiceCall.cpp
@@ -0,0 +1,283 @@
+#include "frontend/services/ServiceCall.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace chestnut {
+
+namespace {
+
+    constexpr std::string_view servicesPrefix = "/services/";
+    constexpr Duration shortestExpected = std::chrono::milliseconds(2);
+    /** A claimed call needs this much time for its dispatch; otherwise it is abandoned as not run. */
+    constexpr Duration shortestDispatch = std::chrono::milliseconds(1);
+
+    bool isNotRun(ErrorKind kind)
+    {
+        return answerFor(kind).outcome == Outcome::NotRun;
+    }
+
+    /** Headers that belong to one connection or are set by this daemon. */
+    bool isForwarded(std::string_view name)
+    {
+        static constexpr std::array kept { "content-type", "accept", "idempotency-key", "x-account", "authorization", "if-none-match" };
+        std::string lower(name);
+        std::ranges::transform(lower, lower.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        return std::ranges::find(kept, lower) != kept.end();
+    }
+
+} // namespace
+
+Result<ServiceRequest> parseServiceRequest(CallerRequest caller, const HttpRequest& request)
+{
+    std::string_view rest = request.target;
+    rest.remove_prefix(servicesPrefix.size());
+    auto end = rest.find_first_of("/?");
+    auto service = rest.substr(0, end);
+    if (service.empty())
+        return makeError(ErrorKind::UnknownService, "the path names no service");
+    ServiceRequest parsed { std::move(caller), ServiceId(std::string(service)), {} };
+    auto target = end == std::string_view::npos ? std::string() : std::string(rest.substr(end));
+    parsed.forwarded = { request.method, target.starts_with('/') ? target : "/" + target, {}, request.body };
+    for (const auto& [name, value] : request.headers.fields()) {
+        if (isForwarded(name))
+            parsed.forwarded.headers.set(name, value);
+    }
+    if (!parsed.isIdempotent() && parsed.caller.idempotencyKey.empty())
+        return makeError(ErrorKind::BadKey, "a call that is not idempotent needs an Idempotency-Key");
+    return parsed;
+}
+
+ServiceCall::ServiceCall(FrontendStatePointer state, std::shared_ptr<Dispatcher> dispatcher, ServiceRequest request)
+    : m_state(std::move(state))
+    , m_dispatcher(std::move(dispatcher))
+    , m_request(std::move(request))
+    , m_news(std::make_shared<Signal>(m_state->services.context))
+{
+}
+
+void ServiceCall::callerGone()
+{
+    m_isCallerGone = true;
+    m_news->notify();
+}
+
+Duration ServiceCall::remaining() const
+{
+    return m_request.caller.deadline - m_state->now();
+}
+
+DispatchRequest ServiceCall::dispatchRequest() const
+{
+    auto weak = weak_from_this();
+    DispatchRequest request;
+    request.request = m_request.caller.id;
+    request.group = groupOf(m_request.service);
+    request.account = m_request.caller.account;
+    request.priorityClass = m_request.caller.priorityClass;
+    request.work = { 0, 1 };
+    request.deadline = m_request.caller.deadline;
+    request.content = m_request.caller.content;
+    request.excluded = m_excluded;
+    request.attempt = m_attemptCount + 1;
+    request.isContinuation = m_mayHaveRun;
+    request.signal = m_news;
+    request.isAbandoned = [weak] {
+        auto self = weak.lock();
+        return !self || self->m_isCallerGone;
+    };
+    return request;
+}
+
+HttpRequest ServiceCall::requestForAttempt()
+{
+    auto request = m_request.forwarded;
+    request.headers.set("X-Request-Id", m_state->nextAttemptId().value());
+    return request;
+}
+
+asio::awaitable<Result<HttpResponse>> ServiceCall::run()
+{
+    auto self = shared_from_this();
+    if (m_request.isIdempotent())
+        co_return co_await runIdempotent();
+    co_return co_await runClaimed();
+}
+
+asio::awaitable<Result<HttpResponse>> ServiceCall::runIdempotent()
+{
+    m_state->hedgeBudget.requests += 1;
+    std::optional<Error> lastFailure;
+    while (true) {
+        auto dispatched = co_await m_dispatcher->acquire(dispatchRequest());
+        if (!dispatched)
+            co_return m_mayHaveRun&& isNotRun(dispatched.error().kind) ? *lastFailure : dispatched.error();
+        auto response = co_await race(std::move(*dispatched));
+        if (response) {
+            recordCompletion(m_state->suspects, m_request.caller.content);
+            co_return response;
+        }
+        bool isNews = !m_mayHaveRun || !isNotRun(response.error().kind);
+        if (!lastFailure || isNews)
+            lastFailure = response.error();
+        if (!co_await mayRetry(response.error()))
+            co_return *lastFailure;
+    }
+}
+
+asio::awaitable<Result<HttpResponse>> ServiceCall::race(Dispatched dispatched)
+{
+    startAttempt(std::move(dispatched));
+    while (true) {
+        std::optional<Result<HttpResponse>> last;
+        for (const auto& attempt : m_attempts) {
+            if (!attempt->response)
+                continue;
+            last = attempt->response;
+            if (*last)
+                break;
+            recordAttemptFailure(attempt->target, last->error());
+            attempt->isAbandoned = true;
+        }
+        std::erase_if(m_attempts, [](const auto& attempt) { return attempt->isAbandoned; });
+        bool isLate = remaining() <= Duration::zero();
+        bool isOver = (last && (*last || m_attempts.empty())) || m_isCallerGone || isLate;
+        if (isOver) {
+            for (const auto& attempt : m_attempts) {
+                attempt->isAbandoned = true;
+                attempt->target.flight.reset();
+            }
+            m_attempts.clear();
+            if (last)
+                co_return *last;
+            m_mayHaveRun = true;
+            co_return m_isCallerGone ? makeError(ErrorKind::CallerGone, "the caller closed the connection") : makeError(ErrorKind::DeadlineExceeded, "the deadline passed while the call ran");
+        }
+        if (m_hedgeAt && m_state->now() >= *m_hedgeAt)
+            startHedge();
+        auto next = m_hedgeAt ? std::min(remaining(), *m_hedgeAt - m_state->now()) : remaining();
+        co_await m_news->waitFor(m_state->services.timers, next);
+    }
+}
+
+void ServiceCall::startAttempt(Dispatched dispatched)
+{
+    ++m_attemptCount;
+    m_lastReplica = dispatched.replica;
+    if (m_attempts.empty()) {
+        const auto& plan = dispatched.flight->plan();
+        HedgeQuery query { true, plan.isLong, plan.priorityClass, std::max(plan.estimate.serviceTime, shortestExpected), false, m_attemptCount };
+        auto delay = hedgeDelay(query, m_state->replicas->quantiles(groupOf(m_request.service)), m_state->hedgeBudget);
+        m_hedgeAt = delay ? std::optional(m_state->now() + *delay) : std::nullopt;
+    }
+    auto attempt = std::make_shared<Attempt>(Attempt { std::move(dispatched), {} });
+    m_attempts.push_back(attempt);
+    asio::co_spawn(m_state->services.context, runAttempt(m_state, attempt, requestForAttempt(), remaining(), m_news), asio::detached);
+}
+
+void ServiceCall::startHedge()
+{
+    m_hedgeAt.reset();
+    auto request = dispatchRequest();
+    for (const auto& attempt : m_attempts)
+        request.excluded.push_back(attempt->target.replica);
+    auto dispatched = m_dispatcher->tryAcquire(request);
+    if (!dispatched)
+        return;
+    m_state->hedgeBudget.hedges += 1;
+    m_state->services.metrics.count("chestnut_hedges_total");
+    m_state->services.log.write(EventId::RequestHedged, { { "request", m_request.caller.id }, { "first", m_lastReplica }, { "second", dispatched->replica } });
+    startAttempt(std::move(*dispatched));
+}
+
+asio::awaitable<void> ServiceCall::runAttempt(FrontendStatePointer state, AttemptPointer attempt, HttpRequest request, Duration timeout, std::shared_ptr<Signal> news)
+{
+    auto response = co_await state->services.servers.call(attempt->target.endpoint, std::move(request), timeout);
+    if (attempt->isAbandoned)
+        co_return;
+    if (response) {
+        attempt->target.flight->onAnswer(state->now());
+        attempt->target.flight.reset();
+    }
+    attempt->response = std::move(response);
+    news->notify();
+}
+
+void ServiceCall::recordAttemptFailure(const Dispatched& target, const Error& error)
+{
+    target.flight->onFailure(error.kind, m_state->now());
+    m_excluded.push_back(target.replica);
+    m_mayHaveRun = m_mayHaveRun || !isNotRun(error.kind);
+    if (error.kind == ErrorKind::BackendFailed) {
+        ++m_backendsLost;
+        m_state->noteLoss(target.replica);
+    }
+    m_state->services.log.write(EventId::AttemptFailed, { { "request", m_request.caller.id }, { "replica", target.replica }, { "kind", answerFor(error.kind).name }, { "detail", error.detail } });
+}
+
+asio::awaitable<bool> ServiceCall::mayRetry(const Error& error)
+{
+    RetryQuery query { error.kind, m_request.isIdempotent(), m_attemptCount, m_backendsLost, m_request.caller.deadline, Duration::zero() };
+    auto decision = decideRetry(query, m_state->retryBudget, m_state->now(), m_state->random);
+    m_state->retryBudget = decision.budget;
+    if (!decision.retry)
+        co_return false;
+    m_state->services.metrics.count("chestnut_retries_total");
+    co_await m_state->services.timers.sleep(decision.delay);
+    co_return true;
+}
+
+asio::awaitable<Result<HttpResponse>> ServiceCall::runClaimed()
+{
+    auto dispatched = co_await m_dispatcher->acquire(dispatchRequest());
+    if (!dispatched)
+        co_return dispatched.error();
+    const auto& caller = m_request.caller;
+    auto decision = co_await m_state->services.claims.claim(caller.account, caller.idempotencyKey, caller.content);
+    if (!decision)
+        co_return decision.error();
+    if (auto* answered = std::get_if<ClaimAnswered>(&*decision))
+        co_return std::move(answered->response);
+    co_return co_await dispatchClaimed(std::move(*dispatched));
+}
+
+asio::awaitable<Result<HttpResponse>> ServiceCall::dispatchClaimed(Dispatched dispatched)
+{
+    auto& claims = m_state->services.claims;
+    const auto& caller = m_request.caller;
+    Error failure;
+    while (true) {
+        if (remaining() < shortestDispatch) {
+            claims.abandon(caller.account, caller.idempotencyKey);
+            co_return makeError(ErrorKind::DeadlineUnreachable, "the deadline passed before the call was sent");
+        }
+        ++m_attemptCount;
+        m_lastReplica = dispatched.replica;
+        auto response = co_await m_state->services.servers.call(dispatched.endpoint, requestForAttempt(), remaining());
+        if (response) {
+            dispatched.flight->onAnswer(m_state->now());
+            recordCompletion(m_state->suspects, caller.content);
+            claims.complete(caller.account, caller.idempotencyKey, *response);
+            co_return response;
+        }
+        failure = response.error();
+        recordAttemptFailure(dispatched, failure);
+        // Only a failed connect proves that no byte was sent. Any other failure leaves the claim in place for good.
+        if (failure.kind != ErrorKind::ConnectFailed)
+            co_return makeError(ErrorKind::OutcomeUnknown, failure.detail);
+        dispatched.flight.reset();
+        if (!co_await mayRetry(failure))
+            break;
+        auto next = co_await m_dispatcher->acquire(dispatchRequest());
+        if (!next) {
+            failure = next.error();
+            break;
+        }
+        dispatched = std::move(*next);
+    }
+    claims.abandon(caller.account, caller.idempotencyKey);
+    co_return failure;
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/services/ServiceCall.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "frontend/dispatch/Dispatcher.h"
+
+namespace chestnut {
+
+/** A call under /services/<service>/... */
+struct ServiceRequest {
+    CallerRequest caller;
+    ServiceId service;
+    HttpRequest forwarded; /**< as the backend server gets it, without X-Request-Id */
+
+    bool isIdempotent() const { return forwarded.method == "GET" || forwarded.method == "HEAD"; }
+};
+
+/** Splits the target. Errors: UnknownService when no service is named, BadKey when a call that is not idempotent has no
+    idempotency key. */
+Result<ServiceRequest> parseServiceRequest(CallerRequest, const HttpRequest&);
+
+/** One call to a plain service. An idempotent call is retried and hedged. A call that is not idempotent is claimed
+    first and then sent once; another replica is tried only when no byte was sent. */
+class ServiceCall : public std::enable_shared_from_this<ServiceCall> {
+public:
+    ServiceCall(FrontendStatePointer, std::shared_ptr<Dispatcher>, ServiceRequest);
+
+    asio::awaitable<Result<HttpResponse>> run();
+
+    /** The caller went away. A call that was claimed still runs to its end, so that a repeat gets its response. */
+    void callerGone();
+
+    uint32_t attempts() const { return m_attemptCount; }
+    const ReplicaId& lastReplica() const { return m_lastReplica; }
+
+private:
+    struct Attempt {
+        Dispatched target;
+        std::optional<Result<HttpResponse>> response;
+        bool isAbandoned = false;
+    };
+    using AttemptPointer = std::shared_ptr<Attempt>;
+
+    DispatchRequest dispatchRequest() const;
+    HttpRequest requestForAttempt();
+    asio::awaitable<Result<HttpResponse>> runIdempotent();
+    asio::awaitable<Result<HttpResponse>> runClaimed();
+    asio::awaitable<Result<HttpResponse>> dispatchClaimed(Dispatched);
+    asio::awaitable<Result<HttpResponse>> race(Dispatched);
+    void startAttempt(Dispatched);
+    void startHedge();
+    static asio::awaitable<void> runAttempt(FrontendStatePointer, AttemptPointer, HttpRequest, Duration timeout, std::shared_ptr<Signal> news);
+    asio::awaitable<bool> mayRetry(const Error&);
+    void recordAttemptFailure(const Dispatched&, const Error&);
+    Duration remaining() const;
+
+    FrontendStatePointer m_state;
+    std::shared_ptr<Dispatcher> m_dispatcher;
+    ServiceRequest m_request;
+    std::shared_ptr<Signal> m_news;
+    std::vector<AttemptPointer> m_attempts;
+    std::optional<TimePoint> m_hedgeAt;
+    std::vector<ReplicaId> m_excluded;
+    uint32_t m_attemptCount = 0;
+    uint32_t m_backendsLost = 0;
+    bool m_mayHaveRun = false;
+    bool m_isCallerGone = false;
+    ReplicaId m_lastReplica;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/streams/HeldStreams.cpp
@@ -0,0 +1,56 @@
+#include "frontend/streams/HeldStreams.h"
+
+#include <numeric>
+
+namespace chestnut {
+
+std::string HeldStream::textThrough(uint64_t index) const
+{
+    std::string text;
+    for (uint64_t i = firstIndex; i <= index && i <= lastIndex(); ++i)
+        text += tokens[i - firstIndex];
+    return text;
+}
+
+void HeldStreams::add(const std::shared_ptr<HeldStream>& stream)
+{
+    if (m_ended.remove(stream) > 0)
+        m_endedBytes -= stream->bytes;
+    m_byId[stream->streamId] = stream;
+}
+
+std::shared_ptr<HeldStream> HeldStreams::find(const std::string& streamId) const
+{
+    auto found = m_byId.find(streamId);
+    return found == m_byId.end() ? nullptr : found->second;
+}
+
+void HeldStreams::end(const std::shared_ptr<HeldStream>& stream, TimePoint now)
+{
+    if (!find(stream->streamId))
+        return;
+    constexpr size_t bytesPerToken = 40; // of the string object beside its text
+    stream->endedAt = now;
+    stream->bytes = std::accumulate(stream->tokens.begin(), stream->tokens.end(), stream->body.size(), [](size_t sum, const std::string& token) { return sum + token.size() + bytesPerToken; });
+    m_ended.remove(stream);
+    m_ended.push_back(stream);
+    m_endedBytes += stream->bytes;
+    expire(now);
+}
+
+void HeldStreams::expire(TimePoint now)
+{
+    while (!m_ended.empty() && (m_endedBytes > maximumBytes || now - m_ended.front()->endedAt >= keptTime)) {
+        auto oldest = m_ended.front();
+        m_ended.pop_front();
+        m_endedBytes -= oldest->bytes;
+        forget(oldest);
+    }
+}
+
+void HeldStreams::forget(const std::shared_ptr<HeldStream>& stream)
+{
+    std::erase_if(m_byId, [&](const auto& entry) { return entry.second == stream; });
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/streams/HeldStreams.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "backends/engines/CompletionBody.h"
+#include "frontend/requests/CallerRequest.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace chestnut {
+
+/** A completion with the tokens that it has produced so far. */
+struct HeldStream {
+    CallerRequest caller;
+    std::string target;
+    std::string body; /**< the caller's; empty when this daemon resumes a stream that another one accepted */
+    ModelId model;
+    bool isChat = false;
+    uint32_t maximumTokens = 0;
+    std::vector<uint64_t> blocks;
+    double promptTokens = 0;
+    uint64_t firstIndex = 1; /**< index of the first entry of `tokens` */
+    std::vector<std::string> tokens; /**< texts */
+    std::string finishReason; /**< empty until the last token */
+    std::string contentMark; /**< part of the stream ids */
+    std::string streamId; /**< the newest one */
+    std::function<void()> displace; /**< stops the session that writes to an earlier connection; empty when none runs */
+    TimePoint endedAt {};
+    size_t bytes = 0;
+
+    uint64_t lastIndex() const { return firstIndex + tokens.size() - 1; }
+    /** The output up to a token, for an engine that continues after it. */
+    std::string textThrough(uint64_t index) const;
+};
+
+/** Streams that callers may resume at this daemon. A stream is kept while it runs and for a minute after its connection
+    ended, within a total size; the oldest ended ones go first. */
+class HeldStreams {
+public:
+    static constexpr Duration keptTime = std::chrono::seconds(60);
+    static constexpr size_t maximumBytes = 32 << 20;
+
+    /** Makes the stream known under its newest id; earlier ids stay valid. */
+    void add(const std::shared_ptr<HeldStream>&);
+    std::shared_ptr<HeldStream> find(const std::string& streamId) const;
+    void end(const std::shared_ptr<HeldStream>&, TimePoint now);
+    void expire(TimePoint now);
+
+private:
+    void forget(const std::shared_ptr<HeldStream>&);
+
+    std::map<std::string, std::shared_ptr<HeldStream>> m_byId;
+    std::list<std::shared_ptr<HeldStream>> m_ended; /**< oldest first */
+    size_t m_endedBytes = 0;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/streams/StreamId.cpp
@@ -0,0 +1,37 @@
+#include "frontend/streams/StreamId.h"
+
+namespace chestnut {
+
+namespace {
+
+    constexpr char separator = '~';
+    constexpr size_t markLength = 16;
+
+} // namespace
+
+std::string contentMarkOf(const Digest& digest)
+{
+    return toHex(digest).substr(0, markLength);
+}
+
+std::string formatStreamId(const StreamId& id)
+{
+    return id.engine.value() + separator + id.engineRequest.value() + separator + id.contentMark;
+}
+
+std::optional<StreamId> parseStreamId(std::string_view text)
+{
+    auto last = text.rfind(separator);
+    if (last == std::string_view::npos || last == 0 || text.size() - last - 1 != markLength)
+        return std::nullopt;
+    auto middle = text.rfind(separator, last - 1);
+    if (middle == std::string_view::npos || middle == 0 || middle + 1 == last)
+        return std::nullopt;
+    StreamId id;
+    id.engine = EngineId(std::string(text.substr(0, middle)));
+    id.engineRequest = RequestId(std::string(text.substr(middle + 1, last - middle - 1)));
+    id.contentMark = text.substr(last + 1);
+    return id;
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/frontend/streams/StreamId.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/digest/Digest.h"
+#include "base/ids/StrongId.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chestnut {
+
+/** Names the engine and the engine's request that generate a stream, so that any daemon can resume it there. It changes
+    when the stream moves to another engine. */
+struct StreamId {
+    EngineId engine;
+    RequestId engineRequest;
+    std::string contentMark; /**< first 16 digits of the request's content digest */
+
+    auto operator<=>(const StreamId&) const = default;
+};
+
+std::string contentMarkOf(const Digest&);
+
+/** `<engine>~<engine request>~<content mark>` */
+std::string formatStreamId(const StreamId&);
+std::optional<StreamId> parseStreamId(std::string_view);
+
+} // namespace chestnut
--- a/standins/enginestandin/EngineSimulator.cpp
+++ b/standins/enginestandin/EngineSimulator.cpp
@@ -18,16 +18,6 @@
     constexpr size_t keptEvents = 4096;
     constexpr size_t keptLog = 20000;
 
-    /** Chained hashes of the prompt's whole blocks. */
-    std::vector<uint64_t> blockHashes(std::string_view prompt)
-    {
-        constexpr auto blockCharacters = static_cast<size_t>(tokensPerBlock * charactersPerToken);
-        std::vector<uint64_t> hashes;
-        for (size_t end = blockCharacters; end <= prompt.size(); end += blockCharacters)
-            hashes.push_back(hash64(prompt.substr(end - blockCharacters, blockCharacters), hashes.empty() ? 0 : hashes.back()));
-        return hashes;
-    }
-
 } // namespace
 
 EngineSimulator::EngineSimulator(asio::io_context& context, EngineSettings settings, EngineFaults faults)
@@ -135,7 +125,7 @@
 {
     double cached = 0;
     bool isPrefix = true;
-    for (auto hash : blockHashes(prompt)) {
+    for (auto hash : prefixBlockHashes(prompt)) {
         isPrefix = isPrefix && m_cache.contains(hash);
         if (isPrefix)
             cached += tokensPerBlock;
--- /dev/null
+++ b/tests/frontend/AdmissionTest.cpp
@@ -0,0 +1,161 @@
+#include "frontend/FrontendFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+// Guards against requests that reach a backend although they are invalid.
+TEST_CASE("invalid requests are refused with their own kind and never dispatched")
+{
+    FrontendFixture fixture;
+    auto expectKind = [&](HttpRequest request, const std::string& kind, int status) {
+        auto writer = fixture.ask(std::move(request));
+        CHECK(kindOf(*writer) == kind);
+        CHECK(outcomeOf(*writer) == "not_run");
+        CHECK(writer->status == status);
+    };
+    expectKind({ "POST", "/v1/completions", {}, "{" }, "bad_json", 400);
+    expectKind({ "POST", "/v1/completions", {}, R"({"prompt":"p"})" }, "bad_json", 400);
+    expectKind({ "POST", "/v1/completions", {}, R"({"model":"other","prompt":"p"})" }, "unknown_model", 404);
+    expectKind(fixture.completion("p", 5, true, { { "X-Request-Timeout", "0" } }), "deadline_passed", 400);
+    expectKind(fixture.completion("p", 5, true, { { "X-Request-Timeout", "soon" } }), "bad_request", 400);
+    expectKind(fixture.completion("p", 5, true, { { "X-Priority-Class", "urgent" } }), "bad_request", 400);
+    expectKind({ "GET", "/services/none/x", {}, "" }, "unknown_service", 404);
+    expectKind({ "GET", "/v2", {}, "" }, "not_found", 404);
+    CHECK(fixture.engines.calls() == 0);
+    CHECK(fixture.log.recent(EventId::RequestRefused).size() == 8);
+}
+
+// Guards against a fault of HttpServer that is answered without kind and outcome.
+TEST_CASE("an oversized body is answered with its kind")
+{
+    auto response = Frontend::answerFault(makeError(ErrorKind::BodyTooLarge, "too long"));
+    CHECK(response.status == 413);
+    CHECK(nlohmann::json::parse(response.body)["error"]["kind"] == "body_too_large");
+}
+
+// Guards against a queue that grows without bound.
+TEST_CASE("a full queue refuses with overloaded, not run and a retry time")
+{
+    FrontendFixture fixture(1, 0, 2, 3);
+    fixture.engines.at(1).isHung = true;
+    std::vector<std::shared_ptr<FakeWriter>> writers;
+    for (int i = 0; i < 8; ++i)
+        writers.push_back(fixture.ask(fixture.completion("p" + std::to_string(i), 5)));
+    uint32_t refused = 0;
+    for (const auto& writer : writers) {
+        if (kindOf(*writer) != "overloaded")
+            continue;
+        ++refused;
+        CHECK(outcomeOf(*writer) == "not_run");
+        CHECK_FALSE(writer->headers.value("Retry-After").empty());
+    }
+    CHECK(refused == 3);
+    CHECK(fixture.engines.calls() == 2);
+    CHECK(fixture.frontend->waiting() == 3);
+}
+
+// Guards against starting work that cannot finish in time.
+TEST_CASE("a deadline that cannot be met is refused at once")
+{
+    FrontendFixture fixture(1);
+    auto writer = fixture.ask(fixture.completion("p", 10000, true, { { "X-Request-Timeout", "1000" } }));
+    CHECK(kindOf(*writer) == "deadline_unreachable");
+    CHECK(outcomeOf(*writer) == "not_run");
+    CHECK(fixture.engines.calls() == 0);
+}
+
+// Guards against a waiting request that is neither started nor answered.
+TEST_CASE("waiting requests start when a slot is free, live before batch, and leave the queue with their caller")
+{
+    FrontendFixture fixture(1, 0, 1);
+    auto running = fixture.ask(fixture.completion("first", 20));
+    auto batch = fixture.ask(fixture.completion("batch", 5, true, { { "X-Priority-Class", "batch" } }));
+    auto live = fixture.ask(fixture.completion("live", 5));
+    auto leaving = fixture.ask(fixture.completion("leaving", 5));
+    CHECK(fixture.frontend->waiting() == 3);
+    leaving->leave();
+    fixture.advance(5s);
+    for (const auto& writer : { running, batch, live })
+        CHECK(readStream(*writer).isWhole);
+    const auto& bodies = fixture.engines.at(1).bodies;
+    REQUIRE(bodies.size() == 3);
+    CHECK(parseCompletionBody(bodies[1])->prompt == "live");
+    CHECK(parseCompletionBody(bodies[2])->prompt == "batch");
+    CHECK(fixture.frontend->waiting() == 0);
+}
+
+// Guards against live work that waits behind batch streams, and against tokens lost by preemption.
+TEST_CASE("a batch stream gives its slot to live work and goes on later with each token once")
+{
+    FrontendFixture fixture(1, 0, 1);
+    fixture.engines.at(1).tokenDelay = 50ms;
+    auto batch = fixture.ask(fixture.completion("long batch", 100, true, { { "X-Priority-Class", "batch" } }));
+    fixture.advance(1s);
+    auto live = fixture.ask(fixture.completion("live", 4));
+    fixture.advance(1s);
+    CHECK(readStream(*live).isWhole);
+    CHECK_FALSE(readStream(*batch).isWhole);
+    fixture.advance(20s);
+    auto received = readStream(*batch);
+    CHECK(received.isWhole);
+    CHECK(received.isOrdered);
+    CHECK(received.text == expectedText(1, 100));
+    CHECK(fixture.log.recent(EventId::RequestPreempted).size() == 1);
+    CHECK(fixture.engines.at(1).priorities.front() > fixture.engines.at(1).priorities.at(1));
+}
+
+// Guards against new work at a replica that drains (bound: 5 s; here at once).
+TEST_CASE("a leaving replica finishes its work and gets no new one")
+{
+    FrontendFixture fixture;
+    fixture.engines.at(1).tokenDelay = 100ms;
+    fixture.leaving.insert(ReplicaId("e2"));
+    auto running = fixture.ask(fixture.completion("p", 20));
+    fixture.leaving = { ReplicaId("e1") };
+    std::vector<std::shared_ptr<FakeWriter>> writers;
+    for (int i = 0; i < 10; ++i)
+        writers.push_back(fixture.ask(fixture.completion("q" + std::to_string(i), 2)));
+    fixture.advance(5s);
+    CHECK(readStream(*running).isWhole);
+    for (const auto& writer : writers)
+        CHECK(readStream(*writer).isWhole);
+    CHECK(fixture.engines.at(1).bodies.size() == 1);
+}
+
+// Guards against a replica that is left in use although it refuses all connections.
+TEST_CASE("a replica that refuses connections gets no new work after three failed contacts")
+{
+    FrontendFixture fixture;
+    fixture.engines.at(1).isDown = true;
+    fixture.advance(4s);
+    CHECK(fixture.log.recent(EventId::ReplicaUnresponsive).size() == 1);
+    for (int i = 0; i < 10; ++i) {
+        auto writer = fixture.ask(fixture.completion("p" + std::to_string(i), 2));
+        fixture.advance(200ms);
+        CHECK(readStream(*writer).isWhole);
+    }
+    CHECK(fixture.log.recent(EventId::AttemptFailed).empty());
+}
+
+// Guards against work that a planned stop interrupts, and against callers sent to a daemon that refuses them.
+TEST_CASE("a graceful stop serves until discovery answers have run out and finishes all work")
+{
+    FrontendFixture fixture(1);
+    fixture.engines.at(1).tokenDelay = 1s;
+    auto running = fixture.ask(fixture.completion("p", 20, true, { { "X-Request-Timeout", "100000" } }));
+    bool hasStopped = false;
+    asio::co_spawn(fixture.context, fixture.frontend->stop(), [&](std::exception_ptr) { hasStopped = true; });
+    fixture.advance(5s);
+    CHECK(fixture.peers.record.state == MemberState::Leaving);
+    auto during = fixture.ask(fixture.completion("q", 2));
+    fixture.advance(8s);
+    CHECK(readStream(*during).isWhole);
+    auto late = fixture.ask(fixture.completion("r", 2));
+    CHECK(kindOf(*late) == "leaving");
+    CHECK_FALSE(hasStopped);
+    fixture.advance(20s);
+    CHECK(readStream(*running).isWhole);
+    CHECK(hasStopped);
+}
--- /dev/null
+++ b/tests/frontend/CompletionTest.cpp
@@ -0,0 +1,184 @@
+#include "frontend/FrontendFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** The port of the only engine that runs something. */
+uint16_t busyEngine(FrontendFixture& fixture, uint16_t count)
+{
+    for (uint16_t port = 1; port <= count; ++port) {
+        if (!fixture.engines.at(port).running.empty())
+            return port;
+    }
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE("streamed and unstreamed completions arrive whole, with one routing line each")
+{
+    FrontendFixture fixture;
+    auto streamed = fixture.ask(fixture.completion("p", 5, true, { { "X-Request-Id", "r1" } }));
+    auto whole = fixture.ask(fixture.completion("p", 5, false));
+    fixture.advance(2s);
+    auto received = readStream(*streamed);
+    CHECK(received.isWhole);
+    CHECK(received.isOrdered);
+    CHECK(received.text == expectedText(1, 5));
+    CHECK(streamed->headers.value("X-Request-Id") == "r1");
+    CHECK(nlohmann::json::parse(whole->body)["choices"][0]["text"] == expectedText(1, 5));
+    CHECK(fixture.log.recent("request", "r1").size() == 2); // routed and completed
+    CHECK(fixture.log.recent(EventId::RequestRouted).size() == 2);
+}
+
+// Guards against a lost answer when an engine dies before it answered.
+TEST_CASE("an engine that dies before the first token is replaced once")
+{
+    FrontendFixture fixture;
+    fixture.engines.at(1).diesOn = "p";
+    fixture.engines.at(2).firstDelay = 30ms;
+    fixture.leaving.insert(ReplicaId("e2"));
+    auto writer = fixture.ask(fixture.completion("p", 5));
+    fixture.leaving.clear();
+    fixture.advance(2s);
+    CHECK(readStream(*writer).text == expectedText(1, 5));
+    CHECK(fixture.engines.at(1).bodies.size() == 1);
+    CHECK(fixture.engines.at(2).bodies.size() == 1);
+}
+
+// Guards against lost or doubled tokens when a stream moves to another engine.
+TEST_CASE("a stream goes on at another engine from the tokens already sent")
+{
+    FrontendFixture fixture;
+    for (uint16_t port : { 1, 2 })
+        fixture.engines.at(port).tokenDelay = 20ms;
+    auto writer = fixture.ask(fixture.completion("p", 20));
+    fixture.advance(200ms);
+    auto first = busyEngine(fixture, 2);
+    REQUIRE(first != 0);
+    auto before = readStream(*writer);
+    CHECK(before.tokens > 2);
+    fixture.engines.at(first).isDown = true;
+    fixture.advance(3s);
+    auto received = readStream(*writer);
+    CHECK(received.isWhole);
+    CHECK(received.isOrdered);
+    CHECK(received.text == expectedText(1, 20));
+    auto resumed = parseCompletionBody(fixture.engines.at(first == 1 ? 2 : 1).bodies.at(0));
+    CHECK(resumed->resumeAfter >= before.tokens);
+    CHECK(resumed->resumeText == expectedText(1, resumed->resumeAfter));
+}
+
+// Guards against endless attempts with a request that kills engines.
+TEST_CASE("after a second lost engine the request fails and identical ones are quarantined")
+{
+    FrontendFixture fixture(4);
+    for (uint16_t port = 1; port <= 4; ++port)
+        fixture.engines.at(port).diesOn = "poison";
+    auto writer = fixture.ask(fixture.completion("poison", 5));
+    fixture.advance(3s);
+    CHECK(kindOf(*writer) == "backend_failed");
+    CHECK(outcomeOf(*writer) == "failed");
+    CHECK(fixture.engines.calls() == 2);
+    auto again = fixture.ask(fixture.completion("poison", 5));
+    fixture.advance(1s);
+    CHECK(again->status == 422);
+    CHECK(kindOf(*again) == "suspect_request");
+    CHECK(fixture.engines.calls() == 2);
+    auto other = fixture.ask(fixture.completion("harmless", 5));
+    fixture.advance(2s);
+    CHECK(readStream(*other).isWhole);
+}
+
+// Guards against relaying another request's answer.
+TEST_CASE("a crossed answer is dropped and the request is answered by another engine")
+{
+    FrontendFixture fixture;
+    fixture.engines.at(1).crossesNext = true;
+    fixture.engines.at(2).crossesNext = true;
+    auto writer = fixture.ask(fixture.completion("p", 4));
+    fixture.advance(2s);
+    CHECK(readStream(*writer).text == expectedText(1, 4));
+}
+
+// Guards against a late loser of a hedge that reaches the caller or keeps its engine busy.
+TEST_CASE("a hedge wins over a hung engine and the late loser is cancelled and dropped")
+{
+    FrontendFixture fixture;
+    for (int i = 0; i < 60; ++i) {
+        fixture.ask(fixture.completion("warm" + std::to_string(i), 2));
+        fixture.advance(200ms);
+    }
+    auto writer = fixture.ask(fixture.completion("p", 5));
+    auto first = busyEngine(fixture, 2);
+    REQUIRE(first != 0);
+    fixture.engines.at(first).isHung = true;
+    fixture.advance(1500ms);
+    CHECK(readStream(*writer).text == expectedText(1, 5));
+    CHECK(fixture.log.recent(EventId::RequestHedged).size() == 1);
+    CHECK(fixture.engines.at(first).cancelled.size() == 1);
+    fixture.engines.at(first).isHung = false;
+    fixture.advance(2s);
+    CHECK(readStream(*writer).tokens == 5);
+}
+
+// Guards against an engine that generates for nobody.
+TEST_CASE("a caller that leaves ends the engine's work")
+{
+    FrontendFixture fixture(1);
+    fixture.engines.at(1).tokenDelay = 100ms;
+    auto writer = fixture.ask(fixture.completion("p", 100));
+    fixture.advance(500ms);
+    CHECK(fixture.engines.at(1).running.size() == 1);
+    writer->leave();
+    fixture.advance(200ms);
+    CHECK(fixture.engines.at(1).running.empty());
+    CHECK(fixture.engines.at(1).cancelled.size() == 1);
+    CHECK(fixture.frontend->inProgress() == 0);
+}
+
+// Guards against an engine that accepts everything and answers nothing.
+TEST_CASE("a stream whose engine falls silent goes on elsewhere")
+{
+    FrontendFixture fixture;
+    auto writer = fixture.ask(fixture.completion("p", 50));
+    fixture.advance(200ms);
+    auto first = busyEngine(fixture, 2);
+    fixture.engines.at(first).isHung = true;
+    fixture.advance(15s);
+    auto received = readStream(*writer);
+    CHECK(received.isWhole);
+    CHECK(received.text == expectedText(1, 50));
+}
+
+// Guards against memory that grows with a caller who does not read.
+TEST_CASE("a slow client slows its own stream only and still gets every token")
+{
+    FrontendFixture fixture(1);
+    auto writer = fixture.ask(fixture.completion("p", 200));
+    writer->writeDelay = 50ms;
+    fixture.advance(1s);
+    auto other = fixture.ask(fixture.completion("q", 5));
+    fixture.advance(1s);
+    CHECK(readStream(*other).isWhole);
+    fixture.advance(20s);
+    auto received = readStream(*writer);
+    CHECK(received.isWhole);
+    CHECK(received.text == expectedText(1, 200));
+}
+
+// Guards against work that nobody can use any more, and against a false "not run".
+TEST_CASE("a deadline that passes while the request runs is reported as failed and cancels the engine")
+{
+    FrontendFixture fixture(1);
+    fixture.engines.at(1).tokenDelay = 200ms;
+    auto writer = fixture.ask(fixture.completion("p", 20, false, { { "X-Request-Timeout", "1500" } }));
+    fixture.advance(3s);
+    CHECK(kindOf(*writer) == "deadline_exceeded");
+    CHECK(outcomeOf(*writer) == "failed");
+    CHECK(fixture.engines.at(1).running.empty());
+}
--- /dev/null
+++ b/tests/frontend/Fakes.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "backends/backends.h"
+#include "claims/service/ClaimService.h"
+#include "control/configuration/ConfigurationService.h"
+#include "http/server/HttpServer.h"
+#include "kernel/timers/TimerService.h"
+#include "peers/service/PeerService.h"
+
+#include <map>
+#include <set>
+
+namespace chestnut {
+
+class FakeConfiguration final : public ConfigurationService {
+public:
+    std::shared_ptr<const Configuration> current() const override { return configuration; }
+    void onChange(std::function<void(std::shared_ptr<const Configuration>)> callback) override { callbacks.push_back(std::move(callback)); }
+
+    void publish(Configuration next)
+    {
+        configuration = std::make_shared<Configuration>(std::move(next));
+        for (const auto& callback : callbacks)
+            callback(configuration);
+    }
+
+    std::shared_ptr<const Configuration> configuration;
+    std::vector<std::function<void(std::shared_ptr<const Configuration>)>> callbacks;
+};
+
+/** Grants each key once and records what is completed or abandoned. */
+class FakeClaims final : public ClaimService {
+public:
+    asio::awaitable<Result<ClaimDecision>> claim(AccountId, std::string key, Digest) override
+    {
+        ++claims;
+        if (auto answer = answers.find(key); answer != answers.end())
+            co_return ClaimDecision(ClaimAnswered { answer->second });
+        if (!granted.insert(key).second)
+            co_return makeError(ErrorKind::AlreadyRun, "claimed before");
+        co_return ClaimDecision(ClaimGranted {});
+    }
+    void complete(AccountId, const std::string& key, HttpResponse response) override { answers[key] = std::move(response); }
+    void abandon(AccountId, const std::string& key) override
+    {
+        ++abandoned;
+        granted.erase(key);
+    }
+    std::string keyPrefix() const override { return "7"; }
+
+    std::set<std::string> granted;
+    std::map<std::string, HttpResponse> answers;
+    uint32_t claims = 0;
+    uint32_t abandoned = 0;
+};
+
+class FakePeers final : public PeerService {
+public:
+    void handle(std::string, PeerHandler) override { }
+    void extendHeartbeat(HeartbeatExtension extension) override { extensions.push_back(std::move(extension)); }
+    asio::awaitable<Result<nlohmann::json>> call(DaemonId, std::string, nlohmann::json, Duration) override { co_return makeError(ErrorKind::ConnectFailed, "no peers"); }
+    std::vector<MemberRecord> members() const override { return { record }; }
+    std::optional<MemberRecord> member(const DaemonId& id) const override { return id == record.id ? std::optional(record) : std::nullopt; }
+    const DaemonId& self() const override { return record.id; }
+    Incarnation incarnation() const override { return 7; }
+    void announceState(MemberState state) override { record.state = state; }
+    void announceRevision(Revision) override { }
+    void announceLoad(uint32_t) override { }
+    void onMemberChange(std::function<void(const MemberRecord&)>) override { }
+
+    MemberRecord record { DaemonId("d1"), 7, 1, MemberState::Ready, AvailabilityZone("a"), Region("r"), "127.0.0.1:8000", "127.0.0.1:8001" };
+    std::vector<HeartbeatExtension> extensions;
+};
+
+/** How a fake engine or backend server behaves. */
+struct FakeBackend {
+    bool isDown = false; /**< refuses connections */
+    bool isHung = false; /**< accepts calls and never answers */
+    bool crossesNext = false; /**< the next answer carries another request's id */
+    Duration firstDelay = std::chrono::milliseconds(20);
+    Duration tokenDelay = std::chrono::milliseconds(10);
+    std::optional<uint64_t> diesAfterTokens; /**< the process ends after this many tokens of one stream */
+    std::string diesOn; /**< a body that contains this text ends the process */
+    bool losesAnswer = false; /**< runs the next call and closes the connection */
+    std::vector<std::string> bodies;
+    std::multiset<RequestId> running; /**< one entry for each reader */
+    std::vector<RequestId> cancelled;
+    std::vector<int> priorities;
+    uint32_t executions = 0;
+};
+
+/** Text of the n-th token for a prompt. */
+inline std::string fakeToken(uint64_t index)
+{
+    return " t" + std::to_string(index);
+}
+
+class FakeEngines final : public EngineClient {
+public:
+    explicit FakeEngines(TimerService& timers)
+        : m_timers(timers)
+    {
+    }
+
+    asio::awaitable<Result<std::unique_ptr<CompletionStream>>> complete(Endpoint, CompletionCall) override;
+    asio::awaitable<Result<std::unique_ptr<CompletionStream>>> resume(Endpoint, RequestId, uint64_t afterToken) override;
+    asio::awaitable<Result<void>> cancel(Endpoint, RequestId) override;
+    asio::awaitable<Result<EngineLoad>> load(Endpoint) override;
+    asio::awaitable<Result<std::vector<CacheEvent>>> cacheEvents(Endpoint, uint64_t) override { co_return std::vector<CacheEvent>(); }
+    asio::awaitable<Result<void>> order(Endpoint, EngineOrder, Duration) override { co_return Result<void>(); }
+    asio::awaitable<Result<EngineState>> state(Endpoint) override { co_return EngineState {}; }
+
+    FakeBackend& at(uint16_t port) { return m_backends[port]; }
+    size_t calls() const;
+
+private:
+    TimerService& m_timers;
+    std::map<uint16_t, FakeBackend> m_backends;
+    std::map<RequestId, uint64_t> m_totals; /**< streams that engines hold, with their lengths */
+};
+
+class FakeServers final : public BackendServerClient {
+public:
+    explicit FakeServers(TimerService& timers)
+        : m_timers(timers)
+    {
+    }
+
+    asio::awaitable<Result<HttpResponse>> call(Endpoint, HttpRequest, Duration timeout) override;
+    asio::awaitable<Result<BackendServerLoad>> load(Endpoint) override;
+
+    FakeBackend& at(uint16_t port) { return m_backends[port]; }
+    uint32_t executions() const;
+
+private:
+    TimerService& m_timers;
+    std::map<uint16_t, FakeBackend> m_backends;
+};
+
+/** Collects a response. */
+class FakeWriter final : public HttpResponseWriter {
+public:
+    explicit FakeWriter(TimerService& timers)
+        : m_timers(timers)
+    {
+    }
+
+    asio::awaitable<Result<void>> send(HttpResponse) override;
+    asio::awaitable<Result<void>> begin(int status, HttpHeaders) override;
+    asio::awaitable<Result<void>> write(std::string chunk) override;
+    asio::awaitable<Result<void>> finish() override;
+    void abort() override { isAborted = true; }
+    void onCallerGone(std::function<void()> callback) override { goneCallback = std::move(callback); }
+    bool hasBegun() const override { return status != 0; }
+
+    /** The caller closes its connection. */
+    void leave()
+    {
+        isGone = true;
+        if (auto callback = std::exchange(goneCallback, nullptr))
+            callback();
+    }
+
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+    bool isFinished = false;
+    bool isAborted = false;
+    bool isGone = false;
+    Duration writeDelay {};
+    std::function<void()> goneCallback;
+
+private:
+    TimerService& m_timers;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/tests/frontend/ResumeTest.cpp
@@ -0,0 +1,96 @@
+#include "frontend/FrontendFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpRequest resumption(const std::string& eventId)
+{
+    auto slash = eventId.rfind('/');
+    return { "GET", "/v1/streams/" + eventId.substr(0, slash) + "?after=" + eventId.substr(slash + 1), {}, "" };
+}
+
+uint64_t indexOf(const std::string& eventId)
+{
+    return std::stoull(eventId.substr(eventId.rfind('/') + 1));
+}
+
+} // namespace
+
+TEST_CASE("discovery names the entry points, their validity and the key prefix")
+{
+    FrontendFixture fixture;
+    auto writer = fixture.ask({ "GET", "/v1/entrypoints", { { "X-Zone", "a" } }, "" });
+    auto document = nlohmann::json::parse(writer->body);
+    CHECK(document["entrypoints"][0]["address"] == "127.0.0.1:8000");
+    CHECK(document["valid_for_ms"] == 10000);
+    CHECK(document["key_prefix"] == "7");
+}
+
+// Guards against lost or doubled tokens when a caller's connection breaks.
+TEST_CASE("a caller resumes at the same daemon from its last token")
+{
+    FrontendFixture fixture;
+    auto writer = fixture.ask(fixture.completion("p", 60));
+    fixture.advance(300ms);
+    writer->leave();
+    fixture.advance(300ms);
+    auto before = readStream(*writer);
+    REQUIRE(before.tokens > 3);
+    auto resumed = fixture.ask(resumption(before.lastId));
+    fixture.advance(3s);
+    auto after = readStream(*resumed, indexOf(before.lastId));
+    CHECK(after.isWhole);
+    CHECK(after.isOrdered);
+    CHECK(before.text + after.text == expectedText(1, 60));
+}
+
+// Guards against a stream that is lost with the daemon that accepted it.
+TEST_CASE("another daemon joins a stream that the engine holds")
+{
+    FrontendFixture fixture(1);
+    auto writer = fixture.ask(fixture.completion("p", 60));
+    fixture.advance(300ms);
+    auto before = readStream(*writer);
+    REQUIRE(before.tokens > 3);
+    auto other = fixture.makeFrontend(); // knows nothing of the stream
+    other->start();
+    auto resumed = fixture.askAt(*other, resumption(before.lastId));
+    fixture.advance(3s);
+    auto after = readStream(*resumed, indexOf(before.lastId));
+    CHECK(after.isWhole);
+    CHECK(after.isOrdered);
+    CHECK(before.text + after.text == expectedText(1, 60));
+}
+
+// Guards against a resumption that hangs or starts the stream anew.
+TEST_CASE("a stream that no one holds is reported as lost")
+{
+    FrontendFixture fixture(1);
+    auto unknown = fixture.ask({ "GET", "/v1/streams/e1~d1-7-99~0123456789abcdef?after=3", {}, "" });
+    fixture.advance(1s);
+    CHECK(kindOf(*unknown) == "stream_lost");
+    CHECK(unknown->status == 502);
+    auto malformed = fixture.ask({ "GET", "/v1/streams/nonsense?after=3", {}, "" });
+    CHECK(kindOf(*malformed) == "bad_request");
+}
+
+// Guards against a peer's malformed heartbeat that stops the exchange, and against quarantine that stays local.
+TEST_CASE("suspicions travel by heartbeat")
+{
+    FrontendFixture fixture(4);
+    for (uint16_t port = 1; port <= 4; ++port)
+        fixture.engines.at(port).diesOn = "poison";
+    fixture.ask(fixture.completion("poison", 5));
+    fixture.advance(3s);
+    auto suspects = fixture.peers.extensions.at(0).produce();
+    CHECK(nlohmann::json::to_cbor(suspects).size() <= 1024);
+    FrontendFixture other(2);
+    other.peers.extensions.at(0).consume(DaemonId("d1"), "not a list");
+    other.peers.extensions.at(0).consume(DaemonId("d1"), suspects);
+    auto writer = other.ask(other.completion("poison", 5));
+    CHECK(kindOf(*writer) == "suspect_request");
+}
--- /dev/null
+++ b/tests/frontend/ServiceCallTest.cpp
@@ -0,0 +1,155 @@
+#include "frontend/FrontendFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+TEST_CASE("a claimed call runs once and a duplicate gets the recorded response")
+{
+    FrontendFixture fixture(1, 2);
+    auto first = fixture.ask(fixture.order("k1", "handle"));
+    fixture.advance(1s);
+    CHECK(first->status == 200);
+    CHECK(first->body == "answer to handle");
+    auto duplicate = fixture.ask(fixture.order("k1", "handle"));
+    fixture.advance(1s);
+    CHECK(duplicate->body == first->body);
+    CHECK(fixture.servers.executions() == 1);
+}
+
+// Guards against a second carton: two copies of one call arrive at the same time.
+TEST_CASE("a duplicate of a call in progress never runs")
+{
+    FrontendFixture fixture(1, 2);
+    auto first = fixture.ask(fixture.order("k1", "handle"));
+    auto duplicate = fixture.ask(fixture.order("k1", "handle"));
+    fixture.advance(1s);
+    CHECK(first->status == 200);
+    CHECK(kindOf(*duplicate) == "already_run");
+    CHECK(outcomeOf(*duplicate) == "unknown");
+    CHECK(fixture.servers.executions() == 1);
+}
+
+// Guards against giving up a call that provably was not sent.
+TEST_CASE("a failed connect lets another replica run the call under the same claim")
+{
+    FrontendFixture fixture(1, 2);
+    fixture.servers.at(101).isDown = true;
+    for (int i = 0; i < 4; ++i) {
+        auto writer = fixture.ask(fixture.order("k" + std::to_string(i), "handle"));
+        fixture.advance(500ms);
+        CHECK(writer->status == 200);
+    }
+    CHECK(fixture.servers.executions() == 4);
+    CHECK(fixture.claims.claims == 4);
+}
+
+// Guards against a false "not run" and against a claim that stays although nothing was sent.
+TEST_CASE("when no replica can be connected the call is not run and its claim is given up")
+{
+    FrontendFixture fixture(1, 2);
+    fixture.servers.at(101).isDown = true;
+    fixture.servers.at(102).isDown = true;
+    auto writer = fixture.ask(fixture.order("k1", "handle"));
+    fixture.advance(3s);
+    CHECK(outcomeOf(*writer) == "not_run");
+    CHECK(fixture.claims.abandoned == 1);
+    fixture.servers.at(101).isDown = false;
+    fixture.advance(3s);
+    auto again = fixture.ask(fixture.order("k1", "handle"));
+    fixture.advance(1s);
+    CHECK(again->status == 200);
+    CHECK(fixture.servers.executions() == 1);
+}
+
+// Guards against a second run of a call whose first run may have taken effect.
+TEST_CASE("a crash, a lost answer or a crossed answer after the send leaves the outcome unknown")
+{
+    FrontendFixture fixture(1, 2);
+    for (uint16_t port : { 101, 102 }) {
+        fixture.servers.at(port).diesOn = "crash";
+        fixture.servers.at(port).losesAnswer = true;
+    }
+    auto lost = fixture.ask(fixture.order("k1", "lost"));
+    fixture.advance(1s);
+    CHECK(kindOf(*lost) == "outcome_unknown");
+    CHECK(outcomeOf(*lost) == "unknown");
+    CHECK(fixture.servers.executions() == 1);
+    for (uint16_t port : { 101, 102 }) {
+        fixture.servers.at(port).losesAnswer = false;
+        fixture.servers.at(port).crossesNext = true;
+    }
+    auto crossed = fixture.ask(fixture.order("k2", "crossed"));
+    fixture.advance(1s);
+    CHECK(kindOf(*crossed) == "outcome_unknown");
+    CHECK(crossed->body.find("answer to") == std::string::npos);
+    auto crashed = fixture.ask(fixture.order("k3", "crash"));
+    fixture.advance(1s);
+    CHECK(kindOf(*crashed) == "outcome_unknown");
+    CHECK(fixture.servers.executions() == 2);
+    CHECK(fixture.claims.abandoned == 0);
+}
+
+// Guards against a claimed call that is cut when its caller leaves: the repeat must find its response.
+TEST_CASE("a claimed call whose caller left is finished and recorded")
+{
+    FrontendFixture fixture(1, 1);
+    fixture.servers.at(101).firstDelay = 500ms;
+    auto writer = fixture.ask(fixture.order("k1", "handle"));
+    fixture.advance(100ms);
+    writer->leave();
+    fixture.advance(1s);
+    auto again = fixture.ask(fixture.order("k1", "handle"));
+    fixture.advance(1s);
+    CHECK(again->body == "answer to handle");
+    CHECK(fixture.servers.executions() == 1);
+}
+
+TEST_CASE("a call that is not idempotent needs a key")
+{
+    FrontendFixture fixture(1, 1);
+    auto writer = fixture.ask({ "POST", "/services/orders/book", {}, "handle" });
+    CHECK(kindOf(*writer) == "bad_key");
+    CHECK(fixture.servers.executions() == 0);
+}
+
+// Guards against reads that fail with one backend server.
+TEST_CASE("a read is retried after a lost or crossed answer")
+{
+    FrontendFixture fixture(1, 2);
+    for (uint16_t port : { 101, 102 })
+        fixture.servers.at(port).crossesNext = true;
+    auto crossed = fixture.ask({ "GET", "/services/orders/stock?part=7", {}, "" });
+    fixture.advance(2s);
+    CHECK(crossed->status == 200);
+    fixture.servers.at(101).losesAnswer = true;
+    fixture.servers.at(102).losesAnswer = true;
+    auto lost = fixture.ask({ "GET", "/services/orders/stock?part=8", {}, "" });
+    fixture.advance(2s);
+    CHECK(kindOf(*lost) == "backend_failed"); // both attempts were lost
+    auto next = fixture.ask({ "GET", "/services/orders/stock?part=9", {}, "" });
+    fixture.advance(2s);
+    CHECK(next->status == 200);
+    CHECK(fixture.claims.claims == 0);
+}
+
+// Guards against a slow backend server that holds up reads.
+TEST_CASE("a read is hedged when its first attempt is late, and the late answer is dropped")
+{
+    FrontendFixture fixture(1, 2);
+    for (int i = 0; i < 60; ++i) {
+        fixture.ask({ "GET", "/services/orders/stock?part=" + std::to_string(i), {}, "" });
+        fixture.advance(100ms);
+    }
+    fixture.servers.at(101).firstDelay = 3s;
+    fixture.servers.at(102).firstDelay = 3s;
+    auto writer = fixture.ask({ "GET", "/services/orders/stock?part=x", {}, "" });
+    for (uint16_t port : { 101, 102 })
+        fixture.servers.at(port).firstDelay = 20ms;
+    fixture.advance(1s);
+    CHECK(writer->status == 200);
+    CHECK(fixture.log.recent(EventId::RequestHedged).size() == 1);
+    fixture.advance(5s);
+    CHECK(fixture.frontend->inProgress() == 0);
+}
