--- a/tests/processes/ChildProcess.cpp
+++ b/tests/processes/ChildProcess.cpp
@@ -16,35 +16,35 @@
 
 namespace {
 
-constexpr uint16_t firstPort = 20000;
-constexpr uint16_t lastPort = 32000;
-
-bool canBind(uint16_t port)
-{
-    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bool isFree = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-    close(descriptor);
-    return isFree;
-}
+    constexpr uint16_t firstPort = 20000;
+    constexpr uint16_t lastPort = 32000;
+
+    bool canBind(uint16_t port)
+    {
+        int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bool isFree = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+        close(descriptor);
+        return isFree;
+    }
 
-[[noreturn]] void runChild(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputPath)
-{
-    // Ends the child with the test, also when the test crashes.
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    int output = open(outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    dup2(output, STDOUT_FILENO);
-    dup2(output, STDERR_FILENO);
-    std::vector<char*> pointers { const_cast<char*>(program.c_str()) };
-    for (const auto& argument : arguments)
-        pointers.push_back(const_cast<char*>(argument.c_str()));
-    pointers.push_back(nullptr);
-    execv(program.c_str(), pointers.data());
-    _exit(127);
-}
+    [[noreturn]] void runChild(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputPath)
+    {
+        // Ends the child with the test, also when the test crashes.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        int output = open(outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        dup2(output, STDOUT_FILENO);
+        dup2(output, STDERR_FILENO);
+        std::vector<char*> pointers { const_cast<char*>(program.c_str()) };
+        for (const auto& argument : arguments)
+            pointers.push_back(const_cast<char*>(argument.c_str()));
+        pointers.push_back(nullptr);
+        execv(program.c_str(), pointers.data());
+        _exit(127);
+    }
 
 } // namespace
 
--- a/tests/processes/ChildProcess.h
+++ b/tests/processes/ChildProcess.h
@@ -42,7 +42,7 @@
 uint16_t freePort();
 
 /** Calls the predicate every 20 ms until it holds; false after the bound. */
-template<typename Predicate>
+template <typename Predicate>
 bool eventually(Predicate predicate, double boundSeconds = 60)
 {
     auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(boundSeconds);
--- a/tests/processes/ProcessCluster.cpp
+++ b/tests/processes/ProcessCluster.cpp
@@ -9,27 +9,27 @@
 
 namespace {
 
-constexpr const char* programs = CHESTNUT_BINARY_DIR "/programs/";
-constexpr const char* standins = CHESTNUT_BINARY_DIR "/standins/";
-
-std::vector<uint16_t> freePorts(size_t count)
-{
-    std::vector<uint16_t> ports;
-    for (size_t i = 0; i < count; ++i)
-        ports.push_back(freePort());
-    return ports;
-}
+    constexpr const char* programs = CHESTNUT_BINARY_DIR "/programs/";
+    constexpr const char* standins = CHESTNUT_BINARY_DIR "/standins/";
+
+    std::vector<uint16_t> freePorts(size_t count)
+    {
+        std::vector<uint16_t> ports;
+        for (size_t i = 0; i < count; ++i)
+            ports.push_back(freePort());
+        return ports;
+    }
 
-std::string loopback(uint16_t port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
+    std::string loopback(uint16_t port)
+    {
+        return "127.0.0.1:" + std::to_string(port);
+    }
 
-std::vector<std::string> withListen(std::vector<std::string> flags, uint16_t port)
-{
-    flags.push_back("--listen=" + loopback(port));
-    return flags;
-}
+    std::vector<std::string> withListen(std::vector<std::string> flags, uint16_t port)
+    {
+        flags.push_back("--listen=" + loopback(port));
+        return flags;
+    }
 
 } // namespace
 
