--- /dev/null
+++ b/programs/chestnutrouted/Daemon.cpp
@@ -0,0 +1,187 @@
+#include "Daemon.h"
+
+#include "claims/claims.h"
+#include "decisions/decisions.h"
+#include "kernel/logging/ConsoleLog.h"
+#include "kernel/timers/AsioTimerService.h"
+#include "operations/operations.h"
+#include "peers/peers.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <random>
+
+namespace chestnut {
+
+namespace {
+
+constexpr Duration readinessPeriod = std::chrono::milliseconds(200);
+
+uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<uint64_t>(device()) << 32) | device();
+}
+
+Incarnation incarnationNow()
+{
+    auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+} // namespace
+
+Daemon::Daemon(asio::io_context& context, DaemonSettings settings)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_incarnation(incarnationNow())
+    , m_client(context)
+    , m_signals(context, SIGTERM, SIGINT)
+{
+    m_kernel.emplace<AsioTimerService>(m_context);
+    m_kernel.emplace<ConsoleLog>(m_settings.logFormat, m_settings.logLevel);
+    m_kernel.emplace<Metrics>();
+    addPlatform();
+    addPeers();
+    addControl();
+    addFrontend();
+}
+
+void Daemon::addPlatform()
+{
+    auto transport = makeHttpTransport(m_client, m_settings.platform.endpoint);
+    auto client = std::make_shared<PlatformClient>(m_context.get_executor(), service<TimerService>(), service<Log>(), service<Metrics>(),
+        std::move(transport), m_settings.platform, randomSeed());
+    m_kernel.emplace<ConsulKeyValueStore>(client);
+    m_kernel.emplace<ConsulVmList>(client);
+}
+
+void Daemon::addPeers()
+{
+    NngPeerOptions options;
+    options.deployment = m_settings.deployment;
+    options.id = m_settings.id;
+    options.zone = m_settings.zone;
+    options.region = m_settings.region;
+    options.callerAddress = formatEndpoint(m_settings.callerListener);
+    options.listenAddress = m_settings.peerListener;
+    options.seeds = m_settings.peerSeeds;
+    options.incarnation = m_incarnation;
+    options.randomSeed = randomSeed();
+    m_kernel.emplace<NngPeerService>(m_context, service<TimerService>(), service<Log>(), service<Metrics>(), std::move(options),
+        [this] { return peersFromVmList(); });
+}
+
+void Daemon::addControl()
+{
+    auto& store = service<KeyValueStore>();
+    auto& peers = service<PeerService>();
+    auto& timers = service<TimerService>();
+    auto& log = service<Log>();
+    auto& configuration = m_kernel.emplace<StoredConfigurationService>(m_context, store, peers, timers, log);
+    m_kernel.emplace<HttpEngineClient>(m_client);
+    m_kernel.emplace<HttpBackendServerClient>(m_client);
+    auto& fleet = m_kernel.emplace<ReplicaFleet>(m_context, configuration, service<VmList>(), store, peers, timers, log);
+    auto& leases = m_kernel.emplace<LeaseService>(m_context, store, peers, configuration, timers, log);
+    auto& orders = m_kernel.emplace<OrderService>(m_context,
+        OrderDependencies { store, service<EngineClient>(), peers, configuration, leases, fleet, timers, log });
+    auto& status = m_kernel.emplace<FleetStatusService>(m_context, orders, peers, timers);
+    auto& tickets = m_kernel.emplace<TicketService>(store, timers, log,
+        [&configuration](Configuration accepted) { configuration.offer(std::move(accepted)); });
+    m_kernel.emplace<OperatorApi>(OperatorDependencies { tickets, configuration, status, fleet, peers, log, service<Metrics>(),
+        [this] { return isReady(); } });
+}
+
+void Daemon::addFrontend()
+{
+    auto& claims = m_kernel.emplace<SharedClaimService>(
+        ClaimEnvironment { m_context.get_executor(), service<KeyValueStore>(), service<TimerService>(), service<Log>(), service<Metrics>() },
+        service<PeerService>(), randomSeed());
+    FrontendSettings settings;
+    settings.locality.self = m_settings.id;
+    settings.locality.zone = m_settings.zone;
+    settings.locality.region = m_settings.region;
+    settings.seed = randomSeed();
+    auto& fleet = m_kernel.require<FleetService>(FleetService::serviceName);
+    ReplicaGates gates { [&fleet](const ReplicaId& id) { return fleet.acceptsNewWork(id); },
+        [&fleet](const ReplicaId& id) { return fleet.slowStartShare(id); } };
+    m_kernel.emplace<Frontend>(FrontendServices { m_context, service<TimerService>(), service<Log>(), service<Metrics>(),
+                                   service<ConfigurationService>(), claims, service<PeerService>(), service<EngineClient>(), service<BackendServerClient>() },
+        std::move(settings), std::move(gates));
+}
+
+void Daemon::openCallerListener()
+{
+    auto& frontend = service<Frontend>();
+    m_callerListener = std::make_unique<HttpServer>(
+        m_context, service<Log>(), m_settings.callerListener, m_settings.callerLimits,
+        [&frontend](HttpRequest request, HttpResponseWriter& writer) { return frontend.handle(std::move(request), writer); },
+        [](const Error& error) { return Frontend::answerFault(error); });
+    m_callerListener->start();
+}
+
+void Daemon::start()
+{
+    auto& log = service<Log>();
+    log.write(EventId::DaemonStarted, { { "daemon", m_settings.id }, { "incarnation", m_incarnation }, { "zone", m_settings.zone } });
+    service<OperatorApi>().listen(m_context, m_settings.operatorListener);
+    openCallerListener();
+    m_kernel.start();
+    m_readinessTimer = service<TimerService>().every(readinessPeriod, [this] { updateReadiness(); });
+    if (m_settings.vmPeerPort != 0) {
+        m_vmListTimer = service<TimerService>().every(m_settings.vmListPeriod,
+            [this] { asio::co_spawn(m_context, followVmList(*this), asio::detached); });
+    }
+    m_signals.async_wait([this](const boost::system::error_code& error, int) {
+        if (!error)
+            asio::co_spawn(m_context, leave(*this), asio::detached);
+    });
+}
+
+bool Daemon::isReady() const
+{
+    return !m_isLeaving && service<ConfigurationService>().isReady();
+}
+
+void Daemon::updateReadiness()
+{
+    if (m_isReadyAnnounced || !isReady())
+        return;
+    m_isReadyAnnounced = true;
+    service<PeerService>().announceState(MemberState::Ready);
+    service<Log>().write(EventId::DaemonReady, { { "daemon", m_settings.id }, { "revision", service<ConfigurationService>().current()->revision } });
+}
+
+std::vector<Endpoint> Daemon::peersFromVmList() const
+{
+    return m_vmPeers;
+}
+
+asio::awaitable<void> Daemon::followVmList(Daemon& daemon)
+{
+    auto vms = co_await daemon.service<VmList>().fetch();
+    if (!vms)
+        co_return;
+    daemon.m_vmPeers.clear();
+    for (const auto& vm : *vms) {
+        if (vm.state == VmState::Live)
+            daemon.m_vmPeers.push_back({ vm.address, daemon.m_settings.vmPeerPort });
+    }
+}
+
+asio::awaitable<void> Daemon::leave(Daemon& daemon)
+{
+    auto& log = daemon.service<Log>();
+    log.write(EventId::DaemonLeaving, { { "daemon", daemon.m_settings.id }, { "in_progress", daemon.service<Frontend>().inProgress() } });
+    daemon.m_isLeaving = true;
+    auto deadline = daemon.service<TimerService>().once(daemon.m_settings.shutdownTimeout, [&daemon] { daemon.m_context.stop(); });
+    co_await daemon.m_kernel.stop();
+    daemon.m_callerListener->stopAccepting();
+    log.write(EventId::DaemonStopped, { { "daemon", daemon.m_settings.id } });
+    daemon.m_context.stop();
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/programs/chestnutrouted/Daemon.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "DaemonSettings.h"
+#include "backends/backends.h"
+#include "control/control.h"
+#include "frontend/frontend.h"
+#include "http/http.h"
+#include "kernel/kernel.h"
+#include "platform/platform.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <memory>
+
+namespace chestnut {
+
+/** Assembles the services of one daemon and runs them until a termination signal. */
+class Daemon {
+public:
+    Daemon(asio::io_context&, DaemonSettings);
+
+    /** Opens the listeners. Throws when an address cannot be bound. */
+    void start();
+
+private:
+    void addPlatform();
+    void addPeers();
+    void addControl();
+    void addFrontend();
+    void openCallerListener();
+
+    /** Addresses of peers that the VM list names. */
+    std::vector<Endpoint> peersFromVmList() const;
+    static asio::awaitable<void> followVmList(Daemon&);
+    static asio::awaitable<void> leave(Daemon&);
+    bool isReady() const;
+    void updateReadiness();
+
+    template<typename T>
+    T& service() const
+    {
+        return m_kernel.require<T>(T::serviceName);
+    }
+
+    asio::io_context& m_context;
+    DaemonSettings m_settings;
+    Incarnation m_incarnation;
+    HttpClient m_client;
+    Kernel m_kernel;
+    std::unique_ptr<HttpServer> m_callerListener;
+    asio::signal_set m_signals;
+    std::vector<Endpoint> m_vmPeers;
+    TimerSubscription m_readinessTimer;
+    TimerSubscription m_vmListTimer;
+    bool m_isReadyAnnounced = false;
+    bool m_isLeaving = false;
+};
+
+} // namespace chestnut
--- a/programs/chestnutrouted/DaemonSettings.h
+++ b/programs/chestnutrouted/DaemonSettings.h
@@ -5,6 +5,7 @@
 #include "http/server/HttpServer.h"
 #include "kernel/logging/ConsoleLog.h"
 #include "kernel/settings/SettingsReader.h"
+#include "platform/client/PlatformClient.h"
 
 #include <string>
 #include <vector>
@@ -23,9 +24,7 @@
     Endpoint peerListener;
     std::vector<Endpoint> peerSeeds;
 
-    Endpoint keyValueService;
-    double keyValueReadsPerSecond = 6;
-    double keyValueWritesPerSecond = 3;
+    PlatformSettings platform;
     Duration vmListPeriod = std::chrono::seconds(2);
     uint16_t vmPeerPort = 0;
 
--- a/programs/chestnutrouted/main.cpp
+++ b/programs/chestnutrouted/main.cpp
@@ -1,1 +1,87 @@
-int main() { return 0; }
+#include "Daemon.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <boost/leaf/handle_errors.hpp>
+#include <iostream>
+
+ABSL_FLAG(std::string, config, "", "path of the INI settings file");
+ABSL_FLAG(bool, check_config, false, "check the settings file and exit");
+
+namespace {
+
+enum ExitCode : int {
+    exitDone = 0,
+    exitFailed = 1,
+    exitUsage = 2,
+};
+
+constexpr const char* usage = "Serving daemon of chestnutroute: routes requests to engines and backend servers.\n\n"
+                              "  chestnutrouted --config=FILE [--check_config]\n\n"
+                              "The daemon stops gracefully on SIGTERM. Exit codes: 0 stopped or settings valid, 1 failed, 2 settings or usage invalid.";
+
+using chestnut::DaemonSettings;
+
+std::optional<DaemonSettings> readSettings(const std::string& path)
+{
+    namespace leaf = boost::leaf;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<DaemonSettings>> {
+            BOOST_LEAF_AUTO(reader, chestnut::SettingsReader::fromFile(path));
+            auto settings = chestnut::readDaemonSettings(reader);
+            if (auto faults = reader.faults(); !faults.empty()) {
+                std::cerr << path << ":\n"
+                          << chestnut::describeFaults(faults);
+                return std::optional<DaemonSettings>();
+            }
+            return std::optional(std::move(settings));
+        },
+        [](const chestnut::Error& error) {
+            std::cerr << error.detail << "\n";
+            return std::optional<DaemonSettings>();
+        },
+        [] {
+            std::cerr << "cannot read the settings\n";
+            return std::optional<DaemonSettings>();
+        });
+}
+
+int run(DaemonSettings settings)
+{
+    boost::asio::io_context context(1);
+    chestnut::Daemon daemon(context, std::move(settings));
+    daemon.start();
+    context.run();
+    return exitDone;
+}
+
+} // namespace
+
+int main(int argumentCount, char** arguments)
+{
+    absl::SetProgramUsageMessage(usage);
+    absl::FlagsUsageConfig usageConfig;
+    usageConfig.version_string = [] { return std::string("chestnutrouted 0.1.0\n"); };
+    absl::SetFlagsUsageConfig(usageConfig);
+    auto positional = absl::ParseCommandLine(argumentCount, arguments);
+    auto path = absl::GetFlag(FLAGS_config);
+    if (path.empty() || positional.size() > 1) {
+        std::cerr << usage << "\n";
+        return exitUsage;
+    }
+    auto settings = readSettings(path);
+    if (!settings)
+        return exitUsage;
+    if (absl::GetFlag(FLAGS_check_config)) {
+        std::cout << path << ": valid\n";
+        return exitDone;
+    }
+    try {
+        return run(std::move(*settings));
+    } catch (const std::exception& exception) {
+        std::cerr << "chestnutrouted: " << exception.what() << "\n";
+        return exitFailed;
+    }
+}
--- a/tests/processes/ProcessCluster.cpp
+++ b/tests/processes/ProcessCluster.cpp
@@ -94,7 +94,7 @@
     file << "[daemon]\nid = d" << index << "\ndeployment = " << m_shape.name << "\nzone = " << zoneOf(index) << "\nregion = r1\n"
          << "[listen]\ncallers = " << loopback(m_callerPorts[index]) << "\noperators = " << loopback(m_operatorPorts[index])
          << "\npeers = " << loopback(m_peerPorts[index]) << "\n[peers]\nseeds = " << seeds << "\n"
-         << "[platform]\nkey_value_service = " << loopback(m_keyValuePort) << "\n";
+         << "[platform]\nendpoint = " << loopback(m_keyValuePort) << "\n";
     return path;
 }
 
