Give live and batch work separate parts of the queue

Cause: waiting live work counted against the limit of waiting batch work, so batch work that had minutes to its deadline was refused as overloaded during a spike of live work. Change: each class is limited by its own waiting requests.

--- a/modules/decisions/admission/Admission.cpp
+++ b/modules/decisions/admission/Admission.cpp
@@ -66,8 +66,8 @@
     {
         auto start = drainTime(request, queue, views);
         auto isLive = request.priorityClass == PriorityClass::Live;
-        // Live work displaces batch work from the queue, so only live work counts against it.
-        auto waiting = isLive ? queue.waitingLive : queue.waitingLive + queue.waitingBatch;
+        // Each class has its own part of the queue, so that neither keeps the other out.
+        auto waiting = isLive ? queue.waitingLive : queue.waitingBatch;
         if (waiting >= waitingLimit(request, queue))
             return refuse(ErrorKind::Overloaded, start);
         if (now + start + expectedServiceTime(request.work, bestRates(views)) > deadline)
