Change roles that do not fit the mix, and never during an overload

Cause: role changes during the spike took engines away when all were needed; and a fleet whose roles an earlier mix left behind was never corrected, because its engines were not short of time. Change: no role change while demand exceeds the fleet's capacity; the gain includes the mismatch between guaranteed shares and the mix. New scenario mix_shift_split starts with half of the engines in role prefill and half in decode.

--- a/bench/policy/Daemon.cpp
+++ b/bench/policy/Daemon.cpp
@@ -52,7 +52,8 @@
         view.slots = fleet.engine(engine).slots();
         view.blocks = options.memory ? fleet.scenario().deployment.engine.blocks : 0;
         view.report.freeBlocks = fleet.scenario().deployment.engine.blocks;
-        view.rates = ratesOf(EngineRole::Mixed);
+        view.role = fleet.engine(engine).role();
+        view.rates = ratesOf(view.role);
         view.networkDelay = fleet.delay(index, engine);
         view.daemonShare = 1.0 / fleet.scenario().deployment.daemons;
         m_latencies.replicas[view.id] = {};
--- a/bench/run/Fleet.cpp
+++ b/bench/run/Fleet.cpp
@@ -28,6 +28,8 @@
     for (uint32_t index = 0; index < scenario.deployment.engines; index++) {
         m_engines.push_back(std::make_unique<FakeEngine>(m_clock, scenario.deployment.engine,
             [this, index](uint64_t attempt, uint32_t tokens, bool isLast) { onToken(index, attempt, tokens, isLast); }));
+        if (scenario.startsSplit)
+            m_engines[index]->setRole(index % 2 == 0 ? EngineRole::Prefill : EngineRole::Decode);
     }
 }
 
--- a/bench/workload/Scenario.cpp
+++ b/bench/workload/Scenario.cpp
@@ -147,6 +147,14 @@
     return scenario;
 }
 
+Scenario mixShiftFromSplit(const Deployment& deployment, uint64_t seed)
+{
+    auto scenario = mixShift(deployment, seed);
+    scenario.name = "mix_shift_split";
+    scenario.startsSplit = true;
+    return scenario;
+}
+
 Scenario loadSpike(const Deployment& deployment, uint64_t seed)
 {
     Scenario scenario { "spike", deployment, 240s, 10s, {}, {} };
--- a/bench/workload/Scenario.h
+++ b/bench/workload/Scenario.h
@@ -47,11 +47,14 @@
     Duration measuredFrom {};
     std::vector<Phase> phases { {} };
     std::vector<Slowdown> slowdowns;
+    bool startsSplit = false; /**< engines start with the roles prefill and decode in turn, not mixed */
     uint64_t seed = 1;
 };
 
 /** Prompt and output work alternate while the sum stays near the capacity. */
 Scenario mixShift(const Deployment&, uint64_t seed);
+/** The same, from roles that an earlier mix left behind: half of the engines for prefill, half for decode. */
+Scenario mixShiftFromSplit(const Deployment&, uint64_t seed);
 /** Live demand exceeds the capacity for a minute, most of it from one account. */
 Scenario loadSpike(const Deployment&, uint64_t seed);
 /** Short live work beside long work with stragglers, near the capacity. */
--- a/modules/decisions/roles/Roles.cpp
+++ b/modules/decisions/roles/Roles.cpp
@@ -16,6 +16,7 @@
     struct Supply {
         double engines = 0;
         double guaranteedPrefill = 0; /**< engines' worth of time that roles guarantee to prefill */
+        double squaredShares = 0; /**< sum of the squares of these shares */
         double prefillTokensPerSecond = 0; /**< if all engines did only this */
         double decodeTokensPerSecond = 0;
     };
@@ -24,6 +25,7 @@
     {
         supply.engines += sign;
         supply.guaranteedPrefill += sign * prefillShareOf(role);
+        supply.squaredShares += sign * prefillShareOf(role) * prefillShareOf(role);
         supply.prefillTokensPerSecond += sign * engine.rates.prefillTokensPerSecond;
         supply.decodeTokensPerSecond += sign * engine.rates.decodeTokensPerSecond * engine.slots;
     }
@@ -53,6 +55,31 @@
         return squared(latePrefill, prefill) + squared(lateDecode, decode);
     }
 
+    /** Engine seconds lost each second because tokens or prefill are slow at engines whose role does not fit the mix:
+        the square of the difference between the guaranteed share and the mix, for the time that engines are busy. */
+    double mismatch(const MixDemand& demand, const Supply& supply)
+    {
+        auto prefill = demand.prefillTokensPerSecond / std::max(1.0, supply.prefillTokensPerSecond);
+        auto decode = demand.decodeTokensPerSecond / std::max(1.0, supply.decodeTokensPerSecond);
+        auto busy = prefill + decode;
+        if (busy <= 0)
+            return 0;
+        auto mix = prefill / busy;
+        return std::min(1.0, busy) * (supply.squaredShares - 2 * mix * supply.guaranteedPrefill + supply.engines * mix * mix);
+    }
+
+    double lostWork(const MixDemand& demand, const Supply& supply)
+    {
+        return lateWork(demand, supply) + mismatch(demand, supply);
+    }
+
+    bool isOverloaded(const MixDemand& demand, const Supply& supply)
+    {
+        auto prefill = demand.prefillTokensPerSecond / std::max(1.0, supply.prefillTokensPerSecond);
+        auto decode = demand.decodeTokensPerSecond / std::max(1.0, supply.decodeTokensPerSecond);
+        return prefill + decode > 1;
+    }
+
     bool staysAboveFloor(const RoleEngine& engine, std::span<const RoleEngine> engines, uint32_t minimumPerZone)
     {
         auto available = std::ranges::count_if(engines, [&](const RoleEngine& other) {
@@ -71,11 +98,9 @@
     {
         auto changed = supply;
         addEngine(changed, engine, engine.role, -1);
-        auto away = changed;
+        auto absence = std::max(0.0, lateWork(demand, changed) - lateWork(demand, supply)) * toSeconds(roleChangeCost);
         addEngine(changed, engine, to, 1);
-        auto before = lateWork(demand, supply);
-        auto absence = (lateWork(demand, away) - before) * toSeconds(roleChangeCost);
-        auto saved = (before - lateWork(demand, changed)) * toSeconds(roleHorizon - roleChangeCost);
+        auto saved = (lostWork(demand, supply) - lostWork(demand, changed)) * toSeconds(roleHorizon - roleChangeCost);
         auto cost = std::max(toSeconds(roleChangeCost), absence);
         return saved - cost * (1 + roleDeadBand);
     }
@@ -108,6 +133,9 @@
     if (away + 1 > std::max<size_t>(1, engines.size() / enginesPerAbsence))
         return std::nullopt;
     auto supply = supplyOf(engines);
+    // A role change adds no capacity: while the fleet is overloaded, an engine less makes it worse.
+    if (isOverloaded(demand, supply))
+        return std::nullopt;
     std::optional<RoleChange> best;
     for (const auto& engine : engines) {
         if (!mayChange(engine, engines, minimumPerZone, now))
