Add the claim log and the claims module

Cause: calls that are not idempotent must run at most once whichever daemon they are sent to, and a refusal as "not run" must be true; nothing implemented this.

Change: decisions/claims holds key parsing, the replay of the append-only log, batch building and the settling of a lost answer. ShardWriter appends records with one outstanding write and at most 10 writes/s for a shard. A record's write also requires that the shard has no tombstone, so that a paused daemon or one with a slow clock cannot write into a log whose records were removed. A write in doubt is repeated unchanged until its place in the log is taken. ClaimRouter forwards claims to the preferred writer or to the owner of a daemon key. SharedClaimService keeps one nonce for a call until its fate is known. Each claim carries its own nonce, so the same claim may be written by several daemons.

Conclusion: the at-most-once rule holds in the tested failures.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -31,6 +31,10 @@
         // peers
 
         // claims
+        { EventId::ClaimDecided, "claim_decided", Severity::Info, "The claim of a call that is not idempotent was granted, answered or refused." },
+        { EventId::ClaimWriteInDoubt, "claim_write_in_doubt", Severity::Warning, "The answer to the write of a claim record was lost; the record is read back." },
+        { EventId::ClaimRecordUnreadable, "claim_record_unreadable", Severity::Error, "A claim record cannot be read; the shard grants no claims." },
+        { EventId::ClaimEpochClosed, "claim_epoch_closed", Severity::Info, "A shard of an old epoch was closed and its records were removed." },
 
         // control
 
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -37,6 +37,10 @@
     // peers: 1400 to 1499
 
     // claims: 1500 to 1599
+    ClaimDecided = 1500,
+    ClaimWriteInDoubt = 1501,
+    ClaimRecordUnreadable = 1502,
+    ClaimEpochClosed = 1503,
 
     // control: 1600 to 1699
 
--- /dev/null
+++ b/modules/claims/log/EpochCleaner.cpp
@@ -0,0 +1,74 @@
+#include "claims/log/EpochCleaner.h"
+
+#include <algorithm>
+
+namespace chestnut {
+
+namespace {
+
+    constexpr auto tombstoneClosed = "closed"; // records may remain
+    constexpr auto tombstoneCleaned = "cleaned"; // the records are removed
+
+} // namespace
+
+EpochCleaner::EpochCleaner(ClaimEnvironment environment, IsResponsible isResponsible)
+    : m_environment(std::move(environment))
+    , m_isResponsible(std::move(isResponsible))
+{
+}
+
+asio::awaitable<void> EpochCleaner::clean()
+{
+    auto self = shared_from_this();
+    if (m_isRunning)
+        co_return;
+    m_isRunning = true;
+    auto newest = claimEpochOf(m_environment.timers.wallClock());
+    while (!isEpochClosable(newest, m_environment.timers.wallClock()))
+        --newest;
+    for (auto epoch = newest - lookBack + 1; epoch <= newest; ++epoch)
+        co_await cleanEpoch(epoch);
+    std::erase_if(m_cleaned, [newest](const auto& shard) { return shard.first <= newest - lookBack; });
+    m_isRunning = false;
+}
+
+asio::awaitable<void> EpochCleaner::cleanEpoch(ClaimEpoch epoch)
+{
+    for (unsigned shard = 0; shard < claimShards; ++shard) {
+        if (m_cleaned.contains({ epoch, shard }) || !m_isResponsible(epoch, shard))
+            continue;
+        if (co_await cleanShard(epoch, shard))
+            m_cleaned.insert({ epoch, shard });
+        co_await m_environment.timers.sleep(stepPeriod);
+    }
+}
+
+asio::awaitable<Result<void>> EpochCleaner::cleanShard(ClaimEpoch epoch, unsigned shard)
+{
+    auto key = claimTombstoneKey(epoch, shard);
+    auto tombstone = co_await m_environment.store.read(key);
+    if (!tombstone)
+        co_return tombstone.error();
+    if (tombstone->entry && tombstone->entry->value == tombstoneCleaned)
+        co_return Result<void>();
+    if (!tombstone->entry) {
+        auto closed = co_await m_environment.store.compareAndSwap(key, tombstoneClosed, 0);
+        if (!closed)
+            co_return closed.error();
+        tombstone = co_await m_environment.store.read(key);
+        if (!tombstone)
+            co_return tombstone.error();
+    }
+    // Only a tombstone that was seen allows the removal.
+    if (!tombstone->entry)
+        co_return makeError(ErrorKind::PlatformConflict, "the tombstone is missing");
+    if (auto removed = co_await m_environment.store.removePrefix(claimRecordPrefix(epoch, shard)); !removed)
+        co_return removed.error();
+    auto cleaned = co_await m_environment.store.compareAndSwap(key, tombstoneCleaned, tombstone->entry->modifyIndex);
+    if (!cleaned)
+        co_return cleaned.error();
+    m_environment.log.write(EventId::ClaimEpochClosed, { { "epoch", epoch }, { "shard", shard } });
+    co_return Result<void>();
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/claims/service/ClaimRouter.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "claims/log/ShardWriters.h"
+#include "claims/service/DaemonClaims.h"
+#include "peers/service/PeerService.h"
+
+namespace chestnut {
+
+/** Finds who decides a claim and asks it: the owner of a daemon key, or a writer of a shared key's shard. */
+class ClaimRouter {
+public:
+    /** A writer answers a forwarded claim within this time or not at all. */
+    static constexpr Duration writeLimit = std::chrono::seconds(1);
+    static constexpr Duration forwardTimeout = std::chrono::milliseconds(1500);
+
+    ClaimRouter(PeerService&, ShardWriters&, DaemonClaims&, TimerService&);
+
+    /** Registers the handler for claims that other daemons forward. */
+    void start();
+
+    /** Returns the claim that counts. Errors: KeyExpired; ClaimUnavailable when the given claim cannot count by this
+        call; OutcomeUnknown when it may. */
+    asio::awaitable<Result<ClaimEntry>> decide(ClaimKey, ClaimEntry);
+
+    /** The preferred writer of a shard: the live member with the highest rendezvous score. */
+    DaemonId preferredWriter(ClaimEpoch, unsigned shard) const;
+
+private:
+    std::vector<DaemonId> rankedWriters(ClaimEpoch, unsigned shard) const;
+    std::optional<DaemonId> ownerOf(const std::string& prefix) const;
+
+    asio::awaitable<Result<ClaimEntry>> decideShared(ClaimKey, ClaimEntry);
+    asio::awaitable<Result<ClaimEntry>> decideAtOwner(ClaimKey, ClaimEntry);
+    asio::awaitable<Result<ClaimEntry>> ask(DaemonId, ClaimKey, ClaimEntry);
+    asio::awaitable<Result<ClaimEntry>> decideHere(ClaimKey, ClaimEntry);
+    asio::awaitable<Result<nlohmann::json>> answerPeer(DaemonId sender, nlohmann::json body);
+
+    PeerService& m_peers;
+    ShardWriters& m_writers;
+    DaemonClaims& m_daemonClaims;
+    TimerService& m_timers;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/claims/service/DaemonClaims.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/errors/Result.h"
+#include "decisions/claims/ClaimKey.h"
+#include "decisions/claims/ClaimLog.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace chestnut {
+
+/** The claims of the daemon keys that this process owns. They are kept in memory only: when the process ends, its keys
+    can never be claimed again. */
+class DaemonClaims {
+public:
+    /** Claims at most; about 75 MB, reached only above 140 calls/s for an hour. */
+    static constexpr size_t maximumClaims = 500'000;
+
+    /** Makes a prefix one of this process. */
+    void own(const std::string& prefix) { m_prefixes.insert(prefix); }
+    bool owns(const std::string& prefix) const { return m_prefixes.contains(prefix); }
+
+    /** Returns the claim that counts. Errors: KeyExpired, ClaimUnavailable when the memory is full. */
+    Result<ClaimEntry> claim(const ClaimEntry&, UnixSeconds keyTime, UnixSeconds now);
+
+private:
+    void expire(UnixSeconds now);
+
+    std::set<std::string> m_prefixes;
+    std::unordered_map<Digest, ClaimEntry> m_claims;
+    std::multimap<UnixSeconds, Digest> m_byKeyTime;
+    /** Keys older than this are refused. It never decreases, because the claims before it are forgotten and the wall
+        clock may be set back. */
+    UnixSeconds m_oldestKeyTime { 0 };
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/claims/service/SharedClaimService.cpp
@@ -0,0 +1,299 @@
+#include "claims/service/SharedClaimService.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace chestnut {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr auto recordedAnswerMessage = "recordedAnswer";
+    constexpr Duration recordedAnswerTimeout = std::chrono::seconds(1);
+
+    json answerToJson(const RecordedAnswer& answer)
+    {
+        auto headers = json::array();
+        for (const auto& [name, value] : answer.response.headers.fields())
+            headers.push_back(json::array({ name, value }));
+        std::vector<uint8_t> body(answer.response.body.begin(), answer.response.body.end());
+        return { { "status", answer.response.status }, { "headers", headers }, { "body", json::binary(std::move(body)) } };
+    }
+
+    std::optional<HttpResponse> answerFromJson(const json& message)
+    {
+        try {
+            if (!message.contains("status"))
+                return std::nullopt;
+            HttpResponse response;
+            response.status = message.at("status").get<int>();
+            for (const auto& field : message.at("headers"))
+                response.headers.set(field.at(0).get<std::string>(), field.at(1).get<std::string>());
+            const auto& body = message.at("body").get_binary();
+            response.body.assign(body.begin(), body.end());
+            return response;
+        } catch (const json::exception&) {
+            return std::nullopt;
+        }
+    }
+
+    Error alreadyRun()
+    {
+        return makeError(ErrorKind::AlreadyRun, "a call with this key was claimed before");
+    }
+
+    Error otherContent()
+    {
+        return makeError(ErrorKind::KeyConflict, "the key was used with another body");
+    }
+
+} // namespace
+
+/** A call that this daemon claims or has claimed. Losing one is safe: the next claim gets a new nonce, against which
+    the old claim counts, so the call is refused. */
+struct SharedClaimService::Call {
+    enum class State : uint8_t {
+        Claiming, /**< a claim is under way */
+        InDoubt, /**< the claim may have been written; a repeat uses the same nonce */
+        Held, /**< claimed and abandoned: a repeat may run */
+        Running, /**< granted */
+    };
+
+    Digest content;
+    Digest nonce;
+    UnixSeconds keyTime { 0 };
+    State state = State::Claiming;
+    bool wasInDoubt = false;
+};
+
+/** Leaves a call in doubt when the coroutine that claims it ends without a decision, as when it is cancelled. */
+class SharedClaimService::DecisionGuard {
+public:
+    DecisionGuard(std::shared_ptr<Calls> calls, const Digest& id)
+        : m_guarded(std::move(calls))
+        , m_id(id)
+    {
+    }
+    DecisionGuard(const DecisionGuard&) = delete;
+    DecisionGuard& operator=(const DecisionGuard&) = delete;
+    ~DecisionGuard()
+    {
+        auto found = m_guarded->find(m_id);
+        if (found == m_guarded->end() || found->second.state != Call::State::Claiming)
+            return;
+        found->second.state = Call::State::InDoubt;
+        found->second.wasInDoubt = true;
+    }
+
+private:
+    std::shared_ptr<Calls> m_guarded;
+    Digest m_id;
+};
+
+SharedClaimService::SharedClaimService(ClaimEnvironment environment, PeerService& peers, uint64_t seed)
+    : m_environment(environment)
+    , m_peers(peers)
+    , m_rng(seed)
+    , m_writers(environment, m_rng())
+    , m_router(peers, m_writers, m_daemonClaims, environment.timers)
+    , m_cleaner(std::make_shared<EpochCleaner>(environment, [&router = m_router, &peers](ClaimEpoch epoch, unsigned shard) {
+        return router.preferredWriter(epoch, shard) == peers.self();
+    }))
+    , m_calls(std::make_shared<Calls>())
+{
+}
+
+SharedClaimService::~SharedClaimService() = default;
+
+size_t SharedClaimService::openCalls() const
+{
+    return m_calls->size();
+}
+
+void SharedClaimService::start()
+{
+    m_router.start();
+    m_peers.handle(recordedAnswerMessage, [this](const DaemonId&, json body) { return answerPeer(std::move(body)); });
+    m_cleaning = m_environment.timers.every(cleaningPeriod, [this] {
+        forgetExpired();
+        asio::co_spawn(m_environment.executor, m_cleaner->clean(), asio::detached);
+    });
+}
+
+std::string SharedClaimService::keyPrefix() const
+{
+    auto prefix = daemonKeyPrefix(m_peers.self(), m_peers.incarnation());
+    m_daemonClaims.own(prefix);
+    return prefix;
+}
+
+Result<ClaimKey> SharedClaimService::checkKey(const std::string& text) const
+{
+    auto key = parseClaimKey(text);
+    if (!key)
+        return makeError(ErrorKind::BadKey, "the key must be <unix seconds>-<random> or <prefix>.<unix seconds>-<random>");
+    switch (keyAge(*key, m_environment.timers.wallClock())) {
+    case KeyAge::Expired:
+        return makeError(ErrorKind::KeyExpired, "the key's time is too far in the past");
+    case KeyAge::Ahead:
+        return makeError(ErrorKind::BadKey, "the key's time is in the future");
+    case KeyAge::Valid:
+        break;
+    }
+    return *key;
+}
+
+asio::awaitable<Result<ClaimDecision>> SharedClaimService::claim(AccountId account, std::string keyText, Digest content)
+{
+    auto key = checkKey(keyText);
+    if (!key)
+        co_return key.error();
+    auto id = claimIdOf(account, keyText);
+    if (auto decision = decideLocally(id, content)) {
+        logDecision(id, *decision);
+        co_return *decision;
+    }
+    auto& call = openCall(id, content, key->time);
+    ClaimEntry entry { id, content, call.nonce, m_peers.self() };
+    DecisionGuard guard(m_calls, id);
+    auto decision = co_await decide(std::move(*key), std::move(entry));
+    logDecision(id, decision);
+    co_return decision;
+}
+
+std::optional<Result<ClaimDecision>> SharedClaimService::decideLocally(const Digest& id, const Digest& content)
+{
+    if (auto answer = m_answers.find(id, m_environment.timers.now())) {
+        if (answer->content != content)
+            return otherContent();
+        return Result<ClaimDecision>(ClaimAnswered { std::move(answer->response) });
+    }
+    auto found = m_calls->find(id);
+    if (found == m_calls->end())
+        return std::nullopt;
+    auto& call = found->second;
+    if (call.content != content)
+        return otherContent();
+    if (call.state == Call::State::InDoubt)
+        return std::nullopt;
+    if (call.state != Call::State::Held)
+        return alreadyRun();
+    call.state = Call::State::Running;
+    return Result<ClaimDecision>(ClaimGranted {});
+}
+
+SharedClaimService::Call& SharedClaimService::openCall(const Digest& id, const Digest& content, UnixSeconds keyTime)
+{
+    auto [row, isNew] = m_calls->try_emplace(id);
+    if (isNew)
+        row->second = { content, makeNonce(), keyTime, Call::State::Claiming, false };
+    row->second.state = Call::State::Claiming;
+    return row->second;
+}
+
+Digest SharedClaimService::makeNonce()
+{
+    // Daemon, incarnation and counter make it unique even if two daemons got the same seed.
+    return digestOf(daemonKeyPrefix(m_peers.self(), m_peers.incarnation()) + "\n" + std::to_string(++m_lastNonce) + "\n" + std::to_string(m_rng()));
+}
+
+asio::awaitable<Result<ClaimDecision>> SharedClaimService::decide(ClaimKey key, ClaimEntry entry)
+{
+    auto counting = co_await m_router.decide(std::move(key), entry);
+    if (!counting)
+        co_return settleError(entry.id, counting.error());
+    auto verdict = judgeClaim(*counting, entry);
+    if (verdict == ClaimVerdict::Granted) {
+        m_calls->at(entry.id).state = Call::State::Running;
+        co_return ClaimDecision(ClaimGranted {});
+    }
+    // Another claim counts, so this one never will.
+    m_calls->erase(entry.id);
+    if (verdict == ClaimVerdict::OtherContent)
+        co_return otherContent();
+    co_return co_await answerDuplicate(std::move(*counting));
+}
+
+Result<ClaimDecision> SharedClaimService::settleError(const Digest& id, Error error)
+{
+    auto& call = m_calls->at(id);
+    bool isNotClaimed = error.kind == ErrorKind::ClaimUnavailable;
+    if (isNotClaimed && !call.wasInDoubt) {
+        m_calls->erase(id);
+        return error;
+    }
+    call.state = Call::State::InDoubt;
+    call.wasInDoubt = true;
+    if (error.kind == ErrorKind::KeyExpired)
+        return error;
+    // The claim of this or an earlier attempt may have been written.
+    return makeError(ErrorKind::OutcomeUnknown, error.detail);
+}
+
+asio::awaitable<Result<ClaimDecision>> SharedClaimService::answerDuplicate(ClaimEntry counting)
+{
+    if (counting.holder == m_peers.self())
+        co_return alreadyRun();
+    json question { { "entry", entryToJson(counting) } };
+    auto reply = co_await m_peers.call(counting.holder, recordedAnswerMessage, std::move(question), recordedAnswerTimeout);
+    if (!reply)
+        co_return alreadyRun();
+    auto response = answerFromJson(*reply);
+    if (!response)
+        co_return alreadyRun();
+    co_return ClaimDecision(ClaimAnswered { std::move(*response) });
+}
+
+asio::awaitable<Result<json>> SharedClaimService::answerPeer(json body)
+{
+    try {
+        auto entry = entryFromJson(body.at("entry"));
+        auto answer = m_answers.find(entry.id, m_environment.timers.now());
+        if (!answer || answer->content != entry.content)
+            co_return json::object();
+        co_return answerToJson(*answer);
+    } catch (const std::exception& exception) {
+        co_return makeError(ErrorKind::ProtocolError, std::string("unreadable message: ") + exception.what());
+    }
+}
+
+void SharedClaimService::complete(AccountId account, const std::string& key, HttpResponse response)
+{
+    auto id = claimIdOf(account, key);
+    auto found = m_calls->find(id);
+    if (found == m_calls->end() || found->second.state != Call::State::Running)
+        return;
+    m_answers.add({ id, found->second.content, std::move(response) }, m_environment.timers.now());
+    m_calls->erase(found);
+}
+
+void SharedClaimService::abandon(AccountId account, const std::string& key)
+{
+    auto found = m_calls->find(claimIdOf(account, key));
+    if (found != m_calls->end() && found->second.state == Call::State::Running)
+        found->second.state = Call::State::Held;
+}
+
+void SharedClaimService::forgetExpired()
+{
+    auto now = m_environment.timers.wallClock();
+    m_writers.forgetClosable(now);
+    std::erase_if(*m_calls, [now](const auto& row) {
+        const auto& call = row.second;
+        return call.state != Call::State::Claiming && call.keyTime < now - sharedKeyLifetime;
+    });
+}
+
+void SharedClaimService::logDecision(const Digest& id, const Result<ClaimDecision>& decision)
+{
+    std::string_view outcome = "granted";
+    if (!decision)
+        outcome = answerFor(decision.error().kind).name;
+    else if (std::holds_alternative<ClaimAnswered>(*decision))
+        outcome = "answered";
+    m_environment.log.write(EventId::ClaimDecided, { { "claim", toHex(id) }, { "outcome", outcome } });
+    m_environment.metrics.count("chestnut_claims_total", { { "outcome", std::string(outcome) } });
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/decisions/claims/ClaimLog.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "base/digest/Digest.h"
+#include "base/ids/StrongId.h"
+
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace chestnut {
+
+/** One daemon's claim of one call. */
+struct ClaimEntry {
+    Digest id; /**< of account and key */
+    Digest content; /**< of the call's body */
+    Digest nonce; /**< unique to this claim; the daemon that made it may dispatch the call */
+    DaemonId holder; /**< the daemon that made the claim */
+
+    auto operator<=>(const ClaimEntry&) const = default;
+};
+
+/** One record of a shard's log. */
+struct ClaimRecord {
+    Digest nonce; /**< unique to this record; settles a lost answer to its write */
+    std::vector<ClaimEntry> entries;
+
+    bool operator==(const ClaimRecord&) const = default;
+};
+
+/** The replayed log of one shard: the first claim of each call counts, later ones have no effect. */
+struct ClaimLog {
+    uint64_t next = 0; /**< number of the first record that was not seen */
+    std::unordered_map<Digest, ClaimEntry> claims;
+};
+
+/** Applies the record with the number `log.next`. */
+void appendRecord(ClaimLog&, const ClaimRecord&);
+
+/** The claim that counts, if there is one. */
+std::optional<ClaimEntry> findClaim(const ClaimLog&, const Digest& id);
+
+/** What a claim is worth against the claim that counts. */
+enum class ClaimVerdict : uint8_t {
+    Granted, /**< the same claim */
+    AlreadyClaimed, /**< another claim of the same call */
+    OtherContent, /**< another claim with another body */
+};
+ClaimVerdict judgeClaim(const ClaimEntry& counting, const ClaimEntry& own);
+
+/** What a read after the write of a record found. */
+enum class RecordFate : uint8_t {
+    Written, /**< the record is there */
+    Overtaken, /**< another writer's record has its place, where this one can never appear any more */
+    Open, /**< the place is empty: the write had no effect, or has none yet */
+    Closed, /**< the epoch is closed; whether the record was there before is not known */
+};
+RecordFate fateOfRecord(const Digest& nonce, const std::optional<ClaimRecord>& found, bool isClosed);
+
+/** Limits of one record, below the service's limit of 1 MB after Base64 in a transaction. */
+constexpr size_t maximumRecordBytes = 512'000;
+constexpr size_t maximumRecordEntries = 4096;
+/** Upper bound of an entry's encoded size without its holder's name. */
+constexpr size_t entryBytes = 80;
+
+/** The entries for the next record: in the given order, one for each call, none that the log already has, within the
+    limits. Entries left out wait for the next record. */
+std::vector<ClaimEntry> buildBatch(const ClaimLog&, std::span<const ClaimEntry> waiting, size_t maximumBytes = maximumRecordBytes, size_t maximumEntries = maximumRecordEntries);
+
+} // namespace chestnut
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -6,6 +6,8 @@
     that the daemon, the benchmarks and the fuzzer run the same code. */
 
 #include "decisions/admission/Admission.h"
+#include "decisions/claims/ClaimKey.h"
+#include "decisions/claims/ClaimLog.h"
 #include "decisions/discovery/Discovery.h"
 #include "decisions/ejection/Ejection.h"
 #include "decisions/estimates/WorkEstimate.h"
--- /dev/null
+++ b/tests/claims/ClaimFleet.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "claims/claims.h"
+#include "claims/DaemonTimers.h"
+#include "claims/FakePeers.h"
+#include "kernel/timers/VirtualTimerService.h"
+#include "platform/testing/FakeKeyValueStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace chestnut {
+
+/** One daemon's claim service with its own link to the key-value service and to its peers. */
+struct FleetDaemon {
+    FleetDaemon(asio::io_context&, VirtualTimerService&, std::shared_ptr<KeyValueModel>, FakePeerNetwork&, DaemonId, Incarnation);
+
+    void pause(bool isPaused);
+
+    DaemonTimers timers;
+    FakeKeyValueStore store;
+    MemoryLog log;
+    Metrics metrics;
+    FakePeers peers;
+    SharedClaimService claims;
+    bool isDead = false;
+};
+
+/** What one caller was told. */
+struct ClaimAttempt {
+    std::string key;
+    std::optional<Result<ClaimDecision>> decision;
+
+    bool isGranted() const { return decision && *decision && std::holds_alternative<ClaimGranted>(**decision); }
+    bool isAnswered() const { return decision && *decision && std::holds_alternative<ClaimAnswered>(**decision); }
+    bool isRefused(ErrorKind kind) const { return decision && !*decision && decision->error().kind == kind; }
+};
+
+/** Several daemons over one key-value service under virtual time. A granted call counts as dispatched at once, unless
+    its daemon is dead. */
+class ClaimFleet {
+public:
+    explicit ClaimFleet(size_t size);
+
+    FleetDaemon& operator[](size_t index) { return *m_daemons[index]; }
+    size_t size() const { return m_daemons.size(); }
+
+    std::shared_ptr<ClaimAttempt> claim(size_t daemon, const std::string& key, const std::string& body = "body");
+    /** Claims and lets enough time pass for any answer. */
+    std::shared_ptr<ClaimAttempt> claimAndWait(size_t daemon, const std::string& key, const std::string& body = "body");
+    void complete(size_t daemon, const std::string& key, const std::string& answer);
+    void advance(Duration duration) { timers.advance(duration); }
+
+    /** A key whose shard prefers the given daemon, with the fleet's present time. */
+    std::string keyPreferring(size_t daemon);
+    /** A key whose time lies the given age before the fleet's present time. */
+    std::string keyOfAge(UnixSeconds age);
+
+    /** The daemon stops without finishing anything. */
+    void kill(size_t daemon);
+    /** Replaces a daemon by a new incarnation of it. */
+    void restart(size_t daemon);
+
+    unsigned dispatches(const std::string& key) { return m_dispatches[key]; }
+    unsigned mostDispatches() const;
+
+    asio::io_context context;
+    VirtualTimerService timers { context };
+    std::shared_ptr<KeyValueModel> model = std::make_shared<KeyValueModel>();
+
+private:
+    std::unique_ptr<FleetDaemon> makeDaemon(size_t index);
+
+    FakePeerNetwork m_network { context.get_executor(), timers, {} };
+    std::vector<std::unique_ptr<FleetDaemon>> m_daemons;
+    std::vector<std::unique_ptr<FleetDaemon>> m_dead; // their coroutines still refer to them
+    std::map<std::string, unsigned> m_dispatches;
+    Incarnation m_lastIncarnation = 0;
+    unsigned m_lastKey = 0;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/tests/claims/ClaimPropertyTest.cpp
@@ -0,0 +1,173 @@
+#include "claims/ClaimFleet.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+enum class Action : uint8_t {
+    Claim,
+    Advance,
+    LoseAnswer,
+    LoseWrite,
+    DelayWrite,
+    LoseReply,
+    ToggleOutage,
+    TogglePause,
+    Restart,
+    Complete,
+};
+
+struct Step {
+    Action action = Action::Claim;
+    unsigned daemon = 0;
+    unsigned key = 0;
+    unsigned milliseconds = 0;
+};
+
+std::ostream& operator<<(std::ostream& stream, const Step& step)
+{
+    return stream << "{" << static_cast<int>(step.action) << ", d" << step.daemon << ", k" << step.key << ", " << step.milliseconds << "ms}";
+}
+
+constexpr unsigned daemons = 3;
+constexpr unsigned keys = 4;
+
+rc::Gen<Step> anyStep()
+{
+    // Half of the steps are claims and time, so that the faults meet work under way.
+    auto action = rc::gen::weightedElement<Action>({ { 6, Action::Claim }, { 6, Action::Advance }, { 2, Action::LoseAnswer },
+        { 2, Action::LoseWrite }, { 2, Action::DelayWrite }, { 1, Action::LoseReply }, { 1, Action::ToggleOutage },
+        { 1, Action::TogglePause }, { 1, Action::Restart }, { 1, Action::Complete } });
+    auto toStep = [](Action chosen, unsigned daemon, unsigned key, unsigned milliseconds) {
+        return Step { chosen, daemon, key, milliseconds };
+    };
+    return rc::gen::apply(toStep, action, rc::gen::inRange(0U, daemons), rc::gen::inRange(0U, keys), rc::gen::inRange(1U, 400U));
+}
+
+/** The keys share one shard, so that all writers meet in one log. */
+std::vector<std::string> keysOfOneShard(ClaimFleet& fleet)
+{
+    std::vector<std::string> chosen;
+    while (chosen.size() < keys) {
+        auto key = fleet.keyOfAge(0s);
+        if (claimShardOf(claimIdOf(AccountId("repairer"), key)) == 0)
+            chosen.push_back(key);
+    }
+    return chosen;
+}
+
+void apply(ClaimFleet& fleet, const Step& step, const std::vector<std::string>& names, std::vector<std::shared_ptr<ClaimAttempt>>& attempts)
+{
+    auto& daemon = fleet[step.daemon];
+    auto& faults = daemon.store.faults();
+    switch (step.action) {
+    case Action::Claim:
+        attempts.push_back(fleet.claim(step.daemon, names[step.key]));
+        break;
+    case Action::Advance:
+        fleet.advance(std::chrono::milliseconds(step.milliseconds));
+        break;
+    case Action::LoseAnswer:
+        ++faults.lostAnswers;
+        break;
+    case Action::LoseWrite:
+        ++faults.lostWrites;
+        break;
+    case Action::DelayWrite:
+        ++faults.lateWrites;
+        faults.lateDelay = std::chrono::milliseconds(10 * step.milliseconds);
+        break;
+    case Action::LoseReply:
+        ++daemon.peers.lostReplies;
+        break;
+    case Action::ToggleOutage:
+        faults.isOutage = !faults.isOutage;
+        break;
+    case Action::TogglePause:
+        daemon.pause(!daemon.timers.isPaused);
+        break;
+    case Action::Restart:
+        fleet.restart(step.daemon);
+        fleet[step.daemon].store.faults().latency = 5ms;
+        break;
+    case Action::Complete:
+        fleet.complete(step.daemon, names[step.key], "done");
+        break;
+    }
+}
+
+void heal(ClaimFleet& fleet)
+{
+    for (size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+        fleet[daemon].store.faults() = {};
+        fleet[daemon].peers.lostReplies = 0;
+        fleet[daemon].peers.isDown = false;
+        fleet[daemon].pause(false);
+    }
+    fleet.advance(30s);
+}
+
+/** The log is gapless, and each claim that counts is of the daemon that dispatched the call, if one did. */
+void checkLog(ClaimFleet& fleet)
+{
+    uint64_t next = 0;
+    auto epoch = claimEpochOf(fleet.timers.wallClock());
+    for (const auto& entry : fleet.model->list(claimRecordPrefix(epoch, 0))) {
+        RC_ASSERT(entry.key == claimRecordKey(epoch, 0, next));
+        RC_ASSERT(decodeRecord(entry.value).has_value());
+        ++next;
+    }
+}
+
+void checkFleet(const std::vector<Step>& steps, bool isPartitioned)
+{
+    ClaimFleet fleet(daemons);
+    for (size_t daemon = 0; daemon < daemons; ++daemon) {
+        fleet[daemon].store.faults().latency = 5ms;
+        fleet[daemon].peers.isDown = isPartitioned;
+    }
+    auto names = keysOfOneShard(fleet);
+    std::vector<std::shared_ptr<ClaimAttempt>> attempts;
+    for (const auto& step : steps)
+        apply(fleet, step, names, attempts);
+    heal(fleet);
+    RC_ASSERT(fleet.mostDispatches() <= 1);
+    checkLog(fleet);
+    // Once all faults are over, every key has an answer, and a key whose attempts were all "not run" still runs once.
+    std::set<std::string> claimed;
+    for (const auto& attempt : attempts) {
+        if (!attempt->isRefused(ErrorKind::ClaimUnavailable))
+            claimed.insert(attempt->key);
+    }
+    for (const auto& name : names) {
+        for (size_t daemon = 0; daemon < daemons; ++daemon) {
+            auto attempt = fleet.claimAndWait(daemon, name);
+            RC_ASSERT(attempt->decision.has_value());
+            RC_ASSERT(!attempt->isRefused(ErrorKind::ClaimUnavailable));
+        }
+        RC_ASSERT(fleet.dispatches(name) <= 1);
+        RC_ASSERT(claimed.contains(name) || fleet.dispatches(name) == 1);
+    }
+}
+
+} // namespace
+
+// Guards against two dispatches of one call, and against a broken log, under any order of several writers, lost and
+// delayed writes, lost replies, outages, pauses and restarts.
+TEST_CASE("random faults never dispatch a call twice")
+{
+    rc::detail::TestParams parameters;
+    parameters.seed = 20240607;
+    parameters.maxSuccess = 1000;
+    parameters.maxSize = 60;
+    // Without a partition one daemon writes nearly all records; with it, all daemons write to the same log.
+    auto property = [] { checkFleet(*rc::gen::container<std::vector<Step>>(anyStep()), *rc::gen::arbitrary<bool>()); };
+    auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
+    rc::detail::printResultMessage(result, std::cerr);
+    CHECK(result.is<rc::detail::SuccessResult>());
+}
--- /dev/null
+++ b/tests/claims/ShardWriterTest.cpp
@@ -0,0 +1,131 @@
+#include "claims/ClaimFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr ClaimEpoch epoch = 1000;
+constexpr unsigned shard = 3;
+
+struct WriterFixture {
+    std::shared_ptr<ShardWriter> makeWriter() { return std::make_shared<ShardWriter>(environment, epoch, shard, 5); }
+
+    void submit(ShardWriter& writer, const std::string& name)
+    {
+        ClaimEntry entry { digestOf(name), digestOf("body"), digestOf("nonce " + name), DaemonId("d") };
+        asio::co_spawn(context, writer.submit(entry, 1s), [this](std::exception_ptr, Result<ClaimEntry> result) { results.push_back(std::move(result)); });
+    }
+
+    size_t granted() const
+    {
+        return std::ranges::count_if(results, [](const auto& result) { return result.has_value(); });
+    }
+
+    asio::io_context context;
+    VirtualTimerService timers { context };
+    FakeKeyValueStore store { std::make_shared<KeyValueModel>(), timers };
+    MemoryLog log;
+    Metrics metrics;
+    ClaimEnvironment environment { context.get_executor(), store, timers, log, metrics };
+    std::vector<Result<ClaimEntry>> results;
+};
+
+} // namespace
+
+// Guards against a write for each call, which would exceed the service's several hundred writes/s.
+TEST_CASE("claims that arrive together share one write")
+{
+    for (size_t batch = 1; batch <= 64; batch *= 2) {
+        WriterFixture fixture;
+        auto writer = fixture.makeWriter();
+        for (size_t call = 0; call < batch; ++call)
+            fixture.submit(*writer, std::to_string(call));
+        fixture.timers.advance(1s);
+        CHECK(fixture.granted() == batch);
+        CHECK(fixture.store.writes() == 1);
+        MESSAGE("batch of " << batch << ": " << fixture.store.writes() << " write, " << 1.0 / static_cast<double>(batch) << " writes per call");
+    }
+}
+
+// Guards against more than 10 writes/s from one shard, and against two writes at the same time.
+TEST_CASE("a steady load of claims is written at most 10 times a second")
+{
+    WriterFixture fixture;
+    fixture.store.faults().latency = 5ms;
+    auto writer = fixture.makeWriter();
+    for (int call = 0; call < 1000; ++call) {
+        fixture.submit(*writer, std::to_string(call));
+        fixture.timers.advance(5ms);
+    }
+    fixture.timers.advance(1s);
+    CHECK(fixture.granted() == 1000);
+    CHECK(fixture.store.writes() <= 52);
+    MESSAGE("1000 claims in 5 s: " << fixture.store.writes() << " writes");
+}
+
+// Guards against values above the service's limit.
+TEST_CASE("a batch above the record limits is split")
+{
+    WriterFixture fixture;
+    auto writer = fixture.makeWriter();
+    constexpr size_t claims = maximumRecordEntries + 100;
+    for (size_t call = 0; call < claims; ++call)
+        fixture.submit(*writer, std::to_string(call));
+    fixture.timers.advance(1s);
+    CHECK(fixture.granted() == claims);
+    auto records = fixture.store.model().list(claimRecordPrefix(epoch, shard));
+    CHECK(records.size() == 2);
+    for (const auto& record : records)
+        CHECK(record.value.size() <= maximumRecordBytes);
+}
+
+// Guards against a grant in a log that cannot be read, where a claim may be hidden.
+TEST_CASE("an unreadable record or a gap stops all grants of the shard")
+{
+    for (uint64_t number : { 0, 1 }) {
+        WriterFixture fixture;
+        fixture.store.model().put(claimRecordKey(epoch, shard, number), number == 0 ? "not CBOR" : encodeRecord({}));
+        auto writer = fixture.makeWriter();
+        fixture.submit(*writer, "a");
+        fixture.timers.advance(2s);
+        REQUIRE(fixture.results.size() == 1);
+        REQUIRE_FALSE(fixture.results.front().has_value());
+        CHECK(fixture.results.front().error().kind == ErrorKind::ClaimUnavailable);
+    }
+}
+
+// Guards against a delayed write that takes effect after its claim was refused as not run.
+TEST_CASE("a delayed write and a restart of the daemon: the log stays consistent")
+{
+    WriterFixture fixture;
+    fixture.store.faults().lateWrites = 1;
+    fixture.store.faults().lateDelay = 5s;
+    auto first = fixture.makeWriter();
+    fixture.submit(*first, "a");
+    fixture.timers.advance(10ms);
+    auto second = fixture.makeWriter(); // the restarted daemon's
+    fixture.submit(*second, "b");
+    fixture.timers.advance(10s);
+    CHECK(fixture.granted() == 2);
+    CHECK(fixture.store.model().list(claimRecordPrefix(epoch, shard)).size() == 2);
+}
+
+// Guards against unbounded memory for recorded answers.
+TEST_CASE("recorded answers keep to their limits of bytes and time")
+{
+    RecordedAnswers answers(1000);
+    auto answer = [](int number, size_t bytes) { return RecordedAnswer { { 0, static_cast<uint64_t>(number) }, {}, { 200, {}, std::string(bytes, 'x') } }; };
+    TimePoint start(0s);
+    for (int number = 0; number < 3; ++number)
+        answers.add(answer(number, 200), start);
+    CHECK(answers.bytes() <= 1000);
+    CHECK_FALSE(answers.find({ 0, 0 }, start).has_value());
+    CHECK(answers.find({ 0, 2 }, start).has_value());
+    answers.add(answer(3, 2000), start);
+    CHECK_FALSE(answers.find({ 0, 3 }, start).has_value());
+    CHECK_FALSE(answers.find({ 0, 2 }, start + RecordedAnswers::lifetime).has_value());
+    CHECK(answers.bytes() == 0);
+}
