--- a/modules/claims/log/ShardWriter.cpp
+++ b/modules/claims/log/ShardWriter.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -130,7 +131,9 @@
 asio::awaitable<void> ShardWriter::writeNext()
 {
     co_await pace();
-    // Claims may have given up during the pause.
+    // Claims that arrived in the same turn of the event loop share the record.
+    co_await asio::post(m_environment.executor, asio::use_awaitable);
+    // Claims may have given up meanwhile.
     if (m_waiting.empty())
         co_return;
     m_current = makeRecord();
--- a/modules/claims/service/ClaimRouter.cpp
+++ b/modules/claims/service/ClaimRouter.cpp
@@ -77,6 +77,7 @@
     }
     std::ranges::sort(scored, std::greater<>());
     std::vector<DaemonId> ranked;
+    ranked.reserve(scored.size());
     for (auto& [score, id] : scored)
         ranked.push_back(std::move(id));
     return ranked;
--- a/programs/chestnutrouted/Daemon.cpp
+++ b/programs/chestnutrouted/Daemon.cpp
@@ -18,19 +18,19 @@
 
 namespace {
 
-constexpr Duration readinessPeriod = std::chrono::milliseconds(200);
+    constexpr Duration readinessPeriod = std::chrono::milliseconds(200);
 
-uint64_t randomSeed()
-{
-    std::random_device device;
-    return (static_cast<uint64_t>(device()) << 32) | device();
-}
+    uint64_t randomSeed()
+    {
+        std::random_device device;
+        return (static_cast<uint64_t>(device()) << 32) | device();
+    }
 
-Incarnation incarnationNow()
-{
-    auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-}
+    Incarnation incarnationNow()
+    {
+        auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+    }
 
 } // namespace
 
--- a/programs/chestnutrouted/Daemon.h
+++ b/programs/chestnutrouted/Daemon.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "DaemonSettings.h"
 #include "backends/backends.h"
 #include "control/control.h"
+#include "DaemonSettings.h"
 #include "frontend/frontend.h"
 #include "http/http.h"
 #include "kernel/kernel.h"
@@ -35,7 +35,7 @@
     bool isReady() const;
     void updateReadiness();
 
-    template<typename T>
+    template <typename T>
     T& service() const
     {
         return m_kernel.require<T>(T::serviceName);
