Add tests of the drain confirmation and of a superseded intent

Cause: disabling the wait for the members' confirmation, or ignoring a failed compare-and-swap, went unnoticed. Change: one focused test for each; the fuzz test runs more requests.

--- a/tests/control/FleetFuzzTest.cpp
+++ b/tests/control/FleetFuzzTest.cpp
@@ -97,7 +97,7 @@
 
     void act()
     {
-        switch (pick(0, 11)) {
+        switch (pick(0, 16)) {
         case 0:
         case 1:
             submitEngine();
--- a/tests/control/OrderServiceTest.cpp
+++ b/tests/control/OrderServiceTest.cpp
@@ -263,3 +263,46 @@
     CHECK(fleet.daemons[0]->orders.statuses().size() == 2);
     CHECK_FALSE(fleet.daemons[0]->fleet.acceptsNewWork(ReplicaId("e1")));
 }
+
+// Guards against a change at an engine to which another daemon still sends work.
+TEST_CASE("a change waits until every member that is not suspected knows that the engine is away")
+{
+    FleetFixture fleet;
+    fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    auto& other = fleet.addDaemon("d2");
+    fleet.timers.advance(1s);
+    fleet.network.cutOff.insert(DaemonId("d2"));
+    fleet.setRole(2, 1, "decode");
+    auto drains = [&fleet] { return fleet.daemons[0]->log.recent("reason", "engine change").size(); };
+    for (int i = 0; i < 100 && drains() == 0; ++i)
+        fleet.timers.advance(100ms);
+    REQUIRE(drains() == 1);
+    fleet.timers.advance(informBound);
+    CHECK(fleet.engineAt(1).applied.size() == 1);
+    fleet.network.cutOff.clear();
+    fleet.timers.advance(4s);
+    CHECK(fleet.engineAt(1).applied.size() == 2);
+    CHECK_FALSE(other.fleet.acceptsNewWork(ReplicaId("e1")));
+}
+
+// Guards against a holder that overwrites the intent of a holder which took the engine over (H1).
+TEST_CASE("a holder whose intent was overwritten sends nothing while the other one follows a newer configuration")
+{
+    FleetFixture fleet;
+    auto& daemon = fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    auto& entry = fleet.store.entries.at("orders/e1");
+    auto intent = *decodeIntent(entry.value);
+    intent.holder = "d9/1/a/m2/7";
+    intent.fencingNumber += 7;
+    intent.desired.revision += 100;
+    entry.value = encodeIntent(intent);
+    entry.modifyIndex += 1'000'000;
+    fleet.setRole(2, 1, "decode");
+    fleet.timers.advance(60s);
+    CHECK(daemon.log.recent(EventId::OrderSuperseded).size() == 1);
+    CHECK(daemon.orders.statuses()[0].problem == "another holder follows a newer configuration");
+    CHECK(fleet.engineAt(1).applied.size() == 1);
+    CHECK(fleet.store.entries.at("orders/e1").value == encodeIntent(intent));
+}
