Read stored documents of newer versions; free the slots of dead engines

Cause: an unknown field in config/current would have stopped a daemon during a rolling update; an engine that died in its change kept its slots, so that no other engine of its model could change; a lost notice left an old role for 300 s. Change: stored documents are read without unknown fields, tickets stay strict, ticket records carry their digest; slots are freed after 120 s without a state; an expired notice makes the daemon read the intents again. The operators' program lists the failure of each daemon. Conclusion: one dead engine or a newer daemon no longer holds up the fleet.

--- a/modules/control/fleet/ReplicaFleet.cpp
+++ b/modules/control/fleet/ReplicaFleet.cpp
@@ -118,6 +118,17 @@
         update(hasRoleChange);
     }
 
+    /** Ends notices whose holder stopped repeating them. Whether the change came true is read from the intents. */
+    void expireNotices()
+    {
+        for (auto& [engine, entry] : notices) {
+            if (!entry.notice.isAway || timers.now() < entry.validUntil)
+                continue;
+            entry.notice.isAway = false;
+            intentsDue = timers.now();
+        }
+    }
+
     void setLeaving(const std::vector<Vm>& vms)
     {
         std::set<std::string> leaving;
@@ -140,7 +151,7 @@
             auto id = entry.key.substr(intentPrefix.size());
             auto intent = decodeIntent(entry.value);
             auto engine = current->engines.find(id);
-            if (intent && engine != current->engines.end() && !notices.contains(EngineId(id)))
+            if (intent && engine != current->engines.end() && !isAway(EngineId(id)))
                 roles[EngineId(id)] = desiredEngine(*current, engine->second, *intent, std::nullopt).role;
         }
         update(true);
@@ -167,6 +178,7 @@
     state->update();
     m_timers.push_back(state->timers.every(vmPollPeriod, [this] { asio::co_spawn(m_context, pollVms(m_state), asio::detached); }));
     m_timers.push_back(state->timers.every(expiryPeriod, [this] {
+        m_state->expireNotices();
         m_state->update();
         asio::co_spawn(m_context, readIntents(m_state), asio::detached);
     }));
--- a/modules/control/orders/EngineWork.cpp
+++ b/modules/control/orders/EngineWork.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr Duration informTimeout = std::chrono::seconds(2);
+    /** An engine that has not reported its state for this long gives its slots to others; restarts take less. */
+    constexpr Duration silenceBound = std::chrono::seconds(120);
     /** Claim, drain and send can follow each other in one pass. */
     constexpr int stepsPerPass = 4;
 
@@ -233,8 +235,10 @@
     auto state = co_await on.engines.state(endpoint);
     if (!state) {
         work->observed.reset();
+        work->silentSince = work->silentSince.value_or(on.timers.now());
         co_return;
     }
+    work->silentSince.reset();
     work->observed = observedOf(*state);
     if (state->isReady)
         work->changingSince.reset();
@@ -252,6 +256,7 @@
     if (!work->isIntentKnown && !co_await readIntent(work))
         co_return false;
     co_await observe(work, *endpoint);
+    limitSilence(*work);
     if (work->drain)
         co_await continueDrain(work, *endpoint);
     auto lease = leaseOf(*work);
@@ -387,6 +392,15 @@
     });
 }
 
+void OrderService::State::limitSilence(EngineWork& work)
+{
+    // An engine that never returns from a change must not keep the other engines of its model from changing.
+    if (work.silentSince && on.timers.now() - *work.silentSince >= silenceBound)
+        releaseSlots(work);
+    if (work.observed && work.drain && work.slots.empty())
+        work.drain.reset();
+}
+
 void OrderService::State::settle(const EngineWorkPointer& work)
 {
     work->attempts = 0;
--- a/modules/control/orders/EngineWork.h
+++ b/modules/control/orders/EngineWork.h
@@ -19,6 +19,7 @@
     TimePoint sendFrom;
     std::optional<ObservedEngine> observed;
     std::optional<TimePoint> changingSince;
+    std::optional<TimePoint> silentSince; /**< since when the engine does not report its state */
     std::optional<EngineRole> decidedRole;
     TimePoint roleSince;
     TimePoint retryAt;
@@ -75,6 +76,7 @@
     void informAll(const EngineWorkPointer&, bool isAway);
     bool isEveryoneInformed(const EngineWork&) const;
     void settle(const EngineWorkPointer&);
+    void limitSilence(EngineWork&);
     void releaseSlots(EngineWork&);
     void note(EngineWork&, OrderAction, const std::string& reason);
     std::optional<Lease> leaseOf(const EngineWork&) const;
--- a/modules/control/tickets/ConfigurationCodec.cpp
+++ b/modules/control/tickets/ConfigurationCodec.cpp
@@ -200,8 +200,15 @@
         return limits;
     }
 
+    /** An operator's ticket is strict, because a misspelt field would be lost. A stored document may come from a newer
+        version of the daemon and is read without the fields that this version does not know. */
+    enum class Strictness : uint8_t {
+        Operator,
+        Stored,
+    };
+
     template <typename Spec>
-    void readObjects(FieldReader& top, const char* section, const std::string& kind, std::map<std::string, Spec>& target, std::vector<TicketFault>& faults)
+    void readObjects(FieldReader& top, const char* section, const std::string& kind, std::map<std::string, Spec>& target, std::vector<TicketFault>& faults, Strictness strictness)
     {
         const auto* objects = top.find(section);
         if (!objects)
@@ -215,8 +222,10 @@
             key.append("/").append(id);
             FieldReader reader(object, std::move(key), faults);
             auto spec = readSpec(reader, id, Spec {});
-            spec.setBy = reader.whole<TicketNumber>("set_by", 0);
-            reader.refuseUnknown();
+            if (strictness == Strictness::Operator)
+                reader.refuseUnknown();
+            else
+                spec.setBy = reader.whole<TicketNumber>("set_by", 0);
             target.emplace(id, std::move(spec));
         }
     }
@@ -253,23 +262,25 @@
         return document;
     }
 
-    leaf::result<Ticket> readTicket(const json& document)
+    leaf::result<Ticket> readTicket(const json& document, Strictness strictness)
     {
         std::vector<TicketFault> faults;
         FieldReader top(document, "ticket", faults);
         Ticket ticket;
         ticket.number = top.whole<TicketNumber>("number", 0);
-        readObjects(top, "models", "model", ticket.models, faults);
-        readObjects(top, "engines", "engine", ticket.engines, faults);
-        readObjects(top, "backend_servers", "backend_server", ticket.backendServers, faults);
-        readObjects(top, "accounts", "account", ticket.accounts, faults);
+        readObjects(top, "models", "model", ticket.models, faults, strictness);
+        readObjects(top, "engines", "engine", ticket.engines, faults, strictness);
+        readObjects(top, "backend_servers", "backend_server", ticket.backendServers, faults, strictness);
+        readObjects(top, "accounts", "account", ticket.accounts, faults, strictness);
         if (const auto* limits = top.find("limits")) {
             FieldReader reader(*limits, std::string(limitsKey), faults);
             ticket.limits = readLimits(reader);
-            reader.refuseUnknown();
+            if (strictness == Strictness::Operator)
+                reader.refuseUnknown();
         }
         ticket.removals = top.texts("remove");
-        top.refuseUnknown();
+        if (strictness == Strictness::Operator)
+            top.refuseUnknown();
         if (!faults.empty())
             return leaf::new_error(makeError(ErrorKind::TicketInvalid, joinFaults(faults)));
         return ticket;
@@ -304,9 +315,9 @@
         Configuration configuration;
         FieldReader top(document, "configuration", faults);
         configuration.revision = top.whole<Revision>("revision", 0);
-        readObjects(top, "models", "model", configuration.models, faults);
-        readObjects(top, "engines", "engine", configuration.engines, faults);
-        readObjects(top, "backend_servers", "backend_server", configuration.backendServers, faults);
+        readObjects(top, "models", "model", configuration.models, faults, Strictness::Stored);
+        readObjects(top, "engines", "engine", configuration.engines, faults, Strictness::Stored);
+        readObjects(top, "backend_servers", "backend_server", configuration.backendServers, faults, Strictness::Stored);
         if (const auto* limits = top.find("limits")) {
             FieldReader reader(*limits, std::string(limitsKey), faults);
             configuration.limits = readLimits(reader);
@@ -328,6 +339,18 @@
         return readConfiguration(document);
     }
 
+    template <typename Read>
+    Result<Ticket> settleTicket(Read read)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<Result<Ticket>> {
+                BOOST_LEAF_AUTO(ticket, read());
+                return Result<Ticket>(std::move(ticket));
+            },
+            [](const Error& error) -> Result<Ticket> { return error; },
+            []() -> Result<Ticket> { return makeError(ErrorKind::Internal, "unknown error while reading a ticket"); });
+    }
+
     template <typename Name, size_t count>
     std::string_view nameIn(const std::array<std::string_view, count>& names, Name value)
     {
@@ -412,18 +435,17 @@
 leaf::result<Ticket> parseTicket(std::string_view text)
 {
     BOOST_LEAF_AUTO(document, parseJson(text));
-    return readTicket(document);
+    return readTicket(document, Strictness::Operator);
 }
 
 Result<Ticket> decodeTicket(std::string_view text)
 {
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<Result<Ticket>> {
-            BOOST_LEAF_AUTO(ticket, parseTicket(text));
-            return Result<Ticket>(std::move(ticket));
-        },
-        [](const Error& error) -> Result<Ticket> { return error; },
-        []() -> Result<Ticket> { return makeError(ErrorKind::Internal, "unknown error while reading a ticket"); });
+    return settleTicket([&] { return parseTicket(text); });
+}
+
+Result<Ticket> decodeStoredTicket(const json& document)
+{
+    return settleTicket([&] { return readTicket(document, Strictness::Stored); });
 }
 
 Digest contentOf(const Ticket& ticket)
--- a/modules/control/tickets/ConfigurationCodec.h
+++ b/modules/control/tickets/ConfigurationCodec.h
@@ -12,7 +12,7 @@
 
 /** The document that `config/current` holds. Accounts are rows, so that 27,000 of them fit into one value of 1 MB. */
 std::string encodeConfiguration(const Configuration&);
-/** Fails with ProtocolError. */
+/** Skips fields of newer versions. Fails with ProtocolError. */
 Result<Configuration> decodeConfiguration(std::string_view);
 
 nlohmann::json ticketToJson(const Ticket&);
@@ -21,6 +21,8 @@
 boost::leaf::result<Ticket> parseTicket(std::string_view);
 /** parseTicket() for asynchronous callers. */
 Result<Ticket> decodeTicket(std::string_view);
+/** Reads an accepted ticket; skips fields of newer versions. */
+Result<Ticket> decodeStoredTicket(const nlohmann::json&);
 
 /** Digest of the ticket's content, independent of the layout of its JSON. */
 Digest contentOf(const Ticket&);
--- a/modules/control/tickets/TicketService.cpp
+++ b/modules/control/tickets/TicketService.cpp
@@ -14,18 +14,21 @@
 
     std::string encodeStored(const Ticket& ticket, Revision revision)
     {
-        return nlohmann::json { { "revision", revision }, { "ticket", ticketToJson(ticket) } }.dump();
+        return nlohmann::json { { "revision", revision }, { "content", toHex(contentOf(ticket)) }, { "ticket", ticketToJson(ticket) } }.dump();
     }
 
     Result<StoredTicket> decodeStored(const std::string& text)
     {
         auto document = nlohmann::json::parse(text, nullptr, false);
-        if (!document.is_object() || !document.contains("ticket") || !document.contains("revision"))
-            return makeError(ErrorKind::ProtocolError, "a stored ticket is not readable");
-        auto ticket = decodeTicket(document["ticket"].dump());
-        if (!ticket)
-            return ticket.error();
-        return StoredTicket { document["revision"].get<Revision>(), std::move(*ticket) };
+        auto unreadable = makeError(ErrorKind::ProtocolError, "a stored ticket is not readable");
+        if (!document.is_object() || !document.contains("ticket") || !document.value("revision", nlohmann::json()).is_number_unsigned())
+            return unreadable;
+        auto content = document.value("content", nlohmann::json());
+        auto digest = content.is_string() ? digestFromHex(content.get<std::string>()) : std::nullopt;
+        auto ticket = decodeStoredTicket(document["ticket"]);
+        if (!ticket || !digest)
+            return unreadable;
+        return StoredTicket { document["revision"].get<Revision>(), *digest, std::move(*ticket) };
     }
 
     Error rejectionOf(const Ticket& ticket, const TicketStanding& standing)
@@ -96,7 +99,7 @@
     // The state names only the newest tickets; the record of an older one decides whether this is a repeat.
     auto stored = co_await find(ticket.number);
     if (stored) {
-        auto verdict = contentOf(stored->ticket) == content ? TicketVerdict::Same : TicketVerdict::Conflict;
+        auto verdict = stored->content == content ? TicketVerdict::Same : TicketVerdict::Conflict;
         co_return TicketStanding { verdict, stored->revision, 0, "" };
     }
     if (stored.error().kind != ErrorKind::NotFound)
--- a/modules/control/tickets/TicketService.h
+++ b/modules/control/tickets/TicketService.h
@@ -23,6 +23,7 @@
 /** An accepted ticket as the key-value service holds it. */
 struct StoredTicket {
     Revision revision = 0;
+    Digest content;
     Ticket ticket;
 };
 
--- a/modules/operations/cli/OperatorCommand.cpp
+++ b/modules/operations/cli/OperatorCommand.cpp
@@ -100,6 +100,8 @@
     {
         if (next.isFinal || before.message.empty())
             return next;
+        next.message = before.message + "\n" + next.message;
+        before.message = next.message;
         if (before.code == ExitCode::UnknownOutcome)
             return before;
         return next.code == ExitCode::Unreachable && before.code == ExitCode::Refused ? before : next;
--- a/tests/control/ConfigurationCodecTest.cpp
+++ b/tests/control/ConfigurationCodecTest.cpp
@@ -104,3 +104,18 @@
         configuration.accounts["account-" + std::to_string(i)] = { AccountId("a"), 1, 0, 1400 };
     CHECK(encodeConfiguration(configuration).size() < 1'000'000);
 }
+
+// Guards against daemons that lose the configuration while a newer version is rolled out.
+TEST_CASE("a stored document with fields of a newer version is read, a ticket with them is refused")
+{
+    auto document = nlohmann::json::parse(encodeConfiguration(acceptedBase()));
+    document["engines"]["e1"]["new_field"] = 1;
+    document["new_section"] = 2;
+    auto decoded = decodeConfiguration(document.dump());
+    REQUIRE(decoded.has_value());
+    CHECK(*decoded == acceptedBase());
+    auto ticket = nlohmann::json::parse(firstTicket);
+    ticket["engines"]["e1"]["new_field"] = 1;
+    CHECK_FALSE(decodeTicket(ticket.dump()).has_value());
+    CHECK(decodeStoredTicket(ticket).has_value());
+}
--- a/tests/control/OrderServiceTest.cpp
+++ b/tests/control/OrderServiceTest.cpp
@@ -306,3 +306,27 @@
     CHECK(fleet.engineAt(1).applied.size() == 1);
     CHECK(fleet.store.entries.at("orders/e1").value == encodeIntent(intent));
 }
+
+// Guards against a dead engine that keeps the whole model from changing.
+TEST_CASE("an engine that dies in its change gives its slots to the others")
+{
+    FleetFixture fleet;
+    fleet.addDaemon("d1");
+    fleet.timers.advance(10s);
+    fleet.submit({ { "number", 2 }, { "models", { { "m1", { { "version", "v2" } } } } } });
+    int dead = 0;
+    for (int second = 0; second < 30 && dead == 0; ++second) {
+        fleet.timers.advance(1s);
+        for (int i = 1; i <= 3; ++i)
+            dead = fleet.engineAt(i).target ? i : dead;
+    }
+    REQUIRE(dead > 0);
+    fleet.engineAt(dead).isDown = true;
+    fleet.timers.advance(240s);
+    for (int i = 1; i <= 3; ++i)
+        CHECK((fleet.engineAt(i).state.version == "v2") == (i != dead));
+    CHECK_FALSE(fleet.daemons[0]->fleet.acceptsNewWork(ReplicaId("e" + std::to_string(dead))));
+    fleet.engineAt(dead).isDown = false;
+    fleet.timers.advance(60s);
+    CHECK(fleet.engineAt(dead).state.version == "v2");
+}
--- a/tests/operations/OperatorApiTest.cpp
+++ b/tests/operations/OperatorApiTest.cpp
@@ -124,3 +124,22 @@
     context.stop();
     thread.join();
 }
+
+TEST_CASE("the listener answers the operators' program")
+{
+    ApiFixture fixture;
+    fixture.api.listen(fixture.fleet.context, { "127.0.0.1", 0 });
+    fixture.fleet.context.restart();
+    std::thread thread([&fixture] { fixture.fleet.context.run(); });
+    std::ostringstream output;
+    std::ostringstream errors;
+    OperatorCommand command { "fleet", "", { fixture.api.endpoint() }, false, 2s, 2s };
+    CHECK(runOperatorCommand(command, output, errors) == ExitCode::Done);
+    CHECK(output.str().starts_with("revision 1\ndaemon"));
+    command.name = "explain";
+    command.argument = "r9";
+    CHECK(runOperatorCommand(command, output, errors) == ExitCode::Refused);
+    CHECK(errors.str().find("remembers no decision") != std::string::npos);
+    fixture.fleet.context.stop();
+    thread.join();
+}
