--- a/modules/frontend/completions/RequestSession.cpp
+++ b/modules/frontend/completions/RequestSession.cpp
@@ -15,7 +15,6 @@
     /** Engine priorities: 0 is most urgent. */
     constexpr int livePriority = 0;
     constexpr int batchPriority = 10;
-    constexpr Duration shortestExpected = std::chrono::milliseconds(2);
 
     std::string chunkOf(const HeldStream& stream, uint64_t index)
     {
@@ -161,7 +160,7 @@
     ++m_attemptCount;
     if (m_attempts.empty()) {
         const auto& plan = attempt->flight->plan();
-        HedgeQuery query { m_sent == 0, plan.isLong, plan.priorityClass, std::max(plan.estimate.timeToFirstToken, shortestExpected), false, m_attemptCount };
+        HedgeQuery query { m_sent == 0, plan.isLong, plan.priorityClass, plan.estimate.timeToFirstToken + latencyAllowance(true), false, m_attemptCount };
         auto delay = hedgeDelay(query, m_state->replicas->quantiles(groupOf(m_record->model)), m_state->hedgeBudget);
         m_hedgeAt = delay ? std::optional(m_state->now() + *delay) : std::nullopt;
         if (m_attemptCount == 1)
--- a/modules/frontend/replicas/ReplicaLearning.cpp
+++ b/modules/frontend/replicas/ReplicaLearning.cpp
@@ -17,7 +17,6 @@
     constexpr double highestDecodeRate = 5000;
     constexpr double shortestPrefill = 256; /**< tokens; shorter prompts say nothing about the rate */
     constexpr uint64_t fewestDecodeTokens = 8;
-    constexpr Duration shortestExpected = std::chrono::milliseconds(2);
 
     double blend(double known, double sample, double lowest, double highest)
     {
@@ -54,7 +53,8 @@
 void ReplicaTable::recordLatency(const Flight& flight, Duration measured, Duration expected, TimePoint now)
 {
     auto* replica = find(flight.replica());
-    auto ratio = toSeconds(measured) / toSeconds(std::max(expected, shortestExpected));
+    auto allowance = latencyAllowance(replica->isEngine);
+    auto ratio = toSeconds(measured + allowance) / toSeconds(expected + allowance);
     auto& group = m_groups[replica->group];
     recordAnswer(group.latency, flight.replica(), ratio, now);
     addSample(group.quantiles, ratio);
--- a/modules/frontend/replicas/ReplicaTable.cpp
+++ b/modules/frontend/replicas/ReplicaTable.cpp
@@ -85,6 +85,7 @@
 void ReplicaTable::addSubset(const ReplicaGroupId& groupId, std::vector<std::pair<SubsetCandidate, Replica>> replicas)
 {
     std::vector<SubsetCandidate> candidates;
+    candidates.reserve(replicas.size());
     for (const auto& [candidate, replica] : replicas)
         candidates.push_back(candidate);
     auto& group = m_groups[groupId];
--- a/modules/frontend/replicas/ReplicaTable.h
+++ b/modules/frontend/replicas/ReplicaTable.h
@@ -27,6 +27,13 @@
 ReplicaGroupId groupOf(const ModelId&);
 ReplicaGroupId groupOf(const ServiceId&);
 
+/** Added to measured and expected latency before they are compared. Without it, a prompt of a few tokens that arrives
+    behind one unknown prefill looks 20 times too slow, and healthy engines are ejected. */
+constexpr Duration latencyAllowance(bool isEngine)
+{
+    return isEngine ? std::chrono::milliseconds(50) : std::chrono::milliseconds(10);
+}
+
 /** What the table must know about work that is sent to a replica. */
 struct FlightPlan {
     Digest content;
--- a/modules/frontend/services/ServiceCall.cpp
+++ b/modules/frontend/services/ServiceCall.cpp
@@ -9,7 +9,6 @@
 namespace {
 
     constexpr std::string_view servicesPrefix = "/services/";
-    constexpr Duration shortestExpected = std::chrono::milliseconds(2);
     /** A claimed call needs this much time for its dispatch; otherwise it is abandoned as not run. */
     constexpr Duration shortestDispatch = std::chrono::milliseconds(1);
 
@@ -167,7 +166,7 @@
     m_lastReplica = dispatched.replica;
     if (m_attempts.empty()) {
         const auto& plan = dispatched.flight->plan();
-        HedgeQuery query { true, plan.isLong, plan.priorityClass, std::max(plan.estimate.serviceTime, shortestExpected), false, m_attemptCount };
+        HedgeQuery query { true, plan.isLong, plan.priorityClass, plan.estimate.serviceTime + latencyAllowance(false), false, m_attemptCount };
         auto delay = hedgeDelay(query, m_state->replicas->quantiles(groupOf(m_request.service)), m_state->hedgeBudget);
         m_hedgeAt = delay ? std::optional(m_state->now() + *delay) : std::nullopt;
     }
--- /dev/null
+++ b/standins/loadtool/LoadSummary.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/time/TimePoint.h"
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace chestnut {
+
+/** How one request of the run ended. */
+struct LoadResult {
+    enum class End : uint8_t {
+        Answered, /**< whole, its own, each token once */
+        Refused, /**< with a kind of the closed list */
+        Interrupted, /**< the connection broke and the request could not be resumed or repeated */
+        Wrong, /**< the answer is not the expected one */
+    };
+    End end = End::Interrupted;
+    std::string name; /**< kind of work */
+    std::string kind; /**< of the refusal */
+    std::string outcome;
+    std::string detail; /**< of an interruption or a wrong answer */
+    uint64_t duplicateTokens = 0;
+    uint32_t resumptions = 0;
+    uint32_t repeats = 0;
+    std::vector<Duration> firstToken; /**< at most one */
+    std::vector<Duration> tokenGaps;
+    Duration total {};
+};
+
+/** Counts and quantiles of a run. */
+class LoadSummary {
+public:
+    void add(const LoadResult&);
+    void addNotSent() { ++m_notSent; }
+
+    nlohmann::json toJson() const;
+    std::string toText() const;
+    bool hasFaults() const { return m_wrong > 0 || m_duplicateTokens > 0; }
+
+private:
+    uint64_t m_sent = 0;
+    uint64_t m_answered = 0;
+    uint64_t m_interrupted = 0;
+    uint64_t m_wrong = 0;
+    uint64_t m_duplicateTokens = 0;
+    uint64_t m_resumptions = 0;
+    uint64_t m_repeats = 0;
+    uint64_t m_notSent = 0;
+    std::map<std::string, uint64_t> m_refusals; /**< by "kind/outcome" */
+    std::map<std::string, std::vector<Duration>> m_firstToken; /**< by kind of work */
+    std::map<std::string, std::vector<Duration>> m_tokenGaps;
+    std::map<std::string, std::vector<Duration>> m_totals;
+    std::vector<std::string> m_details; /**< of the first faults */
+};
+
+} // namespace chestnut
--- a/tests/frontend/AdmissionTest.cpp
+++ b/tests/frontend/AdmissionTest.cpp
@@ -41,6 +41,7 @@
     FrontendFixture fixture(1, 0, 2, 3);
     fixture.engines.at(1).isHung = true;
     std::vector<std::shared_ptr<FakeWriter>> writers;
+    writers.reserve(10);
     for (int i = 0; i < 8; ++i)
         writers.push_back(fixture.ask(fixture.completion("p" + std::to_string(i), 5)));
     uint32_t refused = 0;
@@ -115,6 +116,7 @@
     auto running = fixture.ask(fixture.completion("p", 20));
     fixture.leaving = { ReplicaId("e1") };
     std::vector<std::shared_ptr<FakeWriter>> writers;
+    writers.reserve(10);
     for (int i = 0; i < 10; ++i)
         writers.push_back(fixture.ask(fixture.completion("q" + std::to_string(i), 2)));
     fixture.advance(5s);
