--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -12,6 +12,7 @@
 #include "decisions/fairness/FairQueue.h"
 #include "decisions/hedging/Hedging.h"
 #include "decisions/membership/Member.h"
+#include "decisions/membership/Membership.h"
 #include "decisions/retries/Retries.h"
 #include "decisions/roles/Roles.h"
 #include "decisions/routing/PrefixIndex.h"
--- /dev/null
+++ b/modules/decisions/membership/Membership.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "base/ids/StrongId.h"
+#include "base/time/TimePoint.h"
+#include "decisions/membership/Member.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace chestnut {
+
+constexpr Duration heartbeatPeriod = std::chrono::seconds(1);
+/** A member is suspected when its counter has not grown for this long. */
+constexpr Duration suspicionTime = std::chrono::seconds(3);
+/** A member is removed when its counter has not grown for this long. */
+constexpr Duration removalTime = std::chrono::seconds(10);
+constexpr size_t randomHeartbeatTargets = 2;
+constexpr size_t recordsPerHeartbeat = 16;
+constexpr size_t updatesPerHeartbeat = 120;
+/** Bytes of records and updates in one message. 6 messages a second with an envelope and an own record of 250 bytes
+    stay below 10 KB/s. */
+constexpr size_t newsBytesPerHeartbeat = 1200;
+constexpr size_t estimatedRecordBytes = 110;
+constexpr size_t updateBytes = 8;
+/** Room that records leave for updates, so that a wave of joining members does not make the others look silent. */
+constexpr size_t leastUpdatesPerHeartbeat = 48;
+/** Changed records that are sent unasked; more of them are mostly duplicates for the receiver. */
+constexpr size_t changedRecordsPerHeartbeat = 4;
+/** Transmissions of a changed record by one daemon. Members that miss all of them ask for the record. */
+constexpr uint32_t transmissionsPerChange = 4;
+/** News of a member silent for this long is asked for. At 330 members a counter reaches each peer every 1.7 s on
+    average, and without asking one in six intervals exceeds the 3 s after which a member is suspected. */
+constexpr Duration askAfterSilence = std::chrono::milliseconds(1500);
+constexpr size_t wantedPerHeartbeat = 24;
+/** Removed members are remembered, so that late heartbeats do not readmit them; bounds the memory to about 1 MB. */
+constexpr size_t rememberedRemovals = 4096;
+
+/** Identifies a member and its incarnation in an update: a hash of both. */
+using UpdateKey = uint32_t;
+
+UpdateKey updateKey(const DaemonId&, Incarnation);
+
+/** The changing fields of a member's record, packed into 8 bytes. It applies only where the record of that incarnation
+    is known. */
+struct MemberUpdate {
+    UpdateKey key = 0;
+    uint16_t counter = 0; /**< low 16 bits; wraps after 18 h, long after a silent member was removed */
+    MemberState state = MemberState::Joining;
+    bool hasSenderRevision = false; /**< the member has the revision of the message's sender */
+    uint32_t loadPermille = 0; /**< in steps of loadStepPermille, at most 255 steps */
+
+    auto operator<=>(const MemberUpdate&) const = default;
+};
+
+constexpr uint32_t loadStepPermille = 8;
+
+/** The membership part of one heartbeat or of its reply. */
+struct HeartbeatNews {
+    MemberRecord own;
+    std::vector<MemberRecord> records; /**< at most recordsPerHeartbeat */
+    std::vector<MemberUpdate> updates; /**< at most updatesPerHeartbeat */
+    std::vector<UpdateKey> unknown; /**< keys whose records the sender asks for */
+    std::vector<UpdateKey> silent; /**< keys of members whose updates the sender asks for */
+
+    bool operator==(const HeartbeatNews&) const = default;
+};
+
+struct KnownMember {
+    MemberRecord record; /**< as the member announced it */
+    UpdateKey key = 0;
+    TimePoint counterGrewAt;
+    bool isSuspected = false;
+    uint32_t recordSent = 0; /**< transmissions since the record became known or changed */
+    uint32_t updateSent = 0; /**< transmissions since the counter grew */
+};
+
+/** One daemon's view of the membership. */
+struct MemberTable {
+    MemberRecord self;
+    std::map<DaemonId, KnownMember> others;
+    std::map<DaemonId, MemberRecord> removed;
+    std::map<UpdateKey, DaemonId> byKey; /**< known members */
+    std::set<UpdateKey> removedKeys;
+    std::vector<UpdateKey> unknown; /**< keys seen in updates without a known record */
+};
+
+/** Why a daemon has to take a new incarnation. */
+enum class SelfConflict : uint8_t {
+    None,
+    AnnouncedDropped, /**< peers removed this incarnation, for instance during a pause or a partition */
+    NewerRecord, /**< a record of this id is newer than this daemon's own: a second process, or a clock set back */
+};
+
+struct MergeOutcome {
+    std::vector<MemberRecord> changes; /**< members that are new or changed in state, incarnation or revision */
+    SelfConflict conflict = SelfConflict::None;
+    std::optional<MemberRecord> conflictingRecord;
+};
+
+/** Whether a record supersedes another one of the same member: newer incarnation first, then larger counter. */
+bool supersedes(const MemberRecord& candidate, const MemberRecord& present);
+
+/** The record as other modules see it: state Suspected when the member is suspected. */
+MemberRecord visibleRecord(const KnownMember&);
+
+/** Merges a heartbeat or its reply. Late and duplicated ones have no effect. */
+MergeOutcome mergeNews(MemberTable&, const HeartbeatNews&, TimePoint now);
+
+/** Suspects and removes members whose counters stopped growing. Returns the records that changed; removed ones have
+    the state Dropped. */
+std::vector<MemberRecord> expireMembers(MemberTable&, TimePoint now);
+
+/** Peers for the next heartbeat: 2 at random and 1 of another zone, without repeats. */
+std::vector<MemberRecord> chooseHeartbeatTargets(const MemberTable&, std::mt19937_64&);
+
+/** Composes a heartbeat, or the reply to one when the request is given: the own record, what the request asks for, a
+    notice when its sender was removed, and the news that this daemon has passed on least often.
+    @param newsBytes bytes for records and updates */
+HeartbeatNews composeNews(MemberTable&, TimePoint now, std::mt19937_64&, size_t newsBytes, const HeartbeatNews* request = nullptr);
+
+/** Counts one more heartbeat of this daemon. */
+void advanceSelf(MemberTable&);
+
+/** Takes a new incarnation, larger than the conflicting one and than the wall clock in milliseconds. */
+void renewIncarnation(MemberTable&, Incarnation wallClockMilliseconds, const std::optional<MemberRecord>& conflictingRecord);
+
+} // namespace chestnut
--- /dev/null
+++ b/tests/peers/MembershipWorld.cpp
@@ -0,0 +1,186 @@
+#include "MembershipWorld.h"
+
+#include "peers/codec/PeerMessage.h"
+
+#include <algorithm>
+
+namespace chestnut {
+
+namespace {
+
+    /** Bytes that nng adds to a message: a length of 8 bytes and a request id of 4. */
+    constexpr size_t framingBytes = 12;
+    /** Every so many rounds a node contacts an address of the VM list that is not a member, as NngPeerService does. */
+    constexpr uint64_t bootstrapRounds = 5;
+
+    MemberRecord recordOf(size_t index, size_t zones, size_t regions)
+    {
+        auto number = std::to_string(index);
+        auto zone = index % zones;
+        MemberRecord record;
+        record.id = DaemonId("entry-" + number);
+        record.incarnation = 1'700'000'000'000 + index;
+        record.counter = 1;
+        record.state = MemberState::Ready;
+        record.zone = AvailabilityZone("zone-" + std::to_string(zone));
+        record.region = Region("region-" + std::to_string(zone % regions));
+        record.callerAddress = "10.100." + std::to_string(100 + index / 200) + "." + std::to_string(index % 200) + ":8000";
+        record.peerAddress = "10.100." + std::to_string(100 + index / 200) + "." + std::to_string(index % 200) + ":8001";
+        record.revision = 1;
+        return record;
+    }
+
+} // namespace
+
+MembershipWorld::MembershipWorld(size_t count, size_t zones, size_t regions, uint64_t seed)
+    : m_random(seed)
+{
+    nodes.resize(count);
+    for (size_t i = 0; i < count; ++i) {
+        nodes[i].table.self = recordOf(i, zones, regions);
+        nodes[i].phase = Duration(m_random() % static_cast<uint64_t>(heartbeatPeriod.count()));
+    }
+}
+
+void MembershipWorld::introduceAll()
+{
+    for (auto& node : nodes) {
+        for (const auto& other : nodes)
+            mergeNews(node.table, { other.table.self, {}, {}, {}, {} }, m_now);
+        for (auto& [id, member] : node.table.others)
+            member.recordSent = transmissionsPerChange;
+    }
+}
+
+MembershipWorld::Node* MembershipWorld::find(const DaemonId& id)
+{
+    auto node = std::ranges::find_if(nodes, [&](const Node& candidate) { return candidate.table.self.id == id; });
+    return node == nodes.end() ? nullptr : &*node;
+}
+
+std::optional<HeartbeatNews> MembershipWorld::transmit(Node& from, const HeartbeatNews& news)
+{
+    const auto& self = from.table.self;
+    auto bytes = encodePeerMessage({ "tanner-ruddock", {}, self.id, self.incarnation, "heartbeat", encodeNews(news) });
+    from.bytesSent += bytes.size() + framingBytes;
+    ++from.messagesSent;
+    return decodeNews(decodePeerMessage(bytes).value().body);
+}
+
+void MembershipWorld::merge(Node& node, const HeartbeatNews& news)
+{
+    auto outcome = mergeNews(node.table, news, m_now);
+    if (outcome.conflict != SelfConflict::None)
+        renewIncarnation(node.table, 0, outcome.conflictingRecord);
+}
+
+void MembershipWorld::exchange(Node& from, Node& to)
+{
+    auto request = transmit(from, composeNews(from.table, m_now, m_random, newsBytesPerHeartbeat));
+    if (!to.runs || !allows(from, to))
+        return;
+    merge(to, *request);
+    auto reply = transmit(to, composeNews(to.table, m_now, m_random, newsBytesPerHeartbeat, &*request));
+    merge(from, *reply);
+}
+
+void MembershipWorld::beat(Node& node)
+{
+    for (const auto& change : expireMembers(node.table, m_now)) {
+        if (change.state == MemberState::Dropped && find(change.id)->runs)
+            ++removalsOfRunning;
+    }
+    advanceSelf(node.table);
+    // Applies the newest revision heard of, as the configuration service does after it pulled the document.
+    for (const auto& [id, member] : node.table.others)
+        node.table.self.revision = std::max(node.table.self.revision, member.record.revision);
+    for (const auto& target : chooseHeartbeatTargets(node.table, m_random))
+        exchange(node, *find(target.id));
+    if (node.table.self.counter % bootstrapRounds != 0)
+        return;
+    auto& stranger = nodes[m_random() % nodes.size()];
+    if (&stranger != &node && !node.table.others.contains(stranger.table.self.id))
+        exchange(node, stranger);
+}
+
+void MembershipWorld::runRound()
+{
+    std::vector<Node*> order;
+    for (auto& node : nodes)
+        order.push_back(&node);
+    std::ranges::sort(order, {}, &Node::phase);
+    auto start = m_now;
+    for (auto* node : order) {
+        m_now = start + node->phase;
+        if (node->runs)
+            beat(*node);
+    }
+    m_now = start + heartbeatPeriod;
+}
+
+std::optional<size_t> MembershipWorld::runUntil(const std::function<bool()>& condition, size_t limit)
+{
+    for (size_t round = 0; round <= limit; ++round) {
+        if (condition())
+            return round;
+        runRound();
+    }
+    return std::nullopt;
+}
+
+bool MembershipWorld::everyoneKnows(size_t count) const
+{
+    return std::ranges::all_of(nodes, [&](const Node& node) { return !node.runs || node.table.others.size() + 1 == count; });
+}
+
+bool MembershipWorld::everyoneKnowsRevision(Revision revision) const
+{
+    return std::ranges::all_of(nodes, [&](const Node& node) {
+        auto isNewer = [&](const auto& entry) { return entry.second.record.revision >= revision; };
+        return !node.runs || node.table.self.revision >= revision || std::ranges::any_of(node.table.others, isNewer);
+    });
+}
+
+bool MembershipWorld::everyoneSeesRevision(Revision revision) const
+{
+    return std::ranges::all_of(nodes, [&](const Node& node) {
+        auto isNewer = [&](const auto& entry) { return entry.second.record.revision >= revision; };
+        return !node.runs || (node.table.self.revision >= revision && std::ranges::all_of(node.table.others, isNewer));
+    });
+}
+
+bool MembershipWorld::nobodyKnows(const DaemonId& id) const
+{
+    return std::ranges::none_of(nodes, [&](const Node& node) { return node.runs && node.table.others.contains(id); });
+}
+
+size_t MembershipWorld::suspicionsOfRunning() const
+{
+    size_t count = 0;
+    for (const auto& node : nodes) {
+        for (const auto& other : nodes) {
+            auto known = node.table.others.find(other.table.self.id);
+            count += node.runs && other.runs && known != node.table.others.end() && known->second.isSuspected;
+        }
+    }
+    return count;
+}
+
+MembershipWorld::Traffic MembershipWorld::measureTraffic(size_t rounds)
+{
+    for (auto& node : nodes)
+        node.bytesSent = node.messagesSent = 0;
+    for (size_t i = 0; i < rounds; ++i)
+        runRound();
+    Traffic traffic;
+    auto seconds = toSeconds(heartbeatPeriod) * static_cast<double>(rounds);
+    for (const auto& node : nodes) {
+        auto rate = static_cast<double>(node.bytesSent) / seconds;
+        traffic.mean += rate / static_cast<double>(nodes.size());
+        traffic.messages += static_cast<double>(node.messagesSent) / seconds / static_cast<double>(nodes.size());
+        traffic.largest = std::max(traffic.largest, rate);
+    }
+    return traffic;
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/tests/peers/MembershipWorld.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "decisions/membership/Membership.h"
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace chestnut {
+
+/** Many member tables in virtual time. Heartbeats are encoded and decoded as on the wire and delivered at once. */
+class MembershipWorld {
+public:
+    struct Node {
+        MemberTable table;
+        Duration phase { 0 };
+        bool runs = true;
+        uint64_t bytesSent = 0;
+        uint64_t messagesSent = 0;
+    };
+
+    using LinkFilter = std::function<bool(const Node& from, const Node& to)>;
+
+    MembershipWorld(size_t count, size_t zones, size_t regions, uint64_t seed);
+
+    /** Gives every node the records of all others, as after a long quiet time. */
+    void introduceAll();
+    /** Runs one heartbeat period in which every running node sends its heartbeats. */
+    void runRound();
+    /** Rounds until the condition holds, or nothing when it does not hold within the limit. */
+    std::optional<size_t> runUntil(const std::function<bool()>& condition, size_t limit);
+
+    bool everyoneKnows(size_t count) const;
+    bool everyoneKnowsRevision(Revision) const;
+    /** Whether every running node has every other running node's revision. */
+    bool everyoneSeesRevision(Revision) const;
+    bool nobodyKnows(const DaemonId&) const;
+    size_t suspicionsOfRunning() const;
+
+    /** Bytes that one node sends in a second, averaged over the rounds, and the largest node's. */
+    struct Traffic {
+        double mean = 0;
+        double largest = 0;
+        double messages = 0;
+    };
+    Traffic measureTraffic(size_t rounds);
+
+    std::vector<Node> nodes;
+    LinkFilter allows = [](const Node&, const Node&) { return true; };
+    size_t removalsOfRunning = 0; /**< counts removals of nodes that run */
+
+private:
+    void beat(Node&);
+    void exchange(Node& from, Node& to);
+    void merge(Node&, const HeartbeatNews&);
+    Node* find(const DaemonId&);
+    std::optional<HeartbeatNews> transmit(Node& from, const HeartbeatNews&);
+
+    TimePoint m_now { Duration::zero() };
+    std::mt19937_64 m_random;
+};
+
+} // namespace chestnut
