Add NngPeerService over nng REQ/REP

Cause: daemons need membership and messages that a paused or dead peer does not delay. Change: one REQ socket for each peer without resending, 64 contexts on the REP socket, calls bounded at 256 and 32 for each peer, an envelope with deployment, version, sender, incarnation and receiver, and tests on loopback ports. Conclusion: pause, partition, restart, foreign deployments and malformed messages are covered by real sockets.

--- a/bench/membershipcost/main.cpp
+++ b/bench/membershipcost/main.cpp
@@ -57,6 +57,21 @@
     std::printf("  %-44s %zu\n", "running members removed", world.removalsOfRunning);
 }
 
+void measurePartition(size_t members, size_t zones, size_t regions, size_t partitionRounds)
+{
+    MembershipWorld world(members, zones, regions, members);
+    world.introduceAll();
+    world.allows = [](const auto& from, const auto& to) { return from.table.self.region == to.table.self.region; };
+    for (size_t i = 0; i < partitionRounds; ++i)
+        world.runRound();
+    std::printf("%zu members, %zu regions, partitioned for %zu rounds\n", members, regions, partitionRounds);
+    std::printf("  %-44s %zu of %zu\n", "members known to the first", world.nodes[0].table.others.size() + 1, members);
+    world.allows = [](const auto&, const auto&) { return true; };
+    world.removalsOfRunning = 0;
+    printRounds("all know all after healing", world.runUntil([&] { return world.everyoneKnows(members); }, roundLimit));
+    std::printf("  %-44s %zu\n", "running members removed after healing", world.removalsOfRunning);
+}
+
 } // namespace
 
 int main()
@@ -65,7 +80,10 @@
     measure(6, 3, 1);
     measure(50, 4, 1);
     measure(330, 8, 3);
+    measurePartition(12, 4, 2, 3600);
+    measurePartition(330, 8, 3, 30);
     measureColdStart(6, 3, 1);
+    measureColdStart(50, 4, 1);
     measureColdStart(330, 8, 3);
     std::printf("elapsed %.1f s\n", std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count());
 }
--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -29,6 +29,11 @@
         // backends
 
         // peers
+        { EventId::PeerMessageRefused, "peer_message_refused", Severity::Warning, "A message of a peer was refused; logged once a minute for each sender." },
+        { EventId::MemberChanged, "member_changed", Severity::Info, "A member's state, incarnation or revision changed." },
+        { EventId::IncarnationRenewed, "incarnation_renewed", Severity::Warning, "Peers had removed this daemon or knew a newer record of it; it continues with a new incarnation." },
+        { EventId::IdentityConflict, "identity_conflict", Severity::Error, "Another process uses this daemon's id." },
+        { EventId::PeerHandlerFailed, "peer_handler_failed", Severity::Error, "A message handler ended with an exception." },
 
         // claims
 
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -35,6 +35,11 @@
     // backends: 1300 to 1399
 
     // peers: 1400 to 1499
+    PeerMessageRefused = 1400,
+    MemberChanged = 1401,
+    IncarnationRenewed = 1402,
+    IdentityConflict = 1403,
+    PeerHandlerFailed = 1404,
 
     // claims: 1500 to 1599
 
--- a/modules/peers/codec/PeerMessage.cpp
+++ b/modules/peers/codec/PeerMessage.cpp
@@ -200,7 +200,8 @@
 {
     json document { { "deployment", message.deployment },
         { "version", { { "major", message.version.major }, { "minor", message.version.minor } } },
-        { "sender", message.sender.value() }, { "incarnation", message.incarnation }, { "type", message.type }, { "body", message.body } };
+        { "sender", message.sender.value() }, { "incarnation", message.incarnation },
+        { "receiver", message.receiver.value() }, { "type", message.type }, { "body", message.body } };
     std::string bytes;
     json::to_cbor(document, bytes);
     return bytes;
@@ -221,6 +222,8 @@
         || !readId(document, "sender", message.sender) || !readNumber(document, "incarnation", message.incarnation)
         || !readText(document, "type", message.type) || !document.contains("body"))
         return malformed("a field of the envelope is missing or has the wrong type");
+    // Optional: an empty receiver means whoever has the address.
+    readId(document, "receiver", message.receiver);
     message.body = std::move(document["body"]);
     return message;
 } catch (const json::exception& exception) {
@@ -230,7 +233,7 @@
 
 nlohmann::json encodeError(const Error& error)
 {
-    return { { "kind", std::string(answerFor(error.kind).name) }, { "detail", error.detail }, { "retry_after_ms", error.retryAfter.count() } };
+    return { { "kind", std::string(answerFor(error.kind).name) }, { "detail", error.detail }, { "retry_after_ms", static_cast<uint64_t>(error.retryAfter.count()) } };
 }
 
 Error decodeError(const nlohmann::json& body)
--- a/modules/peers/codec/PeerMessage.h
+++ b/modules/peers/codec/PeerMessage.h
@@ -29,6 +29,7 @@
     ProtocolVersion version;
     DaemonId sender;
     Incarnation incarnation = 0;
+    DaemonId receiver; /**< empty when the sender knows only the address */
     std::string type; /**< "error" for an error reply */
     nlohmann::json body;
 
--- /dev/null
+++ b/modules/peers/service/NngPeerService.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "kernel/logging/Log.h"
+#include "kernel/metrics/Metrics.h"
+#include "kernel/settings/SettingsReader.h"
+#include "kernel/timers/TimerService.h"
+#include "peers/codec/PeerMessage.h"
+#include "peers/service/PeerService.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace chestnut {
+
+struct NngPeerOptions {
+    std::string deployment;
+    DaemonId id;
+    AvailabilityZone zone;
+    Region region;
+    std::string callerAddress;
+    Endpoint listenAddress; /**< also announced to peers, with the bound port */
+    std::vector<Endpoint> seeds; /**< peers' addresses from the settings */
+    Incarnation incarnation = 0; /**< wall clock milliseconds at start */
+    uint64_t randomSeed = 0;
+    ProtocolVersion version;
+};
+
+/** Reads the settings vm.id, vm.zone, vm.region, listen.peers, listen.callers, peers.deployment and peers.seeds. */
+NngPeerOptions readPeerOptions(SettingsReader&, Incarnation startedAt, uint64_t randomSeed);
+
+/** Membership and messages over nng. */
+class NngPeerService final : public PeerService {
+public:
+    using Bootstrap = std::function<std::vector<Endpoint>()>;
+    /** Whether a request may be sent to an address; tests use it for partitions. */
+    using LinkFilter = std::function<bool(const std::string& address)>;
+
+    /** @param bootstrap addresses of peers known from elsewhere, such as the VM list */
+    NngPeerService(asio::io_context&, TimerService&, Log&, Metrics&, NngPeerOptions, Bootstrap bootstrap = {}, LinkFilter linkFilter = {});
+    ~NngPeerService() override;
+
+    /** Opens the listener and starts heartbeats. Throws std::runtime_error when the address cannot be bound. */
+    void start() override;
+    asio::awaitable<void> stop() override;
+
+    void handle(std::string type, PeerHandler) override;
+    void extendHeartbeat(HeartbeatExtension) override;
+    asio::awaitable<Result<nlohmann::json>> call(DaemonId receiver, std::string type, nlohmann::json body, Duration timeout) override;
+    std::vector<MemberRecord> members() const override;
+    std::optional<MemberRecord> member(const DaemonId&) const override;
+    const DaemonId& self() const override;
+    Incarnation incarnation() const override;
+    void announceState(MemberState) override;
+    void announceRevision(Revision) override;
+    void announceLoad(uint32_t loadPermille) override;
+    void onMemberChange(std::function<void(const MemberRecord&)>) override;
+
+private:
+    class State;
+
+    std::shared_ptr<State> m_state; // shared with the coroutines that heartbeats and requests run in
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/peers/transport/NngTransport.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/errors/Result.h"
+#include "kernel/settings/SettingsReader.h"
+#include "kernel/timers/TimerService.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chestnut {
+
+/** Requests and replies of bytes over nng REQ/REP on TCP. nng completes operations on its own threads; they are posted
+    to the io_context, on which all callbacks run. Each peer has its own socket, so that a paused or dead one delays no
+    other. A request is sent at most once: nng's resending is off. */
+class NngTransport {
+public:
+    using RequestHandler = std::function<asio::awaitable<std::string>(std::string request)>;
+
+    static constexpr size_t maximumCalls = 256;
+    static constexpr size_t maximumCallsPerPeer = 32;
+    /** Requests handled at once; further ones wait in their connections. */
+    static constexpr size_t maximumRequests = 64;
+
+    NngTransport(asio::io_context&, TimerService&);
+    ~NngTransport();
+
+    /** Opens the listener; port 0 selects a free port. Returns the bound endpoint. Errors: ConnectFailed. */
+    Result<Endpoint> listen(const Endpoint&, RequestHandler);
+
+    /** Errors: ConnectFailed when nothing was sent, OutcomeUnknown when no reply came in time or the connection broke,
+        Overloaded when too many calls are outstanding. */
+    asio::awaitable<Result<std::string>> call(std::string address, std::string request, Duration timeout);
+
+    /** Closes connections that were not used for idleTime. */
+    void closeIdle();
+    /** Forgets the connection to a peer; calls in progress end by themselves. */
+    void disconnect(const std::string& address);
+    /** Ends all calls with an error and takes no further requests. */
+    void close();
+
+private:
+    class PeerSocket;
+    class PendingCall;
+    class Listener;
+
+    static constexpr Duration idleTime = std::chrono::seconds(20);
+
+    Result<std::shared_ptr<PeerSocket>> socketFor(const std::string& address);
+    Result<std::string> concludeCall(const std::string& address, const PendingCall&);
+    size_t activeCalls();
+
+    asio::io_context& m_context;
+    TimerService& m_timers;
+    std::map<std::string, std::shared_ptr<PeerSocket>> m_sockets;
+    std::vector<std::weak_ptr<PendingCall>> m_calls;
+    std::unique_ptr<Listener> m_listener;
+    bool m_isClosed = false;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/tests/peers/MembershipCostTest.cpp
@@ -0,0 +1,53 @@
+#include "MembershipWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+
+namespace {
+
+constexpr double bytesPerSecondLimit = 10'000;
+/** A configuration is in force everywhere within 17 s. */
+constexpr size_t revisionRoundLimit = 17;
+
+struct FleetSize {
+    size_t members;
+    size_t zones;
+    size_t regions;
+};
+
+} // namespace
+
+// Guards against membership traffic that grows with the fleet, revisions that spread too slowly, running members that
+// are removed, and dead ones that stay.
+TEST_CASE("membership meets its targets at 6, 50 and 330 members")
+{
+    for (auto size : { FleetSize { 6, 3, 1 }, FleetSize { 50, 4, 1 }, FleetSize { 330, 8, 3 } }) {
+        CAPTURE(size.members);
+        MembershipWorld world(size.members, size.zones, size.regions, 5);
+        world.introduceAll();
+        for (size_t i = 0; i < 12; ++i)
+            world.runRound();
+        world.nodes[0].table.self.revision = 2;
+        CHECK(world.runUntil([&] { return world.everyoneKnowsRevision(2); }, revisionRoundLimit).has_value());
+        CHECK(world.measureTraffic(10).largest < bytesPerSecondLimit);
+        CHECK(world.removalsOfRunning == 0);
+        world.nodes[1].runs = false;
+        auto dead = world.nodes[1].table.self.id;
+        // 10 s of silence, up to 7 s until the last counter has reached the slowest member.
+        CHECK(world.runUntil([&] { return world.nobodyKnows(dead); }, 17).has_value());
+    }
+}
+
+// Guards against members of another region that stay in the table during a partition, or never return after it.
+TEST_CASE("regions that were partitioned for an hour find each other again")
+{
+    MembershipWorld world(12, 4, 2, 6);
+    world.introduceAll();
+    world.allows = [](const auto& from, const auto& to) { return from.table.self.region == to.table.self.region; };
+    for (size_t i = 0; i < 3600; ++i)
+        world.runRound();
+    CHECK(world.everyoneKnows(6));
+    world.allows = [](const auto&, const auto&) { return true; };
+    CHECK(world.runUntil([&] { return world.everyoneKnows(12); }, 60).has_value());
+}
--- a/tests/peers/MembershipWorld.cpp
+++ b/tests/peers/MembershipWorld.cpp
@@ -61,7 +61,7 @@
 std::optional<HeartbeatNews> MembershipWorld::transmit(Node& from, const HeartbeatNews& news)
 {
     const auto& self = from.table.self;
-    auto bytes = encodePeerMessage({ "tanner-ruddock", {}, self.id, self.incarnation, "heartbeat", encodeNews(news) });
+    auto bytes = encodePeerMessage({ "tanner-ruddock", {}, self.id, self.incarnation, {}, "heartbeat", encodeNews(news) });
     from.bytesSent += bytes.size() + framingBytes;
     ++from.messagesSent;
     return decodeNews(decodePeerMessage(bytes).value().body);
--- /dev/null
+++ b/tests/peers/NngPeerServiceTest.cpp
@@ -0,0 +1,217 @@
+#include "PeerFleet.h"
+#include "peers/transport/NngTransport.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+PeerHandler echoHandler()
+{
+    return [](DaemonId sender, nlohmann::json body) -> asio::awaitable<Result<nlohmann::json>> {
+        co_return nlohmann::json { { "sender", sender.value() }, { "body", std::move(body) } };
+    };
+}
+
+/** Sends bytes as a foreign process would, and returns the decoded reply. */
+std::optional<PeerMessage> sendRaw(PeerFleet& fleet, PeerFleet::Node& receiver, std::string bytes)
+{
+    asio::io_context context;
+    VirtualTimerService timers(context);
+    NngTransport transport(context, timers);
+    std::optional<Result<std::string>> reply;
+    asio::co_spawn(context, transport.call(PeerFleet::addressOf(receiver), std::move(bytes), 2s),
+        [&](const std::exception_ptr&, Result<std::string> value) { reply = std::move(value); });
+    fleet.runUntil([&] {
+        timers.advance(10ms);
+        return reply.has_value();
+    });
+    transport.close();
+    timers.runReady();
+    if (!reply || !*reply)
+        return std::nullopt;
+    auto message = decodePeerMessage(**reply);
+    return message ? std::optional(*message) : std::nullopt;
+}
+
+MemberState stateSeenBy(const PeerFleet::Node& node, const char* id)
+{
+    auto record = node.service->member(DaemonId(id));
+    return record ? record->state : MemberState::Dropped;
+}
+
+} // namespace
+
+// Guards against members that never learn of each other, and against announcements that stay with direct peers.
+TEST_CASE("daemons find each other through one seed and learn announced values")
+{
+    PeerFleet fleet;
+    for (const auto* id : { "a", "b", "c", "d" })
+        fleet.add(id);
+    REQUIRE(fleet.runUntilAllKnow(4));
+    size_t changes = 0;
+    fleet.nodes[3]->service->onMemberChange([&](const MemberRecord& record) { changes += record.revision == 7; });
+    fleet.nodes[0]->service->announceRevision(7);
+    fleet.nodes[0]->service->announceState(MemberState::Ready);
+    CHECK(fleet.runUntil([&] { return fleet.nodes[3]->service->member(DaemonId("a"))->revision == 7; }));
+    CHECK(stateSeenBy(*fleet.nodes[3], "a") == MemberState::Ready);
+    CHECK(changes > 0);
+    CHECK(fleet.nodes[0]->metrics.value("chestnut_peer_bytes_total", { { "direction", "sent" } }) > 0);
+}
+
+// Guards against heartbeat extensions that are sent but not delivered, or delivered with another sender.
+TEST_CASE("a heartbeat extension reaches the peer with its sender")
+{
+    PeerFleet fleet;
+    std::set<std::string> seen;
+    for (const auto* id : { "a", "b" }) {
+        fleet.add(id).service->extendHeartbeat({ "suspects", [id] { return nlohmann::json(id); },
+            [&](const DaemonId& sender, const nlohmann::json& value) { seen.insert(sender.value() + "=" + value.get<std::string>()); } });
+    }
+    CHECK(fleet.runUntil([&] { return seen == std::set<std::string> { "a=a", "b=b" }; }));
+}
+
+// Guards against calls that report a wrong outcome: a call that may have run must not be reported as not run.
+TEST_CASE("a call reports whether it may have run")
+{
+    PeerFleet fleet;
+    auto& a = fleet.add("a");
+    auto& b = fleet.add("b");
+    b.service->handle("echo", echoHandler());
+    b.service->handle("fail", [](DaemonId, nlohmann::json) -> asio::awaitable<Result<nlohmann::json>> {
+        co_return makeError(ErrorKind::KeyConflict, "another body");
+    });
+    REQUIRE(fleet.runUntilAllKnow(2));
+    CHECK(fleet.call(a, "b", "echo", 5)->value() == nlohmann::json { { "sender", "a" }, { "body", 5 } });
+    CHECK(fleet.call(a, "b", "fail", 5)->error() == makeError(ErrorKind::KeyConflict, "another body"));
+    CHECK(fleet.call(a, "b", "missing", 5)->error().kind == ErrorKind::NotFound);
+    CHECK(fleet.call(a, "stranger", "echo", 5)->error().kind == ErrorKind::ConnectFailed);
+    CHECK(fleet.call(a, "b", "echo", std::string(maximumPeerMessageBytes, 'x'))->error().kind == ErrorKind::BodyTooLarge);
+    b.isPaused = true;
+    CHECK(fleet.call(a, "b", "echo", 5)->error().kind == ErrorKind::OutcomeUnknown);
+    b.service.reset();
+    auto afterDeath = fleet.call(a, "b", "echo", 5)->error().kind;
+    CHECK((afterDeath == ErrorKind::OutcomeUnknown || afterDeath == ErrorKind::ConnectFailed));
+}
+
+// Guards against a paused peer that delays messages to others, and against a resumed one that keeps an incarnation which
+// its peers have removed.
+TEST_CASE("a paused daemon is suspected and removed, delays nobody, and returns with a new incarnation")
+{
+    PeerFleet fleet;
+    for (const auto* id : { "a", "b", "c" })
+        fleet.add(id).service->handle("echo", echoHandler());
+    REQUIRE(fleet.runUntilAllKnow(3));
+    auto& paused = *fleet.nodes[2];
+    auto before = paused.service->incarnation();
+    paused.isPaused = true;
+    CHECK(fleet.runUntil([&] { return stateSeenBy(*fleet.nodes[0], "c") == MemberState::Suspected; }));
+    CHECK(fleet.call(*fleet.nodes[0], "b", "echo", 1)->has_value());
+    CHECK(fleet.runUntil([&] { return !fleet.nodes[0]->service->member(DaemonId("c")) && !fleet.nodes[1]->service->member(DaemonId("c")); }));
+    paused.isPaused = false;
+    REQUIRE(fleet.runUntil([&] { return fleet.nodes[0]->service->member(DaemonId("c")) && fleet.nodes[1]->service->member(DaemonId("c")); }));
+    CHECK(paused.service->incarnation() > before);
+    CHECK_FALSE(paused.log.recent(EventId::IncarnationRenewed).empty());
+}
+
+// Guards against two sides of a partition that never find each other again.
+TEST_CASE("a partition removes the other side and heals")
+{
+    PeerFleet fleet;
+    for (const auto* id : { "a", "b", "c", "d" })
+        fleet.add(id);
+    REQUIRE(fleet.runUntilAllKnow(4));
+    for (size_t i = 0; i < 4; ++i) {
+        for (size_t j = 0; j < 4; ++j) {
+            if (i % 2 != j % 2)
+                fleet.nodes[i]->cutAddresses.insert(PeerFleet::addressOf(*fleet.nodes[j]));
+        }
+    }
+    REQUIRE(fleet.runUntilAllKnow(2));
+    for (auto& node : fleet.nodes)
+        node->cutAddresses.clear();
+    CHECK(fleet.runUntilAllKnow(4));
+}
+
+// Guards against a restarted daemon that its peers ignore because its counter starts again.
+TEST_CASE("a restarted daemon is known by its new incarnation and address")
+{
+    PeerFleet fleet;
+    auto& a = fleet.add("a");
+    auto& b = fleet.add("b");
+    REQUIRE(fleet.runUntilAllKnow(2));
+    b.service.reset();
+    fleet.open(b, "b", 2000);
+    CHECK(fleet.runUntil([&] {
+        auto record = a.service->member(DaemonId("b"));
+        return record && record->incarnation == 2000 && record->peerAddress == PeerFleet::addressOf(b);
+    }));
+}
+
+// Guards against two processes with one id that go unnoticed.
+TEST_CASE("two processes with one id are reported as a conflict")
+{
+    PeerFleet fleet;
+    fleet.add("a");
+    fleet.add("twin", 1000);
+    fleet.add("twin", 3000);
+    CHECK(fleet.runUntil([&] {
+        return !fleet.nodes[1]->log.recent(EventId::IdentityConflict).empty() || !fleet.nodes[2]->log.recent(EventId::IdentityConflict).empty();
+    }));
+}
+
+// Guards against daemons of two deployments or of incompatible versions that join one membership.
+TEST_CASE("messages of another deployment or major version are refused and logged once a minute")
+{
+    PeerFleet fleet;
+    auto& a = fleet.add("a");
+    auto& foreign = fleet.add("x", 1000, "other");
+    auto& future = fleet.add("y", 1000, "test", { 2, 0 });
+    auto refusals = [&] { return a.metrics.value("chestnut_peer_messages_refused_total"); };
+    REQUIRE(fleet.runUntil([&] { return a.log.recent("sender", "x").size() + a.log.recent("sender", "y").size() == 2 && refusals() > 3; }));
+    CHECK(a.service->members().size() == 1);
+    CHECK(foreign.service->members().size() == 1);
+    CHECK(future.service->members().size() == 1);
+    CHECK(a.log.recent(EventId::PeerMessageRefused).size() == 2);
+}
+
+// Guards against a newer minor version that breaks older daemons, and against messages for a daemon that had the address
+// before.
+TEST_CASE("unknown fields are skipped and messages for another daemon are refused")
+{
+    PeerFleet fleet;
+    auto& a = fleet.add("a");
+    a.service->handle("echo", echoHandler());
+    auto document = nlohmann::json::from_cbor(encodePeerMessage({ "test", { 1, 9 }, DaemonId("z"), 5, DaemonId("a"), "echo", 1 }));
+    document["added_later"] = { 1, { { "x", nullptr } } };
+    std::string bytes;
+    nlohmann::json::to_cbor(document, bytes);
+    auto reply = sendRaw(fleet, a, bytes);
+    REQUIRE(reply);
+    CHECK(reply->body == nlohmann::json { { "sender", "z" }, { "body", 1 } });
+    auto misdirected = sendRaw(fleet, a, encodePeerMessage({ "test", {}, DaemonId("z"), 5, DaemonId("b"), "echo", 1 }));
+    REQUIRE(misdirected);
+    CHECK(decodeError(misdirected->body).kind == ErrorKind::NotFound);
+}
+
+// Guards against malformed or oversized messages that crash the daemon, occupy a context or stop its answers to others.
+TEST_CASE("oversized and malformed messages are refused and the daemon goes on")
+{
+    PeerFleet fleet;
+    auto& a = fleet.add("a");
+    a.service->handle("echo", echoHandler());
+    CHECK_FALSE(sendRaw(fleet, a, std::string(maximumPeerMessageBytes + 1, 'x')));
+    std::mt19937_64 random(7);
+    auto valid = encodePeerMessage({ "test", {}, DaemonId("z"), 5, {}, "heartbeat", encodeNews({}) });
+    for (int i = 0; i < 100; ++i) {
+        auto bytes = valid;
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+        (void)sendRaw(fleet, a, bytes.substr(0, random() % 8 ? bytes.size() : random() % bytes.size()));
+    }
+    auto reply = sendRaw(fleet, a, encodePeerMessage({ "test", {}, DaemonId("z"), 5, {}, "echo", 1 }));
+    REQUIRE(reply);
+    CHECK(reply->type == "reply");
+}
--- /dev/null
+++ b/tests/peers/PeerMessageTest.cpp
@@ -0,0 +1,77 @@
+#include "peers/codec/PeerMessage.h"
+#include "support/FixedSeed.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+
+namespace {
+
+HeartbeatNews sampleNews()
+{
+    HeartbeatNews news;
+    news.own = { DaemonId("a"), 1'700'000'000'000, 77, MemberState::Ready, AvailabilityZone("z"), Region("r"), "10.0.0.1:8000", "10.0.0.1:8001", 9, 640 };
+    news.records = { news.own };
+    news.updates = { { 0xfffffffe, 65535, MemberState::Leaving, true, 2040 }, { 1, 2, MemberState::Joining, false, 0 } };
+    news.unknown = { 5 };
+    news.silent = { 6, 7 };
+    return news;
+}
+
+PeerMessage sampleMessage()
+{
+    return { "test", {}, DaemonId("a"), 5, DaemonId("b"), "heartbeat", encodeNews(sampleNews()) };
+}
+
+/** Decodes as a receiver does; returns normally for any bytes. */
+void receive(const std::string& bytes)
+{
+    auto message = decodePeerMessage(bytes);
+    if (!message)
+        return;
+    if (auto news = decodeNews(message->body)) {
+        RC_ASSERT(news->records.size() <= recordsPerHeartbeat);
+        RC_ASSERT(news->updates.size() <= updatesPerHeartbeat);
+        MemberTable table;
+        mergeNews(table, *news, TimePoint(Duration(0)));
+    }
+    decodeError(message->body);
+}
+
+} // namespace
+
+// Guards against a field that is lost or changed between encoder and decoder.
+TEST_CASE("messages keep their value on the wire")
+{
+    auto decoded = decodePeerMessage(encodePeerMessage(sampleMessage()));
+    REQUIRE(decoded.has_value());
+    CHECK(*decoded == sampleMessage());
+    CHECK(decodeNews(decoded->body) == sampleNews());
+    Error error { ErrorKind::Overloaded, "queue full", std::chrono::milliseconds(250) };
+    CHECK(decodeError(encodeError(error)) == error);
+}
+
+// Guards against a stack overflow: the CBOR parser recurses for each level of nesting.
+TEST_CASE("a deeply nested message is refused")
+{
+    CHECK(decodePeerMessage(std::string(maximumPeerMessageBytes, '\x81')).error().kind == ErrorKind::ProtocolError);
+    CHECK(decodePeerMessage(std::string(maximumPeerMessageBytes + 1, '\x81')).error().kind == ErrorKind::BodyTooLarge);
+}
+
+// Guards against a crash or an exception on bytes that no daemon would send.
+TEST_CASE("random bytes are refused without an exception")
+{
+    CHECK(checkWithSeed("random bytes", 11, 3000, [] { receive(*rc::gen::arbitrary<std::string>()); }));
+}
+
+TEST_CASE("mutated messages are refused or read without an exception")
+{
+    CHECK(checkWithSeed("mutated messages", 12, 3000, [] {
+        auto bytes = encodePeerMessage(sampleMessage());
+        auto changes = *rc::gen::container<std::vector<std::pair<uint16_t, char>>>(rc::gen::arbitrary<std::pair<uint16_t, char>>());
+        for (auto [position, value] : changes)
+            bytes[position % bytes.size()] = value;
+        auto length = *rc::gen::inRange<size_t>(0, bytes.size() * 2);
+        receive(bytes.substr(0, length));
+    }));
+}
