--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -17,6 +17,7 @@
 #include "decisions/leases/Lease.h"
 #include "decisions/leases/Order.h"
 #include "decisions/membership/Member.h"
+#include "decisions/membership/Membership.h"
 #include "decisions/retries/Retries.h"
 #include "decisions/roles/Roles.h"
 #include "decisions/routing/PrefixIndex.h"
