--- a/programs/chestnutrouted/DaemonSettings.cpp
+++ b/programs/chestnutrouted/DaemonSettings.cpp
@@ -47,9 +47,7 @@
 
     void readPlatform(SettingsReader& reader, DaemonSettings& settings)
     {
-        settings.keyValueService = reader.endpoint("platform", "key_value_service");
-        settings.keyValueReadsPerSecond = reader.number("platform", "reads_per_second", settings.keyValueReadsPerSecond, 0.1, 2000);
-        settings.keyValueWritesPerSecond = reader.number("platform", "writes_per_second", settings.keyValueWritesPerSecond, 0.1, 500);
+    settings.platform = readPlatformSettings(reader);
         settings.vmListPeriod = reader.duration("platform", "vm_list_period", settings.vmListPeriod, 500ms, 1min);
         settings.vmPeerPort = static_cast<uint16_t>(reader.integer("platform", "vm_peer_port", 0, 0, 65535));
     }
