Probe an outage only once and bound one recorded answer

Cause: when another call ended an outage while its probe slept, the next outage started a second probe. A recorded answer of up to 8 MB would have been sent in one message between daemons.

Change: PlatformClient remembers that a probe runs. RecordedAnswers keeps responses of at most 1 MB.

--- a/modules/claims/answers/RecordedAnswers.cpp
+++ b/modules/claims/answers/RecordedAnswers.cpp
@@ -1,5 +1,7 @@
 #include "claims/answers/RecordedAnswers.h"
 
+#include <algorithm>
+
 namespace chestnut {
 
 namespace {
@@ -21,7 +23,7 @@
 {
     expire(now);
     auto bytes = sizeOf(answer.response);
-    if (bytes > m_byteLimit || m_byId.contains(answer.id))
+    if (bytes > std::min(m_byteLimit, maximumAnswerBytes) || m_byId.contains(answer.id))
         return;
     while (m_bytes + bytes > m_byteLimit)
         dropOldest();
--- a/modules/claims/answers/RecordedAnswers.h
+++ b/modules/claims/answers/RecordedAnswers.h
@@ -22,13 +22,15 @@
 public:
     static constexpr Duration lifetime = std::chrono::minutes(10);
     static constexpr size_t maximumBytes = 8 << 20;
+    /** One response at most, which bounds a message between daemons. */
+    static constexpr size_t maximumAnswerBytes = 1 << 20;
 
     explicit RecordedAnswers(size_t byteLimit = maximumBytes)
         : m_byteLimit(byteLimit)
     {
     }
 
-    /** Drops the oldest responses for it; a response above the limit is not kept. */
+    /** Drops the oldest responses for it; a response above a limit is not kept. */
     void add(RecordedAnswer, TimePoint now);
     std::optional<RecordedAnswer> find(const Digest& id, TimePoint now);
 
--- a/modules/platform/client/PlatformClient.cpp
+++ b/modules/platform/client/PlatformClient.cpp
@@ -176,6 +176,10 @@
         return;
     m_isInOutage = true;
     m_log.write(EventId::PlatformLost, { { "detail", detail } });
+    // The probe of the previous outage may still be asleep when another call ended that outage.
+    if (m_isProbing)
+        return;
+    m_isProbing = true;
     asio::co_spawn(m_executor, probeUntilRestored(shared_from_this()), asio::detached);
 }
 
@@ -189,6 +193,7 @@
         auto response = co_await self->m_transport(std::move(request), self->m_settings.callTimeout);
         self->judge(probe, std::move(response));
     }
+    self->m_isProbing = false;
 }
 
 Duration PlatformClient::nextBackoff()
--- a/modules/platform/client/PlatformClient.h
+++ b/modules/platform/client/PlatformClient.h
@@ -78,6 +78,7 @@
     TokenBucket m_reads;
     TokenBucket m_writes;
     bool m_isInOutage = false;
+    bool m_isProbing = false;
     bool m_isBudgetExhausted = false;
     unsigned m_consecutiveFailures = 0;
     /** Reads started before a write ended are not merged with reads started after it, which must see the write. */
--- a/tests/claims/ClaimFleet.h
+++ b/tests/claims/ClaimFleet.h
@@ -49,6 +49,8 @@
     /** Claims and lets enough time pass for any answer. */
     std::shared_ptr<ClaimAttempt> claimAndWait(size_t daemon, const std::string& key, const std::string& body = "body");
     void complete(size_t daemon, const std::string& key, const std::string& answer);
+    /** Takes back the dispatch of a call that the daemon runs, before it sent a byte. */
+    void abandon(size_t daemon, const std::string& key);
     void advance(Duration duration) { timers.advance(duration); }
 
     /** A key whose shard prefers the given daemon, with the fleet's present time. */
@@ -75,6 +77,7 @@
     std::vector<std::unique_ptr<FleetDaemon>> m_daemons;
     std::vector<std::unique_ptr<FleetDaemon>> m_dead; // their coroutines still refer to them
     std::map<std::string, unsigned> m_dispatches;
+    std::map<std::string, FleetDaemon*> m_runningAt;
     Incarnation m_lastIncarnation = 0;
     unsigned m_lastKey = 0;
 };
