--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -48,6 +48,7 @@
         { EventId::StreamResumed, "stream_resumed", Severity::Info, "A caller resumed a stream." },
         { EventId::FrontendStopping, "frontend_stopping", Severity::Info, "The callers' listener takes no new work and finishes what it has." },
         { EventId::FrontendStopped, "frontend_stopped", Severity::Info, "No caller request is in progress any more." },
+        { EventId::AnswerCrossed, "answer_crossed", Severity::Warning, "An engine sent the answer of another request; the stream is joined again." },
 
         // operations
     });
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -54,6 +54,7 @@
     StreamResumed = 2010,
     FrontendStopping = 2011,
     FrontendStopped = 2012,
+    AnswerCrossed = 2013,
 
     // operations: 2100 to 2199
 };
--- a/modules/frontend/completions/EngineAttempt.h
+++ b/modules/frontend/completions/EngineAttempt.h
@@ -18,7 +18,8 @@
     std::optional<Error> error;
     bool isDone = false; /**< the last token is in the queue or was taken */
     bool isAbandoned = false;
-    bool isResumption = false; /**< joins a stream that the engine holds */
+    uint64_t lastIndex = 0; /**< of the newest token read */
+    uint32_t rejoins = 0; /**< after crossed answers */
     std::shared_ptr<Signal> news; /**< of the session */
     std::shared_ptr<Signal> space; /**< wakes the reader when the queue has room */
 };
--- a/modules/frontend/completions/RequestSession.cpp
+++ b/modules/frontend/completions/RequestSession.cpp
@@ -148,6 +148,7 @@
 void RequestSession::startAttempt(Dispatched dispatched)
 {
     auto attempt = makeAttempt(*m_state, std::move(dispatched), m_news);
+    attempt->lastIndex = m_sent;
     CompletionCall call;
     call.request = attempt->id;
     call.target = m_record->target;
