Serve prefills by priority in the engine double

Cause: with prefills in order of arrival, live work waited behind batch prefills inside the double, which a priority-scheduling engine does not do.

Change: the double prefills in chunks of 512 tokens, the most urgent request first.

--- a/standins/enginestandin/EngineSimulator.cpp
+++ b/standins/enginestandin/EngineSimulator.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 
 namespace chestnut {
@@ -13,6 +15,7 @@
 namespace {
 
     constexpr Duration samplePeriod = std::chrono::milliseconds(50);
+    constexpr double prefillChunk = 512; /**< tokens */
     constexpr size_t keptSamples = 1200;
     constexpr size_t keptFinishedJobs = 256; /**< finished streams that can still be resumed */
     constexpr size_t keptEvents = 4096;
@@ -94,11 +97,12 @@
     if (!faults.crashPrompt.empty() && job->body.prompt.find(faults.crashPrompt) != std::string::npos)
         std::abort();
     auto text = job->body.prompt + job->body.resumeText;
-    auto prefillTokens = std::max(1.0, static_cast<double>(text.size()) / charactersPerToken - self->cachePrompt(job->body.prompt));
-    auto now = self->m_timers.now();
-    auto prefillTime = fromSeconds(prefillTokens / self->m_settings.prefillTokensPerSecond * faults.slowFactor);
-    self->m_prefillFreeAt = std::max(now, self->m_prefillFreeAt) + prefillTime;
-    co_await self->m_timers.sleep(self->m_prefillFreeAt - now);
+    job->prefillTokens = std::max(1.0, static_cast<double>(text.size()) / charactersPerToken - self->cachePrompt(job->body.prompt));
+    self->m_prefills.push_back(job);
+    if (!std::exchange(self->m_isPrefilling, true))
+        asio::co_spawn(self->m_context, prefillLoop(self), asio::detached);
+    boost::system::error_code ignored;
+    co_await job->prefilled.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     while (!job->isCut && job->producedTokens < job->totalTokens) {
         ++job->producedTokens;
         job->changed.cancel();
@@ -110,6 +114,22 @@
     self->startWaiting();
 }
 
+asio::awaitable<void> EngineSimulator::prefillLoop(std::shared_ptr<EngineSimulator> self)
+{
+    while (!self->m_prefills.empty()) {
+        auto job = *std::ranges::min_element(self->m_prefills, {}, [](const auto& waiting) { return std::pair(waiting->priority, waiting->arrival); });
+        auto chunk = job->isCut ? job->prefillTokens : std::min(prefillChunk, job->prefillTokens);
+        if (!job->isCut)
+            co_await self->m_timers.sleep(fromSeconds(chunk / self->m_settings.prefillTokensPerSecond * self->m_faults.slowFactor));
+        job->prefillTokens -= chunk;
+        if (job->prefillTokens > 0)
+            continue;
+        std::erase(self->m_prefills, job);
+        job->prefilled.cancel();
+    }
+    self->m_isPrefilling = false;
+}
+
 void EngineSimulator::finish(EngineJob& job)
 {
     job.isFinished = true;
@@ -174,7 +194,7 @@
             continue;
         auto promptTokens = static_cast<double>(job->body.prompt.size()) / charactersPerToken;
         if (job->producedTokens == job->body.resumeAfter)
-            load.queuedPrefillTokens += promptTokens;
+            load.queuedPrefillTokens += job->isRunning ? job->prefillTokens : promptTokens;
         load.queuedDecodeTokens += static_cast<double>(job->totalTokens - std::min(job->totalTokens, job->producedTokens));
         heldTokens += promptTokens + static_cast<double>(job->totalTokens);
     }
--- a/standins/enginestandin/EngineSimulator.h
+++ b/standins/enginestandin/EngineSimulator.h
@@ -18,6 +18,7 @@
 struct EngineJob {
     explicit EngineJob(asio::io_context& context)
         : changed(context, asio::steady_timer::time_point::max())
+        , prefilled(context, asio::steady_timer::time_point::max())
     {
     }
 
@@ -31,6 +32,8 @@
     bool isRunning = false;
     bool isFinished = false;
     bool isCut = false; /**< cancelled or interrupted: its readers end without [DONE] */
+    double prefillTokens = 0; /**< still to be done */
+    asio::steady_timer prefilled; /**< cancelled when the prefill is done */
     asio::steady_timer changed; /**< cancelled at each change, which wakes the readers */
 };
 
@@ -66,6 +69,8 @@
     void sampleLoad();
     void startWaiting();
     static asio::awaitable<void> run(std::shared_ptr<EngineSimulator>, std::shared_ptr<EngineJob>);
+    /** Serves the prefills in chunks, the most urgent one first. */
+    static asio::awaitable<void> prefillLoop(std::shared_ptr<EngineSimulator>);
     double cachePrompt(const std::string& prompt);
     void addEvent(bool isStored, uint64_t hash);
     void finish(EngineJob&);
@@ -81,7 +86,8 @@
     uint64_t m_changes = 0;
     uint64_t m_interrupted = 0;
     uint32_t m_running = 0;
-    TimePoint m_prefillFreeAt {};
+    std::vector<std::shared_ptr<EngineJob>> m_prefills;
+    bool m_isPrefilling = false;
     std::map<RequestId, std::shared_ptr<EngineJob>> m_jobs;
     std::deque<RequestId> m_finished;
     std::vector<std::shared_ptr<EngineJob>> m_waiting;
