Weigh the decode time of live work by a tenth when routing

Cause: live work chose engines by the time to the last token and crowded those in the decode role, whose prefill is slow. Change: the cost of a replica for live work is the time to first token plus a tenth of the decode time; batch work counts all of it.

--- a/modules/decisions/routing/Routing.cpp
+++ b/modules/decisions/routing/Routing.cpp
@@ -15,6 +15,8 @@
     constexpr size_t sampledCandidates = 3;
     /** A replica above this multiple of the candidates' mean load gets no affinity bonus. */
     constexpr double affinityLoadBound = 1.25;
+    /** Weight of the decode time in the cost of a live request. */
+    constexpr double liveDecodeWeight = 0.1;
     constexpr double probationShare = 1.0 / 20;
     /** Proximity weight of a replica this far away is half of that of a replica in the own zone. */
     constexpr double halfWeightDelaySeconds = 0.005;
@@ -172,12 +174,20 @@
         return candidates;
     }
 
+    /** Live work waits for its first token; the pace of the others matters less. Batch work waits for the last token. */
+    double routingCost(const RouteRequest& request, const ReplicaEstimate& estimate)
+    {
+        auto decode = toSeconds(estimate.serviceTime - estimate.timeToFirstToken);
+        auto weight = request.priorityClass == PriorityClass::Live ? liveDecodeWeight : 1;
+        return toSeconds(estimate.timeToFirstToken) + weight * decode;
+    }
+
     RouteDecision decide(const RouteRequest& request, std::span<const ReplicaView> views, std::span<const size_t> indices, TimePoint now)
     {
         RouteDecision decision;
         decision.considered = evaluate(request, views, indices, now);
-        auto best = std::ranges::min_element(decision.considered, {}, [](const RouteCandidate& candidate) {
-            return candidate.estimate.serviceTime;
+        auto best = std::ranges::min_element(decision.considered, {}, [&](const RouteCandidate& candidate) {
+            return routingCost(request, candidate.estimate);
         });
         decision.chosen = *best;
         decision.reason = best->cachedTokens > 0 ? RouteReason::PrefixAffinity : RouteReason::LeastExpectedTime;
