--- /dev/null
+++ b/modules/decisions/roles/Roles.cpp
@@ -0,0 +1,152 @@
+#include "decisions/roles/Roles.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chestnut {
+
+namespace {
+
+    /** Demand is averaged over this time; the mix shifts within minutes and swings within seconds. */
+    constexpr Duration demandMemory = std::chrono::seconds(20);
+    /** Work above this share of the engines' time is counted as late. */
+    constexpr double usableShare = 0.9;
+    constexpr size_t enginesPerAbsence = 10;
+
+    struct Supply {
+        double engines = 0;
+        double guaranteedPrefill = 0; /**< engines' worth of time that roles guarantee to prefill */
+        double squaredShares = 0; /**< sum of the squares of these shares */
+        double prefillTokensPerSecond = 0; /**< if all engines did only this */
+        double decodeTokensPerSecond = 0;
+    };
+
+    void addEngine(Supply& supply, const RoleEngine& engine, EngineRole role, double sign)
+    {
+        supply.engines += sign;
+        supply.guaranteedPrefill += sign * prefillShareOf(role);
+        supply.squaredShares += sign * prefillShareOf(role) * prefillShareOf(role);
+        supply.prefillTokensPerSecond += sign * engine.rates.prefillTokensPerSecond;
+        supply.decodeTokensPerSecond += sign * engine.rates.decodeTokensPerSecond * engine.slots;
+    }
+
+    Supply supplyOf(std::span<const RoleEngine> engines)
+    {
+        Supply supply;
+        for (const auto& engine : engines)
+            addEngine(supply, engine, engine.role, 1);
+        return supply;
+    }
+
+    /** Engine seconds of late work each second. An engine gives time that one kind of work leaves idle to the other, so
+        roles matter only when both together exceed the usable time. Lateness counts by its square over the time that
+        the kind needs: a small delay of both kinds is better than a long one of a single kind. */
+    double lateWork(const MixDemand& demand, const Supply& supply)
+    {
+        if (supply.engines <= 0)
+            return demand.prefillTokensPerSecond + demand.decodeTokensPerSecond;
+        auto prefill = supply.engines * demand.prefillTokensPerSecond / std::max(1.0, supply.prefillTokensPerSecond);
+        auto decode = supply.engines * demand.decodeTokensPerSecond / std::max(1.0, supply.decodeTokensPerSecond);
+        auto usable = usableShare * supply.engines;
+        auto prefillShare = usableShare * supply.guaranteedPrefill;
+        auto latePrefill = std::max(0.0, prefill - std::max(prefillShare, usable - decode));
+        auto lateDecode = std::max(0.0, decode - std::max(usable - prefillShare, usable - prefill));
+        auto squared = [](double late, double needed) { return needed > 0 ? late * late / needed : 0; };
+        return squared(latePrefill, prefill) + squared(lateDecode, decode);
+    }
+
+    /** Engine seconds lost each second because tokens or prefill are slow at engines whose role does not fit the mix:
+        the square of the difference between the guaranteed share and the mix, for the time that engines are busy. */
+    double mismatch(const MixDemand& demand, const Supply& supply)
+    {
+        auto prefill = demand.prefillTokensPerSecond / std::max(1.0, supply.prefillTokensPerSecond);
+        auto decode = demand.decodeTokensPerSecond / std::max(1.0, supply.decodeTokensPerSecond);
+        auto busy = prefill + decode;
+        if (busy <= 0)
+            return 0;
+        auto mix = prefill / busy;
+        return std::min(1.0, busy) * (supply.squaredShares - 2 * mix * supply.guaranteedPrefill + supply.engines * mix * mix);
+    }
+
+    double lostWork(const MixDemand& demand, const Supply& supply)
+    {
+        return lateWork(demand, supply) + mismatch(demand, supply);
+    }
+
+    bool isOverloaded(const MixDemand& demand, const Supply& supply)
+    {
+        auto prefill = demand.prefillTokensPerSecond / std::max(1.0, supply.prefillTokensPerSecond);
+        auto decode = demand.decodeTokensPerSecond / std::max(1.0, supply.decodeTokensPerSecond);
+        return prefill + decode > 1;
+    }
+
+    bool staysAboveFloor(const RoleEngine& engine, std::span<const RoleEngine> engines, uint32_t minimumPerZone)
+    {
+        auto available = std::ranges::count_if(engines, [&](const RoleEngine& other) {
+            return other.zone == engine.zone && !other.isAway;
+        });
+        return static_cast<uint32_t>(available) > minimumPerZone;
+    }
+
+    bool mayChange(const RoleEngine& engine, std::span<const RoleEngine> engines, uint32_t minimumPerZone, TimePoint now)
+    {
+        return engine.policy == RolePolicy::Automatic && !engine.isAway && now - engine.roleSince >= roleDwell
+            && staysAboveFloor(engine, engines, minimumPerZone);
+    }
+
+    double gainOf(const MixDemand& demand, const Supply& supply, const RoleEngine& engine, EngineRole to)
+    {
+        auto changed = supply;
+        addEngine(changed, engine, engine.role, -1);
+        auto absence = std::max(0.0, lateWork(demand, changed) - lateWork(demand, supply)) * toSeconds(roleChangeCost);
+        addEngine(changed, engine, to, 1);
+        auto saved = (lostWork(demand, supply) - lostWork(demand, changed)) * toSeconds(roleHorizon - roleChangeCost);
+        auto cost = std::max(toSeconds(roleChangeCost), absence);
+        return saved - cost * (1 + roleDeadBand);
+    }
+
+} // namespace
+
+double prefillShareOf(EngineRole role)
+{
+    switch (role) {
+    case EngineRole::Prefill:
+        return 0.8;
+    case EngineRole::Decode:
+        return 0.2;
+    case EngineRole::Mixed:
+        break;
+    }
+    return 0.5;
+}
+
+MixDemand smoothedDemand(const MixDemand& mean, const MixDemand& sample, Duration elapsed)
+{
+    auto weight = 1 - std::exp(-toSeconds(elapsed) / toSeconds(demandMemory));
+    return { mean.prefillTokensPerSecond + (sample.prefillTokensPerSecond - mean.prefillTokensPerSecond) * weight,
+        mean.decodeTokensPerSecond + (sample.decodeTokensPerSecond - mean.decodeTokensPerSecond) * weight };
+}
+
+std::optional<RoleChange> decideRoleChange(const MixDemand& demand, std::span<const RoleEngine> engines, uint32_t minimumPerZone, TimePoint now)
+{
+    auto away = static_cast<size_t>(std::ranges::count_if(engines, &RoleEngine::isAway));
+    if (away + 1 > std::max<size_t>(1, engines.size() / enginesPerAbsence))
+        return std::nullopt;
+    auto supply = supplyOf(engines);
+    // A role change adds no capacity: while the fleet is overloaded, an engine less makes it worse.
+    if (isOverloaded(demand, supply))
+        return std::nullopt;
+    std::optional<RoleChange> best;
+    for (const auto& engine : engines) {
+        if (!mayChange(engine, engines, minimumPerZone, now))
+            continue;
+        for (auto to : { EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode }) {
+            auto gain = to == engine.role ? 0 : gainOf(demand, supply, engine, to);
+            if (gain > 0 && (!best || gain > best->expectedGain))
+                best = RoleChange { engine.id, engine.role, to, gain };
+        }
+    }
+    return best;
+}
+
+} // namespace chestnut
--- a/modules/decisions/routing/Routing.h
+++ b/modules/decisions/routing/Routing.h
@@ -24,7 +24,7 @@
     double queuedPrefillTokens = 0;
     double queuedDecodeTokens = 0;
     uint32_t running = 0;
-    uint32_t freeBlocks = 0;
+    uint32_t freeBlocks = 0; /**< free or holding prefixes that no running request uses */
     TimePoint measuredAt; /**< when the replica measured it, not when it arrived */
 
     auto operator<=>(const LoadReport&) const = default;
@@ -37,6 +37,7 @@
     uint32_t longRequests = 0; /**< jobs above the long-job limit and stragglers */
     WorkEstimate unfinished; /**< of all own requests in flight */
     WorkEstimate sentSinceReport; /**< sent after the report was measured, finished or not */
+    int32_t netRequestsSinceReport = 0; /**< requests sent minus requests ended since the report was measured */
 
     auto operator<=>(const OwnWork&) const = default;
 };
@@ -53,6 +54,7 @@
     AvailabilityZone zone;
     EngineRole role = EngineRole::Mixed;
     uint32_t slots = 32;
+    uint32_t blocks = 0; /**< total memory; 0 when the replica does not report it */
     ServiceRates rates;
     LoadReport report;
     OwnWork own;
