Add the fuzzer of the invariants H1 to H9

Cause: failures happen at the same time; single-failure tests do not cover their combinations. Change: a world of three daemons, a key-value model, two engines and two backend servers in virtual time that decides through the functions of modules/decisions, an oracle with one named check for each invariant, and a known-wrong variant for each check.

--- a/modules/peers/transport/NngTransport.cpp
+++ b/modules/peers/transport/NngTransport.cpp
@@ -301,11 +301,12 @@
             int code = nng_aio_result(m_operation);
             if (m_isSending && code != 0)
                 freeMessage(m_operation);
-            if (m_isSending)
-                receive();
-            else if (code == 0)
+            if (!m_isSending && code == 0) {
                 handle(takeBytes(m_operation));
-            else if (code != NNG_ECLOSED && code != NNG_ECANCELED)
+                return;
+            }
+            bool isStopped = !m_isSending && (code == NNG_ECLOSED || code == NNG_ECANCELED);
+            if (!isStopped)
                 receive();
         }
 
--- /dev/null
+++ b/tests/fuzz/Oracle.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/errors/ErrorKind.h"
+#include "base/time/TimePoint.h"
+#include "decisions/leases/Order.h"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chestnut::fuzz {
+
+enum class Check : uint8_t {
+    H1NoConflictingOrders,
+    H2NoInterruptionByPlannedChange,
+    H3NoOrderWithoutAuthority,
+    H4OwnWholeAnswer,
+    H5TrueRefusal,
+    H6AtMostOnce,
+    H7LeavingServerGetsNoWork,
+    H8GracefulStop,
+    H9ConfigurationInForce,
+};
+
+constexpr std::array<const char*, 9> checkNames { "H1 no conflicting orders", "H2 no interruption by a planned change",
+    "H3 no order without authority", "H4 own and whole answer", "H5 true refusal", "H6 at most once",
+    "H7 leaving server gets no work", "H8 graceful stop", "H9 configuration in force" };
+
+constexpr Duration leavingBound = std::chrono::seconds(5);
+constexpr Duration inForceBound = std::chrono::seconds(17);
+
+/** Judges what the world reports against the invariants; it knows nothing of the daemons' decisions. */
+class Oracle {
+public:
+    void orderSent(const EngineId&, const OrderIntent&, bool hasAuthority);
+    void engineChanged(const EngineId&, size_t interrupted);
+    void callRan(const std::string& call, uint64_t attempt);
+    void callAnswered(const std::string& call, uint64_t attempt, const std::string& answer, const std::string& own);
+    void callRefused(uint64_t attempt, ErrorKind);
+    void serverGotWork(const std::string& server, std::optional<Duration> sinceLeaving);
+    void daemonExited(const std::string& daemon, size_t inFlight, Duration sinceLeaving);
+    void revisionApplied(const std::string& daemon, Incarnation, Revision);
+    void revisionLags(const std::string& daemon, Revision applied, Revision accepted, Duration sinceAccepted);
+    void acceptedLost(TicketNumber);
+
+    struct Violation {
+        Check check;
+        std::string detail;
+    };
+    std::optional<Violation> violation; /**< the first one */
+
+private:
+    void report(Check, std::string detail);
+
+    std::map<std::tuple<EngineId, FencingNumber, uint64_t>, OrderIntent> m_orders;
+    std::map<std::string, std::set<uint64_t>> m_runs;
+    std::set<uint64_t> m_ranAttempts;
+    std::map<std::pair<std::string, Incarnation>, Revision> m_applied;
+};
+
+} // namespace chestnut::fuzz
--- /dev/null
+++ b/tests/fuzz/World.cpp
@@ -0,0 +1,311 @@
+#include "WorldState.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace chestnut::fuzz {
+
+namespace {
+
+    constexpr size_t daemonCount = 3;
+    constexpr Duration step = std::chrono::seconds(1);
+
+    Configuration initialConfiguration()
+    {
+        Configuration configuration;
+        configuration.revision = 1;
+        configuration.models["m"] = { ModelId("m"), "v0", {}, 1, 0 };
+        for (const auto* id : { "checking", "ignoring" }) {
+            EngineSpec engine;
+            engine.id = EngineId(id);
+            engine.address = std::string("10.0.0.1:") + std::to_string(1 + configuration.engines.size());
+            engine.zone = AvailabilityZone("a");
+            engine.region = Region("r");
+            engine.model = ModelId("m");
+            engine.rolePolicy = RolePolicy::Fixed;
+            engine.checksFencing = engine.id.value() == "checking";
+            configuration.engines[id] = engine;
+        }
+        for (const auto* id : { "s1", "s2" })
+            configuration.backendServers[id] = { ReplicaId(id), ServiceId("orders"), "10.0.0.2:" + std::string(id).substr(1), AvailabilityZone("a"), Region("r"), Membership::Joined, 32, false, 0 };
+        return configuration;
+    }
+
+} // namespace
+
+std::ostream& operator<<(std::ostream& stream, const Command& command)
+{
+    constexpr std::array<const char*, commandKinds> names { "advance", "call", "generate", "submit", "kill", "restart", "pause", "resume",
+        "cut", "heal", "stop", "outage", "lose_answer", "delay_orders" };
+    return stream << names.at(static_cast<size_t>(command.kind)) << "(" << int { command.a } << "," << int { command.b } << "," << int { command.c } << ")";
+}
+
+World::World(Variant variant, uint64_t seed)
+    : m_variant(variant)
+    , m_random(seed)
+    , m_store(std::make_unique<KeyValueModel>())
+{
+    m_store->configuration = initialConfiguration();
+    for (const auto& [id, spec] : m_store->configuration.engines) {
+        m_engines.push_back(std::make_unique<Engine>());
+        m_engines.back()->id = spec.id;
+        m_engines.back()->state = { 0, 0, desiredEngine(m_store->configuration, spec, {}, {}), true };
+    }
+    for (const auto& [id, spec] : m_store->configuration.backendServers)
+        m_servers.push_back(std::make_unique<Server>(Server { id, {} }));
+    for (size_t i = 0; i < daemonCount; ++i) {
+        auto& daemon = *m_daemons.emplace_back(std::make_unique<Daemon>());
+        daemon.table.self.id = DaemonId("d" + std::to_string(i));
+        daemon.table.self.zone = AvailabilityZone(i == 0 ? "a" : "b");
+        daemon.table.self.region = Region("r");
+        start(daemon);
+    }
+}
+
+World::~World() = default;
+
+void World::start(Daemon& daemon)
+{
+    auto self = daemon.table.self;
+    self.incarnation = std::max<Incarnation>(self.incarnation + 1, static_cast<Incarnation>(m_now.time_since_epoch().count()));
+    self.counter = 1;
+    self.state = MemberState::Ready;
+    self.revision = 0;
+    daemon = Daemon();
+    daemon.table.self = self;
+    daemon.connectedSince = m_now;
+    pullConfiguration(daemon);
+}
+
+bool World::reachesStore(const Daemon& daemon) const
+{
+    return m_store->isUp && !daemon.isCut && daemon.isActive();
+}
+
+bool World::reach(const Daemon& from, const Daemon& to) const
+{
+    return from.isActive() && to.isActive() && !from.isCut && !to.isCut;
+}
+
+void World::adopt(Daemon& daemon, const Configuration& configuration)
+{
+    bool isNewer = configuration.revision > daemon.configuration.revision;
+    if (!isNewer && (m_variant != Variant::RevisionGoesBack || configuration.revision == 0))
+        return;
+    daemon.configuration = configuration;
+    daemon.table.self.revision = configuration.revision;
+    oracle.revisionApplied(daemon.table.self.id.value(), daemon.table.self.incarnation, configuration.revision);
+}
+
+void World::pullConfiguration(Daemon& daemon)
+{
+    std::vector<MemberRecord> members { daemon.table.self };
+    for (const auto& [id, member] : daemon.table.others)
+        members.push_back(visibleRecord(member));
+    // A daemon without a configuration reads the store itself; one with a configuration reads it as a watcher.
+    if (reachesStore(daemon) && (daemon.configuration.revision == 0 || isConfigurationWatcher(daemon.table.self.id, members)))
+        adopt(daemon, m_store->configuration);
+    for (auto& peer : m_daemons) {
+        auto known = daemon.table.others.find(peer->table.self.id);
+        if (known != daemon.table.others.end() && reach(daemon, *peer) && known->second.record.revision != daemon.configuration.revision)
+            adopt(daemon, peer->configuration);
+    }
+}
+
+void World::beat(Daemon& daemon)
+{
+    expireMembers(daemon.table, m_now);
+    advanceSelf(daemon.table);
+    for (auto& peer : m_daemons) {
+        if (peer.get() == &daemon || !reach(daemon, *peer))
+            continue;
+        auto request = composeNews(daemon.table, m_now, m_random, newsBytesPerHeartbeat);
+        auto atPeer = mergeNews(peer->table, request, m_now);
+        auto reply = composeNews(peer->table, m_now, m_random, newsBytesPerHeartbeat, &request);
+        auto outcome = mergeNews(daemon.table, reply, m_now);
+        if (outcome.conflict != SelfConflict::None)
+            renewIncarnation(daemon.table, 0, outcome.conflictingRecord);
+        if (atPeer.conflict != SelfConflict::None)
+            renewIncarnation(peer->table, 0, atPeer.conflictingRecord);
+    }
+}
+
+void World::tick()
+{
+    m_now += step;
+    for (auto& [place, record] : std::exchange(m_store->lateClaims, {})) {
+        if (place == m_store->claims.size())
+            m_store->claims.push_back(record);
+    }
+    for (auto& engine : m_engines) {
+        std::erase_if(engine->running, [&](const auto& request) { return request.second <= m_now; });
+        deliverOrders(*engine);
+    }
+    for (auto& daemon : m_daemons) {
+        if (!daemon->isActive())
+            continue;
+        beat(*daemon);
+        pullConfiguration(*daemon);
+        for (auto& call : daemon->calls)
+            proceed(*daemon, call);
+        std::erase_if(daemon->calls, [](const PendingCall& call) { return call.isDone; });
+        maintainLease(*daemon);
+        orderEngines(*daemon);
+        exitWhenDone(*daemon);
+    }
+    checkRevisions();
+}
+
+void World::checkRevisions()
+{
+    // During an outage of the store the newest revision of a reachable daemon is the one that the others can get.
+    Revision available = m_store->isUp ? m_store->configuration.revision : 0;
+    for (const auto& daemon : m_daemons)
+        available = std::max(available, daemon->isActive() && !daemon->isCut ? daemon->configuration.revision : 0);
+    if (std::exchange(m_available, available) < available)
+        m_availableSince = m_now;
+    for (const auto& daemon : m_daemons) {
+        if (daemon->isActive() && !daemon->isCut)
+            oracle.revisionLags(daemon->table.self.id.value(), daemon->configuration.revision, available,
+                std::min(m_now - m_availableSince, m_now - daemon->connectedSince));
+    }
+    for (const auto& accepted : m_store->accepted) {
+        auto isKept = [&](const AcceptedTicket& ticket) { return ticket.number == accepted.first && ticket.revision == accepted.second; };
+        if (std::ranges::none_of(m_store->configuration.recentTickets, isKept))
+            oracle.acceptedLost(accepted.first);
+    }
+}
+
+void World::submit(Daemon& daemon, const Command& command)
+{
+    if (!reachesStore(daemon) || daemon.leavingSince)
+        return;
+    Ticket ticket;
+    // Some numbers repeat, as when an operator submits a ticket again or two operators race.
+    ticket.number = command.c % 4 == 0 ? std::max<TicketNumber>(m_tickets, 1) : ++m_tickets;
+    const auto& configuration = m_store->configuration;
+    auto engine = configuration.engines.at(command.b % 2 == 0 ? "checking" : "ignoring");
+    engine.role = static_cast<EngineRole>(command.c % 3);
+    auto server = configuration.backendServers.at(command.b % 2 == 0 ? "s1" : "s2");
+    server.membership = command.c % 2 == 0 ? Membership::Leaving : Membership::Joined;
+    if (command.b % 4 < 2)
+        ticket.engines[engine.id.value()] = engine;
+    else
+        ticket.backendServers[server.id.value()] = server;
+    auto content = digestOf(std::to_string(command.b) + "/" + std::to_string(command.c));
+    if (standingOf(configuration, ticket, content).verdict != TicketVerdict::Fresh || !validateTicket(configuration, ticket).empty())
+        return;
+    m_store->configuration = withTicket(configuration, ticket, content);
+    m_store->accepted[ticket.number] = m_store->configuration.revision;
+    for (auto& [id, spec] : ticket.backendServers) {
+        auto& since = (*std::ranges::find(m_servers, id, [](const auto& entry) { return entry->id; }))->leavingSince;
+        if (spec.membership == Membership::Joined)
+            since.reset();
+        else if (!since)
+            since = m_now;
+    }
+}
+
+size_t World::inFlight(const Daemon& daemon) const
+{
+    size_t count = daemon.calls.size();
+    for (const auto& engine : m_engines)
+        count += static_cast<size_t>(std::ranges::count(engine->running, daemon.table.self.id, [](const auto& request) { return request.first; }));
+    return count;
+}
+
+void World::stop(Daemon& daemon)
+{
+    daemon.leavingSince = m_now;
+    daemon.table.self.state = MemberState::Leaving;
+    exitWhenDone(daemon);
+}
+
+void World::exitWhenDone(Daemon& daemon)
+{
+    if (!daemon.leavingSince)
+        return;
+    auto waited = m_now - *daemon.leavingSince;
+    bool isDone = inFlight(daemon) == 0 && waited >= std::chrono::seconds(10);
+    if (!isDone && m_variant != Variant::UngracefulStop)
+        return;
+    oracle.daemonExited(daemon.table.self.id.value(), inFlight(daemon), waited);
+    daemon.runs = false;
+}
+
+void World::generate(Daemon& daemon, const Command& command)
+{
+    auto& engine = *m_engines[command.b % m_engines.size()];
+    if (!daemon.isActive() || daemon.leavingSince || daemon.isCut || daemon.noWork.contains(engine.id) || !engine.state.isReady)
+        return;
+    engine.running.emplace_back(daemon.table.self.id, m_now + std::chrono::seconds(1 + command.c % 30));
+}
+
+void World::apply(const Command& command)
+{
+    auto& daemon = *m_daemons[command.a % m_daemons.size()];
+    switch (command.kind) {
+    case CommandKind::Advance:
+        for (int i = 0; i <= command.a % 20; ++i)
+            tick();
+        return;
+    case CommandKind::Call:
+        return call(daemon, command);
+    case CommandKind::Generate:
+        return generate(daemon, command);
+    case CommandKind::Submit:
+        return submit(daemon, command);
+    case CommandKind::Kill:
+        daemon.runs = false;
+        return;
+    case CommandKind::Restart:
+        if (!daemon.runs)
+            start(daemon);
+        return;
+    case CommandKind::Pause:
+        daemon.isPaused = true;
+        return;
+    case CommandKind::Resume:
+        if (std::exchange(daemon.isPaused, false))
+            daemon.connectedSince = m_now;
+        return;
+    case CommandKind::Cut:
+        daemon.isCut = true;
+        return;
+    case CommandKind::Heal:
+        if (std::exchange(daemon.isCut, false))
+            daemon.connectedSince = m_now;
+        return;
+    case CommandKind::Stop:
+        if (daemon.isActive() && !daemon.leavingSince)
+            stop(daemon);
+        return;
+    case CommandKind::Outage:
+        m_store->isUp = command.c % 2 == 0;
+        return;
+    case CommandKind::LoseAnswer:
+        m_store->losesAnswer = true;
+        m_store->isLate = command.b % 2 == 0;
+        return;
+    case CommandKind::DelayOrders:
+        m_orderDelay = std::chrono::seconds(command.a % 7);
+        return;
+    }
+}
+
+void World::settle()
+{
+    m_store->isUp = true;
+    m_orderDelay = Duration(0);
+    for (auto& daemon : m_daemons) {
+        daemon->isPaused = daemon->isCut = false;
+        if (!daemon->runs)
+            start(*daemon);
+        daemon->connectedSince = m_now;
+    }
+    constexpr int settlingSeconds = 100;
+    for (int i = 0; i < settlingSeconds; ++i)
+        tick();
+}
+
+} // namespace chestnut::fuzz
--- /dev/null
+++ b/tests/fuzz/WorldOrders.cpp
@@ -0,0 +1,137 @@
+#include "WorldState.h"
+
+#include <algorithm>
+
+namespace chestnut::fuzz {
+
+void World::maintainLease(Daemon& daemon)
+{
+    if (daemon.lease && !isHeld(*daemon.lease, m_now))
+        daemon.lease = m_variant == Variant::FencingDropped ? daemon.lease : std::nullopt;
+    if (!reachesStore(daemon) || daemon.configuration.engines.empty())
+        return;
+    bool sessionLives = m_now < m_store->sessionEnd;
+    if (daemon.lease && sessionLives && m_store->lockHolder == daemon.holder) {
+        daemon.lease->renewedAt = m_now;
+        m_store->sessionEnd = m_now + leaseDuration;
+        return;
+    }
+    std::vector<MemberRecord> members { daemon.table.self };
+    for (const auto& [id, member] : daemon.table.others)
+        members.push_back(visibleRecord(member));
+    auto group = groupOf(daemon.configuration.engines.begin()->second);
+    if (sessionLives || preferredHolder(group, daemon.table.self.region, members) != daemon.table.self.id)
+        return;
+    auto wait = m_store->lockIndex == 0 ? Duration(0) : successorWait;
+    ++m_store->lockIndex;
+    daemon.holder = daemon.table.self.id.value() + "/" + std::to_string(daemon.table.self.incarnation) + "/" + std::to_string(m_store->lockIndex);
+    m_store->lockHolder = daemon.holder;
+    m_store->sessionEnd = m_now + leaseDuration;
+    daemon.lease = Lease { group, m_store->lockIndex, m_now, m_now + wait };
+    daemon.drains.clear();
+}
+
+void World::orderEngines(Daemon& daemon)
+{
+    if (!daemon.lease)
+        return;
+    for (const auto& [id, spec] : daemon.configuration.engines)
+        stepEngine(daemon, spec);
+}
+
+DrainProgress& World::drainOf(Daemon& daemon, Engine& engine)
+{
+    auto [drain, isNew] = daemon.drains.try_emplace(engine.id, DrainProgress { m_now, {}, {}, {} });
+    bool allInformed = true;
+    for (auto& peer : m_daemons) {
+        auto known = daemon.table.others.find(peer->table.self.id);
+        if (peer.get() == &daemon || reach(daemon, *peer))
+            peer->noWork.insert(engine.id);
+        else if (known != daemon.table.others.end() && !known->second.isSuspected)
+            allInformed = false;
+    }
+    if (allInformed && !drain->second.informedAt)
+        drain->second.informedAt = m_now;
+    drain->second.running = static_cast<uint32_t>(engine.running.size());
+    drain->second.reportedAt = m_now;
+    return drain->second;
+}
+
+void World::stepEngine(Daemon& daemon, const EngineSpec& spec)
+{
+    auto& engine = **std::ranges::find(m_engines, spec.id, [](const auto& entry) { return entry->id; });
+    if (!daemon.isActive() || daemon.isCut || (!m_store->isUp && m_variant != Variant::FencingDropped))
+        return;
+    auto [writes, stored] = m_store->intents[spec.id];
+    OrderInputs inputs;
+    inputs.lease = *daemon.lease;
+    if (m_variant == Variant::FencingDropped)
+        inputs.lease.renewedAt = inputs.lease.ordersFrom = m_now;
+    inputs.holder = daemon.holder;
+    if (writes > 0)
+        inputs.intent = stored;
+    inputs.observed = engine.state;
+    inputs.desired = desiredEngine(daemon.configuration, spec, inputs.intent, {});
+    inputs.retryAt = daemon.retryAt[spec.id];
+    inputs.now = m_now;
+    if (auto drain = daemon.drains.find(spec.id); drain != daemon.drains.end())
+        inputs.isDrained = isDrained(drainOf(daemon, engine), m_now);
+    inputs.isDrained = inputs.isDrained || m_variant == Variant::DrainInterrupts;
+    auto next = nextOrderStep(inputs);
+    if (next.action == OrderAction::Drain)
+        drainOf(daemon, engine);
+    if (next.action == OrderAction::Settled && daemon.drains.erase(spec.id) > 0) {
+        for (auto& peer : m_daemons)
+            peer->noWork.erase(spec.id);
+    }
+    if (next.action == OrderAction::Claim)
+        writeIntent(spec.id, writes, next.intent);
+    if (next.action != OrderAction::Send)
+        return;
+    if (m_variant == Variant::ConflictingOrders && writes > 0)
+        next.intent.sequence = std::max<uint64_t>(1, stored.sequence);
+    else if (!writeIntent(spec.id, writes, next.intent))
+        return;
+    daemon.retryAt[spec.id] = m_now + shortestOrderRetry;
+    send(daemon, engine, next.intent);
+}
+
+bool World::writeIntent(const EngineId& engine, uint64_t expectedWrites, const OrderIntent& intent)
+{
+    auto& [writes, stored] = m_store->intents[engine];
+    if (writes != expectedWrites)
+        return false;
+    stored = intent;
+    ++writes;
+    // A lost answer: the holder does not send, reads the intent again and goes on from there.
+    return !std::exchange(m_store->losesAnswer, false);
+}
+
+void World::send(Daemon& daemon, Engine& engine, const OrderIntent& intent)
+{
+    bool hasAuthority = m_store->lockHolder == daemon.holder && m_now < m_store->sessionEnd;
+    oracle.orderSent(engine.id, intent, hasAuthority);
+    engine.arriving.emplace_back(m_now + m_orderDelay, intent);
+    deliverOrders(engine);
+}
+
+void World::deliverOrders(Engine& engine)
+{
+    auto arriving = std::exchange(engine.arriving, {});
+    for (auto& [at, order] : arriving) {
+        if (at > m_now) {
+            engine.arriving.emplace_back(at, order);
+            continue;
+        }
+        auto isOlder = std::pair(order.fencingNumber, order.sequence) < std::pair(engine.state.fencingNumber, engine.state.sequence);
+        if (isOlder && engine.id.value() == "checking")
+            continue;
+        if (isDisruptive(engine.state.running, order.desired)) {
+            oracle.engineChanged(engine.id, engine.running.size());
+            engine.running.clear();
+        }
+        engine.state = { order.fencingNumber, order.sequence, order.desired, true };
+    }
+}
+
+} // namespace chestnut::fuzz
