Serve live work that can still meet the first-token target first

Cause: in a spike the queue of each account was served in order of arrival, so nearly every request of the overloading account missed the target although most of them could have met it. Change: FairQueue orders an account's requests as urgent, on time, late; accounts still take turns by start tag. QueuedRequest gains onTimeUntil; its deadline is the latest start; peek() and pop() take the time. Waiting work that can no longer finish is refused as not run. New program decisioncost measures one routing decision.

--- /dev/null
+++ b/bench/decisioncost/DecisionCost.cpp
@@ -0,0 +1,80 @@
+#include "decisions/admission/Admission.h"
+#include "decisions/routing/PrefixIndex.h"
+#include "decisions/routing/Routing.h"
+
+#include <benchmark/benchmark.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <new>
+#include <string>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::atomic<uint64_t> allocations = 0;
+
+std::vector<ReplicaView> makeViews(int64_t count, TimePoint now)
+{
+    RandomGenerator random(1);
+    std::vector<ReplicaView> views;
+    for (int64_t index = 0; index < count; index++) {
+        ReplicaView view;
+        view.id = ReplicaId("engine" + std::to_string(index));
+        view.zone = AvailabilityZone("zone" + std::to_string(index % 4));
+        view.blocks = 96;
+        view.report = { static_cast<double>(random() % 20000), static_cast<double>(random() % 5000), static_cast<uint32_t>(random() % 28), 60, now - 1s };
+        view.own.liveRequests = static_cast<uint32_t>(random() % 4);
+        view.daemonShare = 1.0 / 6;
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+/** One prefix lookup for each replica, the routing decision and admission, as for each request. */
+void routeOneRequest(benchmark::State& state)
+{
+    auto now = TimePoint(100s);
+    auto views = makeViews(state.range(0), now);
+    PrefixIndex prefixes;
+    std::vector<uint64_t> blocks { 1, 2, 3, 4, 5, 6 };
+    for (size_t index = 0; index < views.size(); index += 5)
+        noteSent(prefixes, views[index].id, blocks);
+    RandomGenerator random(2);
+    std::vector<double> cached(views.size());
+    auto before = allocations.load();
+    for (auto _ : state) {
+        for (size_t index = 0; index < views.size(); index++)
+            cached[index] = cachedTokens(prefixes, views[index].id, blocks);
+        RouteRequest request { .work = { 14000, 200 }, .zone = views.front().zone, .cachedTokens = cached };
+        auto route = chooseReplica(request, views, now, random);
+        auto admission = admit(request, now + 30s, {}, views, route, now);
+        benchmark::DoNotOptimize(admission);
+    }
+    state.counters["allocations"] = benchmark::Counter(static_cast<double>(allocations - before), benchmark::Counter::kAvgIterations);
+}
+
+} // namespace
+
+void* operator new(size_t size)
+{
+    allocations++;
+    if (auto* memory = std::malloc(size))
+        return memory;
+    throw std::bad_alloc();
+}
+
+void operator delete(void* memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void* memory, size_t) noexcept
+{
+    std::free(memory);
+}
+
+BENCHMARK(routeOneRequest)->Arg(10)->Arg(24)->Arg(100)->Arg(1000);
+BENCHMARK_MAIN();
--- a/bench/policy/Daemon.cpp
+++ b/bench/policy/Daemon.cpp
@@ -1,5 +1,7 @@
 #include "bench/policy/Daemon.h"
 
+#include "bench/run/Measurement.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -12,6 +14,9 @@
     /** Added to measured and expected latency, because an engine answers only at the end of an iteration. */
     constexpr double latencyFloorSeconds = 0.06;
 
+    /** A full engine decodes this many times slower than one with a few sequences. */
+    constexpr int loadedServiceFactor = 2;
+
     double ratioOf(Duration measured, Duration expected)
     {
         return (toSeconds(measured) + latencyFloorSeconds) / (toSeconds(expected) + latencyFloorSeconds);
@@ -135,7 +140,11 @@
     auto account = m_options.fairQueueing ? job.account : AccountId("all");
     auto cost = work.prefillTokens / m_views.front().rates.prefillTokensPerSecond
         + work.decodeTokens / (m_views.front().rates.decodeTokensPerSecond * m_views.front().slots);
-    push(m_queue, { job.id, account, job.priorityClass, cost, 1, job.deadline });
+    auto service = expectedServiceTime(work, m_views.front().rates);
+    QueuedRequest queued { job.id, account, job.priorityClass, cost, 1, job.deadline - loadedServiceFactor * service };
+    if (m_options.onTimeFirst && !isBatch(job))
+        queued.onTimeUntil = job.arrival + firstTokenTarget - service + fromSeconds(work.decodeTokens / m_views.front().rates.decodeTokensPerSecond);
+    push(m_queue, std::move(queued));
 }
 
 void Daemon::leaveQueue(const Job& job)
@@ -154,7 +163,7 @@
 
 void Daemon::drainQueue()
 {
-    while (const auto* next = peek(m_queue, true)) {
+    while (const auto* next = peek(m_queue, true, now())) {
         if (!serveNext(m_fleet.job(next->ticket)))
             return;
     }
@@ -171,7 +180,7 @@
         auto victim = *route.preemptAt;
         route.chosen = RouteCandidate { victim, estimateReplica(m_views[victim], request, 0, now()), 0 };
     }
-    pop(m_queue, true);
+    pop(m_queue, true, now());
     leaveQueue(job);
     auto isLate = now() + route.chosen->estimate.serviceTime > job.deadline;
     if (isLate && m_options.earlyRefusal && m_fleet.state(job.id).attempts == 0)
@@ -343,9 +352,24 @@
     for (const auto& event : events)
         applyCacheEvent(m_prefixes, view.id, event.sequence, event.isStored, std::span(&event.block, 1));
     refreshHealth();
+    refuseLate();
     drainQueue();
 }
 
+/** Refuses waiting work that can no longer finish in time and that no engine has seen: "not run" is true. */
+void Daemon::refuseLate()
+{
+    if (!m_options.earlyRefusal)
+        return;
+    for (const auto& late : chestnut::expired(m_queue, now())) {
+        const auto& job = m_fleet.job(late.ticket);
+        if (m_fleet.state(job.id).attempts > 0 || !remove(m_queue, late.ticket))
+            continue;
+        leaveQueue(job);
+        m_fleet.refuse(job);
+    }
+}
+
 void Daemon::refreshHealth()
 {
     if (!m_options.ejection)
--- a/bench/policy/Daemon.h
+++ b/bench/policy/Daemon.h
@@ -24,6 +24,7 @@
     bool roleControl = true;
     bool fairQueueing = true;
     bool earlyRefusal = true;
+    bool onTimeFirst = true; /**< waiting live work that can meet the first-token target goes before work that cannot */
 };
 
 /** Nominal rates of an engine in a role, while both kinds of work wait. */
@@ -79,6 +80,7 @@
     void hedge(uint64_t attempt);
     void observe(uint32_t engine, double latencyRatio);
     void refreshHealth();
+    void refuseLate();
     void addOwn(const Flight&, int sign);
     void noteChange(uint32_t engine, const WorkEstimate& sent, int32_t requests);
     TimePoint now() { return m_fleet.clock().now(); }
--- a/bench/run/Suite.cpp
+++ b/bench/run/Suite.cpp
@@ -90,6 +90,7 @@
     contenders.push_back(without("role_control", &PolicyOptions::roleControl));
     contenders.push_back(without("fair_queueing", &PolicyOptions::fairQueueing));
     contenders.push_back(without("early_refusal", &PolicyOptions::earlyRefusal));
+    contenders.push_back(without("on_time_first", &PolicyOptions::onTimeFirst));
     return contenders;
 }
 
--- a/modules/decisions/fairness/FairQueue.cpp
+++ b/modules/decisions/fairness/FairQueue.cpp
@@ -1,6 +1,7 @@
 #include "decisions/fairness/FairQueue.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace chestnut {
 
@@ -10,12 +11,60 @@
 
     constexpr double lowestWeight = 1e-3;
 
-    QueuedRequest popFirst(Waiting& waiting, FairQueue::Tags& tags)
+    enum class Urgency : uint8_t {
+        Urgent, /**< its latest start is near */
+        OnTime,
+        Late, /**< has missed the first-token target */
+    };
+
+    Urgency urgencyOf(const QueuedRequest& request, TimePoint now)
+    {
+        if (request.onTimeUntil >= now)
+            return Urgency::OnTime;
+        return request.deadline - now <= urgentTime ? Urgency::Urgent : Urgency::Late;
+    }
+
+    /** The place of an account in the order of tags, and which of its requests takes that place. */
+    struct Turn {
+        Waiting::const_iterator place;
+        Waiting::const_iterator request;
+        Urgency urgency = Urgency::Late;
+    };
+
+    /** Accounts take turns by start tag; those with urgent or timely requests go before those with late ones only.
+        Urgency orders requests within an account, so that an account in overload does not displace the others. */
+    Turn nextTurn(const Waiting& waiting, TimePoint now)
+    {
+        std::unordered_map<std::string_view, Turn> turns;
+        for (auto entry = waiting.begin(); entry != waiting.end(); ++entry) {
+            auto urgency = urgencyOf(entry->second.request, now);
+            auto& turn = turns.try_emplace(entry->second.request.account.value(), Turn { entry, entry, urgency }).first->second;
+            if (urgency < turn.urgency) {
+                turn.request = entry;
+                turn.urgency = urgency;
+            }
+        }
+        const Turn* best = nullptr;
+        for (auto entry = waiting.begin(); entry != waiting.end(); ++entry) {
+            const auto& turn = turns.at(entry->second.request.account.value());
+            if (!best)
+                best = &turn;
+            if (turn.urgency != Urgency::Late)
+                return turn;
+        }
+        return *best;
+    }
+
+    QueuedRequest popNext(Waiting& waiting, FairQueue::Tags& tags, TimePoint now)
     {
-        auto first = waiting.begin();
-        auto request = std::move(first->second.request);
-        tags.virtualTime = std::max(tags.virtualTime, first->first);
-        waiting.erase(first);
+        auto turn = nextTurn(waiting, now);
+        auto request = turn.request->second.request;
+        tags.virtualTime = std::max(tags.virtualTime, turn.place->first);
+        // The account's first place is used up; the request that held it moves to the place of the one taken.
+        // An empty erase() turns the const iterator into a mutable one.
+        auto taken = waiting.erase(turn.request, turn.request);
+        taken->second.request = turn.place->second.request;
+        waiting.erase(turn.place);
         // Finish tags matter only while accounts compete; dropping them here bounds their number.
         if (waiting.empty())
             tags = {};
@@ -47,19 +96,19 @@
     (isLive ? queue.live : queue.batch).emplace(start, FairQueue::Slot { std::move(request), start });
 }
 
-const QueuedRequest* peek(const FairQueue& queue, bool batchAllowed)
+const QueuedRequest* peek(const FairQueue& queue, bool batchAllowed, TimePoint now)
 {
     if (!queue.live.empty())
-        return &queue.live.begin()->second.request;
-    return batchAllowed && !queue.batch.empty() ? &queue.batch.begin()->second.request : nullptr;
+        return &nextTurn(queue.live, now).request->second.request;
+    return batchAllowed && !queue.batch.empty() ? &nextTurn(queue.batch, now).request->second.request : nullptr;
 }
 
-std::optional<QueuedRequest> pop(FairQueue& queue, bool batchAllowed)
+std::optional<QueuedRequest> pop(FairQueue& queue, bool batchAllowed, TimePoint now)
 {
     if (!queue.live.empty())
-        return popFirst(queue.live, queue.liveTags);
+        return popNext(queue.live, queue.liveTags, now);
     if (batchAllowed && !queue.batch.empty())
-        return popFirst(queue.batch, queue.batchTags);
+        return popNext(queue.batch, queue.batchTags, now);
     return std::nullopt;
 }
 
--- a/modules/decisions/fairness/FairQueue.h
+++ b/modules/decisions/fairness/FairQueue.h
@@ -19,10 +19,15 @@
     PriorityClass priorityClass = PriorityClass::Live;
     double cost = 1; /**< tokens, or calls for plain services */
     double weight = 1; /**< share of the account */
-    TimePoint deadline;
+    TimePoint deadline; /**< latest start that still meets the caller's deadline */
+    TimePoint onTimeUntil = TimePoint::max(); /**< latest start that still meets the first-token target */
 };
 
-/** Start-time fair queueing between accounts; live work goes before batch work. */
+/** Waiting requests this close to their latest start go first. */
+constexpr Duration urgentTime = std::chrono::seconds(6);
+
+/** Start-time fair queueing between accounts; live work goes before batch work. A request that has
+    missed the first-token target waits behind those that can still meet it, until its own latest start comes near. */
 struct FairQueue {
     struct Slot {
         QueuedRequest request;
@@ -43,11 +48,11 @@
 void push(FairQueue&, QueuedRequest);
 
 /** The request that pop() would take; null when there is none. */
-const QueuedRequest* peek(const FairQueue&, bool batchAllowed);
+const QueuedRequest* peek(const FairQueue&, bool batchAllowed, TimePoint now);
 
 /** Takes the next request; live first; batch only when no live request waits and `batchAllowed` says that the
     reserve for live work stays free. */
-std::optional<QueuedRequest> pop(FairQueue&, bool batchAllowed);
+std::optional<QueuedRequest> pop(FairQueue&, bool batchAllowed, TimePoint now);
 
 /** Removes a request whose caller went away or whose deadline passed. False when it is not waiting. */
 bool remove(FairQueue&, uint64_t ticket);
--- a/tests/decisions/AdmissionTest.cpp
+++ b/tests/decisions/AdmissionTest.cpp
@@ -85,10 +85,23 @@
     CHECK_FALSE(remove(queue, 1));
     std::map<std::string, int> served;
     for (int count = 0; count < 15; count++)
-        served[pop(queue, true)->account.value()]++;
+        served[pop(queue, true, now)->account.value()]++;
     CHECK(served["small"] == 10);
     while (size(queue, PriorityClass::Live) > 0)
-        CHECK(pop(queue, true)->priorityClass == PriorityClass::Live);
-    CHECK_FALSE(pop(queue, false).has_value());
-    CHECK(pop(queue, true)->priorityClass == PriorityClass::Batch);
+        CHECK(pop(queue, true, now)->priorityClass == PriorityClass::Live);
+    CHECK_FALSE(pop(queue, false, now).has_value());
+    CHECK(pop(queue, true, now)->priorityClass == PriorityClass::Batch);
+}
+
+// Guards against an overload in which every request waits past the first-token target although most could meet it.
+TEST_CASE("work that missed the first-token target waits until its latest start is near")
+{
+    FairQueue queue;
+    push(queue, { 1, AccountId("a"), PriorityClass::Live, 1, 1, now + 20s, now - 1s });
+    push(queue, { 2, AccountId("a"), PriorityClass::Live, 1, 1, now + 20s, now + 1s });
+    push(queue, { 3, AccountId("a"), PriorityClass::Live, 1, 1, now + 1s, now - 5s });
+    CHECK(peek(queue, true, now)->ticket == 3);
+    CHECK(pop(queue, true, now)->ticket == 3);
+    CHECK(pop(queue, true, now)->ticket == 2);
+    CHECK(pop(queue, true, now)->ticket == 1);
 }
