Hand swapped answers of backend servers to their own calls

Cause: a swapped answer to a call that is not idempotent was reported as an unknown outcome although both answers had arrived at this daemon. A stream resumed over a second connection lost its retention record when the first ended.

Change: HttpBackendServerClient gives an answer to the pending call whose id it carries and waits up to 2 s for its own. HeldStreams keeps a record while any session works on it, and only for streams whose id the caller knows.

Conclusion: an answer reaches its caller even when two calls of one daemon are swapped.

--- a/modules/backends/servers/HttpBackendServerClient.cpp
+++ b/modules/backends/servers/HttpBackendServerClient.cpp
@@ -1,11 +1,19 @@
 #include "backends/servers/HttpBackendServerClient.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace chestnut {
 
 namespace {
 
+    /** After its answer went astray, a call waits this long for its own answer on another call's connection. */
+    constexpr Duration crossedAnswerWait = std::chrono::seconds(2);
     constexpr Duration loadTimeout = std::chrono::seconds(2);
 
     Result<BackendServerLoad> parseLoad(const std::string& text)
@@ -24,8 +32,34 @@
 
 } // namespace
 
+/** Calls that wait for an answer, by request id. */
+struct HttpBackendServerClient::PendingCalls {
+    struct Call {
+        explicit Call(const asio::any_io_executor& executor)
+            : answered(executor, asio::steady_timer::time_point::max())
+        {
+        }
+
+        std::optional<HttpResponse> response; /**< arrived on another call's connection */
+        asio::steady_timer answered; /**< cancelled when the response is set */
+    };
+
+    std::map<std::string, std::shared_ptr<Call>> byId;
+
+    bool deliver(const std::string& id, HttpResponse response)
+    {
+        auto call = byId.find(id);
+        if (call == byId.end() || call->second->response)
+            return false;
+        call->second->response = std::move(response);
+        call->second->answered.cancel();
+        return true;
+    }
+};
+
 HttpBackendServerClient::HttpBackendServerClient(HttpClient& client)
     : m_client(client)
+    , m_pending(std::make_shared<PendingCalls>())
 {
 }
 
@@ -35,11 +69,26 @@
     timeouts.connect = std::min(timeouts.connect, timeout);
     timeouts.read = timeout;
     std::string id(request.headers.value("X-Request-Id"));
+    auto pending = m_pending;
+    auto call = std::make_shared<PendingCalls::Call>(co_await asio::this_coro::executor);
+    if (!id.empty())
+        pending->byId[id] = call;
     auto response = co_await m_client.exchange(endpoint, std::move(request), timeouts);
+    std::string answered(response ? response->headers.value("X-Request-Id") : "");
+    if (!answered.empty() && answered != id) {
+        auto wasExpected = pending->deliver(answered, *response);
+        boost::system::error_code ignored;
+        call->answered.expires_after(std::min(timeout, crossedAnswerWait));
+        if (wasExpected && !call->response)
+            co_await call->answered.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    pending->byId.erase(id);
+    if (call->response)
+        co_return std::move(*call->response);
     if (!response)
         co_return response.error();
-    if (auto answered = response->headers.value("X-Request-Id"); !answered.empty() && answered != id)
-        co_return makeError(ErrorKind::ProtocolError, "the backend server answered request " + std::string(answered) + " instead of " + id);
+    if (!answered.empty() && answered != id)
+        co_return makeError(ErrorKind::ProtocolError, "the backend server answered request " + answered + " instead of " + id);
     co_return response;
 }
 
--- a/modules/backends/servers/HttpBackendServerClient.h
+++ b/modules/backends/servers/HttpBackendServerClient.h
@@ -5,7 +5,8 @@
 
 namespace chestnut {
 
-/** Calls backend servers over HTTP. Calls other than GET and HEAD always use a fresh connection, so that ConnectFailed
+/** Calls backend servers over HTTP. When the answers of two calls of this client are swapped, each goes to the call whose
+    id it carries; an answer with an id that no pending call has is a ProtocolError. Calls other than GET and HEAD always use a fresh connection, so that ConnectFailed
     is certain to mean that no byte was sent. */
 class HttpBackendServerClient final : public BackendServerClient {
 public:
@@ -15,7 +16,10 @@
     asio::awaitable<Result<BackendServerLoad>> load(Endpoint) override;
 
 private:
+    struct PendingCalls;
+
     HttpClient& m_client;
+    std::shared_ptr<PendingCalls> m_pending;
 };
 
 } // namespace chestnut
--- a/modules/frontend/completions/RequestSession.cpp
+++ b/modules/frontend/completions/RequestSession.cpp
@@ -227,7 +227,8 @@
     }
     m_attempts = { m_winner };
     m_record->streamId = formatStreamId({ EngineId(m_winner->engine.value()), m_winner->id, m_record->contentMark });
-    m_held->add(m_record);
+    if (m_record->isResumable)
+        m_held->add(m_record);
 }
 
 asio::awaitable<bool> RequestSession::deliverTokens(CompletionSink& sink)
--- a/modules/frontend/listener/Frontend.cpp
+++ b/modules/frontend/listener/Frontend.cpp
@@ -246,6 +246,7 @@
     StreamRelay relay(writer, caller.id);
     WholeAnswer whole(writer, caller.id);
     CompletionSink& sink = isStreamed ? static_cast<CompletionSink&>(relay) : whole;
+    (*record)->isResumable = isStreamed;
     co_await runSession(*record, sink, writer, 0);
 }
 
@@ -260,6 +261,7 @@
     if (record->displace)
         record->displace();
     record->displace = end;
+    ++record->connections;
     writer.onCallerGone(end);
     auto caller = record->caller;
     auto result = co_await session->run(sink, afterToken);
@@ -272,6 +274,7 @@
         else
             co_await sink.fail(result.error());
     }
+    --record->connections;
     m_held->end(record, m_state->now());
 }
 
--- a/modules/frontend/streams/HeldStreams.cpp
+++ b/modules/frontend/streams/HeldStreams.cpp
@@ -27,7 +27,7 @@
 
 void HeldStreams::end(const std::shared_ptr<HeldStream>& stream, TimePoint now)
 {
-    if (!find(stream->streamId))
+    if (stream->connections > 0 || !find(stream->streamId))
         return;
     constexpr size_t bytesPerToken = 40; // of the string object beside its text
     stream->endedAt = now;
--- a/modules/frontend/streams/HeldStreams.h
+++ b/modules/frontend/streams/HeldStreams.h
@@ -27,6 +27,8 @@
     std::string contentMark; /**< part of the stream ids */
     std::string streamId; /**< the newest one */
     std::function<void()> displace; /**< stops the session that writes to an earlier connection; empty when none runs */
+    uint32_t connections = 0; /**< sessions that have not ended yet; a displaced one ends after its successor began */
+    bool isResumable = false; /**< the caller knows the stream's id */
     TimePoint endedAt {};
     size_t bytes = 0;
 
@@ -45,6 +47,7 @@
     /** Makes the stream known under its newest id; earlier ids stay valid. */
     void add(const std::shared_ptr<HeldStream>&);
     std::shared_ptr<HeldStream> find(const std::string& streamId) const;
+    /** Starts the stream's retention time when no session works on it any more. */
     void end(const std::shared_ptr<HeldStream>&, TimePoint now);
     void expire(TimePoint now);
 
--- a/tests/backends/HttpEngineClientTest.cpp
+++ b/tests/backends/HttpEngineClientTest.cpp
@@ -2,6 +2,9 @@
 #include "http/http.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 
 using namespace chestnut;
@@ -144,6 +147,40 @@
     CHECK(refused.error().kind == ErrorKind::StaleAuthority);
 }
 
+// Guards against losing both answers of calls that are not idempotent when a server swaps them.
+TEST_CASE("two swapped answers of one client reach their own calls")
+{
+    std::string firstId;
+    HttpResponseWriter* firstWriter = nullptr;
+    bool isSwapped = false;
+    BackendFixture fixture([&](HttpRequest request, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        auto id = std::string(request.headers.value("X-Request-Id"));
+        if (!firstWriter) {
+            firstWriter = &writer;
+            firstId = id;
+            asio::steady_timer poll(co_await asio::this_coro::executor);
+            while (!isSwapped) {
+                poll.expires_after(std::chrono::milliseconds(1));
+                co_await poll.async_wait(asio::use_awaitable);
+            }
+            co_return;
+        }
+        co_await firstWriter->send({ 200, { { "X-Request-Id", id } }, "answer to " + id });
+        co_await writer.send({ 200, { { "X-Request-Id", firstId } }, "answer to " + firstId });
+        isSwapped = true;
+    });
+    auto callAs = [&](std::string id) { return fixture.servers.call(fixture.server.endpoint(), { "POST", "/x", { { "X-Request-Id", id } }, "" }, std::chrono::seconds(5)); };
+    std::optional<Result<HttpResponse>> first;
+    asio::co_spawn(fixture.context, callAs("r1"), [&](std::exception_ptr, Result<HttpResponse> response) { first = std::move(response); });
+    auto second = fixture.run(callAs("r2"));
+    REQUIRE(second.has_value());
+    CHECK(second->body == "answer to r2");
+    while (!first)
+        fixture.context.run_one();
+    REQUIRE(first->has_value());
+    CHECK((*first)->body == "answer to r1");
+}
+
 TEST_CASE("a backend server's crossed answer never reaches the caller")
 {
     BackendFixture fixture([](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> { co_await writer.send({ 200, { { "X-Request-Id", "r2" } }, "other" }); });
--- a/tests/frontend/AdmissionTest.cpp
+++ b/tests/frontend/AdmissionTest.cpp
@@ -107,6 +107,26 @@
     CHECK(fixture.engines.at(1).priorities.front() > fixture.engines.at(1).priorities.at(1));
 }
 
+// Guards against live work that waits behind stragglers, whatever their class.
+TEST_CASE("stragglers leave slots to live work")
+{
+    FrontendFixture fixture(1, 0, 4);
+    fixture.engines.at(1).tokenDelay = 40ms;
+    std::vector<std::shared_ptr<FakeWriter>> stragglers;
+    for (const char* name : { "batch", "batch", "live", "live" })
+        stragglers.push_back(fixture.ask(fixture.completion(name, 2000, true, { { "X-Priority-Class", name }, { "X-Request-Timeout", "600000" } })));
+    fixture.advance(1s);
+    CHECK(fixture.engines.at(1).running.size() < 4);
+    auto started = fixture.engines.calls();
+    auto live = fixture.ask(fixture.completion("counter", 10));
+    CHECK(fixture.engines.calls() == started + 1);
+    fixture.advance(2s);
+    CHECK(readStream(*live).isWhole);
+    fixture.advance(400s);
+    for (const auto& writer : stragglers)
+        CHECK(readStream(*writer).text == expectedText(1, 2000));
+}
+
 // Guards against new work at a replica that drains (bound: 5 s; here at once).
 TEST_CASE("a leaving replica finishes its work and gets no new one")
 {
--- a/tests/frontend/ResumeTest.cpp
+++ b/tests/frontend/ResumeTest.cpp
@@ -48,6 +48,26 @@
     CHECK(before.text + after.text == expectedText(1, 60));
 }
 
+// Guards against two sessions that generate the same stream, and against a record that is dropped while one still runs.
+TEST_CASE("a resumption over a second connection takes the stream over from the first")
+{
+    FrontendFixture fixture(1);
+    fixture.engines.at(1).tokenDelay = 1s;
+    auto first = fixture.ask(fixture.completion("p", 100, true, { { "X-Request-Timeout", "300000" } }));
+    fixture.advance(5s);
+    auto before = readStream(*first);
+    auto second = fixture.ask(resumption(before.lastId));
+    fixture.advance(80s);
+    CHECK(first->isAborted);
+    CHECK(fixture.engines.at(1).running.size() == 1);
+    auto middle = readStream(*second, indexOf(before.lastId));
+    second->leave();
+    fixture.advance(1s);
+    auto third = fixture.ask(resumption(middle.lastId));
+    fixture.advance(100s);
+    CHECK(before.text + middle.text + readStream(*third).text == expectedText(1, 100));
+}
+
 // Guards against a stream that is lost with the daemon that accepted it.
 TEST_CASE("another daemon joins a stream that the engine holds")
 {
