--- a/bench/run/Suite.cpp
+++ b/bench/run/Suite.cpp
@@ -83,12 +83,14 @@
         contenders.push_back({ std::string(nameOf(kind)), kind, {} });
     contenders.push_back(without("live_reserve", &PolicyOptions::liveReserve));
     contenders.push_back(without("preemption", &PolicyOptions::preemption));
+    contenders.push_back(without("memory_limit", &PolicyOptions::memory));
     contenders.push_back(without("hedging", &PolicyOptions::hedging));
     contenders.push_back(without("ejection", &PolicyOptions::ejection));
     contenders.push_back(without("prefix_affinity", &PolicyOptions::prefixAffinity));
     contenders.push_back(without("role_control", &PolicyOptions::roleControl));
     contenders.push_back(without("fair_queueing", &PolicyOptions::fairQueueing));
     contenders.push_back(without("early_refusal", &PolicyOptions::earlyRefusal));
+    contenders.push_back(without("on_time_first", &PolicyOptions::onTimeFirst));
     return contenders;
 }
 
@@ -97,7 +99,7 @@
     std::vector<Cell> cells;
     for (const auto& deployment : { tannerRuddock(), saranrat() }) {
         cells.push_back({ deployment, shortWorkAlone, { "alone", std::nullopt, {} }, {} });
-        for (auto make : { mixShift, loadSpike, headOfLine, slowReplicas }) {
+        for (auto make : { mixShift, mixShiftFromSplit, loadSpike, headOfLine, slowReplicas }) {
             for (const auto& contender : allContenders())
                 cells.push_back({ deployment, make, contender, {} });
         }
--- a/modules/decisions/routing/Routing.cpp
+++ b/modules/decisions/routing/Routing.cpp
@@ -15,6 +15,8 @@
     constexpr size_t sampledCandidates = 3;
     /** A replica above this multiple of the candidates' mean load gets no affinity bonus. */
     constexpr double affinityLoadBound = 1.25;
+    /** Weight of the decode time in the cost of a live request. */
+    constexpr double liveDecodeWeight = 0.1;
     constexpr double probationShare = 1.0 / 20;
     /** Proximity weight of a replica this far away is half of that of a replica in the own zone. */
     constexpr double halfWeightDelaySeconds = 0.005;
@@ -71,9 +73,25 @@
         std::vector<size_t> full;
     };
 
-    bool isFull(const RouteRequest& request, const ReplicaView& view, TimePoint now)
+    double blocksFor(const WorkEstimate& work)
     {
-        if (ownRequests(view) >= view.concurrencyLimit)
+        return (work.prefillTokens + work.decodeTokens) / tokensPerBlock;
+    }
+
+    /** Whether the request would wait for memory. Batch work leaves a share of the memory to live work. */
+    bool lacksMemory(const RouteRequest& request, const ReplicaView& view, double cachedTokens)
+    {
+        if (view.blocks == 0)
+            return false;
+        auto sent = blocksFor(view.own.sentSinceReport) / std::max(lowestDaemonShare, view.daemonShare);
+        auto needed = std::ceil(blocksFor(request.work) - cachedTokens / tokensPerBlock);
+        auto reserve = request.priorityClass == PriorityClass::Batch ? liveReservedMemoryShare * view.blocks : 0;
+        return view.report.freeBlocks - sent < needed + reserve && view.report.running > 0;
+    }
+
+    bool isFull(const RouteRequest& request, const ReplicaView& view, double cachedTokens, TimePoint now)
+    {
+        if (ownRequests(view) >= view.concurrencyLimit || lacksMemory(request, view, cachedTokens))
             return true;
         auto limit = slotLimit(view.slots, request.priorityClass, isLongJob(request.work, view.rates));
         return estimateReplica(view, request, 0, now).runningRequests >= limit;
@@ -87,7 +105,7 @@
             const auto& view = views[index];
             if (!view.acceptsNewWork || contains(request.excluded, view.id))
                 continue;
-            if (isFull(request, view, now))
+            if (isFull(request, view, cachedAt(request, index), now))
                 eligible.full.push_back(index);
             else if (view.health == ReplicaHealth::Healthy)
                 eligible.open.push_back(index);
@@ -156,12 +174,20 @@
         return candidates;
     }
 
+    /** Live work waits for its first token; the pace of the others matters less. Batch work waits for the last token. */
+    double routingCost(const RouteRequest& request, const ReplicaEstimate& estimate)
+    {
+        auto decode = toSeconds(estimate.serviceTime - estimate.timeToFirstToken);
+        auto weight = request.priorityClass == PriorityClass::Live ? liveDecodeWeight : 1;
+        return toSeconds(estimate.timeToFirstToken) + weight * decode;
+    }
+
     RouteDecision decide(const RouteRequest& request, std::span<const ReplicaView> views, std::span<const size_t> indices, TimePoint now)
     {
         RouteDecision decision;
         decision.considered = evaluate(request, views, indices, now);
-        auto best = std::ranges::min_element(decision.considered, {}, [](const RouteCandidate& candidate) {
-            return candidate.estimate.serviceTime;
+        auto best = std::ranges::min_element(decision.considered, {}, [&](const RouteCandidate& candidate) {
+            return routingCost(request, candidate.estimate);
         });
         decision.chosen = *best;
         decision.reason = best->cachedTokens > 0 ? RouteReason::PrefixAffinity : RouteReason::LeastExpectedTime;
