--- a/modules/decisions/membership/Membership.cpp
+++ b/modules/decisions/membership/Membership.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-    bool isSameIncarnation(const MemberRecord& left, const MemberRecord& right)
-    {
-        return left.id == right.id && left.incarnation == right.incarnation;
-    }
-
     bool isVisiblyDifferent(const MemberRecord& left, const MemberRecord& right)
     {
         return left.state != right.state || left.incarnation != right.incarnation || left.revision != right.revision;
@@ -48,6 +43,7 @@
     void forgetRemoval(MemberTable& table, std::map<DaemonId, MemberRecord>::iterator removed)
     {
         table.removedKeys.erase(updateKey(removed->first, removed->second.incarnation));
+        table.removedButAlive.erase(removed->first);
         table.removed.erase(removed);
     }
 
@@ -121,8 +117,13 @@
 
     void mergeUpdate(MemberTable& table, const MemberUpdate& update, Revision senderRevision, TimePoint now, MergeOutcome& outcome)
     {
-        if (update.state > MemberState::Leaving || table.removedKeys.contains(update.key))
+        if (update.state > MemberState::Leaving)
+            return;
+        if (auto removed = table.removedKeys.find(update.key); removed != table.removedKeys.end()) {
+            if (counterGrowth(table.removed.at(removed->second), update) > 0)
+                table.removedButAlive.insert(removed->second);
             return;
+        }
         if (update.key == updateKey(table.self.id, table.self.incarnation)) {
             if (counterGrowth(table.self, update) > 0)
                 noteConflict(outcome, SelfConflict::NewerRecord, updated(table.self, update, senderRevision));
@@ -251,7 +252,7 @@
                 silent.push_back(member.key);
         }
         std::ranges::shuffle(silent, random);
-        silent.resize(std::min(silent.size(), wantedPerHeartbeat - news.unknown.size()));
+        silent.resize(std::min(silent.size(), silentPerHeartbeat));
         news.silent = std::move(silent);
     }
 
@@ -306,7 +307,7 @@
             known.record.state = MemberState::Dropped;
             changes.push_back(known.record);
             table.byKey.erase(known.key);
-            table.removedKeys.insert(known.key);
+            table.removedKeys[known.key] = member->first;
             table.removed[member->first] = known.record;
             member = table.others.erase(member);
             continue;
@@ -336,6 +337,14 @@
     return targets;
 }
 
+std::optional<MemberRecord> takeRemovedButAlive(MemberTable& table)
+{
+    if (table.removedButAlive.empty())
+        return std::nullopt;
+    auto id = table.removedButAlive.extract(table.removedButAlive.begin()).value();
+    return table.removed.at(id);
+}
+
 HeartbeatNews composeNews(MemberTable& table, TimePoint now, std::mt19937_64& random, size_t newsBytes, const HeartbeatNews* request)
 {
     HeartbeatNews news;
--- a/modules/decisions/membership/Membership.h
+++ b/modules/decisions/membership/Membership.h
@@ -35,7 +35,7 @@
 /** News of a member silent for this long is asked for. At 330 members a counter reaches each peer every 1.7 s on
     average, and without asking one in six intervals exceeds the 3 s after which a member is suspected. */
 constexpr Duration askAfterSilence = std::chrono::milliseconds(1500);
-constexpr size_t wantedPerHeartbeat = 24;
+constexpr size_t silentPerHeartbeat = 24;
 /** Removed members are remembered, so that late heartbeats do not readmit them; bounds the memory to about 1 MB. */
 constexpr size_t rememberedRemovals = 4096;
 
@@ -84,7 +84,8 @@
     std::map<DaemonId, KnownMember> others;
     std::map<DaemonId, MemberRecord> removed;
     std::map<UpdateKey, DaemonId> byKey; /**< known members */
-    std::set<UpdateKey> removedKeys;
+    std::map<UpdateKey, DaemonId> removedKeys;
+    std::set<DaemonId> removedButAlive; /**< removed members whose counters were seen to grow since */
     std::vector<UpdateKey> unknown; /**< keys seen in updates without a known record */
 };
 
@@ -117,6 +118,10 @@
 /** Peers for the next heartbeat: 2 at random and 1 of another zone, without repeats. */
 std::vector<MemberRecord> chooseHeartbeatTargets(const MemberTable&, std::mt19937_64&);
 
+/** A removed member that is alive elsewhere. A heartbeat with a notice makes it take a new incarnation; otherwise it
+    would learn of its removal only when it chooses this daemon as a target, after minutes in a large fleet. */
+std::optional<MemberRecord> takeRemovedButAlive(MemberTable&);
+
 /** Composes a heartbeat, or the reply to one when the request is given: the own record, what the request asks for, a
     notice when its sender was removed, and the news that this daemon has passed on least often.
     @param newsBytes bytes for records and updates */
--- a/modules/peers/codec/PeerMessage.cpp
+++ b/modules/peers/codec/PeerMessage.cpp
@@ -173,7 +173,7 @@
 
     bool decodeKeys(const json& object, const char* name, std::vector<UpdateKey>& keys)
     {
-        auto bytes = packedField(object, name, keyBytes, wantedPerHeartbeat);
+        auto bytes = packedField(object, name, keyBytes, std::max(recordsPerHeartbeat, silentPerHeartbeat));
         if (!bytes)
             return false;
         while (!bytes->empty())
--- a/modules/peers/service/NngPeerService.cpp
+++ b/modules/peers/service/NngPeerService.cpp
@@ -80,7 +80,8 @@
 
 private:
     void beat();
-    asio::awaitable<void> sendHeartbeat(std::string address);
+    void spawnHeartbeat(std::string address, std::optional<MemberRecord> removed = {});
+    asio::awaitable<void> sendHeartbeat(std::string address, std::optional<MemberRecord> removed);
     void probeStranger();
     json composeHeartbeat(const HeartbeatNews* request);
     json composeExtensions(size_t& bytes);
@@ -158,12 +159,13 @@
     publish(expireMembers(table, timers.now()));
     transport.closeIdle();
     advanceSelf(table);
-    for (const auto& target : chooseHeartbeatTargets(table, random))
-        asio::co_spawn(
-            context, [](std::shared_ptr<State> state, std::string address) -> asio::awaitable<void> {
-                co_await state->sendHeartbeat(std::move(address));
-            }(shared_from_this(), target.peerAddress),
-            asio::detached);
+    auto targets = chooseHeartbeatTargets(table, random);
+    if (auto removed = takeRemovedButAlive(table)) {
+        spawnHeartbeat(removed->peerAddress, removed);
+        targets.resize(std::min(targets.size(), randomHeartbeatTargets));
+    }
+    for (const auto& target : targets)
+        spawnHeartbeat(target.peerAddress);
     if (table.others.empty() || table.self.counter % bootstrapRounds == 0)
         probeStranger();
 }
@@ -183,19 +185,28 @@
     if (addresses.empty())
         return;
     auto chosen = std::next(addresses.begin(), static_cast<ptrdiff_t>(random() % addresses.size()));
+    spawnHeartbeat(*chosen);
+}
+
+void NngPeerService::State::spawnHeartbeat(std::string address, std::optional<MemberRecord> removed)
+{
     asio::co_spawn(
-        context, [](std::shared_ptr<State> state, std::string address) -> asio::awaitable<void> {
-            co_await state->sendHeartbeat(std::move(address));
-        }(shared_from_this(), *chosen),
+        context, [](std::shared_ptr<State> state, std::string receiver, std::optional<MemberRecord> notice) -> asio::awaitable<void> {
+            co_await state->sendHeartbeat(std::move(receiver), std::move(notice));
+        }(shared_from_this(), std::move(address), std::move(removed)),
         asio::detached);
 }
 
-asio::awaitable<void> NngPeerService::State::sendHeartbeat(std::string address)
+asio::awaitable<void> NngPeerService::State::sendHeartbeat(std::string address, std::optional<MemberRecord> removed)
 {
     // A peer that has not answered the previous heartbeat gets no further one, so that a paused one collects none.
     if (!heartbeatsInFlight.insert(address).second)
         co_return;
-    auto reply = co_await exchange(address, DaemonId(), heartbeatType, composeHeartbeat(nullptr), heartbeatTimeout);
+    HeartbeatNews notice;
+    if (removed)
+        notice.own = *removed;
+    auto heartbeat = composeHeartbeat(removed ? &notice : nullptr);
+    auto reply = co_await exchange(address, DaemonId(), heartbeatType, std::move(heartbeat), heartbeatTimeout);
     heartbeatsInFlight.erase(address);
     HeartbeatNews news;
     if (reply && !isClosed)
