Fuzz membership against an oracle

Cause: late, duplicated and crossed heartbeats were covered only by single cases. Change: random histories of four members with delayed heartbeats, pauses, restarts and revisions, and three known-wrong variants.

--- /dev/null
+++ b/tests/fuzz/MembershipFuzzTest.cpp
@@ -0,0 +1,216 @@
+#include "decisions/membership/Membership.h"
+#include "support/FixedSeed.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <deque>
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+
+namespace {
+
+constexpr size_t memberCount = 4;
+constexpr int defaultRuns = 300;
+
+enum class Fault : uint8_t {
+    Advance,
+    Exchange, /**< a sends a heartbeat to b and merges the reply */
+    Delay, /**< a's heartbeat to b is kept */
+    Deliver, /**< a kept heartbeat arrives, late or again */
+    Pause,
+    Restart,
+    Announce, /**< a announces a newer revision */
+};
+constexpr int faultKinds = 7;
+
+struct Step {
+    Fault fault = Fault::Advance;
+    uint8_t a = 0;
+    uint8_t b = 0;
+};
+
+std::ostream& operator<<(std::ostream& stream, const Step& step)
+{
+    constexpr std::array<const char*, faultKinds> names { "advance", "exchange", "delay", "deliver", "pause", "restart", "announce" };
+    return stream << names.at(static_cast<size_t>(step.fault)) << "(" << int { step.a } << "," << int { step.b } << ")";
+}
+
+enum class Wrong : uint8_t {
+    Nothing,
+    OlderRecordWins,
+    RevisionGoesDown,
+    RemovalSkipped,
+};
+
+/** Members that exchange heartbeats, and what the oracle knows of them: the newest value that each one announced. */
+class Fleet {
+public:
+    explicit Fleet(Wrong wrong)
+        : m_wrong(wrong)
+    {
+        for (size_t i = 0; i < memberCount; ++i) {
+            m_tables[i].self.id = DaemonId("m" + std::to_string(i));
+            m_tables[i].self.state = MemberState::Ready;
+            m_tables[i].self.incarnation = m_tables[i].self.counter = 1;
+        }
+    }
+
+    void apply(const Step& step)
+    {
+        auto& a = m_tables[step.a % memberCount];
+        auto& b = m_tables[step.b % memberCount];
+        bool isPaused = m_paused[step.a % memberCount];
+        switch (step.fault) {
+        case Fault::Advance:
+            return advance(std::chrono::milliseconds(500) * (1 + step.a % 8));
+        case Fault::Exchange:
+            return isPaused || m_paused[step.b % memberCount] || &a == &b ? void() : exchange(a, b);
+        case Fault::Delay:
+            if (!isPaused)
+                m_kept.push_back(composeNews(a, m_now, m_random, newsBytesPerHeartbeat));
+            return;
+        case Fault::Deliver:
+            if (!m_kept.empty())
+                merge(b, m_kept[step.a % m_kept.size()]);
+            return;
+        case Fault::Pause:
+            m_paused[step.a % memberCount] = step.b % 2 == 0;
+            return;
+        case Fault::Restart:
+            restart(a);
+            return;
+        case Fault::Announce:
+            a.self.revision += isPaused ? 0 : 1;
+            return advanceSelf(a);
+        }
+    }
+
+    /** All members run and exchange heartbeats until they have to know each other. */
+    void settle()
+    {
+        m_paused.fill(false);
+        for (int round = 0; round < 30; ++round) {
+            advance(heartbeatPeriod);
+            for (auto& from : m_tables) {
+                for (auto& to : m_tables) {
+                    if (&from != &to)
+                        exchange(from, to);
+                }
+            }
+        }
+        for (auto& table : m_tables) {
+            RC_ASSERT(table.others.size() == memberCount - 1);
+            for (auto& other : m_tables) {
+                if (&table != &other)
+                    RC_ASSERT(table.others.at(other.self.id).record.revision == other.self.revision);
+            }
+        }
+    }
+
+private:
+    void restart(MemberTable& table)
+    {
+        auto self = table.self;
+        self.incarnation += 10;
+        self.counter = 1;
+        self.revision = 0;
+        table = MemberTable();
+        table.self = self;
+    }
+
+    void advance(Duration duration)
+    {
+        m_now += duration;
+        for (size_t i = 0; i < memberCount; ++i) {
+            if (m_paused[i])
+                continue;
+            advanceSelf(m_tables[i]);
+            if (m_wrong != Wrong::RemovalSkipped)
+                expireMembers(m_tables[i], m_now);
+            for (const auto& [id, member] : m_tables[i].others)
+                RC_ASSERT(m_now - member.counterGrewAt < removalTime);
+        }
+    }
+
+    void exchange(MemberTable& a, MemberTable& b)
+    {
+        auto request = composeNews(a, m_now, m_random, newsBytesPerHeartbeat);
+        merge(b, request);
+        merge(a, composeNews(b, m_now, m_random, newsBytesPerHeartbeat, &request));
+    }
+
+    void merge(MemberTable& table, const HeartbeatNews& news)
+    {
+        auto before = table.others;
+        auto outcome = mergeNews(table, news, m_now);
+        if (outcome.conflict != SelfConflict::None)
+            renewIncarnation(table, 0, outcome.conflictingRecord);
+        if (auto sender = table.others.find(news.own.id); sender != table.others.end()) {
+            if (m_wrong == Wrong::OlderRecordWins)
+                sender->second.record = news.own;
+            if (m_wrong == Wrong::RevisionGoesDown)
+                sender->second.record.revision = news.own.revision;
+        }
+        for (const auto& [id, member] : table.others)
+            judge(before, id, member);
+    }
+
+    /** A member is never ahead of what it announced, and knowledge of it never goes back. */
+    void judge(const std::map<DaemonId, KnownMember>& before, const DaemonId& id, const KnownMember& after) const
+    {
+        auto announced = std::ranges::find(m_tables, id, [](const MemberTable& table) { return table.self.id; });
+        RC_ASSERT(!supersedes(after.record, announced->self));
+        auto known = before.find(id);
+        if (known == before.end())
+            return;
+        RC_ASSERT(!supersedes(known->second.record, after.record));
+        if (known->second.record.incarnation == after.record.incarnation)
+            RC_ASSERT(known->second.record.revision <= after.record.revision);
+    }
+
+    Wrong m_wrong;
+    std::array<MemberTable, memberCount> m_tables;
+    std::array<bool, memberCount> m_paused {};
+    std::deque<HeartbeatNews> m_kept;
+    std::mt19937_64 m_random { 1 };
+    TimePoint m_now { Duration::zero() };
+};
+
+rc::detail::TestResult runSteps(Wrong wrong, uint64_t seed, int runs)
+{
+    return runWithSeed("membership", seed, runs, [=] {
+        auto fault = rc::gen::map(rc::gen::inRange<int>(0, faultKinds), [](int value) { return static_cast<Fault>(value); });
+        auto number = rc::gen::inRange<uint8_t>(0, 16);
+        auto step = rc::gen::build<Step>(rc::gen::set(&Step::fault, fault), rc::gen::set(&Step::a, number), rc::gen::set(&Step::b, number));
+        Fleet fleet(wrong);
+        for (const auto& next : *rc::gen::container<std::vector<Step>>(step))
+            fleet.apply(next);
+        fleet.settle();
+    });
+}
+
+} // namespace
+
+// Guards against late, duplicated or crossed heartbeats that take membership back or keep silent members.
+TEST_CASE("membership agrees with the oracle in random histories")
+{
+    const char* fromEnvironment = std::getenv("CHESTNUT_FUZZ_RUNS");
+    for (uint64_t seed : { 201, 202 }) {
+        auto result = runSteps(Wrong::Nothing, seed, fromEnvironment ? std::max(1, std::atoi(fromEnvironment)) : defaultRuns);
+        bool agrees = result.is<rc::detail::SuccessResult>();
+        if (!agrees) {
+            std::cerr << "seed " << seed << ": ";
+            rc::detail::printResultMessage(result, std::cerr);
+        }
+        CHECK(agrees);
+    }
+}
+
+// Guards against an oracle that accepts wrong membership.
+TEST_CASE("known-wrong membership is caught")
+{
+    for (auto wrong : { Wrong::OlderRecordWins, Wrong::RevisionGoesDown, Wrong::RemovalSkipped })
+        CHECK(runSteps(wrong, 203, defaultRuns).is<rc::detail::FailureResult>());
+}
