Leave a margin of shared slots to requests that reports do not show yet

Cause: daemons filled all slots of an engine on the word of an old report; the excess waited at the engine, where accounts are not told apart. Change: a replica shared with other daemons counts as full at seven eighths of its slots.

--- a/modules/decisions/routing/Routing.cpp
+++ b/modules/decisions/routing/Routing.cpp
@@ -17,6 +17,8 @@
     constexpr double affinityLoadBound = 1.25;
     /** Weight of the decode time in the cost of a live request. */
     constexpr double liveDecodeWeight = 0.1;
+    /** Share of a shared replica's slots left to requests that other daemons have sent since its report. */
+    constexpr double staleReportMargin = 0.125;
     constexpr double probationShare = 1.0 / 20;
     /** Proximity weight of a replica this far away is half of that of a replica in the own zone. */
     constexpr double halfWeightDelaySeconds = 0.005;
@@ -89,11 +91,19 @@
         return view.report.freeBlocks - sent < needed + reserve && view.report.running > 0;
     }
 
+    /** Slots that may be filled on the word of an old report while other daemons send to the same replica. Requests
+        beyond the slots wait at the engine, where accounts are not told apart. */
+    uint32_t sharedSlotLimit(const ReplicaView& view)
+    {
+        auto isShared = view.daemonShare < 1;
+        return isShared ? view.slots - static_cast<uint32_t>(view.slots * staleReportMargin) : view.slots;
+    }
+
     bool isFull(const RouteRequest& request, const ReplicaView& view, double cachedTokens, TimePoint now)
     {
         if (ownRequests(view) >= view.concurrencyLimit || lacksMemory(request, view, cachedTokens))
             return true;
-        auto limit = slotLimit(view.slots, request.priorityClass, isLongJob(request.work, view.rates));
+        auto limit = std::min(slotLimit(view.slots, request.priorityClass, isLongJob(request.work, view.rates)), sharedSlotLimit(view));
         return estimateReplica(view, request, 0, now).runningRequests >= limit;
     }
 
--- a/tests/decisions/RoutingTest.cpp
+++ b/tests/decisions/RoutingTest.cpp
@@ -140,3 +140,19 @@
     RouteRequest live { .work = { 16384, 100 } };
     CHECK(chooseReplica(live, views, now, random).chosen.has_value());
 }
+
+// Guards against several daemons filling the same free slots between two load reports.
+TEST_CASE("requests of other daemons since the report are assumed in proportion to the own ones")
+{
+    auto views = replicas(1);
+    views[0].daemonShare = 0.25;
+    views[0].report.running = 20;
+    views[0].own.liveRequests = 5;
+    RandomGenerator random(1);
+    CHECK(estimateReplica(views[0], {}, 0, now).runningRequests == 20);
+    views[0].own.netRequestsSinceReport = 1;
+    CHECK(estimateReplica(views[0], {}, 0, now).runningRequests == 24);
+    CHECK(chooseReplica({}, views, now, random).chosen.has_value());
+    views[0].own.netRequestsSinceReport = 2;
+    CHECK(chooseReplica({}, views, now, random).reason == RouteReason::AllFull);
+}
