--- a/modules/control/orders/EngineWork.cpp
+++ b/modules/control/orders/EngineWork.cpp
@@ -179,7 +179,7 @@
         releaseSlots(*work);
         co_return;
     }
-    work->drain = DrainProgress { on.timers.now(), std::nullopt, std::nullopt, {} };
+    work->drain = DrainProgress { on.timers.now(), on.timers.now(), std::nullopt, std::nullopt, {} };
     work->informed.clear();
     work->informDue = on.timers.now();
     on.log.write(EventId::DrainStarted, { { "replica", work->id }, { "reason", "engine change" }, { "fencing_number", work->intent ? work->intent->fencingNumber : 0 } });
@@ -351,8 +351,7 @@
         work->informDue = on.timers.now() + noticePeriod;
         informAll(work, true);
     }
-    if (!work->drain->informedAt && isEveryoneInformed(*work))
-        work->drain->informedAt = on.timers.now();
+    updateInformed(*work);
     auto load = co_await on.engines.load(endpoint);
     if (!work->drain)
         co_return;
@@ -379,19 +378,35 @@
 
 asio::awaitable<void> OrderService::State::inform(std::shared_ptr<State> state, EngineWorkPointer work, DaemonId member, EngineNotice notice)
 {
+    auto askedAt = state->on.timers.now();
     auto reply = co_await state->on.peers.call(member, engineNoticeMessage, noticeToJson(notice), informTimeout);
     if (reply && notice.isAway)
-        work->informed.insert(member);
+        work->informed[member] = askedAt;
 }
 
 bool OrderService::State::isEveryoneInformed(const EngineWork& work) const
 {
     return std::ranges::all_of(on.peers.members(), [this, &work](const MemberRecord& member) {
         bool isGone = member.state == MemberState::Suspected || member.state == MemberState::Dropped;
-        return isGone || member.id == on.peers.self() || work.informed.contains(member.id);
+        auto confirmed = work.informed.find(member.id);
+        bool isInformed = confirmed != work.informed.end() && on.timers.now() < confirmed->second + noticeValidity;
+        return isGone || member.id == on.peers.self() || isInformed;
     });
 }
 
+void OrderService::State::updateInformed(EngineWork& work) const
+{
+    auto& drain = *work.drain;
+    bool isInformed = isEveryoneInformed(work);
+    if (isInformed && !drain.informedAt)
+        drain.informedAt = on.timers.now();
+    if (isInformed || !drain.informedAt)
+        return;
+    // A member joined, or its notice ran out: it may send work to the engine until it confirms again.
+    drain.informedAt.reset();
+    drain.askedAt = on.timers.now();
+}
+
 void OrderService::State::limitSilence(EngineWork& work)
 {
     // An engine that never returns from a change must not keep the other engines of its model from changing.
--- a/modules/control/orders/EngineWork.h
+++ b/modules/control/orders/EngineWork.h
@@ -3,7 +3,7 @@
 #include "control/orders/AwaySlots.h"
 #include "control/orders/OrderService.h"
 
-#include <set>
+#include <map>
 
 namespace chestnut {
 
@@ -29,7 +29,7 @@
     bool isBusy = false;
     bool isEnded = false;
     std::optional<DrainProgress> drain;
-    std::set<DaemonId> informed;
+    std::map<DaemonId, TimePoint> informed; /**< when the member last confirmed that the engine is away */
     TimePoint informDue;
     uint64_t noticeCounter = 0;
     std::vector<std::string> slots;
@@ -75,6 +75,7 @@
     static asio::awaitable<void> inform(std::shared_ptr<State>, EngineWorkPointer, DaemonId, EngineNotice);
     void informAll(const EngineWorkPointer&, bool isAway);
     bool isEveryoneInformed(const EngineWork&) const;
+    void updateInformed(EngineWork&) const;
     void settle(const EngineWorkPointer&);
     void limitSilence(EngineWork&);
     void releaseSlots(EngineWork&);
--- a/modules/decisions/drains/Drain.cpp
+++ b/modules/decisions/drains/Drain.cpp
@@ -20,7 +20,7 @@
 {
     if (now - progress.since >= drainBound)
         return true;
-    auto informedAt = progress.informedAt.value_or(progress.since + informBound);
+    auto informedAt = progress.informedAt.value_or(progress.askedAt + informBound);
     return now >= informedAt && progress.running == 0U && progress.reportedAt >= informedAt + dispatchGrace;
 }
 
--- a/modules/decisions/drains/Drain.h
+++ b/modules/decisions/drains/Drain.h
@@ -24,6 +24,7 @@
 /** How far a replica has been emptied before a change. */
 struct DrainProgress {
     TimePoint since;
+    TimePoint askedAt; /**< since when some member has not confirmed; equal to `since` at first */
     std::optional<TimePoint> informedAt; /**< all reachable members confirmed that they send no new work */
     std::optional<uint32_t> running; /**< from the newest load report */
     TimePoint reportedAt; /**< when that report was made, its age taken off */
