--- a/standins/frontendstandin/main.cpp
+++ b/standins/frontendstandin/main.cpp
@@ -33,7 +33,9 @@
 void addServers(Configuration& configuration, const std::string& service, const std::vector<std::string>& addresses)
 {
     for (const auto& address : addresses) {
-        BackendServerSpec server { ReplicaId(service + "-" + address), ServiceId(service), address, AvailabilityZone("a"), Region("r") };
+        std::string id = service;
+        id.append("-").append(address);
+        BackendServerSpec server { ReplicaId(id), ServiceId(service), address, AvailabilityZone("a"), Region("r") };
         configuration.backendServers[server.id.value()] = server;
     }
 }
--- a/standins/loadtool/LoadSummary.cpp
+++ b/standins/loadtool/LoadSummary.cpp
@@ -1,6 +1,7 @@
 #include "LoadSummary.h"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace chestnut {
@@ -15,7 +16,7 @@
     {
         if (sorted.empty())
             return 0;
-        auto index = static_cast<size_t>(share * static_cast<double>(sorted.size() - 1) + 0.5);
+        auto index = static_cast<size_t>(std::lround(share * static_cast<double>(sorted.size() - 1)));
         return static_cast<double>(sorted[index].count()) / 1000;
     }
 
