--- a/modules/peers/service/NngPeerService.cpp
+++ b/modules/peers/service/NngPeerService.cpp
@@ -49,8 +49,8 @@
         , options(std::move(options))
         , bootstrap(std::move(bootstrap))
         , linkFilter(std::move(linkFilter))
-        , transport(context, timers)
-        , random(this->options.randomSeed)
+        , m_transport(context, timers)
+        , m_random(this->options.randomSeed)
     {
         table.self.id = this->options.id;
         table.self.incarnation = this->options.incarnation;
@@ -98,20 +98,20 @@
     std::string encodeReply(DaemonId receiver, Result<json> result) const;
     void countMessage(const char* direction, size_t bytes);
 
-    NngTransport transport;
-    std::mt19937_64 random;
-    TimerSubscription heartbeats;
-    std::set<std::string> heartbeatsInFlight;
-    std::map<std::string, TimePoint> loggedRefusals;
-    std::vector<TimePoint> renewals;
-    size_t handledRequests = 0;
-    bool isClosed = false;
+    NngTransport m_transport;
+    std::mt19937_64 m_random;
+    TimerSubscription m_heartbeats;
+    std::set<std::string> m_heartbeatsInFlight;
+    std::map<std::string, TimePoint> m_loggedRefusals;
+    std::vector<TimePoint> m_renewals;
+    size_t m_handledRequests = 0;
+    bool m_isClosed = false;
 };
 
 void NngPeerService::State::start()
 {
     std::weak_ptr<State> weak = weak_from_this();
-    auto bound = transport.listen(options.listenAddress, [weak](std::string request) -> asio::awaitable<std::string> {
+    auto bound = m_transport.listen(options.listenAddress, [weak](std::string request) -> asio::awaitable<std::string> {
         // Not a coroutine itself: the returned one owns the state.
         auto state = weak.lock();
         if (!state)
@@ -124,7 +124,7 @@
         throw std::runtime_error("cannot listen on " + formatEndpoint(options.listenAddress) + ": " + bound.error().detail);
     table.self.peerAddress = formatEndpoint(*bound);
     log.write(EventId::ListenerStarted, { { "listener", "peers" }, { "address", table.self.peerAddress } });
-    heartbeats = timers.every(heartbeatPeriod, [weak] {
+    m_heartbeats = timers.every(heartbeatPeriod, [weak] {
         if (auto state = weak.lock())
             state->beat();
     });
@@ -132,9 +132,9 @@
 
 void NngPeerService::State::close()
 {
-    isClosed = true;
-    heartbeats.cancel();
-    transport.close();
+    m_isClosed = true;
+    m_heartbeats.cancel();
+    m_transport.close();
 }
 
 void NngPeerService::State::announceChange()
@@ -157,9 +157,9 @@
 void NngPeerService::State::beat()
 {
     publish(expireMembers(table, timers.now()));
-    transport.closeIdle();
+    m_transport.closeIdle();
     advanceSelf(table);
-    auto targets = chooseHeartbeatTargets(table, random);
+    auto targets = chooseHeartbeatTargets(table, m_random);
     if (auto removed = takeRemovedButAlive(table)) {
         spawnHeartbeat(removed->peerAddress, removed);
         targets.resize(std::min(targets.size(), randomHeartbeatTargets));
@@ -184,7 +184,7 @@
         addresses.erase(member.record.peerAddress);
     if (addresses.empty())
         return;
-    auto chosen = std::next(addresses.begin(), static_cast<ptrdiff_t>(random() % addresses.size()));
+    auto chosen = std::next(addresses.begin(), static_cast<ptrdiff_t>(m_random() % addresses.size()));
     spawnHeartbeat(*chosen);
 }
 
@@ -200,16 +200,16 @@
 asio::awaitable<void> NngPeerService::State::sendHeartbeat(std::string address, std::optional<MemberRecord> removed)
 {
     // A peer that has not answered the previous heartbeat gets no further one, so that a paused one collects none.
-    if (!heartbeatsInFlight.insert(address).second)
+    if (!m_heartbeatsInFlight.insert(address).second)
         co_return;
     HeartbeatNews notice;
     if (removed)
         notice.own = *removed;
     auto heartbeat = composeHeartbeat(removed ? &notice : nullptr);
     auto reply = co_await exchange(address, DaemonId(), heartbeatType, std::move(heartbeat), heartbeatTimeout);
-    heartbeatsInFlight.erase(address);
+    m_heartbeatsInFlight.erase(address);
     HeartbeatNews news;
-    if (reply && !isClosed)
+    if (reply && !m_isClosed)
         (void)acceptHeartbeat(DaemonId(), *reply, news);
 }
 
@@ -234,7 +234,7 @@
     size_t extensionBytes = 0;
     auto values = composeExtensions(extensionBytes);
     auto newsBytes = std::max(leastNewsBytes, newsBytesPerHeartbeat - std::min(newsBytesPerHeartbeat, extensionBytes));
-    auto body = encodeNews(composeNews(table, timers.now(), random, newsBytes, request));
+    auto body = encodeNews(composeNews(table, timers.now(), m_random, newsBytes, request));
     body["extensions"] = std::move(values);
     return body;
 }
@@ -265,15 +265,15 @@
     if (outcome.conflict == SelfConflict::None)
         return;
     auto now = timers.now();
-    std::erase_if(renewals, [&](TimePoint time) { return now - time > refusalLogPeriod; });
+    std::erase_if(m_renewals, [&](TimePoint time) { return now - time > refusalLogPeriod; });
     // Two processes with one id would otherwise renew at each other's heartbeats without a bound.
-    if (!renewals.empty() && now - renewals.back() < heartbeatPeriod)
+    if (!m_renewals.empty() && now - m_renewals.back() < heartbeatPeriod)
         return;
-    renewals.push_back(now);
+    m_renewals.push_back(now);
     auto before = table.self.incarnation;
     renewIncarnation(table, static_cast<Incarnation>(timers.wallClock().count()) * 1000, outcome.conflictingRecord);
     const auto& other = *outcome.conflictingRecord;
-    bool isSecondProcess = other.peerAddress != table.self.peerAddress || renewals.size() >= renewalsOfConflict;
+    bool isSecondProcess = other.peerAddress != table.self.peerAddress || m_renewals.size() >= renewalsOfConflict;
     auto event = isSecondProcess ? EventId::IdentityConflict : EventId::IncarnationRenewed;
     auto reason = outcome.conflict == SelfConflict::AnnouncedDropped ? "announced_dropped" : "newer_record";
     log.write(event, { { "reason", reason }, { "before", before }, { "after", table.self.incarnation }, { "other_address", other.peerAddress } });
@@ -285,7 +285,7 @@
 {
     for (const auto& change : changes) {
         if (change.state == MemberState::Dropped)
-            transport.disconnect(change.peerAddress);
+            m_transport.disconnect(change.peerAddress);
         log.write(EventId::MemberChanged, { { "member", change.id }, { "incarnation", change.incarnation }, { "state", nameOf(change.state) }, { "revision", change.revision }, { "address", change.peerAddress } });
         auto current = subscribers;
         for (const auto& subscriber : current)
@@ -307,15 +307,15 @@
 void NngPeerService::State::logRefusal(const std::string& sender, const Error& error)
 {
     auto now = timers.now();
-    if (loggedRefusals.size() >= maximumRefusalSenders)
-        std::erase_if(loggedRefusals, [&](const auto& entry) { return now - entry.second >= refusalLogPeriod; });
-    auto [logged, isNew] = loggedRefusals.try_emplace(sender, now);
+    if (m_loggedRefusals.size() >= maximumRefusalSenders)
+        std::erase_if(m_loggedRefusals, [&](const auto& entry) { return now - entry.second >= refusalLogPeriod; });
+    auto [logged, isNew] = m_loggedRefusals.try_emplace(sender, now);
     metrics.count("chestnut_peer_messages_refused_total");
     if (!isNew && now - logged->second < refusalLogPeriod)
         return;
     logged->second = now;
-    if (loggedRefusals.size() > maximumRefusalSenders)
-        loggedRefusals.erase(logged);
+    if (m_loggedRefusals.size() > maximumRefusalSenders)
+        m_loggedRefusals.erase(logged);
     log.write(EventId::PeerMessageRefused, { { "sender", sender }, { "reason", error.detail } });
 }
 
@@ -352,7 +352,7 @@
 
 asio::awaitable<Result<json>> NngPeerService::State::dispatch(DaemonId sender, std::string type, json body)
 {
-    if (isClosed)
+    if (m_isClosed)
         co_return makeError(ErrorKind::Leaving, "the daemon stops");
     if (type == heartbeatType) {
         HeartbeatNews news;
@@ -360,7 +360,7 @@
             co_return accepted.error();
         co_return composeHeartbeat(&news);
     }
-    if (handledRequests >= maximumHandled)
+    if (m_handledRequests >= maximumHandled)
         co_return makeError(ErrorKind::Overloaded, "too many requests of peers");
     co_return co_await runHandler(std::move(sender), std::move(type), std::move(body));
 }
@@ -371,7 +371,7 @@
     if (found == handlers.end())
         co_return makeError(ErrorKind::NotFound, "no handler for messages of type " + type);
     auto handler = found->second;
-    ++handledRequests;
+    ++m_handledRequests;
     Result<json> result = makeError(ErrorKind::Internal, "");
     try {
         result = co_await handler(std::move(sender), std::move(body));
@@ -379,7 +379,7 @@
         log.write(EventId::PeerHandlerFailed, { { "type", type }, { "exception", exception.what() } });
         result = makeError(ErrorKind::Internal, exception.what());
     }
-    --handledRequests;
+    --m_handledRequests;
     co_return result;
 }
 
@@ -391,7 +391,7 @@
     if (request.size() > maximumPeerMessageBytes)
         co_return makeError(ErrorKind::BodyTooLarge, "message of " + std::to_string(request.size()) + " bytes");
     countMessage("sent", request.size());
-    auto bytes = co_await transport.call(std::move(address), std::move(request), timeout);
+    auto bytes = co_await m_transport.call(std::move(address), std::move(request), timeout);
     if (!bytes)
         co_return bytes.error();
     countMessage("received", bytes->size());
@@ -474,6 +474,7 @@
     for (const auto& [id, member] : m_state->table.others)
         byId.emplace(id, visibleRecord(member));
     std::vector<MemberRecord> records;
+    records.reserve(byId.size());
     for (auto& [id, record] : byId)
         records.push_back(std::move(record));
     return records;
