Spread suspicions before the caller can retry; shorten short discovery answers

Cause: whole-process tests showed three faults of the front end. 1. Suspected requests spread by heartbeats only. A caller that retried a crashing prompt at once at each daemon crashed two engines per daemon: 12 engines instead of 2. 2. A daemon that has just started knows few members and gave discovery answers with one address, valid for 10 s. After that daemon was killed, 45 of 231 requests found no other address. 3. A leaving daemon handed out its own key prefix. Callers used it after the daemon had exited: 4 of 635 requests of a rolling replacement ended with outcome_unknown.

Change: a daemon tells all members about a request that ran alone on a lost replica, or was lost twice, before it answers or retries (300 ms at most, at most 4 such warnings at once). Discovery answers with fewer than 3 addresses are valid for 1 s. The prefix of a leaving daemon is empty, so callers use shared keys.

--- a/modules/decisions/discovery/Discovery.cpp
+++ b/modules/decisions/discovery/Discovery.cpp
@@ -101,4 +101,9 @@
     return result;
 }
 
+Duration validityOf(std::span<const EntryPoint> points)
+{
+    return points.size() < entryPointCount ? shortDiscoveryValidity : discoveryValidity;
+}
+
 } // namespace chestnut
--- a/modules/frontend/completions/RequestSession.cpp
+++ b/modules/frontend/completions/RequestSession.cpp
@@ -1,5 +1,6 @@
 #include "frontend/completions/RequestSession.h"
 
+#include "frontend/replicas/HeartbeatExchange.h"
 #include "frontend/streams/StreamId.h"
 
 #include <algorithm>
@@ -338,6 +339,8 @@
     auto kind = m_error->kind;
     if (kind == ErrorKind::CallerGone || kind == ErrorKind::DeadlineExceeded || m_record->body.empty())
         co_return false;
+    if (kind == ErrorKind::BackendFailed)
+        co_await warnMembers(m_state, m_record->caller.content);
     RetryQuery query { kind, true, m_attemptCount, m_backendsLost, m_record->caller.deadline, Duration::zero() };
     // One lost backend strikes many requests at once and each may go on once, so this first loss needs no budget.
     bool isFirstLoss = kind == ErrorKind::BackendFailed && m_backendsLost == 1;
--- a/modules/frontend/discovery/DiscoveryAnswer.cpp
+++ b/modules/frontend/discovery/DiscoveryAnswer.cpp
@@ -10,13 +10,14 @@
 {
     auto account = request.headers.value("X-Account");
     auto zone = request.headers.value("X-Zone");
-    auto members = peers.members();
+    AccountId accountId(account.empty() ? "default" : std::string(account));
+    auto chosen = entryPoints(accountId, zone.empty() ? ownZone : AvailabilityZone(std::string(zone)), peers.members());
     auto points = json::array();
-    for (const auto& point : entryPoints(AccountId(account.empty() ? "default" : std::string(account)), zone.empty() ? ownZone : AvailabilityZone(std::string(zone)), members))
+    for (const auto& point : chosen)
         points.push_back({ { "address", point.address }, { "zone", point.zone.value() } });
     json document {
         { "entrypoints", points },
-        { "valid_for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(discoveryValidity).count() },
+        { "valid_for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(validityOf(chosen)).count() },
         { "key_prefix", keyPrefix },
     };
     HttpHeaders headers { { "Content-Type", "application/json" }, { "X-Request-Id", id.value() } };
--- a/modules/frontend/dispatch/FrontendState.h
+++ b/modules/frontend/dispatch/FrontendState.h
@@ -60,6 +60,7 @@
     std::shared_ptr<ReplicaTable> replicas;
     RandomGenerator random;
     SuspectTable suspects;
+    uint32_t openWarnings = 0; /**< warnings about suspected requests that members have not answered yet */
     RetryBudget retryBudget;
     HedgeBudget hedgeBudget;
     std::map<std::pair<AccountId, PriorityClass>, OutputLengthModel> outputModels;
--- a/modules/frontend/listener/Frontend.cpp
+++ b/modules/frontend/listener/Frontend.cpp
@@ -137,6 +137,7 @@
 {
     auto& services = m_state->services;
     services.log.write(EventId::FrontendStopping, { { "in_progress", m_progress->requests } });
+    m_isLeaving = true;
     services.peers.announceState(MemberState::Leaving);
     co_await services.timers.sleep(m_state->settings.leaveDelay);
     m_isStopping = true;
@@ -150,15 +151,23 @@
     return errorResponse(error, RequestId("none"));
 }
 
+HttpResponse Frontend::answerDiscovery(const HttpRequest& request, const RequestId& id) const
+{
+    if (request.method != "GET")
+        return errorResponse(makeError(ErrorKind::BadRequest, "discovery is a GET"), id);
+    auto& services = m_state->services;
+    // The prefix may be used for as long as the answer is valid, and this daemon may be gone before; without a prefix
+    // callers use shared keys.
+    auto keyPrefix = m_isLeaving ? std::string() : services.claims.keyPrefix();
+    return discoveryAnswer(request, id, services.peers, keyPrefix, m_state->settings.locality.zone);
+}
+
 asio::awaitable<void> Frontend::handle(HttpRequest request, HttpResponseWriter& writer)
 {
     Progress progress(m_progress);
     auto id = requestIdOf(request.headers, m_state->nextAttemptId());
     if (request.path() == "/v1/entrypoints") {
-        if (request.method == "GET")
-            co_await writer.send(discoveryAnswer(request, id, m_state->services.peers, m_state->services.claims.keyPrefix(), m_state->settings.locality.zone));
-        else
-            co_await writer.send(errorResponse(makeError(ErrorKind::BadRequest, "discovery is a GET"), id));
+        co_await writer.send(answerDiscovery(request, id));
         co_return;
     }
     co_await handleWork(std::move(request), std::move(id), writer);
--- a/modules/frontend/listener/Frontend.h
+++ b/modules/frontend/listener/Frontend.h
@@ -49,6 +49,7 @@
     class Progress;
     class AccountSlot;
 
+    HttpResponse answerDiscovery(const HttpRequest&, const RequestId&) const;
     asio::awaitable<void> handleWork(HttpRequest, RequestId, HttpResponseWriter&);
     asio::awaitable<void> complete(CallerRequest, HttpRequest, HttpResponseWriter&);
     asio::awaitable<void> resume(CallerRequest, HttpRequest, HttpResponseWriter&);
@@ -66,7 +67,8 @@
     std::shared_ptr<Dispatcher> m_dispatcher;
     std::shared_ptr<HeldStreams> m_held;
     ReplicaPoller m_poller;
-    bool m_isStopping = false;
+    bool m_isLeaving = false; /**< still serves, but no longer named by discovery */
+    bool m_isStopping = false; /**< refuses new work */
     std::shared_ptr<ProgressCount> m_progress;
     TimerSubscription m_expiry;
 };
--- a/modules/frontend/replicas/HeartbeatExchange.cpp
+++ b/modules/frontend/replicas/HeartbeatExchange.cpp
@@ -1,5 +1,10 @@
 #include "frontend/replicas/HeartbeatExchange.h"
 
+#include "frontend/support/Signal.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 
 namespace chestnut {
@@ -14,6 +19,20 @@
     /** Replicas at most this slow are not worth a peer's attention. */
     constexpr double reportedRatio = 1.5;
 
+    constexpr std::string_view warningMessage = "suspects";
+    constexpr Duration warningTimeout = std::chrono::milliseconds(300);
+    /** Warnings at once; more of them mean that many replicas were lost for another reason, such as a lost zone. */
+    constexpr uint32_t maximumWarnings = 4;
+
+    json toJson(const Digest& digest, const Suspicion& suspicion, TimePoint now)
+    {
+        auto replicas = json::array();
+        for (const auto& replica : suspicion.lostReplicas)
+            replicas.push_back(replica.value());
+        auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - suspicion.lastLoss);
+        return { { "d", toHex(digest) }, { "r", replicas }, { "a", suspicion.ranAlone }, { "age_ms", age.count() } };
+    }
+
     json suspectsOf(FrontendState& state)
     {
         std::vector<std::pair<Digest, Suspicion>> newest(state.suspects.suspicions.begin(), state.suspects.suspicions.end());
@@ -21,13 +40,8 @@
         if (newest.size() > maximumSuspects)
             newest.resize(maximumSuspects);
         auto list = json::array();
-        for (const auto& [digest, suspicion] : newest) {
-            auto replicas = json::array();
-            for (const auto& replica : suspicion.lostReplicas)
-                replicas.push_back(replica.value());
-            auto age = std::chrono::duration_cast<std::chrono::milliseconds>(state.now() - suspicion.lastLoss);
-            list.push_back({ { "d", toHex(digest) }, { "r", replicas }, { "a", suspicion.ranAlone }, { "age_ms", age.count() } });
-        }
+        for (const auto& [digest, suspicion] : newest)
+            list.push_back(toJson(digest, suspicion, state.now()));
         return list;
     }
 
@@ -88,12 +102,69 @@
         state->services.peers.extendHeartbeat({ std::move(key), produceNow, consume });
     }
 
+    /** Members that have not answered a warning yet. */
+    struct Warning {
+        explicit Warning(asio::io_context& context)
+            : isDone(context)
+        {
+        }
+
+        size_t open = 0;
+        Signal isDone;
+    };
+
+    asio::awaitable<void> warn(FrontendStatePointer state, std::shared_ptr<Warning> warning, DaemonId member, json list)
+    {
+        // A member that does not answer learns the same from heartbeats.
+        co_await state->services.peers.call(std::move(member), std::string(warningMessage), std::move(list), warningTimeout);
+        if (--warning->open == 0)
+            warning->isDone.notify();
+    }
+
+    void takeWarnings(const FrontendStatePointer& state)
+    {
+        std::weak_ptr<FrontendState> weak = state;
+        state->services.peers.handle(std::string(warningMessage), [weak](DaemonId, json body) -> asio::awaitable<Result<json>> {
+            try {
+                if (auto locked = weak.lock())
+                    mergeSuspects(*locked, body);
+            } catch (const json::exception& exception) {
+                co_return makeError(ErrorKind::BadJson, exception.what());
+            }
+            co_return json::object();
+        });
+    }
+
 } // namespace
 
 void exchangeByHeartbeat(const FrontendStatePointer& state)
 {
     extend(state, "suspects", suspectsOf, mergeSuspects);
     extend(state, "latencies", latenciesOf, mergeLatencies);
+    takeWarnings(state);
+}
+
+asio::awaitable<void> warnMembers(FrontendStatePointer state, Digest content)
+{
+    auto found = state->suspects.suspicions.find(content);
+    if (found == state->suspects.suspicions.end() || state->openWarnings >= maximumWarnings)
+        co_return;
+    bool isLikelyCause = found->second.ranAlone || isQuarantined(state->suspects, content, state->now());
+    if (!isLikelyCause)
+        co_return;
+    auto list = json::array({ toJson(content, found->second, state->now()) });
+    auto warning = std::make_shared<Warning>(state->services.context);
+    for (const auto& member : state->services.peers.members()) {
+        if (member.id == state->services.peers.self())
+            continue;
+        ++warning->open;
+        asio::co_spawn(state->services.context, warn(state, warning, member.id, list), asio::detached);
+    }
+    if (warning->open == 0)
+        co_return;
+    ++state->openWarnings;
+    co_await warning->isDone.waitFor(state->services.timers, warningTimeout);
+    --state->openWarnings;
 }
 
 } // namespace chestnut
--- a/modules/frontend/services/ServiceCall.cpp
+++ b/modules/frontend/services/ServiceCall.cpp
@@ -1,5 +1,7 @@
 #include "frontend/services/ServiceCall.h"
 
+#include "frontend/replicas/HeartbeatExchange.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -218,6 +220,8 @@
 
 asio::awaitable<bool> ServiceCall::mayRetry(const Error& error)
 {
+    if (error.kind == ErrorKind::BackendFailed)
+        co_await warnMembers(m_state, m_request.caller.content);
     RetryQuery query { error.kind, m_request.isIdempotent(), m_attemptCount, m_backendsLost, m_request.caller.deadline, Duration::zero() };
     auto decision = decideRetry(query, m_state->retryBudget, m_state->now(), m_state->random);
     m_state->retryBudget = decision.budget;
@@ -264,6 +268,8 @@
         failure = response.error();
         recordAttemptFailure(dispatched, failure);
         // Only a failed connect proves that no byte was sent. Any other failure leaves the claim in place for good.
+        if (failure.kind == ErrorKind::BackendFailed)
+            co_await warnMembers(m_state, caller.content);
         if (failure.kind != ErrorKind::ConnectFailed)
             co_return makeError(ErrorKind::OutcomeUnknown, failure.detail);
         dispatched.flight.reset();
--- a/tests/frontend/AdmissionTest.cpp
+++ b/tests/frontend/AdmissionTest.cpp
@@ -171,6 +171,9 @@
     asio::co_spawn(fixture.context, fixture.frontend->stop(), [&](std::exception_ptr) { hasStopped = true; });
     fixture.advance(5s);
     CHECK(fixture.peers.record.state == MemberState::Leaving);
+    // A key with the prefix of a daemon that is gone could not be resolved any more.
+    auto discovery = fixture.ask({ "GET", "/v1/entrypoints", {}, "" });
+    CHECK(nlohmann::json::parse(discovery->body)["key_prefix"] == "");
     auto during = fixture.ask(fixture.completion("q", 2));
     fixture.advance(8s);
     CHECK(readStream(*during).isWhole);
--- a/tests/frontend/Fakes.h
+++ b/tests/frontend/Fakes.h
@@ -59,7 +59,12 @@
     void handle(std::string, PeerHandler) override { }
     void extendHeartbeat(HeartbeatExtension extension) override { extensions.push_back(std::move(extension)); }
     asio::awaitable<Result<nlohmann::json>> call(DaemonId, std::string, nlohmann::json, Duration) override { co_return makeError(ErrorKind::ConnectFailed, "no peers"); }
-    std::vector<MemberRecord> members() const override { return { record }; }
+    std::vector<MemberRecord> members() const override
+    {
+        auto all = others;
+        all.insert(all.begin(), record);
+        return all;
+    }
     std::optional<MemberRecord> member(const DaemonId& id) const override { return id == record.id ? std::optional(record) : std::nullopt; }
     const DaemonId& self() const override { return record.id; }
     Incarnation incarnation() const override { return 7; }
@@ -68,6 +73,7 @@
     void announceLoad(uint32_t) override { }
     void onMemberChange(std::function<void(const MemberRecord&)>) override { }
 
+    std::vector<MemberRecord> others;
     MemberRecord record { DaemonId("d1"), 7, 1, MemberState::Ready, AvailabilityZone("a"), Region("r"), "127.0.0.1:8000", "127.0.0.1:8001" };
     std::vector<HeartbeatExtension> extensions;
 };
--- a/tests/frontend/ResumeTest.cpp
+++ b/tests/frontend/ResumeTest.cpp
@@ -26,8 +26,18 @@
     auto writer = fixture.ask({ "GET", "/v1/entrypoints", { { "X-Zone", "a" } }, "" });
     auto document = nlohmann::json::parse(writer->body);
     CHECK(document["entrypoints"][0]["address"] == "127.0.0.1:8000");
-    CHECK(document["valid_for_ms"] == 10000);
+    // Guards against callers that depend for 10 s on the short list of a daemon that has just started.
+    CHECK(document["valid_for_ms"] == 1000);
     CHECK(document["key_prefix"] == "7");
+
+    for (const auto* id : { "d2", "d3" }) {
+        fixture.peers.others.push_back(fixture.peers.record);
+        fixture.peers.others.back().id = DaemonId(id);
+    }
+    writer = fixture.ask({ "GET", "/v1/entrypoints", { { "X-Zone", "a" } }, "" });
+    document = nlohmann::json::parse(writer->body);
+    CHECK(document["entrypoints"].size() == 3);
+    CHECK(document["valid_for_ms"] == 10000);
 }
 
 // Guards against lost or doubled tokens when a caller's connection breaks.
