Add whole-process failure tests

Cause: failures of whole processes were covered only by fakes at the interfaces. The service double can print its executions, so that they outlive a killed process; the load generator ends its sending on SIGINT; each test process has its own block of ports, and each backend server its own loopback address.

--- a/cmake/ChestnutTargets.cmake
+++ b/cmake/ChestnutTargets.cmake
@@ -21,8 +21,8 @@
     target_link_libraries(${name} PRIVATE ${ARGN})
 endfunction()
 
-# Defines the doctest executable test_<name> from tests/<name>/*.cpp and registers it with CTest.
-function(chestnut_test name)
+# Defines the doctest executable test_<name> from tests/<name>/*.cpp.
+function(chestnut_test_program name)
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cpp)
     if(NOT sources)
         return()
@@ -32,6 +32,14 @@
     target_link_libraries(test_${name} PRIVATE ${ARGN} doctest::doctest)
     target_compile_definitions(test_${name} PRIVATE
         CHESTNUT_SOURCE_DIR="${CMAKE_SOURCE_DIR}" CHESTNUT_BINARY_DIR="${CMAKE_BINARY_DIR}")
+endfunction()
+
+# Defines the doctest executable test_<name> and registers it with CTest.
+function(chestnut_test name)
+    chestnut_test_program(${name} ${ARGN})
+    if(NOT TARGET test_${name})
+        return()
+    endif()
     add_test(NAME ${name} COMMAND test_${name})
     set_tests_properties(${name} PROPERTIES TIMEOUT 600)
 endfunction()
--- a/standins/loadtool/main.cpp
+++ b/standins/loadtool/main.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/str_split.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
 #include <cstdio>
 
 ABSL_FLAG(std::string, entrypoints, "", "comma-separated loopback addresses of daemons to start from");
@@ -50,6 +52,8 @@
         while (auto request = m_workload.next()) {
             if (auto wait = request->at - (m_timers.now() - start); wait > Duration::zero())
                 co_await m_timers.sleep(wait);
+            if (m_isStopping)
+                break;
             if (m_inFlight >= maximumInFlight) {
                 m_summary.addNotSent();
                 continue;
@@ -61,6 +65,9 @@
         stopWhenDone();
     }
 
+    /** Sends no further request; those in flight go on. */
+    void stopSending() { m_isStopping = true; }
+
     uint32_t inFlight() const { return m_inFlight; }
 
 private:
@@ -84,6 +91,7 @@
     LoadSummary& m_summary;
     uint32_t m_inFlight = 0;
     bool m_isSent = false;
+    bool m_isStopping = false;
 };
 
 std::vector<Endpoint> seedsFromFlags()
@@ -117,7 +125,7 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("Load generator. Exit code 0: no wrong answer, 1: wrong answers, 2: bad flags.");
+    absl::SetProgramUsageMessage("Load generator. SIGINT ends the sending early. Exit code 0: no wrong answer, 1: wrong answers, 2: bad flags.");
     absl::ParseCommandLine(argc, argv);
     auto seeds = seedsFromFlags();
     auto settings = workloadFromFlags();
@@ -136,6 +144,11 @@
     Workload workload(settings);
     LoadSummary summary;
     LoadRun run(context, timers, caller, workload, summary);
+    asio::signal_set signals(context, SIGINT);
+    signals.async_wait([&run](const boost::system::error_code& error, int) {
+        if (!error)
+            run.stopSending();
+    });
     asio::co_spawn(context, run.send(absl::GetFlag(FLAGS_max_in_flight)), asio::detached);
     context.run_for(fromSeconds(toSeconds(settings.duration) + absl::GetFlag(FLAGS_drain_s)));
     for (uint32_t i = 0; i < run.inFlight(); ++i) {
--- a/standins/servicestandin/main.cpp
+++ b/standins/servicestandin/main.cpp
@@ -5,6 +5,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <cstdio>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -16,6 +17,7 @@
 ABSL_FLAG(uint32_t, crash_before_execution, 0, "fault: abort on the n-th call before it is executed; 0: never");
 ABSL_FLAG(uint32_t, crash_after_execution, 0, "fault: abort on the n-th call after it was executed; 0: never");
 ABSL_FLAG(uint32_t, lost_answers, 0, "fault: close this many connections after the execution without an answer");
+ABSL_FLAG(bool, print_executions, false, "print the idempotency key of each execution");
 
 using namespace chestnut;
 using nlohmann::json;
@@ -35,10 +37,11 @@
 /** Plain HTTP service that counts executions for each idempotency key. */
 class ServiceDouble {
 public:
-    ServiceDouble(asio::io_context& context, ServiceFaults faults, uint32_t slots)
+    ServiceDouble(asio::io_context& context, ServiceFaults faults, uint32_t slots, bool printsExecutions)
         : m_timers(context)
         , m_faults(faults)
         , m_slots(slots)
+        , m_printsExecutions(printsExecutions)
     {
     }
 
@@ -102,11 +105,17 @@
             ++m_executionsWithoutKey;
         else
             ++m_executions[std::string(key)];
+        // The output outlives a killed process; tests count the executions of all its runs there.
+        if (m_printsExecutions && !key.empty()) {
+            std::printf("executed %.*s\n", static_cast<int>(key.size()), key.data());
+            std::fflush(stdout);
+        }
     }
 
     AsioTimerService m_timers;
     ServiceFaults m_faults;
     uint32_t m_slots;
+    bool m_printsExecutions;
     uint32_t m_running = 0;
     std::map<std::string, uint64_t> m_executions;
     uint64_t m_executionsWithoutKey = 0;
@@ -125,6 +134,6 @@
     faults.lostAnswers = absl::GetFlag(FLAGS_lost_answers);
     faults.serviceMs = absl::GetFlag(FLAGS_service_ms);
     asio::io_context context;
-    ServiceDouble service(context, faults, absl::GetFlag(FLAGS_slots));
+    ServiceDouble service(context, faults, absl::GetFlag(FLAGS_slots), absl::GetFlag(FLAGS_print_executions));
     return serveStandin(context, absl::GetFlag(FLAGS_listen), [&service](HttpRequest request, HttpResponseWriter& writer) { return service.handle(std::move(request), writer); });
 }
--- a/tests/processes/ChildProcess.cpp
+++ b/tests/processes/ChildProcess.cpp
@@ -16,19 +16,42 @@
 
 namespace {
 
-    constexpr uint16_t firstPort = 20000;
+    constexpr uint16_t firstPort = 22000;
     constexpr uint16_t lastPort = 32000;
+    /** Each test process has ports of its own, because a port is bound only some time after it was chosen. */
+    constexpr uint16_t portsPerProcess = 500;
 
-    bool canBind(uint16_t port)
+    /** A socket bound to the port, or -1. */
+    int bindPort(uint16_t port)
     {
         int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bool isFree = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+        if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0)
+            return descriptor;
+        close(descriptor);
+        return -1;
+    }
+
+    bool canBind(uint16_t port)
+    {
+        int descriptor = bindPort(port);
+        if (descriptor < 0)
+            return false;
         close(descriptor);
-        return isFree;
+        return true;
+    }
+
+    /** First port of a block that no other test process uses; its first port stays bound while this process runs. */
+    uint16_t claimPortBlock()
+    {
+        for (uint16_t first = firstPort; first + portsPerProcess <= lastPort; first += portsPerProcess) {
+            if (bindPort(first) >= 0)
+                return first;
+        }
+        throw std::runtime_error("no free block of ports");
     }
 
     [[noreturn]] void runChild(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputPath)
@@ -121,12 +144,11 @@
 
 uint16_t freePort()
 {
-    static uint16_t next = static_cast<uint16_t>(firstPort + (getpid() * 97) % (lastPort - firstPort));
-    for (int attempt = 0; attempt < lastPort - firstPort; ++attempt) {
-        uint16_t port = next++;
-        if (next >= lastPort)
-            next = firstPort;
-        if (canBind(port))
+    static const uint16_t block = claimPortBlock();
+    static uint16_t offset = 0;
+    for (uint16_t attempt = 0; attempt < portsPerProcess; ++attempt) {
+        offset = static_cast<uint16_t>(offset % (portsPerProcess - 1) + 1);
+        if (auto port = static_cast<uint16_t>(block + offset); canBind(port))
             return port;
     }
     throw std::runtime_error("no free port");
--- a/tests/processes/ProcessCluster.cpp
+++ b/tests/processes/ProcessCluster.cpp
@@ -25,12 +25,20 @@
         return "127.0.0.1:" + std::to_string(port);
     }
 
-    std::vector<std::string> withListen(std::vector<std::string> flags, uint16_t port)
+    std::vector<std::string> withListen(std::vector<std::string> flags, const Endpoint& endpoint)
     {
-        flags.push_back("--listen=" + loopback(port));
+        flags.push_back("--listen=" + formatEndpoint(endpoint));
         return flags;
     }
 
+    std::string listOf(const std::vector<uint16_t>& ports)
+    {
+        std::string list;
+        for (auto port : ports)
+            list += (list.empty() ? "" : ",") + loopback(port);
+        return list;
+    }
+
 } // namespace
 
 ProcessCluster::ProcessCluster(ClusterShape shape)
@@ -58,42 +66,35 @@
         startDaemon(i);
     if (!eventually([this] { return submit(firstTicket()) == 200; }))
         return false;
-    return eventually([this] {
-        for (size_t i = 0; i < m_shape.daemons; ++i) {
-            if (!isReady(i))
-                return false;
-        }
-        return true;
-    });
+    return eventually([this] { return areAllReady(); });
 }
 
 void ProcessCluster::startKeyValue()
 {
-    m_keyValue = std::make_unique<ChildProcess>(std::string(standins) + "kvstandin/kvstandin", withListen(m_shape.keyValueFlags, m_keyValuePort), output("kv"));
+    m_keyValue = std::make_unique<ChildProcess>(std::string(standins) + "kvstandin/kvstandin", withListen(m_shape.keyValueFlags, keyValueEndpoint()), output("kv"));
 }
 
 void ProcessCluster::startEngine(size_t index)
 {
-    m_engines[index] = std::make_unique<ChildProcess>(std::string(standins) + "enginestandin/enginestandin",
-        withListen(m_shape.engineFlags, m_enginePorts[index]), output("engine" + std::to_string(index)));
+    auto flags = withListen(m_shape.engineFlags, engineEndpoint(index));
+    if (m_shape.enginesIgnoringFencing.contains(index))
+        flags.emplace_back("--checks_fencing=false");
+    m_engines[index] = std::make_unique<ChildProcess>(std::string(standins) + "enginestandin/enginestandin", std::move(flags), output("engine" + std::to_string(index)));
 }
 
 void ProcessCluster::startBackendServer(size_t index)
 {
     m_backendServers[index] = std::make_unique<ChildProcess>(std::string(standins) + "servicestandin/servicestandin",
-        withListen(m_shape.serviceFlags, m_serverPorts[index]), output("server" + std::to_string(index)));
+        withListen(m_shape.serviceFlags, serverEndpoint(index)), output("server" + std::to_string(index)));
 }
 
 std::string ProcessCluster::writeSettings(size_t index) const
 {
     std::string path = m_folder + "/daemon" + std::to_string(index) + ".ini";
-    std::string seeds;
-    for (auto port : m_peerPorts)
-        seeds += (seeds.empty() ? "" : ", ") + loopback(port);
     std::ofstream file(path);
     file << "[daemon]\nid = d" << index << "\ndeployment = " << m_shape.name << "\nzone = " << zoneOf(index) << "\nregion = r1\n"
          << "[listen]\ncallers = " << loopback(m_callerPorts[index]) << "\noperators = " << loopback(m_operatorPorts[index])
-         << "\npeers = " << loopback(m_peerPorts[index]) << "\n[peers]\nseeds = " << seeds << "\n"
+         << "\npeers = " << loopback(m_peerPorts[index]) << "\n[peers]\nseeds = " << listOf(m_peerPorts) << "\n"
          << "[platform]\nendpoint = " << loopback(m_keyValuePort) << "\n";
     return path;
 }
@@ -106,10 +107,12 @@
 
 std::string ProcessCluster::operatorList() const
 {
-    std::string list;
-    for (auto port : m_operatorPorts)
-        list += (list.empty() ? "" : ",") + loopback(port);
-    return list;
+    return listOf(m_operatorPorts);
+}
+
+std::string ProcessCluster::callerList() const
+{
+    return listOf(m_callerPorts);
 }
 
 Result<HttpResponse> ProcessCluster::send(Endpoint endpoint, HttpRequest request, Duration timeout)
@@ -157,17 +160,25 @@
 {
     nlohmann::json ticket { { "number", 1 } };
     ticket["models"]["m1"] = { { "version", "1" } };
-    for (size_t i = 0; i < m_shape.engines; ++i) {
-        ticket["engines"]["e" + std::to_string(i)] = { { "address", loopback(m_enginePorts[i]) }, { "zone", zoneOf(i) },
-            { "region", "r1" }, { "model", "m1" }, { "role", "mixed" } };
-    }
-    for (size_t i = 0; i < m_shape.backendServers; ++i) {
-        ticket["backend_servers"]["o" + std::to_string(i)] = { { "service", "orders" }, { "address", loopback(m_serverPorts[i]) },
-            { "zone", zoneOf(i) }, { "region", "r1" } };
-    }
+    for (size_t i = 0; i < m_shape.engines; ++i)
+        ticket["engines"]["e" + std::to_string(i)] = engineObject(i);
+    for (size_t i = 0; i < m_shape.backendServers; ++i)
+        ticket["backend_servers"]["o" + std::to_string(i)] = serverObject(i);
     return ticket;
 }
 
+nlohmann::json ProcessCluster::engineObject(size_t index, const std::string& role) const
+{
+    // Fixed roles, so that only tickets change an engine.
+    return { { "address", formatEndpoint(engineEndpoint(index)) }, { "zone", zoneOf(index) }, { "region", "r1" }, { "model", "m1" },
+        { "role", role }, { "role_policy", "fixed" }, { "checks_fencing", !m_shape.enginesIgnoringFencing.contains(index) } };
+}
+
+nlohmann::json ProcessCluster::serverObject(size_t index) const
+{
+    return { { "service", "orders" }, { "address", formatEndpoint(serverEndpoint(index)) }, { "zone", zoneOf(index) }, { "region", "r1" } };
+}
+
 bool ProcessCluster::isReady(size_t daemon)
 {
     HttpRequest request;
@@ -176,12 +187,25 @@
     return response && response->status == 200;
 }
 
+bool ProcessCluster::areAllReady()
+{
+    for (size_t i = 0; i < m_shape.daemons; ++i) {
+        if (!isReady(i))
+            return false;
+    }
+    return true;
+}
+
+std::unique_ptr<ChildProcess> ProcessCluster::startProgram(const std::string& relativePath, std::vector<std::string> arguments)
+{
+    return std::make_unique<ChildProcess>(std::string(CHESTNUT_BINARY_DIR) + "/" + relativePath, std::move(arguments), output("run" + std::to_string(m_runs++)));
+}
+
 ProcessCluster::Run ProcessCluster::runProgram(const std::string& relativePath, std::vector<std::string> arguments, double boundSeconds)
 {
-    std::string path = output("run" + std::to_string(m_runs++));
-    ChildProcess process(std::string(CHESTNUT_BINARY_DIR) + "/" + relativePath, std::move(arguments), path);
-    auto exitCode = process.wait(boundSeconds);
-    return { exitCode.value_or(-1), fileContents(path) };
+    auto process = startProgram(relativePath, std::move(arguments));
+    auto exitCode = process->wait(boundSeconds);
+    return { exitCode.value_or(-1), fileContents(process->outputPath()) };
 }
 
 } // namespace chestnut::test
--- a/tests/processes/ProcessCluster.h
+++ b/tests/processes/ProcessCluster.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
     size_t engines = 3;
     size_t backendServers = 3;
     std::vector<std::string> engineFlags;
+    std::set<size_t> enginesIgnoringFencing; /**< these neither check fencing numbers nor say so in the configuration */
     std::vector<std::string> serviceFlags;
     std::vector<std::string> keyValueFlags;
 };
@@ -43,9 +45,11 @@
     Endpoint callers(size_t daemon) const { return { "127.0.0.1", m_callerPorts.at(daemon) }; }
     Endpoint operators(size_t daemon) const { return { "127.0.0.1", m_operatorPorts.at(daemon) }; }
     Endpoint engineEndpoint(size_t index) const { return { "127.0.0.1", m_enginePorts.at(index) }; }
-    Endpoint serverEndpoint(size_t index) const { return { "127.0.0.1", m_serverPorts.at(index) }; }
+    /** Each backend server has an address of its own, so that the VM list can name it. */
+    Endpoint serverEndpoint(size_t index) const { return { "127.0.2." + std::to_string(index + 1), m_serverPorts.at(index) }; }
     Endpoint keyValueEndpoint() const { return { "127.0.0.1", m_keyValuePort }; }
     std::string operatorList() const;
+    std::string callerList() const;
 
     /** One exchange from outside; an error result when the process cannot be reached. */
     Result<HttpResponse> send(Endpoint, HttpRequest, Duration timeout = std::chrono::seconds(20));
@@ -55,7 +59,11 @@
     /** Submits a ticket at any daemon; the HTTP status of the answer, or 0. */
     int submit(const nlohmann::json& ticket, size_t daemon = 0);
     nlohmann::json firstTicket() const;
+    /** The objects of the first ticket, for changes in later tickets. */
+    nlohmann::json engineObject(size_t index, const std::string& role = "mixed") const;
+    nlohmann::json serverObject(size_t index) const;
     bool isReady(size_t daemon);
+    bool areAllReady();
 
     /** Runs a program of the build to its end. */
     struct Run {
@@ -64,7 +72,12 @@
     };
     Run runProgram(const std::string& relativePath, std::vector<std::string> arguments, double boundSeconds = 120);
 
+    /** Starts a program of the build; its output is in the file that the object names. */
+    std::unique_ptr<ChildProcess> startProgram(const std::string& relativePath, std::vector<std::string> arguments);
+
     size_t daemonCount() const { return m_shape.daemons; }
+    size_t engineCount() const { return m_shape.engines; }
+    size_t serverCount() const { return m_shape.backendServers; }
     const std::string& folder() const { return m_folder; }
 
 private:
