Free messages that arrive while the peer transport closes

Cause: AddressSanitizer reported a leak of two messages at the end of test_peers. Change: the destructor of an nng operation frees its message. Measured: test_peers under AddressSanitizer and UndefinedBehaviorSanitizer: 2 leaked messages -> none, 15 cases pass. Conclusion: no sanitizer report is left in test_peers.

--- a/modules/peers/transport/NngTransport.cpp
+++ b/modules/peers/transport/NngTransport.cpp
@@ -74,6 +74,8 @@
         virtual ~Operation()
         {
             nng_aio_stop(m_operation);
+            // A message that arrived while the owner closed, or one that was not sent.
+            freeMessage(m_operation);
             nng_aio_free(m_operation);
             if (m_openResult == 0)
                 nng_ctx_close(m_nngContext);
@@ -156,7 +158,6 @@
         // The context has to end before the socket that it belongs to is released.
         cancel();
         nng_aio_wait(m_operation);
-        freeMessage(m_operation);
         --m_socket->calls;
     }
 
