Raise a member's revision whatever the counter

Change: a larger revision of the same incarnation always counts. Conclusion: fixed, with a unit test.

--- a/modules/decisions/membership/Membership.cpp
+++ b/modules/decisions/membership/Membership.cpp
@@ -75,6 +75,16 @@
             outcome.changes.push_back(member.record);
     }
 
+    /** An update may have carried the counter without the revision; revisions only grow within an incarnation, so the
+        larger one counts whatever the counter. */
+    void raiseRevision(KnownMember& member, Revision revision, MergeOutcome& outcome)
+    {
+        if (revision <= member.record.revision)
+            return;
+        member.record.revision = revision;
+        outcome.changes.push_back(visibleRecord(member));
+    }
+
     void mergeRecord(MemberTable& table, const MemberRecord& record, TimePoint now, MergeOutcome& outcome)
     {
         if (record.id.empty())
@@ -91,6 +101,8 @@
             admit(table, record, now, outcome);
         else if (supersedes(record, known->second.record))
             refresh(known->second, record, now, outcome);
+        else if (record.incarnation == known->second.record.incarnation)
+            raiseRevision(known->second, record.revision, outcome);
     }
 
     void noteUnknown(MemberTable& table, UpdateKey key)
@@ -137,6 +149,8 @@
         auto& known = table.others.at(id->second);
         if (counterGrowth(known.record, update) > 0)
             refresh(known, updated(known.record, update, senderRevision), now, outcome);
+        else if (update.hasSenderRevision)
+            raiseRevision(known, senderRevision, outcome);
     }
 
     void forgetOldestRemovals(MemberTable& table)
--- a/tests/decisions/MembershipTest.cpp
+++ b/tests/decisions/MembershipTest.cpp
@@ -55,6 +55,16 @@
     CHECK(knownRecord(table, "b").revision == 7);
 }
 
+// Guards against a revision that stays unknown because a relayed update brought the counter first (found by the fuzzer with
+// seed 201).
+TEST_CASE("a record with a known counter still raises the revision")
+{
+    auto table = tableOfSelf();
+    mergeNews(table, newsFrom(recordOf("b", 5, 20, 7)), start);
+    CHECK(mergeNews(table, newsFrom(recordOf("b", 5, 20, 8)), start).changes.size() == 1);
+    CHECK(knownRecord(table, "b").revision == 8);
+}
+
 // Guards against a removed member that returns through an old record relayed by a slow peer, and against one that cannot
 // return at all.
 TEST_CASE("a silent member is suspected, removed, and readmitted only with a new incarnation")
