Check that failures struck in the whole-process tests; add outages in the middle of tickets

Cause: the cases for killed engines and paused holders could pass without a cut stream or a second holder. Change: the engine case kills engines until a stream was cut after its first token (8 kills at most); the authority case requires orders under several fencing numbers; a new case begins outages while tickets are on their way.

--- a/tests/processes/DaemonFailureTest.cpp
+++ b/tests/processes/DaemonFailureTest.cpp
@@ -23,6 +23,14 @@
     return ready;
 }
 
+size_t fencingNumbers(ProcessCluster& cluster, size_t engine)
+{
+    std::set<uint64_t> numbers;
+    for (const auto& entry : ordersOf(cluster, engine))
+        numbers.insert(entry["order"].value("fencing_number", uint64_t { 0 }));
+    return numbers.size();
+}
+
 } // namespace
 
 // Guards against requests that are lost, answered twice or run twice when an entry VM fails and returns (H4, H6).
@@ -85,6 +93,9 @@
         CHECK(eventually([&] { return bothRun("mixed"); }));
         for (size_t engine = 0; engine < cluster.engineCount(); ++engine)
             CHECK(conflictingOrders(cluster, engine) == "");
+        // Another holder ordered the engines meanwhile, with a fencing number of its own.
+        for (size_t engine : { size_t { 0 }, size_t { 3 } })
+            CHECK(fencingNumbers(cluster, engine) > 1);
         REQUIRE(eventually([&] { return (holder = holderOf(cluster, 0, other)).has_value(); }));
         other = *holder == 0 ? 1 : 0;
     }
--- a/tests/processes/EngineFailureTest.cpp
+++ b/tests/processes/EngineFailureTest.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <doctest/doctest.h>
+#include <sstream>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -15,6 +16,20 @@
     return load.is_object() && load.value("running", 0) > 0;
 }
 
+/** Streams that a broken engine connection cut after their first token, by the log of all daemons. */
+size_t cutStreams(ProcessCluster& cluster)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < cluster.daemonCount(); ++i) {
+        std::istringstream output(fileContents(cluster.daemon(i).outputPath()));
+        for (std::string line; std::getline(output, line);) {
+            bool isCut = line.find("name=attempt_failed") != std::string::npos && line.find("kind=backend_failed") != std::string::npos && line.find("tokens=0") == std::string::npos;
+            count += isCut ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 void checkAllAnswered(const json& summary)
 {
     INFO(summary.dump(1));
@@ -48,7 +63,9 @@
     ProcessCluster cluster(shape);
     REQUIRE(cluster.start());
     BackgroundLoad load(cluster);
-    for (size_t victim : { size_t { 0 }, size_t { 2 } }) {
+    constexpr size_t maximumKills = 8;
+    for (size_t kills = 0; kills < 2 || (cutStreams(cluster) == 0 && kills < maximumKills); ++kills) {
+        auto victim = kills % cluster.engineCount();
         CHECK(eventually([&] { return isBusy(cluster, victim); }));
         cluster.engine(victim).signal(SIGKILL);
         CHECK(cluster.engine(victim).wait(10) == 128 + SIGKILL);
@@ -57,6 +74,7 @@
         cluster.startEngine(victim);
         CHECK(eventually([&] { return isBusy(cluster, victim); }));
     }
+    CHECK(cutStreams(cluster) > 0);
     checkAllAnswered(load.finish());
 }
 
--- a/tests/processes/PlatformFailureTest.cpp
+++ b/tests/processes/PlatformFailureTest.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <future>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -98,7 +99,7 @@
             auto refusal = submitFully(cluster, accountTicket(3, "y"), i);
             INFO(refusal.body);
             CHECK(refusal.status == 503);
-            // Nothing of the ticket can have reached the service.
+            // Both are true: the ticket is in force nowhere, and its number can be submitted again.
             CHECK((outcomeOf(refusal) == "not_run" || outcomeOf(refusal) == "unknown"));
         }
         cluster.daemon(5).signal(SIGKILL);
@@ -116,6 +117,7 @@
         CHECK(otherRefusals(summary, { "claim_unavailable/not_run", "claim_unavailable/unknown", "platform_unavailable/not_run", "platform_unavailable/unknown", "outcome_unknown/unknown", "already_run/unknown" }) == "");
     }
 
+    CHECK(allHaveRevision(cluster, revision));
     setOutage(cluster, false);
     CHECK(eventually([&] {
         for (size_t i = 0; i < cluster.daemonCount(); ++i) {
@@ -131,6 +133,39 @@
     CHECK(contradictions(cluster, {}) == "");
 }
 
+// Guards against a ticket whose operator is told "not run" although it was accepted, when the outage begins while the
+// ticket is on its way (H5, H9).
+TEST_CASE("an outage begins in the middle of tickets" * doctest::test_suite("platform"))
+{
+    ProcessCluster cluster(fastShape("outage_in_ticket"));
+    REQUIRE(cluster.start());
+    RevisionWatch watch(cluster);
+    constexpr int lastTicket = 7;
+    uint64_t accepted = revisionOf(cluster, 0);
+    for (int number = 2; number <= lastTicket; ++number) {
+        auto daemon = static_cast<size_t>(number) % cluster.daemonCount();
+        REQUIRE(setFaults(cluster, cluster.keyValueEndpoint(), { { "latency_ms", 150 } }));
+        auto answer = std::async(std::launch::async, [&] { return submitFully(cluster, accountTicket(number, "z"), daemon); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(70 * number));
+        setOutage(cluster, true);
+        auto during = answer.get();
+        REQUIRE(setFaults(cluster, cluster.keyValueEndpoint(), { { "outage", false }, { "latency_ms", 0 } }));
+        HttpResponse after;
+        REQUIRE(eventually([&] { return (after = submitFully(cluster, accountTicket(number, "z"), (daemon + 1) % cluster.daemonCount())).status == 200; }));
+        auto isRepeat = json::parse(after.body).value("repeat", false);
+        INFO(number << ": " << during.status << " " << during.body << ", then " << after.body);
+        if (during.status == 200)
+            CHECK(isRepeat);
+        if (outcomeOf(during) == "not_run")
+            CHECK_FALSE(isRepeat);
+        CHECK((during.status == 200 || during.status == 503));
+        ++accepted;
+    }
+    CHECK(eventually([&] { return allHaveRevision(cluster, accepted); }, 17));
+    CHECK(revisionOf(cluster, 0) == accepted);
+    CHECK(watch.finish() == "");
+}
+
 // Guards against tickets applied twice and calls run twice because the answer to their write was lost (H6, H9).
 TEST_CASE("answers of the key-value service are lost at tickets and claims" * doctest::test_suite("platform"))
 {
