Compress the configuration and pull only its changes

Change: documents from 64 KB on are stored in zlib's format, smaller ones stay plain, and both are read. A pull names the revision that the receiver has and gets the changes since then when the sender has kept them (64 deltas, 64 KB), otherwise the compressed document. The digest of the sender's document must match; after a mismatch the whole document is pulled. A receiver that names no encoding gets the plain document. Decompression stops at 4 MB. The configuration carries a floor of ticket numbers: numbers that left the 256 recent ones and whose record is gone are refused. daemonsSharing() gives the number of ready daemons that share a replica.

--- a/modules/control/configuration/StoredConfigurationService.cpp
+++ b/modules/control/configuration/StoredConfigurationService.cpp
@@ -1,6 +1,6 @@
 #include "control/configuration/StoredConfigurationService.h"
 
-#include "control/tickets/ConfigurationCodec.h"
+#include "control/configuration/ConfigurationDocument.h"
 #include "control/tickets/TicketService.h"
 #include "decisions/leases/Lease.h"
 
@@ -29,7 +29,10 @@
     bool isStopped = false;
     bool isPulling = false;
     bool wasReady = false;
+    bool isWholeWanted = false;
     size_t nextAnnouncer = 0;
+    DeltaHistory history {};
+    PackedDocument packed {};
 
     Revision revision() const { return current ? current->revision : 0; }
 
@@ -52,7 +55,10 @@
             log.write(EventId::ConfigurationIgnored, { { "revision", configuration.revision }, { "in_force", revision() }, { "source", source } });
         if (current && configuration.revision <= revision())
             return;
+        if (current)
+            history.add(deltaBetween(*current, configuration));
         current = std::make_shared<const Configuration>(std::move(configuration));
+        isWholeWanted = false;
         updateReadiness();
         peers.announceRevision(revision());
         log.write(EventId::ConfigurationApplied, { { "revision", revision() }, { "source", source } });
@@ -64,7 +70,19 @@
 
     void applyDocument(const std::string& document, std::string_view source)
     {
-        auto configuration = decodeConfiguration(document);
+        applyRead(decodeStoredDocument(document), source);
+    }
+
+    void applyReply(const nlohmann::json& reply)
+    {
+        auto configuration = readPullReply(reply, current);
+        // A delta that does not lead to the sender's content is never applied; the whole document is asked for instead.
+        isWholeWanted = !configuration;
+        applyRead(std::move(configuration), "peer");
+    }
+
+    void applyRead(Result<Configuration> configuration, std::string_view source)
+    {
         if (configuration)
             apply(std::move(*configuration), source);
         else
@@ -103,7 +121,7 @@
 void StoredConfigurationService::start()
 {
     auto state = m_state;
-    state->peers.handle(pullMessage, [state](DaemonId, nlohmann::json) { return answerPull(state); });
+    state->peers.handle(pullMessage, [state](DaemonId, nlohmann::json request) { return answerPull(state, std::move(request)); });
     asio::co_spawn(m_context, watch(state), asio::detached);
     m_pullTimer = state->timers.every(pullPeriod, [this] { asio::co_spawn(m_context, pull(m_state), asio::detached); });
 }
@@ -181,21 +199,22 @@
         co_return;
     state->isPulling = true;
     auto peer = announcers[state->nextAnnouncer % announcers.size()];
-    auto reply = co_await state->peers.call(peer, pullMessage, { { "revision", state->newestHeard() } }, pullTimeout);
+    auto request = makePullRequest(state->newestHeard(), state->isWholeWanted ? 0 : state->revision());
+    auto reply = co_await state->peers.call(peer, pullMessage, std::move(request), pullTimeout);
     state->isPulling = false;
-    if (reply && reply->is_object() && reply->contains("document") && (*reply)["document"].is_string()) {
+    if (reply && carriesDocument(*reply)) {
         state->nextAnnouncer = 0;
-        state->applyDocument((*reply)["document"].get<std::string>(), "peer");
+        state->applyReply(*reply);
     }
     if (state->newestHeard() > state->revision())
         ++state->nextAnnouncer;
 }
 
-asio::awaitable<Result<nlohmann::json>> StoredConfigurationService::answerPull(std::shared_ptr<State> state)
+asio::awaitable<Result<nlohmann::json>> StoredConfigurationService::answerPull(std::shared_ptr<State> state, nlohmann::json request)
 {
     if (!state->current)
         co_return makeError(ErrorKind::NotReady, "this daemon has no configuration");
-    co_return nlohmann::json { { "revision", state->revision() }, { "document", encodeConfiguration(*state->current) } };
+    co_return makePullReply(request, *state->current, state->history, state->packed);
 }
 
 } // namespace chestnut
--- a/modules/control/configuration/StoredConfigurationService.h
+++ b/modules/control/configuration/StoredConfigurationService.h
@@ -10,8 +10,8 @@
 
 namespace chestnut {
 
-/** Follows `config/current`: two daemons of each zone hold the blocking query, the others pull the document from the
-    peer that announced a newer revision. During an outage of the key-value service it keeps what it has. */
+/** Follows `config/current`: two daemons of each zone hold the blocking query, the others pull the changes since
+    their revision, or the whole document, from a peer that announced a newer one. During an outage of the key-value service it keeps what it has. */
 class StoredConfigurationService final : public ConfigurationService {
 public:
     static constexpr Duration longestWait = std::chrono::seconds(30);
@@ -39,7 +39,7 @@
 
     static asio::awaitable<void> watch(std::shared_ptr<State>);
     static asio::awaitable<void> pull(std::shared_ptr<State>);
-    static asio::awaitable<Result<nlohmann::json>> answerPull(std::shared_ptr<State>);
+    static asio::awaitable<Result<nlohmann::json>> answerPull(std::shared_ptr<State>, nlohmann::json request);
 
     asio::io_context& m_context;
     std::shared_ptr<State> m_state;
--- a/modules/control/tickets/ConfigurationCodec.cpp
+++ b/modules/control/tickets/ConfigurationCodec.cpp
@@ -307,6 +307,7 @@
         }
         configuration.removedBy = document.at("removed").get<std::map<std::string, TicketNumber>>();
         configuration.removalFloor = document.at("removal_floor");
+        configuration.ticketFloor = document.value("ticket_floor", TicketNumber(0));
     }
 
     leaf::result<Configuration> readConfiguration(const json& document)
@@ -351,6 +352,18 @@
             []() -> Result<Ticket> { return makeError(ErrorKind::Internal, "unknown error while reading a ticket"); });
     }
 
+    template <typename Read>
+    Result<Configuration> settleConfiguration(Read read)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<Result<Configuration>> {
+                BOOST_LEAF_AUTO(configuration, read());
+                return Result<Configuration>(std::move(configuration));
+            },
+            [](const Error& error) -> Result<Configuration> { return makeError(ErrorKind::ProtocolError, error.detail); },
+            []() -> Result<Configuration> { return makeError(ErrorKind::Internal, "unknown error while reading a configuration"); });
+    }
+
     template <typename Name, size_t count>
     std::string_view nameIn(const std::array<std::string_view, count>& names, Name value)
     {
@@ -390,28 +403,33 @@
         { "membership", nameOf(server.membership) }, { "slots", server.slots }, { "checks_fencing", server.checksFencing } };
 }
 
-std::string encodeConfiguration(const Configuration& configuration)
+json configurationToJson(const Configuration& configuration)
 {
     json document { { "revision", configuration.revision }, { "models", objectsToJson(configuration.models, modelToJson, true) },
         { "engines", objectsToJson(configuration.engines, engineToJson, true) },
         { "backend_servers", objectsToJson(configuration.backendServers, backendServerToJson, true) }, { "limits", limitsToJson(configuration.limits) },
-        { "tickets", acceptedToJson(configuration.recentTickets) }, { "removed", configuration.removedBy }, { "removal_floor", configuration.removalFloor } };
+        { "tickets", acceptedToJson(configuration.recentTickets) }, { "removed", configuration.removedBy }, { "removal_floor", configuration.removalFloor },
+        { "ticket_floor", configuration.ticketFloor } };
     document["limits"]["set_by"] = configuration.limits.setBy;
     auto& accounts = document["accounts"] = json::array();
     for (const auto& [id, account] : configuration.accounts)
         accounts.push_back({ id, account.weight, account.maximumInFlight, account.setBy });
-    return document.dump();
+    return document;
+}
+
+std::string encodeConfiguration(const Configuration& configuration)
+{
+    return configurationToJson(configuration).dump();
 }
 
 Result<Configuration> decodeConfiguration(std::string_view text)
 {
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<Result<Configuration>> {
-            BOOST_LEAF_AUTO(configuration, parseConfiguration(text));
-            return Result<Configuration>(std::move(configuration));
-        },
-        [](const Error& error) -> Result<Configuration> { return makeError(ErrorKind::ProtocolError, error.detail); },
-        []() -> Result<Configuration> { return makeError(ErrorKind::Internal, "unknown error while reading a configuration"); });
+    return settleConfiguration([&] { return parseConfiguration(text); });
+}
+
+Result<Configuration> configurationFromJson(const json& document)
+{
+    return settleConfiguration([&] { return readConfiguration(document); });
 }
 
 json ticketToJson(const Ticket& ticket)
--- a/modules/control/tickets/ConfigurationCodec.h
+++ b/modules/control/tickets/ConfigurationCodec.h
@@ -14,6 +14,9 @@
 std::string encodeConfiguration(const Configuration&);
 /** Skips fields of newer versions. Fails with ProtocolError. */
 Result<Configuration> decodeConfiguration(std::string_view);
+nlohmann::json configurationToJson(const Configuration&);
+/** decodeConfiguration() of parsed JSON. */
+Result<Configuration> configurationFromJson(const nlohmann::json&);
 
 nlohmann::json ticketToJson(const Ticket&);
 
--- a/modules/control/tickets/TicketService.cpp
+++ b/modules/control/tickets/TicketService.cpp
@@ -1,5 +1,7 @@
 #include "control/tickets/TicketService.h"
 
+#include "control/configuration/ConfigurationDocument.h"
+
 namespace chestnut {
 
 namespace {
@@ -38,6 +40,8 @@
             auto revision = std::to_string(standing.revision);
             return makeError(ErrorKind::TicketConflict, "ticket " + number + " was accepted at revision " + revision + " with other content");
         }
+        if (standing.object == ticketFloorKey)
+            return makeError(ErrorKind::TicketOvertaken, "ticket " + number + " is not above the floor " + std::to_string(standing.newer) + " of ticket numbers");
         return makeError(ErrorKind::TicketOvertaken, "ticket " + number + " is superseded by ticket " + std::to_string(standing.newer) + ", which set " + standing.object);
     }
 
@@ -74,7 +78,7 @@
         co_return read.error();
     if (!read->entry)
         co_return CurrentState {};
-    auto configuration = decodeConfiguration(read->entry->value);
+    auto configuration = decodeStoredDocument(read->entry->value);
     if (!configuration)
         co_return configuration.error();
     co_return CurrentState { std::move(*configuration), read->entry->modifyIndex };
@@ -157,7 +161,7 @@
     }
     auto next = withTicket(state->configuration, ticket, contentOf(ticket));
     std::vector<KeyValueOperation> operations;
-    operations.push_back({ std::string(configurationStoreKey), encodeConfiguration(next), state->modifyIndex });
+    operations.push_back({ std::string(configurationStoreKey), encodeStoredDocument(next), state->modifyIndex });
     operations.push_back({ ticketStoreKey(ticket.number), encodeStored(ticket, next.revision), 0 });
     auto written = co_await m_store.transact(std::move(operations));
     if (written && *written) {
--- a/modules/decisions/subsets/Subsets.cpp
+++ b/modules/decisions/subsets/Subsets.cpp
@@ -3,6 +3,9 @@
 #include "base/digest/Digest.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
 
 namespace chestnut {
 
@@ -16,6 +19,7 @@
         OwnRegion,
         OtherRegion,
     };
+    constexpr size_t proximities = 3;
 
     struct Ranked {
         Proximity proximity = Proximity::OtherRegion;
@@ -52,8 +56,75 @@
             firstOther + static_cast<std::ptrdiff_t>(reserved));
     }
 
+    struct Place {
+        AvailabilityZone zone;
+        Region region;
+
+        auto operator<=>(const Place&) const = default;
+    };
+
+    Proximity proximityOf(const Place& replica, const Place& daemon)
+    {
+        if (replica.zone == daemon.zone)
+            return Proximity::OwnZone;
+        return replica.region == daemon.region ? Proximity::OwnRegion : Proximity::OtherRegion;
+    }
+
+    /** Replicas of one subset by proximity, in the order in which chooseSubset() takes them. */
+    std::array<double, proximities> expectedTaken(const std::array<double, proximities>& available, double size)
+    {
+        auto [own, region, other] = available;
+        auto others = region + other;
+        auto reserved = std::min(others, std::max(1.0, std::floor(size / otherZonesDivisor)));
+        auto fromOwn = size >= minimumSubsetZones && own + reserved > size ? size - reserved : std::min(own, size);
+        auto fromRegion = std::min(region, size - fromOwn);
+        auto fromOther = std::min(other, size - fromOwn - fromRegion);
+        return { fromOwn, fromRegion, fromOther };
+    }
+
+    /** For each place of daemons: the probability that a subset there holds a given replica of each proximity. Within
+        one proximity the rendezvous hash takes each replica with the same probability. */
+    std::array<double, proximities> holdProbabilities(const Place& daemon, const std::map<Place, double>& replicas, double size)
+    {
+        std::array<double, proximities> available {};
+        for (const auto& [place, count] : replicas)
+            available[static_cast<size_t>(proximityOf(place, daemon))] += count;
+        auto taken = expectedTaken(available, size);
+        for (size_t i = 0; i < proximities; ++i)
+            taken[i] = available[i] > 0 ? taken[i] / available[i] : 0;
+        return taken;
+    }
+
 } // namespace
 
+double daemonsSharing(std::span<const MemberRecord> members, const MemberRecord& self, std::span<const SubsetCandidate> candidates, size_t size)
+{
+    std::map<Place, double> replicas;
+    for (const auto& candidate : candidates)
+        ++replicas[{ candidate.zone, candidate.region }];
+    std::map<Place, double> daemons { { { self.zone, self.region }, 1 } };
+    for (const auto& member : members) {
+        if (member.id != self.id && member.state == MemberState::Ready)
+            ++daemons[{ member.zone, member.region }];
+    }
+    std::map<Place, double> sharing; // by place of the replica
+    for (const auto& [daemon, count] : daemons) {
+        auto probabilities = holdProbabilities(daemon, replicas, static_cast<double>(size));
+        for (const auto& [place, ignored] : replicas)
+            sharing[place] += count * probabilities[static_cast<size_t>(proximityOf(place, daemon))];
+    }
+    Place own { self.zone, self.region };
+    auto held = holdProbabilities(own, replicas, static_cast<double>(size));
+    double weight = 0;
+    double sum = 0;
+    for (const auto& [place, count] : replicas) {
+        auto used = count * held[static_cast<size_t>(proximityOf(place, own))];
+        weight += used;
+        sum += used * sharing[place];
+    }
+    return weight > 0 ? std::max(1.0, sum / weight) : 1;
+}
+
 std::vector<ReplicaId> chooseSubset(const DaemonId& daemon, const AvailabilityZone& zone, const Region& region, std::span<const SubsetCandidate> candidates, size_t size)
 {
     std::vector<Ranked> ranked;
--- a/modules/decisions/subsets/Subsets.h
+++ b/modules/decisions/subsets/Subsets.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids/StrongId.h"
+#include "decisions/membership/Member.h"
 #include "decisions/tickets/Configuration.h"
 
 #include <span>
@@ -25,4 +26,10 @@
     two. Each replica ends up with about the same number of daemons. */
 std::vector<ReplicaId> chooseSubset(const DaemonId&, const AvailabilityZone&, const Region&, std::span<const SubsetCandidate>, size_t size = subsetSize);
 
+/** Expected number of ready daemons whose subset holds one replica of the candidates, at least 1: a daemon uses the
+    replica's capacity divided by this number. The mean over the replicas of this daemon's own subset, because a region
+    or zone with few daemons shares its replicas among fewer. This daemon counts as ready. The cost is one pass over the
+    members; the subsets of the other daemons are not computed. */
+double daemonsSharing(std::span<const MemberRecord> members, const MemberRecord& self, std::span<const SubsetCandidate>, size_t size = subsetSize);
+
 } // namespace chestnut
--- a/modules/decisions/tickets/Configuration.h
+++ b/modules/decisions/tickets/Configuration.h
@@ -112,6 +112,9 @@
     std::vector<AcceptedTicket> recentTickets; /**< newest last, at most 256 */
     std::map<std::string, TicketNumber> removedBy; /**< by object key, so that an older ticket cannot bring the object back */
     TicketNumber removalFloor = 0; /**< highest ticket number that was dropped from removedBy */
+    /** Highest ticket number that was dropped from recentTickets. The records of tickets up to it may be removed, so no
+        ticket up to it is accepted any more. */
+    TicketNumber ticketFloor = 0;
 
     bool operator==(const Configuration&) const = default;
 };
--- a/modules/decisions/tickets/Ticket.cpp
+++ b/modules/decisions/tickets/Ticket.cpp
@@ -113,6 +113,15 @@
         }
     }
 
+    void boundTickets(Configuration& configuration)
+    {
+        auto& tickets = configuration.recentTickets;
+        while (tickets.size() > keptTickets) {
+            configuration.ticketFloor = std::max(configuration.ticketFloor, tickets.front().number);
+            tickets.erase(tickets.begin());
+        }
+    }
+
     void checkModel(const ModelSpec& model, const std::string& key, Faults& faults)
     {
         if (model.version.empty())
@@ -267,6 +276,8 @@
         return { verdict, accepted->revision, 0, "" };
     }
     TicketStanding standing;
+    if (ticket.number <= configuration.ticketFloor)
+        standing = { TicketVerdict::Overtaken, 0, configuration.ticketFloor, std::string(ticketFloorKey) };
     for (const auto& key : touchedObjects(ticket)) {
         auto newest = lastSetBy(configuration, key);
         if (newest >= ticket.number && newest > standing.newer)
@@ -308,8 +319,7 @@
     }
     boundRemovals(next);
     next.recentTickets.push_back({ ticket.number, content, next.revision });
-    if (next.recentTickets.size() > keptTickets)
-        next.recentTickets.erase(next.recentTickets.begin());
+    boundTickets(next);
     return next;
 }
 
--- a/modules/decisions/tickets/Ticket.h
+++ b/modules/decisions/tickets/Ticket.h
@@ -33,7 +33,7 @@
     Fresh, /**< neither accepted nor superseded */
     Same, /**< this content was accepted under this number */
     Conflict, /**< other content was accepted under this number */
-    Overtaken, /**< a newer ticket has set one of its objects */
+    Overtaken, /**< a newer ticket has set one of its objects, or the number is not above the floor */
 };
 
 struct TicketStanding {
@@ -50,6 +50,8 @@
 std::string backendServerKey(const std::string& id);
 std::string accountKey(const std::string& id);
 constexpr std::string_view limitsKey = "limits";
+/** Names the floor of ticket numbers as the reason of a rejection. */
+constexpr std::string_view ticketFloorKey = "ticket_floor";
 
 /** Keys of all objects that the ticket sets or removes. */
 std::vector<std::string> touchedObjects(const Ticket&);
--- a/tests/control/TicketServiceTest.cpp
+++ b/tests/control/TicketServiceTest.cpp
@@ -135,6 +135,25 @@
     CHECK(watchers == 4);
 }
 
+// Guards against a second acceptance of an old ticket whose number the configuration no longer lists and whose record
+// was removed.
+TEST_CASE("a ticket below the floor is never accepted again, with or without its record")
+{
+    TicketFixture fixture;
+    for (int number = 1; number <= 300; ++number)
+        REQUIRE(fixture.settle(accountTicket(number, "account-" + std::to_string(number))).has_value());
+    auto before = fixture.store.entries.at("config/current").value;
+    CHECK(*fixture.settle(accountTicket(30, "account-30")) == TicketReceipt { 30, 30, true });
+    fixture.store.entries.erase("tickets/30");
+    auto repeated = fixture.settle(accountTicket(30, "account-30"));
+    auto neverUsed = fixture.settle(accountTicket(44, "unrelated"));
+    REQUIRE_FALSE((repeated.has_value() || neverUsed.has_value()));
+    CHECK(repeated.error().kind == ErrorKind::TicketOvertaken);
+    CHECK(neverUsed.error().kind == ErrorKind::TicketConflict);
+    CHECK(fixture.store.entries.at("config/current").value == before);
+    CHECK(*fixture.settle(accountTicket(45, "account-45")) == TicketReceipt { 45, 45, true });
+}
+
 // Guards against a revision that goes back after a stale read or a stale peer.
 TEST_CASE("a stale read does not bring an old revision back")
 {
