--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -61,6 +61,7 @@
         { EventId::DrainFinished, "drain_finished", Severity::Info, "A replica has no running work, or its drain bound has passed." },
         { EventId::ReplicaReturned, "replica_returned", Severity::Info, "A replica accepts new work again, with a growing share of its load." },
         { EventId::VmLeaving, "vm_leaving", Severity::Info, "The VM list names a VM as leaving; its replicas accept no new work." },
+        { EventId::RecordsRemoved, "records_removed", Severity::Info, "Records of old tickets or of removed engines were removed from the key-value service." },
 
         // frontend
         { EventId::RequestRouted, "request_routed", Severity::Info, "A replica was chosen for a request." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -67,6 +67,7 @@
     DrainFinished = 1651,
     ReplicaReturned = 1652,
     VmLeaving = 1653,
+    RecordsRemoved = 1660,
 
     // frontend: 2000 to 2099
     RequestRouted = 2000,
--- /dev/null
+++ b/modules/control/cleanup/RecordCleaner.cpp
@@ -0,0 +1,159 @@
+#include "control/cleanup/RecordCleaner.h"
+
+#include "control/fleet/EngineNotice.h"
+#include "control/tickets/TicketService.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+#include <deque>
+#include <set>
+
+namespace chestnut {
+
+namespace {
+
+    struct Removal {
+        std::string key;
+        uint64_t modifyIndex = 0;
+    };
+
+    std::optional<TicketNumber> numberOf(const std::string& key)
+    {
+        TicketNumber number = 0;
+        const auto* first = key.data() + ticketStorePrefix.size();
+        const auto* last = key.data() + key.size();
+        auto [end, error] = std::from_chars(first, last, number);
+        return error == std::errc() && end == last ? std::optional(number) : std::nullopt;
+    }
+
+    bool isRecent(const Configuration& configuration, TicketNumber number)
+    {
+        return std::ranges::find(configuration.recentTickets, number, &AcceptedTicket::number) != configuration.recentTickets.end();
+    }
+
+    /** The floor only grows, so a configuration that is not the newest one never names a record too many. */
+    bool isTicketUnneeded(const Configuration& configuration, const std::string& key)
+    {
+        auto number = numberOf(key);
+        return number && *number <= configuration.ticketFloor && !isRecent(configuration, *number);
+    }
+
+    bool isOrderUnneeded(const Configuration& configuration, const std::string& key)
+    {
+        return key.size() > intentPrefix.size() && !configuration.engines.contains(key.substr(intentPrefix.size()));
+    }
+
+    bool isUnneeded(const Configuration& configuration, const std::string& key)
+    {
+        return key.starts_with(intentPrefix) ? isOrderUnneeded(configuration, key) : isTicketUnneeded(configuration, key);
+    }
+
+} // namespace
+
+struct RecordCleaner::State {
+    KeyValueStore& store;
+    ConfigurationService& configuration;
+    LeaseService& leases;
+    TimerService& timers;
+    Log& log;
+    std::deque<Removal> waiting {};
+    std::map<std::string, uint64_t> ordersSeen {}; // modify index at the last listing
+    TimePoint listingDue {};
+    bool isRunning = false;
+    bool isStopped = false;
+
+    bool isResponsible() const
+    {
+        auto current = configuration.current();
+        if (!current || current->engines.empty())
+            return false;
+        std::set<EngineGroupId> groups;
+        for (const auto& [id, engine] : current->engines)
+            groups.insert(groupOf(engine));
+        return leases.leaseOf(*groups.begin()).has_value();
+    }
+
+    asio::awaitable<void> list()
+    {
+        listingDue = timers.now() + listingPeriod;
+        auto tickets = co_await store.list(std::string(ticketStorePrefix));
+        auto orders = co_await store.list(std::string(intentPrefix));
+        auto current = configuration.current();
+        if (!tickets || !orders || !current)
+            co_return;
+        for (const auto& entry : *tickets) {
+            if (isTicketUnneeded(*current, entry.key))
+                waiting.push_back({ entry.key, entry.modifyIndex });
+        }
+        std::map<std::string, uint64_t> seen;
+        for (const auto& entry : *orders) {
+            if (!isOrderUnneeded(*current, entry.key))
+                continue;
+            seen.emplace(entry.key, entry.modifyIndex);
+            auto before = ordersSeen.find(entry.key);
+            if (before != ordersSeen.end() && before->second == entry.modifyIndex)
+                waiting.push_back({ entry.key, entry.modifyIndex });
+        }
+        ordersSeen = std::move(seen);
+    }
+
+    asio::awaitable<void> removeSome()
+    {
+        size_t removed = 0;
+        for (size_t i = 0; i < removalsPerRound && !waiting.empty() && isResponsible(); ++i) {
+            auto next = std::move(waiting.front());
+            waiting.pop_front();
+            if (!isUnneeded(*configuration.current(), next.key))
+                continue;
+            // The condition keeps a record that was written again meanwhile. What fails is found by the next listing.
+            auto result = co_await store.removeIf(next.key, next.modifyIndex);
+            removed += result && *result ? 1 : 0;
+        }
+        if (removed > 0)
+            log.write(EventId::RecordsRemoved, { { "removed", removed }, { "waiting", waiting.size() } });
+    }
+};
+
+RecordCleaner::RecordCleaner(asio::io_context& context, KeyValueStore& store, ConfigurationService& configuration, LeaseService& leases, TimerService& timers, Log& log)
+    : m_context(context)
+    , m_state(std::make_shared<State>(State { store, configuration, leases, timers, log }))
+{
+}
+
+RecordCleaner::~RecordCleaner()
+{
+    m_state->isStopped = true;
+}
+
+void RecordCleaner::start()
+{
+    m_timer = m_state->timers.every(roundPeriod, [this] { asio::co_spawn(m_context, round(m_state), asio::detached); });
+}
+
+asio::awaitable<void> RecordCleaner::stop()
+{
+    m_state->isStopped = true;
+    m_timer.cancel();
+    co_return;
+}
+
+asio::awaitable<void> RecordCleaner::round(std::shared_ptr<State> state)
+{
+    if (state->isRunning || state->isStopped)
+        co_return;
+    if (!state->isResponsible()) {
+        state->waiting.clear();
+        state->ordersSeen.clear();
+        co_return;
+    }
+    state->isRunning = true;
+    if (state->waiting.empty() && state->timers.now() >= state->listingDue)
+        co_await state->list();
+    if (!state->isStopped)
+        co_await state->removeSome();
+    state->isRunning = false;
+}
+
+} // namespace chestnut
--- a/modules/control/control.h
+++ b/modules/control/control.h
@@ -4,6 +4,7 @@
     Owns tickets, the configuration in force, leases, orders to engines, role changes and drains. Everything agreed or
     persistent is in the key-value service. */
 
+#include "control/cleanup/RecordCleaner.h"
 #include "control/configuration/StoredConfigurationService.h"
 #include "control/fleet/ReplicaFleet.h"
 #include "control/leases/LeaseService.h"
--- a/modules/control/tickets/TicketService.cpp
+++ b/modules/control/tickets/TicketService.cpp
@@ -11,7 +11,7 @@
 
     std::string ticketStoreKey(TicketNumber number)
     {
-        return "tickets/" + std::to_string(number);
+        return std::string(ticketStorePrefix) + std::to_string(number);
     }
 
     std::string encodeStored(const Ticket& ticket, Revision revision)
--- a/modules/control/tickets/TicketService.h
+++ b/modules/control/tickets/TicketService.h
@@ -11,6 +11,8 @@
 
 /** Key of the accepted state; see decodeConfiguration(). */
 constexpr std::string_view configurationStoreKey = "config/current";
+/** Followed by the number of an accepted ticket. */
+constexpr std::string_view ticketStorePrefix = "tickets/";
 
 struct TicketReceipt {
     TicketNumber number = 0;
--- a/modules/platform/keyvalue/ConsulKeyValueStore.cpp
+++ b/modules/platform/keyvalue/ConsulKeyValueStore.cpp
@@ -136,15 +136,23 @@
     co_return co_await m_client->call(std::move(call));
 }
 
+namespace {
+
+    Result<bool> flagOf(const Result<HttpResponse>& response)
+    {
+        if (!response)
+            return response.error();
+        if (response->status != statusOk)
+            return unexpectedStatus(*response);
+        return response->body.starts_with("true");
+    }
+
+} // namespace
+
 asio::awaitable<Result<bool>> ConsulKeyValueStore::writeFlag(std::string kind, std::string target, std::string value)
 {
     assert(value.size() <= maximumValue);
-    auto response = co_await write(std::move(kind), "PUT", std::move(target), std::move(value));
-    if (!response)
-        co_return response.error();
-    if (response->status != statusOk)
-        co_return unexpectedStatus(*response);
-    co_return response->body.starts_with("true");
+    co_return flagOf(co_await write(std::move(kind), "PUT", std::move(target), std::move(value)));
 }
 
 asio::awaitable<Result<void>> ConsulKeyValueStore::writePlain(std::string kind, std::string method, std::string target)
@@ -186,6 +194,12 @@
     co_return co_await writePlain("kv_delete", "DELETE", kvTarget(key, ""));
 }
 
+asio::awaitable<Result<bool>> ConsulKeyValueStore::removeIf(std::string key, uint64_t expectedModifyIndex)
+{
+    auto target = kvTarget(key, "cas=" + std::to_string(expectedModifyIndex));
+    co_return flagOf(co_await write("kv_delete", "DELETE", std::move(target), ""));
+}
+
 asio::awaitable<Result<void>> ConsulKeyValueStore::removePrefix(std::string prefix)
 {
     co_return co_await writePlain("kv_delete", "DELETE", kvTarget(prefix, "recurse"));
--- a/modules/platform/keyvalue/KeyValueStore.h
+++ b/modules/platform/keyvalue/KeyValueStore.h
@@ -60,6 +60,8 @@
     virtual asio::awaitable<Result<bool>> transact(std::vector<KeyValueOperation>) = 0;
 
     virtual asio::awaitable<Result<void>> remove(std::string key) = 0;
+    /** Removes the key if the modify index matches. False when it does not match. */
+    virtual asio::awaitable<Result<bool>> removeIf(std::string key, uint64_t expectedModifyIndex) = 0;
     virtual asio::awaitable<Result<void>> removePrefix(std::string prefix) = 0;
 
     /** A session is a lease: it ends after its time to live unless renewed, and releases the keys it locked. */
--- a/modules/platform/testing/FakeKeyValueStore.cpp
+++ b/modules/platform/testing/FakeKeyValueStore.cpp
@@ -138,6 +138,12 @@
     co_return withoutValue(co_await write("delete", std::move(effect)));
 }
 
+asio::awaitable<Result<bool>> FakeKeyValueStore::removeIf(std::string key, uint64_t expectedModifyIndex)
+{
+    Effect effect = [model = m_model, key, expectedModifyIndex] { return model->removeIf(key, expectedModifyIndex); };
+    co_return co_await write("delete", std::move(effect));
+}
+
 asio::awaitable<Result<void>> FakeKeyValueStore::removePrefix(std::string prefix)
 {
     Effect effect = [model = m_model, prefix] { model->removePrefix(prefix); return true; };
--- a/modules/platform/testing/FakeKeyValueStore.h
+++ b/modules/platform/testing/FakeKeyValueStore.h
@@ -33,6 +33,7 @@
     asio::awaitable<Result<bool>> compareAndSwap(std::string key, std::string value, uint64_t expectedModifyIndex) override;
     asio::awaitable<Result<bool>> transact(std::vector<KeyValueOperation>) override;
     asio::awaitable<Result<void>> remove(std::string key) override;
+    asio::awaitable<Result<bool>> removeIf(std::string key, uint64_t expectedModifyIndex) override;
     asio::awaitable<Result<void>> removePrefix(std::string prefix) override;
     asio::awaitable<Result<std::string>> createSession(Duration timeToLive) override;
     asio::awaitable<Result<void>> renewSession(std::string session) override;
--- a/modules/platform/testing/KeyValueModel.cpp
+++ b/modules/platform/testing/KeyValueModel.cpp
@@ -75,6 +75,14 @@
         m_removedAt[key] = ++m_index;
 }
 
+bool KeyValueModel::removeIf(const std::string& key, uint64_t expectedModifyIndex)
+{
+    if (!matches({ key, "", expectedModifyIndex }))
+        return false;
+    remove(key);
+    return true;
+}
+
 void KeyValueModel::removePrefix(const std::string& prefix)
 {
     for (const auto& entry : list(prefix))
--- a/modules/platform/testing/KeyValueModel.h
+++ b/modules/platform/testing/KeyValueModel.h
@@ -18,6 +18,7 @@
     bool compareAndSwap(const std::string& key, const std::string& value, uint64_t expectedModifyIndex);
     bool transact(const std::vector<KeyValueOperation>&);
     void remove(const std::string& key);
+    bool removeIf(const std::string& key, uint64_t expectedModifyIndex);
     void removePrefix(const std::string& prefix);
 
     std::string createSession(Duration timeToLive, TimePoint now);
--- a/programs/chestnutrouted/Daemon.cpp
+++ b/programs/chestnutrouted/Daemon.cpp
@@ -88,6 +88,7 @@
     auto& leases = m_kernel.emplace<LeaseService>(m_context, store, peers, configuration, timers, log);
     auto& orders = m_kernel.emplace<OrderService>(m_context,
         OrderDependencies { store, service<EngineClient>(), peers, configuration, leases, fleet, timers, log });
+    m_kernel.emplace<RecordCleaner>(m_context, store, configuration, leases, timers, log);
     auto& status = m_kernel.emplace<FleetStatusService>(m_context, orders, peers, timers);
     auto& tickets = m_kernel.emplace<TicketService>(store, timers, log,
         [&configuration](Configuration accepted) { configuration.offer(std::move(accepted)); });
--- a/standins/kvstandin/ConsulServer.cpp
+++ b/standins/kvstandin/ConsulServer.cpp
@@ -199,6 +199,8 @@
 
 HttpResponse ConsulServer::removeKey(const HttpRequest& request)
 {
+    if (hasQuery(request, "cas"))
+        return jsonResponse(200, m_model.removeIf(keyOf(request), numberIn(request.queryValue("cas"))));
     if (hasQuery(request, "recurse"))
         m_model.removePrefix(keyOf(request));
     else
--- a/tests/control/Fakes.cpp
+++ b/tests/control/Fakes.cpp
@@ -136,6 +136,16 @@
     co_return boost::system::in_place_value;
 }
 
+asio::awaitable<Result<bool>> MemoryKeyValueStore::removeIf(std::string key, uint64_t expectedModifyIndex)
+{
+    if (!co_await arrive())
+        co_return unavailable();
+    bool matches = modifyIndexOf(key) == expectedModifyIndex;
+    if (matches)
+        removals += entries.erase(key);
+    co_return matches;
+}
+
 asio::awaitable<Result<void>> MemoryKeyValueStore::removePrefix(std::string prefix)
 {
     if (!co_await arrive())
--- a/tests/control/Fakes.h
+++ b/tests/control/Fakes.h
@@ -23,6 +23,7 @@
 
     bool isDown = false;
     int lostAnswers = 0; /**< writes that take effect but whose answer is lost */
+    size_t removals = 0; /**< keys that removeIf() removed */
     Duration latency { 0 };
     std::optional<KeyValueEntry> staleConfiguration; /**< returned for config/current instead of the newest one */
     std::map<std::string, KeyValueEntry> entries;
@@ -33,6 +34,7 @@
     asio::awaitable<Result<bool>> compareAndSwap(std::string key, std::string value, uint64_t expected) override;
     asio::awaitable<Result<bool>> transact(std::vector<KeyValueOperation>) override;
     asio::awaitable<Result<void>> remove(std::string key) override;
+    asio::awaitable<Result<bool>> removeIf(std::string key, uint64_t expectedModifyIndex) override;
     asio::awaitable<Result<void>> removePrefix(std::string prefix) override;
     asio::awaitable<Result<std::string>> createSession(Duration timeToLive) override;
     asio::awaitable<Result<void>> renewSession(std::string session) override;
--- a/tests/platform/ConsulContractTest.cpp
+++ b/tests/platform/ConsulContractTest.cpp
@@ -77,6 +77,12 @@
     CHECK(fixture.run(store.compareAndSwap("a/k 1", "new", first.entry->modifyIndex)).value());
     CHECK(fixture.run(store.wait("a/k 1", first.index, 1s))->entry->value == "new");
 
+    CHECK(fixture.run(store.compareAndSwap("a/r", "1", 0)).value());
+    auto removable = fixture.run(store.read("a/r"))->entry.value();
+    CHECK_FALSE(fixture.run(store.removeIf("a/r", removable.modifyIndex + 1)).value());
+    CHECK(fixture.run(store.removeIf("a/r", removable.modifyIndex)).value());
+    CHECK_FALSE(fixture.run(store.read("a/r"))->entry.has_value());
+
     CHECK(fixture.run(store.transact({ { "a/t1", "1", 0 }, { "a/closed", "", 0, true } })).value());
     CHECK_FALSE(fixture.run(store.transact({ { "a/t2", "2", 0 }, { "a/t1", "", 0, true } })).value());
     auto index = fixture.run(store.read("a/t1"))->entry->modifyIndex;
