Measure demand and let roles follow it

Cause: nothing measured demand, so the daemon did not start RoleController, and routing used the configured role instead of the one that an engine runs.

Daemon starts RoleController with smoothedDemand and decideRoleChange.

--- a/modules/decisions/roles/Roles.cpp
+++ b/modules/decisions/roles/Roles.cpp
@@ -13,6 +13,19 @@
     constexpr double usableShare = 0.9;
     constexpr size_t enginesPerAbsence = 10;
 
+    ServiceRates fullEngineRates(EngineRole role)
+    {
+        switch (role) {
+        case EngineRole::Prefill:
+            return { 8200, 14 };
+        case EngineRole::Decode:
+            return { 4700, 32 };
+        case EngineRole::Mixed:
+            break;
+        }
+        return { 6800, 23 };
+    }
+
     struct Supply {
         double engines = 0;
         double guaranteedPrefill = 0; /**< engines' worth of time that roles guarantee to prefill */
@@ -120,6 +133,14 @@
     return 0.5;
 }
 
+ServiceRates withRole(const ServiceRates& rates, EngineRole from, EngineRole to)
+{
+    auto before = fullEngineRates(from);
+    auto after = fullEngineRates(to);
+    return { rates.prefillTokensPerSecond * after.prefillTokensPerSecond / before.prefillTokensPerSecond,
+        rates.decodeTokensPerSecond * after.decodeTokensPerSecond / before.decodeTokensPerSecond };
+}
+
 MixDemand smoothedDemand(const MixDemand& mean, const MixDemand& sample, Duration elapsed)
 {
     auto weight = 1 - std::exp(-toSeconds(elapsed) / toSeconds(demandMemory));
--- a/modules/decisions/roles/Roles.h
+++ b/modules/decisions/roles/Roles.h
@@ -20,6 +20,10 @@
 /** Share of an engine's time that its role guarantees to prefill while both kinds of work wait, 0 to 1. */
 double prefillShareOf(EngineRole);
 
+/** The rates of an engine after its role has changed. The factors were measured at full engines of ./scripts/bench:
+    8,200 and 14 tokens/s with the role prefill, 4,700 and 32 with decode, 6,800 and 23 with mixed. */
+ServiceRates withRole(const ServiceRates&, EngineRole from, EngineRole to);
+
 /** Demand and supply of one model, as work per second. */
 struct MixDemand {
     double prefillTokensPerSecond = 0;
--- a/modules/frontend/dispatch/FrontendState.h
+++ b/modules/frontend/dispatch/FrontendState.h
@@ -4,6 +4,7 @@
 #include "claims/service/ClaimService.h"
 #include "control/configuration/ConfigurationService.h"
 #include "decisions/decisions.h"
+#include "frontend/demand/DemandMeter.h"
 #include "frontend/replicas/ReplicaTable.h"
 #include "frontend/requests/CallerRequest.h"
 #include "kernel/kernel.h"
@@ -41,6 +42,7 @@
         : services(frontendServices)
         , settings(std::move(frontendSettings))
         , replicas(std::make_shared<ReplicaTable>(settings.locality, services.timers, services.log, std::move(gates)))
+        , demand(services.peers.self())
         , random(settings.seed)
     {
     }
@@ -58,6 +60,7 @@
     FrontendServices services;
     FrontendSettings settings;
     std::shared_ptr<ReplicaTable> replicas;
+    DemandMeter demand;
     RandomGenerator random;
     SuspectTable suspects;
     RetryBudget retryBudget;
--- a/modules/frontend/listener/Frontend.cpp
+++ b/modules/frontend/listener/Frontend.cpp
@@ -3,6 +3,7 @@
 #include "frontend/discovery/DiscoveryAnswer.h"
 #include "frontend/replicas/HeartbeatExchange.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace chestnut {
@@ -235,6 +236,29 @@
     return record;
 }
 
+void Frontend::countArrival(const HeldStream& record)
+{
+    const auto& caller = record.caller;
+    auto work = estimateWork(record.promptTokens, std::max(1U, record.maximumTokens), m_state->outputModel(caller.account, caller.priorityClass));
+    // A prefix that some engine caches is hardly ever prefilled again.
+    auto cached = m_state->replicas->cachedTokens(m_state->replicas->views(groupOf(record.model)), record.blocks);
+    if (!cached.empty())
+        work.prefillTokens = std::max(0.0, work.prefillTokens - *std::ranges::max_element(cached));
+    m_state->demand.arrived(record.model, work, m_state->now());
+}
+
+GroupDemand Frontend::demandOf(const EngineGroupId& group) const
+{
+    auto configuration = m_state->services.configuration.current();
+    if (!configuration)
+        return {};
+    auto engine = std::ranges::find_if(configuration->engines, [&group](const auto& entry) { return groupOf(entry.second) == group; });
+    if (engine == configuration->engines.end())
+        return {};
+    auto demand = m_state->demand.groupDemand(group, *configuration, m_state->services.peers.members(), m_state->now());
+    return { demand, neutralRates(m_state->replicas->views(groupOf(engine->second.model)), engine->second.zone) };
+}
+
 asio::awaitable<void> Frontend::complete(CallerRequest caller, HttpRequest request, HttpResponseWriter& writer)
 {
     bool isStreamed = false;
@@ -247,6 +271,7 @@
     WholeAnswer whole(writer, caller.id);
     CompletionSink& sink = isStreamed ? static_cast<CompletionSink&>(relay) : whole;
     (*record)->isResumable = isStreamed;
+    countArrival(**record);
     co_await runSession(*record, sink, writer, 0);
 }
 
--- a/modules/frontend/listener/Frontend.h
+++ b/modules/frontend/listener/Frontend.h
@@ -41,6 +41,8 @@
 
     /** Caller requests in progress. */
     size_t inProgress() const;
+    /** Demand for an engine group, estimated for all daemons, and the rates at which its engines serve. */
+    GroupDemand demandOf(const EngineGroupId&) const;
     const ReplicaTable& replicas() const { return *m_state->replicas; }
     size_t waiting() const { return m_dispatcher->waiting(); }
 
@@ -56,6 +58,7 @@
     asio::awaitable<void> runSession(std::shared_ptr<HeldStream>, CompletionSink&, HttpResponseWriter&, uint64_t afterToken);
     asio::awaitable<void> joinStream(CallerRequest, StreamId, uint64_t afterToken, HttpResponseWriter&);
     Result<std::shared_ptr<HeldStream>> recordFor(CallerRequest, const HttpRequest&, bool& isStreamed) const;
+    void countArrival(const HeldStream&);
     std::optional<Error> refusalBeforeWork() const;
     bool takesAccount(const AccountId&) const;
     void logRefused(const CallerRequest&, const Error&);
--- a/modules/frontend/replicas/HeartbeatExchange.cpp
+++ b/modules/frontend/replicas/HeartbeatExchange.cpp
@@ -31,7 +31,7 @@
         return list;
     }
 
-    void mergeSuspects(FrontendState& state, const json& list)
+    void mergeSuspects(FrontendState& state, const DaemonId&, const json& list)
     {
         for (const auto& item : list) {
             auto digest = digestFromHex(item.at("d").get<std::string>());
@@ -59,14 +59,24 @@
         return list;
     }
 
-    void mergeLatencies(FrontendState& state, const json& list)
+    void mergeLatencies(FrontendState& state, const DaemonId&, const json& list)
     {
         for (const auto& item : list)
             state.replicas->mergePeerLatency(ReplicaId(item.at(0).get<std::string>()), item.at(1).get<double>(), item.at(2).get<double>());
     }
 
+    json demandOf(FrontendState& state)
+    {
+        return state.demand.report(state.now());
+    }
+
+    void mergeDemand(FrontendState& state, const DaemonId& sender, const json& list)
+    {
+        state.demand.merge(sender, list, state.now());
+    }
+
     using Produce = json (*)(FrontendState&);
-    using Merge = void (*)(FrontendState&, const json&);
+    using Merge = void (*)(FrontendState&, const DaemonId& sender, const json&);
 
     void extend(const FrontendStatePointer& state, std::string key, Produce produce, Merge merge)
     {
@@ -75,12 +85,12 @@
             auto locked = weak.lock();
             return locked ? produce(*locked) : json();
         };
-        auto consume = [weak, merge](const DaemonId&, const json& value) {
+        auto consume = [weak, merge](const DaemonId& sender, const json& value) {
             auto locked = weak.lock();
             if (!locked)
                 return;
             try {
-                merge(*locked, value);
+                merge(*locked, sender, value);
             } catch (const json::exception&) {
                 // A peer of another version may send another form; its news is not needed.
             }
@@ -94,6 +104,7 @@
 {
     extend(state, "suspects", suspectsOf, mergeSuspects);
     extend(state, "latencies", latenciesOf, mergeLatencies);
+    extend(state, "demand", demandOf, mergeDemand);
 }
 
 } // namespace chestnut
--- a/modules/frontend/replicas/HeartbeatExchange.h
+++ b/modules/frontend/replicas/HeartbeatExchange.h
@@ -4,7 +4,7 @@
 
 namespace chestnut {
 
-/** Adds suspected requests and latencies of slow replicas to the heartbeats between daemons. */
+/** Adds suspected requests, latencies of slow replicas and arrival rates to the heartbeats between daemons. */
 void exchangeByHeartbeat(const FrontendStatePointer&);
 
 } // namespace chestnut
--- a/modules/frontend/replicas/ReplicaPoller.cpp
+++ b/modules/frontend/replicas/ReplicaPoller.cpp
@@ -61,6 +61,7 @@
         auto state = weak.lock();
         if (!state)
             return;
+        state->replicas->updateRoles();
         state->replicas->updateHealth();
         expireSuspicions(state->suspects, state->now());
         auto slots = std::max(1U, state->replicas->slotCount());
--- a/modules/frontend/replicas/ReplicaTable.cpp
+++ b/modules/frontend/replicas/ReplicaTable.cpp
@@ -79,6 +79,7 @@
     for (auto& [id, replicas] : groups)
         addSubset(id, std::move(replicas));
     std::erase_if(m_replicas, [](const auto& entry) { return !entry.second.isConfigured && entry.second.flights.empty(); });
+    updateRoles();
     std::erase_if(m_prefixes.replicas, [this](const auto& entry) { return !m_replicas.contains(entry.first); });
 }
 
@@ -95,14 +96,18 @@
             continue;
         auto [position, isNew] = m_replicas.try_emplace(candidate.id, replica);
         auto& known = position->second;
-        if (isNew)
+        if (isNew) {
+            known.view.rates = withRole(known.view.rates, EngineRole::Mixed, known.view.role);
             continue;
+        }
         if (known.version != replica.version || known.endpoint != replica.endpoint)
             forgetReplica(m_prefixes, candidate.id);
         auto rates = known.view.rates;
         auto report = known.view.report;
         auto blocks = known.view.blocks;
+        auto role = known.view.role;
         known.view = replica.view;
+        known.view.role = role;
         known.view.rates = rates;
         known.view.report = report;
         known.view.blocks = blocks;
@@ -113,6 +118,17 @@
     }
 }
 
+void ReplicaTable::updateRoles()
+{
+    for (auto& [id, replica] : m_replicas) {
+        if (!replica.isEngine || !replica.isConfigured)
+            continue;
+        auto role = m_gates.roleOf(id);
+        replica.view.rates = withRole(replica.view.rates, replica.view.role, role);
+        replica.view.role = role;
+    }
+}
+
 Duration ReplicaTable::delayTo(const AvailabilityZone& zone, const Region& region) const
 {
     if (region != m_locality.region)
--- a/modules/frontend/replicas/ReplicaTable.h
+++ b/modules/frontend/replicas/ReplicaTable.h
@@ -5,6 +5,7 @@
 #include "decisions/admission/Admission.h"
 #include "decisions/ejection/Ejection.h"
 #include "decisions/hedging/Hedging.h"
+#include "decisions/roles/Roles.h"
 #include "decisions/routing/PrefixIndex.h"
 #include "decisions/routing/Routing.h"
 #include "decisions/subsets/Subsets.h"
@@ -99,6 +100,7 @@
 struct ReplicaGates {
     std::function<bool(const ReplicaId&)> acceptsNewWork;
     std::function<double(const ReplicaId&)> slowStartShare; /**< 0 to 1 */
+    std::function<EngineRole(const ReplicaId&)> roleOf; /**< the role that an engine runs now */
 };
 
 /** Everything that this daemon knows about the replicas that it uses. Lost with the daemon and learned again. */
@@ -118,6 +120,9 @@
     std::vector<double> cachedTokens(std::span<const ReplicaView>, std::span<const uint64_t> blocks) const;
     std::optional<Endpoint> endpoint(const ReplicaId&) const;
 
+    /** Takes over the roles that the engines run now and fits the learned rates to them. */
+    void updateRoles();
+
     /** False when the last contacts failed; see unresponsiveFailures. */
     bool isResponsive(const ReplicaId&) const;
 
--- a/programs/chestnutrouted/Daemon.cpp
+++ b/programs/chestnutrouted/Daemon.cpp
@@ -107,10 +107,13 @@
     settings.seed = randomSeed();
     auto& fleet = m_kernel.require<FleetService>(FleetService::serviceName);
     ReplicaGates gates { [&fleet](const ReplicaId& id) { return fleet.acceptsNewWork(id); },
-        [&fleet](const ReplicaId& id) { return fleet.slowStartShare(id); } };
-    m_kernel.emplace<Frontend>(FrontendServices { m_context, service<TimerService>(), service<Log>(), service<Metrics>(),
-                                   service<ConfigurationService>(), claims, service<PeerService>(), service<EngineClient>(), service<BackendServerClient>() },
+        [&fleet](const ReplicaId& id) { return fleet.slowStartShare(id); },
+        [&fleet](const ReplicaId& id) { return fleet.roleOf(EngineId(id.value())); } };
+    auto& frontend = m_kernel.emplace<Frontend>(FrontendServices { m_context, service<TimerService>(), service<Log>(), service<Metrics>(),
+                                                    service<ConfigurationService>(), claims, service<PeerService>(), service<EngineClient>(), service<BackendServerClient>() },
         std::move(settings), std::move(gates));
+    m_kernel.emplace<RoleController>(service<OrderService>(), service<ConfigurationService>(), service<TimerService>(), service<Log>(),
+        RoleDecisions { smoothedDemand, decideRoleChange }, [&frontend](const EngineGroupId& group) { return frontend.demandOf(group); });
 }
 
 void Daemon::openCallerListener()
--- a/tests/frontend/FrontendFixture.h
+++ b/tests/frontend/FrontendFixture.h
@@ -38,7 +38,7 @@
     {
         FrontendSettings settings;
         settings.locality = { DaemonId("d1"), AvailabilityZone("a"), Region("r") };
-        ReplicaGates gates { [this](const ReplicaId& id) { return !leaving.contains(id); }, [](const ReplicaId&) { return 1.0; } };
+        ReplicaGates gates { [this](const ReplicaId& id) { return !leaving.contains(id); }, [](const ReplicaId&) { return 1.0; }, [this](const ReplicaId& id) { return roles[id]; } };
         FrontendServices services { context, timers, log, metrics, configuration, claims, peers, engines, servers };
         return std::make_unique<Frontend>(services, settings, gates);
     }
@@ -81,6 +81,7 @@
     FakeEngines engines { timers };
     FakeServers servers { timers };
     std::set<ReplicaId> leaving;
+    std::map<ReplicaId, EngineRole> roles;
     std::unique_ptr<Frontend> frontend;
 };
 
