Divide replicas between the daemons that share them and announce load against that share

Cause: daemonShare was the slow-start share alone, so each daemon counted on whole replicas; the announced load divided this daemon's requests by all slots of all replicas, so that a daemon with its whole share in use announced 1/n.

Change: daemonShare is the slow-start share divided by min(members, members * 24 / replicas), at least 1, from the ready members once a second. The dispatcher announces the fullest group's requests in flight and waiting live requests against the slots that it may count on. Extrapolation from own requests since a report stops at 8 daemons: with the 61 daemons for each replica of the target, one own request would have filled 32 slots until the next report.

--- a/modules/decisions/routing/Routing.cpp
+++ b/modules/decisions/routing/Routing.cpp
@@ -23,7 +23,9 @@
     /** Proximity weight of a replica this far away is half of that of a replica in the own zone. */
     constexpr double halfWeightDelaySeconds = 0.005;
     constexpr double lowestRate = 1e-3;
-    constexpr double lowestDaemonShare = 1e-2;
+    /** Work that this daemon has sent since the report is extrapolated to at most this many daemons: one request is too
+        small a sample for more. With 61 daemons for each replica (the target), one request would fill 32 slots. */
+    constexpr double largestExtrapolation = 8;
 
     double others(double reported, double ownUnfinished, double ownSince, double freshness)
     {
@@ -41,11 +43,16 @@
         return std::exp(-std::max(0.0, toSeconds(now - view.report.measuredAt)) / reportMemorySeconds);
     }
 
+    double extrapolation(const ReplicaView& view)
+    {
+        return 1 / std::max(view.daemonShare, 1 / largestExtrapolation);
+    }
+
     /** Requests that all daemons together have added since the report: the others are assumed to add as many for their
         share of the replica as this one. Without this, all daemons fill the same free slots before the next report. */
     double netChange(const ReplicaView& view)
     {
-        return view.own.netRequestsSinceReport / std::max(lowestDaemonShare, view.daemonShare);
+        return view.own.netRequestsSinceReport * extrapolation(view);
     }
 
     double slotWaitSeconds(const ReplicaEstimate& estimate, const ReplicaView& view, uint32_t limit)
@@ -85,7 +92,7 @@
     {
         if (view.blocks == 0)
             return false;
-        auto sent = blocksFor(view.own.sentSinceReport) / std::max(lowestDaemonShare, view.daemonShare);
+        auto sent = blocksFor(view.own.sentSinceReport) * extrapolation(view);
         auto needed = std::ceil(blocksFor(request.work) - cachedTokens / tokensPerBlock);
         auto reserve = request.priorityClass == PriorityClass::Batch ? liveReservedMemoryShare * view.blocks : 0;
         return view.report.freeBlocks - sent < needed + reserve && view.report.running > 0;
--- a/modules/decisions/subsets/Subsets.h
+++ b/modules/decisions/subsets/Subsets.h
@@ -25,4 +25,7 @@
     two. Each replica ends up with about the same number of daemons. */
 std::vector<ReplicaId> chooseSubset(const DaemonId&, const AvailabilityZone&, const Region&, std::span<const SubsetCandidate>, size_t size = subsetSize);
 
+/** Expected number of daemons that work on one replica of a group when each of them works on a subset; at least 1. */
+double daemonsPerReplica(size_t daemons, size_t replicas, size_t size = subsetSize);
+
 } // namespace chestnut
--- a/modules/frontend/dispatch/Dispatcher.cpp
+++ b/modules/frontend/dispatch/Dispatcher.cpp
@@ -9,6 +9,9 @@
 
     /** Queues are also served without a flight end, because other daemons' work ends too. */
     constexpr Duration pumpPeriod = std::chrono::milliseconds(50);
+    /** Heartbeats carry the load, once a second. */
+    constexpr Duration loadPeriod = std::chrono::seconds(1);
+    constexpr double highestPermille = 100'000;
     /** Stated target for 95 in 100 requests (section 1.4 of the design). */
     constexpr Duration firstTokenTarget = std::chrono::milliseconds(1100);
     /** At most this share of a group runs suspected requests alone; the rest serves everyone else. */
@@ -62,6 +65,18 @@
         for (const auto& [group, queue] : self->m_queues)
             self->pump(group);
     });
+    m_announcing = m_state->services.timers.every(loadPeriod, [weak] {
+        if (auto self = weak.lock())
+            self->m_state->services.peers.announceLoad(self->loadPermille());
+    });
+}
+
+uint32_t Dispatcher::loadPermille() const
+{
+    double load = 0;
+    for (const auto& [group, use] : m_state->replicas->use())
+        load = std::max(load, 1000 * (use.inFlight + queueState(group).waitingLive) / use.slots);
+    return static_cast<uint32_t>(std::min(load, highestPermille));
 }
 
 size_t Dispatcher::waiting() const
--- a/modules/frontend/dispatch/Dispatcher.h
+++ b/modules/frontend/dispatch/Dispatcher.h
@@ -50,6 +50,10 @@
 
     size_t waiting() const;
 
+    /** Requests in flight and waiting live requests of the fullest model or service, in thousandths of the slots that this
+        daemon may count on. Waiting batch work is left out: it waits at every daemon whenever batch fills its share. */
+    uint32_t loadPermille() const;
+
 private:
     struct Waiter {
         DispatchRequest request;
@@ -76,6 +80,7 @@
     std::map<ReplicaGroupId, Queue> m_queues;
     uint64_t m_lastTicket = 0;
     TimerSubscription m_pumping;
+    TimerSubscription m_announcing;
 };
 
 } // namespace chestnut
--- a/modules/frontend/replicas/ReplicaPoller.cpp
+++ b/modules/frontend/replicas/ReplicaPoller.cpp
@@ -1,5 +1,6 @@
 #include "frontend/replicas/ReplicaPoller.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -31,6 +32,12 @@
             state->replicas->contactFailed(id);
     }
 
+    size_t readyMembers(const PeerService& peers)
+    {
+        auto members = peers.members();
+        return static_cast<size_t>(std::ranges::count(members, MemberState::Ready, &MemberRecord::state));
+    }
+
     void pollNext(const FrontendStatePointer& state)
     {
         auto id = state->replicas->nextToPoll(state->settings.pollPeriod);
@@ -52,6 +59,7 @@
 
 void ReplicaPoller::start()
 {
+    m_state->replicas->setDaemons(readyMembers(m_state->services.peers));
     std::weak_ptr<FrontendState> weak = m_state;
     m_polling = m_state->services.timers.every(m_state->settings.pollInterval, [weak] {
         if (auto state = weak.lock())
@@ -61,11 +69,10 @@
         auto state = weak.lock();
         if (!state)
             return;
+        state->replicas->setDaemons(readyMembers(state->services.peers));
         state->replicas->updateRoles();
         state->replicas->updateHealth();
         expireSuspicions(state->suspects, state->now());
-        auto slots = std::max(1U, state->replicas->slotCount());
-        state->services.peers.announceLoad(1000 * state->replicas->flightCount() / slots);
     });
 }
 
--- a/modules/frontend/replicas/ReplicaTable.cpp
+++ b/modules/frontend/replicas/ReplicaTable.cpp
@@ -70,8 +70,10 @@
     }
     for (auto& [id, replica] : m_replicas)
         replica.isConfigured = false;
-    for (auto& [id, group] : m_groups)
+    for (auto& [id, group] : m_groups) {
         group.members.clear();
+        group.replicas = 0;
+    }
     for (const auto& [key, model] : configuration.models)
         m_groups[groupOf(model.id)];
     for (const auto& [key, server] : configuration.backendServers)
@@ -90,6 +92,7 @@
     for (const auto& [candidate, replica] : replicas)
         candidates.push_back(candidate);
     auto& group = m_groups[groupId];
+    group.replicas = replicas.size();
     group.members = chooseSubset(m_locality.self, m_locality.zone, m_locality.region, candidates);
     for (auto& [candidate, replica] : replicas) {
         if (std::ranges::find(group.members, candidate.id) == group.members.end())
@@ -165,7 +168,7 @@
         view.own = ownWork(replica);
         view.acceptsNewWork = acceptsNewWork(replica);
         view.concurrencyLimit = static_cast<uint32_t>(std::max(1.0, replica.limit.limit));
-        view.daemonShare = m_gates.slowStartShare(id);
+        view.daemonShare = shareOf(id, group->second);
         auto latency = group->second.latency.replicas.find(id);
         if (latency != group->second.latency.replicas.end())
             view.health = latency->second.health;
@@ -243,13 +246,11 @@
     replica->sent.push_back({ now, flight->plan().work });
     if (!blocks.empty())
         noteSent(m_prefixes, id, blocks);
-    ++m_flightCount;
     return flight;
 }
 
 void ReplicaTable::end(Flight& flight)
 {
-    --m_flightCount;
     learnDecodeRate(flight);
     auto* replica = find(flight.replica());
     assert(replica);
@@ -309,12 +310,26 @@
     return false;
 }
 
-uint32_t ReplicaTable::slotCount() const
+double ReplicaTable::shareOf(const ReplicaId& id, const Group& group) const
+{
+    return m_gates.slowStartShare(id) / daemonsPerReplica(m_daemons, group.replicas);
+}
+
+std::map<ReplicaGroupId, GroupUse> ReplicaTable::use() const
 {
-    uint32_t slots = 0;
-    for (const auto& [id, replica] : m_replicas)
-        slots += replica.isConfigured ? replica.view.slots : 0;
-    return slots;
+    std::map<ReplicaGroupId, GroupUse> result;
+    for (const auto& [id, group] : m_groups) {
+        GroupUse use;
+        for (const auto& member : group.members) {
+            const auto& replica = m_replicas.at(member);
+            use.inFlight += static_cast<uint32_t>(replica.flights.size());
+            if (acceptsNewWork(replica))
+                use.slots += replica.view.slots * shareOf(member, group);
+        }
+        if (use.slots > 0)
+            result[id] = use;
+    }
+    return result;
 }
 
 } // namespace chestnut
--- a/modules/frontend/replicas/ReplicaTable.h
+++ b/modules/frontend/replicas/ReplicaTable.h
@@ -103,6 +103,12 @@
     std::function<EngineRole(const ReplicaId&)> roleOf; /**< the role that an engine runs now */
 };
 
+/** What this daemon uses of one model or service. */
+struct GroupUse {
+    uint32_t inFlight = 0;
+    double slots = 0; /**< that this daemon may count on */
+};
+
 /** Everything that this daemon knows about the replicas that it uses. Lost with the daemon and learned again. */
 class ReplicaTable : public std::enable_shared_from_this<ReplicaTable> {
 public:
@@ -120,6 +126,9 @@
     std::vector<double> cachedTokens(std::span<const ReplicaView>, std::span<const uint64_t> blocks) const;
     std::optional<Endpoint> endpoint(const ReplicaId&) const;
 
+    /** The number of ready daemons, this one included; they share the replicas. */
+    void setDaemons(size_t count) { m_daemons = count; }
+
     /** Takes over the roles that the engines run now and fits the learned rates to them. */
     void updateRoles();
 
@@ -150,8 +159,8 @@
     void mergePeerLatency(const ReplicaId&, double meanRatio, double samples);
     void updateHealth();
 
-    uint32_t flightCount() const { return m_flightCount; }
-    uint32_t slotCount() const;
+    /** Use of each group that has replicas which accept work. */
+    std::map<ReplicaGroupId, GroupUse> use() const;
 
 private:
     struct Sent {
@@ -178,6 +187,7 @@
     };
     struct Group {
         std::vector<ReplicaId> members;
+        size_t replicas = 0; /**< of the whole group; the members are this daemon's subset */
         LatencyGroup latency;
         LatencyQuantiles quantiles;
     };
@@ -186,6 +196,8 @@
     Duration delayTo(const AvailabilityZone&, const Region&) const;
     OwnWork ownWork(const Replica&) const;
     bool acceptsNewWork(const Replica&) const;
+    /** Share of a replica's capacity that this daemon may count on. */
+    double shareOf(const ReplicaId&, const Group&) const;
     bool isUnresponsive(const Replica&) const;
     void end(Flight&);
     void learnFirstToken(Flight&, TimePoint now);
@@ -203,7 +215,7 @@
     std::map<ReplicaGroupId, Group> m_groups;
     PrefixIndex m_prefixes;
     std::function<void(const ReplicaGroupId&)> m_onFlightEnd;
-    uint32_t m_flightCount = 0;
+    size_t m_daemons = 1;
 
     friend class Flight;
 };
--- a/tests/frontend/Fakes.h
+++ b/tests/frontend/Fakes.h
@@ -59,16 +59,22 @@
     void handle(std::string, PeerHandler) override { }
     void extendHeartbeat(HeartbeatExtension extension) override { extensions.push_back(std::move(extension)); }
     asio::awaitable<Result<nlohmann::json>> call(DaemonId, std::string, nlohmann::json, Duration) override { co_return makeError(ErrorKind::ConnectFailed, "no peers"); }
-    std::vector<MemberRecord> members() const override { return { record }; }
+    std::vector<MemberRecord> members() const override
+    {
+        auto all = others;
+        all.push_back(record);
+        return all;
+    }
     std::optional<MemberRecord> member(const DaemonId& id) const override { return id == record.id ? std::optional(record) : std::nullopt; }
     const DaemonId& self() const override { return record.id; }
     Incarnation incarnation() const override { return 7; }
     void announceState(MemberState state) override { record.state = state; }
     void announceRevision(Revision) override { }
-    void announceLoad(uint32_t) override { }
+    void announceLoad(uint32_t load) override { record.loadPermille = load; }
     void onMemberChange(std::function<void(const MemberRecord&)>) override { }
 
     MemberRecord record { DaemonId("d1"), 7, 1, MemberState::Ready, AvailabilityZone("a"), Region("r"), "127.0.0.1:8000", "127.0.0.1:8001" };
+    std::vector<MemberRecord> others;
     std::vector<HeartbeatExtension> extensions;
 };
 
