Check the engine before a broken connection counts as its loss

Cause: a stream connection that broke counted as the loss of its engine, so two cut connections quarantined a request for 10 minutes; an engine stopped by a planned change did the same.

Change: LossChecks asks the replica for GET /load (500 ms; a broken idle connection is repeated on a fresh one) and counts the loss only when that fails. The requests that ran there are noted when the break is noticed, one check serves all of them, and each waits for its result before its next attempt. A replica that drains, changes or leaves is not checked. Event loss_refuted (2014).

Conclusion: only a replica that is gone counts. An engine that restarts within the check is not counted.

--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -83,6 +83,7 @@
     FrontendStopping = 2011,
     FrontendStopped = 2012,
     AnswerCrossed = 2013,
+    LossRefuted = 2014,
 
     // operations: 2100 to 2199
     OperatorCallAnswered = 2100,
--- a/modules/frontend/completions/RequestSession.cpp
+++ b/modules/frontend/completions/RequestSession.cpp
@@ -45,6 +45,7 @@
     , m_held(std::move(held))
     , m_record(std::move(record))
     , m_news(std::make_shared<Signal>(m_state->services.context))
+    , m_losses(m_news)
     , m_startedAt(m_state->now())
 {
 }
@@ -111,6 +112,7 @@
             m_isContinuation = true;
             continue;
         }
+        co_await m_losses.settled(m_state);
         if (!co_await mayRetry())
             co_return finalError(*m_error);
     }
@@ -277,9 +279,8 @@
             continue;
         m_error = isSilentNow ? makeError(ErrorKind::BackendFailed, "the engine is silent") : asAttemptError(*attempt->error);
         recordAttemptFailure(*attempt, *m_error);
-        // A broken connection means that the engine or its process is gone; silence does not.
         if (m_error->kind == ErrorKind::BackendFailed && !isSilentNow)
-            m_state->noteLoss(attempt->engine);
+            m_losses.add(m_state, attempt->engine);
         abandon(m_state, *attempt);
     }
     std::erase_if(m_attempts, [](const auto& attempt) { return attempt->isAbandoned; });
--- a/modules/frontend/completions/RequestSession.h
+++ b/modules/frontend/completions/RequestSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "frontend/completions/EngineAttempt.h"
+#include "frontend/replicas/LossCheck.h"
 #include "frontend/streams/HeldStreams.h"
 #include "frontend/streams/StreamRelay.h"
 
@@ -58,6 +59,7 @@
     std::shared_ptr<Signal> m_news;
     std::vector<EngineAttemptPointer> m_attempts;
     EngineAttemptPointer m_winner;
+    LossChecks m_losses;
     std::optional<TimePoint> m_hedgeAt;
     std::optional<Error> m_error; /**< of the last attempt */
     std::vector<ReplicaId> m_excluded;
--- a/modules/frontend/dispatch/FrontendState.cpp
+++ b/modules/frontend/dispatch/FrontendState.cpp
@@ -23,13 +23,4 @@
     return outputModels[{ account, priorityClass }];
 }
 
-void FrontendState::noteLoss(const ReplicaId& replica)
-{
-    if (!replicas->noteLoss(replica))
-        return;
-    auto running = replicas->contentsRunningAt(replica);
-    recordLoss(suspects, replica, running, now());
-    services.log.write(EventId::RequestSuspected, { { "replica", replica }, { "requests", running.size() } });
-}
-
 } // namespace chestnut
--- a/modules/frontend/dispatch/FrontendState.h
+++ b/modules/frontend/dispatch/FrontendState.h
@@ -54,9 +54,6 @@
 
     OutputLengthModel& outputModel(const AccountId&, PriorityClass);
 
-    /** Counts the loss of a replica against the requests that ran there. */
-    void noteLoss(const ReplicaId&);
-
     FrontendServices services;
     FrontendSettings settings;
     std::shared_ptr<ReplicaTable> replicas;
--- a/modules/frontend/replicas/ReplicaTable.cpp
+++ b/modules/frontend/replicas/ReplicaTable.cpp
@@ -276,18 +276,34 @@
     return contents;
 }
 
-bool ReplicaTable::noteLoss(const ReplicaId& id)
+bool ReplicaTable::beginLossCheck(const ReplicaId& id)
 {
     auto* replica = find(id);
-    if (!replica)
+    if (!replica || replica->isLossUnsettled || !m_gates.acceptsNewWork(id))
         return false;
-    auto now = m_timers.now();
-    if (replica->hasLoss && now - replica->lossNotedAt < lossWindow)
+    if (replica->hasLoss && m_timers.now() - replica->lossNotedAt < lossWindow)
         return false;
+    replica->isLossUnsettled = true;
+    return true;
+}
+
+void ReplicaTable::endLossCheck(const ReplicaId& id, bool isLost)
+{
+    auto* replica = find(id);
+    if (!replica)
+        return;
+    replica->isLossUnsettled = false;
+    if (!isLost)
+        return;
     replica->hasLoss = true;
-    replica->lossNotedAt = now;
+    replica->lossNotedAt = m_timers.now();
     forgetReplica(m_prefixes, id);
-    return true;
+}
+
+bool ReplicaTable::isLossUnsettled(const ReplicaId& id) const
+{
+    const auto* replica = find(id);
+    return replica && replica->isLossUnsettled;
 }
 
 bool ReplicaTable::preemptNewestBatch(const ReplicaId& id)
--- a/modules/frontend/replicas/ReplicaTable.h
+++ b/modules/frontend/replicas/ReplicaTable.h
@@ -137,8 +137,11 @@
 
     FlightHandle begin(const ReplicaId&, FlightPlan, std::span<const uint64_t> blocks);
     std::vector<Digest> contentsRunningAt(const ReplicaId&) const;
-    /** Counts a loss once, although every request that ran there notices it. */
-    bool noteLoss(const ReplicaId&);
+    /** True for the first of the requests that notice the loss of a replica; endLossCheck() must follow. False during a
+        planned change of the replica, when its loss counts against no request. */
+    bool beginLossCheck(const ReplicaId&);
+    void endLossCheck(const ReplicaId&, bool isLost);
+    bool isLossUnsettled(const ReplicaId&) const;
     /** Frees the slot of the newest batch request there. False when there is none. */
     bool preemptNewestBatch(const ReplicaId&);
     /** Calls back whenever a flight has ended. */
@@ -182,6 +185,7 @@
         TimePoint firstFailureAt {};
         TimePoint lossNotedAt {};
         bool hasLoss = false;
+        bool isLossUnsettled = false;
         bool isConfigured = true;
         std::string version; /**< model and version; the cache is forgotten when it changes */
     };
--- a/modules/frontend/services/ServiceCall.cpp
+++ b/modules/frontend/services/ServiceCall.cpp
@@ -53,6 +53,7 @@
     , m_dispatcher(std::move(dispatcher))
     , m_request(std::move(request))
     , m_news(std::make_shared<Signal>(m_state->services.context))
+    , m_losses(m_news)
 {
 }
 
@@ -211,13 +212,14 @@
     m_mayHaveRun = m_mayHaveRun || !isNotRun(error.kind);
     if (error.kind == ErrorKind::BackendFailed) {
         ++m_backendsLost;
-        m_state->noteLoss(target.replica);
+        m_losses.add(m_state, target.replica);
     }
     m_state->services.log.write(EventId::AttemptFailed, { { "request", m_request.caller.id }, { "replica", target.replica }, { "kind", answerFor(error.kind).name }, { "detail", error.detail } });
 }
 
 asio::awaitable<bool> ServiceCall::mayRetry(const Error& error)
 {
+    co_await m_losses.settled(m_state);
     RetryQuery query { error.kind, m_request.isIdempotent(), m_attemptCount, m_backendsLost, m_request.caller.deadline, Duration::zero() };
     auto decision = decideRetry(query, m_state->retryBudget, m_state->now(), m_state->random);
     m_state->retryBudget = decision.budget;
@@ -264,8 +266,10 @@
         failure = response.error();
         recordAttemptFailure(dispatched, failure);
         // Only a failed connect proves that no byte was sent. Any other failure leaves the claim in place for good.
-        if (failure.kind != ErrorKind::ConnectFailed)
+        if (failure.kind != ErrorKind::ConnectFailed) {
+            co_await m_losses.settled(m_state);
             co_return makeError(ErrorKind::OutcomeUnknown, failure.detail);
+        }
         dispatched.flight.reset();
         if (!co_await mayRetry(failure))
             break;
--- a/modules/frontend/services/ServiceCall.h
+++ b/modules/frontend/services/ServiceCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "frontend/dispatch/Dispatcher.h"
+#include "frontend/replicas/LossCheck.h"
 
 namespace chestnut {
 
@@ -57,6 +58,7 @@
     ServiceRequest m_request;
     std::shared_ptr<Signal> m_news;
     std::vector<AttemptPointer> m_attempts;
+    LossChecks m_losses;
     std::optional<TimePoint> m_hedgeAt;
     std::vector<ReplicaId> m_excluded;
     uint32_t m_attemptCount = 0;
--- a/tests/frontend/CompletionTest.cpp
+++ b/tests/frontend/CompletionTest.cpp
@@ -183,3 +183,33 @@
     CHECK(outcomeOf(*writer) == "failed");
     CHECK(fixture.engines.at(1).running.empty());
 }
+
+// Guards against a request that is quarantined because its connection was cut or its engine was stopped as planned.
+TEST_CASE("neither a cut connection nor a planned change makes a request suspect")
+{
+    FrontendFixture fixture(4);
+    for (int i = 0; i < 3; ++i) {
+        for (uint16_t port = 1; port <= 4; ++port)
+            fixture.engines.at(port).cutsNext = true;
+        auto writer = fixture.ask(fixture.completion("p", 20));
+        fixture.advance(1s);
+        for (uint16_t port = 1; port <= 4; ++port)
+            fixture.engines.at(port).cutsNext = false;
+        fixture.advance(3s);
+    }
+    CHECK(fixture.log.recent(EventId::LossRefuted).size() >= 2);
+    CHECK(fixture.log.recent(EventId::RequestSuspected).empty());
+    for (int i = 0; i < 2; ++i) {
+        fixture.ask(fixture.completion("p", 200));
+        fixture.advance(100ms);
+        auto port = busyEngine(fixture, 4);
+        REQUIRE(port != 0);
+        fixture.leaving.insert(ReplicaId("e" + std::to_string(port)));
+        fixture.engines.at(port).isDown = true;
+        fixture.advance(5s);
+    }
+    CHECK(fixture.log.recent(EventId::RequestSuspected).empty());
+    auto again = fixture.ask(fixture.completion("p", 5));
+    fixture.advance(2s);
+    CHECK(readStream(*again).isWhole);
+}
--- a/tests/frontend/Fakes.cpp
+++ b/tests/frontend/Fakes.cpp
@@ -30,7 +30,7 @@
                 co_await m_timers.sleep(hangStep);
             if (m_backend.diesAfterTokens && m_sent >= *m_backend.diesAfterTokens)
                 m_backend.isDown = true;
-            if (!isAlive())
+            if (!isAlive() || (m_sent > 0 && std::exchange(m_backend.cutsNext, false)))
                 co_return makeError(ErrorKind::BackendFailed, "the connection broke");
             ++m_sent;
             CompletionChunk chunk { m_id.value(), fakeToken(m_next), m_next == m_total ? "stop" : "" };
--- a/tests/frontend/Fakes.h
+++ b/tests/frontend/Fakes.h
@@ -86,6 +86,7 @@
     Duration firstDelay = std::chrono::milliseconds(20);
     Duration tokenDelay = std::chrono::milliseconds(10);
     std::optional<uint64_t> diesAfterTokens; /**< the process ends after this many tokens of one stream */
+    bool cutsNext = false; /**< the next stream's connection breaks after a token; the process goes on */
     std::string diesOn; /**< a body that contains this text ends the process */
     bool losesAnswer = false; /**< runs the next call and closes the connection */
     std::vector<std::string> bodies;
