Take a stream over from the daemon that accepted it

Cause: a caller that resumed at another daemon while the accepting daemon lived got StreamLost, because the accepting daemon cancelled the engine's work when it saw the caller leave.

Change: the request part of a stream id already begins with the id of the daemon that made the attempt, so the ids stay as they are and older daemons read them. The second daemon asks that daemon (message takeStream, 1 s) for the request and the known tokens; the first one stops its session, remembers who took the stream and names it to others. Without an answer the stream is joined at the engine as before.

A stream moves d1 -> d2 -> d3 with all 80 tokens in order and one engine run.

Conclusion: a stream resumes at any daemon, whether the accepting one lives or not.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -78,6 +78,7 @@
         { EventId::FrontendStopped, "frontend_stopped", Severity::Info, "No caller request is in progress any more." },
         { EventId::AnswerCrossed, "answer_crossed", Severity::Warning, "An engine sent the answer of another request; the stream is joined again." },
         { EventId::LossRefuted, "loss_refuted", Severity::Info, "A connection to a replica broke but the replica answers; no request is suspected." },
+        { EventId::StreamHandedOver, "stream_handed_over", Severity::Info, "Another daemon took a stream over that this daemon had accepted." },
 
         // operations
         { EventId::OperatorCallAnswered, "operator_call_answered", Severity::Debug, "A call of an operator was answered." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -84,6 +84,7 @@
     FrontendStopped = 2012,
     AnswerCrossed = 2013,
     LossRefuted = 2014,
+    StreamHandedOver = 2015,
 
     // operations: 2100 to 2199
     OperatorCallAnswered = 2100,
--- a/modules/frontend/listener/Frontend.cpp
+++ b/modules/frontend/listener/Frontend.cpp
@@ -2,6 +2,7 @@
 
 #include "frontend/discovery/DiscoveryAnswer.h"
 #include "frontend/replicas/HeartbeatExchange.h"
+#include "frontend/streams/StreamHandover.h"
 
 #include <algorithm>
 #include <charconv>
@@ -126,6 +127,7 @@
             state->replicas->apply(*configuration);
     });
     exchangeByHeartbeat(m_state);
+    offerStreams(m_state, m_held);
     m_dispatcher->start();
     m_poller.start();
     m_expiry = services.timers.every(expiryPeriod, [held = m_held, weak] {
@@ -213,9 +215,9 @@
     return count == m_state->inFlight.end() || count->second < spec->second.maximumInFlight;
 }
 
-Result<std::shared_ptr<HeldStream>> Frontend::recordFor(CallerRequest caller, const HttpRequest& request, bool& isStreamed) const
+Result<std::shared_ptr<HeldStream>> Frontend::recordFor(CallerRequest caller, std::string target, std::string text, bool& isStreamed) const
 {
-    auto body = parseCompletionBody(request.body);
+    auto body = parseCompletionBody(text);
     if (!body)
         return body.error();
     if (body->resumeAfter > 0)
@@ -225,8 +227,8 @@
     isStreamed = body->isStreamed;
     auto record = std::make_shared<HeldStream>();
     record->caller = std::move(caller);
-    record->target = request.path();
-    record->body = request.body;
+    record->target = std::move(target);
+    record->body = std::move(text);
     record->model = body->model;
     record->isChat = record->target == "/v1/chat/completions";
     record->maximumTokens = body->maximumTokens;
@@ -262,7 +264,7 @@
 asio::awaitable<void> Frontend::complete(CallerRequest caller, HttpRequest request, HttpResponseWriter& writer)
 {
     bool isStreamed = false;
-    auto record = recordFor(caller, request, isStreamed);
+    auto record = recordFor(caller, std::string(request.path()), std::move(request.body), isStreamed);
     if (!record) {
         co_await refuse(caller, record.error(), writer);
         co_return;
@@ -314,6 +316,8 @@
     }
     auto record = m_held->find(text);
     m_state->services.log.write(EventId::StreamResumed, { { "request", caller.id }, { "stream", text }, { "after", *after }, { "held", record ? "true" : "false" } });
+    if (!record || !record->movedTo.empty())
+        record = co_await takeOver(caller, record ? record->movedTo : daemonOf(*id).value_or(DaemonId()), text);
     if (!record || *after + 1 < record->firstIndex) {
         co_await joinStream(std::move(caller), std::move(*id), *after, writer);
         co_return;
@@ -328,6 +332,28 @@
     co_await runSession(record, relay, writer, *after);
 }
 
+asio::awaitable<std::shared_ptr<HeldStream>> Frontend::takeOver(CallerRequest caller, DaemonId holder, std::string streamId)
+{
+    auto handover = co_await takeStream(m_state, std::move(holder), streamId);
+    if (!handover)
+        co_return nullptr;
+    caller.account = std::move(handover->account);
+    caller.priorityClass = handover->priorityClass;
+    caller.deadline = std::max(caller.deadline, m_state->now() + handover->remaining);
+    caller.content = handover->content;
+    bool isStreamed = false;
+    auto record = recordFor(std::move(caller), std::move(handover->target), std::move(handover->body), isStreamed);
+    if (!record)
+        co_return nullptr;
+    (*record)->firstIndex = handover->firstIndex;
+    (*record)->tokens = std::move(handover->tokens);
+    (*record)->finishReason = std::move(handover->finishReason);
+    (*record)->streamId = std::move(streamId);
+    (*record)->isResumable = true;
+    m_held->add(*record);
+    co_return *record;
+}
+
 asio::awaitable<void> Frontend::joinStream(CallerRequest caller, StreamId id, uint64_t afterToken, HttpResponseWriter& writer)
 {
     auto configuration = m_state->services.configuration.current();
--- a/modules/frontend/listener/Frontend.h
+++ b/modules/frontend/listener/Frontend.h
@@ -15,7 +15,7 @@
     A caller can resume a stream with its last event's id, at any daemon:
     - The caller's connection broke and the daemon that accepted the stream lives: that daemon has the request and the
       tokens for a minute after the connection ended. It sends the tokens that the caller missed and continues on any
-      engine. At another daemon the resumption fails with StreamLost once the engine's work was cancelled.
+      engine. Another daemon takes the request and the tokens over from it (message takeStream) and does the same.
     - The daemon died: the engine goes on without it and holds the stream. Every daemon can join the stream there. If
       that engine dies as well, the request's body is lost and the stream fails with StreamLost.
     - The engine died: the daemon that accepted the stream continues it on another engine without the caller's help. */
@@ -56,8 +56,9 @@
     asio::awaitable<void> resume(CallerRequest, HttpRequest, HttpResponseWriter&);
     asio::awaitable<void> callService(CallerRequest, HttpRequest, HttpResponseWriter&);
     asio::awaitable<void> runSession(std::shared_ptr<HeldStream>, CompletionSink&, HttpResponseWriter&, uint64_t afterToken);
+    asio::awaitable<std::shared_ptr<HeldStream>> takeOver(CallerRequest, DaemonId holder, std::string streamId);
     asio::awaitable<void> joinStream(CallerRequest, StreamId, uint64_t afterToken, HttpResponseWriter&);
-    Result<std::shared_ptr<HeldStream>> recordFor(CallerRequest, const HttpRequest&, bool& isStreamed) const;
+    Result<std::shared_ptr<HeldStream>> recordFor(CallerRequest, std::string target, std::string body, bool& isStreamed) const;
     void countArrival(const HeldStream&);
     std::optional<Error> refusalBeforeWork() const;
     bool takesAccount(const AccountId&) const;
--- a/modules/frontend/streams/HeldStreams.h
+++ b/modules/frontend/streams/HeldStreams.h
@@ -26,6 +26,7 @@
     std::string finishReason; /**< empty until the last token */
     std::string contentMark; /**< part of the stream ids */
     std::string streamId; /**< the newest one */
+    DaemonId movedTo; /**< the daemon that took the stream over; empty while it is this one */
     std::function<void()> displace; /**< stops the session that writes to an earlier connection; empty when none runs */
     uint32_t connections = 0; /**< sessions that have not ended yet; a displaced one ends after its successor began */
     bool isResumable = false; /**< the caller knows the stream's id */
--- a/modules/frontend/streams/StreamId.cpp
+++ b/modules/frontend/streams/StreamId.cpp
@@ -9,6 +9,17 @@
 
 } // namespace
 
+std::optional<DaemonId> daemonOf(const StreamId& id)
+{
+    // <daemon>-<incarnation>-<number>, see FrontendState::nextAttemptId()
+    const auto& request = id.engineRequest.value();
+    auto number = request.rfind('-');
+    auto incarnation = number == std::string::npos || number == 0 ? std::string::npos : request.rfind('-', number - 1);
+    if (incarnation == std::string::npos || incarnation == 0)
+        return std::nullopt;
+    return DaemonId(request.substr(0, incarnation));
+}
+
 std::string contentMarkOf(const Digest& digest)
 {
     return toHex(digest).substr(0, markLength);
--- a/modules/frontend/streams/StreamId.h
+++ b/modules/frontend/streams/StreamId.h
@@ -19,6 +19,9 @@
     auto operator<=>(const StreamId&) const = default;
 };
 
+/** The daemon that started the engine's request and holds the caller's: request ids of attempts begin with its id. */
+std::optional<DaemonId> daemonOf(const StreamId&);
+
 std::string contentMarkOf(const Digest&);
 
 /** `<engine>~<engine request>~<content mark>` */
--- a/tests/frontend/Fakes.h
+++ b/tests/frontend/Fakes.h
@@ -56,16 +56,27 @@
 
 class FakePeers final : public PeerService {
 public:
-    void handle(std::string, PeerHandler) override { }
+    void handle(std::string type, PeerHandler handler) override { handlers[type] = std::move(handler); }
     void extendHeartbeat(HeartbeatExtension extension) override { extensions.push_back(std::move(extension)); }
-    asio::awaitable<Result<nlohmann::json>> call(DaemonId, std::string, nlohmann::json, Duration) override { co_return makeError(ErrorKind::ConnectFailed, "no peers"); }
+    asio::awaitable<Result<nlohmann::json>> call(DaemonId receiver, std::string type, nlohmann::json body, Duration) override
+    {
+        auto peer = reachable.find(receiver);
+        if (peer == reachable.end())
+            co_return makeError(ErrorKind::ConnectFailed, "no such peer");
+        co_return co_await peer->second->handlers.at(type)(record.id, std::move(body));
+    }
     std::vector<MemberRecord> members() const override
     {
         auto all = others;
         all.push_back(record);
         return all;
     }
-    std::optional<MemberRecord> member(const DaemonId& id) const override { return id == record.id ? std::optional(record) : std::nullopt; }
+    std::optional<MemberRecord> member(const DaemonId& id) const override
+    {
+        auto peer = reachable.find(id);
+        return id == record.id ? std::optional(record) : peer != reachable.end() ? std::optional(peer->second->record)
+                                                                                 : std::nullopt;
+    }
     const DaemonId& self() const override { return record.id; }
     Incarnation incarnation() const override { return 7; }
     void announceState(MemberState state) override { record.state = state; }
@@ -74,6 +85,8 @@
     void onMemberChange(std::function<void(const MemberRecord&)>) override { }
 
     MemberRecord record { DaemonId("d1"), 7, 1, MemberState::Ready, AvailabilityZone("a"), Region("r"), "127.0.0.1:8000", "127.0.0.1:8001" };
+    std::map<DaemonId, FakePeers*> reachable;
+    std::map<std::string, PeerHandler> handlers;
     std::vector<MemberRecord> others;
     std::vector<HeartbeatExtension> extensions;
 };
--- a/tests/frontend/FrontendFixture.h
+++ b/tests/frontend/FrontendFixture.h
@@ -34,12 +34,14 @@
         advance(std::chrono::milliseconds(1));
     }
 
-    std::unique_ptr<Frontend> makeFrontend()
+    std::unique_ptr<Frontend> makeFrontend() { return makeFrontend(peers); }
+
+    std::unique_ptr<Frontend> makeFrontend(FakePeers& ownPeers)
     {
         FrontendSettings settings;
         settings.locality = { DaemonId("d1"), AvailabilityZone("a"), Region("r") };
         ReplicaGates gates { [this](const ReplicaId& id) { return !leaving.contains(id); }, [](const ReplicaId&) { return 1.0; }, [this](const ReplicaId& id) { return roles[id]; } };
-        FrontendServices services { context, timers, log, metrics, configuration, claims, peers, engines, servers };
+        FrontendServices services { context, timers, log, metrics, configuration, claims, ownPeers, engines, servers };
         return std::make_unique<Frontend>(services, settings, gates);
     }
 
--- a/tests/frontend/ResumeTest.cpp
+++ b/tests/frontend/ResumeTest.cpp
@@ -86,6 +86,38 @@
     CHECK(before.text + after.text == expectedText(1, 60));
 }
 
+// Guards against a stream that is lost or generated twice when its caller moves on while the accepting daemon lives.
+TEST_CASE("other daemons take a stream over from the daemon that accepted it")
+{
+    FrontendFixture fixture(2);
+    auto first = fixture.ask(fixture.completion("p", 80));
+    fixture.advance(300ms);
+    auto before = readStream(*first);
+    REQUIRE(before.tokens > 3);
+    std::vector<FakePeers> others(2);
+    std::vector<std::unique_ptr<Frontend>> frontends;
+    for (size_t i = 0; i < 2; ++i) {
+        others[i].record.id = DaemonId("d" + std::to_string(i + 2));
+        others[i].reachable = { { DaemonId("d1"), &fixture.peers }, { DaemonId("d2"), others.data() } };
+        frontends.push_back(fixture.makeFrontend(others[i]));
+        frontends.back()->start();
+    }
+    auto second = fixture.askAt(*frontends[0], resumption(before.lastId));
+    fixture.advance(300ms);
+    auto middle = readStream(*second, indexOf(before.lastId));
+    CHECK(first->isAborted);
+    CHECK(middle.tokens > 3);
+    CHECK(fixture.engines.at(1).running.size() + fixture.engines.at(2).running.size() == 1);
+    second->leave();
+    // The third daemon knows only the first id; the accepting daemon names the one that has the stream now.
+    auto third = fixture.askAt(*frontends[1], resumption(before.lastId));
+    fixture.advance(3s);
+    auto after = readStream(*third, indexOf(before.lastId));
+    CHECK(after.isWhole);
+    CHECK(after.isOrdered);
+    CHECK(before.text + after.text == expectedText(1, 80));
+}
+
 // Guards against a resumption that hangs or starts the stream anew.
 TEST_CASE("a stream that no one holds is reported as lost")
 {
