--- a/bench/fleetcost/main.cpp
+++ b/bench/fleetcost/main.cpp
@@ -10,7 +10,7 @@
 
 ABSL_FLAG(uint32_t, daemons, 6, "number of daemons, at most 150");
 ABSL_FLAG(uint32_t, engines, 6, "number of engine processes");
-ABSL_FLAG(uint32_t, replicas, 6, "number of backend servers in the configuration; they share 6 processes");
+ABSL_FLAG(uint32_t, replicas, 6, "number of backend servers in the configuration, at most 1,000; one process serves them all");
 ABSL_FLAG(uint32_t, accounts, 0, "number of accounts in the configuration");
 ABSL_FLAG(uint32_t, services, 1, "number of services that the backend servers are split over");
 ABSL_FLAG(double, seconds, 15, "duration of the measurement, at most 120");
@@ -21,12 +21,16 @@
 namespace {
 
     constexpr size_t serverProcesses = 6;
+    /** First port of the process that serves the additional backend servers. */
+    constexpr uint16_t wideServerPort = 13000;
+    constexpr uint32_t largestReplicaCount = 1000;
 
     /** Counters of the whole fleet at one moment. */
     struct Sample {
         double processorSeconds = 0;
         double residentBytesMax = 0;
-        double peerBytes = 0;
+        double peerBytes = 0; /**< sent and received */
+        double peerBytesSent = 0;
         double peerMessages = 0;
         nlohmann::json platformCalls;
         double requests = 0;
@@ -72,6 +76,7 @@
             auto response = m_cluster.send(m_cluster.operators(index), request);
             if (!response)
                 return;
+            sample.peerBytesSent += metricSum(response->body, "chestnut_peer_bytes_total", "sent");
             sample.peerBytes += metricSum(response->body, "chestnut_peer_bytes_total");
             sample.peerMessages += metricSum(response->body, "chestnut_peer_messages_total");
             sample.requests += metricSum(response->body, "chestnut_requests_completed_total");
@@ -81,6 +86,13 @@
         ProcessCluster& m_cluster;
     };
 
+    Endpoint addressOf(const ProcessCluster& cluster, uint32_t replica)
+    {
+        if (replica < serverProcesses)
+            return cluster.serverEndpoint(replica);
+        return { "127.0.0.1", static_cast<uint16_t>(wideServerPort + replica) };
+    }
+
     nlohmann::json wideTicket(const ProcessCluster& cluster)
     {
         nlohmann::json ticket { { "number", 2 } };
@@ -89,7 +101,7 @@
             auto id = "o" + std::to_string(i);
             auto service = i % absl::GetFlag(FLAGS_services);
             ticket["backend_servers"][id] = { { "service", service == 0 ? "orders" : "service" + std::to_string(service) },
-                { "address", formatEndpoint(cluster.serverEndpoint(i % serverProcesses)) }, { "zone", zones[i % zones.size()] }, { "region", "r1" } };
+                { "address", formatEndpoint(addressOf(cluster, i)) }, { "zone", zones[i % zones.size()] }, { "region", "r1" } };
         }
         for (uint32_t i = 0; i < absl::GetFlag(FLAGS_accounts); ++i)
             ticket["accounts"]["account-" + std::to_string(i)] = { { "weight", 1 } };
@@ -152,6 +164,9 @@
             std::cerr << "the fleet did not become ready\n";
             return 1;
         }
+        ChildProcess wideServer(CHESTNUT_BINARY_DIR "/standins/servicestandin/servicestandin",
+            { "--listen=127.0.0.1:" + std::to_string(wideServerPort), "--ports=" + std::to_string(std::min(absl::GetFlag(FLAGS_replicas), largestReplicaCount)) },
+            cluster.folder() + "/wide.out");
         eventually([&] { return allAtRevision(cluster, 1); });
         double inForce = secondsUntilInForce(cluster, wideTicket(cluster));
         std::this_thread::sleep_for(std::chrono::seconds(3));
@@ -165,7 +180,7 @@
         nlohmann::json result { { "daemons", shape.daemons }, { "engines", shape.engines }, { "replicas", absl::GetFlag(FLAGS_replicas) },
             { "accounts", absl::GetFlag(FLAGS_accounts) }, { "rate", absl::GetFlag(FLAGS_rate) }, { "seconds", seconds },
             { "core_percent_a_daemon", 100 * (after.processorSeconds - before.processorSeconds) / seconds / daemons },
-            { "resident_mb_max", after.residentBytesMax / 1e6 }, { "peer_kb_s_a_daemon", (after.peerBytes - before.peerBytes) / seconds / daemons / 1e3 },
+            { "resident_mb_max", after.residentBytesMax / 1e6 }, { "peer_sent_kb_s_a_daemon", (after.peerBytesSent - before.peerBytesSent) / seconds / daemons / 1e3 }, { "peer_both_kb_s_a_daemon", (after.peerBytes - before.peerBytes) / seconds / daemons / 1e3 },
             { "peer_messages_s_a_daemon", (after.peerMessages - before.peerMessages) / seconds / daemons },
             { "platform_calls_s", perSecond(before.platformCalls, after.platformCalls, seconds) }, { "in_force_everywhere_s", inForce },
             { "requests", after.requests - before.requests }, { "tokens", after.tokens - before.tokens },
--- a/modules/frontend/replicas/HeartbeatExchange.h
+++ b/modules/frontend/replicas/HeartbeatExchange.h
@@ -4,7 +4,8 @@
 
 namespace chestnut {
 
-/** Adds suspected requests and latencies of slow replicas to the heartbeats between daemons, and takes warnings of members. */
+/** Adds suspected requests, latencies of slow replicas and arrival rates to the heartbeats between daemons, and takes
+    warnings of members. */
 void exchangeByHeartbeat(const FrontendStatePointer&);
 
 /** Tells all members what is known against a request, and returns when they have answered, after 300 ms at most. Called
