--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -61,6 +61,7 @@
         { EventId::DrainFinished, "drain_finished", Severity::Info, "A replica has no running work, or its drain bound has passed." },
         { EventId::ReplicaReturned, "replica_returned", Severity::Info, "A replica accepts new work again, with a growing share of its load." },
         { EventId::VmLeaving, "vm_leaving", Severity::Info, "The VM list names a VM as leaving; its replicas accept no new work." },
+        { EventId::RecordsRemoved, "records_removed", Severity::Info, "Records of old tickets or of removed engines were removed from the key-value service." },
 
         // frontend
         { EventId::RequestRouted, "request_routed", Severity::Info, "A replica was chosen for a request." },
@@ -77,6 +78,8 @@
         { EventId::FrontendStopping, "frontend_stopping", Severity::Info, "The callers' listener takes no new work and finishes what it has." },
         { EventId::FrontendStopped, "frontend_stopped", Severity::Info, "No caller request is in progress any more." },
         { EventId::AnswerCrossed, "answer_crossed", Severity::Warning, "An engine sent the answer of another request; the stream is joined again." },
+        { EventId::LossRefuted, "loss_refuted", Severity::Info, "A connection to a replica broke but the replica answers; no request is suspected." },
+        { EventId::StreamHandedOver, "stream_handed_over", Severity::Info, "Another daemon took a stream over that this daemon had accepted." },
 
         // operations
         { EventId::OperatorCallAnswered, "operator_call_answered", Severity::Debug, "A call of an operator was answered." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -67,6 +67,7 @@
     DrainFinished = 1651,
     ReplicaReturned = 1652,
     VmLeaving = 1653,
+    RecordsRemoved = 1660,
 
     // frontend: 2000 to 2099
     RequestRouted = 2000,
@@ -83,6 +84,8 @@
     FrontendStopping = 2011,
     FrontendStopped = 2012,
     AnswerCrossed = 2013,
+    LossRefuted = 2014,
+    StreamHandedOver = 2015,
 
     // operations: 2100 to 2199
     OperatorCallAnswered = 2100,
--- a/modules/frontend/listener/Frontend.cpp
+++ b/modules/frontend/listener/Frontend.cpp
@@ -2,7 +2,9 @@
 
 #include "frontend/discovery/DiscoveryAnswer.h"
 #include "frontend/replicas/HeartbeatExchange.h"
+#include "frontend/streams/StreamHandover.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace chestnut {
@@ -125,6 +127,7 @@
             state->replicas->apply(*configuration);
     });
     exchangeByHeartbeat(m_state);
+    offerStreams(m_state, m_held);
     m_dispatcher->start();
     m_poller.start();
     m_expiry = services.timers.every(expiryPeriod, [held = m_held, weak] {
@@ -221,9 +224,9 @@
     return count == m_state->inFlight.end() || count->second < spec->second.maximumInFlight;
 }
 
-Result<std::shared_ptr<HeldStream>> Frontend::recordFor(CallerRequest caller, const HttpRequest& request, bool& isStreamed) const
+Result<std::shared_ptr<HeldStream>> Frontend::recordFor(CallerRequest caller, std::string target, std::string text, bool& isStreamed) const
 {
-    auto body = parseCompletionBody(request.body);
+    auto body = parseCompletionBody(text);
     if (!body)
         return body.error();
     if (body->resumeAfter > 0)
@@ -233,8 +236,8 @@
     isStreamed = body->isStreamed;
     auto record = std::make_shared<HeldStream>();
     record->caller = std::move(caller);
-    record->target = request.path();
-    record->body = request.body;
+    record->target = std::move(target);
+    record->body = std::move(text);
     record->model = body->model;
     record->isChat = record->target == "/v1/chat/completions";
     record->maximumTokens = body->maximumTokens;
@@ -244,10 +247,33 @@
     return record;
 }
 
+void Frontend::countArrival(const HeldStream& record)
+{
+    const auto& caller = record.caller;
+    auto work = estimateWork(record.promptTokens, std::max(1U, record.maximumTokens), m_state->outputModel(caller.account, caller.priorityClass));
+    // A prefix that some engine caches is hardly ever prefilled again.
+    auto cached = m_state->replicas->cachedTokens(m_state->replicas->views(groupOf(record.model)), record.blocks);
+    if (!cached.empty())
+        work.prefillTokens = std::max(0.0, work.prefillTokens - *std::ranges::max_element(cached));
+    m_state->demand.arrived(record.model, work, m_state->now());
+}
+
+GroupDemand Frontend::demandOf(const EngineGroupId& group) const
+{
+    auto configuration = m_state->services.configuration.current();
+    if (!configuration)
+        return {};
+    auto engine = std::ranges::find_if(configuration->engines, [&group](const auto& entry) { return groupOf(entry.second) == group; });
+    if (engine == configuration->engines.end())
+        return {};
+    auto demand = m_state->demand.groupDemand(group, *configuration, m_state->services.peers.members(), m_state->now());
+    return { demand, neutralRates(m_state->replicas->views(groupOf(engine->second.model)), engine->second.zone) };
+}
+
 asio::awaitable<void> Frontend::complete(CallerRequest caller, HttpRequest request, HttpResponseWriter& writer)
 {
     bool isStreamed = false;
-    auto record = recordFor(caller, request, isStreamed);
+    auto record = recordFor(caller, std::string(request.path()), std::move(request.body), isStreamed);
     if (!record) {
         co_await refuse(caller, record.error(), writer);
         co_return;
@@ -256,6 +282,7 @@
     WholeAnswer whole(writer, caller.id);
     CompletionSink& sink = isStreamed ? static_cast<CompletionSink&>(relay) : whole;
     (*record)->isResumable = isStreamed;
+    countArrival(**record);
     co_await runSession(*record, sink, writer, 0);
 }
 
@@ -298,6 +325,8 @@
     }
     auto record = m_held->find(text);
     m_state->services.log.write(EventId::StreamResumed, { { "request", caller.id }, { "stream", text }, { "after", *after }, { "held", record ? "true" : "false" } });
+    if (!record || !record->movedTo.empty())
+        record = co_await takeOver(caller, record ? record->movedTo : daemonOf(*id).value_or(DaemonId()), text);
     if (!record || *after + 1 < record->firstIndex) {
         co_await joinStream(std::move(caller), std::move(*id), *after, writer);
         co_return;
@@ -312,6 +341,28 @@
     co_await runSession(record, relay, writer, *after);
 }
 
+asio::awaitable<std::shared_ptr<HeldStream>> Frontend::takeOver(CallerRequest caller, DaemonId holder, std::string streamId)
+{
+    auto handover = co_await takeStream(m_state, std::move(holder), streamId);
+    if (!handover)
+        co_return nullptr;
+    caller.account = std::move(handover->account);
+    caller.priorityClass = handover->priorityClass;
+    caller.deadline = std::max(caller.deadline, m_state->now() + handover->remaining);
+    caller.content = handover->content;
+    bool isStreamed = false;
+    auto record = recordFor(std::move(caller), std::move(handover->target), std::move(handover->body), isStreamed);
+    if (!record)
+        co_return nullptr;
+    (*record)->firstIndex = handover->firstIndex;
+    (*record)->tokens = std::move(handover->tokens);
+    (*record)->finishReason = std::move(handover->finishReason);
+    (*record)->streamId = std::move(streamId);
+    (*record)->isResumable = true;
+    m_held->add(*record);
+    co_return *record;
+}
+
 asio::awaitable<void> Frontend::joinStream(CallerRequest caller, StreamId id, uint64_t afterToken, HttpResponseWriter& writer)
 {
     auto configuration = m_state->services.configuration.current();
--- a/standins/servicestandin/main.cpp
+++ b/standins/servicestandin/main.cpp
@@ -11,6 +11,7 @@
 #include <set>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "loopback address and port to listen on");
+ABSL_FLAG(uint32_t, ports, 1, "number of consecutive ports to listen on, each a backend server of its own address");
 ABSL_FLAG(int64_t, service_ms, 10, "time that a call takes");
 ABSL_FLAG(uint32_t, slots, 32, "calls that run at once");
 ABSL_FLAG(double, slow_factor, 1, "fault: multiplies the time of a call");
@@ -135,5 +136,7 @@
     faults.serviceMs = absl::GetFlag(FLAGS_service_ms);
     asio::io_context context;
     ServiceDouble service(context, faults, absl::GetFlag(FLAGS_slots), absl::GetFlag(FLAGS_print_executions));
-    return serveStandin(context, absl::GetFlag(FLAGS_listen), [&service](HttpRequest request, HttpResponseWriter& writer) { return service.handle(std::move(request), writer); });
+    return serveStandin(
+        context, absl::GetFlag(FLAGS_listen), [&service](HttpRequest request, HttpResponseWriter& writer) { return service.handle(std::move(request), writer); },
+        static_cast<uint16_t>(absl::GetFlag(FLAGS_ports)));
 }
