Test that members are warned before the caller learns of a loss

Cause: the warning was covered by the whole-process test only. Change: one case with a fake member that records the warnings after the first and the second loss.

--- a/tests/frontend/CompletionTest.cpp
+++ b/tests/frontend/CompletionTest.cpp
@@ -94,6 +94,28 @@
     CHECK(readStream(*other).isWhole);
 }
 
+// Guards against a caller that retries a crashing request at another daemon before the next heartbeat: members learn of
+// each loss before the caller does.
+TEST_CASE("members are warned of a request that ran alone on a lost engine")
+{
+    FrontendFixture fixture(4);
+    for (uint16_t port = 1; port <= 4; ++port)
+        fixture.engines.at(port).diesOn = "poison";
+    FakePeers peer;
+    peer.record.id = DaemonId("d2");
+    std::vector<size_t> lostReplicas;
+    peer.handle("suspects", [&](DaemonId, nlohmann::json body) -> asio::awaitable<Result<nlohmann::json>> {
+        lostReplicas.push_back(body.at(0).at("r").size());
+        co_return nlohmann::json::object();
+    });
+    fixture.peers.others.push_back(peer.record);
+    fixture.peers.reachable[peer.record.id] = &peer;
+    auto writer = fixture.ask(fixture.completion("poison", 5));
+    fixture.advance(3s);
+    CHECK(kindOf(*writer) == "backend_failed");
+    CHECK(lostReplicas == std::vector<size_t> { 1, 2 });
+}
+
 // Guards against relaying another request's answer.
 TEST_CASE("a crossed answer is dropped and the request's own stream is joined at the same engine")
 {
