Start late live work in time and spare old batch work in a spike

Cause: daemons whose other accounts took all free slots refused late requests of the overloading account although the fleet could finish them; late requests lost their order when another one took their place; the preempted batch request was often a straggler near its deadline. Change, one after another: (a) batch work with less than 100 s to its deadline is not preempted; (b) an account's urgent and late requests go by latest start; (c) a late request within 3.5 s of its latest start may use up to 1.125 times the slots of a replica, unless the queue is above 0.8 of its limit. Scenario overload (live demand 12 times) shows early refusal and (c). policybench can run one scenario (--scenario) and leave out the variants (--variants=false).

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -12,6 +12,8 @@
 ABSL_FLAG(std::string, earlier, "bench/results.json", "figures of an earlier version for the regression check");
 ABSL_FLAG(std::string, known_red, "KNOWN-RED.txt", "file whose lines \"bench: <row id>\" name the bounds known to be broken");
 ABSL_FLAG(bool, check, false, "fail when a bound is broken or a figure is worse than in the earlier version");
+ABSL_FLAG(std::string, scenario, "", "run only this scenario, for example \"spike\"; all when empty");
+ABSL_FLAG(bool, variants, true, "run our policy also without each of its parts");
 ABSL_FLAG(unsigned, threads, 4, "scenarios that run at once; the figures do not depend on it");
 
 using namespace chestnut::bench;
@@ -54,7 +56,7 @@
 int main(int argc, char** argv)
 {
     absl::ParseCommandLine(argc, argv);
-    auto rows = runSuite(absl::GetFlag(FLAGS_threads));
+    auto rows = runSuite({ absl::GetFlag(FLAGS_threads), absl::GetFlag(FLAGS_scenario), absl::GetFlag(FLAGS_variants) });
     std::cout << formatTable(rows);
     print("no gain in any row", uselessPolicies(rows));
     writeJson(rows, absl::GetFlag(FLAGS_output));
--- a/bench/policy/Daemon.cpp
+++ b/bench/policy/Daemon.cpp
@@ -164,15 +164,17 @@
 void Daemon::drainQueue()
 {
     while (const auto* next = peek(m_queue, true, now())) {
-        if (!serveNext(m_fleet.job(next->ticket)))
+        if (!serveNext(*next))
             return;
     }
 }
 
 /** Starts or refuses the first waiting request. False when it has to wait longer. */
-bool Daemon::serveNext(const Job& job)
+bool Daemon::serveNext(const QueuedRequest& next)
 {
+    const auto& job = m_fleet.job(next.ticket);
     auto request = requestFor(job);
+    request.mayExceedSlots = m_options.lastCall && mayExceedSlots(next, m_queueState, now());
     auto route = choose(request);
     if (!route.chosen) {
         if (!m_options.preemption || !route.preemptAt || !makeRoom(*route.preemptAt))
@@ -193,8 +195,10 @@
 /** Cancels the newest batch request at the engine; it waits again and resumes where it was. */
 bool Daemon::makeRoom(size_t engine)
 {
-    auto newest = std::find_if(m_flights.rbegin(), m_flights.rend(), [engine](const auto& entry) {
-        return entry.second.isBatch && entry.second.attempt.engine == engine;
+    auto newest = std::find_if(m_flights.rbegin(), m_flights.rend(), [this, engine](const auto& entry) {
+        const auto& flight = entry.second;
+        auto hasTime = !m_options.preemptionSlack || canPreempt(m_fleet.job(flight.attempt.job).deadline, now());
+        return flight.isBatch && flight.attempt.engine == engine && hasTime;
     });
     if (newest == m_flights.rend())
         return false;
--- a/bench/policy/Daemon.h
+++ b/bench/policy/Daemon.h
@@ -24,6 +24,8 @@
     bool roleControl = true;
     bool fairQueueing = true;
     bool earlyRefusal = true;
+    bool preemptionSlack = true; /**< batch work near its deadline is not preempted */
+    bool lastCall = true; /**< late live work near its latest start may exceed the replicas' slots */
     bool onTimeFirst = true; /**< waiting live work that can meet the first-token target goes before work that cannot */
 };
 
@@ -74,7 +76,7 @@
     void enqueue(const Job&);
     void leaveQueue(const Job&);
     void drainQueue();
-    bool serveNext(const Job&);
+    bool serveNext(const QueuedRequest&);
     bool makeRoom(size_t engine);
     void scheduleHedge(const Job&, uint64_t attempt);
     void hedge(uint64_t attempt);
--- a/bench/run/Suite.cpp
+++ b/bench/run/Suite.cpp
@@ -102,23 +102,31 @@
     contenders.push_back(without("fair_queueing", &PolicyOptions::fairQueueing));
     contenders.push_back(without("early_refusal", &PolicyOptions::earlyRefusal));
     contenders.push_back(without("on_time_first", &PolicyOptions::onTimeFirst));
+    contenders.push_back(without("preemption_slack", &PolicyOptions::preemptionSlack));
+    contenders.push_back(without("last_call", &PolicyOptions::lastCall));
     return contenders;
 }
 
-std::vector<Row> runSuite(unsigned threads)
+std::vector<Row> runSuite(const SuiteSelection& selection)
 {
+    auto isSelected = [&](const Cell& cell) {
+        auto isVariant = cell.contender.name.starts_with("without_");
+        auto isWanted = selection.scenario.empty() || scenarioName(cell) == selection.scenario;
+        return cell.make == shortWorkAlone || (isWanted && (selection.includesVariants || !isVariant));
+    };
     std::vector<Cell> cells;
     for (const auto& deployment : { tannerRuddock(), saranrat() }) {
         cells.push_back({ deployment, shortWorkAlone, { "alone", std::nullopt, {} }, {} });
-        for (auto make : { mixShift, mixShiftFromSplit, loadSpike, headOfLine, slowReplicas }) {
+        for (auto make : { mixShift, mixShiftFromSplit, loadSpike, overload, headOfLine, slowReplicas }) {
             for (const auto& contender : allContenders())
                 cells.push_back({ deployment, make, contender, {} });
         }
     }
-    runAll(cells, threads);
+    std::erase_if(cells, [&](const Cell& cell) { return !isSelected(cell); });
+    runAll(cells, selection.threads);
     std::vector<Row> rows;
     for (const auto& deployment : { tannerRuddock(), saranrat() }) {
-        for (auto make : { mixShift, loadSpike, headOfLine, slowReplicas })
+        for (auto make : { mixShift, loadSpike, overload, headOfLine, slowReplicas })
             rows.push_back(boundRow(deployment, make));
     }
     for (const auto& cell : cells) {
--- a/bench/run/Suite.h
+++ b/bench/run/Suite.h
@@ -18,8 +18,15 @@
 
 std::vector<Contender> allContenders();
 
+/** Which part of the suite to run. A partial run serves experiments; checks need all of it. */
+struct SuiteSelection {
+    unsigned threads = 4;
+    std::string scenario; /**< empty: all */
+    bool includesVariants = true; /**< also our policy without each of its parts */
+};
+
 /** Runs every contender in every scenario of both deployments over fixed seeds, several at once on real threads.
     Each run has its own virtual clock, so the figures do not depend on the threads. */
-std::vector<Row> runSuite(unsigned threads);
+std::vector<Row> runSuite(const SuiteSelection&);
 
 } // namespace chestnut::bench
--- a/bench/workload/Scenario.cpp
+++ b/bench/workload/Scenario.cpp
@@ -163,6 +163,14 @@
     return scenario;
 }
 
+Scenario overload(const Deployment& deployment, uint64_t seed)
+{
+    auto scenario = loadSpike(deployment, seed);
+    scenario.name = "overload";
+    scenario.phases[1].liveFactor = 12;
+    return scenario;
+}
+
 Scenario headOfLine(const Deployment& deployment, uint64_t seed)
 {
     Scenario scenario { "head_of_line", deployment, 240s, 10s, {}, {} };
--- a/bench/workload/Scenario.h
+++ b/bench/workload/Scenario.h
@@ -57,6 +57,8 @@
 Scenario mixShiftFromSplit(const Deployment&, uint64_t seed);
 /** Live demand exceeds the capacity for a minute, most of it from one account. */
 Scenario loadSpike(const Deployment&, uint64_t seed);
+/** Live demand far beyond the capacity, so that some of it cannot be served in time. */
+Scenario overload(const Deployment&, uint64_t seed);
 /** Short live work beside long work with stragglers, near the capacity. */
 Scenario headOfLine(const Deployment&, uint64_t seed);
 /** The short work of headOfLine() alone, with the same arrivals. */
--- a/modules/decisions/admission/Admission.cpp
+++ b/modules/decisions/admission/Admission.cpp
@@ -10,6 +10,7 @@
     /** Expected time on an idle replica from which a job counts as long. Typical live work takes 1 to 5 s. */
     constexpr Duration longJobTime = std::chrono::seconds(20);
     constexpr double longSlotShare = 0.7;
+    constexpr double nearlyFullShare = 0.8;
     constexpr double lowestRate = 1e-3;
     constexpr Duration minimumRetryAfter = std::chrono::seconds(1);
     constexpr Duration maximumRetryAfter = std::chrono::seconds(30);
@@ -102,6 +103,16 @@
     return toSeconds(age) > stragglerFactor * toSeconds(expectedServiceTime);
 }
 
+bool canPreempt(TimePoint deadline, TimePoint now)
+{
+    return deadline - now >= preemptionSlack;
+}
+
+bool mayExceedSlots(const QueuedRequest& request, const QueueState& queue, TimePoint now)
+{
+    return mustStart(request, now) && queue.waitingLive < nearlyFullShare * queue.maximumWaiting;
+}
+
 uint32_t slotLimit(uint32_t slots, PriorityClass priorityClass, bool isLong)
 {
     if (priorityClass == PriorityClass::Live && !isLong)
--- a/modules/decisions/admission/Admission.h
+++ b/modules/decisions/admission/Admission.h
@@ -3,6 +3,7 @@
 #include "base/errors/ErrorKind.h"
 #include "base/time/TimePoint.h"
 #include "decisions/estimates/WorkEstimate.h"
+#include "decisions/fairness/FairQueue.h"
 #include "decisions/routing/Routing.h"
 
 #include <optional>
@@ -17,6 +18,10 @@
 /** A running job older than this multiple of its expected time is a straggler, whatever its class. */
 constexpr double stragglerFactor = 4;
 
+/** Batch work that is closer to its deadline is not preempted: a straggler of 2,400 tokens needs about this long at a
+    loaded engine, and each preemption prefills its prompt again. */
+constexpr Duration preemptionSlack = std::chrono::seconds(100);
+
 /** What waits and runs at this daemon for one model or service. */
 struct QueueState {
     uint32_t waitingLive = 0;
@@ -48,6 +53,13 @@
 
 bool isStraggler(Duration age, Duration expectedServiceTime);
 
+/** Whether a batch request may be cancelled now to resume later. */
+bool canPreempt(TimePoint deadline, TimePoint now);
+
+/** Whether a waiting request must start now and may exceed the replicas' slots. Not while the queue is nearly full:
+    in a heavy overload so many requests reach their latest start that they would displace the timely ones. */
+bool mayExceedSlots(const QueuedRequest&, const QueueState&, TimePoint now);
+
 /** Slots of one replica that work of this kind may fill, counting all running work there. */
 uint32_t slotLimit(uint32_t slots, PriorityClass, bool isLong);
 
--- a/modules/decisions/fairness/FairQueue.cpp
+++ b/modules/decisions/fairness/FairQueue.cpp
@@ -24,6 +24,13 @@
         return request.deadline - now <= urgentTime ? Urgency::Urgent : Urgency::Late;
     }
 
+    bool goesBefore(const QueuedRequest& request, Urgency urgency, const QueuedRequest& other, Urgency otherUrgency)
+    {
+        if (urgency != otherUrgency)
+            return urgency < otherUrgency;
+        return urgency != Urgency::OnTime && request.deadline < other.deadline;
+    }
+
     /** The place of an account in the order of tags, and which of its requests takes that place. */
     struct Turn {
         Waiting::const_iterator place;
@@ -39,7 +46,7 @@
         for (auto entry = waiting.begin(); entry != waiting.end(); ++entry) {
             auto urgency = urgencyOf(entry->second.request, now);
             auto& turn = turns.try_emplace(entry->second.request.account.value(), Turn { entry, entry, urgency }).first->second;
-            if (urgency < turn.urgency) {
+            if (goesBefore(entry->second.request, urgency, turn.request->second.request, turn.urgency)) {
                 turn.request = entry;
                 turn.urgency = urgency;
             }
@@ -112,6 +119,11 @@
     return std::nullopt;
 }
 
+bool mustStart(const QueuedRequest& request, TimePoint now)
+{
+    return urgencyOf(request, now) == Urgency::Urgent && request.deadline - now <= lastCallTime;
+}
+
 bool remove(FairQueue& queue, uint64_t ticket)
 {
     return removeFrom(queue.live, ticket) || removeFrom(queue.batch, ticket);
--- a/modules/decisions/fairness/FairQueue.h
+++ b/modules/decisions/fairness/FairQueue.h
@@ -25,9 +25,12 @@
 
 /** Waiting requests this close to their latest start go first. */
 constexpr Duration urgentTime = std::chrono::seconds(6);
+/** Late live requests this close to their latest start may exceed the replicas' slots; see mustStart() and mayExceedSlots(). */
+constexpr Duration lastCallTime = std::chrono::milliseconds(3500);
 
 /** Start-time fair queueing between accounts; live work goes before batch work. A request that has
-    missed the first-token target waits behind those that can still meet it, until its own latest start comes near. */
+    missed the first-token target waits behind those that can still meet it, until its own latest start comes near.
+    Among an account's urgent requests, and among its late ones, the one with the earliest latest start goes first. */
 struct FairQueue {
     struct Slot {
         QueuedRequest request;
@@ -54,6 +57,10 @@
     reserve for live work stays free. */
 std::optional<QueuedRequest> pop(FairQueue&, bool batchAllowed, TimePoint now);
 
+/** Whether the request has waited almost until its latest start. Daemons whose other accounts take all free slots would
+    otherwise refuse it although the fleet could finish it in time. */
+bool mustStart(const QueuedRequest&, TimePoint now);
+
 /** Removes a request whose caller went away or whose deadline passed. False when it is not waiting. */
 bool remove(FairQueue&, uint64_t ticket);
 
--- a/modules/decisions/routing/Routing.cpp
+++ b/modules/decisions/routing/Routing.cpp
@@ -19,6 +19,8 @@
     constexpr double liveDecodeWeight = 0.1;
     /** Share of a shared replica's slots left to requests that other daemons have sent since its report. */
     constexpr double staleReportMargin = 0.125;
+    /** Slots, as a multiple of the real ones, for requests that must start now; those beyond wait at the engine. */
+    constexpr double exceededSlotFactor = 1.125;
     constexpr double probationShare = 1.0 / 20;
     /** Proximity weight of a replica this far away is half of that of a replica in the own zone. */
     constexpr double halfWeightDelaySeconds = 0.005;
@@ -103,8 +105,11 @@
     {
         if (ownRequests(view) >= view.concurrencyLimit || lacksMemory(request, view, cachedTokens))
             return true;
+        auto running = estimateReplica(view, request, 0, now).runningRequests;
+        if (request.mayExceedSlots)
+            return running >= exceededSlotFactor * view.slots;
         auto limit = std::min(slotLimit(view.slots, request.priorityClass, isLongJob(request.work, view.rates)), sharedSlotLimit(view));
-        return estimateReplica(view, request, 0, now).runningRequests >= limit;
+        return running >= limit;
     }
 
     Eligible classify(const RouteRequest& request, std::span<const ReplicaView> views, TimePoint now)
--- a/modules/decisions/routing/Routing.h
+++ b/modules/decisions/routing/Routing.h
@@ -74,6 +74,7 @@
     AvailabilityZone zone;
     std::span<const double> cachedTokens; /**< prefix tokens cached at each replica of the views, or empty */
     std::span<const ReplicaId> excluded; /**< replicas that already failed this request */
+    bool mayExceedSlots = false; /**< it must start now; a few of them may wait at the engine, which serves them before batch work */
 };
 
 /** Expected state of a replica at the time of the decision. */
--- a/modules/frontend/dispatch/Dispatcher.cpp
+++ b/modules/frontend/dispatch/Dispatcher.cpp
@@ -21,7 +21,7 @@
 
     RouteRequest routeRequestOf(const DispatchRequest& request, const AvailabilityZone& zone, std::span<const double> cached)
     {
-        return { request.priorityClass, request.work, zone, cached, request.excluded };
+        return { request.priorityClass, request.work, zone, cached, request.excluded, request.mayExceedSlots };
     }
 
     bool isIdle(const ReplicaView& view)
@@ -106,7 +106,7 @@
     viewsFor(request, isIsolated);
     const auto& view = views[decision.chosen->index];
     logRouted(request, decision, views, isIsolated);
-    FlightPlan plan { request.content, request.priorityClass, request.work, decision.chosen->estimate, isLongJob(request.work, view.rates), isIsolated, request.preempt };
+    FlightPlan plan { request.content, request.priorityClass, request.work, decision.chosen->estimate, isLongJob(request.work, view.rates), isIsolated, request.preempt, request.deadline };
     auto flight = m_state->replicas->begin(view.id, std::move(plan), request.blocks);
     return { view.id, *m_state->replicas->endpoint(view.id), std::move(flight) };
 }
@@ -240,16 +240,17 @@
     auto queue = m_queues.find(group);
     if (queue == m_queues.end())
         return;
-    while (serveHead(queue->second)) { }
+    while (serveHead(group, queue->second)) { }
 }
 
-bool Dispatcher::serveHead(Queue& queue)
+bool Dispatcher::serveHead(const ReplicaGroupId& group, Queue& queue)
 {
     // The head is tried first and taken out only when a replica is free, so that it keeps its place.
     const auto* head = peek(queue.fair, true, m_state->now());
     if (!head)
         return false;
     auto waiter = queue.waiters.at(head->ticket);
+    waiter->request.mayExceedSlots = mustStart(*head, m_state->now()) && mayExceedSlots(*head, queueState(group), m_state->now());
     bool isIsolated = false;
     auto views = viewsFor(waiter->request, isIsolated);
     auto decision = route(waiter->request, views);
--- a/modules/frontend/dispatch/Dispatcher.h
+++ b/modules/frontend/dispatch/Dispatcher.h
@@ -20,6 +20,7 @@
     uint32_t attempt = 1;
     /** It has run already (preempted, or its engine was lost): it waits until its deadline and is never refused before. */
     bool isContinuation = false;
+    bool mayExceedSlots = false; /**< see RouteRequest; set while it waits */
     bool mayIsolate = true; /**< a suspected request that has shown no sign of life gets a replica for itself */
     std::function<void()> preempt; /**< see FlightPlan */
     std::function<bool()> isAbandoned; /**< the caller is gone */
@@ -68,7 +69,7 @@
     uint64_t enqueue(std::shared_ptr<Waiter>);
     void preemptFor(const RouteDecision&, const std::vector<ReplicaView>&);
     void pump(const ReplicaGroupId&);
-    bool serveHead(Queue&);
+    bool serveHead(const ReplicaGroupId&, Queue&);
     asio::awaitable<Result<Dispatched>> wait(DispatchRequest, Duration expectedStart);
     void logRouted(const DispatchRequest&, const RouteDecision&, const std::vector<ReplicaView>&, bool isIsolated);
 
--- a/modules/frontend/replicas/ReplicaTable.cpp
+++ b/modules/frontend/replicas/ReplicaTable.cpp
@@ -285,6 +285,8 @@
             return false;
         if (flight.plan().priorityClass != PriorityClass::Batch || !flight.plan().preempt)
             continue;
+        if (!canPreempt(flight.plan().deadline, m_timers.now()))
+            continue;
         flight.markPreempted();
         auto preempt = flight.plan().preempt;
         preempt();
--- a/modules/frontend/replicas/ReplicaTable.h
+++ b/modules/frontend/replicas/ReplicaTable.h
@@ -43,6 +43,7 @@
     bool isLong = false;
     bool isIsolated = false; /**< nothing else may be sent to the replica meanwhile */
     std::function<void()> preempt; /**< frees the slot of a batch request; empty when it cannot be preempted */
+    TimePoint deadline; /**< of the request */
 };
 
 /** Work in flight at one replica; it ends with the object. */
@@ -125,7 +126,7 @@
     std::vector<Digest> contentsRunningAt(const ReplicaId&) const;
     /** Counts a loss once, although every request that ran there notices it. */
     bool noteLoss(const ReplicaId&);
-    /** Frees the slot of the newest batch request there. False when there is none. */
+    /** Frees the slot of the newest batch request there that is not near its deadline. False when there is none. */
     bool preemptNewestBatch(const ReplicaId&);
     /** Calls back whenever a flight has ended. */
     void onFlightEnd(std::function<void(const ReplicaGroupId&)> callback) { m_onFlightEnd = std::move(callback); }
--- a/tests/decisions/AdmissionTest.cpp
+++ b/tests/decisions/AdmissionTest.cpp
@@ -105,3 +105,26 @@
     CHECK(pop(queue, true, now)->ticket == 2);
     CHECK(pop(queue, true, now)->ticket == 1);
 }
+
+// Guards against a late request that is refused although an earlier start was possible: it has to go before the others of
+// its account whose latest start is later, and may exceed the slots only then.
+TEST_CASE("the late request with the earliest latest start goes first and may start beyond the slots")
+{
+    FairQueue queue;
+    push(queue, { 1, AccountId("a"), PriorityClass::Live, 1, 1, now + 5s, now - 1s });
+    push(queue, { 2, AccountId("a"), PriorityClass::Live, 1, 1, now + 3s, now - 1s });
+    push(queue, { 3, AccountId("a"), PriorityClass::Live, 1, 1, now + 1s, now + 1s });
+    REQUIRE(peek(queue, true, now)->ticket == 2);
+    QueueState state { .waitingLive = 3, .maximumWaiting = 10 };
+    CHECK_FALSE(mayExceedSlots(*peek(queue, true, now), { .waitingLive = 9, .maximumWaiting = 10 }, now));
+    CHECK(mayExceedSlots(*pop(queue, true, now), state, now));
+    CHECK_FALSE(mayExceedSlots(*pop(queue, true, now), state, now));
+    CHECK_FALSE(mayExceedSlots(*pop(queue, true, now), state, now));
+}
+
+// Guards against a straggler that loses its slot so often that its deadline passes.
+TEST_CASE("batch work near its deadline is not preempted")
+{
+    CHECK(canPreempt(now + 101s, now));
+    CHECK_FALSE(canPreempt(now + 99s, now));
+}
--- a/tests/decisions/RoutingTest.cpp
+++ b/tests/decisions/RoutingTest.cpp
@@ -101,6 +101,10 @@
     CHECK(chooseReplica(live, views, now, random).chosen.has_value());
     views[0].own.liveRequests = 9;
     CHECK(chooseReplica(live, views, now, random).preemptAt == 0);
+    live.mayExceedSlots = true;
+    CHECK_FALSE(chooseReplica(live, views, now, random).chosen.has_value()); // the concurrency limit holds
+    views[0].concurrencyLimit = 64;
+    CHECK(chooseReplica(live, views, now, random).chosen.has_value());
 }
 
 // Guards against trusting evictions that were never reported, and against applying an old event twice.
