--- a/standins/enginestandin/EngineSimulator.h
+++ b/standins/enginestandin/EngineSimulator.h
@@ -17,8 +17,8 @@
 /** One completion at the engine. It runs independently of the connection that asked for it. */
 struct EngineJob {
     explicit EngineJob(asio::io_context& context)
-        : changed(context, asio::steady_timer::time_point::max())
-        , prefilled(context, asio::steady_timer::time_point::max())
+        : prefilled(context, asio::steady_timer::time_point::max())
+        , changed(context, asio::steady_timer::time_point::max())
     {
     }
 
