--- a/tests/processes/PlatformFailureTest.cpp
+++ b/tests/processes/PlatformFailureTest.cpp
@@ -127,7 +127,8 @@
         return true;
     }));
     CHECK(revisionOf(cluster, 0) == revision);
-    CHECK(cluster.submit(accountTicket(3, "y"), 4) == 200);
+    // Each daemon reconnects with jitter, up to 5 s after the recovery; until then it refuses tickets as not run.
+    CHECK(eventually([&] { return cluster.submit(accountTicket(3, "y"), 4) == 200; }));
     CHECK(eventually([&] { return allHaveRevision(cluster, revision + 1); }, 17));
     CHECK(watch.finish() == "");
     CHECK(contradictions(cluster, {}) == "");
