--- a/tests/control/Fakes.cpp
+++ b/tests/control/Fakes.cpp
@@ -77,6 +77,7 @@
 
 asio::awaitable<Result<KeyValueRead>> MemoryKeyValueStore::read(std::string key)
 {
+    ++reads;
     if (!co_await arrive())
         co_return unavailable();
     co_return readNow(key);
@@ -85,6 +86,7 @@
 asio::awaitable<Result<KeyValueRead>> MemoryKeyValueStore::wait(std::string key, uint64_t index, Duration maximumWait)
 {
     auto end = m_timers.now() + maximumWait;
+    ++reads;
     while (true) {
         if (!co_await arrive())
             co_return unavailable();
--- a/tests/control/Fakes.h
+++ b/tests/control/Fakes.h
@@ -23,6 +23,7 @@
 
     bool isDown = false;
     int lostAnswers = 0; /**< writes that take effect but whose answer is lost */
+    size_t reads = 0; /**< calls of read() and wait() */
     size_t removals = 0; /**< keys that removeIf() removed */
     Duration latency { 0 };
     std::optional<KeyValueEntry> staleConfiguration; /**< returned for config/current instead of the newest one */
