--- a/modules/frontend/dispatch/FrontendState.h
+++ b/modules/frontend/dispatch/FrontendState.h
@@ -4,6 +4,7 @@
 #include "claims/service/ClaimService.h"
 #include "control/configuration/ConfigurationService.h"
 #include "decisions/decisions.h"
+#include "frontend/demand/DemandMeter.h"
 #include "frontend/replicas/ReplicaTable.h"
 #include "frontend/requests/CallerRequest.h"
 #include "kernel/kernel.h"
@@ -41,6 +42,7 @@
         : services(frontendServices)
         , settings(std::move(frontendSettings))
         , replicas(std::make_shared<ReplicaTable>(settings.locality, services.timers, services.log, std::move(gates)))
+        , demand(services.peers.self())
         , random(settings.seed)
     {
     }
@@ -52,14 +54,13 @@
 
     OutputLengthModel& outputModel(const AccountId&, PriorityClass);
 
-    /** Counts the loss of a replica against the requests that ran there. */
-    void noteLoss(const ReplicaId&);
-
     FrontendServices services;
     FrontendSettings settings;
     std::shared_ptr<ReplicaTable> replicas;
+    DemandMeter demand;
     RandomGenerator random;
     SuspectTable suspects;
+    uint32_t openWarnings = 0; /**< warnings about suspected requests that members have not answered yet */
     RetryBudget retryBudget;
     HedgeBudget hedgeBudget;
     std::map<std::pair<AccountId, PriorityClass>, OutputLengthModel> outputModels;
--- a/modules/frontend/listener/Frontend.cpp
+++ b/modules/frontend/listener/Frontend.cpp
@@ -2,7 +2,9 @@
 
 #include "frontend/discovery/DiscoveryAnswer.h"
 #include "frontend/replicas/HeartbeatExchange.h"
+#include "frontend/streams/StreamHandover.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace chestnut {
@@ -125,6 +127,7 @@
             state->replicas->apply(*configuration);
     });
     exchangeByHeartbeat(m_state);
+    offerStreams(m_state, m_held);
     m_dispatcher->start();
     m_poller.start();
     m_expiry = services.timers.every(expiryPeriod, [held = m_held, weak] {
@@ -137,6 +140,7 @@
 {
     auto& services = m_state->services;
     services.log.write(EventId::FrontendStopping, { { "in_progress", m_progress->requests } });
+    m_isLeaving = true;
     services.peers.announceState(MemberState::Leaving);
     co_await services.timers.sleep(m_state->settings.leaveDelay);
     m_isStopping = true;
@@ -150,15 +154,23 @@
     return errorResponse(error, RequestId("none"));
 }
 
+HttpResponse Frontend::answerDiscovery(const HttpRequest& request, const RequestId& id) const
+{
+    if (request.method != "GET")
+        return errorResponse(makeError(ErrorKind::BadRequest, "discovery is a GET"), id);
+    auto& services = m_state->services;
+    // The prefix may be used for as long as the answer is valid, and this daemon may be gone before; without a prefix
+    // callers use shared keys.
+    auto keyPrefix = m_isLeaving ? std::string() : services.claims.keyPrefix();
+    return discoveryAnswer(request, id, services.peers, keyPrefix, m_state->settings.locality.zone);
+}
+
 asio::awaitable<void> Frontend::handle(HttpRequest request, HttpResponseWriter& writer)
 {
     Progress progress(m_progress);
     auto id = requestIdOf(request.headers, m_state->nextAttemptId());
     if (request.path() == "/v1/entrypoints") {
-        if (request.method == "GET")
-            co_await writer.send(discoveryAnswer(request, id, m_state->services.peers, m_state->services.claims.keyPrefix(), m_state->settings.locality.zone));
-        else
-            co_await writer.send(errorResponse(makeError(ErrorKind::BadRequest, "discovery is a GET"), id));
+        co_await writer.send(answerDiscovery(request, id));
         co_return;
     }
     co_await handleWork(std::move(request), std::move(id), writer);
@@ -212,9 +224,9 @@
     return count == m_state->inFlight.end() || count->second < spec->second.maximumInFlight;
 }
 
-Result<std::shared_ptr<HeldStream>> Frontend::recordFor(CallerRequest caller, const HttpRequest& request, bool& isStreamed) const
+Result<std::shared_ptr<HeldStream>> Frontend::recordFor(CallerRequest caller, std::string target, std::string text, bool& isStreamed) const
 {
-    auto body = parseCompletionBody(request.body);
+    auto body = parseCompletionBody(text);
     if (!body)
         return body.error();
     if (body->resumeAfter > 0)
@@ -224,8 +236,8 @@
     isStreamed = body->isStreamed;
     auto record = std::make_shared<HeldStream>();
     record->caller = std::move(caller);
-    record->target = request.path();
-    record->body = request.body;
+    record->target = std::move(target);
+    record->body = std::move(text);
     record->model = body->model;
     record->isChat = record->target == "/v1/chat/completions";
     record->maximumTokens = body->maximumTokens;
@@ -235,10 +247,33 @@
     return record;
 }
 
+void Frontend::countArrival(const HeldStream& record)
+{
+    const auto& caller = record.caller;
+    auto work = estimateWork(record.promptTokens, std::max(1U, record.maximumTokens), m_state->outputModel(caller.account, caller.priorityClass));
+    // A prefix that some engine caches is hardly ever prefilled again.
+    auto cached = m_state->replicas->cachedTokens(m_state->replicas->views(groupOf(record.model)), record.blocks);
+    if (!cached.empty())
+        work.prefillTokens = std::max(0.0, work.prefillTokens - *std::ranges::max_element(cached));
+    m_state->demand.arrived(record.model, work, m_state->now());
+}
+
+GroupDemand Frontend::demandOf(const EngineGroupId& group) const
+{
+    auto configuration = m_state->services.configuration.current();
+    if (!configuration)
+        return {};
+    auto engine = std::ranges::find_if(configuration->engines, [&group](const auto& entry) { return groupOf(entry.second) == group; });
+    if (engine == configuration->engines.end())
+        return {};
+    auto demand = m_state->demand.groupDemand(group, *configuration, m_state->services.peers.members(), m_state->now());
+    return { demand, neutralRates(m_state->replicas->views(groupOf(engine->second.model)), engine->second.zone) };
+}
+
 asio::awaitable<void> Frontend::complete(CallerRequest caller, HttpRequest request, HttpResponseWriter& writer)
 {
     bool isStreamed = false;
-    auto record = recordFor(caller, request, isStreamed);
+    auto record = recordFor(caller, std::string(request.path()), std::move(request.body), isStreamed);
     if (!record) {
         co_await refuse(caller, record.error(), writer);
         co_return;
@@ -247,6 +282,7 @@
     WholeAnswer whole(writer, caller.id);
     CompletionSink& sink = isStreamed ? static_cast<CompletionSink&>(relay) : whole;
     (*record)->isResumable = isStreamed;
+    countArrival(**record);
     co_await runSession(*record, sink, writer, 0);
 }
 
@@ -289,6 +325,8 @@
     }
     auto record = m_held->find(text);
     m_state->services.log.write(EventId::StreamResumed, { { "request", caller.id }, { "stream", text }, { "after", *after }, { "held", record ? "true" : "false" } });
+    if (!record || !record->movedTo.empty())
+        record = co_await takeOver(caller, record ? record->movedTo : daemonOf(*id).value_or(DaemonId()), text);
     if (!record || *after + 1 < record->firstIndex) {
         co_await joinStream(std::move(caller), std::move(*id), *after, writer);
         co_return;
@@ -303,6 +341,28 @@
     co_await runSession(record, relay, writer, *after);
 }
 
+asio::awaitable<std::shared_ptr<HeldStream>> Frontend::takeOver(CallerRequest caller, DaemonId holder, std::string streamId)
+{
+    auto handover = co_await takeStream(m_state, std::move(holder), streamId);
+    if (!handover)
+        co_return nullptr;
+    caller.account = std::move(handover->account);
+    caller.priorityClass = handover->priorityClass;
+    caller.deadline = std::max(caller.deadline, m_state->now() + handover->remaining);
+    caller.content = handover->content;
+    bool isStreamed = false;
+    auto record = recordFor(std::move(caller), std::move(handover->target), std::move(handover->body), isStreamed);
+    if (!record)
+        co_return nullptr;
+    (*record)->firstIndex = handover->firstIndex;
+    (*record)->tokens = std::move(handover->tokens);
+    (*record)->finishReason = std::move(handover->finishReason);
+    (*record)->streamId = std::move(streamId);
+    (*record)->isResumable = true;
+    m_held->add(*record);
+    co_return *record;
+}
+
 asio::awaitable<void> Frontend::joinStream(CallerRequest caller, StreamId id, uint64_t afterToken, HttpResponseWriter& writer)
 {
     auto configuration = m_state->services.configuration.current();
--- a/modules/frontend/replicas/HeartbeatExchange.cpp
+++ b/modules/frontend/replicas/HeartbeatExchange.cpp
@@ -1,5 +1,10 @@
 #include "frontend/replicas/HeartbeatExchange.h"
 
+#include "frontend/support/Signal.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 
 namespace chestnut {
@@ -14,6 +19,20 @@
     /** Replicas at most this slow are not worth a peer's attention. */
     constexpr double reportedRatio = 1.5;
 
+    constexpr std::string_view warningMessage = "suspects";
+    constexpr Duration warningTimeout = std::chrono::milliseconds(300);
+    /** Warnings at once; more of them mean that many replicas were lost for another reason, such as a lost zone. */
+    constexpr uint32_t maximumWarnings = 4;
+
+    json toJson(const Digest& digest, const Suspicion& suspicion, TimePoint now)
+    {
+        auto replicas = json::array();
+        for (const auto& replica : suspicion.lostReplicas)
+            replicas.push_back(replica.value());
+        auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - suspicion.lastLoss);
+        return { { "d", toHex(digest) }, { "r", replicas }, { "a", suspicion.ranAlone }, { "age_ms", age.count() } };
+    }
+
     json suspectsOf(FrontendState& state)
     {
         std::vector<std::pair<Digest, Suspicion>> newest(state.suspects.suspicions.begin(), state.suspects.suspicions.end());
@@ -21,17 +40,12 @@
         if (newest.size() > maximumSuspects)
             newest.resize(maximumSuspects);
         auto list = json::array();
-        for (const auto& [digest, suspicion] : newest) {
-            auto replicas = json::array();
-            for (const auto& replica : suspicion.lostReplicas)
-                replicas.push_back(replica.value());
-            auto age = std::chrono::duration_cast<std::chrono::milliseconds>(state.now() - suspicion.lastLoss);
-            list.push_back({ { "d", toHex(digest) }, { "r", replicas }, { "a", suspicion.ranAlone }, { "age_ms", age.count() } });
-        }
+        for (const auto& [digest, suspicion] : newest)
+            list.push_back(toJson(digest, suspicion, state.now()));
         return list;
     }
 
-    void mergeSuspects(FrontendState& state, const json& list)
+    void mergeSuspects(FrontendState& state, const DaemonId&, const json& list)
     {
         for (const auto& item : list) {
             auto digest = digestFromHex(item.at("d").get<std::string>());
@@ -59,14 +73,24 @@
         return list;
     }
 
-    void mergeLatencies(FrontendState& state, const json& list)
+    void mergeLatencies(FrontendState& state, const DaemonId&, const json& list)
     {
         for (const auto& item : list)
             state.replicas->mergePeerLatency(ReplicaId(item.at(0).get<std::string>()), item.at(1).get<double>(), item.at(2).get<double>());
     }
 
+    json demandOf(FrontendState& state)
+    {
+        return state.demand.report(state.now());
+    }
+
+    void mergeDemand(FrontendState& state, const DaemonId& sender, const json& list)
+    {
+        state.demand.merge(sender, list, state.now());
+    }
+
     using Produce = json (*)(FrontendState&);
-    using Merge = void (*)(FrontendState&, const json&);
+    using Merge = void (*)(FrontendState&, const DaemonId& sender, const json&);
 
     void extend(const FrontendStatePointer& state, std::string key, Produce produce, Merge merge)
     {
@@ -75,12 +99,12 @@
             auto locked = weak.lock();
             return locked ? produce(*locked) : json();
         };
-        auto consume = [weak, merge](const DaemonId&, const json& value) {
+        auto consume = [weak, merge](const DaemonId& sender, const json& value) {
             auto locked = weak.lock();
             if (!locked)
                 return;
             try {
-                merge(*locked, value);
+                merge(*locked, sender, value);
             } catch (const json::exception&) {
                 // A peer of another version may send another form; its news is not needed.
             }
@@ -88,12 +112,70 @@
         state->services.peers.extendHeartbeat({ std::move(key), produceNow, consume });
     }
 
+    /** Members that have not answered a warning yet. */
+    struct Warning {
+        explicit Warning(asio::io_context& context)
+            : isDone(context)
+        {
+        }
+
+        size_t open = 0;
+        Signal isDone;
+    };
+
+    asio::awaitable<void> warn(FrontendStatePointer state, std::shared_ptr<Warning> warning, DaemonId member, json list)
+    {
+        // A member that does not answer learns the same from heartbeats.
+        co_await state->services.peers.call(std::move(member), std::string(warningMessage), std::move(list), warningTimeout);
+        if (--warning->open == 0)
+            warning->isDone.notify();
+    }
+
+    void takeWarnings(const FrontendStatePointer& state)
+    {
+        std::weak_ptr<FrontendState> weak = state;
+        state->services.peers.handle(std::string(warningMessage), [weak](DaemonId sender, json body) -> asio::awaitable<Result<json>> {
+            try {
+                if (auto locked = weak.lock())
+                    mergeSuspects(*locked, sender, body);
+            } catch (const json::exception& exception) {
+                co_return makeError(ErrorKind::BadJson, exception.what());
+            }
+            co_return json::object();
+        });
+    }
+
 } // namespace
 
 void exchangeByHeartbeat(const FrontendStatePointer& state)
 {
     extend(state, "suspects", suspectsOf, mergeSuspects);
     extend(state, "latencies", latenciesOf, mergeLatencies);
+    extend(state, "demand", demandOf, mergeDemand);
+    takeWarnings(state);
+}
+
+asio::awaitable<void> warnMembers(FrontendStatePointer state, Digest content)
+{
+    auto found = state->suspects.suspicions.find(content);
+    if (found == state->suspects.suspicions.end() || state->openWarnings >= maximumWarnings)
+        co_return;
+    bool isLikelyCause = found->second.ranAlone || isQuarantined(state->suspects, content, state->now());
+    if (!isLikelyCause)
+        co_return;
+    auto list = json::array({ toJson(content, found->second, state->now()) });
+    auto warning = std::make_shared<Warning>(state->services.context);
+    for (const auto& member : state->services.peers.members()) {
+        if (member.id == state->services.peers.self())
+            continue;
+        ++warning->open;
+        asio::co_spawn(state->services.context, warn(state, warning, member.id, list), asio::detached);
+    }
+    if (warning->open == 0)
+        co_return;
+    ++state->openWarnings;
+    co_await warning->isDone.waitFor(state->services.timers, warningTimeout);
+    --state->openWarnings;
 }
 
 } // namespace chestnut
--- a/modules/frontend/replicas/ReplicaTable.cpp
+++ b/modules/frontend/replicas/ReplicaTable.cpp
@@ -70,8 +70,10 @@
     }
     for (auto& [id, replica] : m_replicas)
         replica.isConfigured = false;
-    for (auto& [id, group] : m_groups)
+    for (auto& [id, group] : m_groups) {
         group.members.clear();
+        group.replicas = 0;
+    }
     for (const auto& [key, model] : configuration.models)
         m_groups[groupOf(model.id)];
     for (const auto& [key, server] : configuration.backendServers)
@@ -79,6 +81,7 @@
     for (auto& [id, replicas] : groups)
         addSubset(id, std::move(replicas));
     std::erase_if(m_replicas, [](const auto& entry) { return !entry.second.isConfigured && entry.second.flights.empty(); });
+    updateRoles();
     std::erase_if(m_prefixes.replicas, [this](const auto& entry) { return !m_replicas.contains(entry.first); });
 }
 
@@ -89,20 +92,25 @@
     for (const auto& [candidate, replica] : replicas)
         candidates.push_back(candidate);
     auto& group = m_groups[groupId];
+    group.replicas = replicas.size();
     group.members = chooseSubset(m_locality.self, m_locality.zone, m_locality.region, candidates);
     for (auto& [candidate, replica] : replicas) {
         if (std::ranges::find(group.members, candidate.id) == group.members.end())
             continue;
         auto [position, isNew] = m_replicas.try_emplace(candidate.id, replica);
         auto& known = position->second;
-        if (isNew)
+        if (isNew) {
+            known.view.rates = withRole(known.view.rates, EngineRole::Mixed, known.view.role);
             continue;
+        }
         if (known.version != replica.version || known.endpoint != replica.endpoint)
             forgetReplica(m_prefixes, candidate.id);
         auto rates = known.view.rates;
         auto report = known.view.report;
         auto blocks = known.view.blocks;
+        auto role = known.view.role;
         known.view = replica.view;
+        known.view.role = role;
         known.view.rates = rates;
         known.view.report = report;
         known.view.blocks = blocks;
@@ -113,6 +121,17 @@
     }
 }
 
+void ReplicaTable::updateRoles()
+{
+    for (auto& [id, replica] : m_replicas) {
+        if (!replica.isEngine || !replica.isConfigured)
+            continue;
+        auto role = m_gates.roleOf(id);
+        replica.view.rates = withRole(replica.view.rates, replica.view.role, role);
+        replica.view.role = role;
+    }
+}
+
 Duration ReplicaTable::delayTo(const AvailabilityZone& zone, const Region& region) const
 {
     if (region != m_locality.region)
@@ -149,7 +168,7 @@
         view.own = ownWork(replica);
         view.acceptsNewWork = acceptsNewWork(replica);
         view.concurrencyLimit = static_cast<uint32_t>(std::max(1.0, replica.limit.limit));
-        view.daemonShare = m_gates.slowStartShare(id);
+        view.daemonShare = shareOf(id, group->second);
         auto latency = group->second.latency.replicas.find(id);
         if (latency != group->second.latency.replicas.end())
             view.health = latency->second.health;
@@ -227,13 +246,11 @@
     replica->sent.push_back({ now, flight->plan().work });
     if (!blocks.empty())
         noteSent(m_prefixes, id, blocks);
-    ++m_flightCount;
     return flight;
 }
 
 void ReplicaTable::end(Flight& flight)
 {
-    --m_flightCount;
     learnDecodeRate(flight);
     auto* replica = find(flight.replica());
     assert(replica);
@@ -259,18 +276,34 @@
     return contents;
 }
 
-bool ReplicaTable::noteLoss(const ReplicaId& id)
+bool ReplicaTable::beginLossCheck(const ReplicaId& id)
 {
     auto* replica = find(id);
-    if (!replica)
+    if (!replica || replica->isLossUnsettled || !m_gates.acceptsNewWork(id))
         return false;
-    auto now = m_timers.now();
-    if (replica->hasLoss && now - replica->lossNotedAt < lossWindow)
+    if (replica->hasLoss && m_timers.now() - replica->lossNotedAt < lossWindow)
         return false;
+    replica->isLossUnsettled = true;
+    return true;
+}
+
+void ReplicaTable::endLossCheck(const ReplicaId& id, bool isLost)
+{
+    auto* replica = find(id);
+    if (!replica)
+        return;
+    replica->isLossUnsettled = false;
+    if (!isLost)
+        return;
     replica->hasLoss = true;
-    replica->lossNotedAt = now;
+    replica->lossNotedAt = m_timers.now();
     forgetReplica(m_prefixes, id);
-    return true;
+}
+
+bool ReplicaTable::isLossUnsettled(const ReplicaId& id) const
+{
+    const auto* replica = find(id);
+    return replica && replica->isLossUnsettled;
 }
 
 bool ReplicaTable::preemptNewestBatch(const ReplicaId& id)
@@ -293,12 +326,26 @@
     return false;
 }
 
-uint32_t ReplicaTable::slotCount() const
+double ReplicaTable::shareOf(const ReplicaId& id, const Group& group) const
+{
+    return m_gates.slowStartShare(id) / daemonsPerReplica(m_daemons, group.replicas);
+}
+
+std::map<ReplicaGroupId, GroupUse> ReplicaTable::use() const
 {
-    uint32_t slots = 0;
-    for (const auto& [id, replica] : m_replicas)
-        slots += replica.isConfigured ? replica.view.slots : 0;
-    return slots;
+    std::map<ReplicaGroupId, GroupUse> result;
+    for (const auto& [id, group] : m_groups) {
+        GroupUse use;
+        for (const auto& member : group.members) {
+            const auto& replica = m_replicas.at(member);
+            use.inFlight += static_cast<uint32_t>(replica.flights.size());
+            if (acceptsNewWork(replica))
+                use.slots += replica.view.slots * shareOf(member, group);
+        }
+        if (use.slots > 0)
+            result[id] = use;
+    }
+    return result;
 }
 
 } // namespace chestnut
