Measure hedging, retries and quarantine for plain services

Cause: the benchmark covered engines only; hedging of calls that are not idempotent, retries and suspects had no row. Change: bench/services simulates 3 (tanner) and 4 (saranrat) backend servers behind 6 daemons: slowed servers, crashes, an outage and a poison request that its caller sends again 20 times. Bounds: p95, p99 and p999 against round robin, no call run twice, at most 2 servers lost to the poison request.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,6 +1,7 @@
 #include "bench/report/Check.h"
 #include "bench/report/Report.h"
 #include "bench/run/Suite.h"
+#include "bench/services/ServiceRun.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -57,6 +58,10 @@
 {
     absl::ParseCommandLine(argc, argv);
     auto rows = runSuite({ absl::GetFlag(FLAGS_threads), absl::GetFlag(FLAGS_scenario), absl::GetFlag(FLAGS_variants) });
+    for (const auto& row : runServices()) {
+        if (absl::GetFlag(FLAGS_scenario).empty() || row.scenario.starts_with(absl::GetFlag(FLAGS_scenario)))
+            rows.push_back(row);
+    }
     std::cout << formatTable(rows);
     print("no gain in any row", uselessPolicies(rows));
     writeJson(rows, absl::GetFlag(FLAGS_output));
--- a/bench/report/Check.cpp
+++ b/bench/report/Check.cpp
@@ -40,8 +40,19 @@
         Measure { "slow_replicas", "p999", &Row::p999, false },
         Measure { "slow_replicas", "last95", &Row::last95, false },
         Measure { "slow_replicas", "last99", &Row::last99, false },
+        Measure { "service_slow", "p95", &Row::p95, false },
+        Measure { "service_slow", "p99", &Row::p99, false },
+        Measure { "service_slow", "p999", &Row::p999, false },
     };
 
+    /** What a policy may save besides the measures; a baseline without the policy's purpose has none of it. */
+    constexpr std::array costs {
+        Measure { "service_outage", "extra", &Row::extraWork, false },
+        Measure { "service_poison", "lost", &Row::lostServers, false },
+    };
+    /** A request is quarantined after two losses. */
+    constexpr double maximumPoisonLosses = 2;
+
     const Row* find(const std::vector<Row>& rows, const Row& like, std::string_view policy)
     {
         auto found = std::ranges::find_if(rows, [&](const Row& row) {
@@ -83,6 +94,14 @@
             broken.push_back(brokenBound(ours, "extra", ours.extraWork, "target", maximumExtraWork));
     }
 
+    void checkServiceTargets(std::vector<BrokenBound>& broken, const Row& ours)
+    {
+        if (ours.ranTwice > 0)
+            broken.push_back(brokenBound(ours, "twice", ours.ranTwice, "target", 0));
+        if (ours.scenario == "service_poison" && ours.lostServers > maximumPoisonLosses)
+            broken.push_back(brokenBound(ours, "lost", ours.lostServers, "target", maximumPoisonLosses));
+    }
+
     void checkAgainstBaselines(std::vector<BrokenBound>& broken, const std::vector<Row>& rows, const Row& ours)
     {
         for (const auto& measure : measures) {
@@ -106,6 +125,7 @@
             continue;
         if (const auto* bound = find(rows, row, "all_knowing"))
             checkTargets(broken, row, *bound);
+        checkServiceTargets(broken, row);
         checkAgainstBaselines(broken, rows, row);
     }
     return broken;
@@ -168,11 +188,11 @@
         if (!row.policy.starts_with("without_"))
             continue;
         const auto* ours = find(rows, row, "ours");
-        auto gains = std::ranges::any_of(measures, [&](const Measure& measure) {
+        auto isWorseWithout = [&](const Measure& measure) {
             auto applies = measure.scenario.empty() || measure.scenario == row.scenario;
             return applies && isWorse(measure, row.*measure.member, ours->*measure.member);
-        });
-        if (gains)
+        };
+        if (std::ranges::any_of(measures, isWorseWithout) || std::ranges::any_of(costs, isWorseWithout))
             useful.push_back(row.policy);
         else if (std::ranges::find(useless, row.policy) == useless.end())
             useless.push_back(row.policy);
--- a/bench/report/Report.cpp
+++ b/bench/report/Report.cpp
@@ -38,6 +38,8 @@
         Column { "hol_p99", &Row::delayP99, 7, 0 },
         Column { "roles", &Row::roleChanges, 5, 1 },
         Column { "extra", &Row::extraWork, 5, 2 },
+        Column { "lost", &Row::lostServers, 5, 1 },
+        Column { "twice", &Row::ranTwice, 5, 0 },
     };
 
     std::string formatNumber(double value, int width, int decimals)
--- a/bench/run/Measurement.h
+++ b/bench/run/Measurement.h
@@ -64,7 +64,9 @@
     double delayMean = 0; /**< of live work's last token against the same work alone */
     double delayP99 = 0;
     double roleChanges = 0; /**< a run */
-    double extraWork = 0; /**< tokens processed for hedges that lost, in percent of all tokens */
+    double extraWork = 0; /**< tokens processed for hedges that lost, in percent of all tokens; plain calls: attempts beyond the first */
+    double lostServers = 0; /**< plain calls: servers crashed a run */
+    double ranTwice = 0; /**< plain calls that are not idempotent and that two servers ran */
 };
 
 /** Upper limit for liveGood when all engines serve only live work at their best speed: a fluid queue in which work waits
--- a/tests/bench/CheckTest.cpp
+++ b/tests/bench/CheckTest.cpp
@@ -1,4 +1,5 @@
 #include "bench/report/Check.h"
+#include "bench/services/ServiceRun.h"
 
 #include <doctest/doctest.h>
 #include <sstream>
@@ -32,3 +33,16 @@
     REQUIRE(broken.size() == 1);
     CHECK(broken.front().id == "a/spike/live_done/round_robin");
 }
+
+TEST_CASE("hedges and retries run no call twice that is not idempotent")
+{
+    // Guards against duplicate orders while servers are slow, crash or refuse calls (H6).
+    ServiceScenario scenario { .name = "all", .servers = 3, .seed = 5, .hasSlowdowns = true, .hasCrashes = true, .hasOutage = true };
+    ServiceFigures figures;
+    runService(figures, scenario, {});
+    CHECK(figures.attempts > figures.calls);
+    CHECK(figures.ranTwice == 0);
+    ServiceFigures again;
+    runService(again, scenario, {});
+    CHECK(again.latencies == figures.latencies);
+}
