--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,5 @@
 #include "bench/report/Check.h"
+#include "bench/report/Plot.h"
 #include "bench/report/Report.h"
 #include "bench/run/Suite.h"
 #include "bench/services/ServiceRun.h"
@@ -13,6 +14,7 @@
 ABSL_FLAG(std::string, earlier, "bench/results.json", "figures of an earlier version for the regression check");
 ABSL_FLAG(std::string, known_red, "KNOWN-RED.txt", "file whose lines \"bench: <row id>\" name the bounds known to be broken");
 ABSL_FLAG(bool, check, false, "fail when a bound is broken or a figure is worse than in the earlier version");
+ABSL_FLAG(bool, plot, false, "draw head-of-line delay and tail latency into docs/results.svg");
 ABSL_FLAG(std::string, scenario, "", "run only this scenario, for example \"spike\"; all when empty");
 ABSL_FLAG(bool, variants, true, "run our policy also without each of its parts");
 ABSL_FLAG(unsigned, threads, 4, "scenarios that run at once; the figures do not depend on it");
@@ -21,6 +23,8 @@
 
 namespace {
 
+constexpr auto plotPath = "docs/results.svg";
+
 void writeJson(const std::vector<Row>& rows, const std::string& path)
 {
     nlohmann::ordered_json json = nlohmann::ordered_json::array();
@@ -65,6 +69,8 @@
     std::cout << formatTable(rows);
     print("no gain in any row", uselessPolicies(rows));
     writeJson(rows, absl::GetFlag(FLAGS_output));
+    if (absl::GetFlag(FLAGS_plot))
+        std::ofstream(plotPath) << formatPlot(rows);
     if (!absl::GetFlag(FLAGS_check))
         return 0;
     auto broken = check(rows);
