--- a/bench/report/Plot.cpp
+++ b/bench/report/Plot.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <sstream>
 #include <string_view>
 
@@ -54,7 +55,7 @@
             svg << "<text x=\"" << left << "\" y=\"" << y + 12 << "\">" << policies[index] << "</text>";
             svg << "<rect x=\"" << left + labelWidth << "\" y=\"" << y << "\" width=\"" << width << "\" height=\"" << barHeight
                 << "\" fill=\"" << colours[index] << "\"/>";
-            svg << "<text x=\"" << left + labelWidth + width + 4 << "\" y=\"" << y + 12 << "\">" << static_cast<int>(value + 0.5) << "</text>\n";
+            svg << "<text x=\"" << left + labelWidth + width + 4 << "\" y=\"" << y + 12 << "\">" << std::lround(value) << "</text>\n";
         }
     }
 
--- a/modules/frontend/completions/RequestSession.cpp
+++ b/modules/frontend/completions/RequestSession.cpp
@@ -1,5 +1,6 @@
 #include "frontend/completions/RequestSession.h"
 
+#include "frontend/replicas/HeartbeatExchange.h"
 #include "frontend/streams/StreamId.h"
 
 #include <algorithm>
@@ -45,6 +46,7 @@
     , m_held(std::move(held))
     , m_record(std::move(record))
     , m_news(std::make_shared<Signal>(m_state->services.context))
+    , m_losses(m_news)
     , m_startedAt(m_state->now())
 {
 }
@@ -111,6 +113,7 @@
             m_isContinuation = true;
             continue;
         }
+        co_await m_losses.settled(m_state);
         if (!co_await mayRetry())
             co_return finalError(*m_error);
     }
@@ -277,9 +280,8 @@
             continue;
         m_error = isSilentNow ? makeError(ErrorKind::BackendFailed, "the engine is silent") : asAttemptError(*attempt->error);
         recordAttemptFailure(*attempt, *m_error);
-        // A broken connection means that the engine or its process is gone; silence does not.
         if (m_error->kind == ErrorKind::BackendFailed && !isSilentNow)
-            m_state->noteLoss(attempt->engine);
+            m_losses.add(m_state, attempt->engine);
         abandon(m_state, *attempt);
     }
     std::erase_if(m_attempts, [](const auto& attempt) { return attempt->isAbandoned; });
@@ -338,6 +340,8 @@
     auto kind = m_error->kind;
     if (kind == ErrorKind::CallerGone || kind == ErrorKind::DeadlineExceeded || m_record->body.empty())
         co_return false;
+    if (kind == ErrorKind::BackendFailed)
+        co_await warnMembers(m_state, m_record->caller.content);
     RetryQuery query { kind, true, m_attemptCount, m_backendsLost, m_record->caller.deadline, Duration::zero() };
     // One lost backend strikes many requests at once and each may go on once, so this first loss needs no budget.
     bool isFirstLoss = kind == ErrorKind::BackendFailed && m_backendsLost == 1;
--- a/modules/frontend/listener/Frontend.h
+++ b/modules/frontend/listener/Frontend.h
@@ -15,7 +15,7 @@
     A caller can resume a stream with its last event's id, at any daemon:
     - The caller's connection broke and the daemon that accepted the stream lives: that daemon has the request and the
       tokens for a minute after the connection ended. It sends the tokens that the caller missed and continues on any
-      engine. At another daemon the resumption fails with StreamLost once the engine's work was cancelled.
+      engine. Another daemon takes the request and the tokens over from it (message takeStream) and does the same.
     - The daemon died: the engine goes on without it and holds the stream. Every daemon can join the stream there. If
       that engine dies as well, the request's body is lost and the stream fails with StreamLost.
     - The engine died: the daemon that accepted the stream continues it on another engine without the caller's help. */
@@ -41,6 +41,8 @@
 
     /** Caller requests in progress. */
     size_t inProgress() const;
+    /** Demand for an engine group, estimated for all daemons, and the rates at which its engines serve. */
+    GroupDemand demandOf(const EngineGroupId&) const;
     const ReplicaTable& replicas() const { return *m_state->replicas; }
     size_t waiting() const { return m_dispatcher->waiting(); }
 
@@ -49,13 +51,16 @@
     class Progress;
     class AccountSlot;
 
+    HttpResponse answerDiscovery(const HttpRequest&, const RequestId&) const;
     asio::awaitable<void> handleWork(HttpRequest, RequestId, HttpResponseWriter&);
     asio::awaitable<void> complete(CallerRequest, HttpRequest, HttpResponseWriter&);
     asio::awaitable<void> resume(CallerRequest, HttpRequest, HttpResponseWriter&);
     asio::awaitable<void> callService(CallerRequest, HttpRequest, HttpResponseWriter&);
     asio::awaitable<void> runSession(std::shared_ptr<HeldStream>, CompletionSink&, HttpResponseWriter&, uint64_t afterToken);
+    asio::awaitable<std::shared_ptr<HeldStream>> takeOver(CallerRequest, DaemonId holder, std::string streamId);
     asio::awaitable<void> joinStream(CallerRequest, StreamId, uint64_t afterToken, HttpResponseWriter&);
-    Result<std::shared_ptr<HeldStream>> recordFor(CallerRequest, const HttpRequest&, bool& isStreamed) const;
+    Result<std::shared_ptr<HeldStream>> recordFor(CallerRequest, std::string target, std::string body, bool& isStreamed) const;
+    void countArrival(const HeldStream&);
     std::optional<Error> refusalBeforeWork() const;
     bool takesAccount(const AccountId&) const;
     void logRefused(const CallerRequest&, const Error&);
@@ -66,7 +71,8 @@
     std::shared_ptr<Dispatcher> m_dispatcher;
     std::shared_ptr<HeldStreams> m_held;
     ReplicaPoller m_poller;
-    bool m_isStopping = false;
+    bool m_isLeaving = false; /**< still serves, but no longer named by discovery */
+    bool m_isStopping = false; /**< refuses new work */
     std::shared_ptr<ProgressCount> m_progress;
     TimerSubscription m_expiry;
 };
--- a/modules/frontend/replicas/ReplicaTable.h
+++ b/modules/frontend/replicas/ReplicaTable.h
@@ -5,6 +5,7 @@
 #include "decisions/admission/Admission.h"
 #include "decisions/ejection/Ejection.h"
 #include "decisions/hedging/Hedging.h"
+#include "decisions/roles/Roles.h"
 #include "decisions/routing/PrefixIndex.h"
 #include "decisions/routing/Routing.h"
 #include "decisions/subsets/Subsets.h"
@@ -100,6 +101,13 @@
 struct ReplicaGates {
     std::function<bool(const ReplicaId&)> acceptsNewWork;
     std::function<double(const ReplicaId&)> slowStartShare; /**< 0 to 1 */
+    std::function<EngineRole(const ReplicaId&)> roleOf; /**< the role that an engine runs now */
+};
+
+/** What this daemon uses of one model or service. */
+struct GroupUse {
+    uint32_t inFlight = 0;
+    double slots = 0; /**< that this daemon may count on */
 };
 
 /** Everything that this daemon knows about the replicas that it uses. Lost with the daemon and learned again. */
@@ -119,13 +127,22 @@
     std::vector<double> cachedTokens(std::span<const ReplicaView>, std::span<const uint64_t> blocks) const;
     std::optional<Endpoint> endpoint(const ReplicaId&) const;
 
+    /** The number of ready daemons, this one included; they share the replicas. */
+    void setDaemons(size_t count) { m_daemons = count; }
+
+    /** Takes over the roles that the engines run now and fits the learned rates to them. */
+    void updateRoles();
+
     /** False when the last contacts failed; see unresponsiveFailures. */
     bool isResponsive(const ReplicaId&) const;
 
     FlightHandle begin(const ReplicaId&, FlightPlan, std::span<const uint64_t> blocks);
     std::vector<Digest> contentsRunningAt(const ReplicaId&) const;
-    /** Counts a loss once, although every request that ran there notices it. */
-    bool noteLoss(const ReplicaId&);
+    /** True for the first of the requests that notice the loss of a replica; endLossCheck() must follow. False during a
+        planned change of the replica, when its loss counts against no request. */
+    bool beginLossCheck(const ReplicaId&);
+    void endLossCheck(const ReplicaId&, bool isLost);
+    bool isLossUnsettled(const ReplicaId&) const;
     /** Frees the slot of the newest batch request there that is not near its deadline. False when there is none. */
     bool preemptNewestBatch(const ReplicaId&);
     /** Calls back whenever a flight has ended. */
@@ -146,8 +163,8 @@
     void mergePeerLatency(const ReplicaId&, double meanRatio, double samples);
     void updateHealth();
 
-    uint32_t flightCount() const { return m_flightCount; }
-    uint32_t slotCount() const;
+    /** Use of each group that has replicas which accept work. */
+    std::map<ReplicaGroupId, GroupUse> use() const;
 
 private:
     struct Sent {
@@ -169,11 +186,13 @@
         TimePoint firstFailureAt {};
         TimePoint lossNotedAt {};
         bool hasLoss = false;
+        bool isLossUnsettled = false;
         bool isConfigured = true;
         std::string version; /**< model and version; the cache is forgotten when it changes */
     };
     struct Group {
         std::vector<ReplicaId> members;
+        size_t replicas = 0; /**< of the whole group; the members are this daemon's subset */
         LatencyGroup latency;
         LatencyQuantiles quantiles;
     };
@@ -182,6 +201,8 @@
     Duration delayTo(const AvailabilityZone&, const Region&) const;
     OwnWork ownWork(const Replica&) const;
     bool acceptsNewWork(const Replica&) const;
+    /** Share of a replica's capacity that this daemon may count on. */
+    double shareOf(const ReplicaId&, const Group&) const;
     bool isUnresponsive(const Replica&) const;
     void end(Flight&);
     void learnFirstToken(Flight&, TimePoint now);
@@ -199,7 +220,7 @@
     std::map<ReplicaGroupId, Group> m_groups;
     PrefixIndex m_prefixes;
     std::function<void(const ReplicaGroupId&)> m_onFlightEnd;
-    uint32_t m_flightCount = 0;
+    size_t m_daemons = 1;
 
     friend class Flight;
 };
--- a/standins/common/StandinServer.h
+++ b/standins/common/StandinServer.h
@@ -15,8 +15,9 @@
     setrlimit(RLIMIT_CORE, &none);
 }
 
-/** Runs a test double on a loopback address until the process is killed. Prints its address on one line. */
-inline int serveStandin(asio::io_context& context, const std::string& listen, HttpHandler handler)
+/** Runs a test double on a loopback address, on this port and the ports after it, until the process is killed. Prints its
+    first address on one line. */
+inline int serveStandin(asio::io_context& context, const std::string& listen, HttpHandler handler, uint16_t ports = 1)
 {
     auto endpoint = parseEndpoint(listen);
     if (!endpoint || !endpoint->address.starts_with("127.")) {
@@ -28,9 +29,13 @@
     auto answerFault = [](const Error& error) { return HttpResponse { answerFor(error.kind).status, {}, error.detail }; };
     HttpServerLimits limits;
     limits.maximumBody = 64 << 20;
-    HttpServer server(context, log, *endpoint, limits, std::move(handler), answerFault);
-    server.start();
-    std::printf("listening on %s\n", formatEndpoint(server.endpoint()).c_str());
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    for (uint16_t i = 0; i < ports; ++i) {
+        Endpoint address { endpoint->address, static_cast<uint16_t>(endpoint->port + i) };
+        servers.push_back(std::make_unique<HttpServer>(context, log, address, limits, handler, answerFault));
+        servers.back()->start();
+    }
+    std::printf("listening on %s\n", formatEndpoint(servers.front()->endpoint()).c_str());
     std::fflush(stdout);
     context.run();
     return 0;
