--- a/bench/workload/Deployment.cpp
+++ b/bench/workload/Deployment.cpp
@@ -33,4 +33,18 @@
     return deployment;
 }
 
+Deployment largeFleet()
+{
+    auto deployment = tannerRuddock();
+    auto growth = 130.0 / deployment.engines;
+    deployment.name = "large";
+    deployment.zones = 8;
+    deployment.engines = 130;
+    deployment.daemons = 48;
+    deployment.accounts = 400;
+    deployment.live.perSecond *= growth;
+    deployment.batch.perSecond *= growth;
+    return deployment;
+}
+
 } // namespace chestnut::bench
--- a/bench/workload/Deployment.h
+++ b/bench/workload/Deployment.h
@@ -40,5 +40,7 @@
 
 Deployment tannerRuddock();
 Deployment saranrat();
+/** Tanner's work on a fleet near the target of two years: one model, 130 replicas behind 48 daemons. */
+Deployment largeFleet();
 
 } // namespace chestnut::bench
--- a/bench/workload/Scenario.cpp
+++ b/bench/workload/Scenario.cpp
@@ -171,6 +171,14 @@
     return scenario;
 }
 
+Scenario largeMixShift(const Deployment& deployment, uint64_t seed)
+{
+    Scenario scenario { "large_mix_shift", deployment, 20s, 4s, {}, {} };
+    scenario.phases = { { 0s, 1.9, 0.7 }, { 12s, 0.7, 1.35 } };
+    scenario.seed = seed;
+    return scenario;
+}
+
 Scenario headOfLine(const Deployment& deployment, uint64_t seed)
 {
     Scenario scenario { "head_of_line", deployment, 240s, 10s, {}, {} };
--- a/bench/workload/Scenario.h
+++ b/bench/workload/Scenario.h
@@ -59,6 +59,8 @@
 Scenario loadSpike(const Deployment&, uint64_t seed);
 /** Live demand far beyond the capacity, so that some of it cannot be served in time. */
 Scenario overload(const Deployment&, uint64_t seed);
+/** A shift of the mix in a short run, for a large fleet. */
+Scenario largeMixShift(const Deployment&, uint64_t seed);
 /** Short live work beside long work with stragglers, near the capacity. */
 Scenario headOfLine(const Deployment&, uint64_t seed);
 /** The short work of headOfLine() alone, with the same arrivals. */
