--- a/bench/policy/Daemon.cpp
+++ b/bench/policy/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "bench/policy/Daemon.h"
 
 #include "bench/run/Measurement.h"
+#include "decisions/subsets/Subsets.h"
 
 #include <algorithm>
 #include <cmath>
@@ -47,6 +48,7 @@
     , m_index(index)
     , m_options(options)
     , m_random(fleet.scenario().seed * 100 + index)
+    , m_isInSubset(fleet.engineCount(), true)
     , m_limits(fleet.engineCount())
     , m_changes(fleet.engineCount())
 {
@@ -65,6 +67,24 @@
         m_limits[engine].limit = view.concurrencyLimit = view.slots;
         m_views.push_back(std::move(view));
     }
+    if (options.subsets && fleet.engineCount() > subsetSize)
+        chooseOwnSubset();
+}
+
+void Daemon::chooseOwnSubset()
+{
+    std::vector<SubsetCandidate> candidates;
+    for (const auto& view : m_views)
+        candidates.push_back({ view.id, view.zone, Region("region") });
+    auto id = DaemonId("daemon" + std::to_string(m_index));
+    auto subset = chooseSubset(id, m_fleet.zoneOfDaemon(m_index), Region("region"), candidates);
+    auto daemonsPerReplica = static_cast<double>(m_fleet.scenario().deployment.daemons * subsetSize) / m_fleet.engineCount();
+    for (size_t engine = 0; engine < m_views.size(); engine++) {
+        auto& view = m_views[engine];
+        m_isInSubset[engine] = std::ranges::find(subset, view.id) != subset.end();
+        view.acceptsNewWork = m_isInSubset[engine];
+        view.daemonShare = 1 / std::max(1.0, daemonsPerReplica);
+    }
 }
 
 WorkEstimate Daemon::estimate(const Job& job) const
@@ -341,6 +361,8 @@
 
 void Daemon::reported(uint32_t engine, const LoadReport& report, const std::vector<CacheEvent>& events)
 {
+    if (!m_isInSubset[engine])
+        return;
     auto& view = m_views[engine];
     view.report = report;
     auto& changes = m_changes[engine];
@@ -386,7 +408,7 @@
 void Daemon::engineChanged(uint32_t engine)
 {
     auto& view = m_views[engine];
-    view.acceptsNewWork = !m_fleet.isAway(engine);
+    view.acceptsNewWork = m_isInSubset[engine] && !m_fleet.isAway(engine);
     view.role = m_fleet.engine(engine).role();
     view.rates = ratesOf(view.role);
     drainQueue();
--- a/bench/policy/Daemon.h
+++ b/bench/policy/Daemon.h
@@ -25,6 +25,7 @@
     bool fairQueueing = true;
     bool earlyRefusal = true;
     bool preemptionSlack = true; /**< batch work near its deadline is not preempted */
+    bool subsets = true; /**< a daemon of a large fleet works on some of the replicas only */
     bool lastCall = true; /**< late live work near its latest start may exceed the replicas' slots */
     bool onTimeFirst = true; /**< waiting live work that can meet the first-token target goes before work that cannot */
 };
@@ -52,6 +53,7 @@
 
 private:
     WorkEstimate estimate(const Job&) const;
+    void chooseOwnSubset();
 
     struct Flight {
         Attempt attempt;
@@ -91,6 +93,7 @@
     uint32_t m_index;
     PolicyOptions m_options;
     RandomGenerator m_random;
+    std::vector<bool> m_isInSubset; /**< by engine */
     std::vector<ReplicaView> m_views;
     std::vector<double> m_cached;
     std::vector<ReplicaId> m_excluded;
--- a/bench/run/Suite.cpp
+++ b/bench/run/Suite.cpp
@@ -115,6 +115,10 @@
         return cell.make == shortWorkAlone || (isWanted && (selection.includesVariants || !isVariant));
     };
     std::vector<Cell> cells;
+    // The longest runs go first, so that no thread is left with one of them at the end.
+    for (const auto& contender : { Contender { "ours", std::nullopt, {} }, without("subsets", &PolicyOptions::subsets),
+             Contender { "two_choices", BaselineKind::TwoChoices, {} } })
+        cells.push_back({ largeFleet(), largeMixShift, contender, {} });
     for (const auto& deployment : { tannerRuddock(), saranrat() }) {
         cells.push_back({ deployment, shortWorkAlone, { "alone", std::nullopt, {} }, {} });
         for (auto make : { mixShift, mixShiftFromSplit, loadSpike, overload, headOfLine, slowReplicas }) {
