--- a/bench/membershipcost/main.cpp
+++ b/bench/membershipcost/main.cpp
@@ -1,5 +1,6 @@
 #include "MembershipWorld.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 
@@ -57,36 +58,70 @@
     std::printf("  %-44s %zu\n", "running members removed", world.removalsOfRunning);
 }
 
-void measurePartition(size_t members, size_t zones, size_t regions, size_t partitionRounds)
+/** Rounds apart that are simulated; the rest of the time is skipped, because nothing changes once both sides have removed
+    each other. */
+constexpr size_t simulatedRoundsApart = 60;
+
+void cutRegions(MembershipWorld& world, size_t roundsApart)
 {
-    MembershipWorld world(members, zones, regions, members);
-    world.introduceAll();
     world.allows = [](const auto& from, const auto& to) { return from.table.self.region == to.table.self.region; };
-    for (size_t i = 0; i < partitionRounds; ++i)
+    auto simulated = std::min(roundsApart, simulatedRoundsApart);
+    for (size_t i = 0; i < simulated; ++i)
         world.runRound();
-    std::printf("%zu members, %zu regions, partitioned for %zu rounds\n", members, regions, partitionRounds);
-    std::printf("  %-44s %zu of %zu\n", "members known to the first", world.nodes[0].table.others.size() + 1, members);
+    world.skipQuiet(heartbeatPeriod * static_cast<Duration::rep>(roundsApart - simulated));
     world.allows = [](const auto&, const auto&) { return true; };
-    world.removalsOfRunning = 0;
-    printRounds("all know all after healing", world.runUntil([&] { return world.everyoneKnows(members); }, roundLimit));
+}
+
+/** @param seed differs from the member count to repeat a measurement with another history */
+void measurePartition(size_t members, size_t zones, size_t regions, size_t partitionRounds, uint64_t seed)
+{
+    MembershipWorld world(members, zones, regions, seed);
+    world.introduceAll();
+    cutRegions(world, partitionRounds);
+    std::printf("%zu members, %zu regions, partitioned for %zu rounds, seed %zu\n", members, regions, partitionRounds, static_cast<size_t>(seed));
+    std::printf("  %-44s %zu of %zu\n", "members known to the first", world.nodes[0].table.others.size() + 1, members);
+    world.removalsOfRunning = world.suspicions = world.renewals = 0;
+    world.resetTraffic();
+    auto healed = world.runUntil([&] { return world.everyoneKnows(members); }, roundLimit);
+    auto traffic = world.trafficSince(healed.value_or(roundLimit));
+    printRounds("all know all after healing", healed);
     std::printf("  %-44s %zu\n", "running members removed after healing", world.removalsOfRunning);
+    std::printf("  %-44s %zu\n", "running members suspected after healing", world.suspicions);
+    std::printf("  %-44s %zu\n", "new incarnations after healing", world.renewals);
+    std::printf("  %-44s %.0f mean, %.0f largest, %.1f messages/s\n", "bytes/s sent by one daemon", traffic.mean, traffic.largest, traffic.messages);
+    printRounds("new revision known to all", spreadRevision(world, 2));
+}
+
+void measureLeave(size_t members, size_t zones, size_t regions)
+{
+    MembershipWorld world(members, zones, regions, members);
+    world.introduceAll();
+    for (size_t i = 0; i < 15; ++i)
+        world.runRound();
+    auto left = world.nodes[1].table.self.id;
+    world.leave(world.nodes[1]);
+    std::printf("planned stop among %zu members\n", members);
+    printRounds("removed everywhere", world.runUntil([&] { return world.nobodyKnows(left); }, roundLimit));
 }
 
 } // namespace
 
-/** With any argument, only the partition of 330 members is measured. */
+/** With any argument, only an hour of partition between 330 members is measured, with three seeds. */
 int main(int argumentCount, char** /*arguments*/)
 {
     if (argumentCount > 1) {
-        measurePartition(330, 8, 3, 30);
+        for (uint64_t seed : { 330, 331, 332 })
+            measurePartition(330, 8, 3, 3600, seed);
         return 0;
     }
     auto start = std::chrono::steady_clock::now();
     measure(6, 3, 1);
     measure(50, 4, 1);
     measure(330, 8, 3);
-    measurePartition(12, 4, 2, 3600);
-    measurePartition(330, 8, 3, 30);
+    measurePartition(12, 4, 2, 3600, 12);
+    measurePartition(330, 8, 3, 30, 330);
+    measurePartition(330, 8, 3, 3600, 330);
+    measureLeave(330, 8, 3);
     measureColdStart(6, 3, 1);
     measureColdStart(50, 4, 1);
     measureColdStart(330, 8, 3);
--- a/modules/decisions/membership/Membership.cpp
+++ b/modules/decisions/membership/Membership.cpp
@@ -28,6 +28,8 @@
 
     void mergeOwnRecord(const MemberTable& table, const MemberRecord& record, MergeOutcome& outcome)
     {
+        if (table.self.state == MemberState::Dropped)
+            return;
         if (record.state == MemberState::Dropped && record.incarnation >= table.self.incarnation)
             noteConflict(outcome, SelfConflict::AnnouncedDropped, record);
         else if (record.state != MemberState::Dropped && supersedes(record, table.self))
@@ -42,31 +44,52 @@
 
     void forgetRemoval(MemberTable& table, std::map<DaemonId, MemberRecord>::iterator removed)
     {
+        table.byDescription.erase(descriptionKey(removed->second));
         table.removedKeys.erase(updateKey(removed->first, removed->second.incarnation));
         table.removedButAlive.erase(removed->first);
         table.removed.erase(removed);
     }
 
+    void forgetKeys(MemberTable& table, const KnownMember& member)
+    {
+        table.byKey.erase(member.key);
+        table.formerKeys.erase(member.formerKey);
+        if (member.key != 0)
+            table.byDescription.erase(descriptionKey(member.record));
+    }
+
     void admit(MemberTable& table, const MemberRecord& record, TimePoint now, MergeOutcome& outcome)
     {
+        auto described = table.byDescription.find(descriptionKey(record));
+        bool isRenewal = described != table.byDescription.end() && described->second == record.id;
         if (auto removed = table.removed.find(record.id); removed != table.removed.end())
             forgetRemoval(table, removed);
         auto key = updateKey(record.id, record.incarnation);
         std::erase(table.unknown, key);
         auto& member = table.others[record.id];
-        table.byKey.erase(member.key);
+        forgetKeys(table, member);
+        auto formerKey = member.key;
         member = KnownMember { record, key, now };
+        member.formerKey = formerKey;
+        member.isRenewal = isRenewal;
+        if (formerKey != 0)
+            table.formerKeys[formerKey] = record.id;
         table.byKey[key] = record.id;
+        table.byDescription[descriptionKey(record)] = record.id;
         outcome.changes.push_back(record);
     }
 
     /** Takes over a newer record of the same incarnation; its revision never goes down. */
-    void refresh(KnownMember& member, MemberRecord record, TimePoint now, MergeOutcome& outcome)
+    void refresh(MemberTable& table, KnownMember& member, MemberRecord record, TimePoint now, MergeOutcome& outcome)
     {
         record.revision = std::max(record.revision, member.record.revision);
         auto before = visibleRecord(member);
-        if (isDescriptionDifferent(member.record, record))
+        if (isDescriptionDifferent(member.record, record)) {
             member.recordSent = 0;
+            member.isRenewal = false;
+            table.byDescription.erase(descriptionKey(member.record));
+            table.byDescription[descriptionKey(record)] = record.id;
+        }
         member.record = std::move(record);
         member.counterGrewAt = now;
         member.isSuspected = false;
@@ -100,11 +123,59 @@
         if (known == table.others.end() || record.incarnation > known->second.record.incarnation)
             admit(table, record, now, outcome);
         else if (supersedes(record, known->second.record))
-            refresh(known->second, record, now, outcome);
+            refresh(table, known->second, record, now, outcome);
         else if (record.incarnation == known->second.record.incarnation)
             raiseRevision(known->second, record.revision, outcome);
     }
 
+    void remove(MemberTable& table, std::map<DaemonId, KnownMember>::iterator member)
+    {
+        auto& known = member->second;
+        known.record.state = MemberState::Dropped;
+        table.byKey.erase(known.key);
+        table.formerKeys.erase(known.formerKey);
+        table.removedKeys[known.key] = member->first;
+        table.removed[member->first] = known.record;
+        table.others.erase(member);
+    }
+
+    /** Removes a member that announced the end of its incarnation, and keeps the announcement to pass it on. */
+    void mergeDeparture(MemberTable& table, UpdateKey key, const MemberUpdate& update, uint64_t counter, TimePoint now, MergeOutcome& outcome)
+    {
+        auto id = table.byKey.find(key);
+        if (id == table.byKey.end())
+            return;
+        auto member = table.others.find(id->second);
+        member->second.record.counter = std::max(member->second.record.counter, counter);
+        table.departures[key] = { update, 0, now };
+        remove(table, member);
+        outcome.changes.push_back(table.removed.at(table.removedKeys.at(key)));
+    }
+
+    void mergeOwnDeparture(MemberTable& table, const MemberRecord& record, TimePoint now, MergeOutcome& outcome)
+    {
+        auto key = updateKey(record.id, record.incarnation);
+        mergeDeparture(table, key, { key, static_cast<uint16_t>(record.counter), MemberState::Dropped, false, 0 }, record.counter, now, outcome);
+    }
+
+    /** Derives the record of a new incarnation from the one that is known. */
+    void mergeRenewal(MemberTable& table, const MemberRenewal& renewal, TimePoint now, MergeOutcome& outcome)
+    {
+        auto id = table.byDescription.find(renewal.key);
+        if (id == table.byDescription.end())
+            return;
+        auto known = table.others.find(id->second);
+        auto record = known != table.others.end() ? known->second.record : table.removed.at(id->second);
+        if (renewal.incarnation <= record.incarnation)
+            return;
+        record.incarnation = renewal.incarnation;
+        record.counter = renewal.counter;
+        record.state = renewal.state;
+        record.loadPermille = renewal.loadPermille;
+        record.revision = renewal.revision;
+        mergeRecord(table, record, now, outcome);
+    }
+
     void noteUnknown(MemberTable& table, UpdateKey key)
     {
         if (table.unknown.size() < updatesPerHeartbeat && std::ranges::find(table.unknown, key) == table.unknown.end())
@@ -129,7 +200,7 @@
 
     void mergeUpdate(MemberTable& table, const MemberUpdate& update, Revision senderRevision, TimePoint now, MergeOutcome& outcome)
     {
-        if (update.state > MemberState::Leaving)
+        if (update.state == MemberState::Suspected || table.formerKeys.contains(update.key))
             return;
         if (auto removed = table.removedKeys.find(update.key); removed != table.removedKeys.end()) {
             if (counterGrowth(table.removed.at(removed->second), update) > 0)
@@ -137,18 +208,24 @@
             return;
         }
         if (update.key == updateKey(table.self.id, table.self.incarnation)) {
-            if (counterGrowth(table.self, update) > 0)
+            if (table.self.state != MemberState::Dropped && counterGrowth(table.self, update) > 0)
                 noteConflict(outcome, SelfConflict::NewerRecord, updated(table.self, update, senderRevision));
             return;
         }
         auto id = table.byKey.find(update.key);
         if (id == table.byKey.end()) {
-            noteUnknown(table, update.key);
+            if (update.state != MemberState::Dropped)
+                noteUnknown(table, update.key);
             return;
         }
         auto& known = table.others.at(id->second);
+        if (update.state == MemberState::Dropped) {
+            auto last = updated(known.record, update, senderRevision);
+            mergeDeparture(table, update.key, update, last.counter, now, outcome);
+            return;
+        }
         if (counterGrowth(known.record, update) > 0)
-            refresh(known, updated(known.record, update, senderRevision), now, outcome);
+            refresh(table, known, updated(known.record, update, senderRevision), now, outcome);
         else if (update.hasSenderRevision)
             raiseRevision(known, senderRevision, outcome);
     }
@@ -161,123 +238,6 @@
         }
     }
 
-    MemberUpdate updateOf(const KnownMember& member, Revision senderRevision)
-    {
-        const auto& record = member.record;
-        auto steps = std::min(record.loadPermille / loadStepPermille, uint32_t { UINT8_MAX });
-        return { member.key, static_cast<uint16_t>(record.counter), record.state, record.revision == senderRevision, steps * loadStepPermille };
-    }
-
-    /** Members that are not suspected, in random order. */
-    std::vector<KnownMember*> shuffledTrusted(MemberTable& table, std::mt19937_64& random)
-    {
-        std::vector<KnownMember*> members;
-        for (auto& [id, member] : table.others) {
-            if (!member.isSuspected)
-                members.push_back(&member);
-        }
-        std::ranges::shuffle(members, random);
-        return members;
-    }
-
-    /** Bytes left for records and updates. */
-    struct Room {
-        size_t bytes;
-
-        bool fitsRecord(const HeartbeatNews& news) const
-        {
-            return news.records.size() < recordsPerHeartbeat && bytes >= estimatedRecordBytes + leastUpdatesPerHeartbeat * updateBytes;
-        }
-        bool fitsUpdate(const HeartbeatNews& news) const { return news.updates.size() < updatesPerHeartbeat && bytes >= updateBytes; }
-    };
-
-    void addRecord(const MemberRecord& record, HeartbeatNews& news, Room& room)
-    {
-        news.records.push_back(record);
-        room.bytes -= std::min(room.bytes, estimatedRecordBytes);
-    }
-
-    /** Tells the sender of a request that it was removed here, or that its id is used by a newer process. */
-    void addNoticeToSender(const MemberTable& table, const MemberRecord& sender, HeartbeatNews& news, Room& room)
-    {
-        auto removed = table.removed.find(sender.id);
-        if (removed != table.removed.end() && removed->second.incarnation >= sender.incarnation)
-            addRecord(removed->second, news, room);
-        auto known = table.others.find(sender.id);
-        if (known != table.others.end() && supersedes(known->second.record, sender))
-            addRecord(known->second.record, news, room);
-    }
-
-    KnownMember* trustedMember(MemberTable& table, UpdateKey key)
-    {
-        auto id = table.byKey.find(key);
-        if (id == table.byKey.end())
-            return nullptr;
-        auto& member = table.others.at(id->second);
-        return member.isSuspected ? nullptr : &member;
-    }
-
-    void answerRequest(MemberTable& table, const HeartbeatNews& request, HeartbeatNews& news, Room& room)
-    {
-        addNoticeToSender(table, request.own, news, room);
-        for (auto key : request.unknown) {
-            auto* member = trustedMember(table, key);
-            if (member && room.fitsRecord(news))
-                addRecord(member->record, news, room);
-        }
-        for (auto key : request.silent) {
-            auto* member = trustedMember(table, key);
-            if (!member || !room.fitsUpdate(news))
-                continue;
-            news.updates.push_back(updateOf(*member, table.self.revision));
-            room.bytes -= updateBytes;
-        }
-    }
-
-    void addChangedRecords(std::vector<KnownMember*> members, HeartbeatNews& news, Room& room)
-    {
-        auto limit = news.records.size() + changedRecordsPerHeartbeat;
-        std::ranges::stable_sort(members, {}, &KnownMember::recordSent);
-        for (auto* member : members) {
-            if (!room.fitsRecord(news) || news.records.size() >= limit || member->recordSent >= transmissionsPerChange)
-                return;
-            addRecord(member->record, news, room);
-            ++member->recordSent;
-        }
-    }
-
-    void addUpdates(const MemberTable& table, std::vector<KnownMember*> members, HeartbeatNews& news, Room& room)
-    {
-        std::ranges::stable_sort(members, {}, &KnownMember::updateSent);
-        for (auto* member : members) {
-            if (!room.fitsUpdate(news))
-                return;
-            news.updates.push_back(updateOf(*member, table.self.revision));
-            room.bytes -= updateBytes;
-            ++member->updateSent;
-        }
-    }
-
-    void askForSilent(const MemberTable& table, TimePoint now, std::mt19937_64& random, HeartbeatNews& news)
-    {
-        std::vector<UpdateKey> silent;
-        for (const auto& [id, member] : table.others) {
-            if (now - member.counterGrewAt >= askAfterSilence)
-                silent.push_back(member.key);
-        }
-        std::ranges::shuffle(silent, random);
-        silent.resize(std::min(silent.size(), silentPerHeartbeat));
-        news.silent = std::move(silent);
-    }
-
-    void askForUnknown(MemberTable& table, HeartbeatNews& news)
-    {
-        // A key that nobody answers for belongs to a member that is gone; it is asked for again when it is seen again.
-        auto count = static_cast<ptrdiff_t>(std::min(table.unknown.size(), recordsPerHeartbeat));
-        news.unknown.assign(table.unknown.begin(), table.unknown.begin() + count);
-        table.unknown.erase(table.unknown.begin(), table.unknown.begin() + count);
-    }
-
 } // namespace
 
 UpdateKey updateKey(const DaemonId& id, Incarnation incarnation)
@@ -285,6 +245,14 @@
     return static_cast<UpdateKey>(hash64(id.value(), incarnation));
 }
 
+DescriptionKey descriptionKey(const MemberRecord& record)
+{
+    uint64_t key = hash64(record.id.value());
+    for (const auto* text : { &record.zone.value(), &record.region.value(), &record.callerAddress, &record.peerAddress })
+        key = hash64(*text, key);
+    return static_cast<DescriptionKey>(key);
+}
+
 bool supersedes(const MemberRecord& candidate, const MemberRecord& present)
 {
     if (candidate.incarnation != present.incarnation)
@@ -303,7 +271,12 @@
 MergeOutcome mergeNews(MemberTable& table, const HeartbeatNews& news, TimePoint now)
 {
     MergeOutcome outcome;
-    mergeRecord(table, news.own, now, outcome);
+    if (news.own.state == MemberState::Dropped && news.own.id != table.self.id)
+        mergeOwnDeparture(table, news.own, now, outcome);
+    else
+        mergeRecord(table, news.own, now, outcome);
+    for (const auto& renewal : news.renewals)
+        mergeRenewal(table, renewal, now, outcome);
     for (const auto& record : news.records)
         mergeRecord(table, record, now, outcome);
     for (const auto& update : news.updates)
@@ -318,12 +291,10 @@
         auto& known = member->second;
         auto silence = now - known.counterGrewAt;
         if (silence >= removalTime) {
-            known.record.state = MemberState::Dropped;
-            changes.push_back(known.record);
-            table.byKey.erase(known.key);
-            table.removedKeys[known.key] = member->first;
-            table.removed[member->first] = known.record;
-            member = table.others.erase(member);
+            auto silent = member++;
+            auto id = silent->first;
+            remove(table, silent);
+            changes.push_back(table.removed.at(id));
             continue;
         }
         if (silence >= suspicionTime && !known.isSuspected) {
@@ -333,52 +304,19 @@
         ++member;
     }
     forgetOldestRemovals(table);
+    std::erase_if(table.departures, [now](const auto& entry) { return now - entry.second.learnedAt >= removalTime; });
     return changes;
 }
 
-std::vector<MemberRecord> chooseHeartbeatTargets(const MemberTable& table, std::mt19937_64& random)
-{
-    std::vector<MemberRecord> members;
-    for (const auto& [id, member] : table.others)
-        members.push_back(member.record);
-    std::ranges::shuffle(members, random);
-    auto first = std::min(members.size(), randomHeartbeatTargets);
-    std::vector<MemberRecord> targets(members.begin(), members.begin() + static_cast<ptrdiff_t>(first));
-    auto isElsewhere = [&](const MemberRecord& record) { return record.zone != table.self.zone; };
-    auto elsewhere = std::find_if(members.begin() + static_cast<ptrdiff_t>(first), members.end(), isElsewhere);
-    if (elsewhere != members.end())
-        targets.push_back(*elsewhere);
-    return targets;
-}
-
-std::optional<MemberRecord> takeRemovedButAlive(MemberTable& table)
-{
-    if (table.removedButAlive.empty())
-        return std::nullopt;
-    auto id = table.removedButAlive.extract(table.removedButAlive.begin()).value();
-    return table.removed.at(id);
-}
-
-HeartbeatNews composeNews(MemberTable& table, TimePoint now, std::mt19937_64& random, size_t newsBytes, const HeartbeatNews* request)
+void advanceSelf(MemberTable& table)
 {
-    HeartbeatNews news;
-    news.own = table.self;
-    Room room { newsBytes };
-    if (request)
-        answerRequest(table, *request, news, room);
-    auto members = shuffledTrusted(table, random);
-    addChangedRecords(members, news, room);
-    addUpdates(table, members, news, room);
-    if (!request) {
-        askForUnknown(table, news);
-        askForSilent(table, now, random, news);
-    }
-    return news;
+    ++table.self.counter;
 }
 
-void advanceSelf(MemberTable& table)
+void announceEnd(MemberTable& table)
 {
-    ++table.self.counter;
+    table.self.state = MemberState::Dropped;
+    advanceSelf(table);
 }
 
 void renewIncarnation(MemberTable& table, Incarnation wallClockMilliseconds, const std::optional<MemberRecord>& conflictingRecord)
--- a/modules/decisions/membership/Membership.h
+++ b/modules/decisions/membership/Membership.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace chestnut {
@@ -39,13 +40,25 @@
 /** Removed members are remembered, so that late heartbeats do not readmit them; bounds the memory to about 1 MB. */
 constexpr size_t rememberedRemovals = 4096;
 
+constexpr size_t renewalBytes = 24;
+/** Renewals in one message. After a partition between regions every member takes a new incarnation at once; 330 of them
+    pass through 32 at a time within a few seconds. */
+constexpr size_t renewalsPerHeartbeat = 32;
+/** Transmissions of a member's announced end by one daemon. */
+constexpr uint32_t transmissionsPerDeparture = 12;
+/** Peers that a daemon tells directly that it ends. */
+constexpr size_t farewellTargets = 6;
+
 /** Identifies a member and its incarnation in an update: a hash of both. */
 using UpdateKey = uint32_t;
+/** Identifies a member by what stays the same when it takes a new incarnation: id, zone, region and addresses. */
+using DescriptionKey = uint32_t;
 
 UpdateKey updateKey(const DaemonId&, Incarnation);
+DescriptionKey descriptionKey(const MemberRecord&);
 
 /** The changing fields of a member's record, packed into 8 bytes. It applies only where the record of that incarnation
-    is known. */
+    is known. The state Dropped means that the member itself announced its end. */
 struct MemberUpdate {
     UpdateKey key = 0;
     uint16_t counter = 0; /**< low 16 bits; wraps after 18 h, long after a silent member was removed */
@@ -58,6 +71,19 @@
 
 constexpr uint32_t loadStepPermille = 8;
 
+/** A new incarnation of a member, packed into 24 bytes. It applies where a record of an earlier incarnation with the same
+    description is known, be it of a removed member; others ask for the record. */
+struct MemberRenewal {
+    DescriptionKey key = 0;
+    Incarnation incarnation = 0;
+    uint16_t counter = 0; /**< at most the member's counter */
+    MemberState state = MemberState::Joining;
+    uint32_t loadPermille = 0; /**< in steps of loadStepPermille, at most 255 steps */
+    Revision revision = 0;
+
+    auto operator<=>(const MemberRenewal&) const = default;
+};
+
 /** The membership part of one heartbeat or of its reply. */
 struct HeartbeatNews {
     MemberRecord own;
@@ -65,6 +91,7 @@
     std::vector<MemberUpdate> updates; /**< at most updatesPerHeartbeat */
     std::vector<UpdateKey> unknown; /**< keys whose records the sender asks for */
     std::vector<UpdateKey> silent; /**< keys of members whose updates the sender asks for */
+    std::vector<MemberRenewal> renewals; /**< at most renewalsPerHeartbeat */
 
     bool operator==(const HeartbeatNews&) const = default;
 };
@@ -76,6 +103,15 @@
     bool isSuspected = false;
     uint32_t recordSent = 0; /**< transmissions since the record became known or changed */
     uint32_t updateSent = 0; /**< transmissions since the counter grew */
+    UpdateKey formerKey = 0; /**< key of the incarnation that this one replaced, or 0 */
+    bool isRenewal = false; /**< differs from an earlier record only in its changing fields */
+};
+
+/** A member that announced its end. */
+struct Departure {
+    MemberUpdate update;
+    uint32_t sent = 0;
+    TimePoint learnedAt;
 };
 
 /** One daemon's view of the membership. */
@@ -83,8 +119,11 @@
     MemberRecord self;
     std::map<DaemonId, KnownMember> others;
     std::map<DaemonId, MemberRecord> removed;
-    std::map<UpdateKey, DaemonId> byKey; /**< known members */
-    std::map<UpdateKey, DaemonId> removedKeys;
+    std::unordered_map<UpdateKey, DaemonId> byKey; /**< known members */
+    std::unordered_map<UpdateKey, DaemonId> formerKeys; /**< known members by the incarnation before */
+    std::unordered_map<DescriptionKey, DaemonId> byDescription; /**< known and removed members */
+    std::unordered_map<UpdateKey, DaemonId> removedKeys;
+    std::unordered_map<UpdateKey, Departure> departures; /**< members that announced their end within removalTime */
     std::set<DaemonId> removedButAlive; /**< removed members whose counters were seen to grow since */
     std::vector<UpdateKey> unknown; /**< keys seen in updates without a known record */
 };
@@ -115,12 +154,18 @@
     the state Dropped. */
 std::vector<MemberRecord> expireMembers(MemberTable&, TimePoint now);
 
+/** Sets the state of the own record to Dropped, so that the next heartbeats announce the end of this incarnation. */
+void announceEnd(MemberTable&);
+
 /** Peers for the next heartbeat: 2 at random and 1 of another zone, without repeats. */
 std::vector<MemberRecord> chooseHeartbeatTargets(const MemberTable&, std::mt19937_64&);
 
-/** A removed member that is alive elsewhere. A heartbeat with a notice makes it take a new incarnation; otherwise it
+/** Peers that are told of this daemon's end: at most farewellTargets that are not suspected. */
+std::vector<MemberRecord> chooseFarewellTargets(const MemberTable&, std::mt19937_64&);
+
+/** A removed member that is alive elsewhere, at random so that daemons do not all notify the same one first. A heartbeat with a notice makes it take a new incarnation; otherwise it
     would learn of its removal only when it chooses this daemon as a target, after minutes in a large fleet. */
-std::optional<MemberRecord> takeRemovedButAlive(MemberTable&);
+std::optional<MemberRecord> takeRemovedButAlive(MemberTable&, std::mt19937_64&);
 
 /** Composes a heartbeat, or the reply to one when the request is given: the own record, what the request asks for, a
     notice when its sender was removed, and the news that this daemon has passed on least often.
--- a/modules/peers/codec/PeerMessage.cpp
+++ b/modules/peers/codec/PeerMessage.cpp
@@ -117,6 +117,12 @@
             && readNumber(object, "r", record.revision) && readNumber(object, "l", record.loadPermille);
     }
 
+    /** Suspicion is a judgement of one daemon and is not relayed; Dropped is relayed when the member announced it. */
+    bool isRelayedState(uint64_t state)
+    {
+        return state <= static_cast<uint8_t>(MemberState::Leaving) || state == static_cast<uint8_t>(MemberState::Dropped);
+    }
+
     json encodeUpdates(std::span<const MemberUpdate> updates)
     {
         std::vector<uint8_t> bytes;
@@ -154,7 +160,7 @@
             auto flags = takeNumber(*bytes, 1);
             update.hasSenderRevision = (flags & senderRevisionFlag) != 0;
             auto state = flags & ~uint64_t { senderRevisionFlag };
-            if (state > static_cast<uint8_t>(MemberState::Leaving))
+            if (!isRelayedState(state))
                 return false;
             update.state = static_cast<MemberState>(state);
             update.loadPermille = static_cast<uint32_t>(takeNumber(*bytes, 1)) * loadStepPermille;
@@ -181,6 +187,44 @@
         return true;
     }
 
+    json encodeRenewals(std::span<const MemberRenewal> renewals)
+    {
+        std::vector<uint8_t> bytes;
+        for (const auto& renewal : renewals) {
+            putNumber(bytes, renewal.key, 4);
+            putNumber(bytes, renewal.incarnation, 8);
+            putNumber(bytes, renewal.counter, 2);
+            putNumber(bytes, static_cast<uint8_t>(renewal.state), 1);
+            putNumber(bytes, std::min(renewal.loadPermille / loadStepPermille, uint32_t { UINT8_MAX }), 1);
+            putNumber(bytes, renewal.revision, 8);
+        }
+        return json::binary(std::move(bytes));
+    }
+
+    /** Daemons before version 1.1 send no renewals. */
+    bool decodeRenewals(const json& object, std::vector<MemberRenewal>& renewals)
+    {
+        if (!object.contains("renewals"))
+            return true;
+        auto bytes = packedField(object, "renewals", renewalBytes, renewalsPerHeartbeat);
+        if (!bytes)
+            return false;
+        while (!bytes->empty()) {
+            MemberRenewal renewal;
+            renewal.key = static_cast<DescriptionKey>(takeNumber(*bytes, 4));
+            renewal.incarnation = takeNumber(*bytes, 8);
+            renewal.counter = static_cast<uint16_t>(takeNumber(*bytes, 2));
+            auto state = takeNumber(*bytes, 1);
+            if (state > static_cast<uint8_t>(MemberState::Leaving))
+                return false;
+            renewal.state = static_cast<MemberState>(state);
+            renewal.loadPermille = static_cast<uint32_t>(takeNumber(*bytes, 1)) * loadStepPermille;
+            renewal.revision = takeNumber(*bytes, 8);
+            renewals.push_back(renewal);
+        }
+        return true;
+    }
+
     bool decodeRecords(const json& object, std::vector<MemberRecord>& records)
     {
         const auto* values = field(object, "records");
@@ -256,7 +300,7 @@
     for (const auto& record : news.records)
         records.push_back(encodeRecord(record));
     return { { "own", encodeRecord(news.own) }, { "records", std::move(records) }, { "updates", encodeUpdates(news.updates) },
-        { "unknown", encodeKeys(news.unknown) }, { "silent", encodeKeys(news.silent) } };
+        { "unknown", encodeKeys(news.unknown) }, { "silent", encodeKeys(news.silent) }, { "renewals", encodeRenewals(news.renewals) } };
 }
 
 std::optional<HeartbeatNews> decodeNews(const nlohmann::json& body)
@@ -265,7 +309,8 @@
     if (!body.is_object() || !body.contains("own") || !decodeRecord(body["own"], news.own))
         return std::nullopt;
     if (!decodeRecords(body, news.records) || !decodeUpdates(body, news.updates)
-        || !decodeKeys(body, "unknown", news.unknown) || !decodeKeys(body, "silent", news.silent))
+        || !decodeKeys(body, "unknown", news.unknown) || !decodeKeys(body, "silent", news.silent)
+        || !decodeRenewals(body, news.renewals))
         return std::nullopt;
     return news;
 }
--- a/modules/peers/service/NngPeerService.cpp
+++ b/modules/peers/service/NngPeerService.cpp
@@ -160,7 +160,7 @@
     m_transport.closeIdle();
     advanceSelf(table);
     auto targets = chooseHeartbeatTargets(table, m_random);
-    if (auto removed = takeRemovedButAlive(table)) {
+    if (auto removed = takeRemovedButAlive(table, m_random)) {
         spawnHeartbeat(removed->peerAddress, removed);
         targets.resize(std::min(targets.size(), randomHeartbeatTargets));
     }
--- a/tests/peers/MembershipWorld.cpp
+++ b/tests/peers/MembershipWorld.cpp
@@ -38,6 +38,7 @@
     nodes.resize(count);
     for (size_t i = 0; i < count; ++i) {
         nodes[i].table.self = recordOf(i, zones, regions);
+        m_indexes[nodes[i].table.self.id] = i;
         nodes[i].phase = Duration(m_random() % static_cast<uint64_t>(heartbeatPeriod.count()));
     }
 }
@@ -46,7 +47,7 @@
 {
     for (auto& node : nodes) {
         for (const auto& other : nodes)
-            mergeNews(node.table, { other.table.self, {}, {}, {}, {} }, m_now);
+            mergeNews(node.table, { other.table.self, {}, {}, {}, {}, {} }, m_now);
         for (auto& [id, member] : node.table.others)
             member.recordSent = transmissionsPerChange;
     }
@@ -54,8 +55,8 @@
 
 MembershipWorld::Node* MembershipWorld::find(const DaemonId& id)
 {
-    auto node = std::ranges::find_if(nodes, [&](const Node& candidate) { return candidate.table.self.id == id; });
-    return node == nodes.end() ? nullptr : &*node;
+    auto index = m_indexes.find(id);
+    return index == m_indexes.end() ? nullptr : &nodes[index->second];
 }
 
 std::optional<HeartbeatNews> MembershipWorld::transmit(Node& from, const HeartbeatNews& news)
@@ -70,8 +71,10 @@
 void MembershipWorld::merge(Node& node, const HeartbeatNews& news)
 {
     auto outcome = mergeNews(node.table, news, m_now);
-    if (outcome.conflict != SelfConflict::None)
-        renewIncarnation(node.table, 0, outcome.conflictingRecord);
+    if (outcome.conflict == SelfConflict::None)
+        return;
+    ++renewals;
+    renewIncarnation(node.table, 0, outcome.conflictingRecord);
 }
 
 void MembershipWorld::exchange(Node& from, Node& to, const HeartbeatNews* notice)
@@ -89,14 +92,15 @@
     for (const auto& change : expireMembers(node.table, m_now)) {
         if (change.state == MemberState::Dropped && find(change.id)->runs)
             ++removalsOfRunning;
+        suspicions += change.state == MemberState::Suspected;
     }
     advanceSelf(node.table);
     // Applies the newest revision heard of, as the configuration service does after it pulled the document.
     for (const auto& [id, member] : node.table.others)
         node.table.self.revision = std::max(node.table.self.revision, member.record.revision);
     auto targets = chooseHeartbeatTargets(node.table, m_random);
-    if (auto removed = takeRemovedButAlive(node.table)) {
-        HeartbeatNews notice { *removed, {}, {}, {}, {} };
+    if (auto removed = takeRemovedButAlive(node.table, m_random)) {
+        HeartbeatNews notice { *removed, {}, {}, {}, {}, {} };
         exchange(node, *find(removed->id), &notice);
         targets.resize(std::min(targets.size(), randomHeartbeatTargets));
     }
@@ -124,6 +128,27 @@
     m_now = start + heartbeatPeriod;
 }
 
+void MembershipWorld::skipQuiet(Duration duration)
+{
+    auto beats = static_cast<uint64_t>(duration / heartbeatPeriod);
+    m_now += duration;
+    for (auto& node : nodes) {
+        node.table.self.counter += node.runs ? beats : 0;
+        for (auto& [id, member] : node.table.others) {
+            member.record.counter += beats;
+            member.counterGrewAt += duration;
+        }
+    }
+}
+
+void MembershipWorld::leave(Node& node)
+{
+    announceEnd(node.table);
+    for (const auto& target : chooseFarewellTargets(node.table, m_random))
+        exchange(node, *find(target.id));
+    node.runs = false;
+}
+
 std::optional<size_t> MembershipWorld::runUntil(const std::function<bool()>& condition, size_t limit)
 {
     for (size_t round = 0; round <= limit; ++round) {
@@ -174,10 +199,20 @@
 
 MembershipWorld::Traffic MembershipWorld::measureTraffic(size_t rounds)
 {
-    for (auto& node : nodes)
-        node.bytesSent = node.messagesSent = 0;
+    resetTraffic();
     for (size_t i = 0; i < rounds; ++i)
         runRound();
+    return trafficSince(rounds);
+}
+
+void MembershipWorld::resetTraffic()
+{
+    for (auto& node : nodes)
+        node.bytesSent = node.messagesSent = 0;
+}
+
+MembershipWorld::Traffic MembershipWorld::trafficSince(size_t rounds) const
+{
     Traffic traffic;
     auto seconds = toSeconds(heartbeatPeriod) * static_cast<double>(rounds);
     for (const auto& node : nodes) {
--- a/tests/peers/MembershipWorld.h
+++ b/tests/peers/MembershipWorld.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace chestnut {
@@ -29,6 +30,11 @@
     void introduceAll();
     /** Runs one heartbeat period in which every running node sends its heartbeats. */
     void runRound();
+    /** Lets quiet time pass at once: every running node and everyone's record of it count on, and ages stay as they are.
+        Only for times in which no member is about to be removed; run rounds until the tables are settled first. */
+    void skipQuiet(Duration);
+    /** A planned stop: the node tells some peers that it ends and stops. */
+    void leave(Node&);
     /** Rounds until the condition holds, or nothing when it does not hold within the limit. */
     std::optional<size_t> runUntil(const std::function<bool()>& condition, size_t limit);
 
@@ -46,10 +52,15 @@
         double messages = 0;
     };
     Traffic measureTraffic(size_t rounds);
+    /** Starts to count bytes; trafficSince returns what was sent since, over the rounds run. */
+    void resetTraffic();
+    Traffic trafficSince(size_t rounds) const;
 
     std::vector<Node> nodes;
     LinkFilter allows = [](const Node&, const Node&) { return true; };
     size_t removalsOfRunning = 0; /**< counts removals of nodes that run */
+    size_t renewals = 0; /**< new incarnations */
+    size_t suspicions = 0; /**< members that were not suspected a round before */
 
 private:
     void beat(Node&);
@@ -58,6 +69,7 @@
     Node* find(const DaemonId&);
     std::optional<HeartbeatNews> transmit(Node& from, const HeartbeatNews&);
 
+    std::unordered_map<DaemonId, size_t> m_indexes;
     TimePoint m_now { Duration::zero() };
     std::mt19937_64 m_random;
 };
