Readmit removed members without removing running ones; announce a planned end

Cause: after a partition all members took a new incarnation, and every peer, of the own region too, needed a full record of 110 bytes for it within 10 s; notices went to the same members first. Change: a heartbeat carries up to 32 renewals of 24 bytes (description key, incarnation, counter, state, load, revision) that derive the record from the earlier one; questions for the former key get the renewal; notices in random order; a token bucket keeps heartbeats and replies of one daemon below 10 KB/s. A planned stop announces Dropped to 6 peers, who pass it on as an update of 8 bytes.

--- a/modules/decisions/membership/HeartbeatNews.cpp
+++ b/modules/decisions/membership/HeartbeatNews.cpp
@@ -37,6 +37,7 @@
         {
             return news.renewals.size() < renewalsPerHeartbeat && bytes >= renewalBytes + leastUpdatesPerHeartbeat * updateBytes;
         }
+        bool fitsUrgentRenewal(const HeartbeatNews& news) const { return news.renewals.size() < renewalsPerHeartbeat && bytes >= renewalBytes; }
         bool fitsUpdate(const HeartbeatNews& news) const { return news.updates.size() < updatesPerHeartbeat && bytes >= updateBytes; }
     };
 
@@ -91,27 +92,40 @@
     void answerForFormerKey(const MemberTable& table, UpdateKey key, HeartbeatNews& news, Room& room)
     {
         auto renewed = table.formerKeys.find(key);
-        if (renewed != table.formerKeys.end() && room.fitsRenewal(news))
+        if (renewed != table.formerKeys.end() && room.fitsUrgentRenewal(news))
             addRenewal(table.others.at(renewed->second).record, news, room);
         auto departed = table.departures.find(key);
         if (departed != table.departures.end() && room.fitsUpdate(news))
             addUpdate(departed->second.update, news, room);
     }
 
-    void answerRequest(MemberTable& table, const HeartbeatNews& request, HeartbeatNews& news, Room& room)
+    void answerUnknown(const KnownMember& member, TimePoint now, std::mt19937_64& random, HeartbeatNews& news, Room& room)
+    {
+        bool isRecent = member.isRenewal && now - member.admittedAt < renewalAnswerTime;
+        if (isRecent && random() % fullRecordShare != 0) {
+            if (room.fitsRenewal(news))
+                addRenewal(member.record, news, room);
+        } else if (room.fitsRecord(news))
+            addRecord(member.record, news, room);
+    }
+
+    void answerSilent(MemberTable& table, UpdateKey key, HeartbeatNews& news, Room& room)
+    {
+        const auto* member = trustedMember(table, key);
+        if (!member)
+            answerForFormerKey(table, key, news, room);
+        else if (room.fitsUpdate(news))
+            addUpdate(updateOf(*member, table.self.revision), news, room);
+    }
+
+    void answerRequest(MemberTable& table, const HeartbeatNews& request, TimePoint now, std::mt19937_64& random, HeartbeatNews& news, Room& room)
     {
         addNoticeToSender(table, request.own, news, room);
+        for (auto key : request.silent)
+            answerSilent(table, key, news, room);
         for (auto key : request.unknown) {
-            auto* member = trustedMember(table, key);
-            if (member && room.fitsRecord(news))
-                addRecord(member->record, news, room);
-        }
-        for (auto key : request.silent) {
-            auto* member = trustedMember(table, key);
-            if (member && room.fitsUpdate(news))
-                addUpdate(updateOf(*member, table.self.revision), news, room);
-            if (!member)
-                answerForFormerKey(table, key, news, room);
+            if (const auto* member = trustedMember(table, key))
+                answerUnknown(*member, now, random, news, room);
         }
     }
 
@@ -125,11 +139,11 @@
         }
     }
 
-    void addRenewals(std::span<KnownMember*> members, HeartbeatNews& news, Room& room)
+    void addRenewals(std::vector<KnownMember*> members, HeartbeatNews& news, Room& room)
     {
+        std::erase_if(members, [](const auto* member) { return !member->isRenewal || member->recordSent >= transmissionsPerRenewal; });
+        std::ranges::stable_sort(members, {}, &KnownMember::recordSent);
         for (auto* member : members) {
-            if (!member->isRenewal || member->recordSent >= transmissionsPerChange)
-                continue;
             if (!room.fitsRenewal(news))
                 return;
             addRenewal(member->record, news, room);
@@ -139,13 +153,12 @@
 
     void addChangedRecords(std::vector<KnownMember*> members, HeartbeatNews& news, Room& room)
     {
-        auto limit = news.records.size() + changedRecordsPerHeartbeat;
+        std::erase_if(members, [](const auto* member) { return member->isRenewal || member->recordSent >= transmissionsPerChange; });
         std::ranges::stable_sort(members, {}, &KnownMember::recordSent);
+        auto limit = news.records.size() + changedRecordsPerHeartbeat;
         for (auto* member : members) {
-            if (!room.fitsRecord(news) || news.records.size() >= limit || member->recordSent >= transmissionsPerChange)
+            if (!room.fitsRecord(news) || news.records.size() >= limit)
                 return;
-            if (member->isRenewal)
-                continue;
             addRecord(member->record, news, room);
             ++member->recordSent;
         }
@@ -153,25 +166,32 @@
 
     void addUpdates(const MemberTable& table, std::vector<KnownMember*> members, HeartbeatNews& news, Room& room)
     {
-        std::ranges::stable_sort(members, {}, &KnownMember::updateSent);
-        for (auto* member : members) {
-            if (!room.fitsUpdate(news))
-                return;
-            addUpdate(updateOf(*member, table.self.revision), news, room);
-            ++member->updateSent;
+        auto count = std::min(members.size(), std::min(updatesPerHeartbeat - std::min(updatesPerHeartbeat, news.updates.size()), room.bytes / updateBytes));
+        auto last = members.begin() + static_cast<ptrdiff_t>(count);
+        if (count < members.size())
+            std::ranges::nth_element(members, last, {}, &KnownMember::updateSent);
+        for (auto member = members.begin(); member != last; ++member) {
+            addUpdate(updateOf(**member, table.self.revision), news, room);
+            ++(*member)->updateSent;
         }
     }
 
     void askForSilent(const MemberTable& table, TimePoint now, std::mt19937_64& random, HeartbeatNews& news)
     {
-        std::vector<UpdateKey> silent;
+        std::vector<const KnownMember*> silent;
         for (const auto& [id, member] : table.others) {
             if (now - member.counterGrewAt >= askAfterSilence)
-                silent.push_back(member.key);
+                silent.push_back(&member);
         }
         std::ranges::shuffle(silent, random);
+        // Half of the questions go to members closest to their removal; the rest are random, so that dead members do not
+        // take them all.
+        auto urgent = std::min(silent.size(), silentPerHeartbeat / 2);
+        std::ranges::partial_sort(silent, silent.begin() + static_cast<ptrdiff_t>(urgent), {}, &KnownMember::counterGrewAt);
+        std::shuffle(silent.begin() + static_cast<ptrdiff_t>(urgent), silent.end(), random);
         silent.resize(std::min(silent.size(), silentPerHeartbeat));
-        news.silent = std::move(silent);
+        for (const auto* member : silent)
+            news.silent.push_back(member->key);
     }
 
     void askForUnknown(MemberTable& table, HeartbeatNews& news)
@@ -226,7 +246,7 @@
     news.own = table.self;
     Room room { newsBytes };
     if (request)
-        answerRequest(table, *request, news, room);
+        answerRequest(table, *request, now, random, news, room);
     addDepartures(table, news, room);
     auto members = shuffledTrusted(table, random);
     addRenewals(members, news, room);
--- a/modules/decisions/membership/Membership.cpp
+++ b/modules/decisions/membership/Membership.cpp
@@ -71,6 +71,7 @@
         auto formerKey = member.key;
         member = KnownMember { record, key, now };
         member.formerKey = formerKey;
+        member.admittedAt = now;
         member.isRenewal = isRenewal;
         if (formerKey != 0)
             table.formerKeys[formerKey] = record.id;
--- a/modules/decisions/membership/Membership.h
+++ b/modules/decisions/membership/Membership.h
@@ -28,7 +28,7 @@
 constexpr size_t estimatedRecordBytes = 110;
 constexpr size_t updateBytes = 8;
 /** Room that records leave for updates, so that a wave of joining members does not make the others look silent. */
-constexpr size_t leastUpdatesPerHeartbeat = 48;
+constexpr size_t leastUpdatesPerHeartbeat = 80;
 /** Changed records that are sent unasked; more of them are mostly duplicates for the receiver. */
 constexpr size_t changedRecordsPerHeartbeat = 4;
 /** Transmissions of a changed record by one daemon. Members that miss all of them ask for the record. */
@@ -41,9 +41,15 @@
 constexpr size_t rememberedRemovals = 4096;
 
 constexpr size_t renewalBytes = 24;
+/** Transmissions of a renewal by one daemon; more are mostly duplicates while hundreds of members renew at once. */
+constexpr uint32_t transmissionsPerRenewal = 2;
 /** Renewals in one message. After a partition between regions every member takes a new incarnation at once; 330 of them
     pass through 32 at a time within a few seconds. */
 constexpr size_t renewalsPerHeartbeat = 32;
+/** For this long after a renewal, most of the peers that ask for its record have the earlier one and get the renewal
+    instead; one answer in fullRecordShare is the full record for those that do not. */
+constexpr Duration renewalAnswerTime = std::chrono::seconds(30);
+constexpr uint64_t fullRecordShare = 4;
 /** Transmissions of a member's announced end by one daemon. */
 constexpr uint32_t transmissionsPerDeparture = 12;
 /** Peers that a daemon tells directly that it ends. */
@@ -104,6 +110,7 @@
     uint32_t recordSent = 0; /**< transmissions since the record became known or changed */
     uint32_t updateSent = 0; /**< transmissions since the counter grew */
     UpdateKey formerKey = 0; /**< key of the incarnation that this one replaced, or 0 */
+    TimePoint admittedAt;
     bool isRenewal = false; /**< differs from an earlier record only in its changing fields */
 };
 
--- /dev/null
+++ b/modules/peers/service/NngPeerState.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "decisions/membership/NewsBudget.h"
+#include "peers/service/NngPeerService.h"
+#include "peers/transport/NngTransport.h"
+
+#include <set>
+
+namespace chestnut {
+
+/** The state of the peer service. NngPeerHeartbeats.cpp has its membership, NngPeerMessages.cpp its messages. */
+class NngPeerService::State : public std::enable_shared_from_this<State> {
+public:
+    State(asio::io_context& context, TimerService& timers, Log& log, Metrics& metrics, NngPeerOptions options, Bootstrap bootstrap, LinkFilter linkFilter)
+        : context(context)
+        , timers(timers)
+        , log(log)
+        , metrics(metrics)
+        , options(std::move(options))
+        , bootstrap(std::move(bootstrap))
+        , linkFilter(std::move(linkFilter))
+        , m_transport(context, timers)
+        , m_random(this->options.randomSeed)
+    {
+        table.self.id = this->options.id;
+        table.self.incarnation = this->options.incarnation;
+        table.self.counter = 1;
+        table.self.zone = this->options.zone;
+        table.self.region = this->options.region;
+        table.self.callerAddress = this->options.callerAddress;
+        table.self.peerAddress = formatEndpoint(this->options.listenAddress);
+    }
+
+    void start();
+    void close();
+    asio::awaitable<void> announceEnd();
+    void announceChange();
+    asio::awaitable<Result<nlohmann::json>> call(DaemonId receiver, std::string type, nlohmann::json body, Duration timeout);
+
+    asio::io_context& context;
+    TimerService& timers;
+    Log& log;
+    Metrics& metrics;
+    NngPeerOptions options;
+    Bootstrap bootstrap;
+    LinkFilter linkFilter;
+    MemberTable table;
+    std::map<std::string, PeerHandler> handlers;
+    std::vector<HeartbeatExtension> extensions;
+    std::vector<std::function<void(const MemberRecord&)>> subscribers;
+
+private:
+    static constexpr auto heartbeatType = "heartbeat";
+    static constexpr Duration refusalLogPeriod = std::chrono::minutes(1);
+
+    void beat();
+    void spawnHeartbeat(std::string address, std::optional<MemberRecord> removed = {});
+    asio::awaitable<void> sendHeartbeat(std::string address, std::optional<MemberRecord> removed);
+    void probeStranger();
+    nlohmann::json composeHeartbeat(const HeartbeatNews* request);
+    nlohmann::json composeExtensions(size_t& bytes);
+    Result<void> acceptHeartbeat(const DaemonId& sender, const nlohmann::json& body, HeartbeatNews& news);
+    void resolveConflict(const MergeOutcome&);
+    void publish(const std::vector<MemberRecord>& changes);
+    asio::awaitable<Result<nlohmann::json>> exchange(std::string address, DaemonId receiver, std::string type, nlohmann::json body, Duration timeout);
+    asio::awaitable<std::string> answer(std::string request);
+    asio::awaitable<Result<nlohmann::json>> dispatch(DaemonId sender, std::string type, nlohmann::json body);
+    asio::awaitable<Result<nlohmann::json>> runHandler(DaemonId sender, std::string type, nlohmann::json body);
+    std::optional<Error> refusal(const PeerMessage&) const;
+    void logRefusal(const std::string& sender, const Error&);
+    std::string encode(DaemonId receiver, std::string type, nlohmann::json body) const;
+    std::string encodeReply(DaemonId receiver, Result<nlohmann::json> result) const;
+    void countMessage(const char* direction, size_t bytes);
+
+    NngTransport m_transport;
+    std::mt19937_64 m_random;
+    TimerSubscription m_heartbeats;
+    NewsBudget m_budget;
+    std::set<std::string> m_heartbeatsInFlight;
+    std::map<std::string, TimePoint> m_loggedRefusals;
+    std::vector<TimePoint> m_renewals;
+    size_t m_handledRequests = 0;
+    bool m_isClosed = false;
+};
+
+} // namespace chestnut
--- a/tests/peers/MembershipCostTest.cpp
+++ b/tests/peers/MembershipCostTest.cpp
@@ -51,3 +51,28 @@
     world.allows = [](const auto&, const auto&) { return true; };
     CHECK(world.runUntil([&] { return world.everyoneKnows(12); }, 60).has_value());
 }
+
+// Guards against a heal in which daemons remove running members, because each renewed member needs a full record everywhere,
+// and against revisions that spread too slowly afterwards.
+TEST_CASE("330 members in 3 regions find each other again after an hour apart")
+{
+    MembershipWorld world(330, 8, 3, 7);
+    world.introduceAll();
+    world.allows = [](const auto& from, const auto& to) { return from.table.self.region == to.table.self.region; };
+    for (size_t i = 0; i < 25; ++i)
+        world.runRound();
+    world.skipQuiet(std::chrono::hours(1));
+    world.allows = [](const auto&, const auto&) { return true; };
+    world.removalsOfRunning = 0;
+    world.resetTraffic();
+    auto healed = world.runUntil([&] { return world.everyoneKnows(330); }, 30);
+    REQUIRE(healed.has_value());
+    CHECK(world.trafficSince(*healed).largest < bytesPerSecondLimit);
+    CHECK(world.removalsOfRunning == 0);
+    world.nodes[0].table.self.revision = 2;
+    CHECK(world.runUntil([&] { return world.everyoneKnowsRevision(2); }, revisionRoundLimit).has_value());
+    world.leave(world.nodes[1]);
+    auto left = world.nodes[1].table.self.id;
+    // A planned stop is known everywhere before a crash would be, which takes 10 s of silence.
+    CHECK(world.runUntil([&] { return world.nobodyKnows(left); }, 9).has_value());
+}
--- a/tests/peers/MembershipWorld.cpp
+++ b/tests/peers/MembershipWorld.cpp
@@ -65,6 +65,7 @@
     auto bytes = encodePeerMessage({ "tanner-ruddock", {}, self.id, self.incarnation, {}, "heartbeat", encodeNews(news) });
     from.bytesSent += bytes.size() + framingBytes;
     ++from.messagesSent;
+    spendNewsBytes(from.budget, bytes.size() + framingBytes);
     return decodeNews(decodePeerMessage(bytes).value().body);
 }
 
@@ -79,11 +80,11 @@
 
 void MembershipWorld::exchange(Node& from, Node& to, const HeartbeatNews* notice)
 {
-    auto request = transmit(from, composeNews(from.table, m_now, m_random, newsBytesPerHeartbeat, notice));
+    auto request = transmit(from, composeNews(from.table, m_now, m_random, allowedNewsBytes(from.budget, m_now), notice));
     if (!to.runs || !allows(from, to))
         return;
     merge(to, *request);
-    auto reply = transmit(to, composeNews(to.table, m_now, m_random, newsBytesPerHeartbeat, &*request));
+    auto reply = transmit(to, composeNews(to.table, m_now, m_random, allowedNewsBytes(to.budget, m_now), &*request));
     merge(from, *reply);
 }
 
--- a/tests/peers/MembershipWorld.h
+++ b/tests/peers/MembershipWorld.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/membership/Membership.h"
+#include "decisions/membership/NewsBudget.h"
 
 #include <functional>
 #include <optional>
@@ -18,6 +19,7 @@
         MemberTable table;
         Duration phase { 0 };
         bool runs = true;
+        NewsBudget budget;
         uint64_t bytesSent = 0;
         uint64_t messagesSent = 0;
     };
--- a/tests/peers/NngPeerServiceTest.cpp
+++ b/tests/peers/NngPeerServiceTest.cpp
@@ -117,6 +117,37 @@
     CHECK_FALSE(paused.log.recent(EventId::IncarnationRenewed).empty());
 }
 
+// Guards against a planned stop that peers notice only after 10 s of silence, and against one that looks like a failure.
+TEST_CASE("a daemon that stops as planned is removed at once and never suspected")
+{
+    PeerFleet fleet;
+    for (const auto* id : { "a", "b", "c", "d" })
+        fleet.add(id);
+    REQUIRE(fleet.runUntilAllKnow(4));
+    auto& leaving = *fleet.nodes[3];
+    std::vector<std::vector<MemberState>> seen(3);
+    std::vector<TimePoint> removedAt(3);
+    for (size_t i = 0; i < 3; ++i) {
+        fleet.nodes[i]->service->onMemberChange([&, i](const MemberRecord& record) {
+            if (record.id == leaving.service->self()) {
+                seen[i].push_back(record.state);
+                removedAt[i] = fleet.nodes[i]->timers.now();
+            }
+        });
+    }
+    auto start = fleet.nodes[0]->timers.now();
+    bool isStopped = false;
+    asio::co_spawn(leaving.context, leaving.service->stop(), [&](const std::exception_ptr&) { isStopped = true; });
+    CHECK(fleet.runUntil([&] {
+        return isStopped && std::ranges::all_of(seen, [](const auto& states) { return !states.empty(); });
+    }));
+    for (size_t i = 0; i < 3; ++i) {
+        CHECK(seen[i] == std::vector<MemberState> { MemberState::Dropped });
+        CHECK(removedAt[i] - start < suspicionTime);
+    }
+    CHECK(leaving.service->incarnation() == 1000);
+}
+
 // Guards against two sides of a partition that never find each other again.
 TEST_CASE("a partition removes the other side and heals")
 {
--- a/tests/peers/PeerMessageTest.cpp
+++ b/tests/peers/PeerMessageTest.cpp
@@ -15,6 +15,8 @@
     news.updates = { { 0xfffffffe, 65535, MemberState::Leaving, true, 2040 }, { 1, 2, MemberState::Joining, false, 0 } };
     news.unknown = { 5 };
     news.silent = { 6, 7 };
+    news.updates.push_back({ 3, 4, MemberState::Dropped, false, 8 });
+    news.renewals = { { 8, 1'700'000'000'001, 3, MemberState::Ready, 640, 9 } };
     return news;
 }
 
@@ -32,6 +34,7 @@
     if (auto news = decodeNews(message->body)) {
         RC_ASSERT(news->records.size() <= recordsPerHeartbeat);
         RC_ASSERT(news->updates.size() <= updatesPerHeartbeat);
+        RC_ASSERT(news->renewals.size() <= renewalsPerHeartbeat);
         MemberTable table;
         mergeNews(table, *news, TimePoint(Duration(0)));
     }
