--- a/modules/platform/keyvalue/ConsulKeyValueStore.cpp
+++ b/modules/platform/keyvalue/ConsulKeyValueStore.cpp
@@ -36,12 +36,27 @@
         return makeError(ErrorKind::PlatformUnavailable, "status " + std::to_string(response.status) + ": " + response.body);
     }
 
-    KeyValueEntry parseEntry(const json& row)
+    /** The value of a row; null means empty. Nothing when it is not base64, because an unreadable value must not pass for
+        an empty one. */
+    std::optional<std::string> valueOf(const json& row)
+    {
+        auto value = row.find("Value");
+        if (value == row.end() || value->is_null())
+            return "";
+        std::string bytes;
+        if (!value->is_string() || !absl::Base64Unescape(value->get_ref<const std::string&>(), &bytes))
+            return std::nullopt;
+        return bytes;
+    }
+
+    std::optional<KeyValueEntry> parseEntry(const json& row)
     {
         KeyValueEntry entry;
         entry.key = row.at("Key").get<std::string>();
-        if (auto value = row.find("Value"); value != row.end() && value->is_string())
-            absl::Base64Unescape(value->get<std::string>(), &entry.value);
+        auto value = valueOf(row);
+        if (!value)
+            return std::nullopt;
+        entry.value = std::move(*value);
         entry.modifyIndex = row.at("ModifyIndex").get<uint64_t>();
         entry.lockIndex = row.value("LockIndex", uint64_t(0));
         entry.session = row.value("Session", std::string());
@@ -57,8 +72,12 @@
             return unexpectedStatus(response);
         try {
             auto rows = json::parse(response.body);
-            for (const auto& row : rows)
-                entries.push_back(parseEntry(row));
+            for (const auto& row : rows) {
+                auto entry = parseEntry(row);
+                if (!entry)
+                    return makeError(ErrorKind::PlatformUnavailable, "unreadable answer: a value is not base64");
+                entries.push_back(std::move(*entry));
+            }
         } catch (const json::exception& exception) {
             return makeError(ErrorKind::PlatformUnavailable, std::string("unreadable answer: ") + exception.what());
         }
