Do not let a refusal hide an earlier attempt of a keyed call

Cause: a call with an idempotency key that admission refused was answered 'not run' although an earlier attempt ran.

Change: ClaimService::known() is the local look-up before admission; a claim in doubt turns a refusal into outcome_unknown.

Conclusion: 'not run' is only said when no claim is known; while the key-value service is down it speaks of this attempt.

--- a/modules/claims/claims.h
+++ b/modules/claims/claims.h
@@ -7,6 +7,7 @@
 #include "claims/answers/RecordedAnswers.h"
 #include "claims/log/ClaimCodec.h"
 #include "claims/log/EpochCleaner.h"
+#include "claims/log/ShardReader.h"
 #include "claims/log/ShardWriter.h"
 #include "claims/log/ShardWriters.h"
 #include "claims/service/ClaimRouter.h"
--- a/modules/claims/service/DaemonClaims.h
+++ b/modules/claims/service/DaemonClaims.h
@@ -21,6 +21,9 @@
     void own(const std::string& prefix) { m_prefixes.insert(prefix); }
     bool owns(const std::string& prefix) const { return m_prefixes.contains(prefix); }
 
+    /** Whether the call was claimed. */
+    bool contains(const Digest& id) const { return m_claims.contains(id); }
+
     /** Returns the claim that counts. Errors: KeyExpired, ClaimUnavailable when the memory is full. */
     Result<ClaimEntry> claim(const ClaimEntry&, UnixSeconds keyTime, UnixSeconds now);
 
--- a/modules/claims/service/SharedClaimService.cpp
+++ b/modules/claims/service/SharedClaimService.cpp
@@ -11,6 +11,7 @@
 
     constexpr auto recordedAnswerMessage = "recordedAnswer";
     constexpr Duration recordedAnswerTimeout = std::chrono::seconds(1);
+    constexpr Duration lookUpTimeout = std::chrono::seconds(1);
 
     json answerToJson(const RecordedAnswer& answer)
     {
@@ -183,6 +184,52 @@
     return Result<ClaimDecision>(ClaimGranted {});
 }
 
+std::optional<Result<ClaimDecision>> SharedClaimService::known(AccountId account, const std::string& keyText, const Digest& content) const
+{
+    auto key = checkKey(keyText);
+    if (!key)
+        return std::nullopt;
+    auto id = claimIdOf(account, keyText);
+    if (auto answer = m_answers.find(id, m_environment.timers.now())) {
+        if (answer->content != content)
+            return otherContent();
+        return Result<ClaimDecision>(ClaimAnswered { std::move(answer->response) });
+    }
+    auto found = m_calls->find(id);
+    if (found == m_calls->end())
+        return m_daemonClaims.contains(id) ? std::optional<Result<ClaimDecision>>(alreadyRun()) : std::nullopt;
+    const auto& call = found->second;
+    if (call.content != content)
+        return otherContent();
+    if (call.state == Call::State::Held)
+        return std::nullopt;
+    if (call.state == Call::State::InDoubt)
+        return makeError(ErrorKind::OutcomeUnknown, "an earlier attempt may have been claimed");
+    return alreadyRun();
+}
+
+asio::awaitable<std::optional<Error>> SharedClaimService::findClaimed(AccountId account, std::string keyText, Digest content)
+{
+    auto key = checkKey(keyText);
+    if (!key || !key->isShared())
+        co_return std::nullopt;
+    auto id = claimIdOf(account, keyText);
+    auto& reader = m_readers[{ claimEpochOf(key->time), claimShardOf(id) }];
+    if (!reader)
+        reader = std::make_shared<ShardReader>(m_environment, claimEpochOf(key->time), claimShardOf(id));
+    auto shared = reader;
+    auto calls = m_calls;
+    auto claim = co_await shared->find(id, lookUpTimeout);
+    if (!claim)
+        co_return std::nullopt;
+    if (claim->content != content)
+        co_return otherContent();
+    auto own = calls->find(id);
+    if (own != calls->end() && own->second.state == Call::State::Held)
+        co_return std::nullopt;
+    co_return alreadyRun();
+}
+
 SharedClaimService::Call& SharedClaimService::openCall(const Digest& id, const Digest& content, UnixSeconds keyTime)
 {
     auto [row, isNew] = m_calls->try_emplace(id);
@@ -279,6 +326,7 @@
 {
     auto now = m_environment.timers.wallClock();
     m_writers.forgetClosable(now);
+    std::erase_if(m_readers, [now](const auto& row) { return isEpochClosable(row.first.first, now); });
     std::erase_if(*m_calls, [now](const auto& row) {
         const auto& call = row.second;
         return call.state != Call::State::Claiming && call.keyTime < now - sharedKeyLifetime;
--- a/modules/claims/service/SharedClaimService.h
+++ b/modules/claims/service/SharedClaimService.h
@@ -2,6 +2,7 @@
 
 #include "claims/answers/RecordedAnswers.h"
 #include "claims/log/EpochCleaner.h"
+#include "claims/log/ShardReader.h"
 #include "claims/service/ClaimRouter.h"
 #include "claims/service/ClaimService.h"
 
@@ -21,6 +22,8 @@
     void start() override;
 
     asio::awaitable<Result<ClaimDecision>> claim(AccountId, std::string key, Digest content) override;
+    std::optional<Result<ClaimDecision>> known(AccountId, const std::string& key, const Digest& content) const override;
+    asio::awaitable<std::optional<Error>> findClaimed(AccountId, std::string key, Digest content) override;
     void complete(AccountId, const std::string& key, HttpResponse) override;
     void abandon(AccountId, const std::string& key) override;
     std::string keyPrefix() const override;
@@ -51,7 +54,8 @@
     mutable DaemonClaims m_daemonClaims; // keyPrefix() registers the prefix that it hands out
     ClaimRouter m_router;
     std::shared_ptr<EpochCleaner> m_cleaner;
-    RecordedAnswers m_answers;
+    std::map<std::pair<ClaimEpoch, unsigned>, std::shared_ptr<ShardReader>> m_readers;
+    mutable RecordedAnswers m_answers; // a look-up drops expired answers
     std::shared_ptr<Calls> m_calls; // shared with the coroutines that claim, which may end after this object
     uint64_t m_lastNonce = 0;
     TimerSubscription m_cleaning;
--- a/modules/frontend/services/ServiceCall.cpp
+++ b/modules/frontend/services/ServiceCall.cpp
@@ -232,10 +232,20 @@
 
 asio::awaitable<Result<HttpResponse>> ServiceCall::runClaimed()
 {
+    const auto& caller = m_request.caller;
+    std::optional<Error> earlier;
+    if (auto known = m_state->services.claims.known(caller.account, caller.idempotencyKey, caller.content)) {
+        if (*known && std::holds_alternative<ClaimAnswered>(**known))
+            co_return std::move(std::get<ClaimAnswered>(**known).response);
+        if (!*known)
+            earlier = known->error();
+        // A claim in doubt may be settled by claiming again.
+        if (earlier && earlier->kind != ErrorKind::OutcomeUnknown)
+            co_return *earlier;
+    }
     auto dispatched = co_await m_dispatcher->acquire(dispatchRequest());
     if (!dispatched)
-        co_return dispatched.error();
-    const auto& caller = m_request.caller;
+        co_return co_await refusalOf(dispatched.error(), std::move(earlier));
     auto decision = co_await m_state->services.claims.claim(caller.account, caller.idempotencyKey, caller.content);
     if (!decision)
         co_return decision.error();
@@ -244,6 +254,15 @@
     co_return co_await dispatchClaimed(std::move(*dispatched));
 }
 
+asio::awaitable<Error> ServiceCall::refusalOf(Error refusal, std::optional<Error> earlier)
+{
+    if (earlier || refusal.kind == ErrorKind::CallerGone)
+        co_return earlier.value_or(refusal);
+    const auto& caller = m_request.caller;
+    auto claimed = co_await m_state->services.claims.findClaimed(caller.account, caller.idempotencyKey, caller.content);
+    co_return claimed.value_or(refusal);
+}
+
 asio::awaitable<Result<HttpResponse>> ServiceCall::dispatchClaimed(Dispatched dispatched)
 {
     auto& claims = m_state->services.claims;
--- a/modules/frontend/services/ServiceCall.h
+++ b/modules/frontend/services/ServiceCall.h
@@ -44,6 +44,7 @@
     HttpRequest requestForAttempt();
     asio::awaitable<Result<HttpResponse>> runIdempotent();
     asio::awaitable<Result<HttpResponse>> runClaimed();
+    asio::awaitable<Error> refusalOf(Error refusal, std::optional<Error> earlier);
     asio::awaitable<Result<HttpResponse>> dispatchClaimed(Dispatched);
     asio::awaitable<Result<HttpResponse>> race(Dispatched);
     void startAttempt(Dispatched);
--- a/standins/frontendstandin/StaticServices.h
+++ b/standins/frontendstandin/StaticServices.h
@@ -37,6 +37,18 @@
             co_return ClaimDecision(ClaimAnswered { *record->second.response });
         co_return makeError(ErrorKind::AlreadyRun, "the call was started before");
     }
+    std::optional<Result<ClaimDecision>> known(AccountId account, const std::string& key, const Digest& content) const override
+    {
+        auto record = m_records.find({ account, key });
+        if (record == m_records.end())
+            return std::nullopt;
+        if (record->second.content != content)
+            return makeError(ErrorKind::KeyConflict, "the key was used with another body");
+        if (record->second.response)
+            return Result<ClaimDecision>(ClaimAnswered { *record->second.response });
+        return makeError(ErrorKind::AlreadyRun, "the call was started before");
+    }
+    asio::awaitable<std::optional<Error>> findClaimed(AccountId, std::string, Digest) override { co_return std::nullopt; }
     void complete(AccountId account, const std::string& key, HttpResponse response) override { m_records[{ account, key }].response = std::move(response); }
     void abandon(AccountId account, const std::string& key) override { m_records.erase({ account, key }); }
     std::string keyPrefix() const override { return "1"; }
--- a/standins/frontendstandin/main.cpp
+++ b/standins/frontendstandin/main.cpp
@@ -73,7 +73,8 @@
     HttpBackendServerClient servers(client);
     FrontendSettings settings;
     settings.locality = { peers.self(), AvailabilityZone("a"), Region("r") };
-    ReplicaGates gates { [](const ReplicaId&) { return true; }, [](const ReplicaId&) { return 1.0; } };
+    ReplicaGates gates { [](const ReplicaId&) { return true; }, [](const ReplicaId&) { return 1.0; },
+        [](const ReplicaId&) { return EngineRole::Mixed; } };
     Frontend frontend({ context, timers, log, metrics, configuration, claims, peers, engines, servers }, settings, gates);
     frontend.start();
     asio::signal_set signals(context, SIGTERM, SIGINT);
--- a/tests/claims/ClaimServiceTest.cpp
+++ b/tests/claims/ClaimServiceTest.cpp
@@ -1,5 +1,5 @@
 #include "claims/ClaimFleet.h"
-
+#include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 
 using namespace chestnut;
@@ -282,3 +282,37 @@
     CHECK(fleet[0].store.writes() + fleet[1].store.writes() == 0);
     CHECK(fleet.mostDispatches() == 1);
 }
+
+// Guards against a refusal that hides a claim of an earlier attempt (H5), and against one store call for each refusal.
+TEST_CASE("a claim is found in the log without claiming, by merged reads")
+{
+    const AccountId account("repairer"); // of ClaimFleet
+    ClaimFleet fleet(2);
+    auto key = fleet.keyPreferring(0);
+    auto find = [&fleet, &account](size_t daemon, const std::string& wanted, const std::string& body) {
+        auto found = std::make_shared<std::optional<Error>>();
+        asio::co_spawn(fleet.context, fleet[daemon].claims.findClaimed(account, wanted, digestOf(body)),
+            [found](const std::exception_ptr&, std::optional<Error> error) { *found = std::move(error); });
+        fleet.advance(2s);
+        return found->has_value() ? std::optional((*found)->kind) : std::nullopt;
+    };
+    CHECK_FALSE(find(1, key, "body"));
+    CHECK(fleet.claimAndWait(0, key)->isGranted());
+    CHECK(fleet[0].claims.known(account, key, digestOf("body"))->error().kind == ErrorKind::AlreadyRun);
+    CHECK_FALSE(fleet[1].claims.known(account, key, digestOf("body")));
+    CHECK(find(1, key, "body") == ErrorKind::AlreadyRun);
+    CHECK(find(1, key, "other") == ErrorKind::KeyConflict);
+    fleet.abandon(0, key);
+    CHECK_FALSE(find(0, key, "body"));
+    CHECK_FALSE(fleet[0].claims.known(account, key, digestOf("body")));
+    auto reads = fleet[1].store.calls("read");
+    auto unclaimed = fleet.keyPreferring(0);
+    for (int i = 0; i < 50; ++i) {
+        asio::co_spawn(fleet.context, fleet[1].claims.findClaimed(account, unclaimed, digestOf("body")), asio::detached);
+        fleet.advance(10ms);
+    }
+    fleet.advance(2s);
+    CHECK(fleet[1].store.calls("read") - reads <= 4);
+    fleet[1].store.faults().isOutage = true;
+    CHECK_FALSE(find(1, fleet.keyPreferring(0), "body"));
+}
--- a/tests/frontend/Fakes.h
+++ b/tests/frontend/Fakes.h
@@ -40,6 +40,16 @@
             co_return makeError(ErrorKind::AlreadyRun, "claimed before");
         co_return ClaimDecision(ClaimGranted {});
     }
+    std::optional<Result<ClaimDecision>> known(AccountId, const std::string& key, const Digest&) const override
+    {
+        if (auto answer = answers.find(key); answer != answers.end())
+            return Result<ClaimDecision>(ClaimAnswered { answer->second });
+        return inDoubt.contains(key) ? std::optional<Result<ClaimDecision>>(makeError(ErrorKind::OutcomeUnknown, "in doubt")) : std::nullopt;
+    }
+    asio::awaitable<std::optional<Error>> findClaimed(AccountId, std::string key, Digest) override
+    {
+        co_return granted.contains(key) ? std::optional(makeError(ErrorKind::AlreadyRun, "in the log")) : std::nullopt;
+    }
     void complete(AccountId, const std::string& key, HttpResponse response) override { answers[key] = std::move(response); }
     void abandon(AccountId, const std::string& key) override
     {
@@ -49,6 +59,7 @@
     std::string keyPrefix() const override { return "7"; }
 
     std::set<std::string> granted;
+    std::set<std::string> inDoubt;
     std::map<std::string, HttpResponse> answers;
     uint32_t claims = 0;
     uint32_t abandoned = 0;
--- a/tests/frontend/ServiceCallTest.cpp
+++ b/tests/frontend/ServiceCallTest.cpp
@@ -153,3 +153,25 @@
     fixture.advance(5s);
     CHECK(fixture.frontend->inProgress() == 0);
 }
+
+// Guards against a refusal that says "not run" of a call that ran before (H5).
+TEST_CASE("a refusal does not hide an earlier attempt")
+{
+    FrontendFixture fixture(1, 1);
+    auto first = fixture.ask(fixture.order("k1", "handle"));
+    fixture.advance(1s);
+    CHECK(first->status == 200);
+    fixture.claims.granted.insert("k2"); // by another daemon
+    fixture.claims.inDoubt.insert("k3");
+    fixture.leaving.insert(ReplicaId("s1"));
+    auto answered = fixture.ask(fixture.order("k1", "handle"));
+    auto claimed = fixture.ask(fixture.order("k2", "handle"));
+    auto doubtful = fixture.ask(fixture.order("k3", "handle"));
+    auto fresh = fixture.ask(fixture.order("k4", "handle"));
+    fixture.advance(1s);
+    CHECK(answered->body == first->body);
+    CHECK(kindOf(*claimed) == "already_run");
+    CHECK(outcomeOf(*doubtful) == "unknown");
+    CHECK(outcomeOf(*fresh) == "not_run");
+    CHECK(fixture.servers.executions() == 1);
+}
