--- a/modules/claims/log/ShardReader.cpp
+++ b/modules/claims/log/ShardReader.cpp
@@ -18,10 +18,9 @@
     bool isDone = false;
 };
 
-ShardReader::ShardReader(ClaimEnvironment environment, ClaimEpoch epoch, unsigned shard)
+ShardReader::ShardReader(ClaimEnvironment environment, const ClaimLogId& id)
     : m_environment(std::move(environment))
-    , m_epoch(epoch)
-    , m_shard(shard)
+    , m_id(id)
 {
 }
 
@@ -65,14 +64,17 @@
 
 asio::awaitable<void> ShardReader::load()
 {
-    auto entries = co_await m_environment.store.list(claimRecordPrefix(m_epoch, m_shard));
-    if (!entries)
-        co_return;
-    for (const auto& entry : *entries) {
-        auto record = decodeRecord(entry.value);
-        if (!record || entry.key != claimRecordKey(m_epoch, m_shard, m_log.next))
-            break;
-        appendRecord(m_log, *record);
+    m_log = {};
+    for (uint64_t page = 0; m_log.next == page * claimPageRecords; ++page) {
+        auto entries = co_await m_environment.store.list(claimPagePrefix(m_id, page));
+        if (!entries)
+            co_return;
+        for (const auto& entry : *entries) {
+            auto record = decodeRecord(entry.value);
+            if (!record || entry.key != claimRecordKey(m_id, m_log.next))
+                break;
+            appendRecord(m_log, *record);
+        }
     }
     m_isLoaded = true;
 }
@@ -80,7 +82,7 @@
 asio::awaitable<void> ShardReader::readTail()
 {
     for (int count = 0; count < maximumRecords; ++count) {
-        auto read = co_await m_environment.store.read(claimRecordKey(m_epoch, m_shard, m_log.next));
+        auto read = co_await m_environment.store.read(claimRecordKey(m_id, m_log.next));
         if (!read || !read->entry)
             co_return;
         auto record = decodeRecord(read->entry->value);
--- a/modules/claims/log/ShardReader.h
+++ b/modules/claims/log/ShardReader.h
@@ -12,7 +12,7 @@
     /** Records fetched by one read after the first; each is one call of the key-value service. */
     static constexpr int maximumRecords = 16;
 
-    ShardReader(ClaimEnvironment, ClaimEpoch, unsigned shard);
+    ShardReader(ClaimEnvironment, const ClaimLogId&);
 
     /** The claim of a call, or nothing when there is none or the log could not be read in time. */
     asio::awaitable<std::optional<ClaimEntry>> find(Digest id, Duration limit);
@@ -25,8 +25,7 @@
     asio::awaitable<void> readTail();
 
     ClaimEnvironment m_environment;
-    ClaimEpoch m_epoch;
-    unsigned m_shard;
+    ClaimLogId m_id;
     ClaimLog m_log;
     std::shared_ptr<Round> m_waiting; // the round that has not started
     TimePoint m_nextRead { Duration::zero() };
--- a/modules/claims/service/SharedClaimService.cpp
+++ b/modules/claims/service/SharedClaimService.cpp
@@ -214,9 +214,10 @@
     if (!key || !key->isShared())
         co_return std::nullopt;
     auto id = claimIdOf(account, keyText);
-    auto& reader = m_readers[{ claimEpochOf(key->time), claimShardOf(id) }];
+    auto log = claimLogOf(*key, id);
+    auto& reader = m_readers[log];
     if (!reader)
-        reader = std::make_shared<ShardReader>(m_environment, claimEpochOf(key->time), claimShardOf(id));
+        reader = std::make_shared<ShardReader>(m_environment, log);
     auto shared = reader;
     auto calls = m_calls;
     auto claim = co_await shared->find(id, lookUpTimeout);
@@ -325,8 +326,8 @@
 void SharedClaimService::forgetExpired()
 {
     auto now = m_environment.timers.wallClock();
-    m_writers.forgetClosable(now);
-    std::erase_if(m_readers, [now](const auto& row) { return isEpochClosable(row.first.first, now); });
+    m_writers.forgetUnused(now);
+    std::erase_if(m_readers, [now](const auto& row) { return isEpochClosable(row.first.epoch, now); });
     std::erase_if(*m_calls, [now](const auto& row) {
         const auto& call = row.second;
         return call.state != Call::State::Claiming && call.keyTime < now - sharedKeyLifetime;
--- a/modules/claims/service/SharedClaimService.h
+++ b/modules/claims/service/SharedClaimService.h
@@ -54,7 +54,7 @@
     mutable DaemonClaims m_daemonClaims; // keyPrefix() registers the prefix that it hands out
     ClaimRouter m_router;
     std::shared_ptr<EpochCleaner> m_cleaner;
-    std::map<std::pair<ClaimEpoch, unsigned>, std::shared_ptr<ShardReader>> m_readers;
+    std::map<ClaimLogId, std::shared_ptr<ShardReader>> m_readers;
     mutable RecordedAnswers m_answers; // a look-up drops expired answers
     std::shared_ptr<Calls> m_calls; // shared with the coroutines that claim, which may end after this object
     uint64_t m_lastNonce = 0;
--- a/modules/decisions/routing/Routing.cpp
+++ b/modules/decisions/routing/Routing.cpp
@@ -21,6 +21,8 @@
     constexpr double staleReportMargin = 0.125;
     /** Prefill tokens of less urgent work that the engine finishes first, because it is in the iteration under way. */
     constexpr double chunkTokens = 512;
+    /** Slots, as a multiple of the real ones, for requests that must start now; those beyond wait at the engine. */
+    constexpr double exceededSlotFactor = 1.125;
     constexpr double probationShare = 1.0 / 20;
     /** Proximity weight of a replica this far away is half of that of a replica in the own zone. */
     constexpr double halfWeightDelaySeconds = 0.005;
@@ -124,8 +126,11 @@
     {
         if (ownRequests(view) >= view.concurrencyLimit || lacksMemory(request, view, cachedTokens))
             return true;
+        auto running = estimateReplica(view, request, 0, now).runningRequests;
+        if (request.mayExceedSlots)
+            return running >= exceededSlotFactor * view.slots;
         auto limit = std::min(slotLimit(view.slots, request.priorityClass, isLongJob(request.work, view.rates)), sharedSlotLimit(view));
-        return estimateReplica(view, request, 0, now).runningRequests >= limit;
+        return running >= limit;
     }
 
     Eligible classify(const RouteRequest& request, std::span<const ReplicaView> views, TimePoint now)
--- a/modules/frontend/services/ServiceCall.cpp
+++ b/modules/frontend/services/ServiceCall.cpp
@@ -1,5 +1,7 @@
 #include "frontend/services/ServiceCall.h"
 
+#include "frontend/replicas/HeartbeatExchange.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -220,6 +222,8 @@
 asio::awaitable<bool> ServiceCall::mayRetry(const Error& error)
 {
     co_await m_losses.settled(m_state);
+    if (error.kind == ErrorKind::BackendFailed)
+        co_await warnMembers(m_state, m_request.caller.content);
     RetryQuery query { error.kind, m_request.isIdempotent(), m_attemptCount, m_backendsLost, m_request.caller.deadline, Duration::zero() };
     auto decision = decideRetry(query, m_state->retryBudget, m_state->now(), m_state->random);
     m_state->retryBudget = decision.budget;
@@ -287,6 +291,8 @@
         // Only a failed connect proves that no byte was sent. Any other failure leaves the claim in place for good.
         if (failure.kind != ErrorKind::ConnectFailed) {
             co_await m_losses.settled(m_state);
+            if (failure.kind == ErrorKind::BackendFailed)
+                co_await warnMembers(m_state, caller.content);
             co_return makeError(ErrorKind::OutcomeUnknown, failure.detail);
         }
         dispatched.flight.reset();
