--- a/programs/chestnutrouted/DaemonSettings.cpp
+++ b/programs/chestnutrouted/DaemonSettings.cpp
@@ -47,7 +47,7 @@
 
     void readPlatform(SettingsReader& reader, DaemonSettings& settings)
     {
-    settings.platform = readPlatformSettings(reader);
+        settings.platform = readPlatformSettings(reader);
         settings.vmListPeriod = reader.duration("platform", "vm_list_period", settings.vmListPeriod, 500ms, 1min);
         settings.vmPeerPort = static_cast<uint16_t>(reader.integer("platform", "vm_peer_port", 0, 0, 65535));
     }
--- a/programs/chestnutrouted/main.cpp
+++ b/programs/chestnutrouted/main.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 enum ExitCode : int {
-    exitDone = 0,
-    exitFailed = 1,
-    exitUsage = 2,
+    ExitDone = 0,
+    ExitFailed = 1,
+    ExitUsage = 2,
 };
 
 constexpr const char* usage = "Serving daemon of chestnutroute: routes requests to engines and backend servers.\n\n"
@@ -54,7 +54,7 @@
     chestnut::Daemon daemon(context, std::move(settings));
     daemon.start();
     context.run();
-    return exitDone;
+    return ExitDone;
 }
 
 } // namespace
@@ -69,19 +69,19 @@
     auto path = absl::GetFlag(FLAGS_config);
     if (path.empty() || positional.size() > 1) {
         std::cerr << usage << "\n";
-        return exitUsage;
+        return ExitUsage;
     }
     auto settings = readSettings(path);
     if (!settings)
-        return exitUsage;
+        return ExitUsage;
     if (absl::GetFlag(FLAGS_check_config)) {
         std::cout << path << ": valid\n";
-        return exitDone;
+        return ExitDone;
     }
     try {
         return run(std::move(*settings));
     } catch (const std::exception& exception) {
         std::cerr << "chestnutrouted: " << exception.what() << "\n";
-        return exitFailed;
+        return ExitFailed;
     }
 }
