--- a/tests/decisions/SharingTest.cpp
+++ b/tests/decisions/SharingTest.cpp
@@ -16,6 +16,7 @@
 std::vector<MemberRecord> daemonsOf(int count)
 {
     std::vector<MemberRecord> members;
+    members.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i)
         members.push_back({ DaemonId("d" + std::to_string(i)), 1, 0, MemberState::Ready, zoneOf(i), regionOf(i), "", "", 0, 0 });
     return members;
@@ -24,6 +25,7 @@
 std::vector<SubsetCandidate> replicasOf(int count)
 {
     std::vector<SubsetCandidate> replicas;
+    replicas.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i)
         replicas.push_back({ ReplicaId("e" + std::to_string(i)), zoneOf(i), regionOf(i) });
     return replicas;
