Divide a replica's capacity by the daemons near it

Cause: two functions gave the number of daemons that share a replica; the request path used the one that ignores zones. Change: ReplicaTable uses daemonsSharing() with the member list, daemonsPerReplica() is removed. Conclusion: one function is left, and a zone with few daemons counts on more of its replicas.

--- a/modules/decisions/subsets/Subsets.cpp
+++ b/modules/decisions/subsets/Subsets.cpp
@@ -139,11 +139,4 @@
     return result;
 }
 
-double daemonsPerReplica(size_t daemons, size_t replicas, size_t size)
-{
-    auto all = static_cast<double>(daemons);
-    auto used = static_cast<double>(std::min(size, replicas));
-    return std::max(1.0, all * used / std::max(1.0, static_cast<double>(replicas)));
-}
-
 } // namespace chestnut
--- a/modules/decisions/subsets/Subsets.h
+++ b/modules/decisions/subsets/Subsets.h
@@ -32,7 +32,4 @@
     members; the subsets of the other daemons are not computed. */
 double daemonsSharing(std::span<const MemberRecord> members, const MemberRecord& self, std::span<const SubsetCandidate>, size_t size = subsetSize);
 
-/** Expected number of daemons that work on one replica of a group when each of them works on a subset; at least 1. */
-double daemonsPerReplica(size_t daemons, size_t replicas, size_t size = subsetSize);
-
 } // namespace chestnut
--- a/modules/frontend/replicas/ReplicaPoller.cpp
+++ b/modules/frontend/replicas/ReplicaPoller.cpp
@@ -32,12 +32,6 @@
             state->replicas->contactFailed(id);
     }
 
-    size_t readyMembers(const PeerService& peers)
-    {
-        auto members = peers.members();
-        return static_cast<size_t>(std::ranges::count(members, MemberState::Ready, &MemberRecord::state));
-    }
-
     void pollNext(const FrontendStatePointer& state)
     {
         auto id = state->replicas->nextToPoll(state->settings.pollPeriod);
@@ -59,7 +53,7 @@
 
 void ReplicaPoller::start()
 {
-    m_state->replicas->setDaemons(readyMembers(m_state->services.peers));
+    m_state->replicas->setMembers(m_state->services.peers.members());
     std::weak_ptr<FrontendState> weak = m_state;
     m_polling = m_state->services.timers.every(m_state->settings.pollInterval, [weak] {
         if (auto state = weak.lock())
@@ -69,7 +63,7 @@
         auto state = weak.lock();
         if (!state)
             return;
-        state->replicas->setDaemons(readyMembers(state->services.peers));
+        state->replicas->setMembers(state->services.peers.members());
         state->replicas->updateRoles();
         state->replicas->updateHealth();
         expireSuspicions(state->suspects, state->now());
--- a/modules/frontend/replicas/ReplicaTable.cpp
+++ b/modules/frontend/replicas/ReplicaTable.cpp
@@ -72,7 +72,7 @@
         replica.isConfigured = false;
     for (auto& [id, group] : m_groups) {
         group.members.clear();
-        group.replicas = 0;
+        group.candidates.clear();
     }
     for (const auto& [key, model] : configuration.models)
         m_groups[groupOf(model.id)];
@@ -92,8 +92,9 @@
     for (const auto& [candidate, replica] : replicas)
         candidates.push_back(candidate);
     auto& group = m_groups[groupId];
-    group.replicas = replicas.size();
     group.members = chooseSubset(m_locality.self, m_locality.zone, m_locality.region, candidates);
+    group.candidates = std::move(candidates);
+    group.sharing = sharingOf(group);
     for (auto& [candidate, replica] : replicas) {
         if (std::ranges::find(group.members, candidate.id) == group.members.end())
             continue;
@@ -332,7 +333,23 @@
 
 double ReplicaTable::shareOf(const ReplicaId& id, const Group& group) const
 {
-    return m_gates.slowStartShare(id) / daemonsPerReplica(m_daemons, group.replicas);
+    return m_gates.slowStartShare(id) / group.sharing;
+}
+
+double ReplicaTable::sharingOf(const Group& group) const
+{
+    MemberRecord self;
+    self.id = m_locality.self;
+    self.zone = m_locality.zone;
+    self.region = m_locality.region;
+    return daemonsSharing(m_daemons, self, group.candidates);
+}
+
+void ReplicaTable::setMembers(std::vector<MemberRecord> members)
+{
+    m_daemons = std::move(members);
+    for (auto& [id, group] : m_groups)
+        group.sharing = sharingOf(group);
 }
 
 std::map<ReplicaGroupId, GroupUse> ReplicaTable::use() const
--- a/modules/frontend/replicas/ReplicaTable.h
+++ b/modules/frontend/replicas/ReplicaTable.h
@@ -128,7 +128,7 @@
     std::optional<Endpoint> endpoint(const ReplicaId&) const;
 
     /** The number of ready daemons, this one included; they share the replicas. */
-    void setDaemons(size_t count) { m_daemons = count; }
+    void setMembers(std::vector<MemberRecord>);
 
     /** Takes over the roles that the engines run now and fits the learned rates to them. */
     void updateRoles();
@@ -192,7 +192,8 @@
     };
     struct Group {
         std::vector<ReplicaId> members;
-        size_t replicas = 0; /**< of the whole group; the members are this daemon's subset */
+        std::vector<SubsetCandidate> candidates; /**< the whole group; the members are this daemon's subset */
+        double sharing = 1; /**< expected number of daemons that use one replica of the members */
         LatencyGroup latency;
         LatencyQuantiles quantiles;
     };
@@ -203,6 +204,7 @@
     bool acceptsNewWork(const Replica&) const;
     /** Share of a replica's capacity that this daemon may count on. */
     double shareOf(const ReplicaId&, const Group&) const;
+    double sharingOf(const Group&) const;
     bool isUnresponsive(const Replica&) const;
     void end(Flight&);
     void learnFirstToken(Flight&, TimePoint now);
@@ -222,7 +224,7 @@
     std::map<ReplicaGroupId, Group> m_groups;
     PrefixIndex m_prefixes;
     std::function<void(const ReplicaGroupId&)> m_onFlightEnd;
-    size_t m_daemons = 1;
+    std::vector<MemberRecord> m_daemons;
 
     friend class Flight;
 };
--- a/tests/frontend/LoadTest.cpp
+++ b/tests/frontend/LoadTest.cpp
@@ -12,15 +12,29 @@
     return { DaemonId(id), 1, 1, MemberState::Ready, AvailabilityZone("a"), Region("r"), "127.0.0.1:" + id.substr(1) };
 }
 
+/** daemonsSharing() for daemons and replicas of one zone. */
+double sharing(size_t daemons, size_t replicas)
+{
+    std::vector<MemberRecord> members;
+    members.reserve(daemons);
+    for (size_t i = 0; i < daemons; ++i)
+        members.push_back(readyMember("d" + std::to_string(i)));
+    std::vector<SubsetCandidate> candidates;
+    candidates.reserve(replicas);
+    for (size_t i = 0; i < replicas; ++i)
+        candidates.push_back({ ReplicaId("e" + std::to_string(i)), AvailabilityZone("a"), Region("r") });
+    return daemonsSharing(members, readyMember("d0"), candidates);
+}
+
 } // namespace
 
 // Guards against each daemon counting on whole replicas that all daemons share.
 TEST_CASE("a replica's capacity is divided by the daemons that share it")
 {
-    CHECK(daemonsPerReplica(6, 14) == 6);
-    CHECK(daemonsPerReplica(330, 130) == doctest::Approx(60.92).epsilon(0.001));
-    CHECK(daemonsPerReplica(2, 100) == 1);
-    CHECK(daemonsPerReplica(0, 0) == 1);
+    CHECK(sharing(6, 14) == 6);
+    CHECK(sharing(330, 130) == doctest::Approx(60.92).epsilon(0.001));
+    CHECK(sharing(2, 100) == 1);
+    CHECK(sharing(0, 0) == 1);
     FrontendFixture fixture;
     fixture.peers.others = { readyMember("d2"), readyMember("d3"), readyMember("d4") };
     fixture.peers.others[2].state = MemberState::Leaving;
