--- a/bench/fleetcost/main.cpp
+++ b/bench/fleetcost/main.cpp
@@ -15,6 +15,7 @@
 ABSL_FLAG(uint32_t, services, 1, "number of services that the backend servers are split over");
 ABSL_FLAG(double, seconds, 15, "duration of the measurement, at most 120");
 ABSL_FLAG(double, rate, 0, "requests a second from the load tool during the measurement");
+ABSL_FLAG(std::string, workload, "tanner", "workload of the load tool: tanner or saranrat");
 ABSL_FLAG(double, decode_rate, 200, "tokens a second of one sequence at the engines");
 
 namespace chestnut::test {
@@ -93,14 +94,21 @@
         return { "127.0.0.1", static_cast<uint16_t>(wideServerPort + replica) };
     }
 
+    /** The first service is the one that the load tool's workload calls. */
+    std::string serviceName(uint32_t index)
+    {
+        if (index > 0)
+            return "service" + std::to_string(index);
+        return absl::GetFlag(FLAGS_workload) == "saranrat" ? "glossary" : "orders";
+    }
+
     nlohmann::json wideTicket(const ProcessCluster& cluster)
     {
         nlohmann::json ticket { { "number", 2 } };
         const std::vector<std::string> zones { "a", "b", "c" };
         for (uint32_t i = 0; i < absl::GetFlag(FLAGS_replicas); ++i) {
             auto id = "o" + std::to_string(i);
-            auto service = i % absl::GetFlag(FLAGS_services);
-            ticket["backend_servers"][id] = { { "service", service == 0 ? "orders" : "service" + std::to_string(service) },
+            ticket["backend_servers"][id] = { { "service", serviceName(i % absl::GetFlag(FLAGS_services)) },
                 { "address", formatEndpoint(addressOf(cluster, i)) }, { "zone", zones[i % zones.size()] }, { "region", "r1" } };
         }
         for (uint32_t i = 0; i < absl::GetFlag(FLAGS_accounts); ++i)
@@ -139,7 +147,7 @@
         for (size_t i = 0; i < cluster.daemonCount(); ++i)
             entrypoints += (entrypoints.empty() ? "" : ",") + formatEndpoint(cluster.callers(i));
         auto run = cluster.runProgram("standins/loadtool/loadtool",
-            { "--entrypoints=" + entrypoints, "--rate=" + std::to_string(rate), "--duration_s=" + std::to_string(seconds), "--json" });
+            { "--entrypoints=" + entrypoints, "--rate=" + std::to_string(rate), "--duration_s=" + std::to_string(seconds), "--workload=" + absl::GetFlag(FLAGS_workload), "--json" });
         std::cerr << run.output << "\n";
     }
 
@@ -178,7 +186,7 @@
         double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
         auto daemons = static_cast<double>(shape.daemons);
         nlohmann::json result { { "daemons", shape.daemons }, { "engines", shape.engines }, { "replicas", absl::GetFlag(FLAGS_replicas) },
-            { "accounts", absl::GetFlag(FLAGS_accounts) }, { "rate", absl::GetFlag(FLAGS_rate) }, { "seconds", seconds },
+            { "accounts", absl::GetFlag(FLAGS_accounts) }, { "rate", absl::GetFlag(FLAGS_rate) }, { "workload", absl::GetFlag(FLAGS_workload) }, { "seconds", seconds },
             { "core_percent_a_daemon", 100 * (after.processorSeconds - before.processorSeconds) / seconds / daemons },
             { "resident_mb_max", after.residentBytesMax / 1e6 }, { "peer_sent_kb_s_a_daemon", (after.peerBytesSent - before.peerBytesSent) / seconds / daemons / 1e3 }, { "peer_both_kb_s_a_daemon", (after.peerBytes - before.peerBytes) / seconds / daemons / 1e3 },
             { "peer_messages_s_a_daemon", (after.peerMessages - before.peerMessages) / seconds / daemons },
