Share the HTTP fixture of the tests

Cause: three test files had the same loopback server and the same loop that runs a coroutine to its end. Change: tests/support/HttpFixture.h serves tests of http, backends and the platform contract. Conclusion: no check changed.

--- a/tests/backends/HttpEngineClientTest.cpp
+++ b/tests/backends/HttpEngineClientTest.cpp
@@ -1,5 +1,5 @@
 #include "backends/backends.h"
-#include "http/http.h"
+#include "support/HttpFixture.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -8,38 +8,16 @@
 #include <doctest/doctest.h>
 
 using namespace chestnut;
+using namespace chestnut::test;
 
 namespace {
 
 /** A scripted server and both clients in one io_context. */
-struct BackendFixture {
-    explicit BackendFixture(HttpHandler handler)
-        : server(context, log, { "127.0.0.1", 0 }, {}, std::move(handler), [](const Error& error) { return HttpResponse { answerFor(error.kind).status, {}, error.detail }; })
-    {
-        server.start();
-    }
-
-    template <typename T>
-    T run(asio::awaitable<T> work)
-    {
-        std::optional<T> result;
-        asio::co_spawn(context, std::move(work), [&](std::exception_ptr exception, T value) {
-            if (exception)
-                std::rethrow_exception(exception);
-            result = std::move(value);
-            context.stop();
-        });
-        context.run();
-        context.restart();
-        return std::move(*result);
-    }
+struct BackendFixture : HttpFixture {
+    using HttpFixture::HttpFixture;
 
-    asio::io_context context;
-    MemoryLog log;
-    HttpServer server;
-    HttpClient http { context };
-    HttpEngineClient engines { http };
-    HttpBackendServerClient servers { http };
+    HttpEngineClient engines { client };
+    HttpBackendServerClient servers { client };
 };
 
 CompletionCall callWith(std::string id)
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -1,47 +1,12 @@
-#include "http/http.h"
+#include "support/HttpFixture.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 
 using namespace chestnut;
+using namespace chestnut::test;
 
 namespace {
 
-HttpResponse answerFault(const Error& error)
-{
-    return { answerFor(error.kind).status, {}, error.detail };
-}
-
-/** A server on an ephemeral loopback port and a client in one io_context. */
-struct HttpFixture {
-    explicit HttpFixture(HttpHandler handler, HttpServerLimits limits = {})
-        : server(context, log, { "127.0.0.1", 0 }, limits, std::move(handler), answerFault)
-    {
-        server.start();
-    }
-
-    template <typename T>
-    T run(asio::awaitable<T> work)
-    {
-        std::optional<T> result;
-        asio::co_spawn(context, std::move(work), [&](std::exception_ptr exception, T value) {
-            if (exception)
-                std::rethrow_exception(exception);
-            result = std::move(value);
-            context.stop();
-        });
-        context.run();
-        context.restart();
-        return std::move(*result);
-    }
-
-    asio::io_context context;
-    MemoryLog log;
-    HttpServer server;
-    HttpClient client { context };
-};
-
 asio::awaitable<void> echo(HttpRequest request, HttpResponseWriter& writer)
 {
     HttpHeaders headers;
--- a/tests/platform/ConsulContractTest.cpp
+++ b/tests/platform/ConsulContractTest.cpp
@@ -2,21 +2,18 @@
 #include "kernel/timers/AsioTimerService.h"
 #include "platform/platform.h"
 #include "platform/testing/FakeKeyValueStore.h"
+#include "support/HttpFixture.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
 using namespace chestnut;
+using namespace chestnut::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-HttpResponse answerFault(const Error& error)
-{
-    return { answerFor(error.kind).status, {}, error.detail };
-}
-
 /** The Consul adapters against the stand-in's server over loopback. */
 struct ContractFixture {
     ContractFixture()
@@ -32,16 +29,7 @@
     template <typename T>
     T run(asio::awaitable<T> work)
     {
-        std::optional<T> result;
-        asio::co_spawn(context, std::move(work), [&](std::exception_ptr exception, T value) {
-            if (exception)
-                std::rethrow_exception(exception);
-            result = std::move(value);
-            context.stop();
-        });
-        context.run();
-        context.restart();
-        return std::move(*result);
+        return runToEnd(context, std::move(work));
     }
 
     int control(const std::string& path, const std::string& body)
