--- a/modules/decisions/roles/Roles.cpp
+++ b/modules/decisions/roles/Roles.cpp
@@ -13,6 +13,9 @@
     constexpr double usableShare = 0.9;
     constexpr size_t enginesPerAbsence = 10;
 
+    /** Rates of a fully loaded engine by role. Only their ratios are used, to scale learned rates to a role that the engine
+        has not had yet. The fake engine of the bench has the same ratios, so the bench does not show what a wrong ratio
+        costs. */
     ServiceRates fullEngineRates(EngineRole role)
     {
         switch (role) {
