--- a/bench/decisioncost/DecisionCost.cpp
+++ b/bench/decisioncost/DecisionCost.cpp
@@ -1,4 +1,6 @@
 #include "decisions/admission/Admission.h"
+#include "decisions/discovery/Discovery.h"
+#include "decisions/fairness/FairQueue.h"
 #include "decisions/routing/PrefixIndex.h"
 #include "decisions/routing/Routing.h"
 
@@ -56,6 +58,43 @@
     state.counters["allocations"] = benchmark::Counter(static_cast<double>(allocations - before), benchmark::Counter::kAvgIterations);
 }
 
+/** Queues one request and serves one, with one request waiting for each account. */
+void queueOneRequest(benchmark::State& state)
+{
+    auto now = TimePoint(100s);
+    FairQueue queue;
+    uint64_t ticket = 0;
+    auto requestOf = [&](int64_t account) {
+        return QueuedRequest { ++ticket, AccountId("account" + std::to_string(account)), PriorityClass::Live, 1, 1, now + 30s };
+    };
+    for (int64_t account = 0; account < state.range(0); account++)
+        push(queue, requestOf(account));
+    RandomGenerator random(3);
+    auto before = allocations.load();
+    for (auto _ : state) {
+        push(queue, requestOf(static_cast<int64_t>(random() % static_cast<uint64_t>(state.range(0)))));
+        benchmark::DoNotOptimize(pop(queue, true, now));
+    }
+    state.counters["allocations"] = benchmark::Counter(static_cast<double>(allocations - before), benchmark::Counter::kAvgIterations);
+}
+
+/** The discovery answer for one account among the given number of daemons. */
+void discoverOnce(benchmark::State& state)
+{
+    std::vector<MemberRecord> members;
+    for (int64_t index = 0; index < state.range(0); index++) {
+        MemberRecord member;
+        member.id = DaemonId("daemon" + std::to_string(index));
+        member.state = MemberState::Ready;
+        member.zone = AvailabilityZone("zone" + std::to_string(index % 8));
+        member.region = Region("region" + std::to_string(index % 8 / 3));
+        members.push_back(std::move(member));
+    }
+    uint64_t account = 0;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(entryPoints(AccountId("account" + std::to_string(++account)), AvailabilityZone("zone1"), members));
+}
+
 } // namespace
 
 void* operator new(size_t size)
@@ -77,4 +116,6 @@
 }
 
 BENCHMARK(routeOneRequest)->Arg(10)->Arg(24)->Arg(100)->Arg(1000);
+BENCHMARK(queueOneRequest)->Arg(10)->Arg(100)->Arg(1000)->Arg(10000);
+BENCHMARK(discoverOnce)->Arg(6)->Arg(33)->Arg(330);
 BENCHMARK_MAIN();
--- a/modules/decisions/routing/PrefixIndex.h
+++ b/modules/decisions/routing/PrefixIndex.h
@@ -23,7 +23,8 @@
     };
 
     std::unordered_map<ReplicaId, ReplicaBlocks> replicas;
-    size_t maximumBlocksPerReplica = 16384;
+    /** At about 40 bytes a block, 120 replicas take up to 39 MB of the 128 MB that a daemon may use. */
+    size_t maximumBlocksPerReplica = 8192;
 };
 
 /** Applies one event. After a gap, entries are kept but counted as uncertain. */
