--- a/modules/kernel/settings/SettingsReader.cpp
+++ b/modules/kernel/settings/SettingsReader.cpp
@@ -251,6 +251,14 @@
     m_document->faults.push_back(std::move(fault));
 }
 
+std::vector<std::string> SettingsReader::knownSettings() const
+{
+    std::vector<std::string> names;
+    for (const auto& [section, key] : m_document->readKeys)
+        names.push_back(settingName(section, key));
+    return names;
+}
+
 std::vector<SettingFault> SettingsReader::faults() const
 {
     auto faults = m_document->faults;
--- a/modules/kernel/settings/SettingsReader.h
+++ b/modules/kernel/settings/SettingsReader.h
@@ -64,6 +64,9 @@
     /** Reports a fault that a caller found by comparing settings. */
     void addFault(SettingFault);
 
+    /** The names of all settings that were asked for, such as `listen.callers`, in alphabetical order. */
+    std::vector<std::string> knownSettings() const;
+
     /** All faults so far, with each key in the document that nothing has read. Call it after all reads. */
     std::vector<SettingFault> faults() const;
 
--- a/modules/peers/service/NngPeerService.cpp
+++ b/modules/peers/service/NngPeerService.cpp
@@ -6,21 +6,6 @@
 
 namespace chestnut {
 
-NngPeerOptions readPeerOptions(SettingsReader& reader, Incarnation startedAt, uint64_t randomSeed)
-{
-    NngPeerOptions options;
-    options.deployment = reader.text("peers", "deployment");
-    options.id = DaemonId(reader.text("vm", "id"));
-    options.zone = AvailabilityZone(reader.text("vm", "zone"));
-    options.region = Region(reader.text("vm", "region"));
-    options.listenAddress = reader.endpoint("listen", "peers");
-    options.callerAddress = formatEndpoint(reader.endpoint("listen", "callers"));
-    options.seeds = reader.endpoints("peers", "seeds");
-    options.incarnation = startedAt;
-    options.randomSeed = randomSeed;
-    return options;
-}
-
 NngPeerService::NngPeerService(asio::io_context& context, TimerService& timers, Log& log, Metrics& metrics, NngPeerOptions options, Bootstrap bootstrap, LinkFilter linkFilter)
     : m_state(std::make_shared<State>(context, timers, log, metrics, std::move(options), std::move(bootstrap), std::move(linkFilter)))
 {
--- a/modules/peers/service/NngPeerService.h
+++ b/modules/peers/service/NngPeerService.h
@@ -24,9 +24,6 @@
     ProtocolVersion version;
 };
 
-/** Reads the settings vm.id, vm.zone, vm.region, listen.peers, listen.callers, peers.deployment and peers.seeds. */
-NngPeerOptions readPeerOptions(SettingsReader&, Incarnation startedAt, uint64_t randomSeed);
-
 /** Membership and messages over nng. */
 class NngPeerService final : public PeerService {
 public:
--- /dev/null
+++ b/tests/fuzz/SettingsPageTest.cpp
@@ -0,0 +1,34 @@
+#include "programs/chestnutrouted/DaemonSettings.h"
+
+#include <algorithm>
+#include <boost/leaf.hpp>
+#include <doctest/doctest.h>
+#include <fstream>
+
+using namespace chestnut;
+
+namespace {
+
+/** The settings named in the first column of the table of docs/settings.md. */
+std::vector<std::string> documentedSettings()
+{
+    std::ifstream page(std::string(CHESTNUT_SOURCE_DIR) + "/docs/settings.md");
+    constexpr std::string_view rowStart = "| `";
+    std::vector<std::string> names;
+    for (std::string line; std::getline(page, line);) {
+        if (line.starts_with(rowStart))
+            names.push_back(line.substr(rowStart.size(), line.find('`', rowStart.size()) - rowStart.size()));
+    }
+    std::ranges::sort(names);
+    return names;
+}
+
+} // namespace
+
+// Guards against a setting that operators cannot look up, and against a documented one that the daemon refuses.
+TEST_CASE("docs/settings.md lists exactly the settings of the daemon")
+{
+    auto reader = std::move(SettingsReader::fromText("").value());
+    readDaemonSettings(reader);
+    CHECK(reader.knownSettings() == documentedSettings());
+}
