Keep the split of engines steady and the prefill queue out of the decode demand

Cause: decode places were counted from before the prefill, so a queue at the prefill engines looked like demand for decode, and engines were moved the wrong way; engines under an order were left out of the count; an ordered engine got work until its streams had ended; a stalled first event at a full engine was sent again. Change: the decode engine is chosen after the prefill, an ordered engine is paused until its entry shows the new stage, rejected prefill calls draw on the budget, and no stall retry goes out while the engine is full.

--- a/modules/decisions/retries/ArrivalBudget.cpp
+++ b/modules/decisions/retries/ArrivalBudget.cpp
@@ -23,6 +23,11 @@
     m_requests.push_back(now);
 }
 
+void ArrivalBudget::addRepeat(TimePoint now)
+{
+    m_repeats.push_back(now);
+}
+
 bool ArrivalBudget::takeRepeat(const ArrivalBudgetLimits& limits, uint32_t daemons, TimePoint now)
 {
     assert(daemons > 0);
--- a/modules/decisions/retries/ArrivalBudget.h
+++ b/modules/decisions/retries/ArrivalBudget.h
@@ -22,6 +22,9 @@
 public:
     void addRequest(TimePoint now);
 
+    /** Counts a repeat that has happened without being asked for. */
+    void addRepeat(TimePoint now);
+
     /** Counts one repeat and returns true when the share of this daemon allows it. Asserts that there is a daemon. */
     bool takeRepeat(const ArrivalBudgetLimits&, uint32_t daemons, TimePoint now);
 
--- a/modules/decisions/split/RoleSplit.cpp
+++ b/modules/decisions/split/RoleSplit.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     /** Share of the decode slots that the mean demand may occupy; the rest takes the swings. */
-    constexpr double targetOccupancy = 0.6;
+    constexpr double targetOccupancy = 0.45;
     /** Of either stage, so that the loss of one engine leaves the stage working. */
     constexpr size_t minimumEngines = 3;
     /** Share of the engines that decode before traffic has been measured. */
--- a/modules/gateway/replicas/LoadBoard.cpp
+++ b/modules/gateway/replicas/LoadBoard.cpp
@@ -165,6 +165,12 @@
     m_log.write(EventId::ReplicaHealthChanged, { { "replica", replica }, { "state", "ejected" }, { "ms", time.count() / 1000 }, { "in_row", record.ejections } });
 }
 
+void LoadBoard::recordRefusal(const ReplicaId& replica, uint32_t slots)
+{
+    if (requestsAt(replica) < slots)
+        recordFailure(replica);
+}
+
 bool LoadBoard::isEjected(const ReplicaId& replica) const
 {
     const auto* record = find(replica);
--- a/modules/gateway/replicas/LoadBoard.h
+++ b/modules/gateway/replicas/LoadBoard.h
@@ -57,6 +57,8 @@
     void recordSuccess(const ReplicaId&, double slowdown);
     /** An attempt that ended without an answer of the replica. */
     void recordFailure(const ReplicaId&);
+    /** A replica refused work; with free slots it is busy with something that nobody announced. */
+    void recordRefusal(const ReplicaId&, uint32_t slots);
     bool isEjected(const ReplicaId&) const;
     double slowdown(const ReplicaId&) const;
 
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -13,6 +13,8 @@
     constexpr Duration lapseGrace = std::chrono::milliseconds(2500);
     /** An outage that has ended this long ago no longer explains the removal of an entry. */
     constexpr Duration outageEffect = std::chrono::milliseconds(3000);
+    /** An engine that has not changed its stage after this time is used as its entry says; streams run up to 15 s. */
+    constexpr Duration longestOrderPause = std::chrono::seconds(20);
     /** Leaving replicas are told to peers for this long, by several datagrams. */
     constexpr Duration leavingNewsTime = std::chrono::seconds(3);
 
@@ -48,6 +50,7 @@
 {
     m_mirror->start();
     m_expiryTimer = m_timers.every(expiryPeriod, [this] {
+        expireOrders();
         for (const auto& id : expireLapsed(m_registry, m_timers.now())) {
             noteLeaving(id);
             logChange(id, "lapsed");
@@ -114,31 +117,37 @@
 
 bool ReplicaDirectory::isPaused(const ReplicaId& id) const
 {
+    if (m_ordered.contains(id))
+        return true;
     auto found = m_pausedUntil.find(id);
     return found != m_pausedUntil.end() && m_timers.now() < found->second;
 }
 
-void ReplicaDirectory::pauseForOrder(const ReplicaId& id, Duration duration)
+void ReplicaDirectory::pauseForOrder(const ReplicaId& id, EngineStage stage)
 {
-    m_orderedUntil[id] = m_timers.now() + duration;
-    pause(id, duration);
+    m_ordered[id] = { stage, m_timers.now() };
 }
 
-std::vector<ReplicaId> ReplicaDirectory::orderedPauses() const
+void ReplicaDirectory::endPause(const ReplicaId& id)
 {
-    std::vector<ReplicaId> ids;
-    for (const auto& [id, until] : m_orderedUntil) {
-        if (m_timers.now() < until)
-            ids.push_back(id);
-    }
-    return ids;
+    m_ordered.erase(id);
 }
 
-void ReplicaDirectory::noteStage(const ReplicaId& id, EngineStage stage)
+void ReplicaDirectory::expireOrders()
 {
-    auto known = m_registry.replicas.find(id);
-    if (known != m_registry.replicas.end())
-        known->second.entry.stage = stage;
+    auto now = m_timers.now();
+    std::erase_if(m_ordered, [&](const auto& entry) {
+        const auto* known = find(entry.first);
+        return !known || known->entry.stage == entry.second.stage || now - entry.second.orderedAt > longestOrderPause;
+    });
+}
+
+std::vector<ReplicaId> ReplicaDirectory::orderedPauses() const
+{
+    std::vector<ReplicaId> ids;
+    for (const auto& [id, order] : m_ordered)
+        ids.push_back(id);
+    return ids;
 }
 
 const KnownReplica* ReplicaDirectory::find(const ReplicaId& id) const
@@ -159,8 +168,11 @@
 
 std::vector<const ReplicaEntry*> ReplicaDirectory::engines(const ServiceId& service) const
 {
-    auto found = usable(service, EngineStage::Prefill);
-    std::ranges::copy(usable(service, EngineStage::Decode), std::back_inserter(found));
+    std::vector<const ReplicaEntry*> found;
+    for (const auto& [id, replica] : m_registry.replicas) {
+        if (mayReceiveWork(replica) && replica.entry.service == service && replica.entry.stage != EngineStage::None)
+            found.push_back(&replica.entry);
+    }
     return found;
 }
 
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -27,7 +27,7 @@
     /** The usable replicas of a service in one stage, without the excluded ones. */
     std::vector<const ReplicaEntry*> usable(const ServiceId&, EngineStage, const std::set<ReplicaId>& excluded = {}) const;
 
-    /** All usable engines of a service. */
+    /** All engines of a service that do not leave, also those that carry out an order. */
     std::vector<const ReplicaEntry*> engines(const ServiceId&) const;
 
     const KnownReplica* find(const ReplicaId&) const;
@@ -38,8 +38,12 @@
     /** A peer knows that the replica leaves. */
     void peerSaysLeaving(const ReplicaId&);
 
-    /** Sends no work to a replica for this long: it carries out an order of this daemon. */
-    void pauseForOrder(const ReplicaId&, Duration);
+    /** Sends no work to a replica until its entry shows the stage that this daemon has ordered: it first lets running work
+        end, which may take as long as its longest stream. */
+    void pauseForOrder(const ReplicaId&, EngineStage);
+
+    /** The order was refused or has been given up. */
+    void endPause(const ReplicaId&);
 
     /** Sends no work to a replica for this long: a peer says that it carries out an order. */
     void pause(const ReplicaId&, Duration);
@@ -48,9 +52,6 @@
         for each other without end. */
     std::vector<ReplicaId> orderedPauses() const;
 
-    /** Notes a stage change that this daemon ordered or that a replica's answer shows, until its next entry says otherwise. */
-    void noteStage(const ReplicaId&, EngineStage);
-
     bool isEmpty() const { return m_registry.replicas.empty(); }
 
 private:
@@ -58,6 +59,7 @@
     void onRemoval(const std::string& key);
     void noteLeaving(const ReplicaId&);
     bool isPaused(const ReplicaId&) const;
+    void expireOrders();
     Duration removalGrace() const;
     void logChange(const ReplicaId&, std::string_view cause) const;
 
@@ -70,7 +72,11 @@
     ReplicaRegistry m_registry;
     std::map<ReplicaId, TimePoint> m_leaving;
     std::map<ReplicaId, TimePoint> m_pausedUntil;
-    std::map<ReplicaId, TimePoint> m_orderedUntil;
+    struct OrderedStage {
+        EngineStage stage = EngineStage::None;
+        TimePoint orderedAt;
+    };
+    std::map<ReplicaId, OrderedStage> m_ordered;
     TimerSubscription m_expiryTimer;
 };
 
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -20,10 +20,18 @@
     /** A resumable stream without an event for this multiple of its objective goes on elsewhere. */
     constexpr int stallObjectives = 4;
     constexpr uint32_t maximumDecodeCalls = 3;
+    constexpr uint32_t maximumPrefillCalls = 2;
     constexpr size_t maximumWholeAnswer = 1 << 20;
     /** Until a refused client comes back: about the time that decode slots need to turn over. */
     constexpr std::chrono::milliseconds saturatedRetryAfter { 500 };
 
+    Error saturated(std::string detail)
+    {
+        auto error = makeError(ErrorKind::Overloaded, std::move(detail));
+        error.retryAfter = saturatedRetryAfter;
+        return error;
+    }
+
     bool isSuccess(int status)
     {
         return status >= 200 && status < 300;
@@ -44,9 +52,15 @@
     releaseHandle();
 }
 
-Duration GenerationRelay::stallTime() const
+TimerSubscription GenerationRelay::watchStall(const ReplicaId& replica) const
 {
-    return m_relay->route.latencyObjective * stallObjectives;
+    auto& relay = *m_relay;
+    const auto* known = relay.services.replicas.find(replica);
+    // At a full engine the request waits for its turn; going elsewhere would only add work.
+    auto isFull = known && relay.services.board->requestsAt(replica) > known->entry.slots;
+    if (!relay.route.isResumable || isFull)
+        return {};
+    return relay.services.timers.once(relay.route.latencyObjective * stallObjectives, [abort = relay.abort] { abort->interrupt(); });
 }
 
 Result<ReplicaEntry> GenerationRelay::chooseDecode()
@@ -58,11 +72,8 @@
     std::vector<PlacementView> views;
     for (const auto* entry : entries)
         views.push_back(relay.viewOf(*entry));
-    if (isSaturated(views, saturationMultiple)) {
-        auto error = makeError(ErrorKind::Overloaded, "the decode engines are saturated");
-        error.retryAfter = saturatedRetryAfter;
-        return error;
-    }
+    if (isSaturated(views, saturationMultiple))
+        return saturated("the decode engines are saturated");
     auto choice = chooseLeastOccupied(views, relay.services.zone);
     return *entries[choice.value_or(0)];
 }
@@ -107,32 +118,39 @@
     co_return answer;
 }
 
-asio::awaitable<void> GenerationRelay::readPrompt(const ReplicaEntry& decode)
+asio::awaitable<Result<void>> GenerationRelay::readPrompt()
 {
     auto& relay = *m_relay;
     if (!m_prompt || m_prompt->promptTokens <= longestDirectPrompt)
-        co_return;
-    while (!relay.isOver() && !m_handle) {
+        co_return Result<void>();
+    for (uint32_t calls = 0; calls < maximumPrefillCalls && !relay.isOver(); ++calls) {
         auto isRepeat = !std::exchange(m_mayPrefill, false);
-        if (isRepeat && !relay.services.budgets.takeRepeat(relay.service))
-            co_return;
         auto choice = choosePrefill();
+        // Without a prefill engine the decode engine reads the prompt.
         if (!choice)
-            co_return;
+            co_return Result<void>();
         const auto& [engine, plan] = *choice;
-        relay.services.log.write(EventId::PrefillPlaced, { { "request", relay.request.id }, { "replica", engine.id }, { "missing", plan.missingTokens }, { "queued", relay.services.board->prefillTokensAt(engine.id) }, { "expected_ms", plan.expectedTime.count() / 1000 }, { "decode", decode.id } });
+        if (plan.expectedTime > relay.remaining())
+            co_return saturated("the prefill engines are saturated");
+        if (isRepeat && !relay.services.budgets.takeRepeat(relay.service))
+            co_return Result<void>();
+        relay.services.log.write(EventId::PrefillPlaced, { { "request", relay.request.id }, { "replica", engine.id }, { "missing", plan.missingTokens }, { "queued", relay.services.board->prefillTokensAt(engine.id) }, { "expected_ms", plan.expectedTime.count() / 1000 } });
         auto answer = co_await prefillAt(engine, plan);
         if (answer) {
             m_handle = answer->handle;
-            co_return;
+            co_return Result<void>();
         }
         // Reading a prompt runs nothing, whatever the error says.
         auto error = answer.error();
         relay.excluded.insert(engine.id);
         relay.services.log.write(EventId::PrefillFailed, { { "request", relay.request.id }, { "replica", engine.id }, { "kind", answerFor(error.kind).name }, { "detail", error.detail } });
-        if (!relay.isOver() && error.kind != ErrorKind::Overloaded)
+        if (error.kind == ErrorKind::Overloaded) {
+            relay.services.budgets.chargeRejection(relay.service, isRepeat);
+            relay.services.board->recordRefusal(engine.id, engine.slots);
+        } else if (!relay.isOver())
             relay.services.board->recordFailure(engine.id);
     }
+    co_return saturated("no prefill engine took the prompt");
 }
 
 asio::awaitable<Result<InstanceAnswer>> GenerationRelay::openDecode(const ReplicaEntry& engine)
@@ -143,9 +161,7 @@
     call.handle = m_handle;
     if (!m_lastEventId.empty())
         call.resumeAfter = m_lastEventId;
-    TimerSubscription stall;
-    if (relay.route.isResumable)
-        stall = relay.services.timers.once(stallTime(), [abort = relay.abort] { abort->interrupt(); });
+    auto stall = watchStall(engine.id);
     relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "in_flight", relay.services.board->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "left_ms", relay.remaining().count() / 1000 } });
     auto answer = co_await relay.services.instances.send(std::move(call));
     if (!answer)
@@ -180,14 +196,12 @@
     co_return static_cast<bool>(co_await m_writer.write(std::move(batch.bytes)));
 }
 
-asio::awaitable<GenerationRelay::StreamEnd> GenerationRelay::relayEvents(InstanceAnswer& answer)
+asio::awaitable<GenerationRelay::StreamEnd> GenerationRelay::relayEvents(const ReplicaId& engine, InstanceAnswer& answer)
 {
     auto& relay = *m_relay;
     EventSplitter splitter;
     while (true) {
-        TimerSubscription stall;
-        if (relay.route.isResumable)
-            stall = relay.services.timers.once(stallTime(), [abort = relay.abort] { abort->interrupt(); });
+        auto stall = watchStall(engine);
         auto bytes = co_await answer.body->read();
         if (relay.isCallerGone())
             co_return StreamEnd::ClientGone;
@@ -232,15 +246,23 @@
     }
     auto last = makeError(ErrorKind::NoBackend, "no decode engine of the service is known");
     for (uint32_t calls = 0; calls < maximumDecodeCalls; ++calls) {
+        // A prompt is not read while there is no decode place, and the place is chosen anew after the reading.
+        if (auto place = chooseDecode(); !place) {
+            co_await finishWith(relay.finalError(calls == 0 ? place.error() : last));
+            co_return;
+        }
+        if (m_lastEventId.empty() && !m_handle && calls < 2) {
+            if (auto read = co_await readPrompt(); !read) {
+                co_await finishWith(relay.finalError(read.error()));
+                co_return;
+            }
+        }
         auto decode = chooseDecode();
         if (!decode) {
-            // A repeat that finds no place ends with the error of the attempt before.
-            co_await finishWith(relay.finalError(calls == 0 ? decode.error() : last));
+            co_await finishWith(relay.finalError(decode.error()));
             co_return;
         }
         auto flight = services.board->begin(decode->id);
-        if (m_lastEventId.empty() && !m_handle && calls < 2)
-            co_await readPrompt(*decode);
         if (relay.isOver() || !relay.takeArrival()) {
             co_await finishWith(relay.finalError(last));
             co_return;
@@ -252,7 +274,7 @@
             co_return;
         }
         if (answer) {
-            auto end = co_await relayEvents(*answer);
+            auto end = co_await relayEvents(decode->id, *answer);
             if (end == StreamEnd::Complete) {
                 services.board->recordSuccess(decode->id, 1);
                 relay.clearLosses();
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -21,20 +21,21 @@
         ClientGone,
     };
 
-    /** Takes a decode place, or says why there is none. */
+    /** The engine for the next decode call, or why there is none. */
     Result<ReplicaEntry> chooseDecode();
-    asio::awaitable<void> readPrompt(const ReplicaEntry& decode);
+    /** Has the prompt read unless it is short. Fails when no engine can read it in time. */
+    asio::awaitable<Result<void>> readPrompt();
     std::optional<std::pair<ReplicaEntry, PrefillChoice>> choosePrefill();
     asio::awaitable<Result<PrefillAnswer>> prefillAt(const ReplicaEntry&, const PrefillChoice&);
 
     asio::awaitable<Result<InstanceAnswer>> openDecode(const ReplicaEntry&);
-    asio::awaitable<StreamEnd> relayEvents(InstanceAnswer&);
+    asio::awaitable<StreamEnd> relayEvents(const ReplicaId& engine, InstanceAnswer&);
     asio::awaitable<bool> writeEvents(InstanceAnswer&, EventBatch);
     asio::awaitable<void> answerWhole(InstanceAnswer&);
     asio::awaitable<void> generate();
     asio::awaitable<void> finishWith(Error);
     void releaseHandle();
-    Duration stallTime() const;
+    TimerSubscription watchStall(const ReplicaId&) const;
     void logRefusal(const Error&) const;
 
     RelayPointer m_relay;
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -42,6 +42,12 @@
     return m_budgets[service].takeRepeat(m_limits, m_directory.activeDaemons(), m_timers.now());
 }
 
+void ServiceBudgets::chargeRejection(const ServiceId& service, bool isCounted)
+{
+    if (!isCounted)
+        m_budgets[service].addRepeat(m_timers.now());
+}
+
 RelayContext::RelayContext(RelayServices& relayServices, RoutedRequest routedRequest, std::shared_ptr<const RouteTable> routeTable, const Route& matchedRoute, ServiceId chosenService)
     : services(relayServices)
     , request(std::move(routedRequest))
@@ -100,8 +106,11 @@
         mayHaveRun = mayHaveRun || hasRun;
         return;
     }
+    const auto* known = services.replicas.find(replica);
     if (error.kind != ErrorKind::Overloaded)
         services.board->recordFailure(replica);
+    else if (known)
+        services.board->recordRefusal(replica, known->entry.slots);
     if (!hasRun)
         return;
     mayHaveRun = true;
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -22,6 +22,8 @@
 
     void addRequest(const ServiceId&);
     bool takeRepeat(const ServiceId&);
+    /** Counts a prefill call that an engine rejected. An accepted first call is no repeat, a rejected one is. */
+    void chargeRejection(const ServiceId&, bool isCounted);
 
 private:
     TimerService& m_timers;
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -25,10 +25,11 @@
     /** Engines that may be away at once before traffic has been seen, and with traffic. */
     constexpr size_t changesBeforeTraffic = 8;
     constexpr size_t changesWithTraffic = 1;
-    /** An unanswered order may be carried out this late. */
-    constexpr Duration longestOrderDelay = std::chrono::seconds(13);
+    /** An engine counts as changing at most this long: an unanswered order may be carried out 12 s later, and running streams
+        end before the change. */
+    constexpr Duration longestChange = std::chrono::seconds(20);
     /** Between two changes with traffic, so that the demand shows the effect of the first. */
-    constexpr Duration dwellTime = std::chrono::seconds(6);
+    constexpr Duration dwellTime = std::chrono::seconds(10);
 
     std::chrono::nanoseconds bootTime()
     {
@@ -162,7 +163,7 @@
         const auto* known = m_replicas.find(entry.first);
         auto age = now - entry.second.givenAt;
         auto isDone = known && known->entry.stage == entry.second.stage && age > service.engine->roleChangeTime;
-        return isDone || !known || age > longestOrderDelay;
+        return isDone || !known || age > longestChange;
     });
 }
 
@@ -187,7 +188,7 @@
     while (mayOrder()) {
         expireOrders(service);
         auto now = m_timers.now();
-        auto dwells = demand.isMeasured && std::ranges::any_of(m_pending, [now](const auto& entry) { return now - entry.second.givenAt < dwellTime; });
+        auto dwells = demand.isMeasured && now - m_lastOrderAt < dwellTime;
         if (m_pending.size() >= bound || dwells)
             co_return;
         auto engines = enginesOf(service.id);
@@ -203,23 +204,24 @@
     const auto* known = m_replicas.find(change.id);
     auto address = known->entry.address;
     m_pending[change.id] = { change.stage, m_timers.now() };
+    m_lastOrderAt = m_timers.now();
     auto report = co_await m_instances.report(change.id, address);
     if (!report || report->isChanging || !mayOrder()) {
         m_log.write(EventId::OrderWaiting, { { "replica", change.id }, { "reason", report ? "changing" : report.error().detail } });
         co_return;
     }
-    if (report->stage == change.stage) {
-        m_replicas.noteStage(change.id, change.stage);
+    if (report->stage == change.stage)
         co_return;
-    }
     m_log.write(EventId::OrderSent, { { "replica", change.id }, { "service", service.id }, { "stage", nameOf(change.stage) }, { "fencing", m_fencingNumber }, { "expected_orders", report->acceptedOrders }, { "demand", demand.requests }, { "slots", demand.slots } });
-    m_replicas.pauseForOrder(change.id, service.engine->roleChangeTime);
+    m_replicas.pauseForOrder(change.id, change.stage);
     auto verdict = co_await m_instances.order({ change.id, address, change.stage, m_settings.self.value(), m_fencingNumber, report->acceptedOrders });
     if (verdict && *verdict != OrderVerdict::Refused) {
-        m_replicas.noteStage(change.id, change.stage);
         m_log.write(EventId::OrderSettled, { { "replica", change.id }, { "stage", nameOf(change.stage) } });
         co_return;
     }
+    // An order without an answer may still be carried out; the replica stays paused for it.
+    if (verdict)
+        m_replicas.endPause(change.id);
     m_log.write(EventId::OrderFailed, { { "replica", change.id }, { "detail", verdict ? "refused" : verdict.error().detail } });
 }
 
--- a/modules/gateway/roles/RoleManager.h
+++ b/modules/gateway/roles/RoleManager.h
@@ -62,6 +62,7 @@
     TimePoint m_ordersFrom;
     std::map<ServiceId, DecodeDemand> m_demand;
     std::map<ReplicaId, PendingOrder> m_pending;
+    TimePoint m_lastOrderAt;
     TimerSubscription m_sampleTimer;
     bool m_isStopped = false;
 };
