Move engines to decode at once when all decode slots are taken

Change: a wider band before decode engines are given away; a shortage of decode slots shortens the dwell to 1 s and allows three changes at once.

--- a/modules/decisions/split/RoleSplit.cpp
+++ b/modules/decisions/split/RoleSplit.cpp
@@ -14,8 +14,10 @@
     constexpr size_t minimumEngines = 3;
     /** Share of the engines that decode before traffic has been measured. */
     constexpr double initialDecodeShare = 0.35;
-    /** Engines by which the split may differ from the desired one once traffic has been measured. */
-    constexpr size_t deadBand = 1;
+    /** Engines by which the split may differ from the desired one once traffic has been measured. Missing decode slots refuse
+        requests whose prompts have been read, so the band is wider on the side of too many. */
+    constexpr size_t missingBand = 1;
+    constexpr size_t surplusBand = 2;
 
     size_t countOf(std::span<const SplitEngine> engines, EngineStage stage)
     {
@@ -52,15 +54,22 @@
     return std::clamp(wanted, least, engines - least);
 }
 
+bool isShortOfDecode(std::span<const SplitEngine> engines, const DecodeDemand& demand)
+{
+    auto present = countOf(engines, EngineStage::Decode);
+    return demand.isMeasured && demand.requests > static_cast<double>(present) * demand.slots;
+}
+
 std::optional<StageChange> nextStageChange(std::span<const SplitEngine> engines, const DecodeDemand& demand)
 {
     auto wanted = desiredDecodeEngines(demand, engines.size());
     auto present = countOf(engines, EngineStage::Decode);
-    auto tolerated = demand.isMeasured ? deadBand : 0;
+    auto missing = demand.isMeasured ? missingBand : 0;
+    auto surplus = demand.isMeasured ? surplusBand : 0;
     auto source = EngineStage::None;
-    if (present > wanted + tolerated)
+    if (present > wanted + surplus)
         source = EngineStage::Decode;
-    else if (present + tolerated < wanted)
+    else if (present + missing < wanted)
         source = EngineStage::Prefill;
     else
         return std::nullopt;
--- a/modules/decisions/split/RoleSplit.h
+++ b/modules/decisions/split/RoleSplit.h
@@ -33,6 +33,9 @@
     prompts; both stages keep at least minimumEngines where the fleet is large enough. */
 size_t desiredDecodeEngines(const DecodeDemand&, size_t engines);
 
+/** Whether the demand exceeds all slots of the decode engines, so that waiting costs more than a change too many. */
+bool isShortOfDecode(std::span<const SplitEngine>, const DecodeDemand&);
+
 struct StageChange {
     ReplicaId id;
     EngineStage stage = EngineStage::None;
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -25,11 +25,14 @@
     /** Engines that may be away at once before traffic has been seen, and with traffic. */
     constexpr size_t changesBeforeTraffic = 8;
     constexpr size_t changesWithTraffic = 1;
+    constexpr size_t urgentChanges = 3;
     /** An engine counts as changing at most this long: an unanswered order may be carried out 12 s later, and running streams
         end before the change. */
     constexpr Duration longestChange = std::chrono::seconds(20);
     /** Between two changes with traffic, so that the demand shows the effect of the first. */
     constexpr Duration dwellTime = std::chrono::seconds(10);
+    /** The same when the decode slots do not suffice. */
+    constexpr Duration urgentDwellTime = std::chrono::seconds(1);
 
     std::chrono::nanoseconds bootTime()
     {
@@ -184,14 +187,15 @@
 asio::awaitable<void> RoleManager::adjust(const ServiceProfile& service)
 {
     auto demand = m_demand[service.id];
-    auto bound = demand.isMeasured ? changesWithTraffic : changesBeforeTraffic;
     while (mayOrder()) {
         expireOrders(service);
-        auto now = m_timers.now();
-        auto dwells = demand.isMeasured && now - m_lastOrderAt < dwellTime;
+        auto engines = enginesOf(service.id);
+        auto isUrgent = isShortOfDecode(engines, demand);
+        auto bound = !demand.isMeasured ? changesBeforeTraffic : isUrgent ? urgentChanges
+                                                                          : changesWithTraffic;
+        auto dwells = demand.isMeasured && m_timers.now() - m_lastOrderAt < (isUrgent ? urgentDwellTime : dwellTime);
         if (m_pending.size() >= bound || dwells)
             co_return;
-        auto engines = enginesOf(service.id);
         auto change = nextStageChange(engines, demand);
         if (!change)
             co_return;
