Weigh shared parts that are read again three times in the choice of the prefill engine

Change: the cost of a repeated read counts three times in the choice; the expected time counts it once. Conclusion: affinity is kept longer.

--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    /** Extra weight of shared parts that are read again: the time is lost to all requests behind, too. */
+    constexpr double repeatedReadWeight = 2;
     /** Time of a prefill call beside reading: set-up, transfer and answer. */
     constexpr double fixedPrefillMilliseconds = 2;
 
@@ -61,11 +63,13 @@
             auto cached = home == i ? shared : std::min(view.cachedTokens, shared);
             auto missing = prompt.promptTokens - cached;
             auto queued = view.prefillTokens + (isDeferred ? view.deferredTokens : 0);
-            auto cost = millisecondsToRead(queued + missing, view);
+            auto time = millisecondsToRead(queued + missing, view);
+            auto readAgain = missing - (prompt.promptTokens - shared);
+            auto cost = time + millisecondsToRead(readAgain, view) * repeatedReadWeight;
             if (cost >= best)
                 continue;
             best = cost;
-            choice = PrefillChoice { i, missing, fromSeconds((fixedPrefillMilliseconds + cost) / 1000), isDeferred };
+            choice = PrefillChoice { i, missing, fromSeconds((fixedPrefillMilliseconds + time) / 1000), isDeferred };
         }
         return choice;
     }
