--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -36,7 +36,7 @@
     {
         auto list = json::array();
         for (const auto& loss : losses)
-            list.push_back({ toHex(loss.content), loss.replica.value() });
+            list.push_back({ toHex(loss.content), loss.attempt.value(), loss.replica.value() });
         return list;
     }
 
@@ -53,7 +53,7 @@
         std::vector<CrashLoss> losses;
         for (const auto& item : list) {
             if (auto content = digestFromHex(item.at(0).get<std::string>()))
-                losses.push_back({ *content, ReplicaId(item.at(1).get<std::string>()) });
+                losses.push_back({ *content, RequestId(item.at(1).get<std::string>()), ReplicaId(item.at(2).get<std::string>()) });
         }
         return losses;
     }
--- a/modules/gateway/requests/CrashLosses.cpp
+++ b/modules/gateway/requests/CrashLosses.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    /** Distinct losses after which a request is sent to no replica. */
+    /** Losses after which a request is sent to no replica. */
     constexpr size_t lossesToRefuse = 3;
     constexpr Duration rememberedTime = std::chrono::minutes(5);
     /** Several datagrams to each peer carry a loss, because some are lost. */
@@ -30,7 +30,7 @@
 
 void CrashLosses::clear(const Digest& content)
 {
-    auto first = m_losses.lower_bound(CrashLoss { content, ReplicaId() });
+    auto first = m_losses.lower_bound(CrashLoss { content, RequestId(), ReplicaId() });
     while (first != m_losses.end() && first->first.content == content)
         first = m_losses.erase(first);
 }
@@ -38,7 +38,7 @@
 bool CrashLosses::isRefused(const Digest& content) const
 {
     auto count = size_t(0);
-    for (auto loss = m_losses.lower_bound(CrashLoss { content, ReplicaId() }); loss != m_losses.end() && loss->first.content == content; ++loss)
+    for (auto loss = m_losses.lower_bound(CrashLoss { content, RequestId(), ReplicaId() }); loss != m_losses.end() && loss->first.content == content; ++loss)
         ++count;
     return count >= lossesToRefuse;
 }
--- a/modules/gateway/requests/CrashLosses.h
+++ b/modules/gateway/requests/CrashLosses.h
@@ -9,16 +9,18 @@
 
 namespace chestnut {
 
-/** A replica broke off while it ran a request with this content. */
+/** A replica broke off while it ran a request with this content. The client attempt tells a second crash of the same
+    replica from a second report of the first. */
 struct CrashLoss {
     Digest content;
+    RequestId attempt;
     ReplicaId replica;
 
     auto operator<=>(const CrashLoss&) const = default;
 };
 
 /** Losses of replicas by the content of the request that ran there. A request that crashes the replicas that run it comes
-    again at any daemon; after lossesToRefuse replicas no daemon sends it on. */
+    again at any daemon; after lossesToRefuse losses no daemon sends it on. */
 class CrashLosses {
 public:
     explicit CrashLosses(TimerService&);
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -250,7 +250,7 @@
     auto& relay = *m_relay;
     auto& services = relay.services;
     if (relay.isRefusedContent()) {
-        co_await finishWith(makeError(ErrorKind::NoBackend, "the request has crashed the replicas that ran it"));
+        co_await finishWith(crashingContent());
         co_return;
     }
     auto last = makeError(ErrorKind::NoBackend, "no decode engine of the service is known");
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -61,6 +61,8 @@
 
     asio::awaitable<Result<WholeAnswer>> callUntilAnswered(RelayContext& relay)
     {
+        if (relay.isRefusedContent())
+            co_return crashingContent();
         auto last = makeError(ErrorKind::NoBackend, "no replica of the service is known");
         while (true) {
             const auto* entry = choose(relay);
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -115,7 +115,7 @@
         return;
     mayHaveRun = true;
     ++runs;
-    if (error.kind == ErrorKind::BackendFailed && services.losses.add({ content(), replica }))
+    if (error.kind == ErrorKind::BackendFailed && services.losses.add({ content(), request.id, replica }))
         services.log.write(EventId::RequestSuspected, { { "request", request.id }, { "replica", replica }, { "content", toHex(content()) } });
 }
 
@@ -167,6 +167,11 @@
         services.losses.clear(content());
 }
 
+Error crashingContent()
+{
+    return makeError(ErrorKind::NoBackend, "the request has crashed the replicas that ran it");
+}
+
 asio::awaitable<void> answerError(HttpResponseWriter& writer, const RequestId& request, const Error& error)
 {
     const auto& answer = answerFor(error.kind);
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -73,6 +73,11 @@
 
     PlacementView viewOf(const ReplicaEntry&) const;
 
+    /** Whether requests with this content have crashed too many replicas. */
+    bool isRefusedContent() const;
+    /** The request was answered: its content has not caused the losses. */
+    void clearLosses();
+
     RelayServices& services;
     const RoutedRequest request;
     const std::shared_ptr<const RouteTable> table; /**< keeps the route alive */
@@ -84,22 +89,21 @@
     uint32_t runs = 0; /**< attempts that may have run */
 
 private:
+    const Digest& content() const;
+
     TimePoint m_deadline;
     TimerSubscription m_deadlineTimer;
     uint32_t m_arrivals = 0;
     bool m_isCallerGone = false;
     bool m_hasExpired = false;
     mutable std::optional<Digest> m_content;
-    const Digest& content() const;
-
-public:
-    /** Whether this content has crashed too many replicas. */
-    bool isRefusedContent() const;
-    void clearLosses();
 };
 
 using RelayPointer = std::shared_ptr<RelayContext>;
 
+/** The refusal of a request that has crashed the replicas that ran it. */
+Error crashingContent();
+
 /** Sends an error as the answer, with a Retry-After where the caller may come back. */
 asio::awaitable<void> answerError(HttpResponseWriter&, const RequestId&, const Error&);
 
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <ctime>
 #include <random>
 
 namespace chestnut {
@@ -34,13 +33,6 @@
     /** The same when the decode slots do not suffice. */
     constexpr Duration urgentDwellTime = std::chrono::seconds(1);
 
-    std::chrono::nanoseconds bootTime()
-    {
-        timespec time {};
-        clock_gettime(CLOCK_BOOTTIME, &time);
-        return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-    }
-
 } // namespace
 
 RoleManager::RoleManager(asio::io_context& context, VersionedStore& store, TimerService& timers, Log& log, InstanceClient& instances, ReplicaDirectory& replicas, std::shared_ptr<LoadBoard> board, RoutingSource& routing, RoleManagerSettings settings)
@@ -85,11 +77,11 @@
     std::uniform_int_distribution<int> jitter(0, 200);
     while (!m_isStopped) {
         if (m_lease != 0) {
-            auto sentAt = bootTime();
+            auto sentAt = m_timers.bootTime();
             auto renewed = co_await m_store.renewLease(m_lease);
             if (renewed)
                 m_renewedAt = sentAt;
-            else if (renewed.error().kind == ErrorKind::NotFound || bootTime() - m_renewedAt > leaseTime) {
+            else if (renewed.error().kind == ErrorKind::NotFound || m_timers.bootTime() - m_renewedAt > leaseTime) {
                 m_log.write(EventId::LeaseLost, { { "key", holderKey }, { "fencing", m_fencingNumber }, { "detail", renewed.error().detail } });
                 m_lease = 0;
             }
@@ -106,7 +98,7 @@
 
 asio::awaitable<Result<void>> RoleManager::acquire()
 {
-    auto sentAt = bootTime();
+    auto sentAt = m_timers.bootTime();
     auto lease = co_await m_store.grantLease(leaseTime);
     if (!lease)
         co_return lease.error();
@@ -124,7 +116,7 @@
 
 bool RoleManager::mayOrder() const
 {
-    return m_lease != 0 && !m_isStopped && m_timers.now() >= m_ordersFrom && bootTime() - m_renewedAt < leaseTime - leaseMargin;
+    return m_lease != 0 && !m_isStopped && m_timers.now() >= m_ordersFrom && m_timers.bootTime() - m_renewedAt < leaseTime - leaseMargin;
 }
 
 void RoleManager::sampleDemand()
--- a/modules/gateway/roles/RoleManager.h
+++ b/modules/gateway/roles/RoleManager.h
@@ -33,7 +33,6 @@
         EngineStage stage = EngineStage::None;
         TimePoint givenAt;
     };
-    using BootTime = std::chrono::nanoseconds;
 
     asio::awaitable<void> holdLease();
     asio::awaitable<Result<void>> acquire();
@@ -58,7 +57,7 @@
     bool m_isHeldByAnother = false;
     uint64_t m_lease = 0;
     FencingNumber m_fencingNumber = 0;
-    BootTime m_renewedAt {}; /**< before the renewal was sent; counts time in suspension */
+    TimePoint m_renewedAt; /**< boot time before the renewal was sent */
     TimePoint m_ordersFrom;
     std::map<ServiceId, DecodeDemand> m_demand;
     std::map<ReplicaId, PendingOrder> m_pending;
--- a/modules/kernel/timers/AsioTimerService.cpp
+++ b/modules/kernel/timers/AsioTimerService.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cassert>
+#include <ctime>
 
 namespace chestnut {
 
@@ -66,6 +67,13 @@
     return std::chrono::duration_cast<UnixSeconds>(std::chrono::system_clock::now().time_since_epoch());
 }
 
+TimePoint AsioTimerService::bootTime() const
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 TimerSubscription AsioTimerService::every(Duration period, std::function<void()> callback)
 {
     assert(period > Duration::zero());
--- /dev/null
+++ b/tests/decisions/ArrivalBudgetTest.cpp
@@ -0,0 +1,47 @@
+#include "decisions/retries/ArrivalBudget.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr ArrivalBudgetLimits limits { 0.2, 52, 10s };
+
+} // namespace
+
+TEST_CASE("six daemons that repeat all they may stay below the bound in every window, without talking")
+{
+    constexpr uint32_t daemons = 6;
+    std::vector<ArrivalBudget> budgets(daemons);
+    std::vector<TimePoint> repeats;
+    std::vector<TimePoint> requests;
+    for (Duration time = 0s; time < 60s; time += 20ms) {
+        TimePoint now { 100s + time };
+        for (uint32_t daemon = 0; daemon < daemons; ++daemon) {
+            budgets[daemon].addRequest(now);
+            requests.push_back(now);
+            while (budgets[daemon].takeRepeat(limits, daemons, now))
+                repeats.push_back(now);
+        }
+    }
+    auto countIn = [](const std::vector<TimePoint>& times, TimePoint start) {
+        return static_cast<double>(std::ranges::count_if(times, [start](TimePoint time) { return time >= start && time < start + 10s; }));
+    };
+    for (auto start = TimePoint { 100s }; start < TimePoint { 150s }; start += 500ms)
+        CHECK(countIn(repeats, start) <= limits.ratio * countIn(requests, start) + limits.slack);
+    CHECK(repeats.size() > 500);
+}
+
+TEST_CASE("rejections that were not asked for leave less for repeats")
+{
+    ArrivalBudget budget;
+    TimePoint now { 100s };
+    for (int i = 0; i < 31; ++i)
+        budget.addRepeat(now);
+    CHECK_FALSE(budget.takeRepeat(limits, 1, now));
+    CHECK(budget.takeRepeat(limits, 1, now + 11s));
+}
--- /dev/null
+++ b/tests/decisions/PromptPlacementTest.cpp
@@ -0,0 +1,185 @@
+#include "decisions/placement/PromptPlacement.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+const AvailabilityZone zoneA("a");
+const AvailabilityZone zoneB("b");
+
+std::vector<PlacementView> engines(size_t count)
+{
+    std::vector<PlacementView> views;
+    for (size_t i = 0; i < count; ++i) {
+        PlacementView view;
+        view.id = ReplicaId("i-" + std::to_string(i));
+        view.zone = i % 2 == 0 ? zoneA : zoneB;
+        view.slots = 12;
+        views.push_back(view);
+    }
+    return views;
+}
+
+/** 6,300 shared and 2,890 own tokens. */
+PromptShape promptOf(uint64_t subject)
+{
+    return { "m", 9190, 2, { { 1, 2520 }, { 1000 + subject, 3780 }, { 900'000 + subject, 2890 } } };
+}
+
+/** Serves the prompts of one engine by urgency; times in milliseconds. */
+struct EngineQueue {
+    struct Job {
+        double arrival = 0;
+        double work = 0;
+        bool isDeferred = false;
+    };
+    std::vector<Job> jobs;
+    double freeAt = 0;
+
+    /** Runs the jobs up to a time; returns how many were read within the objective. */
+    size_t runUntil(double time, double objective)
+    {
+        size_t onTime = 0;
+        while (!jobs.empty() && freeAt < time) {
+            auto next = std::ranges::min_element(jobs, {}, [](const Job& job) { return std::pair(job.isDeferred, job.arrival); });
+            freeAt = std::max(freeAt, next->arrival) + next->work;
+            if (freeAt - next->arrival <= objective)
+                ++onTime;
+            jobs.erase(next);
+        }
+        return onTime;
+    }
+
+    double queuedTokens(bool isDeferred) const
+    {
+        double tokens = 0;
+        for (const auto& job : jobs) {
+            if (job.isDeferred == isDeferred)
+                tokens += job.work * prefillTokensPerMillisecond;
+        }
+        return tokens;
+    }
+};
+
+/** Plays a crest of four seconds at a multiple of what the engines can read; returns the share read on time. */
+double shareOnTime(double overload, bool mayDefer)
+{
+    constexpr double objective = 120;
+    constexpr double length = 4000;
+    constexpr size_t engineCount = 4;
+    std::mt19937 random(11);
+    // The shared parts are cached at the home engines, so a prompt costs its own 2,890 tokens.
+    std::exponential_distribution<double> gap(overload * engineCount * prefillTokensPerMillisecond / 2890);
+    std::vector<EngineQueue> queues(engineCount);
+    auto views = engines(engineCount);
+    size_t asked = 0;
+    size_t onTime = 0;
+    for (double now = gap(random); now < length; now += gap(random)) {
+        for (size_t i = 0; i < engineCount; ++i) {
+            onTime += queues[i].runUntil(now, objective);
+            views[i].prefillTokens = queues[i].queuedTokens(false);
+            views[i].deferredTokens = queues[i].queuedTokens(true);
+        }
+        auto choice = choosePrefillEngine(promptOf(random() % 100'000), views, mayDefer ? Duration(100ms) : Duration(1h));
+        queues[choice->index].jobs.push_back({ now, choice->missingTokens / prefillTokensPerMillisecond, choice->isDeferred });
+        ++asked;
+    }
+    for (auto& queue : queues)
+        onTime += queue.runUntil(1e9, objective);
+    return static_cast<double>(onTime) / static_cast<double>(asked);
+}
+
+} // namespace
+
+TEST_CASE("daemons send prompts that share their last common part to the same engine without talking")
+{
+    auto views = engines(9);
+    for (uint64_t subject = 0; subject < 50; ++subject) {
+        auto here = choosePrefillEngine(promptOf(subject), views, 1s);
+        auto reversed = views;
+        std::ranges::reverse(reversed);
+        auto there = choosePrefillEngine(promptOf(subject), reversed, 1s);
+        CHECK(views[here->index].id == reversed[there->index].id);
+        CHECK(here->missingTokens == 2890);
+    }
+}
+
+TEST_CASE("subjects are spread over all engines")
+{
+    auto views = engines(9);
+    std::vector<int> counts(9);
+    for (uint64_t subject = 0; subject < 1675; ++subject)
+        ++counts[choosePrefillEngine(promptOf(subject), views, 1s)->index];
+    for (auto count : counts) {
+        CHECK(count > 1675 / 9 / 2);
+        CHECK(count < 1675 / 9 * 2);
+    }
+}
+
+TEST_CASE("a prompt leaves its home engine only when the queue there costs more than reading the shared parts again")
+{
+    auto views = engines(4);
+    auto home = choosePrefillEngine(promptOf(7), views, 1s)->index;
+    views[home].prefillTokens = 6300;
+    CHECK(choosePrefillEngine(promptOf(7), views, 1s)->index == home);
+    views[home].prefillTokens = 60'000;
+    auto other = choosePrefillEngine(promptOf(7), views, 1s);
+    CHECK(other->index != home);
+    CHECK(other->missingTokens == 9190);
+}
+
+TEST_CASE("an ejected or full engine gets no prompt")
+{
+    auto views = engines(2);
+    views[0].isEjected = true;
+    views[1].fullAt = 48;
+    views[1].requests = 47;
+    CHECK(choosePrefillEngine(promptOf(1), views, 1s)->index == 1);
+    views[1].requests = 48;
+    CHECK_FALSE(choosePrefillEngine(promptOf(1), views, 1s).has_value());
+}
+
+TEST_CASE("at twice the capacity most of what can be read is read on time when late prompts are deferred")
+{
+    // The engines can read half of the prompts. Without deferring, the queue makes nearly all of them late.
+    CHECK(shareOnTime(2, true) > 0.4);
+    CHECK(shareOnTime(2, false) < 0.2);
+}
+
+TEST_CASE("below the capacity nothing is deferred to anybody's harm")
+{
+    CHECK(shareOnTime(0.5, true) > 0.95);
+}
+
+TEST_CASE("the own zone is preferred until a replica elsewhere is clearly less occupied")
+{
+    auto views = engines(2);
+    views[0].requests = 1;
+    CHECK(chooseLeastOccupied(views, zoneA) == 0);
+    views[0].requests = 6;
+    CHECK(chooseLeastOccupied(views, zoneA) == 1);
+}
+
+TEST_CASE("a slow replica gets less work than a fast one")
+{
+    auto views = engines(2);
+    views[1].zone = zoneA;
+    views[0].slowdown = 4;
+    views[1].requests = 2;
+    CHECK(chooseLeastOccupied(views, zoneA) == 1);
+}
+
+TEST_CASE("decode engines are saturated by their work in flight, ejected ones do not count")
+{
+    auto views = engines(2);
+    views[0].requests = 30;
+    views[1].requests = 29;
+    CHECK_FALSE(isSaturated(views, 2.5));
+    views[1].isEjected = true;
+    CHECK(isSaturated(views, 2.5));
+}
--- /dev/null
+++ b/tests/decisions/ReplicaRegistryTest.cpp
@@ -0,0 +1,91 @@
+#include "decisions/replicas/ReplicaRegistry.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint start { 100s };
+const ReplicaId replica("i-1");
+
+ReplicaEntry entryOf(int64_t startedAt, int64_t heartbeat, bool isDraining = false)
+{
+    ReplicaEntry entry;
+    entry.id = replica;
+    entry.service = ServiceId("s");
+    entry.address = "10.0.0.1:80";
+    entry.startedAt = startedAt;
+    entry.heartbeat = heartbeat;
+    entry.isDraining = isDraining;
+    return entry;
+}
+
+ReplicaStatus statusIn(const ReplicaRegistry& registry)
+{
+    return registry.replicas.at(replica).status;
+}
+
+} // namespace
+
+TEST_CASE("a replica that announced its leaving does not become ready by a late heartbeat")
+{
+    ReplicaRegistry registry;
+    applyEntry(registry, entryOf(1, 5));
+    applyEntry(registry, entryOf(1, 7, true));
+    CHECK(statusIn(registry) == ReplicaStatus::Draining);
+    CHECK_FALSE(applyEntry(registry, entryOf(1, 6)));
+    CHECK_FALSE(applyEntry(registry, entryOf(1, 8)));
+    CHECK(statusIn(registry) == ReplicaStatus::Draining);
+}
+
+TEST_CASE("a replica that starts again under its old id is a new one, and its first start cannot come back")
+{
+    ReplicaRegistry registry;
+    applyEntry(registry, entryOf(1, 50, true));
+    CHECK(applyEntry(registry, entryOf(2, 1)));
+    CHECK(statusIn(registry) == ReplicaStatus::Ready);
+    CHECK_FALSE(applyEntry(registry, entryOf(1, 51, true)));
+    CHECK(statusIn(registry) == ReplicaStatus::Ready);
+}
+
+TEST_CASE("a removed replica is gone at once, and an entry with the same heartbeat does not revive it")
+{
+    ReplicaRegistry registry;
+    applyEntry(registry, entryOf(1, 5));
+    CHECK(applyRemoval(registry, replica, start, 0s));
+    CHECK(statusIn(registry) == ReplicaStatus::Gone);
+    CHECK_FALSE(applyEntry(registry, entryOf(1, 5)));
+    CHECK(applyEntry(registry, entryOf(1, 6)));
+    CHECK(statusIn(registry) == ReplicaStatus::Ready);
+}
+
+TEST_CASE("an entry that lapsed with the store leaves the replica usable until its grace ends")
+{
+    ReplicaRegistry registry;
+    applyEntry(registry, entryOf(1, 5));
+    applyRemoval(registry, replica, start, 2500ms);
+    CHECK(mayReceiveWork(registry.replicas.at(replica)));
+    CHECK(expireLapsed(registry, start + 2400ms).empty());
+    CHECK(expireLapsed(registry, start + 2500ms) == std::vector { replica });
+    CHECK(statusIn(registry) == ReplicaStatus::Gone);
+}
+
+TEST_CASE("a draining replica gets no grace when its entry disappears")
+{
+    ReplicaRegistry registry;
+    applyEntry(registry, entryOf(1, 5, true));
+    applyRemoval(registry, replica, start, 2500ms);
+    CHECK(statusIn(registry) == ReplicaStatus::Gone);
+}
+
+TEST_CASE("a heartbeat that changes nothing else is no change")
+{
+    ReplicaRegistry registry;
+    CHECK(applyEntry(registry, entryOf(1, 5)));
+    CHECK_FALSE(applyEntry(registry, entryOf(1, 6)));
+    auto moved = entryOf(1, 7);
+    moved.stage = EngineStage::Prefill;
+    CHECK(applyEntry(registry, moved));
+}
--- /dev/null
+++ b/tests/gateway/Fakes.cpp
@@ -0,0 +1,294 @@
+#include "gateway/Fakes.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/split.hpp>
+
+namespace chestnut {
+
+namespace {
+
+    constexpr Duration watchStep = std::chrono::milliseconds(10);
+
+    Error unavailable()
+    {
+        return makeError(ErrorKind::PlatformUnavailable, "the store is down");
+    }
+
+    class ScriptedBody final : public HttpBodyStream {
+    public:
+        ScriptedBody(ScriptedAnswer answer, std::shared_ptr<AbortHandle> abort)
+            : m_answer(std::move(answer))
+            , m_abort(std::move(abort))
+        {
+        }
+
+        int status() const override { return m_answer.status; }
+        const HttpHeaders& headers() const override { return m_headers; }
+
+        asio::awaitable<Result<std::optional<std::string>>> read() override
+        {
+            if (m_abort && m_abort->isAborted())
+                co_return makeError(ErrorKind::BackendFailed, "aborted");
+            if (m_next < m_answer.chunks.size())
+                co_return std::optional(m_answer.chunks[m_next++]);
+            if (m_answer.breaksOff)
+                co_return makeError(ErrorKind::BackendFailed, "connection reset");
+            co_return std::optional<std::string>();
+        }
+
+    private:
+        ScriptedAnswer m_answer;
+        std::shared_ptr<AbortHandle> m_abort;
+        HttpHeaders m_headers;
+        size_t m_next = 0;
+    };
+
+} // namespace
+
+void FakeVersionedStore::put(const std::string& key, const std::string& value, uint64_t lease)
+{
+    auto& item = m_items[key];
+    ++m_revision;
+    item = { key, value, m_revision, item.createdAt == 0 ? m_revision : item.createdAt };
+    m_leaseOf[key] = lease;
+    m_history.push_back({ item, false });
+}
+
+void FakeVersionedStore::erase(const std::string& key)
+{
+    if (m_items.erase(key) == 0)
+        return;
+    m_leaseOf.erase(key);
+    ++m_revision;
+    m_history.push_back({ { key, "", m_revision, 0 }, true });
+}
+
+void FakeVersionedStore::removeLease(uint64_t lease)
+{
+    m_leases.erase(lease);
+    std::vector<std::string> keys;
+    for (const auto& [key, owner] : m_leaseOf) {
+        if (owner == lease)
+            keys.push_back(key);
+    }
+    for (const auto& key : keys)
+        erase(key);
+}
+
+void FakeVersionedStore::expireLeases()
+{
+    std::vector<uint64_t> ended;
+    for (const auto& [id, lease] : m_leases) {
+        if (m_timers.now() >= lease.end)
+            ended.push_back(id);
+    }
+    for (auto id : ended)
+        removeLease(id);
+}
+
+StoreChanges FakeVersionedStore::changesAfter(const std::string& prefix, uint64_t revision) const
+{
+    StoreChanges changes { {}, m_revision, false };
+    for (const auto& change : m_history) {
+        if (change.item.revision > revision && change.item.key.starts_with(prefix))
+            changes.changes.push_back(change);
+    }
+    return changes;
+}
+
+asio::awaitable<Result<StorePage>> FakeVersionedStore::list(std::string prefix, std::string after)
+{
+    ++calls;
+    expireLeases();
+    if (isDown)
+        co_return unavailable();
+    StorePage page { {}, false, m_revision };
+    for (const auto& [key, item] : m_items) {
+        if (key.starts_with(prefix) && key > after)
+            page.items.push_back(item);
+    }
+    co_return page;
+}
+
+asio::awaitable<Result<StoreChanges>> FakeVersionedStore::watch(std::string prefix, uint64_t revision, Duration wait)
+{
+    ++calls;
+    auto end = m_timers.now() + wait;
+    while (true) {
+        expireLeases();
+        if (isDown)
+            co_return unavailable();
+        if (revision + 1 < m_oldest)
+            co_return StoreChanges { {}, 0, true };
+        auto changes = changesAfter(prefix, revision);
+        if (!changes.changes.empty() || m_timers.now() >= end)
+            co_return changes;
+        co_await m_timers.sleep(watchStep);
+    }
+}
+
+asio::awaitable<Result<uint64_t>> FakeVersionedStore::transact(std::vector<StoreCondition> conditions, std::vector<StoreWrite> writes, std::vector<std::string> removals)
+{
+    ++calls;
+    expireLeases();
+    if (isDown)
+        co_return unavailable();
+    for (const auto& condition : conditions) {
+        auto item = m_items.find(condition.key);
+        if ((item == m_items.end() ? 0 : item->second.revision) != condition.revision)
+            co_return makeError(ErrorKind::PlatformConflict, "condition");
+    }
+    for (const auto& write : writes) {
+        if (write.lease != 0 && !m_leases.contains(write.lease))
+            co_return makeError(ErrorKind::NotFound, "lease");
+        put(write.key, write.value, write.lease);
+    }
+    for (const auto& key : removals)
+        erase(key);
+    if (losesAnswers)
+        co_return makeError(ErrorKind::PlatformAnswerLost, "lost");
+    co_return m_revision;
+}
+
+asio::awaitable<Result<uint64_t>> FakeVersionedStore::grantLease(Duration timeToLive)
+{
+    ++calls;
+    if (isDown)
+        co_return unavailable();
+    m_leases[++m_lastLease] = { timeToLive, m_timers.now() + timeToLive };
+    co_return m_lastLease;
+}
+
+asio::awaitable<Result<void>> FakeVersionedStore::renewLease(uint64_t lease)
+{
+    ++calls;
+    expireLeases();
+    if (isDown)
+        co_return unavailable();
+    auto found = m_leases.find(lease);
+    if (found == m_leases.end())
+        co_return makeError(ErrorKind::NotFound, "lease");
+    found->second.end = m_timers.now() + found->second.timeToLive;
+    co_return Result<void>();
+}
+
+asio::awaitable<Result<void>> FakeVersionedStore::endLease(uint64_t lease)
+{
+    ++calls;
+    if (isDown)
+        co_return unavailable();
+    removeLease(lease);
+    co_return Result<void>();
+}
+
+ScriptedAnswer FakeInstanceClient::nextAnswer(const ReplicaId& replica)
+{
+    auto& script = scripts[replica];
+    if (script.empty())
+        return {};
+    auto answer = script.front();
+    if (script.size() > 1)
+        script.pop_front();
+    return answer;
+}
+
+asio::awaitable<Result<InstanceAnswer>> FakeInstanceClient::send(InstanceCall call)
+{
+    sent.push_back({ call.replica, call.handle, call.resumeAfter, call.urgency, call.timeLeft });
+    auto answer = nextAnswer(call.replica);
+    auto end = m_timers.now() + answer.delay;
+    bool wasInterrupted = false;
+    if (call.abort)
+        call.abort->attach([&wasInterrupted] { wasInterrupted = true; });
+    while (m_timers.now() < end && !wasInterrupted)
+        co_await m_timers.sleep(std::chrono::milliseconds(1));
+    if (call.abort)
+        call.abort->detach();
+    if (wasInterrupted)
+        co_return makeError(ErrorKind::BackendFailed, "aborted");
+    if (answer.error)
+        co_return *answer.error;
+    auto verdict = answer.verdict;
+    co_return InstanceAnswer { verdict, { { "X-Replica", call.replica.value() } }, std::make_unique<ScriptedBody>(std::move(answer), call.abort) };
+}
+
+asio::awaitable<Result<PrefillAnswer>> FakeInstanceClient::prefill(InstanceCall call)
+{
+    prefills.push_back(call.replica);
+    if (auto error = prefillErrors[call.replica])
+        co_return *error;
+    co_return PrefillAnswer { { call.address, "handle-" + std::to_string(prefills.size()) }, 0 };
+}
+
+asio::awaitable<Result<void>> FakeInstanceClient::release(CacheHandle handle)
+{
+    released.push_back(std::move(handle));
+    co_return Result<void>();
+}
+
+asio::awaitable<Result<EngineReport>> FakeInstanceClient::report(ReplicaId replica, std::string)
+{
+    co_return reports[replica];
+}
+
+asio::awaitable<Result<OrderVerdict>> FakeInstanceClient::order(StageOrder order)
+{
+    orders.push_back(std::move(order));
+    co_return OrderVerdict::Accepted;
+}
+
+asio::awaitable<Result<void>> FakeWriter::send(HttpResponse response)
+{
+    status = response.status;
+    headers = std::move(response.headers);
+    body = std::move(response.body);
+    isFinished = true;
+    co_return Result<void>();
+}
+
+asio::awaitable<Result<void>> FakeWriter::begin(int newStatus, HttpHeaders newHeaders)
+{
+    status = newStatus;
+    headers = std::move(newHeaders);
+    co_return Result<void>();
+}
+
+asio::awaitable<Result<void>> FakeWriter::write(std::string chunk)
+{
+    body += chunk;
+    co_return Result<void>();
+}
+
+asio::awaitable<Result<void>> FakeWriter::finish()
+{
+    isFinished = true;
+    co_return Result<void>();
+}
+
+std::string testEntry(const std::string& service, const std::string& stage, const std::string& zone, const std::string& state, int start, int heartbeat, int slots)
+{
+    return service + " " + stage + " " + zone + " " + state + " " + std::to_string(start) + " " + std::to_string(heartbeat) + " " + std::to_string(slots);
+}
+
+Result<ReplicaEntry> decodeTestEntry(const ReplicaId& id, std::string_view text)
+{
+    std::vector<std::string> fields;
+    std::string copy(text);
+    boost::algorithm::split(fields, copy, [](char c) { return c == ' '; });
+    if (fields.size() != 7)
+        return makeError(ErrorKind::ProtocolError, "no entry");
+    ReplicaEntry entry;
+    entry.id = id;
+    entry.service = ServiceId(fields[0]);
+    entry.stage = fields[1] == "prefill" ? EngineStage::Prefill : fields[1] == "decode" ? EngineStage::Decode
+                                                                                        : EngineStage::None;
+    entry.zone = AvailabilityZone(fields[2]);
+    entry.isDraining = fields[3] == "draining";
+    entry.startedAt = std::stoll(fields[4]);
+    entry.heartbeat = std::stoll(fields[5]);
+    entry.slots = static_cast<uint32_t>(std::stoul(fields[6]));
+    entry.address = "10.0.0.1:80";
+    return entry;
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/tests/gateway/Fakes.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "gateway/gateway.h"
+#include "kernel/timers/VirtualTimerService.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+
+namespace chestnut {
+
+/** A store in memory with outages, lost answers, lost history and leases in virtual time. */
+class FakeVersionedStore final : public VersionedStore {
+public:
+    explicit FakeVersionedStore(VirtualTimerService& timers)
+        : m_timers(timers)
+    {
+    }
+
+    bool isDown = false;
+    bool losesAnswers = false; /**< writes take effect and are not answered */
+    size_t calls = 0;
+
+    void put(const std::string& key, const std::string& value, uint64_t lease = 0);
+    void erase(const std::string& key);
+    /** Drops the history: watches from an older revision are told so. */
+    void compact() { m_oldest = m_revision + 1; }
+    const std::map<std::string, StoreItem>& items() const { return m_items; }
+
+    asio::awaitable<Result<StorePage>> list(std::string prefix, std::string after) override;
+    asio::awaitable<Result<StoreChanges>> watch(std::string prefix, uint64_t revision, Duration wait) override;
+    asio::awaitable<Result<uint64_t>> transact(std::vector<StoreCondition>, std::vector<StoreWrite>, std::vector<std::string> removals) override;
+    asio::awaitable<Result<uint64_t>> grantLease(Duration timeToLive) override;
+    asio::awaitable<Result<void>> renewLease(uint64_t lease) override;
+    asio::awaitable<Result<void>> endLease(uint64_t lease) override;
+
+private:
+    struct Lease {
+        Duration timeToLive {};
+        TimePoint end;
+    };
+
+    StoreChanges changesAfter(const std::string& prefix, uint64_t revision) const;
+    void expireLeases();
+    void removeLease(uint64_t lease);
+
+    VirtualTimerService& m_timers;
+    std::map<std::string, StoreItem> m_items;
+    std::map<std::string, uint64_t> m_leaseOf;
+    std::vector<StoreChange> m_history;
+    std::map<uint64_t, Lease> m_leases;
+    uint64_t m_revision = 1;
+    uint64_t m_oldest = 1;
+    uint64_t m_lastLease = 0;
+};
+
+/** What a fake replica does with one call. */
+struct ScriptedAnswer {
+    std::optional<Error> error;
+    InstanceVerdict verdict = InstanceVerdict::Executed;
+    int status = 200;
+    std::vector<std::string> chunks;
+    bool breaksOff = false; /**< after the chunks */
+    Duration delay {};
+};
+
+/** Replicas that answer by script; a call that runs into an abort ends like a broken connection. */
+class FakeInstanceClient final : public InstanceClient {
+public:
+    struct Sent {
+        ReplicaId replica;
+        std::optional<CacheHandle> handle;
+        std::optional<std::string> resumeAfter;
+        std::optional<uint32_t> urgency;
+        Duration timeLeft {};
+    };
+
+    explicit FakeInstanceClient(VirtualTimerService& timers)
+        : m_timers(timers)
+    {
+    }
+
+    std::map<ReplicaId, std::deque<ScriptedAnswer>> scripts; /**< the last entry of a script is repeated */
+    std::map<ReplicaId, std::optional<Error>> prefillErrors;
+    std::map<ReplicaId, EngineReport> reports;
+    std::vector<Sent> sent;
+    std::vector<ReplicaId> prefills;
+    std::vector<CacheHandle> released;
+    std::vector<StageOrder> orders;
+
+    asio::awaitable<Result<InstanceAnswer>> send(InstanceCall) override;
+    asio::awaitable<Result<PrefillAnswer>> prefill(InstanceCall) override;
+    asio::awaitable<Result<void>> release(CacheHandle) override;
+    asio::awaitable<Result<EngineReport>> report(ReplicaId, std::string address) override;
+    asio::awaitable<Result<OrderVerdict>> order(StageOrder) override;
+
+private:
+    ScriptedAnswer nextAnswer(const ReplicaId&);
+
+    VirtualTimerService& m_timers;
+};
+
+/** Collects what a client would receive. */
+class FakeWriter final : public HttpResponseWriter {
+public:
+    asio::awaitable<Result<void>> send(HttpResponse) override;
+    asio::awaitable<Result<void>> begin(int status, HttpHeaders) override;
+    asio::awaitable<Result<void>> write(std::string chunk) override;
+    asio::awaitable<Result<void>> finish() override;
+    void abort() override { wasAborted = true; }
+    void onCallerGone(std::function<void()> callback) override { callerGone = std::move(callback); }
+    bool hasBegun() const override { return status != 0; }
+
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+    bool isFinished = false;
+    bool wasAborted = false;
+    std::function<void()> callerGone;
+};
+
+/** A replica's entry in the form that decodeTestEntry() reads: service, stage, zone, state, start, heartbeat, slots. */
+std::string testEntry(const std::string& service, const std::string& stage, const std::string& zone = "a", const std::string& state = "ready", int start = 1, int heartbeat = 1, int slots = 4);
+Result<ReplicaEntry> decodeTestEntry(const ReplicaId&, std::string_view);
+
+} // namespace chestnut
--- /dev/null
+++ b/tests/gateway/GatewayFixture.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "gateway/Fakes.h"
+
+namespace chestnut {
+
+/** The parts of a gateway that relay requests, with fake replicas and virtual time. */
+class GatewayFixture {
+public:
+    GatewayFixture()
+    {
+        replicas.start();
+        settle();
+    }
+
+    /** Adds a replica and waits until it is known. */
+    void addReplica(const std::string& id, const std::string& service, const std::string& stage, const std::string& zone = "a")
+    {
+        store.put("servers/" + id, testEntry(service, stage, zone));
+        settle();
+    }
+
+    void settle() { timers.advance(std::chrono::milliseconds(300)); }
+
+    Route route(RouteKind kind, uint32_t attempts, bool isResumable = false) const
+    {
+        Route result;
+        result.name = "r";
+        result.host = "h";
+        result.prefix = "/";
+        result.kind = kind;
+        result.timeout = std::chrono::seconds(2);
+        result.latencyObjective = std::chrono::milliseconds(150);
+        result.shares = { { ServiceId("s"), 1 } };
+        result.maximumAttempts = attempts;
+        result.isResumable = isResumable;
+        return result;
+    }
+
+    /** Starts a request; its answer collects in `writer`. */
+    void start(Route newRoute, FakeWriter& writer, std::optional<PromptShape> prompt = {})
+    {
+        RoutingConfiguration configuration;
+        configuration.version = 1;
+        configuration.routes = { std::move(newRoute) };
+        auto table = std::make_shared<const RouteTable>(std::move(configuration));
+        RoutedRequest request;
+        request.id = RequestId("q" + std::to_string(++m_requests));
+        request.host = "h";
+        request.forwarded = { "POST", "/x", {}, "body" };
+        request.prompt = std::move(prompt);
+        request.arrival = timers.now();
+        budgets.addRequest(ServiceId("s"));
+        auto isGeneration = request.prompt.has_value();
+        auto relay = std::make_shared<RelayContext>(services, std::move(request), table, *table->find("h", "/x"), ServiceId("s"));
+        relay->watch(writer);
+        if (isGeneration)
+            asio::co_spawn(context, generate(relay, writer), asio::detached);
+        else
+            asio::co_spawn(context, relayPlain(relay, writer), asio::detached);
+    }
+
+    /** Plays a request to its end. */
+    void play(Route newRoute, FakeWriter& writer, std::optional<PromptShape> prompt = {}, Duration time = std::chrono::seconds(4))
+    {
+        start(std::move(newRoute), writer, std::move(prompt));
+        timers.advance(time);
+    }
+
+    static PromptShape longPrompt() { return { "m", 9000, 2, { { 1, 6000 }, { 2, 3000 } } }; }
+
+    asio::io_context context;
+    VirtualTimerService timers { context };
+    MemoryLog log;
+    Metrics metrics;
+    FakeVersionedStore store { timers };
+    FakeInstanceClient instances { timers };
+    std::shared_ptr<LoadBoard> board = std::make_shared<LoadBoard>(timers, log);
+    CrashLosses losses { timers };
+    ReplicaDirectory replicas { context, store, timers, log, board, "servers/", decodeTestEntry };
+    DaemonDirectory daemons { context, store, timers, log, { DaemonId("d0"), AvailabilityZone("a"), { "10.0.0.9", 1 }, { "10.0.0.9", 2 } } };
+    ServiceBudgets budgets { timers, daemons, { 0.2, 20, std::chrono::seconds(10) } };
+    RelayServices services { context, timers, log, metrics, instances, replicas, board, losses, budgets, AvailabilityZone("a") };
+
+private:
+    static asio::awaitable<void> generate(RelayPointer relay, FakeWriter& writer)
+    {
+        GenerationRelay generation(std::move(relay), writer);
+        co_await generation.run();
+    }
+
+    int m_requests = 0;
+};
+
+} // namespace chestnut
--- /dev/null
+++ b/tests/gateway/PlainRelayTest.cpp
@@ -0,0 +1,187 @@
+#include "gateway/GatewayFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+ScriptedAnswer answerWith(std::string body, int status = 200)
+{
+    ScriptedAnswer answer;
+    answer.status = status;
+    answer.chunks = { std::move(body) };
+    return answer;
+}
+
+ScriptedAnswer failWith(ErrorKind kind)
+{
+    ScriptedAnswer answer;
+    answer.error = makeError(kind, "scripted");
+    return answer;
+}
+
+ScriptedAnswer refuse()
+{
+    auto answer = answerWith("", 503);
+    answer.verdict = InstanceVerdict::NotExecuted;
+    return answer;
+}
+
+} // namespace
+
+TEST_CASE("the answer of a replica reaches the client unchanged")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.instances.scripts[ReplicaId("i-1")] = { answerWith("conflict", 409) };
+    FakeWriter writer;
+    fixture.play(fixture.route(RouteKind::NonIdempotent, 1), writer);
+    CHECK(writer.status == 409);
+    CHECK(writer.body == "conflict");
+    CHECK(writer.headers.value("X-Replica") == "i-1");
+}
+
+TEST_CASE("a call that may not be repeated and may have run is never answered as not run, nor sent again")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none");
+    for (const auto* id : { "i-1", "i-2" })
+        fixture.instances.scripts[ReplicaId(id)] = { failWith(ErrorKind::BackendFailed) };
+    FakeWriter writer;
+    fixture.play(fixture.route(RouteKind::NonIdempotent, 3), writer);
+    CHECK(fixture.instances.sent.size() == 1);
+    CHECK(writer.status == 502);
+    CHECK_FALSE(writer.headers.contains("Retry-After"));
+}
+
+TEST_CASE("a call that a replica refused goes to another one, also when it may not be repeated")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none", "b");
+    fixture.instances.scripts[ReplicaId("i-1")] = { refuse() };
+    fixture.instances.scripts[ReplicaId("i-2")] = { answerWith("booked") };
+    FakeWriter writer;
+    fixture.play(fixture.route(RouteKind::NonIdempotent, 1), writer);
+    CHECK(writer.status == 200);
+    CHECK(writer.body == "booked");
+}
+
+TEST_CASE("when all replicas refuse, the client is told that the call has not run and when to come back")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.instances.scripts[ReplicaId("i-1")] = { refuse() };
+    FakeWriter writer;
+    fixture.play(fixture.route(RouteKind::NonIdempotent, 1), writer);
+    CHECK(writer.status == 503);
+    CHECK(writer.headers.contains("Retry-After"));
+}
+
+TEST_CASE("an idempotent call is repeated as often as its route allows")
+{
+    GatewayFixture fixture;
+    for (const auto* id : { "i-1", "i-2", "i-3" }) {
+        fixture.addReplica(id, "s", "none");
+        fixture.instances.scripts[ReplicaId(id)] = { failWith(ErrorKind::BackendFailed) };
+    }
+    FakeWriter writer;
+    fixture.play(fixture.route(RouteKind::Idempotent, 2), writer);
+    CHECK(fixture.instances.sent.size() == 2);
+    CHECK(writer.status == 502);
+}
+
+TEST_CASE("an idempotent call that gets no answer is sent elsewhere after twice its objective")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none", "b");
+    auto silent = answerWith("late");
+    silent.delay = 1500ms;
+    fixture.instances.scripts[ReplicaId("i-1")] = { silent };
+    fixture.instances.scripts[ReplicaId("i-2")] = { answerWith("here") };
+    FakeWriter writer;
+    fixture.play(fixture.route(RouteKind::Idempotent, 2), writer, {}, 400ms);
+    CHECK(writer.body == "here");
+}
+
+TEST_CASE("a response without a seal is no success and counts as run")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    auto unsealed = answerWith("forged");
+    unsealed.verdict = InstanceVerdict::Unsealed;
+    fixture.instances.scripts[ReplicaId("i-1")] = { unsealed };
+    FakeWriter writer;
+    fixture.play(fixture.route(RouteKind::NonIdempotent, 1), writer);
+    CHECK(writer.status == 502);
+}
+
+TEST_CASE("a call has its final answer at the timeout of its route")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    auto silent = answerWith("late");
+    silent.delay = 10s;
+    fixture.instances.scripts[ReplicaId("i-1")] = { silent };
+    FakeWriter writer;
+    fixture.start(fixture.route(RouteKind::NonIdempotent, 1), writer);
+    fixture.timers.advance(1990ms);
+    CHECK(writer.status == 0);
+    fixture.timers.advance(60ms);
+    CHECK(writer.status == 504);
+}
+
+TEST_CASE("the work ends when the client leaves, and nothing more is sent")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none");
+    for (const auto* id : { "i-1", "i-2" }) {
+        auto slow = answerWith("late");
+        slow.delay = 5s;
+        fixture.instances.scripts[ReplicaId(id)] = { slow };
+    }
+    FakeWriter writer;
+    fixture.start(fixture.route(RouteKind::Idempotent, 2), writer);
+    fixture.timers.advance(100ms);
+    writer.callerGone();
+    fixture.timers.advance(20ms);
+    CHECK(fixture.board->requestsAt(ReplicaId("i-1")) + fixture.board->requestsAt(ReplicaId("i-2")) == 0);
+    fixture.timers.advance(3s);
+    CHECK(fixture.instances.sent.size() == 1);
+    CHECK(writer.status == 0);
+}
+
+TEST_CASE("repeats stop when the budget of the service is used up")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none");
+    for (const auto* id : { "i-1", "i-2" })
+        fixture.instances.scripts[ReplicaId(id)] = { refuse() };
+    constexpr size_t requests = 50;
+    std::vector<FakeWriter> writers(requests);
+    for (auto& writer : writers)
+        fixture.play(fixture.route(RouteKind::Idempotent, 2), writer, {}, 10ms);
+    // The bound is 0.2 x 50 + 20.
+    CHECK(fixture.instances.sent.size() - requests <= 30);
+    CHECK(fixture.instances.sent.size() > requests);
+}
+
+TEST_CASE("a request that crashes the replicas that run it is sent to no more than three")
+{
+    GatewayFixture fixture;
+    for (const auto* id : { "i-1", "i-2", "i-3", "i-4", "i-5" }) {
+        fixture.addReplica(id, "s", "none");
+        fixture.instances.scripts[ReplicaId(id)] = { failWith(ErrorKind::BackendFailed) };
+    }
+    std::vector<FakeWriter> writers(6);
+    for (auto& writer : writers)
+        fixture.play(fixture.route(RouteKind::NonIdempotent, 1), writer, {}, 20ms);
+    CHECK(fixture.instances.sent.size() == 3);
+    CHECK(writers.back().status == 503);
+}
--- /dev/null
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -0,0 +1,77 @@
+#include "gateway/GatewayFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Two daemons before five decode engines and one store. */
+struct TwoDaemons : GatewayFixture {
+    TwoDaemons()
+    {
+        auto decode = [](std::string_view) -> Result<RoutingConfiguration> {
+            RoutingConfiguration configuration;
+            configuration.version = 1;
+            ServiceProfile service;
+            service.id = ServiceId("s");
+            service.engine = EngineProfile {};
+            configuration.services = { service };
+            return configuration;
+        };
+        source = std::make_unique<RoutingSource>(context, store, timers, log, "op/config", decode, [](const RoutingConfiguration&) {});
+        source->start();
+        store.put("op/config", "1");
+        for (int i = 0; i < 6; ++i) {
+            auto id = "i-" + std::to_string(i);
+            addReplica(id, "s", "decode");
+            instances.reports[ReplicaId(id)] = { EngineStage::Decode, false, 7, 0, 0 };
+        }
+        for (const auto* id : { "d0", "d1" })
+            managers.push_back(std::make_unique<RoleManager>(context, store, timers, log, instances, replicas, board, *source, RoleManagerSettings { DaemonId(id), 3s }));
+        for (auto& manager : managers)
+            manager->start();
+    }
+
+    std::unique_ptr<RoutingSource> source;
+    std::vector<std::unique_ptr<RoleManager>> managers;
+};
+
+} // namespace
+
+TEST_CASE("one daemon gives the orders, after the wait of a takeover, with its fencing number and the expected orders")
+{
+    TwoDaemons fixture;
+    fixture.timers.advance(2900ms);
+    CHECK(fixture.instances.orders.empty());
+    fixture.timers.advance(3s);
+    REQUIRE_FALSE(fixture.instances.orders.empty());
+    auto holder = fixture.store.items().at("chestnutroute/roles/holder");
+    for (const auto& order : fixture.instances.orders) {
+        CHECK(order.holder == holder.value);
+        CHECK(order.fencingNumber == holder.createdAt);
+        CHECK(order.expectedOrders == 7);
+        CHECK(order.stage == EngineStage::Prefill);
+    }
+    // Before traffic a third of six engines decodes, but not fewer than three.
+    CHECK(fixture.instances.orders.size() == 3);
+}
+
+TEST_CASE("an engine that is reported as changing gets no order")
+{
+    TwoDaemons fixture;
+    for (auto& [id, report] : fixture.instances.reports)
+        report.isChanging = true;
+    fixture.timers.advance(8s);
+    CHECK(fixture.instances.orders.empty());
+}
+
+TEST_CASE("without the store no orders are given, and nobody else takes them over meanwhile")
+{
+    TwoDaemons fixture;
+    fixture.timers.advance(1500ms);
+    fixture.store.isDown = true;
+    fixture.timers.advance(20s);
+    CHECK(fixture.instances.orders.empty());
+}
--- /dev/null
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -0,0 +1,135 @@
+#include "gateway/GatewayFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+ReplicaStatus statusOf(const ReplicaDirectory& replicas, const std::string& id)
+{
+    const auto* known = replicas.find(ReplicaId(id));
+    return known ? known->status : ReplicaStatus::Gone;
+}
+
+} // namespace
+
+TEST_CASE("changes of the store arrive while it works, and the last state stays while it is away")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Ready);
+    fixture.store.isDown = true;
+    fixture.timers.advance(10s);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Ready);
+    fixture.store.put("servers/i-2", testEntry("s", "none"));
+    fixture.store.isDown = false;
+    fixture.timers.advance(1s);
+    CHECK(statusOf(fixture.replicas, "i-2") == ReplicaStatus::Ready);
+}
+
+TEST_CASE("an entry that lapsed during an outage keeps its replica in use for two seconds and a half")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.store.isDown = true;
+    fixture.timers.advance(3s);
+    fixture.store.erase("servers/i-1");
+    fixture.store.isDown = false;
+    fixture.timers.advance(1s);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Lapsed);
+    fixture.timers.advance(2s);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Gone);
+}
+
+TEST_CASE("a removal after the first changes of an outage is meant")
+{
+    // Hunt seeds 470558889183 and 779814292827 of tr-spares: a daemon whose way to the store had been cut took the removal
+    // of a leaving replica for a lapse and sent it work for 2.5 s.
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.store.isDown = true;
+    fixture.timers.advance(3s);
+    fixture.store.isDown = false;
+    fixture.timers.advance(1s);
+    fixture.store.put("servers/i-2", testEntry("s", "none"));
+    fixture.timers.advance(500ms);
+    fixture.store.erase("servers/i-1");
+    fixture.timers.advance(500ms);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Gone);
+}
+
+TEST_CASE("what a peer says of a leaving replica counts for a lapsed one, too")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.store.isDown = true;
+    fixture.timers.advance(3s);
+    fixture.store.erase("servers/i-1");
+    fixture.store.isDown = false;
+    fixture.timers.advance(1s);
+    fixture.replicas.peerSaysLeaving(ReplicaId("i-1"));
+    CHECK(fixture.replicas.usable(ServiceId("s"), EngineStage::None).empty());
+}
+
+TEST_CASE("when the history is gone the prefix is listed again, and what is missing is removed")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none");
+    fixture.store.isDown = true;
+    fixture.timers.advance(1s);
+    fixture.store.put("servers/i-1", testEntry("s", "none", "a", "draining", 1, 9));
+    fixture.store.erase("servers/i-2");
+    fixture.store.put("servers/i-3", testEntry("s", "none"));
+    fixture.store.compact();
+    fixture.store.isDown = false;
+    fixture.timers.advance(4s);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Draining);
+    CHECK(statusOf(fixture.replicas, "i-2") == ReplicaStatus::Gone);
+    CHECK(statusOf(fixture.replicas, "i-3") == ReplicaStatus::Ready);
+}
+
+TEST_CASE("an entry that cannot be read names no replica, and the others hold")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.store.put("servers/i-x", "garbage");
+    fixture.settle();
+    CHECK(fixture.replicas.find(ReplicaId("i-x")) == nullptr);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Ready);
+}
+
+TEST_CASE("an engine gets no work from its order until its entry shows the new stage")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "decode");
+    ServiceId service("s");
+    fixture.replicas.pauseForOrder(ReplicaId("i-1"), EngineStage::Prefill);
+    fixture.timers.advance(9s);
+    CHECK(fixture.replicas.usable(service, EngineStage::Decode).empty());
+    CHECK(fixture.replicas.engines(service).size() == 1);
+    fixture.store.put("servers/i-1", testEntry("s", "prefill", "a", "ready", 1, 5));
+    fixture.timers.advance(1s);
+    CHECK(fixture.replicas.usable(service, EngineStage::Prefill).size() == 1);
+}
+
+TEST_CASE("the configuration never goes back to an older version")
+{
+    GatewayFixture fixture;
+    auto decode = [](std::string_view text) -> Result<RoutingConfiguration> {
+        RoutingConfiguration configuration;
+        configuration.version = static_cast<uint64_t>(std::stoi(std::string(text)));
+        return configuration;
+    };
+    RoutingSource source(fixture.context, fixture.store, fixture.timers, fixture.log, "op/config", decode, [](const RoutingConfiguration&) {});
+    source.start();
+    fixture.settle();
+    CHECK(source.table() == nullptr);
+    for (const auto* version : { "4", "9", "7" }) {
+        fixture.store.put("op/config", version);
+        fixture.settle();
+    }
+    CHECK(source.table()->configuration().version == 9);
+}
--- /dev/null
+++ b/tests/http/ChannelPoolTest.cpp
@@ -0,0 +1,186 @@
+#include "http/client/ChannelPool.h"
+
+#include "kernel/timers/AsioTimerService.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+namespace {
+
+/** A server that answers each request with the next bytes of a script, whatever they are. */
+class ScriptedServer {
+public:
+    explicit ScriptedServer(asio::io_context& context)
+        : m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        asio::co_spawn(context, acceptAll(), asio::detached);
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+
+    struct Reply {
+        std::string bytes;
+        bool closes = false;
+    };
+    std::deque<Reply> replies;
+    int connections = 0;
+
+private:
+    asio::awaitable<void> acceptAll()
+    {
+        while (true) {
+            auto socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            ++connections;
+            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        asio::streambuf buffer;
+        boost::system::error_code error;
+        while (!error) {
+            auto size = co_await asio::async_read_until(socket, buffer, "\r\n\r\n", asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            buffer.consume(size);
+            // Without a reply the server is silent.
+            if (replies.empty())
+                continue;
+            auto reply = replies.front();
+            replies.pop_front();
+            co_await asio::async_write(socket, asio::buffer(reply.bytes), asio::redirect_error(asio::use_awaitable, error));
+            if (reply.closes)
+                co_return;
+        }
+    }
+
+    tcp::acceptor m_acceptor;
+};
+
+struct PoolFixture {
+    asio::io_context context;
+    AsioTimerService timers { context };
+    ChannelPool pool { context, timers, {} };
+    ScriptedServer server { context };
+
+    Result<std::string> call(ChannelOptions options = {})
+    {
+        options.timeout = 1s;
+        std::optional<Result<std::string>> result;
+        auto exchange = [&]() -> asio::awaitable<void> {
+            auto stream = co_await pool.open(server.endpoint(), { "GET", "/", {}, {} }, options);
+            if (!stream)
+                result = stream.error();
+            else
+                result = co_await readWholeBody(**stream, 1 << 20);
+        };
+        asio::co_spawn(context, exchange(), asio::detached);
+        context.restart();
+        while (!result && context.run_one_for(2s) > 0) { }
+        // Late bytes of the server arrive before the next call.
+        context.run_for(20ms);
+        return *result;
+    }
+};
+
+std::string response(const std::string& body, const std::string& headers = "")
+{
+    return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_CASE("a connection is kept for the next request")
+{
+    PoolFixture fixture;
+    fixture.server.replies = { { response("one") }, { response("two") } };
+    CHECK(fixture.call().value() == "one");
+    CHECK(fixture.call().value() == "two");
+    CHECK(fixture.server.connections == 1);
+}
+
+TEST_CASE("surplus bytes behind a response reach no other request")
+{
+    PoolFixture fixture;
+    fixture.server.replies = { { response("one") + response("surplus") }, { response("two") } };
+    CHECK(fixture.call().value() == "one");
+    CHECK(fixture.call().value() == "two");
+    CHECK(fixture.server.connections == 2);
+}
+
+TEST_CASE("a connection that the server has closed is not used again")
+{
+    PoolFixture fixture;
+    fixture.server.replies = { { response("one"), true }, { response("two") } };
+    CHECK(fixture.call().value() == "one");
+    CHECK(fixture.call().value() == "two");
+    CHECK(fixture.server.connections == 2);
+}
+
+TEST_CASE("a late response to an earlier request is dropped, and the right one behind it is taken")
+{
+    PoolFixture fixture;
+    fixture.server.replies = { { response("late", "Id: q0\r\n") + response("mine", "Id: q1\r\n") } };
+    ChannelOptions options;
+    options.isOwnResponse = [](const HttpHeaders& headers) { return headers.value("Id") == "q1"; };
+    CHECK(fixture.call(options).value() == "mine");
+}
+
+TEST_CASE("bytes that are no response, and a response that ends early, are errors that may have run")
+{
+    for (const std::string& bytes : { std::string("garbage garbage\r\n\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort") }) {
+        PoolFixture fixture;
+        fixture.server.replies = { { bytes, true } };
+        auto result = fixture.call();
+        REQUIRE_FALSE(result.has_value());
+        CHECK(result.error().kind == ErrorKind::BackendFailed);
+    }
+}
+
+TEST_CASE("a response without a length ends with its connection")
+{
+    PoolFixture fixture;
+    fixture.server.replies = { { "HTTP/1.1 200 OK\r\n\r\nwhole", true } };
+    CHECK(fixture.call().value() == "whole");
+}
+
+TEST_CASE("an aborted exchange ends at once, and a handle aborted before never sends")
+{
+    PoolFixture fixture;
+    ChannelOptions options;
+    options.abort = std::make_shared<AbortHandle>();
+    auto timer = fixture.timers.once(30ms, [&] { options.abort->abort(); });
+    auto startedAt = fixture.timers.now();
+    auto result = fixture.call(options);
+    CHECK(result.error().kind == ErrorKind::BackendFailed);
+    CHECK(fixture.timers.now() - startedAt < 500ms);
+    CHECK(fixture.call(options).error().kind == ErrorKind::ConnectFailed);
+    CHECK(fixture.server.connections == 1);
+}
+
+TEST_CASE("a server that does not listen has seen nothing")
+{
+    PoolFixture fixture;
+    auto unused = fixture.server.endpoint();
+    std::optional<ErrorKind> kind;
+    auto exchange = [&]() -> asio::awaitable<void> {
+        auto stream = co_await fixture.pool.open({ unused.address, 1 }, { "GET", "/", {}, {} }, {});
+        kind = stream.error().kind;
+    };
+    asio::co_spawn(fixture.context, exchange(), asio::detached);
+    while (!kind && fixture.context.run_one_for(2s) > 0) { }
+    CHECK(kind == ErrorKind::ConnectFailed);
+}
--- /dev/null
+++ b/tests/platform/ManifestTest.cpp
@@ -0,0 +1,78 @@
+#include "platform/Manifest.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace chestnut::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view manifest = R"({"version":7,"routes":[
+ {"name":"r-1","host":"h.example","prefix":"/pufi/","kind":"streaming","timeout_ms":15000,"target_latency_ms":200,"priority":1,"service":"lm","max_attempts":1,"sticky":true,"resumable":false,"target_gap_ms":150},
+ {"name":"r-2","host":"h.example","prefix":"/lohu/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":150,"priority":0,"traffic_split":[{"service":"lm","weight":90},{"service":"desk","weight":10}],"max_attempts":2}],
+ "services":[{"name":"lm","health_path":"/health","max_conns":150,"engine":{"slots":12,"kv_capacity":1140336,"kv_hold_s":5.0,"switch_s":3.0}},{"name":"desk","health_path":"/health","max_conns":96}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+constexpr std::string_view entry = R"({"service":"lm","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":12,"state":"ready","cold_left_ms":0,"stage":"decode","models":[],"seq_no":4,"born":1700000000000})";
+
+std::string replaced(std::string_view text, std::string_view from, std::string_view to)
+{
+    std::string copy(text);
+    copy.replace(copy.find(from), from.size(), to);
+    return copy;
+}
+
+} // namespace
+
+TEST_CASE("a manifest is read with its routes, services and limits")
+{
+    auto configuration = decodeManifest(manifest);
+    REQUIRE(configuration.has_value());
+    CHECK(configuration->version == 7);
+    REQUIRE(configuration->routes.size() == 2);
+    CHECK(configuration->routes[0].kind == RouteKind::Streaming);
+    CHECK(configuration->routes[0].timeout == Duration(15s));
+    CHECK(configuration->routes[1].shares == std::vector<TrafficShare> { { ServiceId("lm"), 90 }, { ServiceId("desk"), 10 } });
+    CHECK(configuration->routes[1].maximumAttempts == 2);
+    CHECK(configuration->services[0].engine->slots == 12);
+    CHECK_FALSE(configuration->services[1].engine.has_value());
+    CHECK(configuration->limits.idleTimeout == Duration(15s));
+}
+
+TEST_CASE("an unknown kind of route is treated like the one that allows least")
+{
+    auto configuration = decodeManifest(replaced(manifest, "\"idempotent\"", "\"novel\""));
+    CHECK(configuration->routes[1].kind == RouteKind::NonIdempotent);
+}
+
+TEST_CASE("what is no manifest is refused")
+{
+    for (const auto* text : { "", "[]", "{}", R"({"version":"7","routes":[],"services":[]})", R"({"version":7,"routes":[{}],"services":[]})" })
+        CHECK_FALSE(decodeManifest(text).has_value());
+}
+
+TEST_CASE("a server's entry is read")
+{
+    auto decoded = decodeServerEntry(ReplicaId("i-1"), entry);
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->address == "10.128.0.9:8080");
+    CHECK(decoded->stage == EngineStage::Decode);
+    CHECK(decoded->heartbeat == 4);
+    CHECK(decoded->startedAt == 1700000000000);
+    CHECK_FALSE(decoded->isDraining);
+    CHECK(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "ready", "draining"))->isDraining);
+}
+
+TEST_CASE("entries of other writers name no replica")
+{
+    ReplicaId id("i-1");
+    CHECK_FALSE(decodeServerEntry(id, "\xff\xfe").has_value());
+    CHECK_FALSE(decodeServerEntry(id, replaced(entry, "\"ready\"", "\"resting\"")).has_value());
+    CHECK_FALSE(decodeServerEntry(id, replaced(entry, "\"ready\"", "3")).has_value());
+    CHECK_FALSE(decodeServerEntry(id, replaced(entry, "\"decode\"", "\"other\"")).has_value());
+    CHECK_FALSE(decodeServerEntry(id, replaced(entry, "1700000000000", "1700000000000.5")).has_value());
+    CHECK_FALSE(decodeServerEntry(id, replaced(entry, "10.128.0.9:8080", "somewhere")).has_value());
+    CHECK_FALSE(decodeServerEntry(id, replaced(entry, "\"slots\":12", "\"slots\":\"12\"")).has_value());
+    CHECK_FALSE(decodeServerEntry(id, replaced(entry, "\"seq_no\":4,", "")).has_value());
+}
--- /dev/null
+++ b/tests/platform/RequestCodecTest.cpp
@@ -0,0 +1,98 @@
+#include "platform/RequestCodec.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace chestnut::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpRequest clientRequest()
+{
+    return { "POST", "/a/b?c=d", { { "Host", "h.example:8144" }, { "X-Chestnutroute-Request-Id", "q1" }, { "X-Chestnutroute-Model", "m" }, { "X-Chestnutroute-Token-Count", "1460,80" }, { "X-Chestnutroute-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250" }, { "X-Chestnutroute-Deadline-Ms", "2000" }, { "X-Other", "kept" } }, "body" };
+}
+
+InstanceCall callFor(const RoutedRequest& request)
+{
+    return { request, ReplicaId("i-1"), "10.0.0.1:80", 1500ms };
+}
+
+} // namespace
+
+TEST_CASE("a request is read into its parts")
+{
+    auto request = decodeRequest(clientRequest(), TimePoint(1s));
+    CHECK(request.id == RequestId("q1"));
+    CHECK(request.timeLeft == Duration(2000ms));
+    REQUIRE(request.prompt.has_value());
+    CHECK(request.prompt->promptTokens == 1460);
+    CHECK(request.prompt->maximumOutputTokens == 80);
+    CHECK(request.prompt->parts == std::vector<PromptPart> { { 0x5c1e07a2, 800 }, { 0x91bd3f06, 410 }, { 0xe4402b7d, 250 } });
+    CHECK(sharingKey(*request.prompt) == 0x91bd3f06);
+}
+
+TEST_CASE("method, target, body and the client's headers go on unchanged, with what is left of the time")
+{
+    auto request = decodeRequest(clientRequest(), TimePoint(1s));
+    auto call = encodeCall(callFor(request));
+    CHECK(call.method == "POST");
+    CHECK(call.target == "/a/b?c=d");
+    CHECK(call.body == "body");
+    for (const auto* name : { "Host", "X-Chestnutroute-Request-Id", "X-Chestnutroute-Model", "X-Chestnutroute-Token-Count", "X-Chestnutroute-Prompt-Prefix", "X-Other" })
+        CHECK(call.headers.value(name) == clientRequest().headers.value(name));
+    CHECK(call.headers.value("X-Chestnutroute-Deadline-Ms") == "1500");
+    CHECK(call.headers.value("X-Chestnutroute-Expect-Instance") == "i-1");
+}
+
+TEST_CASE("headers that only the system may set are dropped when a client sends them")
+{
+    auto http = clientRequest();
+    for (const auto* name : { "X-Chestnutroute-Kv-Hold", "X-Chestnutroute-Pin-Ms", "X-Chestnutroute-Kv-Backup", "X-Chestnutroute-Kv-Source", "X-Chestnutroute-Stage", "X-Chestnutroute-Request-Priority", "x-chestnutroute-expect-instance", "Kv-Fetch" })
+        http.headers.set(name, "forged");
+    auto request = decodeRequest(http, TimePoint(1s));
+    auto call = encodeCall(callFor(request));
+    for (const auto& field : call.headers.fields())
+        CHECK_MESSAGE(field.second != "forged", field.first);
+}
+
+TEST_CASE("headers of one connection are dropped, also those that the Connection field names")
+{
+    auto http = clientRequest();
+    http.headers.set("Connection", "keep-alive, X-Hop");
+    http.headers.set("X-Hop", "1");
+    http.headers.set("Transfer-Encoding", "chunked");
+    http.headers.set("Keep-Alive", "timeout=4");
+    auto request = decodeRequest(http, TimePoint(1s));
+    for (const auto* name : { "Connection", "X-Hop", "Transfer-Encoding", "Keep-Alive" })
+        CHECK_FALSE(request.forwarded.headers.contains(name));
+}
+
+TEST_CASE("parts behind an unreadable one are not shared")
+{
+    auto http = clientRequest();
+    http.headers.set("X-Chestnutroute-Prompt-Prefix", "5c:800,bad,e4:250");
+    CHECK(decodeRequest(http, TimePoint(1s)).prompt->parts.size() == 1);
+    http.headers.set("X-Chestnutroute-Token-Count", "many");
+    CHECK_FALSE(decodeRequest(http, TimePoint(1s)).prompt.has_value());
+}
+
+TEST_CASE("a response counts as run only with the seal and without an encoding")
+{
+    ReplicaId expected("i-1");
+    HttpHeaders sealed { { "X-Chestnutroute-Server-Seal", "s" } };
+    CHECK(verdictOf(200, sealed, expected) == InstanceVerdict::Executed);
+    CHECK(verdictOf(500, sealed, expected) == InstanceVerdict::Executed);
+    CHECK(verdictOf(200, {}, expected) == InstanceVerdict::Unsealed);
+    CHECK(verdictOf(200, { { "X-Chestnutroute-Server-Seal", "s" }, { "Content-Encoding", "gzip" } }, expected) == InstanceVerdict::Unsealed);
+    CHECK(verdictOf(503, { { "X-Chestnutroute-Not-Executed", "1" } }, expected) == InstanceVerdict::NotExecuted);
+    CHECK(verdictOf(421, {}, expected) == InstanceVerdict::OtherInstance);
+    // Without the replica's word, 503 does not say that the request has not run.
+    CHECK(verdictOf(503, {}, expected) == InstanceVerdict::Unsealed);
+}
+
+TEST_CASE("a response with another request's id is not the answer")
+{
+    CHECK(answersRequest({ { "X-Chestnutroute-Request-Id", "q1" } }, RequestId("q1")));
+    CHECK_FALSE(answersRequest({ { "X-Chestnutroute-Request-Id", "q0" } }, RequestId("q1")));
+}
--- /dev/null
+++ b/tests/platform/StoreClientTest.cpp
@@ -0,0 +1,86 @@
+#include "platform/StoreClient.h"
+
+#include "support/HttpFixture.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Answers one call with fixed bytes and keeps the request. */
+struct StoreFixture {
+    HttpRequest seen;
+    HttpResponse answer;
+    test::HttpFixture http { [this](HttpRequest request, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        seen = std::move(request);
+        (void)co_await writer.send(answer);
+    } };
+    platform::StoreClient store { http.client, http.server.endpoint() };
+};
+
+} // namespace
+
+TEST_CASE("a list is read with its values decoded")
+{
+    StoreFixture fixture;
+    fixture.answer = { 200, {}, R"({"items":[{"key":"my/a","value":"bm9kZS0x","revision":412,"create_revision":400,"lease":1}],"has_more":true,"current_rev":530})" };
+    auto page = fixture.http.run(fixture.store.list("my/", "my/0"));
+    REQUIRE(page.has_value());
+    CHECK(page->items == std::vector<StoreItem> { { "my/a", "node-1", 412, 400 } });
+    CHECK(page->hasMore);
+    CHECK(page->revision == 530);
+    CHECK(fixture.seen.queryValue("prefix") == "my/");
+    CHECK(fixture.seen.queryValue("after") == "my/0");
+}
+
+TEST_CASE("a watch returns changes and removals, and says when the history is gone")
+{
+    StoreFixture fixture;
+    fixture.answer = { 200, {}, R"({"events":[{"key":"my/a","value":"eA==","revision":7},{"key":"my/b","revision":8,"tombstone":true}],"current_rev":9})" };
+    auto changes = fixture.http.run(fixture.store.watch("my/", 6, 100ms));
+    REQUIRE(changes.has_value());
+    REQUIRE(changes->changes.size() == 2);
+    CHECK(changes->changes[1].isRemoval);
+    CHECK(changes->revision == 9);
+    fixture.answer = { 410, {}, "" };
+    CHECK(fixture.http.run(fixture.store.watch("my/", 6, 100ms))->isHistoryLost);
+}
+
+TEST_CASE("a transaction carries its conditions, writes and removals")
+{
+    StoreFixture fixture;
+    fixture.answer = { 200, {}, R"({"revision":412})" };
+    auto revision = fixture.http.run(fixture.store.transact({ { "my/a", 3 } }, { { "my/a", "node-1", 77 } }, { "my/b" }));
+    CHECK(revision.value() == 412);
+    auto body = nlohmann::json::parse(fixture.seen.body);
+    CHECK(body["expected"][0]["revision"] == 3);
+    CHECK(body["writes"][0]["value"] == "bm9kZS0x");
+    CHECK(body["writes"][0]["lease"] == 77);
+    CHECK(body["deletes"][0] == "my/b");
+}
+
+TEST_CASE("the status tells whether a write has had an effect")
+{
+    StoreFixture fixture;
+    auto kindFor = [&](int status) {
+        fixture.answer = { status, {}, "{}" };
+        return fixture.http.run(fixture.store.transact({}, { { "k", "v", 0 } }, {})).error().kind;
+    };
+    CHECK(kindFor(412) == ErrorKind::PlatformConflict);
+    CHECK(kindFor(404) == ErrorKind::NotFound);
+    CHECK(kindFor(429) == ErrorKind::PlatformUnavailable);
+    CHECK(kindFor(503) == ErrorKind::PlatformUnavailable);
+    CHECK(kindFor(500) == ErrorKind::PlatformAnswerLost);
+    // An answer without the revision does not say what has happened.
+    CHECK(kindFor(200) == ErrorKind::PlatformAnswerLost);
+}
+
+TEST_CASE("a store that cannot be reached has done nothing")
+{
+    StoreFixture fixture;
+    platform::StoreClient unreachable(fixture.http.client, { "127.0.0.1", 1 });
+    CHECK(fixture.http.run(unreachable.grantLease(3s)).error().kind == ErrorKind::PlatformUnavailable);
+}
