--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -69,7 +69,7 @@
             if (cost >= best)
                 continue;
             best = cost;
-            choice = PrefillChoice { i, missing, fromSeconds((fixedPrefillMilliseconds + time) / 1000), isDeferred };
+            choice = PrefillChoice { i, missing, fromSeconds((fixedPrefillMilliseconds + time) / 1000), fromSeconds((fixedPrefillMilliseconds + time / view.slowdown) / 1000), isDeferred };
         }
         return choice;
     }
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -55,6 +55,7 @@
     size_t index = 0; /**< in the views */
     uint32_t missingTokens = 0; /**< expected to be read */
     Duration expectedTime {}; /**< until the prompt is read */
+    Duration nominalTime {}; /**< the same at an engine without slowdown */
     bool isDeferred = false; /**< it cannot be on time and goes behind those that can */
 
     bool operator==(const PrefillChoice&) const = default;
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -123,7 +123,7 @@
     if (answer) {
         auto taken = services.timers.now() - startedAt;
         m_prefillTime = std::chrono::duration_cast<std::chrono::milliseconds>(taken);
-        services.board->recordSuccess(engine.id, toSeconds(taken) / toSeconds(choice.expectedTime));
+        services.board->recordSuccess(engine.id, toSeconds(taken) / toSeconds(choice.nominalTime));
     }
     co_return answer;
 }
