Failed trial: slowdown of decode engines by the time to their first event; say the load in refusals

Trial: weigh decode engines by the time to their first event. Reverted; what stays is the number of requests, engines and ejections in the refusal's log line. Conclusion: least occupied engines already avoid slow ones; the engine moved to prefill at 12 s is the next suspect.

--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -37,6 +37,18 @@
         return error;
     }
 
+    /** Engines, their requests in flight and how many are ejected, for the log. */
+    std::string describeLoad(const std::vector<PlacementView>& views)
+    {
+        uint32_t requests = 0;
+        size_t ejected = 0;
+        for (const auto& view : views) {
+            requests += view.isEjected ? 0 : view.requests;
+            ejected += view.isEjected ? 1 : 0;
+        }
+        return std::to_string(requests) + " requests at " + std::to_string(views.size() - ejected) + " engines, " + std::to_string(ejected) + " ejected";
+    }
+
     std::string millisecondsText(Duration duration)
     {
         return std::to_string(duration.count() / 1000);
@@ -84,7 +96,7 @@
     for (const auto* entry : entries)
         views.push_back(relay.viewOf(*entry));
     if (isSaturated(views, saturationMultiple))
-        return saturated("all " + std::to_string(views.size()) + " decode engines are saturated");
+        return saturated("the decode engines are saturated: " + describeLoad(views));
     auto choice = chooseLeastOccupied(views, relay.services.zone);
     return *entries[choice.value_or(0)];
 }
