--- a/modules/decisions/split/RoleSplit.cpp
+++ b/modules/decisions/split/RoleSplit.cpp
@@ -14,10 +14,13 @@
     constexpr size_t minimumEngines = 3;
     /** Share of the engines that decode before traffic has been measured. */
     constexpr double initialDecodeShare = 0.35;
-    /** Engines by which the split may differ from the desired one once traffic has been measured. Missing decode slots refuse
-        requests whose prompts have been read, so the band is wider on the side of too many. */
-    constexpr size_t missingBand = 1;
-    constexpr size_t surplusBand = 2;
+    /** Engines by which the split may differ from the desired one once traffic has been measured: at least so many, and a share
+        of the desired number in a large fleet. Missing decode slots refuse requests whose prompts have been read, so the band
+        is wider on the side of too many. */
+    constexpr size_t leastMissing = 1;
+    constexpr size_t leastSurplus = 2;
+    constexpr size_t missingDivisor = 8;
+    constexpr size_t surplusDivisor = 3;
 
     size_t countOf(std::span<const SplitEngine> engines, EngineStage stage)
     {
@@ -64,8 +67,8 @@
 {
     auto wanted = desiredDecodeEngines(demand, engines.size());
     auto present = countOf(engines, EngineStage::Decode);
-    auto missing = demand.isMeasured ? missingBand : 0;
-    auto surplus = demand.isMeasured ? surplusBand : 0;
+    auto missing = demand.isMeasured ? std::max(leastMissing, wanted / missingDivisor) : 0;
+    auto surplus = demand.isMeasured ? std::max(leastSurplus, wanted / surplusDivisor) : 0;
     auto source = EngineStage::None;
     if (present > wanted + surplus)
         source = EngineStage::Decode;
