--- a/modules/peers/service/NngPeerHeartbeats.cpp
+++ b/modules/peers/service/NngPeerHeartbeats.cpp
@@ -16,6 +16,11 @@
     /** Every so many heartbeats one address that belongs to no member is contacted: a seed, or a removed member, so that
         the two sides of a healed partition find each other. */
     constexpr uint64_t bootstrapRounds = 5;
+    /** In its first heartbeats a daemon contacts all seeds, and not one in five heartbeats: until its peers know it, it neither
+        hears their warnings nor reaches them with its own. */
+    constexpr uint64_t startRounds = 2;
+    /** Bounds the messages of a start. */
+    constexpr size_t maximumStartContacts = 16;
     constexpr size_t maximumExtensionBytes = 1024;
     /** Extensions reduce the bytes for membership news down to this. */
     constexpr size_t leastNewsBytes = 600;
@@ -42,11 +47,13 @@
     }
     for (const auto& target : targets)
         spawnHeartbeat(target.peerAddress);
-    if (table.others.empty() || table.self.counter % bootstrapRounds == 0)
-        probeStranger();
+    if (m_beats++ < startRounds)
+        contactStrangers(maximumStartContacts);
+    else if (table.others.empty() || table.self.counter % bootstrapRounds == 0)
+        contactStrangers(1);
 }
 
-void NngPeerService::State::probeStranger()
+std::vector<std::string> NngPeerService::State::strangers() const
 {
     std::set<std::string> addresses;
     for (const auto& endpoint : options.seeds)
@@ -58,10 +65,16 @@
     addresses.erase(table.self.peerAddress);
     for (const auto& [id, member] : table.others)
         addresses.erase(member.record.peerAddress);
-    if (addresses.empty())
-        return;
-    auto chosen = std::next(addresses.begin(), static_cast<ptrdiff_t>(m_random() % addresses.size()));
-    spawnHeartbeat(*chosen);
+    return { addresses.begin(), addresses.end() };
+}
+
+void NngPeerService::State::contactStrangers(size_t most)
+{
+    auto addresses = strangers();
+    std::ranges::shuffle(addresses, m_random);
+    addresses.resize(std::min(addresses.size(), most));
+    for (const auto& address : addresses)
+        spawnHeartbeat(address);
 }
 
 void NngPeerService::State::spawnHeartbeat(std::string address, std::optional<MemberRecord> removed)
--- a/modules/peers/service/NngPeerState.h
+++ b/modules/peers/service/NngPeerState.h
@@ -56,7 +56,9 @@
     void beat();
     void spawnHeartbeat(std::string address, std::optional<MemberRecord> removed = {});
     asio::awaitable<void> sendHeartbeat(std::string address, std::optional<MemberRecord> removed);
-    void probeStranger();
+    /** Addresses that belong to no member: seeds, and removed members that may have returned. */
+    std::vector<std::string> strangers() const;
+    void contactStrangers(size_t most);
     nlohmann::json composeHeartbeat(const HeartbeatNews* request);
     nlohmann::json composeExtensions(size_t& bytes);
     Result<void> acceptHeartbeat(const DaemonId& sender, const nlohmann::json& body, HeartbeatNews& news);
@@ -80,6 +82,7 @@
     std::map<std::string, TimePoint> m_loggedRefusals;
     std::vector<TimePoint> m_renewals;
     size_t m_handledRequests = 0;
+    uint64_t m_beats = 0;
     bool m_isClosed = false;
 };
 
--- a/tests/peers/NngPeerServiceTest.cpp
+++ b/tests/peers/NngPeerServiceTest.cpp
@@ -45,6 +45,18 @@
 
 } // namespace
 
+// Guards against a daemon that is ready before it knows its peers: it could not warn them of a prompt that crashes engines
+// (one of four CI runs crashed four engines instead of two).
+TEST_CASE("a new daemon knows all its seeds after its first heartbeats")
+{
+    PeerFleet fleet;
+    for (const auto* id : { "a", "b", "c", "d", "e", "f" })
+        fleet.add(id);
+    auto knowsAll = [&] { return fleet.nodes.back()->service->members().size() == 6; };
+    REQUIRE(fleet.runUntil([&] { return knowsAll() || fleet.nodes.back()->timers.now() > TimePoint(2500ms); }));
+    CHECK(knowsAll());
+}
+
 // Guards against members that never learn of each other, and against announcements that stay with direct peers.
 TEST_CASE("daemons find each other through one seed and learn announced values")
 {
