--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -101,7 +101,7 @@
     PrefillFailed = 2231,
     RetryBudgetExhausted = 2232,
     HandleReleaseFailed = 2233,
-    SettingsReloaded = 2240,
+    SettingsChangeNoted = 2240,
 };
 
 struct EventDescription {
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -26,6 +26,8 @@
     constexpr int stallObjectives = 4;
     constexpr uint32_t maximumDecodeCalls = 3;
     constexpr uint32_t maximumPrefillCalls = 2;
+    /** Decode calls before which the prompt may be read; later ones leave that to the decode engine. */
+    constexpr uint32_t maximumPrefillRounds = 2;
     constexpr size_t maximumWholeAnswer = 1 << 20;
     /** Until a refused client comes back: about the time that decode slots need to turn over. */
     constexpr std::chrono::milliseconds saturatedRetryAfter { 500 };
@@ -70,7 +72,8 @@
 
 asio::awaitable<void> GenerationRelay::run()
 {
-    co_await generate();
+    if (auto served = co_await generate(); !served)
+        co_await finishWith(m_relay->finalError(served.error()));
     releaseHandle();
 }
 
@@ -256,75 +259,81 @@
     }
 }
 
-asio::awaitable<void> GenerationRelay::answerWhole(InstanceAnswer& answer)
+asio::awaitable<Result<void>> GenerationRelay::answerWhole(InstanceAnswer& answer)
 {
+    m_relay->mayHaveRun = true;
     auto body = co_await readWholeBody(*answer.body, maximumWholeAnswer);
-    if (!body) {
-        co_await finishWith(m_relay->finalError(makeError(ErrorKind::BackendFailed, body.error().detail)));
-        co_return;
-    }
+    if (!body)
+        co_return makeError(ErrorKind::BackendFailed, body.error().detail);
     auto status = answer.body->status();
     auto sent = co_await m_writer.send({ status, std::move(answer.headers), std::move(*body) });
     m_relay->services.log.write(EventId::RequestCompleted, { { "request", m_relay->request.id }, { "status", status }, { "sent", sent ? 1 : 0 } });
+    co_return Result<void>();
+}
+
+void GenerationRelay::logCompletion(int status) const
+{
+    const auto& relay = *m_relay;
+    auto sinceArrival = [&relay](TimePoint time) { return (time - relay.request.arrival).count() / 1000; };
+    relay.services.log.write(EventId::RequestCompleted, { { "request", relay.request.id }, { "status", status }, { "prefill_ms", m_prefillTime.count() }, { "first_event_ms", sinceArrival(m_firstEventAt) }, { "ms", sinceArrival(relay.services.timers.now()) } });
+}
+
+asio::awaitable<Result<ReplicaEntry>> GenerationRelay::prepareDecode(bool mayReadPrompt)
+{
+    // A prompt is not read while there is no decode place, and the place is chosen anew after the reading.
+    if (auto place = chooseDecode(); !place)
+        co_return place.error();
+    if (mayReadPrompt && m_lastEventId.empty() && !m_handle) {
+        if (auto read = co_await readPrompt(); !read)
+            co_return read.error();
+    }
+    co_return chooseDecode();
 }
 
-asio::awaitable<void> GenerationRelay::generate()
+asio::awaitable<Result<void>> GenerationRelay::decodeAt(const ReplicaEntry& engine)
 {
     auto& relay = *m_relay;
-    auto& services = relay.services;
-    if (relay.isRefusedContent()) {
-        co_await finishWith(crashingContent());
-        co_return;
+    auto flight = relay.services.board->begin(engine.id);
+    auto answer = co_await openDecode(engine);
+    if (!answer)
+        co_return answer.error();
+    if (!isSuccess(answer->body->status()))
+        co_return co_await answerWhole(*answer);
+    switch (co_await relayEvents(engine.id, *answer)) {
+    case StreamEnd::Complete:
+        relay.services.board->recordSuccess(engine.id, 1);
+        relay.clearLosses();
+        logCompletion(answer->body->status());
+        co_return Result<void>();
+    case StreamEnd::ClientGone:
+        co_return makeError(ErrorKind::CallerGone, "the client left after event " + m_lastEventId);
+    case StreamEnd::Broken:
+        break;
     }
+    co_return makeError(ErrorKind::BackendFailed, "the stream broke off after event " + m_lastEventId);
+}
+
+asio::awaitable<Result<void>> GenerationRelay::generate()
+{
+    auto& relay = *m_relay;
+    if (relay.isRefusedContent())
+        co_return crashingContent();
     auto last = makeError(ErrorKind::NoBackend, "no decode engine of the service is known");
     for (uint32_t calls = 0; calls < maximumDecodeCalls; ++calls) {
-        // A prompt is not read while there is no decode place, and the place is chosen anew after the reading.
-        if (auto place = chooseDecode(); !place) {
-            co_await finishWith(relay.finalError(calls == 0 ? place.error() : last));
-            co_return;
-        }
-        if (m_lastEventId.empty() && !m_handle && calls < 2) {
-            if (auto read = co_await readPrompt(); !read) {
-                co_await finishWith(relay.finalError(read.error()));
-                co_return;
-            }
-        }
-        auto decode = chooseDecode();
-        if (!decode) {
-            co_await finishWith(relay.finalError(decode.error()));
-            co_return;
-        }
-        auto flight = services.board->begin(decode->id);
-        if (relay.isOver() || !relay.takeArrival()) {
-            co_await finishWith(relay.finalError(last));
-            co_return;
-        }
-        auto answer = co_await openDecode(*decode);
-        if (answer && !isSuccess(answer->body->status())) {
-            relay.mayHaveRun = true;
-            co_await answerWhole(*answer);
-            co_return;
-        }
-        if (answer) {
-            auto end = co_await relayEvents(decode->id, *answer);
-            if (end == StreamEnd::Complete) {
-                services.board->recordSuccess(decode->id, 1);
-                relay.clearLosses();
-                auto now = services.timers.now();
-                services.log.write(EventId::RequestCompleted, { { "request", relay.request.id }, { "status", answer->body->status() }, { "prefill_ms", m_prefillTime.count() }, { "first_event_ms", (m_firstEventAt - relay.request.arrival).count() / 1000 }, { "ms", (now - relay.request.arrival).count() / 1000 } });
-                co_return;
-            }
-            last = makeError(end == StreamEnd::ClientGone ? ErrorKind::CallerGone : ErrorKind::BackendFailed, "the stream broke off after event " + m_lastEventId);
-        } else
-            last = answer.error();
-        flight.end();
-        relay.noteFailure(decode->id, last);
-        if (last.kind == ErrorKind::CallerGone || !relay.mayRunAgain()) {
-            co_await finishWith(relay.finalError(last));
-            co_return;
-        }
+        auto engine = co_await prepareDecode(calls < maximumPrefillRounds);
+        if (!engine)
+            co_return engine.error();
+        if (relay.isOver() || !relay.takeArrival())
+            co_return last;
+        auto served = co_await decodeAt(*engine);
+        if (served)
+            co_return served;
+        last = served.error();
+        relay.noteFailure(engine->id, last);
+        if (last.kind == ErrorKind::CallerGone || !relay.mayRunAgain())
+            break;
     }
-    co_await finishWith(relay.finalError(last));
+    co_return last;
 }
 
 asio::awaitable<void> GenerationRelay::finishWith(Error error)
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -31,11 +31,19 @@
     asio::awaitable<Result<InstanceAnswer>> openDecode(const ReplicaEntry&);
     asio::awaitable<StreamEnd> relayEvents(const ReplicaId& engine, InstanceAnswer&);
     asio::awaitable<bool> writeEvents(InstanceAnswer&, EventBatch);
-    asio::awaitable<void> answerWhole(InstanceAnswer&);
-    asio::awaitable<void> generate();
+    /** Passes an answer on that is no stream, such as an error of the engine. */
+    asio::awaitable<Result<void>> answerWhole(InstanceAnswer&);
+
+    /** Finds a decode place and has the prompt read for it. */
+    asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayReadPrompt);
+    /** One decode attempt. Succeeds when the client has its answer. */
+    asio::awaitable<Result<void>> decodeAt(const ReplicaEntry&);
+    /** Repeats attempts as long as that is allowed. */
+    asio::awaitable<Result<void>> generate();
     asio::awaitable<void> finishWith(Error);
     void releaseHandle();
     TimerSubscription watchStall(const ReplicaId&) const;
+    void logCompletion(int status) const;
     void logRefusal(const Error&) const;
 
     RelayPointer m_relay;
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -78,7 +78,7 @@
         if (error)
             return;
         if (signal == SIGHUP) {
-            m_log.write(EventId::SettingsReloaded, { { "signal", "SIGHUP" } });
+            m_log.write(EventId::SettingsChangeNoted, { { "signal", "SIGHUP" } });
             waitForSignal();
             return;
         }
