Keep lapsed replicas when a watch outlives the outage; date what peers say of leaving ones

The watches had waited meanwhile without a failure, so the removals got no grace; and for 3 s more peers told each other of the removals, which took away the replicas whose entries were back, for good. Change: the failed renewal of the registration counts as an outage as well; news of a leaving replica names its start and heartbeat, and older news changes nothing. Two cases that fail without the change.

--- a/modules/decisions/replicas/ReplicaRegistry.cpp
+++ b/modules/decisions/replicas/ReplicaRegistry.cpp
@@ -63,6 +63,18 @@
     return true;
 }
 
+bool applyLeavingNews(ReplicaRegistry& registry, const LeavingReplica& news)
+{
+    auto known = registry.replicas.find(news.id);
+    if (known == registry.replicas.end() || !mayReceiveWork(known->second))
+        return false;
+    const auto& entry = known->second.entry;
+    if (std::tie(entry.startedAt, entry.heartbeat) > std::tie(news.startedAt, news.heartbeat))
+        return false;
+    known->second.status = news.isDraining ? ReplicaStatus::Draining : ReplicaStatus::Gone;
+    return true;
+}
+
 std::vector<ReplicaId> expireLapsed(ReplicaRegistry& registry, TimePoint now)
 {
     std::vector<ReplicaId> gone;
--- a/modules/decisions/replicas/ReplicaRegistry.h
+++ b/modules/decisions/replicas/ReplicaRegistry.h
@@ -64,6 +64,20 @@
     their replicas live) a ready replica stays usable until it ends. Returns whether the replica's status changed. */
 bool applyRemoval(ReplicaRegistry&, const ReplicaId&, TimePoint now, Duration grace);
 
+/** What another daemon has seen of a replica that leaves. */
+struct LeavingReplica {
+    ReplicaId id;
+    int64_t startedAt = 0; /**< of the start that leaves */
+    int64_t heartbeat = 0; /**< last one before it left */
+    bool isDraining = false; /**< it announced its leaving; otherwise its entry was removed */
+
+    bool operator==(const LeavingReplica&) const = default;
+};
+
+/** Applies what another daemon has seen. News that is older than the known entry changes nothing: an entry that was removed
+    and is back must not disappear again. Returns whether the replica's status changed. */
+bool applyLeavingNews(ReplicaRegistry&, const LeavingReplica&);
+
 /** Marks lapsed replicas as gone whose grace time has ended. Returns their ids. */
 std::vector<ReplicaId> expireLapsed(ReplicaRegistry&, TimePoint now);
 
--- a/modules/gateway/members/DaemonDirectory.h
+++ b/modules/gateway/members/DaemonDirectory.h
@@ -71,7 +71,8 @@
     /** Daemons that share the retry budget, this one included; at least one. */
     uint32_t activeDaemons() const;
 
-    bool isListed() const { return m_mirror->isListed(); }
+    /** Whether the last renewal of the registration failed. */
+    bool isStoreAway() const { return m_isStoreAway; }
 
 private:
     asio::awaitable<void> keepRegistered();
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -35,7 +35,7 @@
         with a silent daemon to it. */
     constexpr Duration silenceToOmit = std::chrono::milliseconds(600);
     constexpr size_t maximumDatagram = 8192;
-    constexpr int messageVersion = 2;
+    constexpr int messageVersion = 3;
 
     json encodeWork(const std::vector<ReplicaWork>& work)
     {
@@ -87,6 +87,22 @@
         return pauses;
     }
 
+    json encodeLeaving(const std::vector<LeavingReplica>& replicas)
+    {
+        auto list = json::array();
+        for (const auto& replica : replicas)
+            list.push_back({ replica.id.value(), replica.startedAt, replica.heartbeat, replica.isDraining });
+        return list;
+    }
+
+    std::vector<LeavingReplica> decodeLeaving(const json& list)
+    {
+        std::vector<LeavingReplica> replicas;
+        for (const auto& item : list)
+            replicas.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<int64_t>(), item.at(2).get<int64_t>(), item.at(3).get<bool>() });
+        return replicas;
+    }
+
     template <typename Id>
     std::vector<Id> decodeIds(const json& list)
     {
@@ -135,7 +151,7 @@
         { "leaving", news.isLeaving },
         { "work", encodeWork(news.work) },
         { "losses", encodeLosses(news.losses) },
-        { "gone", valuesOf(news.leavingReplicas) },
+        { "gone", encodeLeaving(news.leavingReplicas) },
         { "paused", encodePauses(news.pausedReplicas) },
         { "living", valuesOf(news.living) },
     };
@@ -156,7 +172,7 @@
         news.isLeaving = document.at("leaving").get<bool>();
         news.work = decodeWork(document.at("work"));
         news.losses = decodeLosses(document.at("losses"));
-        news.leavingReplicas = decodeIds<ReplicaId>(document.at("gone"));
+        news.leavingReplicas = decodeLeaving(document.at("gone"));
         news.pausedReplicas = decodePauses(document.at("paused"));
         news.living = decodeIds<DaemonId>(document.at("living"));
         return news;
--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -24,7 +24,7 @@
     bool isLeaving = false;
     std::vector<ReplicaWork> work;
     std::vector<CrashLoss> losses;
-    std::vector<ReplicaId> leavingReplicas; /**< learned from the store by the sender */
+    std::vector<LeavingReplica> leavingReplicas; /**< learned from the store by the sender */
     std::vector<PausedReplica> pausedReplicas; /**< that carry out an order */
     std::vector<DaemonId> living; /**< daemons that the sender hears, in messages of the scope Fleet */
 
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -34,12 +34,13 @@
     return "gone";
 }
 
-ReplicaDirectory::ReplicaDirectory(asio::io_context& context, VersionedStore& store, TimerService& timers, Log& log, std::shared_ptr<LoadBoard> board, std::string keyPrefix, ReplicaEntryDecoder decode, std::function<Duration()> watchPause)
+ReplicaDirectory::ReplicaDirectory(asio::io_context& context, VersionedStore& store, TimerService& timers, Log& log, std::shared_ptr<LoadBoard> board, std::string keyPrefix, ReplicaEntryDecoder decode, std::function<Duration()> watchPause, std::function<bool()> isStoreAway)
     : m_timers(timers)
     , m_log(log)
     , m_board(std::move(board))
     , m_keyPrefix(std::move(keyPrefix))
     , m_decode(std::move(decode))
+    , m_isStoreAway(std::move(isStoreAway))
 {
     m_mirror = std::make_shared<StoreMirror>(context, store, timers, log, m_keyPrefix, std::move(watchPause));
     m_mirror->subscribe(m_keyPrefix, { [this](const StoreItem& item) { onItem(item); }, [this](const std::string& key) { onRemoval(key); } });
@@ -54,7 +55,7 @@
             noteLeaving(id);
             logChange(id, "lapsed");
         }
-        std::erase_if(m_leaving, [now = m_timers.now()](const auto& entry) { return now - entry.second > leavingNewsTime; });
+        std::erase_if(m_leaving, [now = m_timers.now()](const auto& entry) { return now - entry.second.since > leavingNewsTime; });
     });
 }
 
@@ -90,23 +91,23 @@
 Duration ReplicaDirectory::removalGrace() const
 {
     // Entries lapse while the store is away; a removal that arrives later is meant.
-    return m_mirror->isFailing() ? lapseGrace : Duration::zero();
+    return m_mirror->isFailing() || m_isStoreAway() ? lapseGrace : Duration::zero();
 }
 
 void ReplicaDirectory::noteLeaving(const ReplicaId& id)
 {
-    m_leaving[id] = m_timers.now();
+    const auto* known = find(id);
+    const auto& entry = known->entry;
+    m_leaving[id] = { { id, entry.startedAt, entry.heartbeat, known->status == ReplicaStatus::Draining }, m_timers.now() };
 }
 
-void ReplicaDirectory::peerSaysLeaving(const ReplicaId& id)
+void ReplicaDirectory::peerSaysLeaving(const LeavingReplica& news)
 {
-    auto known = m_registry.replicas.find(id);
-    if (known == m_registry.replicas.end() || !mayReceiveWork(known->second))
+    if (!applyLeavingNews(m_registry, news))
         return;
-    known->second.status = ReplicaStatus::Draining;
     // Passed on once, so that it reaches daemons that do not hear the first one.
-    noteLeaving(id);
-    logChange(id, "peer");
+    noteLeaving(news.id);
+    logChange(news.id, "peer");
 }
 
 bool ReplicaDirectory::isPaused(const ReplicaId& id) const
@@ -187,12 +188,12 @@
     return found;
 }
 
-std::vector<ReplicaId> ReplicaDirectory::leaving() const
+std::vector<LeavingReplica> ReplicaDirectory::leaving() const
 {
-    std::vector<ReplicaId> ids;
-    for (const auto& [id, time] : m_leaving)
-        ids.push_back(id);
-    return ids;
+    std::vector<LeavingReplica> replicas;
+    for (const auto& [id, news] : m_leaving)
+        replicas.push_back(news.replica);
+    return replicas;
 }
 
 void ReplicaDirectory::logChange(const ReplicaId& id, std::string_view cause) const
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -28,8 +28,9 @@
     static constexpr std::string_view serviceName = "replicadirectory";
     std::string_view name() const final { return serviceName; }
 
-    /** `keyPrefix` is where the entries stand; the rest of a key is the replica's id. */
-    ReplicaDirectory(asio::io_context&, VersionedStore&, TimerService&, Log&, std::shared_ptr<LoadBoard>, std::string keyPrefix, ReplicaEntryDecoder, std::function<Duration()> watchPause);
+    /** `keyPrefix` is where the entries stand; the rest of a key is the replica's id. `isStoreAway` tells what other calls
+        show: a watch may outlive an outage without a failure of its own. */
+    ReplicaDirectory(asio::io_context&, VersionedStore&, TimerService&, Log&, std::shared_ptr<LoadBoard>, std::string keyPrefix, ReplicaEntryDecoder, std::function<Duration()> watchPause, std::function<bool()> isStoreAway);
 
     void start() override;
 
@@ -45,10 +46,10 @@
     const KnownReplica* find(const ReplicaId&) const;
 
     /** Replicas that began to leave in the last seconds. */
-    std::vector<ReplicaId> leaving() const;
+    std::vector<LeavingReplica> leaving() const;
 
     /** A peer knows that the replica leaves. */
-    void peerSaysLeaving(const ReplicaId&);
+    void peerSaysLeaving(const LeavingReplica&);
 
     /** Sends no work to a replica until its entry shows the stage that this daemon has ordered: it first lets running work
         end, which may take as long as its longest stream. */
@@ -79,9 +80,14 @@
     std::shared_ptr<LoadBoard> m_board;
     std::string m_keyPrefix;
     ReplicaEntryDecoder m_decode;
+    std::function<bool()> m_isStoreAway;
     std::shared_ptr<StoreMirror> m_mirror;
     ReplicaRegistry m_registry;
-    std::map<ReplicaId, TimePoint> m_leaving;
+    struct LeavingNews {
+        LeavingReplica replica;
+        TimePoint since;
+    };
+    std::map<ReplicaId, LeavingNews> m_leaving;
     struct Pause {
         uint64_t beat = 0;
         TimePoint until;
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -49,7 +49,8 @@
     , m_losses(m_dependencies.timers)
     , m_ownKeys(std::make_shared<StoreMirror>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::string(ownKeyPrefix), [this] { return informsOthers() ? ownKeysPause : toldPause; }))
     , m_daemons(std::make_shared<DaemonDirectory>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_settings.self, [this] { restartWatches(); }))
-    , m_replicas(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_board, std::move(formats.replicaPrefix), std::move(formats.decodeReplica), [this] { return informsOthers() ? replicasPause : toldPause; })
+    , m_replicas(
+          m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_board, std::move(formats.replicaPrefix), std::move(formats.decodeReplica), [this] { return informsOthers() ? replicasPause : toldPause; }, [daemons = m_daemons] { return daemons->isStoreAway(); })
     , m_routing(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::move(formats.configurationKey), std::move(formats.decodeConfiguration), m_dependencies.onConfiguration)
     , m_budgets(m_dependencies.timers, *m_daemons, m_settings.retryBudget)
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_board, m_losses, m_replicas)
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -73,11 +73,12 @@
     VirtualTimerService timers { context };
     MemoryLog log;
     Metrics metrics;
+    bool isStoreAway = false; /**< what the renewal of the registration shows */
     FakeVersionedStore store { timers };
     FakeInstanceClient instances { timers };
     std::shared_ptr<LoadBoard> board = std::make_shared<LoadBoard>(timers, log);
     CrashLosses losses { timers };
-    ReplicaDirectory replicas { context, store, timers, log, board, "servers/", decodeTestEntry, [] { return std::chrono::milliseconds(400); } };
+    ReplicaDirectory replicas { context, store, timers, log, board, "servers/", decodeTestEntry, [] { return std::chrono::milliseconds(400); }, [this] { return isStoreAway; } };
     std::shared_ptr<StoreMirror> ownKeys = std::make_shared<StoreMirror>(context, store, timers, log, "chestnutroute/", [] { return Duration::zero(); });
     DaemonDirectory daemons { context, store, timers, log, ownKeys, { DaemonId("d0"), AvailabilityZone("a"), { "10.0.0.9", 1 }, { "10.0.0.9", 2 } }, [] {} };
     ServiceBudgets budgets { timers, daemons, { 0.2, 20, std::chrono::seconds(10) } };
--- a/tests/gateway/LoadBoardTest.cpp
+++ b/tests/gateway/LoadBoardTest.cpp
@@ -74,7 +74,7 @@
 
 TEST_CASE("load news survives its way, and a datagram that is none is refused")
 {
-    LoadNews news { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, NewsScope::Fleet, true, { { replica, 3, 500, 40 } }, { { Digest { 1, 2 }, RequestId("q1"), replica } }, { ReplicaId("i-8") }, { { ReplicaId("i-9"), 77 } }, { DaemonId("d2") } };
+    LoadNews news { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, NewsScope::Fleet, true, { { replica, 3, 500, 40 } }, { { Digest { 1, 2 }, RequestId("q1"), replica } }, { { ReplicaId("i-8"), 17, 4, true } }, { { ReplicaId("i-9"), 77 } }, { DaemonId("d2") } };
     auto decoded = decodeLoadNews(encodeLoadNews(news));
     REQUIRE(decoded.has_value());
     CHECK(*decoded == news);
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -69,10 +69,37 @@
     fixture.store.erase("servers/i-1");
     fixture.store.isDown = false;
     fixture.timers.advance(1s);
-    fixture.replicas.peerSaysLeaving(ReplicaId("i-1"));
+    fixture.replicas.peerSaysLeaving({ ReplicaId("i-1"), 1, 1, false });
     CHECK(fixture.replicas.usable(ServiceId("s"), EngineStage::None).empty());
 }
 
+TEST_CASE("entries that lapse are kept, too, when the watch itself has outlived the outage")
+{
+    // Hunt seed 805905122059 of srl-glossary: the store fell silent for 4.5 s and dropped all entries; the watches that had
+    // waited meanwhile returned the removals, and every daemon took all replicas as gone.
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.isStoreAway = true;
+    fixture.store.erase("servers/i-1");
+    fixture.timers.advance(1s);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Lapsed);
+}
+
+TEST_CASE("a replica whose entry is back is not taken away by older news of peers")
+{
+    // The same day: peers went on telling the removal for 3 s and so took away the replicas that were back, for good.
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.store.erase("servers/i-1");
+    fixture.settle();
+    fixture.store.put("servers/i-1", testEntry("s", "none", "a", "ready", 1, 21));
+    fixture.settle();
+    fixture.replicas.peerSaysLeaving({ ReplicaId("i-1"), 1, 1, false });
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Ready);
+    fixture.replicas.peerSaysLeaving({ ReplicaId("i-1"), 1, 21, true });
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Draining);
+}
+
 TEST_CASE("when the history is gone the prefix is listed again, and what is missing is removed")
 {
     GatewayFixture fixture;
