Refuse late long requests during a shutdown, end the process at once, never wait for the log's reader

Cause, traced in the daemon's log: the front listener accepts until 4.7 s after SIGTERM, so streams with a limit of 15 s were started 3.8 s before the end; and the destructor of the daemon did not return (trial with a line before and after it: only the first was written), since the log library waits there for its four worker threads, so that the process stayed until SIGKILL. Ruled out: the event loop, which returned at once.

Change: a request that arrives later than 3 s after the begin of a shutdown is refused as not run unless its time limit ends before the process does (decisions/drains/Shutdown); a listener that stops closes idle connections and says so in the response in progress; the process ends without destructors, so that running requests get all but 0.2 s of the time; the log is written without waiting (StreamAppender), drops what the output does not take and tells how many lines that were.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -15,6 +15,7 @@
         { EventId::DaemonLeaving, "daemon_leaving", Severity::Info, "A termination signal arrived; the daemon finishes its work." },
         { EventId::DaemonStopped, "daemon_stopped", Severity::Info, "All work is finished; the process exits." },
         { EventId::SettingsRefused, "settings_refused", Severity::Error, "A setting is unknown, missing or out of range." },
+        { EventId::LogLinesDropped, "log_lines_dropped", Severity::Warning, "The output did not take this many earlier lines of the log; they are lost." },
 
         // http
         { EventId::ListenerStarted, "listener_started", Severity::Info, "A listener accepts connections." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -21,6 +21,7 @@
     DaemonLeaving = 1002,
     DaemonStopped = 1003,
     SettingsRefused = 1004,
+    LogLinesDropped = 1005,
 
     // http: 1100 to 1199
     ListenerStarted = 1100,
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -10,6 +10,7 @@
 #include "decisions/claims/ClaimLog.h"
 #include "decisions/discovery/Discovery.h"
 #include "decisions/drains/Drain.h"
+#include "decisions/drains/Shutdown.h"
 #include "decisions/ejection/Ejection.h"
 #include "decisions/estimates/WorkEstimate.h"
 #include "decisions/fairness/FairQueue.h"
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -54,6 +54,7 @@
     /** Ends the attempt in progress when the caller leaves or the time is up. */
     void watch(HttpResponseWriter&);
 
+    TimePoint deadline() const { return m_deadline; }
     Duration remaining() const { return m_deadline - services.timers.now(); }
     bool isOver() const { return m_isCallerGone || m_hasExpired; }
     bool isCallerGone() const { return m_isCallerGone; }
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -82,9 +82,10 @@
     m_ownKeys->restartWatch();
 }
 
-asio::awaitable<void> Gateway::leave()
+asio::awaitable<void> Gateway::leave(Duration timeLeft)
 {
-    m_isLeaving = true;
+    auto now = m_dependencies.timers.now();
+    m_shutdown = ShutdownPlan { now, now + timeLeft };
     m_exchange.announceLeaving();
     co_await m_roles.stop();
     co_await m_daemons->withdraw();
@@ -92,7 +93,7 @@
 
 bool Gateway::isReady() const
 {
-    return !m_isLeaving && m_routing.table() && !m_replicas.isEmpty();
+    return !m_shutdown && m_routing.table() && !m_replicas.isEmpty();
 }
 
 DiscoveryList Gateway::discover(const AvailabilityZone& zone) const
@@ -130,6 +131,10 @@
     auto service = serviceFor(*route, hash64(request.id.value()));
     m_budgets.addRequest(service);
     auto context = std::make_shared<RelayContext>(m_relayServices, std::move(request), table, *route, service);
+    if (m_shutdown && !mayStart(*m_shutdown, context->request.arrival, context->deadline())) {
+        co_await refuse(ErrorKind::Leaving, "the request could outlast this daemon, which is shutting down");
+        co_return;
+    }
     context->watch(writer);
     const auto* profile = table->service(service);
     if (profile && profile->engine) {
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/drains/Shutdown.h"
 #include "gateway/members/LoadExchange.h"
 #include "gateway/requests/RelayContext.h"
 #include "gateway/roles/RoleManager.h"
@@ -49,8 +50,9 @@
 
     void start() override;
 
-    /** Leaves the list of daemons, so that clients go elsewhere. Requests are still answered. */
-    asio::awaitable<void> leave();
+    /** Leaves the list of daemons, so that clients go elsewhere. Requests are still answered; those that arrive late and
+        could outlast `timeLeft` are refused. */
+    asio::awaitable<void> leave(Duration timeLeft);
 
     /** Answers one request. */
     asio::awaitable<void> handle(RoutedRequest, HttpResponseWriter&);
@@ -78,7 +80,7 @@
     RelayServices m_relayServices;
     size_t m_inProgress = 0;
     bool m_isStarted = false;
-    bool m_isLeaving = false;
+    std::optional<ShutdownPlan> m_shutdown; /**< set when the daemon begins to leave */
 };
 
 } // namespace chestnut
--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cassert>
+#include <set>
 
 namespace chestnut {
 
@@ -22,6 +23,12 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+    struct ServerConnection;
+
+} // namespace
+
 struct HttpServer::State {
     asio::io_context& context;
     Log& log;
@@ -29,6 +36,7 @@
     HttpServerLimits limits;
     HttpHandler handler;
     HttpFaultAnswer faultAnswer;
+    std::set<ServerConnection*> waitingConnections; /**< for the first byte of a request or the rest of its header */
     size_t openConnections = 0;
     bool isAccepting = true;
     bool keepsConnections = true;
@@ -76,11 +84,12 @@
 
     class ResponseWriter final : public HttpResponseWriter {
     public:
-        ResponseWriter(beast::tcp_stream& stream, std::shared_ptr<CloseWatch> watch, Duration writeTimeout, bool keepAlive, bool isHead)
+        ResponseWriter(beast::tcp_stream& stream, std::shared_ptr<CloseWatch> watch, ServerState state, bool callerKeepsConnection, bool isHead)
             : m_stream(stream)
             , m_watch(std::move(watch))
-            , m_writeTimeout(writeTimeout)
-            , m_keepAlive(keepAlive)
+            , m_state(std::move(state))
+            , m_writeTimeout(m_state->limits.writeTimeout)
+            , m_callerKeepsConnection(callerKeepsConnection)
             , m_isHead(isHead)
         {
         }
@@ -93,7 +102,7 @@
             m_hasBegun = true;
             BeastResponse message(static_cast<http::status>(response.status), 11);
             setHeaders(message, response.headers);
-            message.keep_alive(m_keepAlive);
+            message.keep_alive(keepsConnection());
             message.body() = std::move(response.body);
             message.prepare_payload();
             if (m_isHead)
@@ -112,7 +121,7 @@
             m_hasBegun = true;
             http::response<http::empty_body> message(static_cast<http::status>(status), 11);
             setHeaders(message, headers);
-            message.keep_alive(m_keepAlive);
+            message.keep_alive(keepsConnection());
             message.chunked(true);
             error_code error;
             m_stream.expires_after(m_writeTimeout);
@@ -152,6 +161,9 @@
         bool hasBegun() const override { return m_hasBegun; }
         bool isFinished() const { return m_isFinished; }
 
+        /** Whether another request may follow. A listener that stops during the request ends its connection. */
+        bool keepsConnection() const { return m_callerKeepsConnection && m_state->isAccepting && m_state->keepsConnections; }
+
     private:
         static Result<void> resultOf(const error_code& error)
         {
@@ -162,8 +174,9 @@
 
         beast::tcp_stream& m_stream;
         std::shared_ptr<CloseWatch> m_watch;
+        ServerState m_state;
         Duration m_writeTimeout;
-        bool m_keepAlive;
+        bool m_callerKeepsConnection;
         bool m_isHead;
         bool m_hasBegun = false;
         bool m_isFinished = false;
@@ -204,14 +217,39 @@
         ServerConnection& operator=(const ServerConnection&) = delete;
         ~ServerConnection() { watch->callback = nullptr; }
 
+        bool hasPartOfRequest() const { return buffer.size() > 0; }
+        void close()
+        {
+            error_code ignored;
+            stream.socket().close(ignored);
+        }
+
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
         std::shared_ptr<CloseWatch> watch;
     };
 
+    /** Lists a connection as waiting for a request for as long as it lives. */
+    class WaitsForRequest {
+    public:
+        WaitsForRequest(ServerState state, ServerConnection& connection)
+            : m_state(std::move(state))
+            , m_connection(&connection)
+        {
+            m_state->waitingConnections.insert(m_connection);
+        }
+        WaitsForRequest(const WaitsForRequest&) = delete;
+        WaitsForRequest& operator=(const WaitsForRequest&) = delete;
+        ~WaitsForRequest() { m_state->waitingConnections.erase(m_connection); }
+
+    private:
+        ServerState m_state;
+        ServerConnection* m_connection;
+    };
+
     asio::awaitable<void> answerFault(ServerConnection& connection, const ServerState& state, const error_code& error)
     {
-        ResponseWriter writer(connection.stream, connection.watch, state->limits.writeTimeout, false, false);
+        ResponseWriter writer(connection.stream, connection.watch, state, false, false);
         co_await writer.send(state->faultAnswer(makeError(kindOfParseError(error), error.message())));
         // Without the shutdown, closing a socket with unread input resets it and the caller may lose the answer.
         error_code ignored;
@@ -222,13 +260,17 @@
             co_await connection.stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ignored));
     }
 
-    asio::awaitable<Result<BeastRequest>> readRequest(ServerConnection& connection, const HttpServerLimits& limits, error_code& error)
+    asio::awaitable<Result<BeastRequest>> readRequest(ServerConnection& connection, const ServerState& state, error_code& error)
     {
+        auto limits = state->limits;
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<uint32_t>(limits.maximumHeader));
         parser.body_limit(limits.maximumBody);
         connection.stream.expires_after(limits.headerTimeout + limits.idleTimeout);
-        co_await http::async_read_header(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        {
+            WaitsForRequest waits(state, connection);
+            co_await http::async_read_header(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        }
         if (error)
             co_return makeError(ErrorKind::BadRequest, error.message());
         connection.stream.expires_after(limits.bodyTimeout);
@@ -252,9 +294,8 @@
     /** Runs the handler for one request; false when the connection must close. */
     asio::awaitable<bool> handleRequest(ServerConnection& connection, const ServerState& state, BeastRequest message)
     {
-        bool keepAlive = message.keep_alive() && state->isAccepting && state->keepsConnections;
         HttpRequest request { std::string(viewOf(message.method_string())), std::string(viewOf(message.target())), headersOf(message.base()), std::move(message.body()) };
-        ResponseWriter writer(connection.stream, connection.watch, state->limits.writeTimeout, keepAlive, request.method == "HEAD");
+        ResponseWriter writer(connection.stream, connection.watch, state, message.keep_alive(), request.method == "HEAD");
         connection.stream.expires_never();
         std::string failure;
         try {
@@ -267,7 +308,7 @@
             if (!writer.hasBegun())
                 co_await writer.send(state->faultAnswer(makeError(ErrorKind::Internal, "the request handler failed")));
         }
-        co_return keepAlive&& writer.isFinished();
+        co_return writer.isFinished() && writer.keepsConnection();
     }
 
     asio::awaitable<void> serveConnection(ServerState state, tcp::socket socket)
@@ -278,7 +319,7 @@
         connection.stream.socket().set_option(tcp::no_delay(true), error);
         while (true) {
             error = {};
-            auto request = co_await readRequest(connection, state->limits, error);
+            auto request = co_await readRequest(connection, state, error);
             if (!request) {
                 if (isSyntaxFault(error))
                     co_await answerFault(connection, state, error);
@@ -344,6 +385,10 @@
     m_state->isAccepting = false;
     error_code ignored;
     m_state->acceptor.close(ignored);
+    for (auto* connection : m_state->waitingConnections) {
+        if (!connection->hasPartOfRequest())
+            connection->close();
+    }
 }
 
 void HttpServer::closeAfterResponses()
--- a/modules/http/server/HttpServer.h
+++ b/modules/http/server/HttpServer.h
@@ -62,7 +62,7 @@
 
     void start();
 
-    /** Stops accepting. Open connections end after the response in progress. */
+    /** Stops accepting and closes the connections that wait for a request. The others end after the response in progress. */
     void stopAccepting();
 
     /** Closes each connection after its next response, and tells the clients so. */
--- a/modules/kernel/logging/ConsoleLog.cpp
+++ b/modules/kernel/logging/ConsoleLog.cpp
@@ -1,6 +1,7 @@
 #include "kernel/logging/ConsoleLog.h"
 
-#include <log4cplus/consoleappender.h>
+#include "kernel/logging/StreamAppender.h"
+
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -24,6 +25,13 @@
         return log4cplus::INFO_LOG_LEVEL;
     }
 
+    /** The library cannot be initialized a second time, so it stays initialized to the end of the process. */
+    void initializeLibrary()
+    {
+        static const auto* const initializer = new log4cplus::Initializer;
+        (void)initializer;
+    }
+
     const char* patternFor(LogFormat format)
     {
         if (format == LogFormat::Json)
@@ -34,20 +42,23 @@
 } // namespace
 
 struct ConsoleLog::Backend {
-    log4cplus::Initializer initializer;
+    explicit Backend(int descriptor)
+        : appender(new StreamAppender(descriptor))
+    {
+    }
+
+    log4cplus::helpers::SharedObjectPtr<StreamAppender> appender;
     log4cplus::Logger logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("chestnutroute"));
 };
 
-ConsoleLog::ConsoleLog(LogFormat format, Severity lowestSeverity)
+ConsoleLog::ConsoleLog(LogFormat format, Severity lowestSeverity, int descriptor)
     : m_format(format)
-    , m_backend(std::make_unique<Backend>())
 {
-    constexpr bool logsToStandardError = false;
-    constexpr bool flushesEachLine = true;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(logsToStandardError, flushesEachLine));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(patternFor(format)));
+    initializeLibrary();
+    m_backend = std::make_unique<Backend>(descriptor);
+    m_backend->appender->setLayout(std::make_unique<log4cplus::PatternLayout>(patternFor(format)));
     m_backend->logger.removeAllAppenders();
-    m_backend->logger.addAppender(appender);
+    m_backend->logger.addAppender(log4cplus::SharedAppenderPtr(m_backend->appender.get()));
     m_backend->logger.setLogLevel(levelFor(lowestSeverity));
 }
 
@@ -58,7 +69,22 @@
     auto level = levelFor(describe(entry.event).severity);
     if (!m_backend->logger.isEnabledFor(level))
         return;
-    m_backend->logger.forcedLog(level, m_format == LogFormat::Json ? formatJson(entry) : formatLogfmt(entry));
+    reportDroppedLines();
+    m_backend->logger.forcedLog(level, format(entry));
+}
+
+std::string ConsoleLog::format(const LogEntry& entry) const
+{
+    return m_format == LogFormat::Json ? formatJson(entry) : formatLogfmt(entry);
+}
+
+void ConsoleLog::reportDroppedLines()
+{
+    auto& appender = *m_backend->appender;
+    if (!appender.hasDroppedLines() || !appender.isWritable())
+        return;
+    LogEntry report { EventId::LogLinesDropped, { { "lines", appender.takeDroppedLines() } } };
+    m_backend->logger.forcedLog(levelFor(describe(report.event).severity), format(report));
 }
 
 } // namespace chestnut
--- a/modules/kernel/logging/ConsoleLog.h
+++ b/modules/kernel/logging/ConsoleLog.h
@@ -11,18 +11,24 @@
     Json,
 };
 
-/** Writes the log to standard output through log4cplus; the VMs have no disks. */
+/** Writes the log to standard output through log4cplus; the VMs have no disks. It never waits for the reader: lines that the
+    output does not take are dropped, and a later line tells how many. */
 class ConsoleLog final : public Log {
 public:
-    ConsoleLog(LogFormat, Severity lowestSeverity);
+    /** `descriptor` is the open output; it is not closed. */
+    ConsoleLog(LogFormat, Severity lowestSeverity, int descriptor = standardOutput);
     ~ConsoleLog() override;
 
 protected:
     void emit(const LogEntry&) override;
 
 private:
+    static constexpr int standardOutput = 1;
     struct Backend;
 
+    std::string format(const LogEntry&) const;
+    void reportDroppedLines();
+
     LogFormat m_format;
     std::unique_ptr<Backend> m_backend;
 };
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-    /** Requests that are still running this long before the end of the shutdown time are given up. */
-    constexpr Duration shutdownMargin = std::chrono::milliseconds(700);
+    /** Requests that still run this long before the end of the shutdown time are given up. It covers the end of the process and
+        the way of the signal. */
+    constexpr Duration shutdownMargin = std::chrono::milliseconds(200);
     /** Clients keep discovery answers for a few seconds after they were told that this daemon leaves. */
     constexpr Duration discoveryRunout = std::chrono::milliseconds(4700);
     constexpr Duration drainCheckPeriod = std::chrono::milliseconds(50);
@@ -91,7 +92,7 @@
     auto endsAt = daemon.m_timers.now() + daemon.m_settings.shutdownTimeout - shutdownMargin;
     auto closesAt = std::min(endsAt, daemon.m_timers.now() + discoveryRunout);
     daemon.m_log.write(EventId::DaemonLeaving, { { "daemon", daemon.m_settings.gateway.self.id }, { "in_progress", daemon.m_gateway.inProgress() } });
-    co_await daemon.m_gateway.leave();
+    co_await daemon.m_gateway.leave(endsAt - daemon.m_timers.now());
     daemon.m_front->closeAfterResponses();
     while (daemon.m_timers.now() < closesAt)
         co_await daemon.m_timers.sleep(drainCheckPeriod);
--- a/programs/chestnutrouted/main.cpp
+++ b/programs/chestnutrouted/main.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 #include <boost/leaf/handle_errors.hpp>
+#include <cstdlib>
 #include <iostream>
 
 ABSL_FLAG(std::string, config, "", "path of the INI settings file");
@@ -66,7 +67,9 @@
         Daemon daemon(context, std::move(*settings));
         daemon.start();
         context.run();
-        return ExitDone;
+        // Destructors would wait for the worker threads of the log library, which do not always end: the process then stays
+        // until it is killed and its connections with it. Each line of the log has been written by now.
+        std::_Exit(ExitDone);
     } catch (const std::exception& exception) {
         std::cerr << "chestnutrouted: " << exception.what() << "\n";
         return ExitFailed;
--- /dev/null
+++ b/tests/gateway/GatewayTest.cpp
@@ -0,0 +1,106 @@
+#include "gateway/GatewayFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Reads `kind timeout_ms` as a configuration with one route to the service "s". */
+Result<RoutingConfiguration> decodeTestConfiguration(std::string_view value)
+{
+    auto space = value.find(' ');
+    RoutingConfiguration configuration;
+    configuration.version = 1;
+    Route route;
+    route.name = "r";
+    route.host = "h";
+    route.prefix = "/";
+    route.kind = value.substr(0, space) == "idempotent" ? RouteKind::Idempotent : RouteKind::NonIdempotent;
+    route.timeout = std::chrono::milliseconds(std::stoi(std::string(value.substr(space + 1))));
+    route.shares = { { ServiceId("s"), 1 } };
+    configuration.routes = { route };
+    configuration.services = { { ServiceId("s"), "/health", 10, std::nullopt } };
+    return configuration;
+}
+
+/** A whole gateway on a fake store and fake replicas, in virtual time. */
+struct WholeGateway {
+    explicit WholeGateway(const std::string& configuration)
+    {
+        store.put("config", configuration);
+        store.put("servers/i-1", testEntry("s", "none"));
+        instances.scripts[ReplicaId("i-1")] = { { .chunks = { "answer" } } };
+        gateway.start();
+        timers.advance(1s);
+    }
+
+    void start(FakeWriter& writer)
+    {
+        RoutedRequest request;
+        request.id = RequestId("q" + std::to_string(++requests));
+        request.host = "h";
+        request.forwarded = { "GET", "/x", {}, "" };
+        request.arrival = timers.now();
+        asio::co_spawn(context, gateway.handle(std::move(request), writer), asio::detached);
+        timers.advance(100ms);
+    }
+
+    void leave(Duration timeLeft)
+    {
+        asio::co_spawn(context, gateway.leave(timeLeft), asio::detached);
+        timers.advance(1ms);
+    }
+
+    asio::io_context context;
+    VirtualTimerService timers { context };
+    MemoryLog log;
+    Metrics metrics;
+    FakeVersionedStore store { timers };
+    FakeInstanceClient instances { timers };
+    int requests = 0;
+    Gateway gateway {
+        { context, timers, log, metrics, store, instances, [](const RoutingConfiguration&) {} },
+        { "config", "servers/", decodeTestConfiguration, decodeTestEntry },
+        { { DaemonId("d0"), AvailabilityZone("a"), { "127.0.0.1", 1 }, { "127.0.0.1", 0 } }, {}, 3s, 5s },
+    };
+};
+
+} // namespace
+
+TEST_CASE("a gateway with a configuration and replicas is ready, serves, and is not ready once it leaves")
+{
+    WholeGateway whole("idempotent 3000");
+    CHECK(whole.gateway.isReady());
+    FakeWriter writer;
+    whole.start(writer);
+    CHECK(writer.status == 200);
+    whole.leave(8s);
+    CHECK_FALSE(whole.gateway.isReady());
+}
+
+// Guards against the cut of hunt seed 36423820774 of tr-spares: clients that keep an old list of daemons sent long requests to
+// a daemon that ended before their answer.
+TEST_CASE("late in a shutdown a request that could outlast it is refused as not run, a shorter one is served")
+{
+    WholeGateway longRoute("idempotent 15000");
+    longRoute.leave(8s);
+    longRoute.timers.advance(2s);
+    FakeWriter early;
+    longRoute.start(early);
+    CHECK(early.status == 200);
+    longRoute.timers.advance(2s);
+    FakeWriter late;
+    longRoute.start(late);
+    CHECK(late.status == 503);
+    CHECK_FALSE(late.headers.value("Retry-After").empty());
+    CHECK(longRoute.instances.sent.size() == 1);
+
+    WholeGateway shortRoute("idempotent 3000");
+    shortRoute.leave(8s);
+    shortRoute.timers.advance(4s);
+    FakeWriter served;
+    shortRoute.start(served);
+    CHECK(served.status == 200);
+}
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -1,5 +1,8 @@
 #include "support/HttpFixture.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 
 using namespace chestnut;
@@ -90,3 +93,46 @@
     REQUIRE_FALSE(response.has_value());
     CHECK(response.error().kind == ErrorKind::ConnectFailed);
 }
+
+namespace {
+
+asio::awaitable<void> pauseFor(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+/** Whether all connections have ended shortly after a listener has stopped. */
+asio::awaitable<bool> hasNoConnectionsLeft(const HttpServer& server)
+{
+    co_await pauseFor(std::chrono::milliseconds(50));
+    co_return server.openConnections() == 0;
+}
+
+} // namespace
+
+// Guards against a request that a client sends on an idle connection of a daemon that is about to end: it would be cut.
+TEST_CASE("a listener that stops closes idle connections")
+{
+    HttpFixture fixture(echo);
+    CHECK(fixture.run(fixture.client.exchange(fixture.server.endpoint(), { "GET", "/", {}, "" }, {})).has_value());
+    CHECK(fixture.server.openConnections() == 1);
+    fixture.server.stopAccepting();
+    CHECK(fixture.run(hasNoConnectionsLeft(fixture.server)));
+}
+
+TEST_CASE("a listener that stops lets the request in progress end, and its connection with it")
+{
+    HttpServer* server = nullptr;
+    HttpFixture fixture([&server](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        server->stopAccepting();
+        co_await pauseFor(std::chrono::milliseconds(20));
+        co_await writer.send({ 200, {}, "done" });
+    });
+    server = &fixture.server;
+    auto response = fixture.run(fixture.client.exchange(fixture.server.endpoint(), { "GET", "/", {}, "" }, {}));
+    REQUIRE(response.has_value());
+    CHECK(response->body == "done");
+    CHECK(response->headers.value("Connection") == "close");
+    CHECK(fixture.run(hasNoConnectionsLeft(fixture.server)));
+}
