--- a/modules/decisions/replicas/ReplicaRegistry.cpp
+++ b/modules/decisions/replicas/ReplicaRegistry.cpp
@@ -12,6 +12,12 @@
         return left != right;
     }
 
+    void markGone(KnownReplica& replica, TimePoint now)
+    {
+        replica.status = ReplicaStatus::Gone;
+        replica.goneSince = now;
+    }
+
 } // namespace
 
 std::string_view nameOf(EngineStage stage)
@@ -30,7 +36,7 @@
 bool applyEntry(ReplicaRegistry& registry, const ReplicaEntry& entry)
 {
     auto status = entry.isDraining ? ReplicaStatus::Draining : ReplicaStatus::Ready;
-    auto [known, isNew] = registry.replicas.try_emplace(entry.id, KnownReplica { entry, status, {} });
+    auto [known, isNew] = registry.replicas.try_emplace(entry.id, KnownReplica { entry, status, {}, {} });
     if (isNew)
         return true;
     auto& replica = known->second;
@@ -45,7 +51,7 @@
     if (isSameStart && replica.status == ReplicaStatus::Gone && entry.heartbeat == before.heartbeat)
         return false;
     auto hasChanged = replica.status != status || differsBeyondHeartbeat(before, entry);
-    replica = { entry, status, {} };
+    replica = { entry, status, {}, {} };
     return hasChanged;
 }
 
@@ -59,11 +65,11 @@
         replica.status = ReplicaStatus::Lapsed;
         replica.lapsedUntil = now + grace;
     } else
-        replica.status = ReplicaStatus::Gone;
+        markGone(replica, now);
     return true;
 }
 
-bool applyLeavingNews(ReplicaRegistry& registry, const LeavingReplica& news)
+bool applyLeavingNews(ReplicaRegistry& registry, const LeavingReplica& news, TimePoint now)
 {
     auto known = registry.replicas.find(news.id);
     if (known == registry.replicas.end() || !mayReceiveWork(known->second))
@@ -71,7 +77,10 @@
     const auto& entry = known->second.entry;
     if (std::tie(entry.startedAt, entry.heartbeat) > std::tie(news.startedAt, news.heartbeat))
         return false;
-    known->second.status = news.isDraining ? ReplicaStatus::Draining : ReplicaStatus::Gone;
+    if (news.isDraining)
+        known->second.status = ReplicaStatus::Draining;
+    else
+        markGone(known->second, now);
     return true;
 }
 
@@ -81,12 +90,25 @@
     for (auto& [id, replica] : registry.replicas) {
         if (replica.status != ReplicaStatus::Lapsed || now < replica.lapsedUntil)
             continue;
-        replica.status = ReplicaStatus::Gone;
+        markGone(replica, now);
         gone.push_back(id);
     }
     return gone;
 }
 
+std::vector<ReplicaId> forgetGone(ReplicaRegistry& registry, TimePoint now)
+{
+    std::vector<ReplicaId> forgotten;
+    std::erase_if(registry.replicas, [&](const auto& entry) {
+        const auto& [id, replica] = entry;
+        if (replica.status != ReplicaStatus::Gone || now - replica.goneSince < goneMemory)
+            return false;
+        forgotten.push_back(id);
+        return true;
+    });
+    return forgotten;
+}
+
 bool mayReceiveWork(const KnownReplica& replica)
 {
     return replica.status == ReplicaStatus::Ready || replica.status == ReplicaStatus::Lapsed;
--- a/modules/decisions/replicas/ReplicaRegistry.h
+++ b/modules/decisions/replicas/ReplicaRegistry.h
@@ -47,11 +47,12 @@
     ReplicaEntry entry;
     ReplicaStatus status = ReplicaStatus::Ready;
     TimePoint lapsedUntil;
+    TimePoint goneSince;
 
     bool operator==(const KnownReplica&) const = default;
 };
 
-/** All replicas that were ever seen, also those that are gone: a late heartbeat must not revive them. */
+/** The replicas that were seen, also those that went lately: a late heartbeat must not revive them. */
 struct ReplicaRegistry {
     std::map<ReplicaId, KnownReplica> replicas;
 };
@@ -76,11 +77,16 @@
 
 /** Applies what another daemon has seen. News that is older than the known entry changes nothing: an entry that was removed
     and is back must not disappear again. Returns whether the replica's status changed. */
-bool applyLeavingNews(ReplicaRegistry&, const LeavingReplica&);
+bool applyLeavingNews(ReplicaRegistry&, const LeavingReplica&, TimePoint now);
 
 /** Marks lapsed replicas as gone whose grace time has ended. Returns their ids. */
 std::vector<ReplicaId> expireLapsed(ReplicaRegistry&, TimePoint now);
 
+/** Removes replicas that went longer than goneMemory ago. Returns their ids. */
+std::vector<ReplicaId> forgetGone(ReplicaRegistry&, TimePoint now);
+/** No heartbeat of a replica that is gone comes later; stores answer calls some seconds late. */
+constexpr Duration goneMemory = std::chrono::seconds(60);
+
 bool mayReceiveWork(const KnownReplica&);
 
 } // namespace chestnut
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/members/LoadExchange.h"
+#include "gateway/members/LoadNews.h"
 #include "gateway/replicas/LoadBoard.h"
 #include "gateway/replicas/ReplicaDirectory.h"
 #include "gateway/requests/GenerationRelay.h"
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -1,18 +1,17 @@
 #include "gateway/members/LoadExchange.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <nlohmann/json.hpp>
 
 namespace chestnut {
 
 using asio::ip::udp;
 using boost::system::error_code;
-using nlohmann::json;
 
 namespace {
 
@@ -31,94 +30,10 @@
     {
         return id == fleetKey || id.value().starts_with("zone/");
     }
+
     /** Daemons that a collector has not heard for several periods are left out of its list: the members add their own patience
         with a silent daemon to it. */
     constexpr Duration silenceToOmit = std::chrono::milliseconds(600);
-    constexpr size_t maximumDatagram = 8192;
-    constexpr int messageVersion = 3;
-
-    json encodeWork(const std::vector<ReplicaWork>& work)
-    {
-        auto list = json::array();
-        for (const auto& item : work)
-            list.push_back({ item.replica.value(), item.requests, static_cast<int64_t>(item.prefillTokens), static_cast<int64_t>(item.deferredTokens) });
-        return list;
-    }
-
-    json encodeLosses(const std::vector<CrashLoss>& losses)
-    {
-        auto list = json::array();
-        for (const auto& loss : losses)
-            list.push_back({ toHex(loss.content), loss.attempt.value(), loss.replica.value() });
-        return list;
-    }
-
-    std::vector<ReplicaWork> decodeWork(const json& list)
-    {
-        std::vector<ReplicaWork> work;
-        for (const auto& item : list)
-            work.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>(), item.at(2).get<double>(), item.at(3).get<double>() });
-        return work;
-    }
-
-    std::vector<CrashLoss> decodeLosses(const json& list)
-    {
-        std::vector<CrashLoss> losses;
-        for (const auto& item : list) {
-            if (auto content = digestFromHex(item.at(0).get<std::string>()))
-                losses.push_back({ *content, RequestId(item.at(1).get<std::string>()), ReplicaId(item.at(2).get<std::string>()) });
-        }
-        return losses;
-    }
-
-    json encodePauses(const std::vector<PausedReplica>& pauses)
-    {
-        auto list = json::array();
-        for (const auto& pause : pauses)
-            list.push_back({ pause.replica.value(), pause.beat });
-        return list;
-    }
-
-    std::vector<PausedReplica> decodePauses(const json& list)
-    {
-        std::vector<PausedReplica> pauses;
-        for (const auto& item : list)
-            pauses.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint64_t>() });
-        return pauses;
-    }
-
-    json encodeLeaving(const std::vector<LeavingReplica>& replicas)
-    {
-        auto list = json::array();
-        for (const auto& replica : replicas)
-            list.push_back({ replica.id.value(), replica.startedAt, replica.heartbeat, replica.isDraining });
-        return list;
-    }
-
-    std::vector<LeavingReplica> decodeLeaving(const json& list)
-    {
-        std::vector<LeavingReplica> replicas;
-        for (const auto& item : list)
-            replicas.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<int64_t>(), item.at(2).get<int64_t>(), item.at(3).get<bool>() });
-        return replicas;
-    }
-
-    template <typename Id>
-    std::vector<Id> decodeIds(const json& list)
-    {
-        std::vector<Id> ids;
-        for (const auto& item : list)
-            ids.emplace_back(item.get<std::string>());
-        return ids;
-    }
-
-    template <typename Id>
-    std::vector<std::string> valuesOf(const std::vector<Id>& ids)
-    {
-        std::vector<std::string> values;
-        std::ranges::transform(ids, std::back_inserter(values), &Id::value);
-        return values;
-    }
 
     /** The sum without the part that this daemon told itself. */
     std::vector<ReplicaWork> without(std::vector<ReplicaWork> sum, const std::vector<ReplicaWork>& part)
@@ -134,53 +49,8 @@
         return sum;
     }
 
-    NewsScope decodeScope(int number)
-    {
-        return number == 1 ? NewsScope::Zone : number == 2 ? NewsScope::Fleet
-                                                           : NewsScope::Daemon;
-    }
-
 } // namespace
 
-std::string encodeLoadNews(const LoadNews& news)
-{
-    json document {
-        { "v", messageVersion },
-        { "from", encodeDaemonRecord(news.sender) },
-        { "scope", static_cast<int>(news.scope) },
-        { "leaving", news.isLeaving },
-        { "work", encodeWork(news.work) },
-        { "losses", encodeLosses(news.losses) },
-        { "gone", encodeLeaving(news.leavingReplicas) },
-        { "paused", encodePauses(news.pausedReplicas) },
-        { "living", valuesOf(news.living) },
-    };
-    auto bytes = json::to_cbor(document);
-    return { bytes.begin(), bytes.end() };
-}
-
-Result<LoadNews> decodeLoadNews(std::string_view datagram)
-{
-    auto document = json::from_cbor(datagram.begin(), datagram.end(), true, false);
-    if (!document.is_object() || document.value("v", 0) != messageVersion)
-        return makeError(ErrorKind::ProtocolError, "datagram is no load news of a known version");
-    try {
-        auto sender = decodeDaemonRecord(document.at("from").get<std::string>());
-        if (!sender)
-            return sender.error();
-        LoadNews news { std::move(*sender), decodeScope(document.at("scope").get<int>()) };
-        news.isLeaving = document.at("leaving").get<bool>();
-        news.work = decodeWork(document.at("work"));
-        news.losses = decodeLosses(document.at("losses"));
-        news.leavingReplicas = decodeLeaving(document.at("gone"));
-        news.pausedReplicas = decodePauses(document.at("paused"));
-        news.living = decodeIds<DaemonId>(document.at("living"));
-        return news;
-    } catch (const json::exception& exception) {
-        return makeError(ErrorKind::ProtocolError, exception.what());
-    }
-}
-
 LoadExchange::LoadExchange(asio::io_context& context, TimerService& timers, Log& log, DaemonDirectory& directory, std::shared_ptr<LoadBoard> board, CrashLosses& losses, ReplicaDirectory& replicas)
     : m_context(context)
     , m_timers(timers)
@@ -260,11 +130,11 @@
     auto isOwnZone = news.sender.zone == m_directory.self().zone;
     auto collects = m_topology.isMesh || m_topology.isCollector;
     if (news.scope == NewsScope::Daemon && collects)
-        m_board->setPeerWork(news.sender.id, news.work);
+        m_board->setPeerWork(news.sender.id, news.work, news.part);
     else if (news.scope == NewsScope::Zone && m_topology.isCollector && !isOwnZone)
-        m_board->setPeerWork(zoneKey(news.sender.zone), news.work);
+        m_board->setPeerWork(zoneKey(news.sender.zone), news.work, news.part);
     else if (news.scope == NewsScope::Fleet && !collects)
-        m_board->setPeerWork(fleetKey, without(news.work, m_sentWork));
+        m_board->setPeerWork(fleetKey, without(news.work, m_sentWork), news.part);
 }
 
 LoadNews LoadExchange::newsOf(NewsScope scope, std::vector<ReplicaWork> work) const
@@ -296,12 +166,12 @@
 {
     if (targets.empty())
         return;
-    auto datagram = encodeLoadNews(news);
+    auto datagrams = encodeLoadNews(news);
     for (const auto& target : targets) {
         error_code error;
         udp::endpoint address(asio::ip::make_address(target.address, error), target.port);
-        if (!error)
-            m_socket.send_to(asio::buffer(datagram), address, 0, error);
+        for (size_t i = 0; i < datagrams.size() && !error; ++i)
+            m_socket.send_to(asio::buffer(datagrams[i]), address, 0, error);
         // A datagram that cannot be sent now is replaced by the next one; the silence is what others act on.
     }
 }
--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -1,43 +1,16 @@
 #pragma once
 
+#include "gateway/members/LoadNews.h"
 #include "gateway/members/LoadTopology.h"
-#include "gateway/replicas/LoadBoard.h"
-#include "gateway/replicas/ReplicaDirectory.h"
-#include "gateway/requests/CrashLosses.h"
 
-#include <array>
 #include <boost/asio/ip/udp.hpp>
 
 namespace chestnut {
 
-/** Whose work a message counts. */
-enum class NewsScope : uint8_t {
-    Daemon, /**< of the sender */
-    Zone, /**< of all daemons in the sender's zone */
-    Fleet, /**< of all daemons */
-};
-
-/** One message between daemons. */
-struct LoadNews {
-    DaemonRecord sender;
-    NewsScope scope = NewsScope::Daemon;
-    bool isLeaving = false;
-    std::vector<ReplicaWork> work;
-    std::vector<CrashLoss> losses;
-    std::vector<LeavingReplica> leavingReplicas; /**< learned from the store by the sender */
-    std::vector<PausedReplica> pausedReplicas; /**< that carry out an order */
-    std::vector<DaemonId> living; /**< daemons that the sender hears, in messages of the scope Fleet */
-
-    bool operator==(const LoadNews&) const = default;
-};
-
-std::string encodeLoadNews(const LoadNews&);
-/** Fails with ProtocolError. */
-Result<LoadNews> decodeLoadNews(std::string_view);
-
 /** Sends this daemon's work in flight to its peers several times a second, by datagrams: only the newest counts, and a lost
-    one is replaced by the next. In a large fleet the work goes through the collectors of the zones. The same messages show that a daemon lives, spread the losses of replicas by a request and
-    the replicas that leave, also to daemons that the store does not reach. */
+    one is replaced by the next. In a large fleet the work goes through the collectors of the zones. The same messages show
+    that a daemon lives, and spread the losses of replicas by a request and the replicas that leave, also to daemons that the
+    store does not reach. */
 class LoadExchange : public Service {
 public:
     static constexpr std::string_view serviceName = "loadexchange";
--- /dev/null
+++ b/modules/gateway/members/LoadNews.cpp
@@ -0,0 +1,188 @@
+#include "gateway/members/LoadNews.h"
+
+#include "base/digest/Digest.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace chestnut {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr int messageVersion = 4;
+    /** Items of each list in one datagram. Ids take up to 40 bytes, so a full part takes 7.5 KB. */
+    constexpr size_t workInPart = 60;
+    constexpr size_t livingInPart = 60;
+    constexpr size_t leavingInPart = 25;
+
+    json encodeWork(const std::vector<ReplicaWork>& work)
+    {
+        auto list = json::array();
+        for (const auto& item : work)
+            list.push_back({ item.replica.value(), item.requests, static_cast<int64_t>(item.prefillTokens), static_cast<int64_t>(item.deferredTokens) });
+        return list;
+    }
+
+    json encodeLosses(const std::vector<CrashLoss>& losses)
+    {
+        auto list = json::array();
+        for (const auto& loss : losses)
+            list.push_back({ toHex(loss.content), loss.attempt.value(), loss.replica.value() });
+        return list;
+    }
+
+    std::vector<ReplicaWork> decodeWork(const json& list)
+    {
+        std::vector<ReplicaWork> work;
+        for (const auto& item : list)
+            work.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>(), item.at(2).get<double>(), item.at(3).get<double>() });
+        return work;
+    }
+
+    std::vector<CrashLoss> decodeLosses(const json& list)
+    {
+        std::vector<CrashLoss> losses;
+        for (const auto& item : list) {
+            if (auto content = digestFromHex(item.at(0).get<std::string>()))
+                losses.push_back({ *content, RequestId(item.at(1).get<std::string>()), ReplicaId(item.at(2).get<std::string>()) });
+        }
+        return losses;
+    }
+
+    json encodePauses(const std::vector<PausedReplica>& pauses)
+    {
+        auto list = json::array();
+        for (const auto& pause : pauses)
+            list.push_back({ pause.replica.value(), pause.beat });
+        return list;
+    }
+
+    std::vector<PausedReplica> decodePauses(const json& list)
+    {
+        std::vector<PausedReplica> pauses;
+        for (const auto& item : list)
+            pauses.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint64_t>() });
+        return pauses;
+    }
+
+    json encodeLeaving(const std::vector<LeavingReplica>& replicas)
+    {
+        auto list = json::array();
+        for (const auto& replica : replicas)
+            list.push_back({ replica.id.value(), replica.startedAt, replica.heartbeat, replica.isDraining });
+        return list;
+    }
+
+    std::vector<LeavingReplica> decodeLeaving(const json& list)
+    {
+        std::vector<LeavingReplica> replicas;
+        for (const auto& item : list)
+            replicas.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<int64_t>(), item.at(2).get<int64_t>(), item.at(3).get<bool>() });
+        return replicas;
+    }
+
+    template <typename Id>
+    std::vector<Id> decodeIds(const json& list)
+    {
+        std::vector<Id> ids;
+        for (const auto& item : list)
+            ids.emplace_back(item.get<std::string>());
+        return ids;
+    }
+
+    template <typename Id>
+    std::vector<std::string> valuesOf(const std::vector<Id>& ids)
+    {
+        std::vector<std::string> values;
+        std::ranges::transform(ids, std::back_inserter(values), &Id::value);
+        return values;
+    }
+
+    NewsScope decodeScope(int number)
+    {
+        return number == 1 ? NewsScope::Zone : number == 2 ? NewsScope::Fleet
+                                                           : NewsScope::Daemon;
+    }
+
+    std::string encodePart(const LoadNews& news)
+    {
+        json document {
+            { "v", messageVersion },
+            { "from", encodeDaemonRecord(news.sender) },
+            { "scope", static_cast<int>(news.scope) },
+            { "leaving", news.isLeaving },
+            { "work", encodeWork(news.work) },
+            { "losses", encodeLosses(news.losses) },
+            { "gone", encodeLeaving(news.leavingReplicas) },
+            { "paused", encodePauses(news.pausedReplicas) },
+            { "living", valuesOf(news.living) },
+            { "part", { news.part.index, news.part.count } },
+        };
+        auto bytes = json::to_cbor(document);
+        return { bytes.begin(), bytes.end() };
+    }
+
+    size_t partsOf(size_t items, size_t inPart)
+    {
+        return (items + inPart - 1) / inPart;
+    }
+
+    uint32_t countOfParts(const LoadNews& news)
+    {
+        auto parts = std::max({ partsOf(news.work.size(), workInPart), partsOf(news.living.size(), livingInPart), partsOf(news.leavingReplicas.size(), leavingInPart), size_t(1) });
+        return static_cast<uint32_t>(parts);
+    }
+
+    template <typename Item>
+    std::vector<Item> sliceOf(const std::vector<Item>& items, const NewsPart& part)
+    {
+        auto first = items.size() * part.index / part.count;
+        auto last = items.size() * (part.index + 1) / part.count;
+        return { items.begin() + static_cast<ptrdiff_t>(first), items.begin() + static_cast<ptrdiff_t>(last) };
+    }
+
+} // namespace
+
+std::vector<std::string> encodeLoadNews(const LoadNews& news)
+{
+    auto count = countOfParts(news);
+    std::vector<std::string> datagrams;
+    for (uint32_t index = 0; index < count; ++index) {
+        auto part = news;
+        part.part = { index, count };
+        part.work = sliceOf(news.work, part.part);
+        part.living = sliceOf(news.living, part.part);
+        part.leavingReplicas = sliceOf(news.leavingReplicas, part.part);
+        datagrams.push_back(encodePart(part));
+    }
+    return datagrams;
+}
+
+Result<LoadNews> decodeLoadNews(std::string_view datagram)
+{
+    auto document = json::from_cbor(datagram.begin(), datagram.end(), true, false);
+    if (!document.is_object() || document.value("v", 0) != messageVersion)
+        return makeError(ErrorKind::ProtocolError, "datagram is no load news of a known version");
+    try {
+        auto sender = decodeDaemonRecord(document.at("from").get<std::string>());
+        if (!sender)
+            return sender.error();
+        LoadNews news { std::move(*sender), decodeScope(document.at("scope").get<int>()) };
+        news.isLeaving = document.at("leaving").get<bool>();
+        news.work = decodeWork(document.at("work"));
+        news.losses = decodeLosses(document.at("losses"));
+        news.leavingReplicas = decodeLeaving(document.at("gone"));
+        news.pausedReplicas = decodePauses(document.at("paused"));
+        news.living = decodeIds<DaemonId>(document.at("living"));
+        news.part = { document.at("part").at(0).get<uint32_t>(), document.at("part").at(1).get<uint32_t>() };
+        if (news.part.index >= news.part.count)
+            return makeError(ErrorKind::ProtocolError, "part number of load news out of range");
+        return news;
+    } catch (const json::exception& exception) {
+        return makeError(ErrorKind::ProtocolError, exception.what());
+    }
+}
+
+} // namespace chestnut
--- a/modules/gateway/replicas/LoadBoard.cpp
+++ b/modules/gateway/replicas/LoadBoard.cpp
@@ -1,6 +1,7 @@
 #include "gateway/replicas/LoadBoard.h"
 
 #include <algorithm>
+#include <cassert>
 #include <tuple>
 #include <utility>
 
@@ -104,24 +105,19 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
-ReplicaWork LoadBoard::workAt(const ReplicaId& replica) const
+ReplicaObservation LoadBoard::observe(const ReplicaId& replica) const
 {
     const auto* record = find(replica);
     if (!record)
-        return { replica, 0, 0, 0 };
+        return { { replica } };
+    auto now = m_timers.now();
     const auto& [own, peers] = std::tie(record->own, record->peers);
-    return { replica, own.requests + peers.requests, own.prefillTokens + peers.prefillTokens, own.deferredTokens + peers.deferredTokens };
-}
-
-uint32_t LoadBoard::requestsAt(const ReplicaId& replica) const
-{
-    return workAt(replica).requests;
-}
-
-uint32_t LoadBoard::fullAt(const ReplicaId& replica) const
-{
-    const auto* record = find(replica);
-    return record && m_timers.now() < record->fullUntil ? record->fullAt : 0;
+    ReplicaObservation observation;
+    observation.work = { replica, own.requests + peers.requests, own.prefillTokens + peers.prefillTokens, own.deferredTokens + peers.deferredTokens };
+    observation.fullAt = now < record->fullUntil ? record->fullAt : 0;
+    observation.slowdown = record->slowdown;
+    observation.isEjected = now < record->ejectedUntil;
+    return observation;
 }
 
 std::vector<ReplicaWork> LoadBoard::ownWork() const
@@ -148,34 +144,50 @@
     };
     addAll(ownWork());
     for (const auto& [daemon, peer] : m_peers) {
-        if (isChosen(daemon))
-            addAll(peer.work);
+        if (!isChosen(daemon))
+            continue;
+        for (const auto& part : peer.parts)
+            addAll(part);
     }
     std::vector<ReplicaWork> work;
     work.reserve(sums.size());
     for (auto& [replica, sum] : sums)
         work.push_back(std::move(sum));
+    // In a stable order a replica mostly stays in the same part of a divided message.
+    std::ranges::sort(work, {}, &ReplicaWork::replica);
     return work;
 }
 
-void LoadBoard::setPeerWork(const DaemonId& daemon, std::vector<ReplicaWork> work)
+void LoadBoard::subtractPeer(const std::vector<ReplicaWork>& work)
 {
-    auto& peer = m_peers[daemon];
-    for (const auto& item : peer.work)
+    for (const auto& item : work)
         subtract(item, &Record::peers);
-    peer = { std::move(work), m_timers.now() };
-    for (const auto& item : peer.work)
+}
+
+void LoadBoard::setPeerWork(const DaemonId& daemon, std::vector<ReplicaWork> work, NewsPart part)
+{
+    assert(part.index < part.count);
+    auto& [parts, receivedAt] = m_peers[daemon];
+    for (size_t i = part.count; i < parts.size(); ++i)
+        subtractPeer(parts[i]);
+    parts.resize(part.count);
+    auto& known = parts[part.index];
+    subtractPeer(known);
+    known = std::move(work);
+    for (const auto& item : known)
         add(item, &Record::peers);
+    receivedAt = m_timers.now();
 }
 
 void LoadBoard::expirePeers()
 {
     auto now = m_timers.now();
     std::erase_if(m_peers, [&](const auto& entry) {
-        if (now - entry.second.receivedAt < peerTime)
+        const auto& [parts, receivedAt] = entry.second;
+        if (now - receivedAt < peerTime)
             return false;
-        for (const auto& item : entry.second.work)
-            subtract(item, &Record::peers);
+        for (const auto& part : parts)
+            subtractPeer(part);
         return true;
     });
 }
@@ -221,18 +233,6 @@
     record.fullUntil = now + fullTime;
 }
 
-bool LoadBoard::isEjected(const ReplicaId& replica) const
-{
-    const auto* record = find(replica);
-    return record && m_timers.now() < record->ejectedUntil;
-}
-
-double LoadBoard::slowdown(const ReplicaId& replica) const
-{
-    const auto* record = find(replica);
-    return record ? record->slowdown : 1;
-}
-
 void LoadBoard::recordParts(const ReplicaId& replica, const std::vector<uint64_t>& parts)
 {
     auto& record = m_records[replica];
--- a/modules/gateway/replicas/LoadBoard.h
+++ b/modules/gateway/replicas/LoadBoard.h
@@ -22,6 +22,24 @@
     bool operator==(const ReplicaWork&) const = default;
 };
 
+/** Which part of a message that is too long for one datagram. */
+struct NewsPart {
+    uint32_t index = 0;
+    uint32_t count = 1;
+
+    bool operator==(const NewsPart&) const = default;
+};
+
+/** What is known of one replica when a request is placed. */
+struct ReplicaObservation {
+    ReplicaWork work; /**< of all daemons */
+    uint32_t fullAt = 0; /**< requests at which it refused more lately; zero when it did not */
+    double slowdown = 1; /**< observed time over expected time */
+    bool isEjected = false;
+
+    bool operator==(const ReplicaObservation&) const = default;
+};
+
 /** Work in flight at each replica, of this daemon and of its peers, and what this daemon has observed of the replicas. */
 class LoadBoard : public std::enable_shared_from_this<LoadBoard> {
 public:
@@ -47,18 +65,15 @@
     /** Counts a prompt that an engine reads. */
     [[nodiscard]] Flight beginPrefill(const ReplicaId&, double tokens, bool isDeferred);
 
-    uint32_t requestsAt(const ReplicaId&) const;
-    /** The work of all daemons at a replica. */
-    ReplicaWork workAt(const ReplicaId&) const;
-    /** Requests at which the replica refused more lately; zero when it did not. */
-    uint32_t fullAt(const ReplicaId&) const;
+    ReplicaObservation observe(const ReplicaId&) const;
+    uint32_t requestsAt(const ReplicaId& replica) const { return observe(replica).work.requests; }
 
     /** What this daemon tells its peers: replicas with work only. */
     std::vector<ReplicaWork> ownWork() const;
     /** The sum of this daemon's work and of that of the chosen peers. */
     std::vector<ReplicaWork> workOf(const std::function<bool(const DaemonId&)>& isChosen) const;
-    /** Replaces what is known of a peer's work; it is forgotten when no news comes for peerTime. */
-    void setPeerWork(const DaemonId&, std::vector<ReplicaWork>);
+    /** Replaces what is known of a peer's work, or one part of it; it is forgotten when no news comes for peerTime. */
+    void setPeerWork(const DaemonId&, std::vector<ReplicaWork>, NewsPart = {});
     void expirePeers();
 
     void recordSuccess(const ReplicaId&, double slowdown);
@@ -66,8 +81,6 @@
     void recordFailure(const ReplicaId&);
     /** A replica refused work; with free slots it is busy with something that nobody announced. */
     void recordRefusal(const ReplicaId&, uint32_t slots);
-    bool isEjected(const ReplicaId&) const;
-    double slowdown(const ReplicaId&) const;
 
     /** Remembers that a replica was sent these shared parts. */
     void recordParts(const ReplicaId&, const std::vector<uint64_t>& parts);
@@ -89,12 +102,13 @@
         std::unordered_map<uint64_t, TimePoint> parts; /**< when each part was last sent */
     };
     struct PeerWork {
-        std::vector<ReplicaWork> work;
+        std::vector<std::vector<ReplicaWork>> parts;
         TimePoint receivedAt;
     };
 
     void add(const ReplicaWork&, ReplicaWork Record::*side);
     void subtract(const ReplicaWork&, ReplicaWork Record::*side);
+    void subtractPeer(const std::vector<ReplicaWork>&);
     [[nodiscard]] Flight beginWork(ReplicaWork);
     const Record* find(const ReplicaId&) const;
 
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -55,6 +55,8 @@
             noteLeaving(id);
             logChange(id, "lapsed");
         }
+        for (const auto& id : forgetGone(m_registry, m_timers.now()))
+            m_board->forget(id);
         std::erase_if(m_leaving, [now = m_timers.now()](const auto& entry) { return now - entry.second.since > leavingNewsTime; });
     });
 }
@@ -103,7 +105,7 @@
 
 void ReplicaDirectory::peerSaysLeaving(const LeavingReplica& news)
 {
-    if (!applyLeavingNews(m_registry, news))
+    if (!applyLeavingNews(m_registry, news, m_timers.now()))
         return;
     // Passed on once, so that it reaches daemons that do not hear the first one.
     noteLeaving(news.id);
@@ -168,24 +170,24 @@
     return known == m_registry.replicas.end() ? nullptr : &known->second;
 }
 
-std::vector<const ReplicaEntry*> ReplicaDirectory::usable(const ServiceId& service, EngineStage stage, const std::set<ReplicaId>& excluded) const
+std::vector<const ReplicaEntry*> ReplicaDirectory::select(const ServiceId& service, const std::function<bool(const ReplicaEntry&)>& isWanted) const
 {
     std::vector<const ReplicaEntry*> found;
     for (const auto& [id, replica] : m_registry.replicas) {
-        if (mayReceiveWork(replica) && replica.entry.service == service && replica.entry.stage == stage && !excluded.contains(id) && !isPaused(id))
+        if (mayReceiveWork(replica) && replica.entry.service == service && isWanted(replica.entry))
             found.push_back(&replica.entry);
     }
     return found;
 }
 
+std::vector<const ReplicaEntry*> ReplicaDirectory::usable(const ServiceId& service, EngineStage stage, const std::set<ReplicaId>& excluded) const
+{
+    return select(service, [&](const ReplicaEntry& entry) { return entry.stage == stage && !excluded.contains(entry.id) && !isPaused(entry.id); });
+}
+
 std::vector<const ReplicaEntry*> ReplicaDirectory::engines(const ServiceId& service) const
 {
-    std::vector<const ReplicaEntry*> found;
-    for (const auto& [id, replica] : m_registry.replicas) {
-        if (mayReceiveWork(replica) && replica.entry.service == service && replica.entry.stage != EngineStage::None)
-            found.push_back(&replica.entry);
-    }
-    return found;
+    return select(service, [](const ReplicaEntry& entry) { return entry.stage != EngineStage::None; });
 }
 
 std::vector<LeavingReplica> ReplicaDirectory::leaving() const
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -67,6 +67,22 @@
     bool isEmpty() const { return m_registry.replicas.empty(); }
 
 private:
+    struct LeavingNews {
+        LeavingReplica replica;
+        TimePoint since;
+    };
+    /** An order of which a peer told. */
+    struct Pause {
+        uint64_t beat = 0;
+        TimePoint until;
+    };
+    struct OrderedStage {
+        EngineStage stage = EngineStage::None;
+        TimePoint orderedAt;
+    };
+
+    /** The replicas of a service that may receive work and are wanted. */
+    std::vector<const ReplicaEntry*> select(const ServiceId&, const std::function<bool(const ReplicaEntry&)>& isWanted) const;
     void onItem(const StoreItem&);
     void onRemoval(const std::string& key);
     void noteLeaving(const ReplicaId&);
@@ -83,20 +99,8 @@
     std::function<bool()> m_isStoreAway;
     std::shared_ptr<StoreMirror> m_mirror;
     ReplicaRegistry m_registry;
-    struct LeavingNews {
-        LeavingReplica replica;
-        TimePoint since;
-    };
     std::map<ReplicaId, LeavingNews> m_leaving;
-    struct Pause {
-        uint64_t beat = 0;
-        TimePoint until;
-    };
-    std::map<ReplicaId, Pause> m_pauses; /**< told by peers */
-    struct OrderedStage {
-        EngineStage stage = EngineStage::None;
-        TimePoint orderedAt;
-    };
+    std::map<ReplicaId, Pause> m_pauses;
     std::map<ReplicaId, OrderedStage> m_ordered;
     TimerSubscription m_expiryTimer;
 };
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -148,11 +148,14 @@
     co_return answer;
 }
 
+bool GenerationRelay::needsPrefill() const
+{
+    return m_prompt && m_prompt->promptTokens > longestDirectPrompt && m_lastEventId.empty() && !m_handle;
+}
+
 asio::awaitable<Result<void>> GenerationRelay::readPrompt()
 {
     auto& relay = *m_relay;
-    if (!m_prompt || m_prompt->promptTokens <= longestDirectPrompt)
-        co_return Result<void>();
     for (uint32_t calls = 0; calls < maximumPrefillCalls && !relay.isOver(); ++calls) {
         auto isRepeat = !std::exchange(m_mayPrefill, false);
         auto choice = choosePrefill();
@@ -164,7 +167,7 @@
             co_return saturated("the prefill engines are saturated: the prompt would be read in " + millisecondsText(plan.expectedTime) + " ms, left are " + millisecondsText(relay.remaining()) + " ms");
         if (isRepeat && !relay.services.budgets.takeRepeat(relay.service))
             co_return Result<void>();
-        relay.services.log.write(EventId::PrefillPlaced, { { "request", relay.request.id }, { "replica", engine.id }, { "missing", plan.missingTokens }, { "queued", relay.services.board->workAt(engine.id).prefillTokens }, { "expected_ms", plan.expectedTime.count() / 1000 }, { "deferred", plan.isDeferred ? 1 : 0 } });
+        relay.services.log.write(EventId::PrefillPlaced, { { "request", relay.request.id }, { "replica", engine.id }, { "missing", plan.missingTokens }, { "queued", relay.services.board->observe(engine.id).work.prefillTokens }, { "expected_ms", plan.expectedTime.count() / 1000 }, { "deferred", plan.isDeferred ? 1 : 0 } });
         auto answer = co_await prefillAt(engine, plan);
         if (answer) {
             m_handle = answer->handle;
@@ -175,7 +178,8 @@
         relay.excluded.insert(engine.id);
         relay.services.log.write(EventId::PrefillFailed, { { "request", relay.request.id }, { "replica", engine.id }, { "kind", answerFor(error.kind).name }, { "detail", error.detail } });
         if (error.kind == ErrorKind::Overloaded) {
-            relay.services.budgets.chargeRejection(relay.service, isRepeat);
+            if (!isRepeat)
+                relay.services.budgets.chargeRejection(relay.service);
             relay.services.board->recordRefusal(engine.id, engine.slots);
         } else if (!relay.isOver())
             relay.services.board->recordFailure(engine.id);
@@ -280,10 +284,10 @@
 
 asio::awaitable<Result<ReplicaEntry>> GenerationRelay::prepareDecode(bool mayReadPrompt)
 {
-    // A prompt is not read while there is no decode place, and the place is chosen anew after the reading.
-    if (auto place = chooseDecode(); !place)
-        co_return place.error();
-    if (mayReadPrompt && m_lastEventId.empty() && !m_handle) {
+    if (mayReadPrompt && needsPrefill()) {
+        // A prompt is not read while there is no decode place, and the place is chosen anew after the reading.
+        if (auto place = chooseDecode(); !place)
+            co_return place.error();
         if (auto read = co_await readPrompt(); !read)
             co_return read.error();
     }
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -21,28 +21,32 @@
         ClientGone,
     };
 
+    // The steps in the order in which they run.
+
+    /** Repeats attempts as long as that is allowed. */
+    asio::awaitable<Result<void>> generate();
+    /** Finds a decode place and has the prompt read for it. */
+    asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayReadPrompt);
     /** The engine for the next decode call, or why there is none. */
     Result<ReplicaEntry> chooseDecode();
-    /** Has the prompt read unless it is short. Fails when no engine can read it in time. */
+    /** Whether a prefill engine should read the prompt; the decode engine reads short ones itself. */
+    bool needsPrefill() const;
+    /** Has the prompt read. Fails when no engine can read it in time. */
     asio::awaitable<Result<void>> readPrompt();
     std::optional<std::pair<ReplicaEntry, PrefillChoice>> choosePrefill();
     asio::awaitable<Result<PrefillAnswer>> prefillAt(const ReplicaEntry&, const PrefillChoice&);
 
+    /** One decode attempt. Succeeds when the client has its answer. */
+    asio::awaitable<Result<void>> decodeAt(const ReplicaEntry&);
     asio::awaitable<Result<InstanceAnswer>> openDecode(const ReplicaEntry&);
     asio::awaitable<StreamEnd> relayEvents(const ReplicaId& engine, InstanceAnswer&);
     asio::awaitable<bool> writeEvents(InstanceAnswer&, EventBatch);
     /** Passes an answer on that is no stream, such as an error of the engine. */
     asio::awaitable<Result<void>> answerWhole(InstanceAnswer&);
+    TimerSubscription watchStall(const ReplicaId&) const;
 
-    /** Finds a decode place and has the prompt read for it. */
-    asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayReadPrompt);
-    /** One decode attempt. Succeeds when the client has its answer. */
-    asio::awaitable<Result<void>> decodeAt(const ReplicaEntry&);
-    /** Repeats attempts as long as that is allowed. */
-    asio::awaitable<Result<void>> generate();
     asio::awaitable<void> finishWith(Error);
     void releaseHandle();
-    TimerSubscription watchStall(const ReplicaId&) const;
     void logCompletion(int status) const;
     void logRefusal(const Error&) const;
 
--- a/modules/gateway/requests/InstanceClient.h
+++ b/modules/gateway/requests/InstanceClient.h
@@ -18,7 +18,6 @@
     std::optional<uint32_t> urgency; /**< 0 is first, 9 is last; absent: the middle */
     std::optional<CacheHandle> handle; /**< the prompt has been read there */
     std::optional<std::string> resumeAfter; /**< id of the last event that the client has */
-    bool needsFreshConnection = false;
     std::shared_ptr<AbortHandle> abort;
 };
 
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -42,10 +42,9 @@
     return m_budgets[service].takeRepeat(m_limits, m_directory.activeDaemons(), m_timers.now());
 }
 
-void ServiceBudgets::chargeRejection(const ServiceId& service, bool isCounted)
+void ServiceBudgets::chargeRejection(const ServiceId& service)
 {
-    if (!isCounted)
-        m_budgets[service].addRepeat(m_timers.now());
+    m_budgets[service].addRepeat(m_timers.now());
 }
 
 RelayContext::RelayContext(RelayServices& relayServices, RoutedRequest routedRequest, std::shared_ptr<const RouteTable> routeTable, const Route& matchedRoute, ServiceId chosenService)
@@ -134,18 +133,17 @@
 
 PlacementView RelayContext::viewOf(const ReplicaEntry& entry) const
 {
-    const auto& board = *services.board;
+    auto observation = services.board->observe(entry.id);
     PlacementView view;
     view.id = entry.id;
     view.zone = entry.zone;
     view.slots = entry.slots;
-    auto work = board.workAt(entry.id);
-    view.requests = work.requests;
-    view.prefillTokens = work.prefillTokens;
-    view.deferredTokens = work.deferredTokens;
-    view.fullAt = board.fullAt(entry.id);
-    view.slowdown = board.slowdown(entry.id);
-    view.isEjected = board.isEjected(entry.id);
+    view.requests = observation.work.requests;
+    view.prefillTokens = observation.work.prefillTokens;
+    view.deferredTokens = observation.work.deferredTokens;
+    view.fullAt = observation.fullAt;
+    view.slowdown = observation.slowdown;
+    view.isEjected = observation.isEjected;
     return view;
 }
 
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -22,8 +22,8 @@
 
     void addRequest(const ServiceId&);
     bool takeRepeat(const ServiceId&);
-    /** Counts a prefill call that an engine rejected. An accepted first call is no repeat, a rejected one is. */
-    void chargeRejection(const ServiceId&, bool isCounted);
+    /** Counts a first prefill call that an engine rejected; only an accepted one is no repeat. */
+    void chargeRejection(const ServiceId&);
 
 private:
     TimerService& m_timers;
--- a/modules/gateway/service/RoutingSource.cpp
+++ b/modules/gateway/service/RoutingSource.cpp
@@ -3,8 +3,7 @@
 namespace chestnut {
 
 RoutingSource::RoutingSource(asio::io_context& context, VersionedStore& store, TimerService& timers, Log& log, std::string key, RoutingConfigurationDecoder decode, std::function<void(const RoutingConfiguration&)> onChange)
-    : m_timers(timers)
-    , m_log(log)
+    : m_log(log)
     , m_key(std::move(key))
     , m_decode(std::move(decode))
     , m_onChange(std::move(onChange))
--- a/modules/gateway/service/RoutingSource.h
+++ b/modules/gateway/service/RoutingSource.h
@@ -30,7 +30,6 @@
 private:
     void onItem(const StoreItem&);
 
-    TimerService& m_timers;
     Log& m_log;
     std::string m_key;
     RoutingConfigurationDecoder m_decode;
--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -25,7 +25,6 @@
     , m_prefix(std::move(prefix))
     , m_pause(std::move(pause))
     , m_restart(context)
-    , m_answeredAt(timers.now())
 {
 }
 
@@ -46,14 +45,9 @@
     asio::co_spawn(m_context, follow(shared_from_this()), asio::detached);
 }
 
-Duration StoreMirror::age() const
-{
-    return m_timers.now() - m_answeredAt;
-}
-
 asio::awaitable<void> StoreMirror::follow(std::shared_ptr<StoreMirror> self)
 {
-    while (!self->m_isStopped) {
+    while (true) {
         auto outcome = self->m_needsList ? co_await self->listAll() : co_await self->watchOnce();
         co_await self->recordOutcome(outcome);
     }
@@ -118,7 +112,6 @@
 asio::awaitable<void> StoreMirror::recordOutcome(const Result<void>& outcome)
 {
     if (outcome) {
-        m_answeredAt = m_timers.now();
         m_failures = 0;
         if (!m_isFailing)
             co_return;
--- a/modules/gateway/store/StoreMirror.h
+++ b/modules/gateway/store/StoreMirror.h
@@ -33,14 +33,9 @@
     /** Begins the watch anew at once: the store was away, and a watch from before may never be answered. */
     void restartWatch();
 
-    void stop() { m_isStopped = true; }
-
     /** Whether the prefix has been listed at least once. */
     bool isListed() const { return m_isListed; }
 
-    /** Time since the last successful call; grows while the store is away. */
-    Duration age() const;
-
     /** Whether calls fail. Still true while the first changes after an outage are applied. */
     bool isFailing() const { return m_isFailing; }
 
@@ -63,12 +58,10 @@
     Signal m_restart;
     std::map<std::string, uint64_t> m_revisions; /**< of the present keys */
     uint64_t m_revision = 0;
-    TimePoint m_answeredAt;
     uint32_t m_failures = 0;
     bool m_isListed = false;
     bool m_needsList = true;
     bool m_isFailing = false;
-    bool m_isStopped = false;
 };
 
 } // namespace chestnut
--- a/modules/http/client/ChannelPool.cpp
+++ b/modules/http/client/ChannelPool.cpp
@@ -245,7 +245,7 @@
     auto state = m_state;
     if (options.abort && options.abort->isAborted())
         co_return makeError(ErrorKind::ConnectFailed, "given up before the request was sent");
-    auto connection = options.needsFreshConnection ? nullptr : state->take(endpoint);
+    auto connection = state->take(endpoint);
     if (!connection) {
         auto opened = co_await connect(state->context, endpoint, std::min(options.timeout, state->limits.connectTimeout));
         if (!opened)
--- a/modules/http/client/ChannelPool.h
+++ b/modules/http/client/ChannelPool.h
@@ -20,7 +20,6 @@
 /** How one exchange on a pooled connection is made. */
 struct ChannelOptions {
     Duration timeout = std::chrono::seconds(30); /**< to the end of the response header */
-    bool needsFreshConnection = false; /**< never send on a kept connection */
     std::shared_ptr<AbortHandle> abort; /**< may be null */
     /** Tells from its header whether a response answers this request. Others (late answers to earlier requests) are read
         and dropped. Null accepts all. */
--- a/tests/gateway/LoadBoardTest.cpp
+++ b/tests/gateway/LoadBoardTest.cpp
@@ -17,10 +17,10 @@
     auto flight = fixture.board->beginPrefill(replica, 100, false);
     fixture.board->setPeerWork(DaemonId("d1"), { { replica, 3, 500, 40 } });
     fixture.board->setPeerWork(DaemonId("d1"), { { replica, 2, 400, 30 } });
-    CHECK(fixture.board->workAt(replica) == ReplicaWork { replica, 3, 500, 30 });
+    CHECK(fixture.board->observe(replica).work == ReplicaWork { replica, 3, 500, 30 });
     fixture.timers.advance(2s);
     fixture.board->expirePeers();
-    CHECK(fixture.board->workAt(replica) == ReplicaWork { replica, 1, 100, 0 });
+    CHECK(fixture.board->observe(replica).work == ReplicaWork { replica, 1, 100, 0 });
     flight.end();
     CHECK(fixture.board->requestsAt(replica) == 0);
 }
@@ -31,13 +31,13 @@
     auto& board = *fixture.board;
     for (int i = 0; i < 3; ++i)
         board.recordFailure(replica);
-    CHECK(board.isEjected(replica));
+    CHECK(board.observe(replica).isEjected);
     fixture.timers.advance(1100ms);
-    CHECK_FALSE(board.isEjected(replica));
+    CHECK_FALSE(board.observe(replica).isEjected);
     board.recordFailure(replica);
-    CHECK(board.isEjected(replica));
+    CHECK(board.observe(replica).isEjected);
     fixture.timers.advance(1100ms);
-    CHECK(board.isEjected(replica));
+    CHECK(board.observe(replica).isEjected);
 }
 
 TEST_CASE("a replica that fails every other request is ejected although its failures are not in a row")
@@ -47,7 +47,7 @@
     bool wasEjected = false;
     for (int i = 0; i < 20 && !wasEjected; ++i) {
         board.recordFailure(replica);
-        wasEjected = board.isEjected(replica);
+        wasEjected = board.observe(replica).isEjected;
         board.recordSuccess(replica, 1);
     }
     CHECK(wasEjected);
@@ -59,30 +59,17 @@
     auto& board = *fixture.board;
     for (int i = 0; i < 3; ++i)
         board.recordRefusal(replica, 4);
-    CHECK(board.isEjected(replica));
+    CHECK(board.observe(replica).isEjected);
     ReplicaId full("i-2");
     std::vector<LoadBoard::Flight> flights;
     flights.reserve(6);
     for (int i = 0; i < 6; ++i)
         flights.push_back(board.begin(full));
     board.recordRefusal(full, 4);
-    CHECK_FALSE(board.isEjected(full));
-    CHECK(board.fullAt(full) == 6);
+    CHECK_FALSE(board.observe(full).isEjected);
+    CHECK(board.observe(full).fullAt == 6);
     fixture.timers.advance(5s);
-    CHECK(board.fullAt(full) == 0);
-}
-
-TEST_CASE("load news survives its way, and a datagram that is none is refused")
-{
-    LoadNews news { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, NewsScope::Fleet, true, { { replica, 3, 500, 40 } }, { { Digest { 1, 2 }, RequestId("q1"), replica } }, { { ReplicaId("i-8"), 17, 4, true } }, { { ReplicaId("i-9"), 77 } }, { DaemonId("d2") } };
-    auto decoded = decodeLoadNews(encodeLoadNews(news));
-    REQUIRE(decoded.has_value());
-    CHECK(*decoded == news);
-    CHECK_FALSE(decodeLoadNews("").has_value());
-    CHECK_FALSE(decodeLoadNews("not a message").has_value());
-    auto torn = encodeLoadNews(news);
-    torn.resize(torn.size() / 2);
-    CHECK_FALSE(decodeLoadNews(torn).has_value());
+    CHECK(board.observe(full).fullAt == 0);
 }
 
 TEST_CASE("discovery names the daemons of the zone that live, and those of all zones when it has none")
@@ -115,3 +102,22 @@
     CHECK(batch.lastId == "2");
     CHECK(splitter.takeRest() == "id: 3\n");
 }
+
+// Guards against work that is counted twice or stays for ever when a long message needs more or fewer datagrams than before.
+TEST_CASE("a peer's work arrives in parts that replace their predecessors one by one")
+{
+    GatewayFixture fixture;
+    auto& board = *fixture.board;
+    DaemonId peer("d1");
+    ReplicaId other("i-2");
+    board.setPeerWork(peer, { { replica, 1, 0, 0 } }, { 0, 2 });
+    board.setPeerWork(peer, { { other, 2, 0, 0 } }, { 1, 2 });
+    CHECK(board.requestsAt(replica) == 1);
+    CHECK(board.requestsAt(other) == 2);
+    board.setPeerWork(peer, { { other, 5, 0, 0 } }, { 1, 2 });
+    CHECK(board.requestsAt(replica) == 1);
+    CHECK(board.requestsAt(other) == 5);
+    board.setPeerWork(peer, { { replica, 3, 0, 0 } }, { 0, 1 });
+    CHECK(board.requestsAt(replica) == 3);
+    CHECK(board.requestsAt(other) == 0);
+}
--- a/tests/gateway/LoadExchangeTest.cpp
+++ b/tests/gateway/LoadExchangeTest.cpp
@@ -71,7 +71,7 @@
     auto flight = fleet.members.back()->board->beginPrefill(replica, 5000, false);
     fleet.advanceSteps(1s);
     for (const auto& member : fleet.members)
-        CHECK(member->board->workAt(replica) == ReplicaWork { replica, 1, 5000, 0 });
+        CHECK(member->board->observe(replica).work == ReplicaWork { replica, 1, 5000, 0 });
     flight.end();
     fleet.advanceSteps(1s);
     for (const auto& member : fleet.members)
--- /dev/null
+++ b/tests/gateway/LoadNewsTest.cpp
@@ -0,0 +1,72 @@
+#include "gateway/members/LoadNews.h"
+
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+
+namespace {
+
+/** Ids as long as the longest in use. */
+std::string longId(const std::string& prefix, int number)
+{
+    return prefix + "-0123456789abcdef-" + std::to_string(100'000 + number);
+}
+
+LoadNews newsOfFleet(int replicas, int daemons, int leaving)
+{
+    LoadNews news { { DaemonId("d0"), AvailabilityZone("zone-a"), { "10.0.0.1", 80 }, { "10.0.0.1", 9000 } }, NewsScope::Fleet, true };
+    for (int i = 0; i < replicas; ++i)
+        news.work.push_back({ ReplicaId(longId("replica", i)), 8, 12345, 67890 });
+    for (int i = 0; i < daemons; ++i)
+        news.living.emplace_back(longId("daemon", i));
+    for (int i = 0; i < leaving; ++i)
+        news.leavingReplicas.push_back({ ReplicaId(longId("replica", i)), 1'796'374'817'144, 1234, true });
+    news.losses.push_back({ digestOf("content"), RequestId("r1"), ReplicaId("i-1") });
+    news.pausedReplicas.push_back({ ReplicaId("i-2"), 17 });
+    return news;
+}
+
+} // namespace
+
+TEST_CASE("load news survives its way, and a datagram that is none is refused")
+{
+    LoadNews news { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, NewsScope::Fleet, true, { { ReplicaId("i-1"), 3, 500, 40 } }, { { Digest { 1, 2 }, RequestId("q1"), ReplicaId("i-1") } }, { { ReplicaId("i-8"), 17, 4, true } }, { { ReplicaId("i-9"), 77 } }, { DaemonId("d2") } };
+    auto decoded = decodeLoadNews(encodeLoadNews(news).front());
+    REQUIRE(decoded.has_value());
+    CHECK(*decoded == news);
+    CHECK_FALSE(decodeLoadNews("").has_value());
+    CHECK_FALSE(decodeLoadNews("not a message").has_value());
+    auto torn = encodeLoadNews(news).front();
+    torn.resize(torn.size() / 2);
+    CHECK_FALSE(decodeLoadNews(torn).has_value());
+}
+
+TEST_CASE("the news of a small fleet fits one datagram and is read as written")
+{
+    auto news = newsOfFleet(17, 6, 2);
+    auto datagrams = encodeLoadNews(news);
+    REQUIRE(datagrams.size() == 1);
+    auto read = decodeLoadNews(datagrams.front());
+    REQUIRE(read.has_value());
+    CHECK(*read == news);
+}
+
+// Guards against datagrams of the two-year target, 330 daemons and 650 replicas, that are cut off at the receiver.
+TEST_CASE("the news of a large fleet is divided into datagrams that lose nothing")
+{
+    auto news = newsOfFleet(650, 330, 200);
+    LoadNews joined { news.sender, news.scope, news.isLeaving };
+    for (const auto& datagram : encodeLoadNews(news)) {
+        CHECK(datagram.size() <= maximumDatagram);
+        auto part = decodeLoadNews(datagram);
+        REQUIRE(part.has_value());
+        joined.work.insert(joined.work.end(), part->work.begin(), part->work.end());
+        joined.living.insert(joined.living.end(), part->living.begin(), part->living.end());
+        joined.leavingReplicas.insert(joined.leavingReplicas.end(), part->leavingReplicas.begin(), part->leavingReplicas.end());
+        CHECK(part->losses == news.losses);
+        CHECK(part->pausedReplicas == news.pausedReplicas);
+    }
+    CHECK(joined.work == news.work);
+    CHECK(joined.living == news.living);
+    CHECK(joined.leavingReplicas == news.leavingReplicas);
+}
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -13,12 +13,26 @@
     return known ? known->status : ReplicaStatus::Gone;
 }
 
+/** A fixture with one replica, i-1. */
+struct OneReplica : GatewayFixture {
+    OneReplica() { addReplica("i-1", "s", "none"); }
+
+    /** The store goes away, the entry lapses, and the store returns. */
+    void lapseInOutage()
+    {
+        store.isDown = true;
+        timers.advance(3s);
+        store.erase("servers/i-1");
+        store.isDown = false;
+        timers.advance(1s);
+    }
+};
+
 } // namespace
 
 TEST_CASE("changes of the store arrive while it works, and the last state stays while it is away")
 {
-    GatewayFixture fixture;
-    fixture.addReplica("i-1", "s", "none");
+    OneReplica fixture;
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Ready);
     fixture.store.isDown = true;
     fixture.timers.advance(10s);
@@ -31,13 +45,8 @@
 
 TEST_CASE("an entry that lapsed during an outage keeps its replica in use for two seconds and a half")
 {
-    GatewayFixture fixture;
-    fixture.addReplica("i-1", "s", "none");
-    fixture.store.isDown = true;
-    fixture.timers.advance(3s);
-    fixture.store.erase("servers/i-1");
-    fixture.store.isDown = false;
-    fixture.timers.advance(1s);
+    OneReplica fixture;
+    fixture.lapseInOutage();
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Lapsed);
     fixture.timers.advance(2s);
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Gone);
@@ -47,8 +56,7 @@
 {
     // Hunt seeds 470558889183 and 779814292827 of tr-spares: a daemon whose way to the store had been cut took the removal
     // of a leaving replica for a lapse and sent it work for 2.5 s.
-    GatewayFixture fixture;
-    fixture.addReplica("i-1", "s", "none");
+    OneReplica fixture;
     fixture.store.isDown = true;
     fixture.timers.advance(3s);
     fixture.store.isDown = false;
@@ -62,13 +70,8 @@
 
 TEST_CASE("what a peer says of a leaving replica counts for a lapsed one, too")
 {
-    GatewayFixture fixture;
-    fixture.addReplica("i-1", "s", "none");
-    fixture.store.isDown = true;
-    fixture.timers.advance(3s);
-    fixture.store.erase("servers/i-1");
-    fixture.store.isDown = false;
-    fixture.timers.advance(1s);
+    OneReplica fixture;
+    fixture.lapseInOutage();
     fixture.replicas.peerSaysLeaving({ ReplicaId("i-1"), 1, 1, false });
     CHECK(fixture.replicas.usable(ServiceId("s"), EngineStage::None).empty());
 }
@@ -77,8 +80,7 @@
 {
     // Hunt seed 805905122059 of srl-glossary: the store fell silent for 4.5 s and dropped all entries; the watches that had
     // waited meanwhile returned the removals, and every daemon took all replicas as gone.
-    GatewayFixture fixture;
-    fixture.addReplica("i-1", "s", "none");
+    OneReplica fixture;
     fixture.isStoreAway = true;
     fixture.store.erase("servers/i-1");
     fixture.timers.advance(1s);
@@ -88,8 +90,7 @@
 TEST_CASE("a replica whose entry is back is not taken away by older news of peers")
 {
     // The same day: peers went on telling the removal for 3 s and so took away the replicas that were back, for good.
-    GatewayFixture fixture;
-    fixture.addReplica("i-1", "s", "none");
+    OneReplica fixture;
     fixture.store.erase("servers/i-1");
     fixture.settle();
     fixture.store.put("servers/i-1", testEntry("s", "none", "a", "ready", 1, 21));
@@ -102,8 +103,7 @@
 
 TEST_CASE("when the history is gone the prefix is listed again, and what is missing is removed")
 {
-    GatewayFixture fixture;
-    fixture.addReplica("i-1", "s", "none");
+    OneReplica fixture;
     fixture.addReplica("i-2", "s", "none");
     fixture.store.isDown = true;
     fixture.timers.advance(1s);
@@ -122,8 +122,7 @@
 {
     // Hunt seed 962769516463 of tr-spares: the mirror did not notice that the store was back, because its watch waited for
     // a change, and a cut of that watch counted as one more failure of the outage: 4 s without a new configuration.
-    GatewayFixture fixture;
-    fixture.addReplica("i-1", "s", "none");
+    OneReplica fixture;
     fixture.store.isDown = true;
     fixture.timers.advance(20s);
     fixture.store.isDown = false;
@@ -139,8 +138,7 @@
 
 TEST_CASE("an entry that cannot be read names no replica, and the others hold")
 {
-    GatewayFixture fixture;
-    fixture.addReplica("i-1", "s", "none");
+    OneReplica fixture;
     fixture.store.put("servers/i-x", "garbage");
     fixture.settle();
     CHECK(fixture.replicas.find(ReplicaId("i-x")) == nullptr);
@@ -179,3 +177,14 @@
     }
     CHECK(source.table()->configuration().version == 9);
 }
+
+// Guards against a directory that grows with each replaced replica, and against one that a late heartbeat revives.
+TEST_CASE("a replica that is gone is remembered for a minute and then forgotten")
+{
+    OneReplica fixture;
+    fixture.store.erase("servers/i-1");
+    fixture.timers.advance(50s);
+    REQUIRE(fixture.replicas.find(ReplicaId("i-1")) != nullptr);
+    fixture.timers.advance(12s);
+    CHECK(fixture.replicas.find(ReplicaId("i-1")) == nullptr);
+}
