Tell members of changed replica entries through the collectors, and let them watch the store rarely; ignore early SIGHUP

Change: collectors send entries that changed in the last two seconds and whether the store answers them; members pause 10 s while told, and watch closely themselves as soon as they are not (the pause is asked again while it is waited). SIGHUP: soak showed a daemon ended by a hang-up before it handled signals (EXIT, code 129); it is ignored from the begin of main. The soak sends none in the first 100 ms of a process, before main. No test of its own: the window is too short.

--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -18,6 +18,8 @@
     constexpr Duration tickPeriod = std::chrono::milliseconds(50);
     /** Time that each daemon from which messages come adds to the period: a collector receives at most 250 a second. */
     constexpr Duration periodPerDaemon = std::chrono::milliseconds(4);
+    /** A member that has heard no collector for this long watches the store closely itself; several messages are lost then. */
+    constexpr Duration toldTime = std::chrono::milliseconds(700);
     /** Keys of the sums on the load board, beside those of single daemons. */
     const DaemonId fleetKey("fleet");
 
@@ -85,6 +87,12 @@
     sendAll();
 }
 
+bool LoadExchange::isTold() const
+{
+    auto watchesForOthers = m_topology.isMesh || m_topology.isCollector;
+    return !watchesForOthers && m_toldAt && m_timers.now() - *m_toldAt < toldTime;
+}
+
 Duration LoadExchange::period() const
 {
     auto senders = m_topology.isMesh ? m_topology.ownWorkTargets.size() : std::max(m_topology.totalTargets.size(), collectorsPerZone);
@@ -125,6 +133,10 @@
         m_replicas.peerSaysLeaving(replica);
     for (const auto& pause : news->pausedReplicas)
         m_replicas.peerSaysPaused(pause);
+    for (const auto& entry : news->entries)
+        m_replicas.peerSaysEntry(entry);
+    if (news->scope == NewsScope::Fleet && news->seesStore)
+        m_toldAt = m_timers.now();
 }
 
 void LoadExchange::takeWork(const LoadNews& news)
@@ -146,6 +158,7 @@
     news.served = m_losses.recentlyServed();
     news.leavingReplicas = m_replicas.leaving();
     news.pausedReplicas = m_replicas.pausedReplicas();
+    news.seesStore = !m_directory.isStoreAway();
     return news;
 }
 
@@ -196,6 +209,7 @@
         return;
     auto fleet = newsOf(NewsScope::Fleet, m_board->workOf([](const DaemonId&) { return true; }));
     fleet.living = livingDaemons();
+    fleet.entries = m_replicas.changedEntries();
     send(fleet, m_topology.totalTargets);
 }
 
--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -23,8 +23,8 @@
     asio::awaitable<void> stop() override;
     void announceLeaving();
 
-    /** Whether others learn from this daemon what it learns from the store: always in a small fleet, else at a collector. */
-    bool informsOthers() const { return m_topology.isMesh || m_topology.isCollector; }
+    /** Whether a collector that the store answers tells this daemon what changes, so that it need not watch closely itself. */
+    bool isTold() const;
 
 private:
     asio::awaitable<void> receiveAll();
@@ -49,6 +49,7 @@
     LoadTopology m_topology;
     std::vector<ReplicaWork> m_sentWork; /**< own work as last told; it is part of the sums that come back */
     TimePoint m_sentAt;
+    std::optional<TimePoint> m_toldAt; /**< last news of a collector that the store answers */
     bool m_isLeaving = false;
 };
 
--- a/modules/gateway/members/LoadNews.cpp
+++ b/modules/gateway/members/LoadNews.cpp
@@ -11,11 +11,12 @@
 
 namespace {
 
-    constexpr int messageVersion = 5;
+    constexpr int messageVersion = 6;
     /** Items of each list in one datagram. Ids take up to 40 bytes, so a full part takes 8 KB. */
-    constexpr size_t workInPart = 50;
-    constexpr size_t livingInPart = 50;
-    constexpr size_t leavingInPart = 25;
+    constexpr size_t workInPart = 40;
+    constexpr size_t livingInPart = 30;
+    constexpr size_t leavingInPart = 15;
+    constexpr size_t entriesInPart = 12;
 
     json encodeWork(const std::vector<ReplicaWork>& work)
     {
@@ -69,6 +70,39 @@
         return losses;
     }
 
+    json encodeEntries(const std::vector<ReplicaEntry>& entries)
+    {
+        auto list = json::array();
+        for (const auto& entry : entries)
+            list.push_back({ entry.id.value(), entry.service.value(), entry.address, entry.zone.value(), entry.slots, static_cast<int>(entry.stage), entry.startedAt, entry.heartbeat });
+        return list;
+    }
+
+    EngineStage decodeStage(int number)
+    {
+        return number == 1 ? EngineStage::Prefill : number == 2 ? EngineStage::Decode
+                                                                : EngineStage::None;
+    }
+
+    /** Entries of replicas that do not leave; leaving ones have a list of their own. */
+    std::vector<ReplicaEntry> decodeEntries(const json& list)
+    {
+        std::vector<ReplicaEntry> entries;
+        for (const auto& item : list) {
+            ReplicaEntry entry;
+            entry.id = ReplicaId(item.at(0).get<std::string>());
+            entry.service = ServiceId(item.at(1).get<std::string>());
+            entry.address = item.at(2).get<std::string>();
+            entry.zone = AvailabilityZone(item.at(3).get<std::string>());
+            entry.slots = item.at(4).get<uint32_t>();
+            entry.stage = decodeStage(item.at(5).get<int>());
+            entry.startedAt = item.at(6).get<int64_t>();
+            entry.heartbeat = item.at(7).get<int64_t>();
+            entries.push_back(std::move(entry));
+        }
+        return entries;
+    }
+
     json encodePauses(const std::vector<PausedReplica>& pauses)
     {
         auto list = json::array();
@@ -136,6 +170,8 @@
             { "served", encodeServed(news.served) },
             { "gone", encodeLeaving(news.leavingReplicas) },
             { "paused", encodePauses(news.pausedReplicas) },
+            { "entries", encodeEntries(news.entries) },
+            { "store", news.seesStore },
             { "living", valuesOf(news.living) },
             { "part", { news.part.index, news.part.count } },
         };
@@ -150,7 +186,7 @@
 
     uint32_t countOfParts(const LoadNews& news)
     {
-        auto parts = std::max({ partsOf(news.work.size(), workInPart), partsOf(news.living.size(), livingInPart), partsOf(news.leavingReplicas.size(), leavingInPart), size_t(1) });
+        auto parts = std::max({ partsOf(news.work.size(), workInPart), partsOf(news.living.size(), livingInPart), partsOf(news.leavingReplicas.size(), leavingInPart), partsOf(news.entries.size(), entriesInPart), size_t(1) });
         return static_cast<uint32_t>(parts);
     }
 
@@ -174,6 +210,7 @@
         part.work = sliceOf(news.work, part.part);
         part.living = sliceOf(news.living, part.part);
         part.leavingReplicas = sliceOf(news.leavingReplicas, part.part);
+        part.entries = sliceOf(news.entries, part.part);
         datagrams.push_back(encodePart(part));
     }
     return datagrams;
@@ -195,6 +232,8 @@
         news.served = decodeServed(document.at("served"));
         news.leavingReplicas = decodeLeaving(document.at("gone"));
         news.pausedReplicas = decodePauses(document.at("paused"));
+        news.entries = decodeEntries(document.at("entries"));
+        news.seesStore = document.at("store").get<bool>();
         news.living = decodeIds<DaemonId>(document.at("living"));
         news.part = { document.at("part").at(0).get<uint32_t>(), document.at("part").at(1).get<uint32_t>() };
         if (news.part.index >= news.part.count)
--- a/modules/gateway/members/LoadNews.h
+++ b/modules/gateway/members/LoadNews.h
@@ -24,6 +24,8 @@
     std::vector<ServedNews> served; /**< contents that losses were blamed on and that were answered */
     std::vector<LeavingReplica> leavingReplicas; /**< learned from the store by the sender */
     std::vector<PausedReplica> pausedReplicas; /**< that carry out an order */
+    std::vector<ReplicaEntry> entries; /**< that changed lately in the store, in messages of the scope Fleet */
+    bool seesStore = true; /**< the store answers the sender */
     std::vector<DaemonId> living; /**< daemons that the sender hears, in messages of the scope Fleet */
     NewsPart part;
 
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -16,6 +16,8 @@
     constexpr Duration beatLength = std::chrono::milliseconds(100);
     /** Leaving replicas are told to peers for this long, by several datagrams. */
     constexpr Duration leavingNewsTime = std::chrono::seconds(3);
+    /** Changed entries are told for this long, by several datagrams. */
+    constexpr Duration changedNewsTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -57,7 +59,9 @@
         }
         for (const auto& id : forgetGone(m_registry, m_timers.now()))
             m_board->forget(id);
-        std::erase_if(m_leaving, [now = m_timers.now()](const auto& entry) { return now - entry.second.since > leavingNewsTime; });
+        auto now = m_timers.now();
+        std::erase_if(m_leaving, [now](const auto& entry) { return now - entry.second.since > leavingNewsTime; });
+        std::erase_if(m_changedAt, [now](const auto& entry) { return now - entry.second > changedNewsTime; });
     });
 }
 
@@ -69,15 +73,37 @@
         m_log.write(EventId::StoreEntryUnreadable, { { "key", item.key }, { "revision", item.revision }, { "detail", entry.error().detail } });
         return;
     }
-    const auto* known = find(id);
-    auto isNewStart = !known || known->entry.startedAt != entry->startedAt;
-    if (!applyEntry(m_registry, *entry))
-        return;
+    if (apply(*entry, "entry"))
+        m_changedAt[id] = m_timers.now();
+}
+
+bool ReplicaDirectory::apply(const ReplicaEntry& entry, std::string_view cause)
+{
+    const auto* known = find(entry.id);
+    auto isNewStart = !known || known->entry.startedAt != entry.startedAt;
+    if (!applyEntry(m_registry, entry))
+        return false;
     if (isNewStart)
-        m_board->forget(id);
-    if (entry->isDraining)
-        noteLeaving(id);
-    logChange(id, "entry");
+        m_board->forget(entry.id);
+    if (entry.isDraining)
+        noteLeaving(entry.id);
+    logChange(entry.id, cause);
+    return true;
+}
+
+std::vector<ReplicaEntry> ReplicaDirectory::changedEntries() const
+{
+    std::vector<ReplicaEntry> entries;
+    for (const auto& [id, changedAt] : m_changedAt) {
+        if (const auto* known = find(id); known && mayReceiveWork(*known))
+            entries.push_back(known->entry);
+    }
+    return entries;
+}
+
+void ReplicaDirectory::peerSaysEntry(const ReplicaEntry& entry)
+{
+    apply(entry, "peer");
 }
 
 void ReplicaDirectory::onRemoval(const std::string& key)
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -51,6 +51,12 @@
     /** A peer knows that the replica leaves. */
     void peerSaysLeaving(const LeavingReplica&);
 
+    /** Entries that the store has shown lately as new or changed, for daemons that do not watch closely. */
+    std::vector<ReplicaEntry> changedEntries() const;
+
+    /** A peer has read the entry from the store. */
+    void peerSaysEntry(const ReplicaEntry&);
+
     /** Sends no work to a replica until its entry shows the stage that this daemon has ordered: it first lets running work
         end, which may take as long as its longest stream. */
     void pauseForOrder(const ReplicaId&, EngineStage);
@@ -84,6 +90,8 @@
     /** The replicas of a service that may receive work and are wanted. */
     std::vector<const ReplicaEntry*> select(const ServiceId&, const std::function<bool(const ReplicaEntry&)>& isWanted) const;
     void onItem(const StoreItem&);
+    /** Returns whether the entry changed something. */
+    bool apply(const ReplicaEntry&, std::string_view cause);
     void onRemoval(const std::string& key);
     void noteLeaving(const ReplicaId&);
     bool isPaused(const ReplicaId&) const;
@@ -100,6 +108,7 @@
     std::shared_ptr<StoreMirror> m_mirror;
     ReplicaRegistry m_registry;
     std::map<ReplicaId, LeavingNews> m_leaving;
+    std::map<ReplicaId, TimePoint> m_changedAt; /**< by what the store has shown */
     std::map<ReplicaId, Pause> m_pauses;
     std::map<ReplicaId, OrderedStage> m_ordered;
     TimerSubscription m_expiryTimer;
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -21,8 +21,8 @@
         watches of all daemons, and each watch is a priced call. */
     constexpr Duration replicasPause = std::chrono::milliseconds(400);
     constexpr Duration ownKeysPause = std::chrono::seconds(1);
-    /** The same where the collectors tell what is urgent: leaving replicas and daemons, and engines under an order. */
-    constexpr Duration toldPause = std::chrono::seconds(3);
+    /** The same where the collectors tell what changes; it bounds how long something that they did not tell stays unknown. */
+    constexpr Duration toldPause = std::chrono::seconds(10);
 
     /** Counts a request in progress. */
     class InProgress {
@@ -47,10 +47,10 @@
     , m_settings(std::move(settings))
     , m_board(std::make_shared<LoadBoard>(m_dependencies.timers, m_dependencies.log))
     , m_losses(m_dependencies.timers)
-    , m_ownKeys(std::make_shared<StoreMirror>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::string(ownKeyPrefix), [this] { return informsOthers() ? ownKeysPause : toldPause; }))
+    , m_ownKeys(std::make_shared<StoreMirror>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::string(ownKeyPrefix), [this] { return isTold() ? toldPause : ownKeysPause; }))
     , m_daemons(std::make_shared<DaemonDirectory>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_settings.self, [this] { restartWatches(); }))
     , m_replicas(
-          m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_board, std::move(formats.replicaPrefix), std::move(formats.decodeReplica), [this] { return informsOthers() ? replicasPause : toldPause; }, [daemons = m_daemons] { return daemons->isStoreAway(); })
+          m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_board, std::move(formats.replicaPrefix), std::move(formats.decodeReplica), [this] { return isTold() ? toldPause : replicasPause; }, [daemons = m_daemons] { return daemons->isStoreAway(); })
     , m_routing(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::move(formats.configurationKey), std::move(formats.decodeConfiguration), m_dependencies.onConfiguration)
     , m_budgets(m_dependencies.timers, *m_daemons, m_settings.retryBudget)
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_board, m_losses, m_replicas)
@@ -70,9 +70,9 @@
     m_isStarted = true;
 }
 
-bool Gateway::informsOthers() const
+bool Gateway::isTold() const
 {
-    return !m_isStarted || m_exchange.informsOthers();
+    return m_isStarted && m_exchange.isTold();
 }
 
 void Gateway::restartWatches()
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -62,7 +62,7 @@
     size_t inProgress() const { return m_inProgress; }
 
 private:
-    bool informsOthers() const;
+    bool isTold() const;
     void restartWatches();
     asio::awaitable<void> relay(RoutedRequest, HttpResponseWriter&);
 
--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -11,6 +11,7 @@
     /** Of one watch. Each watch is a priced call; a store that goes away meanwhile is noticed by the renewal of the daemon's
         registration, which then restarts the watches. */
     constexpr Duration watchTime = std::chrono::seconds(20);
+    constexpr Duration pauseCheckPeriod = std::chrono::milliseconds(250);
     constexpr Duration firstBackoff = std::chrono::milliseconds(100);
     /** Failed calls are priced as well. The renewal of the registration finds the store again and restarts the mirrors. */
     constexpr Duration longestBackoff = std::chrono::seconds(4);
@@ -104,11 +105,18 @@
         m_revision = std::max(m_revision, change.item.revision);
     }
     m_revision = std::max(m_revision, changes->revision);
-    if (auto pause = m_pause(); !changes->changes.empty() && pause > Duration::zero())
-        co_await m_timers.sleep(pause);
+    if (!changes->changes.empty())
+        co_await waitPause();
     co_return Result<void>();
 }
 
+asio::awaitable<void> StoreMirror::waitPause()
+{
+    auto since = m_timers.now();
+    for (auto left = m_pause(); left > Duration::zero(); left = m_pause() - (m_timers.now() - since))
+        co_await m_timers.sleep(std::min(left, pauseCheckPeriod));
+}
+
 asio::awaitable<void> StoreMirror::recordOutcome(const Result<void>& outcome)
 {
     if (outcome) {
--- a/modules/gateway/store/StoreMirror.h
+++ b/modules/gateway/store/StoreMirror.h
@@ -22,7 +22,8 @@
     stays; afterwards the watch goes on where it was, or the prefix is listed again when the history is gone. */
 class StoreMirror : public std::enable_shared_from_this<StoreMirror> {
 public:
-    /** The pause is waited between two watches, so that frequent changes are collected into one call. */
+    /** The pause is waited between two watches, so that frequent changes are collected into one call. It is asked again while
+        it is waited: it becomes short when this daemon must see changes itself. */
     StoreMirror(asio::io_context&, VersionedStore&, TimerService&, Log&, std::string prefix, std::function<Duration()> pause);
 
     /** Handles the keys that begin with a part of the mirror's prefix. Call it before start(). */
@@ -43,6 +44,7 @@
     static asio::awaitable<void> follow(std::shared_ptr<StoreMirror>);
     asio::awaitable<Result<void>> listAll();
     asio::awaitable<Result<void>> watchOnce();
+    asio::awaitable<void> waitPause();
     asio::awaitable<void> recordOutcome(const Result<void>&);
     void applyItem(const StoreItem&);
     void applyRemoval(const std::string& key);
--- a/programs/chestnutrouted/main.cpp
+++ b/programs/chestnutrouted/main.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 #include <boost/leaf/handle_errors.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -80,6 +81,8 @@
 
 int main(int argumentCount, char** arguments)
 {
+    // A hang-up that arrives before the daemon handles signals must not end the process.
+    (void)std::signal(SIGHUP, SIG_IGN);
     absl::SetProgramUsageMessage(usage);
     absl::FlagsUsageConfig usageConfig;
     usageConfig.version_string = [] { return std::string("chestnutrouted 0.1.0\n"); };
--- a/tests/gateway/LoadExchangeTest.cpp
+++ b/tests/gateway/LoadExchangeTest.cpp
@@ -104,3 +104,18 @@
             CHECK_FALSE(fleet.names(*member, 13));
     }
 }
+
+// Guards against members that rely on collectors which do not see the store: they would miss the leaving of a replica.
+TEST_CASE("members are told of changes by their collectors, but not while these do not see the store")
+{
+    ExchangeFleet fleet(15);
+    auto toldMembers = [&fleet] { return std::ranges::count_if(fleet.members, [](const auto& member) { return member->exchange.isTold(); }); };
+    // Two collectors in each of two zones watch for the others.
+    CHECK(toldMembers() == 15 - 4);
+    fleet.store.isDown = true;
+    fleet.advanceSteps(3s);
+    CHECK(toldMembers() == 0);
+    fleet.store.isDown = false;
+    fleet.advanceSteps(3s);
+    CHECK(toldMembers() == 15 - 4);
+}
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -188,3 +188,43 @@
     fixture.timers.advance(12s);
     CHECK(fixture.replicas.find(ReplicaId("i-1")) == nullptr);
 }
+
+TEST_CASE("entries that the store shows as changed are told for two seconds and applied by a peer, unless they are older")
+{
+    OneReplica fixture;
+    REQUIRE(fixture.replicas.changedEntries().size() == 1);
+    auto entry = fixture.replicas.changedEntries().front();
+    fixture.timers.advance(3s);
+    CHECK(fixture.replicas.changedEntries().empty());
+    auto other = entry;
+    other.id = ReplicaId("i-2");
+    fixture.replicas.peerSaysEntry(other);
+    CHECK(statusOf(fixture.replicas, "i-2") == ReplicaStatus::Ready);
+    // What a peer says is not passed on, and does not bring back what is gone.
+    CHECK(fixture.replicas.changedEntries().empty());
+    fixture.store.erase("servers/i-1");
+    fixture.settle();
+    fixture.replicas.peerSaysEntry(entry);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Gone);
+}
+
+// Guards against a daemon that has become a collector and goes on waiting for the long pause of a member.
+TEST_CASE("a mirror whose pause becomes short does not wait for the rest of the long one")
+{
+    GatewayFixture fixture;
+    Duration pause = 10s;
+    size_t seen = 0;
+    auto mirror = std::make_shared<StoreMirror>(fixture.context, fixture.store, fixture.timers, fixture.log, "x/", [&pause] { return pause; });
+    mirror->subscribe("x/", { [&seen](const StoreItem&) { ++seen; }, [](const std::string&) {} });
+    mirror->start();
+    fixture.settle();
+    fixture.store.put("x/1", "a");
+    fixture.settle();
+    CHECK(seen == 1);
+    fixture.store.put("x/2", "b");
+    fixture.timers.advance(2s);
+    CHECK(seen == 1);
+    pause = 400ms;
+    fixture.timers.advance(500ms);
+    CHECK(seen == 2);
+}
