--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -96,7 +96,7 @@
         { EventId::PrefillFailed, "prefill_failed", Severity::Warning, "An engine did not read a prompt; the request has not run there." },
         { EventId::RetryBudgetExhausted, "retry_budget_exhausted", Severity::Info, "A repeat was not sent because the budget of the service is used up." },
         { EventId::HandleReleaseFailed, "handle_release_failed", Severity::Info, "KV cache that nobody takes could not be freed; it expires by itself." },
-        { EventId::SettingsChangeNoted, "settings_change_noted", Severity::Info, "A hang-up signal arrived; changed settings take effect at the next start." },
+        { EventId::SettingsReloaded, "settings_reloaded", Severity::Info, "A hang-up signal arrived; the bounds and the log level of the settings file are in force." },
     });
 
     constexpr bool numbersGrow()
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -102,7 +102,7 @@
     PrefillFailed = 2231,
     RetryBudgetExhausted = 2232,
     HandleReleaseFailed = 2233,
-    SettingsChangeNoted = 2240,
+    SettingsReloaded = 2240,
 };
 
 struct EventDescription {
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -20,6 +20,7 @@
 public:
     ServiceBudgets(TimerService&, DaemonDirectory&, ArrivalBudgetLimits);
 
+    void setLimits(const ArrivalBudgetLimits& limits) { m_limits = limits; }
     void addRequest(const ServiceId&);
     bool takeRepeat(const ServiceId&);
     /** Counts a first prefill call that an engine rejected; only an accepted one is no repeat. */
--- a/modules/gateway/roles/RoleManager.h
+++ b/modules/gateway/roles/RoleManager.h
@@ -30,6 +30,7 @@
 
     void start() override;
     asio::awaitable<void> stop() override;
+    void setTakeoverWait(Duration wait) { m_settings.takeoverWait = wait; }
 
 private:
     struct PendingOrder {
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -52,9 +52,9 @@
     , m_replicas(
           m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_board, std::move(formats.replicaPrefix), std::move(formats.decodeReplica), [this] { return isTold() ? toldPause : replicasPause; }, [daemons = m_daemons] { return daemons->isStoreAway(); })
     , m_routing(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::move(formats.configurationKey), std::move(formats.decodeConfiguration), m_dependencies.onConfiguration)
-    , m_budgets(m_dependencies.timers, *m_daemons, m_settings.retryBudget)
+    , m_budgets(m_dependencies.timers, *m_daemons, m_settings.bounds.retryBudget)
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_board, m_losses, m_replicas)
-    , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.instances, m_replicas, m_board, m_routing, { m_settings.self.id, m_settings.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
+    , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.instances, m_replicas, m_board, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
     , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.instances, m_replicas, m_board, m_losses, m_budgets, m_settings.self.zone }
 {
 }
@@ -70,6 +70,13 @@
     m_isStarted = true;
 }
 
+void Gateway::setBounds(const GatewayBounds& bounds)
+{
+    m_settings.bounds = bounds;
+    m_budgets.setLimits(bounds.retryBudget);
+    m_roles.setTakeoverWait(bounds.takeoverWait);
+}
+
 bool Gateway::isTold() const
 {
     return m_isStarted && m_exchange.isTold();
@@ -101,7 +108,7 @@
     auto views = m_daemons->others();
     if (isReady())
         views.push_back({ m_settings.self, true, Duration::zero(), true, false });
-    return { entryPointsFor(views, zone), std::min(discoveryValidity, m_settings.longestDiscoveryValidity) };
+    return { entryPointsFor(views, zone), std::min(discoveryValidity, m_settings.bounds.longestDiscoveryValidity) };
 }
 
 asio::awaitable<void> Gateway::handle(RoutedRequest request, HttpResponseWriter& writer)
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -16,11 +16,20 @@
     ReplicaEntryDecoder decodeReplica;
 };
 
-struct GatewaySettings {
-    DaemonRecord self;
+/** Settings that may change while the daemon runs. */
+struct GatewayBounds {
     ArrivalBudgetLimits retryBudget;
     Duration takeoverWait = std::chrono::seconds(3);
     Duration longestDiscoveryValidity = std::chrono::seconds(5);
+
+    bool operator==(const GatewayBounds&) const = default;
+};
+
+struct GatewaySettings {
+    DaemonRecord self;
+    GatewayBounds bounds;
+
+    bool operator==(const GatewaySettings&) const = default;
 };
 
 struct GatewayDependencies {
@@ -50,6 +59,9 @@
 
     void start() override;
 
+    /** Replaces the bounds; a role holder's wait that has begun stays as it is. */
+    void setBounds(const GatewayBounds&);
+
     /** Leaves the list of daemons, so that clients go elsewhere. Requests are still answered; those that arrive late and
         could outlast `timeLeft` are refused. */
     asio::awaitable<void> leave(Duration timeLeft);
--- a/modules/kernel/logging/ConsoleLog.cpp
+++ b/modules/kernel/logging/ConsoleLog.cpp
@@ -59,11 +59,16 @@
     m_backend->appender->setLayout(std::make_unique<log4cplus::PatternLayout>(patternFor(format)));
     m_backend->logger.removeAllAppenders();
     m_backend->logger.addAppender(log4cplus::SharedAppenderPtr(m_backend->appender.get()));
-    m_backend->logger.setLogLevel(levelFor(lowestSeverity));
+    setLowestSeverity(lowestSeverity);
 }
 
 ConsoleLog::~ConsoleLog() = default;
 
+void ConsoleLog::setLowestSeverity(Severity severity)
+{
+    m_backend->logger.setLogLevel(levelFor(severity));
+}
+
 void ConsoleLog::emit(const LogEntry& entry)
 {
     auto level = levelFor(describe(entry.event).severity);
--- a/modules/kernel/logging/ConsoleLog.h
+++ b/modules/kernel/logging/ConsoleLog.h
@@ -19,6 +19,8 @@
     ConsoleLog(LogFormat, Severity lowestSeverity, int descriptor = standardOutput);
     ~ConsoleLog() override;
 
+    void setLowestSeverity(Severity);
+
 protected:
     void emit(const LogEntry&) override;
 
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -25,9 +25,10 @@
 
 } // namespace
 
-GatewayDaemon::GatewayDaemon(asio::io_context& context, GatewayDaemonSettings settings)
+GatewayDaemon::GatewayDaemon(asio::io_context& context, GatewayDaemonSettings settings, SettingsSource readSettings)
     : m_context(context)
     , m_settings(std::move(settings))
+    , m_readSettings(std::move(readSettings))
     , m_timers(context)
     , m_log(LogFormat::Logfmt, m_settings.logLevel)
     , m_channels(context, m_timers, {})
@@ -79,7 +80,7 @@
         if (error)
             return;
         if (signal == SIGHUP) {
-            m_log.write(EventId::SettingsChangeNoted, { { "signal", "SIGHUP" } });
+            reloadSettings();
             waitForSignal();
             return;
         }
@@ -87,6 +88,22 @@
     });
 }
 
+void GatewayDaemon::reloadSettings()
+{
+    auto settings = m_readSettings();
+    if (!settings) {
+        m_log.write(EventId::SettingsRefused, { { "signal", "SIGHUP" } });
+        return;
+    }
+    m_settings.gateway.bounds = settings->gateway.bounds;
+    m_settings.shutdownTimeout = settings->shutdownTimeout;
+    m_settings.logLevel = settings->logLevel;
+    m_gateway.setBounds(m_settings.gateway.bounds);
+    m_log.setLowestSeverity(m_settings.logLevel);
+    // What still differs, such as a listener, takes effect at the next start.
+    m_log.write(EventId::SettingsReloaded, { { "needs_restart", m_settings == *settings ? 0 : 1 } });
+}
+
 asio::awaitable<void> GatewayDaemon::leave(GatewayDaemon& daemon)
 {
     auto endsAt = daemon.m_timers.now() + daemon.m_settings.shutdownTimeout - shutdownMargin;
--- a/programs/chestnutrouted/GatewayDaemon.h
+++ b/programs/chestnutrouted/GatewayDaemon.h
@@ -15,7 +15,10 @@
 /** Assembles a gateway with the platform's adapters and runs it until a termination signal. */
 class GatewayDaemon {
 public:
-    GatewayDaemon(asio::io_context&, GatewayDaemonSettings);
+    /** Reads the settings again; nothing when they are invalid. */
+    using SettingsSource = std::function<std::optional<GatewayDaemonSettings>()>;
+
+    GatewayDaemon(asio::io_context&, GatewayDaemonSettings, SettingsSource);
 
     /** Opens the listeners. Throws when an address cannot be bound. */
     void start();
@@ -24,10 +27,12 @@
     std::unique_ptr<HttpServer> makeServer(const Endpoint&, HttpHandler);
     void applyLimits(const RoutingConfiguration&);
     void waitForSignal();
+    void reloadSettings();
     static asio::awaitable<void> leave(GatewayDaemon&);
 
     asio::io_context& m_context;
     GatewayDaemonSettings m_settings;
+    SettingsSource m_readSettings;
     AsioTimerService m_timers;
     ConsoleLog m_log;
     Metrics m_metrics;
--- a/programs/chestnutrouted/GatewayDaemonSettings.cpp
+++ b/programs/chestnutrouted/GatewayDaemonSettings.cpp
@@ -13,12 +13,12 @@
 
     void readBounds(SettingsReader& reader, GatewayDaemonSettings& settings)
     {
-        auto& gateway = settings.gateway;
-        gateway.retryBudget.ratio = reader.number("bounds", "retry_ratio", gateway.retryBudget.ratio, 0, 1);
-        gateway.retryBudget.slack = reader.number("bounds", "retry_slack", gateway.retryBudget.slack, 0, 100'000);
-        gateway.retryBudget.window = secondsSetting(reader, "retry_window_seconds", 10, 3600);
-        gateway.takeoverWait = std::chrono::milliseconds(reader.integer("bounds", "takeover_wait_ms", 3000, 0, 600'000));
-        gateway.longestDiscoveryValidity = secondsSetting(reader, "discovery_seconds", 5, 3600);
+        auto& bounds = settings.gateway.bounds;
+        bounds.retryBudget.ratio = reader.number("bounds", "retry_ratio", bounds.retryBudget.ratio, 0, 1);
+        bounds.retryBudget.slack = reader.number("bounds", "retry_slack", bounds.retryBudget.slack, 0, 100'000);
+        bounds.retryBudget.window = secondsSetting(reader, "retry_window_seconds", 10, 3600);
+        bounds.takeoverWait = std::chrono::milliseconds(reader.integer("bounds", "takeover_wait_ms", 3000, 0, 600'000));
+        bounds.longestDiscoveryValidity = secondsSetting(reader, "discovery_seconds", 5, 3600);
         settings.shutdownTimeout = secondsSetting(reader, "shutdown_seconds", 8, 3600);
     }
 
--- a/programs/chestnutrouted/GatewayDaemonSettings.h
+++ b/programs/chestnutrouted/GatewayDaemonSettings.h
@@ -7,7 +7,7 @@
 
 namespace chestnut {
 
-/** Settings of a daemon that routes requests by host and path from a store; docs/settings.md explains each. */
+/** Settings of a daemon that routes requests by host and path from a store; docs/gateway-settings.md explains each. */
 struct GatewayDaemonSettings {
     GatewaySettings gateway;
     Endpoint frontListener;
@@ -17,6 +17,8 @@
     Endpoint store;
     Duration shutdownTimeout = std::chrono::seconds(8);
     Severity logLevel = Severity::Info;
+
+    bool operator==(const GatewayDaemonSettings&) const = default;
 };
 
 /** Reads and checks all settings. The faults are complete: nothing starts unless the list is empty. */
--- a/programs/chestnutrouted/main.cpp
+++ b/programs/chestnutrouted/main.cpp
@@ -53,8 +53,8 @@
 }
 
 /** Runs a daemon until it stops. */
-template <typename Daemon, typename Settings>
-int runDaemon(const std::string& path, Settings (*read)(chestnut::SettingsReader&))
+template <typename Settings, typename Factory>
+int runDaemon(const std::string& path, Settings (*read)(chestnut::SettingsReader&), const Factory& makeDaemon)
 {
     auto settings = readSettings(path, read);
     if (!settings)
@@ -65,8 +65,8 @@
     }
     try {
         boost::asio::io_context context(1);
-        Daemon daemon(context, std::move(*settings));
-        daemon.start();
+        auto daemon = makeDaemon(context, std::move(*settings));
+        daemon->start();
         context.run();
         // Destructors would wait for the worker threads of the log library, which do not always end: the process then stays
         // until it is killed and its connections with it. Each line of the log has been written by now.
@@ -93,7 +93,10 @@
         std::cerr << usage << "\n";
         return ExitUsage;
     }
-    if (absl::GetFlag(FLAGS_gateway))
-        return runDaemon<chestnut::GatewayDaemon>(path, chestnut::readGatewayDaemonSettings);
-    return runDaemon<chestnut::Daemon>(path, chestnut::readDaemonSettings);
+    using chestnut::Daemon;
+    using chestnut::GatewayDaemon;
+    if (!absl::GetFlag(FLAGS_gateway))
+        return runDaemon(path, chestnut::readDaemonSettings, [](auto& context, auto settings) { return std::make_unique<Daemon>(context, std::move(settings)); });
+    auto readAgain = [path] { return readSettings(path, chestnut::readGatewayDaemonSettings); };
+    return runDaemon(path, chestnut::readGatewayDaemonSettings, [&](auto& context, auto settings) { return std::make_unique<GatewayDaemon>(context, std::move(settings), readAgain); });
 }
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -63,7 +63,7 @@
     Gateway gateway {
         { context, timers, log, metrics, store, instances, [](const RoutingConfiguration&) {} },
         { "config", "servers/", decodeTestConfiguration, decodeTestEntry },
-        { { DaemonId("d0"), AvailabilityZone("a"), { "127.0.0.1", 1 }, { "127.0.0.1", 0 } }, {}, 3s, 5s },
+        { { DaemonId("d0"), AvailabilityZone("a"), { "127.0.0.1", 1 }, { "127.0.0.1", 0 } }, { {}, 3s, 5s } },
     };
 };
 
@@ -104,3 +104,21 @@
     shortRoute.start(served);
     CHECK(served.status == 200);
 }
+
+// Guards against settings that a hang-up signal reads again and that change nothing.
+TEST_CASE("changed bounds take effect while the gateway runs")
+{
+    WholeGateway whole("idempotent 3000");
+    CHECK(whole.gateway.discover(AvailabilityZone("a")).validity == 1500ms);
+    whole.gateway.setBounds({ { 0, 0, 10s }, 3s, 700ms });
+    CHECK(whole.gateway.discover(AvailabilityZone("a")).validity == 700ms);
+    // Without a retry budget a refusal is final.
+    whole.store.put("servers/i-2", testEntry("s", "none"));
+    for (const auto* replica : { "i-1", "i-2" })
+        whole.instances.scripts[ReplicaId(replica)] = { { .verdict = InstanceVerdict::NotExecuted, .status = 503 } };
+    whole.timers.advance(1s);
+    FakeWriter writer;
+    whole.start(writer);
+    CHECK(writer.status == 503);
+    CHECK(whole.instances.sent.size() == 1);
+}
