Refuse load news that name an impossible part

Cause, from the read-through: the number of parts came unchecked from a datagram and sizes a list. Change: at most 256 parts. Test: fails on the former decoder, which reads four billion parts.

--- a/modules/gateway/members/LoadNews.cpp
+++ b/modules/gateway/members/LoadNews.cpp
@@ -17,6 +17,8 @@
     constexpr size_t livingInPart = 30;
     constexpr size_t leavingInPart = 15;
     constexpr size_t entriesInPart = 12;
+    /** Far more than the two-year target needs; a receiver keeps a list for each part. */
+    constexpr uint32_t maximumParts = 256;
 
     json encodeWork(const std::vector<ReplicaWork>& work)
     {
@@ -236,7 +238,7 @@
         news.seesStore = document.at("store").get<bool>();
         news.living = decodeIds<DaemonId>(document.at("living"));
         news.part = { document.at("part").at(0).get<uint32_t>(), document.at("part").at(1).get<uint32_t>() };
-        if (news.part.index >= news.part.count)
+        if (news.part.index >= news.part.count || news.part.count > maximumParts)
             return makeError(ErrorKind::ProtocolError, "part number of load news out of range");
         return news;
     } catch (const json::exception& exception) {
--- a/tests/gateway/LoadNewsTest.cpp
+++ b/tests/gateway/LoadNewsTest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/members/LoadNews.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace chestnut;
 
@@ -76,3 +77,19 @@
     CHECK(joined.leavingReplicas == news.leavingReplicas);
     CHECK(joined.entries == news.entries);
 }
+
+// Guards against memory that a broken or foreign datagram makes a receiver reserve.
+TEST_CASE("a datagram that names an impossible part is refused")
+{
+    auto datagram = encodeLoadNews(newsOfFleet(1, 1, 1)).front();
+    auto document = nlohmann::json::from_cbor(datagram);
+    auto isRead = [&document](uint32_t index, uint32_t count) {
+        document["part"] = { index, count };
+        auto bytes = nlohmann::json::to_cbor(document);
+        return decodeLoadNews({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }).has_value();
+    };
+    CHECK(isRead(0, 1));
+    CHECK_FALSE(isRead(1, 1));
+    CHECK_FALSE(isRead(0, 0));
+    CHECK_FALSE(isRead(0, 4'000'000'000));
+}
