--- a/tests/processes/ChildProcess.cpp
+++ b/tests/processes/ChildProcess.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <limits>
 #include <netinet/in.h>
 #include <sstream>
 #include <stdexcept>
@@ -61,6 +62,8 @@
         int output = open(outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
+        // An inherited listener would keep its port bound after the test has closed it.
+        close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
         std::vector<char*> pointers { const_cast<char*>(program.c_str()) };
         for (const auto& argument : arguments)
             pointers.push_back(const_cast<char*>(argument.c_str()));
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -56,6 +56,7 @@
 
     asio::awaitable<void> kill(SoakDaemon&);
     asio::awaitable<void> disturb(LinkPointer);
+    asio::awaitable<void> misbehave(double ReplicaFaults::*share);
     SoakDaemon* undisturbedDaemon();
     /* Clients draw from generators of their own, so that the faults depend on the seed alone. */
     int pick(int lowest, int highest) { return std::uniform_int_distribution<int>(lowest, highest)(m_random); }
--- a/tests/soak/ReplicaStandin.h
+++ b/tests/soak/ReplicaStandin.h
@@ -15,6 +15,7 @@
 struct ReplicaFaults {
     double failShare = 0; /**< requests that run and are answered with an error */
     double truncateShare = 0; /**< answers that break off in the middle */
+    bool resetsWhenDown = false; /**< its address accepts connections after its end and resets them */
 };
 
 /** Where a replica stands and what it serves. */
--- /dev/null
+++ b/tests/soak/StandinAnswers.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "http/http.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chestnut::soak {
+
+/** Answers of the stand-ins. */
+inline HttpResponse jsonResponse(int status, const nlohmann::json& body)
+{
+    return { status, { { "Content-Type", "application/json" } }, body.dump() };
+}
+
+inline HttpResponse answerFault(const Error& error)
+{
+    return { answerFor(error.kind).status, {}, error.detail };
+}
+
+} // namespace chestnut::soak
