--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -24,6 +24,8 @@
 #include "decisions/roles/Roles.h"
 #include "decisions/routing/PrefixIndex.h"
 #include "decisions/routing/Routing.h"
+#include "decisions/speeds/ServiceSpeed.h"
+#include "decisions/speeds/WaitLimits.h"
 #include "decisions/subsets/Subsets.h"
 #include "decisions/tickets/Configuration.h"
 #include "decisions/tickets/Ticket.h"
--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -11,8 +11,8 @@
 
     /** Extra weight of a repeated prefill of shared parts: it also delays all requests queued behind. */
     constexpr double repeatedPrefillWeight = 2;
-    /** Time of a prefill call apart from the prefill itself: set-up, transfer and response. */
-    constexpr double fixedPrefillMilliseconds = 2;
+    /** Compares engines by their tokens while their speed is unknown. */
+    constexpr PrefillSpeed unknownSpeed { 1, 0 };
 
     uint32_t sharedTokens(const PromptShape& prompt)
     {
@@ -38,18 +38,13 @@
         return home;
     }
 
-    double prefillMilliseconds(double tokens, const PlacementView& view)
-    {
-        return tokens / prefillTokensPerMillisecond * view.slowdown;
-    }
-
     bool isUsable(const PlacementView& view)
     {
         return !view.isEjected && (view.requestsAtRefusal == 0 || view.requests < view.requestsAtRefusal);
     }
 
     /** The engine that ends the prefill first, queued behind the work that is not deferred or behind all work. */
-    std::optional<PrefillChoice> earliestEngine(const PromptShape& prompt, std::span<const PlacementView> views, bool isDeferred)
+    std::optional<PrefillChoice> earliestEngine(const PromptShape& prompt, std::span<const PlacementView> views, const PrefillSpeed& speed, bool isDeferred)
     {
         auto key = sharingKey(prompt);
         auto shared = sharedTokens(prompt);
@@ -63,13 +58,13 @@
             auto cached = home == i ? shared : std::min(view.cachedTokens, shared);
             auto missing = prompt.promptTokens - cached;
             auto queued = view.prefillTokens + (isDeferred ? view.deferredTokens : 0);
-            auto time = prefillMilliseconds(queued + missing, view);
             auto repeated = missing - (prompt.promptTokens - shared);
-            auto cost = time + prefillMilliseconds(repeated, view) * repeatedPrefillWeight;
+            auto cost = (queued + missing + repeated * repeatedPrefillWeight) * view.slowdown;
             if (cost >= best)
                 continue;
             best = cost;
-            choice = PrefillChoice { i, missing, fromSeconds((fixedPrefillMilliseconds + time) / 1000), fromSeconds((fixedPrefillMilliseconds + time / view.slowdown) / 1000), isDeferred };
+            auto expected = toSeconds(expectedPrefillTime(speed, queued + missing)) * view.slowdown;
+            choice = PrefillChoice { i, missing, queued + missing, fromSeconds(expected), isDeferred };
         }
         return choice;
     }
@@ -81,11 +76,17 @@
     return prompt.parts.size() < 2 ? 0 : prompt.parts[prompt.parts.size() - 2].id;
 }
 
-std::optional<PrefillChoice> choosePrefillEngine(const PromptShape& prompt, std::span<const PlacementView> views, Duration onTime)
+std::optional<PrefillChoice> choosePrefillEngine(const PromptShape& prompt, std::span<const PlacementView> views, const std::optional<PrefillSpeed>& speed, Duration onTime)
 {
-    if (auto choice = earliestEngine(prompt, views, false); choice && choice->expectedTime <= onTime)
+    if (!speed) {
+        auto choice = earliestEngine(prompt, views, unknownSpeed, false);
+        if (choice)
+            choice->expectedTime.reset();
         return choice;
-    return earliestEngine(prompt, views, true);
+    }
+    if (auto choice = earliestEngine(prompt, views, *speed, false); choice && choice->expectedTime <= onTime)
+        return choice;
+    return earliestEngine(prompt, views, *speed, true);
 }
 
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView> views, const AvailabilityZone& ownZone)
@@ -107,17 +108,19 @@
     return choice;
 }
 
-bool isSaturated(std::span<const PlacementView> views, double slotMultiple)
+std::optional<Duration> expectedSlotWait(std::span<const PlacementView> views, Duration occupancy)
 {
     double slots = 0;
     double requests = 0;
     for (const auto& view : views) {
-        if (view.isEjected)
+        if (!isUsable(view))
             continue;
         slots += view.slots;
         requests += view.requests;
     }
-    return requests >= slots * slotMultiple;
+    if (slots == 0)
+        return std::nullopt;
+    return fromSeconds(std::max(requests + 1 - slots, 0.0) / slots * toSeconds(occupancy));
 }
 
 } // namespace chestnut
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -2,6 +2,7 @@
 
 #include "base/ids/StrongId.h"
 #include "base/time/TimePoint.h"
+#include "decisions/speeds/ServiceSpeed.h"
 
 #include <cstdint>
 #include <optional>
@@ -48,14 +49,11 @@
     bool operator==(const PlacementView&) const = default;
 };
 
-/** Tokens that a prefill engine processes in a millisecond without slowdown; from the engines' data sheet. */
-constexpr double prefillTokensPerMillisecond = 300;
-
 struct PrefillChoice {
     size_t index = 0; /**< in the views */
     uint32_t missingTokens = 0; /**< to be prefilled, as they are not cached */
-    Duration expectedTime {}; /**< until the end of the prefill */
-    Duration nominalTime {}; /**< the same at an engine without slowdown */
+    double workTokens = 0; /**< the missing tokens and those queued before them */
+    std::optional<Duration> expectedTime; /**< until the end of the prefill; absent while the speed is unknown */
     bool isDeferred = false; /**< it cannot be on time and is queued behind those that can */
 
     bool operator==(const PrefillChoice&) const = default;
@@ -65,8 +63,9 @@
     that daemons agree without messages; the home is assumed to have the shared parts cached. When the home has more work
     queued than another prefill of the shared parts costs, the next engine takes the prompt. For peaks of demand above the
     capacity: a request whose prefill cannot end within `onTime` is deferred, so that those behind it that still can be on
-    time are not late as well. Nothing when all engines are ejected or full, or there is none. */
-std::optional<PrefillChoice> choosePrefillEngine(const PromptShape&, std::span<const PlacementView>, Duration onTime);
+    time are not late as well. While the speed is unknown, engines are compared by their tokens and nothing is deferred.
+    Nothing when all engines are ejected or full, or there is none. */
+std::optional<PrefillChoice> choosePrefillEngine(const PromptShape&, std::span<const PlacementView>, const std::optional<PrefillSpeed>&, Duration onTime);
 
 /** Added to the occupancy of a replica in another availability zone, as a share of its slots. The request body then crosses
     zones once more, which is billed. */
@@ -76,8 +75,8 @@
     the load at peaks of demand. Nothing when all are ejected or there is none. */
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView>, const AvailabilityZone& ownZone);
 
-/** Whether all replicas together have work queued beyond this multiple of their slots, so that a further request would
-    only wait until its deadline. */
-bool isSaturated(std::span<const PlacementView>, double slotMultiple);
+/** Expected time until a slot is free for a further request, when each request occupies a slot for `occupancy`. Nothing when
+    all replicas are ejected, full or there is none. */
+std::optional<Duration> expectedSlotWait(std::span<const PlacementView>, Duration occupancy);
 
 } // namespace chestnut
--- a/modules/decisions/routes/RouteTable.h
+++ b/modules/decisions/routes/RouteTable.h
@@ -35,6 +35,7 @@
     RouteKind kind = RouteKind::NonIdempotent;
     Duration timeout = std::chrono::seconds(30); /**< longest time from the arrival to the final response */
     Duration latencyObjective = std::chrono::seconds(1); /**< to the response, or to the first event of a stream */
+    Duration gapObjective = std::chrono::milliseconds(200); /**< longest pause between two events of a stream */
     uint32_t priority = 0; /**< zero is the most urgent */
     std::vector<TrafficShare> shares;
     uint32_t maximumAttempts = 1; /**< replicas that one attempt of the client may be sent to */
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/members/LoadMessage.h"
 #include "gateway/replicas/LoadTracker.h"
 #include "gateway/replicas/ReplicaDirectory.h"
+#include "gateway/replicas/SpeedTracker.h"
 #include "gateway/requests/GenerationRelay.h"
 #include "gateway/requests/PlainRelay.h"
 #include "gateway/requests/ReplicaClient.h"
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -53,12 +53,13 @@
 
 } // namespace
 
-LoadExchange::LoadExchange(asio::io_context& context, TimerService& timers, Log& log, DaemonDirectory& directory, std::shared_ptr<LoadTracker> loadTracker, CrashTracker& crashTracker, ReplicaDirectory& replicas)
+LoadExchange::LoadExchange(asio::io_context& context, TimerService& timers, Log& log, DaemonDirectory& directory, std::shared_ptr<LoadTracker> loadTracker, SpeedTracker& speeds, CrashTracker& crashTracker, ReplicaDirectory& replicas)
     : m_context(context)
     , m_timers(timers)
     , m_log(log)
     , m_directory(directory)
     , m_loadTracker(std::move(loadTracker))
+    , m_speeds(speeds)
     , m_crashTracker(crashTracker)
     , m_replicas(replicas)
     , m_socket(context, udp::endpoint(asio::ip::make_address(directory.self().peerEndpoint.address), directory.self().peerEndpoint.port))
@@ -126,6 +127,7 @@
             m_directory.recordReportedAlive(daemon);
     }
     applyWork(*message);
+    applySamples(*message);
     for (const auto& loss : message->losses)
         m_crashTracker.add(loss);
     for (const auto& success : message->successes)
@@ -152,9 +154,38 @@
         m_loadTracker->setPeerWork(fleetKey, withoutOwnWork(message.work, m_sentWork), message.part);
 }
 
+void LoadExchange::applySamples(const LoadMessage& message)
+{
+    // A message in several parts carries the samples in its first one.
+    if (message.part.index > 0)
+        return;
+    auto isOwnZone = message.sender.zone == m_directory.self().zone;
+    auto collects = m_topology.isMesh || m_topology.isCollector;
+    if (message.scope == LoadScope::Daemon && collects)
+        m_speeds.setPeerSamples(message.sender.id, message.speedSamples);
+    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone)
+        m_speeds.setPeerSamples(zoneKey(message.sender.zone), message.speedSamples);
+    else if (message.scope == LoadScope::Fleet && !collects)
+        m_speeds.setFleetSamples(message.speedSamples);
+}
+
+std::vector<ServiceSamples> LoadExchange::samplesFor(LoadScope scope) const
+{
+    switch (scope) {
+    case LoadScope::Daemon:
+        return m_speeds.ownSamples();
+    case LoadScope::Zone:
+        return m_speeds.samplesOf([](const DaemonId& daemon) { return !isSum(daemon); });
+    case LoadScope::Fleet:
+        break;
+    }
+    return m_speeds.samplesOf([](const DaemonId&) { return true; });
+}
+
 LoadMessage LoadExchange::composeMessage(LoadScope scope, std::vector<ReplicaWork> work) const
 {
     LoadMessage message { m_directory.self(), scope, m_isLeaving, std::move(work) };
+    message.speedSamples = samplesFor(scope);
     message.losses = m_crashTracker.recentLosses();
     message.successes = m_crashTracker.recentSuccesses();
     message.leavingReplicas = m_replicas.leaving();
--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -17,7 +17,7 @@
     std::string_view name() const final { return serviceName; }
 
     /** Binds the socket; throws boost::system::system_error on failure. */
-    LoadExchange(asio::io_context&, TimerService&, Log&, DaemonDirectory&, std::shared_ptr<LoadTracker>, CrashTracker&, ReplicaDirectory&);
+    LoadExchange(asio::io_context&, TimerService&, Log&, DaemonDirectory&, std::shared_ptr<LoadTracker>, SpeedTracker&, CrashTracker&, ReplicaDirectory&);
 
     void start() override;
     asio::awaitable<void> stop() override;
@@ -31,10 +31,13 @@
     void receive(std::string_view datagram);
     void sendAll();
     void send(const LoadMessage&, const std::vector<Endpoint>& targets);
+    /** The samples of the daemons that the scope covers. */
+    std::vector<ServiceSamples> samplesFor(LoadScope) const;
     LoadMessage composeMessage(LoadScope, std::vector<ReplicaWork>) const;
     std::vector<ReplicaWork> zoneWork() const;
     std::vector<DaemonId> liveDaemonsOfZone() const;
     void applyWork(const LoadMessage&);
+    void applySamples(const LoadMessage&);
     Duration period() const;
 
     asio::io_context& m_context;
@@ -42,6 +45,7 @@
     Log& m_log;
     DaemonDirectory& m_directory;
     std::shared_ptr<LoadTracker> m_loadTracker;
+    SpeedTracker& m_speeds;
     CrashTracker& m_crashTracker;
     ReplicaDirectory& m_replicas;
     asio::ip::udp::socket m_socket;
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    constexpr int messageVersion = 6;
+    constexpr int messageVersion = 7;
     /** Maximum number of items of each list in one datagram. Ids take up to 40 bytes, so a full part takes 8 KB. */
     constexpr size_t workItemsPerPart = 40;
     constexpr size_t liveDaemonsPerPart = 30;
@@ -28,6 +28,37 @@
         return list;
     }
 
+    json encodeTime(const TimeSamples& samples)
+    {
+        return { static_cast<float>(samples.count), static_cast<float>(samples.milliseconds) };
+    }
+
+    TimeSamples decodeTime(const json& item)
+    {
+        return { item.at(0).get<double>(), item.at(1).get<double>() };
+    }
+
+    json encodeSamples(const std::vector<ServiceSamples>& list)
+    {
+        auto items = json::array();
+        for (const auto& [service, prefill, firstEvent, eventGap, occupancy] : list) {
+            json sums { static_cast<float>(prefill.count), static_cast<float>(prefill.tokens), static_cast<float>(prefill.milliseconds), static_cast<float>(prefill.tokensSquared), static_cast<float>(prefill.tokensTimesMilliseconds) };
+            items.push_back({ service.value(), std::move(sums), encodeTime(firstEvent), encodeTime(eventGap), encodeTime(occupancy) });
+        }
+        return items;
+    }
+
+    std::vector<ServiceSamples> decodeSamples(const json& items)
+    {
+        std::vector<ServiceSamples> list;
+        for (const auto& item : items) {
+            const auto& sums = item.at(1);
+            PrefillSamples prefill { sums.at(0).get<double>(), sums.at(1).get<double>(), sums.at(2).get<double>(), sums.at(3).get<double>(), sums.at(4).get<double>() };
+            list.push_back({ ServiceId(item.at(0).get<std::string>()), prefill, decodeTime(item.at(2)), decodeTime(item.at(3)), decodeTime(item.at(4)) });
+        }
+        return list;
+    }
+
     json encodeLosses(const std::vector<LostAttemptReport>& losses)
     {
         auto list = json::array();
@@ -168,6 +199,7 @@
             { "scope", static_cast<int>(message.scope) },
             { "leaving", message.isLeaving },
             { "work", encodeWork(message.work) },
+            { "speeds", encodeSamples(message.speedSamples) },
             { "losses", encodeLosses(message.losses) },
             { "served", encodeSuccesses(message.successes) },
             { "gone", encodeLeaving(message.leavingReplicas) },
@@ -211,6 +243,8 @@
     for (uint32_t index = 0; index < count; ++index) {
         auto part = message;
         part.part = { index, count };
+        if (index > 0)
+            part.speedSamples.clear();
         part.work = sliceOf(message.work, part.part);
         part.liveDaemons = sliceOf(message.liveDaemons, part.part);
         part.leavingReplicas = sliceOf(message.leavingReplicas, part.part);
@@ -232,6 +266,7 @@
         LoadMessage message { std::move(*sender), decodeScope(document.at("scope").get<int>()) };
         message.isLeaving = document.at("leaving").get<bool>();
         message.work = decodeWork(document.at("work"));
+        message.speedSamples = decodeSamples(document.at("speeds"));
         message.losses = decodeLosses(document.at("losses"));
         message.successes = decodeSuccesses(document.at("served"));
         message.leavingReplicas = decodeLeaving(document.at("gone"));
--- a/modules/gateway/members/LoadMessage.h
+++ b/modules/gateway/members/LoadMessage.h
@@ -3,6 +3,7 @@
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/replicas/LoadTracker.h"
 #include "gateway/replicas/ReplicaDirectory.h"
+#include "gateway/replicas/SpeedTracker.h"
 #include "gateway/requests/CrashTracker.h"
 
 namespace chestnut {
@@ -20,6 +21,7 @@
     LoadScope scope = LoadScope::Daemon;
     bool isLeaving = false;
     std::vector<ReplicaWork> work;
+    std::vector<ServiceSamples> speedSamples; /**< of the same daemons; only in the first part of a message */
     std::vector<LostAttemptReport> losses;
     std::vector<SuccessReport> successes; /**< requests that were completed after attempts with them had been lost */
     std::vector<LeavingReplica> leavingReplicas; /**< that the sender has recently recorded as leaving */
--- a/modules/gateway/replicas/LoadTracker.cpp
+++ b/modules/gateway/replicas/LoadTracker.cpp
@@ -117,6 +117,7 @@
     observation.requestsAtRefusal = now < record->refusalValidUntil ? record->requestsAtRefusal : 0;
     observation.slowdown = record->slowdown;
     observation.isEjected = now < record->ejectedUntil;
+    observation.completedAt = record->completedAt;
     return observation;
 }
 
@@ -195,6 +196,7 @@
 void LoadTracker::recordSuccess(const ReplicaId& replica, double slowdown)
 {
     auto& record = m_records[replica];
+    record.completedAt = m_timers.now();
     record.consecutiveFailures = 0;
     record.failureShare *= 1 - sampleWeight;
     if (record.failureShare < failureShareToEject / 2)
--- a/modules/gateway/replicas/LoadTracker.h
+++ b/modules/gateway/replicas/LoadTracker.h
@@ -36,6 +36,7 @@
     uint32_t requestsAtRefusal = 0; /**< requests in flight at its recent refusal of another one; zero without a refusal */
     double slowdown = 1; /**< ratio of observed to expected time */
     bool isEjected = false;
+    TimePoint completedAt; /**< last response to this daemon */
 
     bool operator==(const ReplicaObservation&) const = default;
 };
@@ -96,6 +97,7 @@
         TimePoint refusalValidUntil;
         double slowdown = 1;
         double failureShare = 0; /**< moving average */
+        TimePoint completedAt;
         uint32_t consecutiveFailures = 0;
         uint32_t ejections = 0; /**< consecutive */
         TimePoint ejectedUntil;
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -1,5 +1,7 @@
 #include "gateway/requests/GenerationRelay.h"
 
+#include "decisions/speeds/WaitLimits.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,37 +10,12 @@
 
 namespace {
 
-    /** Prompts up to this length are processed by the decode engine itself: this delays the tokens of other requests by
-        about 3 ms, which is less than the cost of a second call. */
-    constexpr uint32_t maximumDirectPromptTokens = 600;
-    /** Work at the decode engines, as a multiple of their slots, beyond which requests are refused before the prefill,
-        because their deadline would pass before a slot is free. */
-    constexpr double saturationMultiple = 2.5;
-    /** From the end of the prefill to the first event at the client: KV cache transfer, first decode step and network latency. */
-    constexpr Duration timeAfterPrefill = std::chrono::milliseconds(30);
-    /** Priorities at the engines: requests that can meet their objective precede those that will miss it. */
-    constexpr uint32_t onTimePriority = 4;
-    constexpr uint32_t deferredPriority = 7;
-    /** The timeout of a prefill is this multiple of its expected time plus a fixed part. */
-    constexpr int prefillTimeoutFactor = 4;
-    constexpr Duration basePrefillTimeout = std::chrono::milliseconds(400);
-    /** A resumable stream without an event for this multiple of its latency objective is resumed on another engine. */
-    constexpr int stallObjectiveMultiple = 4;
+    /** Priority at the engine of a request without a prefill call. */
+    constexpr uint32_t defaultPriority = 4;
     constexpr uint32_t maximumDecodeCalls = 3;
-    constexpr uint32_t maximumPrefillCalls = 2;
     /** Decode calls that may be preceded by a prefill; in later ones the decode engine processes the prompt. */
     constexpr uint32_t maximumPrefillRounds = 2;
     constexpr size_t maximumResponseBytes = 1 << 20;
-    /** Retry-After of a refusal: about the time until decode slots become free. */
-    constexpr std::chrono::milliseconds saturatedRetryAfter { 500 };
-
-    Error saturated(std::string detail)
-    {
-        auto error = makeError(ErrorKind::Overloaded, std::move(detail));
-        error.retryAfter = saturatedRetryAfter;
-        return error;
-    }
-
     /** Describes the engines, their requests in flight and the number of ejected ones. */
     std::string describeLoad(const std::vector<PlacementView>& views)
     {
@@ -51,11 +28,6 @@
         return std::to_string(requests) + " requests at " + std::to_string(views.size() - ejected) + " engines, " + std::to_string(ejected) + " ejected";
     }
 
-    std::string millisecondsText(Duration duration)
-    {
-        return std::to_string(duration.count() / 1000);
-    }
-
     bool isSuccess(int status)
     {
         return status >= 200 && status < 300;
@@ -68,6 +40,8 @@
     , m_writer(writer)
     , m_prompt(m_relay->request.prompt ? &*m_relay->request.prompt : nullptr)
 {
+    if (m_prompt)
+        m_prefill.emplace(*m_relay);
 }
 
 asio::awaitable<void> GenerationRelay::run()
@@ -77,15 +51,20 @@
     releaseHandle();
 }
 
-TimerSubscription GenerationRelay::startStallTimer(const ReplicaId& replica) const
+void GenerationRelay::startStallTimer(const ReplicaId& replica, std::optional<Duration> limit)
 {
+    m_stallTimer.cancel();
     auto& relay = *m_relay;
     const auto* registered = relay.services.replicas.find(replica);
     // At a full engine the request is queued; sending it to another engine would only add work.
     auto isFull = registered && relay.services.loadTracker->requestsAt(replica) > registered->entry.slots;
-    if (!relay.route.isResumable || isFull)
-        return {};
-    return relay.services.timers.once(relay.route.latencyObjective * stallObjectiveMultiple, [abort = relay.abort] { abort->interrupt(); });
+    if (!relay.route.isResumable || isFull || !limit)
+        return;
+    m_stallTimer = relay.services.timers.once(*limit, [this, waitedSince = relay.services.timers.now()] {
+        // The event needs at least this time, so that engines that have become slower are abandoned less often.
+        recordEvents(waitedSince);
+        m_relay->abort->interrupt();
+    });
 }
 
 Result<ReplicaEntry> GenerationRelay::chooseDecodeEngine()
@@ -98,93 +77,20 @@
     views.reserve(entries.size());
     for (const auto* entry : entries)
         views.push_back(relay.viewOf(*entry));
-    if (isSaturated(views, saturationMultiple))
-        return saturated("the decode engines are saturated: " + describeLoad(views));
+    auto occupancy = relay.services.speeds.speedOf(relay.service).occupancy.value_or(Duration::zero());
+    if (auto wait = expectedSlotWait(views, occupancy); !wait || *wait > relay.remaining())
+        return saturatedError("the decode engines are saturated: " + describeLoad(views));
     auto choice = chooseLeastOccupied(views, relay.services.zone);
     return *entries[choice.value_or(0)];
 }
 
-std::optional<std::pair<ReplicaEntry, PrefillChoice>> GenerationRelay::findPrefillEngine()
-{
-    auto& relay = *m_relay;
-    auto entries = relay.services.replicas.usable(relay.service, EngineStage::Prefill, relay.excluded);
-    std::vector<PlacementView> views;
-    views.reserve(entries.size());
-    for (const auto* entry : entries) {
-        auto view = relay.viewOf(*entry);
-        for (size_t i = 0; i + 1 < m_prompt->parts.size() && relay.services.loadTracker->hasPart(entry->id, m_prompt->parts[i].id); ++i)
-            view.cachedTokens += m_prompt->parts[i].tokens;
-        views.push_back(std::move(view));
-    }
-    auto elapsed = relay.services.timers.now() - relay.request.arrival;
-    auto choice = choosePrefillEngine(*m_prompt, views, relay.route.latencyObjective - elapsed - timeAfterPrefill);
-    if (!choice)
-        return std::nullopt;
-    return std::pair(*entries[choice->index], *choice);
-}
-
-asio::awaitable<Result<PrefillResponse>> GenerationRelay::prefillAt(const ReplicaEntry& engine, const PrefillChoice& choice)
-{
-    auto& relay = *m_relay;
-    auto& services = relay.services;
-    auto inFlightWork = services.loadTracker->beginPrefill(engine.id, choice.missingTokens, choice.isDeferred);
-    m_priority = choice.isDeferred ? deferredPriority : onTimePriority;
-    std::vector<uint64_t> parts;
-    for (size_t i = 0; i + 1 < m_prompt->parts.size(); ++i)
-        parts.push_back(m_prompt->parts[i].id);
-    services.loadTracker->recordSentParts(engine.id, parts);
-    ReplicaCall call { relay.request, engine.id, engine.address, relay.remaining() };
-    call.abort = relay.abort;
-    call.priority = m_priority;
-    auto startedAt = services.timers.now();
-    auto prefillTimeout = choice.expectedTime * prefillTimeoutFactor + basePrefillTimeout;
-    auto stall = services.timers.once(prefillTimeout, [abort = relay.abort] { abort->interrupt(); });
-    auto response = co_await services.replicaClient.prefill(std::move(call));
-    if (response) {
-        auto elapsed = services.timers.now() - startedAt;
-        m_prefillTime = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
-        relay.recordAttemptSuccess(engine.id, startedAt, toSeconds(elapsed) / toSeconds(choice.nominalTime));
-    }
-    co_return response;
-}
-
 bool GenerationRelay::needsPrefill() const
 {
-    return m_prompt && m_prompt->promptTokens > maximumDirectPromptTokens && m_lastEventId.empty() && !m_handle;
-}
-
-asio::awaitable<Result<void>> GenerationRelay::prefillPrompt()
-{
-    auto& relay = *m_relay;
-    for (uint32_t calls = 0; calls < maximumPrefillCalls && !relay.isOver(); ++calls) {
-        auto isRetry = !std::exchange(m_isFirstPrefillCall, false);
-        auto choice = findPrefillEngine();
-        // Without a prefill engine the decode engine processes the prompt.
-        if (!choice)
-            co_return Result<void>();
-        const auto& [engine, plan] = *choice;
-        if (plan.expectedTime > relay.remaining())
-            co_return saturated("the prefill engines are saturated: expected prefill time " + millisecondsText(plan.expectedTime) + " ms, time left " + millisecondsText(relay.remaining()) + " ms");
-        if (isRetry && !relay.services.budgets.tryTakeRetry(relay.service))
-            co_return Result<void>();
-        relay.services.log.write(EventId::PrefillPlaced, { { "request", relay.request.id }, { "replica", engine.id }, { "missing", plan.missingTokens }, { "queued", relay.services.loadTracker->observe(engine.id).work.prefillTokens }, { "expected_ms", plan.expectedTime.count() / 1000 }, { "deferred", plan.isDeferred ? 1 : 0 } });
-        auto response = co_await prefillAt(engine, plan);
-        if (response) {
-            m_handle = response->handle;
-            co_return Result<void>();
-        }
-        // A prefill does not execute the request, whatever the kind of its error.
-        auto error = response.error();
-        relay.excluded.insert(engine.id);
-        relay.services.log.write(EventId::PrefillFailed, { { "request", relay.request.id }, { "replica", engine.id }, { "kind", describe(error.kind).name }, { "detail", error.detail } });
-        if (error.kind == ErrorKind::Overloaded) {
-            if (!isRetry)
-                relay.services.budgets.chargeRejection(relay.service);
-            relay.services.loadTracker->recordRefusal(engine.id, engine.slots);
-        } else if (!relay.isOver())
-            relay.services.loadTracker->recordFailure(engine.id);
-    }
-    co_return saturated("no prefill engine accepted the prompt");
+    if (!m_prompt || !m_lastEventId.empty() || m_handle)
+        return false;
+    const auto& relay = *m_relay;
+    auto speed = relay.services.speeds.speedOf(relay.service);
+    return !isShortPrompt(m_prompt->promptTokens, m_prompt->maximumOutputTokens, speed, relay.route.gapObjective);
 }
 
 asio::awaitable<Result<ReplicaResponse>> GenerationRelay::openDecodeStream(const ReplicaEntry& engine)
@@ -192,11 +98,11 @@
     auto& relay = *m_relay;
     ReplicaCall call { relay.request, engine.id, engine.address, relay.remaining() };
     call.abort = relay.abort;
-    call.priority = m_priority.value_or(onTimePriority);
+    call.priority = m_prefill ? m_prefill->priority().value_or(defaultPriority) : defaultPriority;
     call.handle = m_handle;
     if (!m_lastEventId.empty())
         call.resumeAfter = m_lastEventId;
-    auto stall = startStallTimer(engine.id);
+    startStallTimer(engine.id, firstEventWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
     relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "in_flight", relay.services.loadTracker->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "left_ms", relay.remaining().count() / 1000 } });
     auto response = co_await relay.services.replicaClient.send(std::move(call));
     if (!response) {
@@ -235,12 +141,11 @@
     co_return static_cast<bool>(co_await m_writer.write(std::move(batch.bytes)));
 }
 
-asio::awaitable<GenerationRelay::StreamEnd> GenerationRelay::relayEvents(const ReplicaId& engine, ReplicaResponse& response)
+asio::awaitable<GenerationRelay::StreamEnd> GenerationRelay::relayEvents(const ReplicaId& engine, ReplicaResponse& response, TimePoint sentAt)
 {
     auto& relay = *m_relay;
     EventSplitter splitter;
     while (true) {
-        auto stall = startStallTimer(engine);
         auto bytes = co_await response.body->read();
         if (relay.isClientDisconnected())
             co_return StreamEnd::ClientDisconnected;
@@ -250,6 +155,10 @@
         if (!isEnd)
             splitter.append(**bytes);
         auto batch = splitter.takeEvents();
+        if (!batch.bytes.empty()) {
+            recordEvents(sentAt);
+            startStallTimer(engine, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
+        }
         if (isEnd)
             batch.bytes += splitter.takeRemainder();
         if (!co_await writeEvents(response, std::move(batch)))
@@ -263,6 +172,17 @@
     }
 }
 
+void GenerationRelay::recordEvents(TimePoint sentAt)
+{
+    auto& relay = *m_relay;
+    auto now = relay.services.timers.now();
+    if (m_lastEventAt)
+        relay.services.speeds.recordEventGap(relay.service, now - *m_lastEventAt);
+    else
+        relay.services.speeds.recordFirstEvent(relay.service, now - sentAt);
+    m_lastEventAt = now;
+}
+
 asio::awaitable<Result<void>> GenerationRelay::relayWholeResponse(ReplicaResponse& response)
 {
     m_relay->mayHaveRun = true;
@@ -279,7 +199,7 @@
 {
     const auto& relay = *m_relay;
     auto sinceArrival = [&relay](TimePoint time) { return (time - relay.request.arrival).count() / 1000; };
-    relay.services.log.write(EventId::RequestCompleted, { { "request", relay.request.id }, { "status", status }, { "prefill_ms", m_prefillTime.count() }, { "first_event_ms", sinceArrival(m_firstEventAt) }, { "ms", sinceArrival(relay.services.timers.now()) } });
+    relay.services.log.write(EventId::RequestCompleted, { { "request", relay.request.id }, { "status", status }, { "prefill_ms", m_prefill ? m_prefill->time().count() : 0 }, { "first_event_ms", sinceArrival(m_firstEventAt) }, { "ms", sinceArrival(relay.services.timers.now()) } });
 }
 
 asio::awaitable<Result<ReplicaEntry>> GenerationRelay::prepareDecode(bool mayPrefill)
@@ -288,8 +208,10 @@
         // No prefill starts while the decode engines are saturated. The decode engine is chosen again after the prefill.
         if (auto engine = chooseDecodeEngine(); !engine)
             co_return engine.error();
-        if (auto prefilled = co_await prefillPrompt(); !prefilled)
-            co_return prefilled.error();
+        auto handle = co_await m_prefill->run();
+        if (!handle)
+            co_return handle.error();
+        m_handle = std::move(*handle);
     }
     co_return chooseDecodeEngine();
 }
@@ -299,13 +221,19 @@
     auto& relay = *m_relay;
     auto inFlightWork = relay.services.loadTracker->begin(engine.id);
     auto sentAt = relay.services.timers.now();
+    m_lastEventAt.reset();
     auto response = co_await openDecodeStream(engine);
-    if (!response)
+    if (!response) {
+        m_stallTimer.cancel();
         co_return response.error();
+    }
     if (!isSuccess(response->body->status()))
         co_return co_await relayWholeResponse(*response);
-    switch (co_await relayEvents(engine.id, *response)) {
+    auto end = co_await relayEvents(engine.id, *response, sentAt);
+    m_stallTimer.cancel();
+    switch (end) {
     case StreamEnd::Complete:
+        relay.services.speeds.recordOccupancy(relay.service, relay.services.timers.now() - sentAt);
         relay.recordAttemptSuccess(engine.id, sentAt, 1);
         relay.recordCompletion();
         logCompletion(response->body->status());
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/requests/EventSplitter.h"
-#include "gateway/requests/RelayContext.h"
+#include "gateway/requests/PromptPrefill.h"
 
 namespace chestnut {
 
@@ -29,21 +29,19 @@
     asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayPrefill);
     /** The engine for the next decode call, or an error if there is none. */
     Result<ReplicaEntry> chooseDecodeEngine();
-    /** Whether a prefill engine should process the prompt; decode engines process short ones themselves. */
+    /** Whether prefill engines should process the prompt; decode engines process short ones themselves. */
     bool needsPrefill() const;
-    /** Runs the prefill. Fails when no engine can complete it in time. */
-    asio::awaitable<Result<void>> prefillPrompt();
-    std::optional<std::pair<ReplicaEntry, PrefillChoice>> findPrefillEngine();
-    asio::awaitable<Result<PrefillResponse>> prefillAt(const ReplicaEntry&, const PrefillChoice&);
-
     /** Runs one decode attempt. Succeeds when the client has received the complete response. */
     asio::awaitable<Result<void>> decodeAt(const ReplicaEntry&);
     asio::awaitable<Result<ReplicaResponse>> openDecodeStream(const ReplicaEntry&);
-    asio::awaitable<StreamEnd> relayEvents(const ReplicaId& engine, ReplicaResponse&);
+    asio::awaitable<StreamEnd> relayEvents(const ReplicaId& engine, ReplicaResponse&, TimePoint sentAt);
     asio::awaitable<bool> writeEvents(ReplicaResponse&, EventBatch);
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
-    TimerSubscription startStallTimer(const ReplicaId&) const;
+    /** Interrupts the stream when the engine sends no complete event for the given time. Bytes of an incomplete event are no
+        progress. */
+    void startStallTimer(const ReplicaId& engine, std::optional<Duration> limit);
+    void recordEvents(TimePoint sentAt);
 
     asio::awaitable<void> sendFailure(Error);
     void releaseHandle();
@@ -55,10 +53,10 @@
     const PromptShape* m_prompt;
     std::optional<CacheHandle> m_handle;
     std::string m_lastEventId;
-    std::optional<uint32_t> m_priority;
+    std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
+    TimerSubscription m_stallTimer;
     TimePoint m_firstEventAt;
-    std::chrono::milliseconds m_prefillTime { 0 };
-    bool m_isFirstPrefillCall = true; /**< the retry budget counts later calls as retries */
+    std::optional<TimePoint> m_lastEventAt; /**< of the present decode attempt */
 };
 
 } // namespace chestnut
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -1,13 +1,11 @@
 #include "gateway/requests/PlainRelay.h"
 
+#include "decisions/speeds/WaitLimits.h"
+
 namespace chestnut {
 
 namespace {
 
-    /** An idempotent call without a response after this multiple of its latency objective is sent to another replica. */
-    constexpr int stallObjectiveMultiple = 2;
-    /** Share of the latency objective that an unloaded replica needs; only the ratio between replicas matters. */
-    constexpr double expectedShareOfObjective = 0.25;
     constexpr size_t maximumResponseBytes = 8 << 20;
 
     struct CompleteResponse {
@@ -35,7 +33,11 @@
         ReplicaCall call { relay.request, replica.id, replica.address, relay.remaining() };
         call.abort = relay.abort;
         auto startedAt = relay.services.timers.now();
-        auto stall = relay.services.timers.once(timeout, [abort = relay.abort] { abort->interrupt(); });
+        auto stall = relay.services.timers.once(timeout, [&relay, timeout] {
+            // The call needs at least this time, so that a service that has become slower is abandoned less often.
+            relay.services.speeds.recordOccupancy(relay.service, timeout);
+            relay.abort->interrupt();
+        });
         auto inFlightWork = relay.services.loadTracker->begin(replica.id);
         auto response = co_await relay.services.replicaClient.send(std::move(call));
         if (!response)
@@ -49,15 +51,18 @@
             co_return makeError(ErrorKind::NoBackend, "the address belongs to another replica");
         if (response->executionStatus == ExecutionStatus::Unverified)
             co_return makeError(ErrorKind::BackendFailed, "the response has no valid replica seal");
-        auto expected = toSeconds(relay.route.latencyObjective) * expectedShareOfObjective;
-        relay.recordAttemptSuccess(replica.id, startedAt, toSeconds(relay.services.timers.now() - startedAt) / expected);
+        auto elapsed = relay.services.timers.now() - startedAt;
+        auto expected = relay.services.speeds.speedOf(relay.service).occupancy;
+        relay.services.speeds.recordOccupancy(relay.service, elapsed);
+        relay.recordAttemptSuccess(replica.id, startedAt, expected ? toSeconds(elapsed) / toSeconds(*expected) : 1);
         co_return CompleteResponse { response->body->status(), std::move(response->headers), std::move(*body) };
     }
 
     Duration attemptTimeout(const RelayContext& relay)
     {
         auto isRetryable = relay.route.kind == RouteKind::Idempotent && relay.runs + 1 < relay.route.maximumAttempts;
-        return isRetryable ? std::min(relay.remaining(), relay.route.latencyObjective * stallObjectiveMultiple) : relay.remaining();
+        auto limit = responseWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective);
+        return isRetryable ? std::min(relay.remaining(), limit) : relay.remaining();
     }
 
     asio::awaitable<Result<CompleteResponse>> callWithRetries(RelayContext& relay)
--- /dev/null
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -0,0 +1,140 @@
+#include "gateway/requests/PromptPrefill.h"
+
+#include "decisions/speeds/WaitLimits.h"
+
+namespace chestnut {
+
+namespace {
+
+    /** Priorities at the engines: requests that can meet their objective precede those that will miss it. */
+    constexpr uint32_t onTimePriority = 4;
+    constexpr uint32_t deferredPriority = 7;
+    constexpr uint32_t maximumCalls = 2;
+
+    int64_t millisecondsOf(Duration duration)
+    {
+        return duration.count() / 1000;
+    }
+
+    int64_t millisecondsOf(const std::optional<Duration>& duration)
+    {
+        return duration ? millisecondsOf(*duration) : -1;
+    }
+
+} // namespace
+
+PromptPrefill::PromptPrefill(RelayContext& relay)
+    : m_relay(relay)
+    , m_prompt(*relay.request.prompt)
+{
+}
+
+std::optional<PromptPrefill::Placement> PromptPrefill::findEngine() const
+{
+    auto& services = m_relay.services;
+    auto entries = services.replicas.usable(m_relay.service, EngineStage::Prefill, m_relay.excluded);
+    std::vector<PlacementView> views;
+    views.reserve(entries.size());
+    for (const auto* entry : entries) {
+        auto view = m_relay.viewOf(*entry);
+        for (size_t i = 0; i + 1 < m_prompt.parts.size() && services.loadTracker->hasPart(entry->id, m_prompt.parts[i].id); ++i)
+            view.cachedTokens += m_prompt.parts[i].tokens;
+        views.push_back(std::move(view));
+    }
+    auto speed = services.speeds.speedOf(m_relay.service);
+    auto elapsed = services.timers.now() - m_relay.request.arrival;
+    auto onTime = m_relay.route.latencyObjective - elapsed - speed.firstEvent.value_or(Duration::zero());
+    auto choice = choosePrefillEngine(m_prompt, views, speed.prefill, onTime);
+    if (!choice)
+        return std::nullopt;
+    return Placement { *entries[choice->index], *choice, speed.prefill };
+}
+
+void PromptPrefill::watchProgress(const Placement& placement, TimePoint since)
+{
+    auto limit = prefillWaitLimit(placement.choice.expectedTime, m_relay.route.latencyObjective);
+    if (!limit)
+        return;
+    m_progressTimer = m_relay.services.timers.once(*limit, [this, placement, since] {
+        auto completedAt = m_relay.services.loadTracker->observe(placement.engine.id).completedAt;
+        auto excluded = m_relay.excluded;
+        m_relay.excluded.insert(placement.engine.id);
+        auto other = findEngine();
+        m_relay.excluded = std::move(excluded);
+        auto canComplete = other && (!other->choice.expectedTime || *other->choice.expectedTime < m_relay.remaining());
+        if (completedAt > since || !canComplete) {
+            watchProgress(placement, m_relay.services.timers.now());
+            return;
+        }
+        // The call needs at least this time, so that engines that have become slower are abandoned less often.
+        m_relay.services.speeds.recordPrefill(m_relay.service, placement.choice.workTokens, m_relay.services.timers.now() - since);
+        m_relay.abort->interrupt();
+    });
+}
+
+asio::awaitable<Result<PrefillResponse>> PromptPrefill::callEngine(const Placement& placement)
+{
+    const auto& [engine, choice, speed] = placement;
+    auto& services = m_relay.services;
+    auto inFlightWork = services.loadTracker->beginPrefill(engine.id, choice.missingTokens, choice.isDeferred);
+    m_priority = choice.isDeferred ? deferredPriority : onTimePriority;
+    std::vector<uint64_t> parts;
+    for (size_t i = 0; i + 1 < m_prompt.parts.size(); ++i)
+        parts.push_back(m_prompt.parts[i].id);
+    services.loadTracker->recordSentParts(engine.id, parts);
+    ReplicaCall call { m_relay.request, engine.id, engine.address, m_relay.remaining() };
+    call.abort = m_relay.abort;
+    call.priority = m_priority;
+    auto startedAt = services.timers.now();
+    watchProgress(placement, startedAt);
+    auto response = co_await services.replicaClient.prefill(std::move(call));
+    m_progressTimer.cancel();
+    auto elapsed = services.timers.now() - startedAt;
+    if (response) {
+        m_time = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
+        services.speeds.recordPrefill(m_relay.service, choice.workTokens, elapsed);
+        auto slowdown = speed ? toSeconds(elapsed) / toSeconds(expectedPrefillTime(*speed, choice.workTokens)) : 1;
+        m_relay.recordAttemptSuccess(engine.id, startedAt, slowdown);
+    }
+    co_return response;
+}
+
+void PromptPrefill::recordFailure(const Placement& placement, const Error& error, bool isRetry)
+{
+    // A prefill does not execute the request, whatever the kind of its error.
+    const auto& engine = placement.engine;
+    auto& services = m_relay.services;
+    m_relay.excluded.insert(engine.id);
+    services.log.write(EventId::PrefillFailed, { { "request", m_relay.request.id }, { "replica", engine.id }, { "kind", describe(error.kind).name }, { "detail", error.detail } });
+    if (error.kind == ErrorKind::Overloaded) {
+        if (!isRetry)
+            services.budgets.chargeRejection(m_relay.service);
+        services.loadTracker->recordRefusal(engine.id, engine.slots);
+    } else if (!m_relay.isOver())
+        services.loadTracker->recordFailure(engine.id);
+}
+
+asio::awaitable<Result<std::optional<CacheHandle>>> PromptPrefill::run()
+{
+    auto& services = m_relay.services;
+    for (uint32_t calls = 0; calls < maximumCalls && !m_relay.isOver(); ++calls) {
+        auto isRetry = !std::exchange(m_isFirstCall, false);
+        auto placement = findEngine();
+        // Without a prefill engine the decode engine processes the prompt.
+        if (!placement)
+            co_return std::nullopt;
+        const auto& [engine, choice, speed] = *placement;
+        if (choice.expectedTime && *choice.expectedTime > m_relay.remaining())
+            co_return saturatedError("the prefill engines are saturated: expected prefill time " + std::to_string(millisecondsOf(*choice.expectedTime)) + " ms, time left " + std::to_string(millisecondsOf(m_relay.remaining())) + " ms");
+        if (isRetry && !services.budgets.tryTakeRetry(m_relay.service))
+            co_return std::nullopt;
+        services.log.write(EventId::PrefillPlaced, { { "request", m_relay.request.id }, { "replica", engine.id }, { "missing", choice.missingTokens }, { "queued", choice.workTokens - choice.missingTokens }, { "expected_ms", millisecondsOf(choice.expectedTime) }, { "deferred", choice.isDeferred ? 1 : 0 } });
+        auto response = co_await callEngine(*placement);
+        if (response)
+            co_return response->handle;
+        recordFailure(*placement, response.error(), isRetry);
+    }
+    co_return saturatedError("no prefill engine accepted the prompt");
+}
+
+} // namespace chestnut
--- /dev/null
+++ b/modules/gateway/requests/PromptPrefill.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "gateway/requests/RelayContext.h"
+
+namespace chestnut {
+
+/** Runs the prefill of one request on prefill engines, before its decode. */
+class PromptPrefill {
+public:
+    /** The request has a prompt. */
+    explicit PromptPrefill(RelayContext&);
+
+    /** Runs the prefill. Returns nothing when the decode engine has to process the prompt, and fails when no engine can
+        complete the prefill in time. */
+    asio::awaitable<Result<std::optional<CacheHandle>>> run();
+
+    /** Priority of the request at the engines; absent before the first call. */
+    std::optional<uint32_t> priority() const { return m_priority; }
+    /** Duration of the last completed call. */
+    std::chrono::milliseconds time() const { return m_time; }
+
+private:
+    struct Placement {
+        ReplicaEntry engine;
+        PrefillChoice choice;
+        std::optional<PrefillSpeed> speed; /**< at the time of the choice */
+    };
+
+    std::optional<Placement> findEngine() const;
+    asio::awaitable<Result<PrefillResponse>> callEngine(const Placement&);
+    /** Interrupts a call that takes far longer than expected, if its engine completes no other work either and another engine
+        can still complete the prefill in time. */
+    void watchProgress(const Placement&, TimePoint since);
+    void recordFailure(const Placement&, const Error&, bool isRetry);
+
+    RelayContext& m_relay;
+    const PromptShape& m_prompt;
+    std::optional<uint32_t> m_priority;
+    std::chrono::milliseconds m_time { 0 };
+    TimerSubscription m_progressTimer;
+    bool m_isFirstCall = true; /**< the retry budget counts later calls as retries */
+};
+
+} // namespace chestnut
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -10,6 +10,8 @@
 
     /** Retry-After of a refusal whose error specifies no time. */
     constexpr std::chrono::milliseconds defaultRetryAfter { 400 };
+    /** Retry-After of a refusal for lack of capacity: the queues change within this time. */
+    constexpr std::chrono::milliseconds saturatedRetryAfter { 500 };
 
     Duration timeAllowed(const RoutedRequest& request, const Route& route)
     {
@@ -177,6 +179,13 @@
     return makeError(ErrorKind::NoBackend, "the request has crashed the replicas that ran it");
 }
 
+Error saturatedError(std::string detail)
+{
+    auto error = makeError(ErrorKind::Overloaded, std::move(detail));
+    error.retryAfter = saturatedRetryAfter;
+    return error;
+}
+
 asio::awaitable<void> sendErrorResponse(HttpResponseWriter& writer, const RequestId& request, const Error& error)
 {
     const auto& description = describe(error.kind);
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -4,6 +4,7 @@
 #include "decisions/routes/RouteTable.h"
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/replicas/ReplicaDirectory.h"
+#include "gateway/replicas/SpeedTracker.h"
 #include "gateway/requests/CrashTracker.h"
 #include "gateway/requests/ReplicaClient.h"
 #include "http/server/HttpServer.h"
@@ -42,6 +43,7 @@
     ReplicaClient& replicaClient;
     ReplicaDirectory& replicas;
     std::shared_ptr<LoadTracker> loadTracker;
+    SpeedTracker& speeds;
     CrashTracker& crashTracker;
     RetryBudgets& budgets;
     AvailabilityZone zone;
@@ -110,6 +112,9 @@
 /** The error for a request that has crashed the replicas that ran it. */
 Error crashingRequestError();
 
+/** The refusal of a request for which the engines have no capacity before its deadline. */
+Error saturatedError(std::string detail);
+
 /** Sends an error response, with a Retry-After header if the client may retry. */
 asio::awaitable<void> sendErrorResponse(HttpResponseWriter&, const RequestId&, const Error&);
 
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -46,6 +46,7 @@
     : m_dependencies(std::move(dependencies))
     , m_settings(std::move(settings))
     , m_loadTracker(std::make_shared<LoadTracker>(m_dependencies.timers, m_dependencies.log))
+    , m_speeds(m_dependencies.timers)
     , m_crashTracker(m_dependencies.timers)
     , m_ownKeys(std::make_shared<StoreMirror>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::string(ownKeyPrefix), [this] { return m_exchange.receivesStoreChanges() ? memberPause : ownKeysPause; }))
     , m_daemons(std::make_shared<DaemonDirectory>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_settings.self, [this] { restartWatches(); }))
@@ -53,9 +54,9 @@
           m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_loadTracker, std::move(formats.replicaPrefix), std::move(formats.decodeReplica), [this] { return m_exchange.receivesStoreChanges() ? memberPause : replicasPause; }, [daemons = m_daemons] { return daemons->isStoreUnavailable(); })
     , m_routing(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::move(formats.configurationKey), std::move(formats.decodeConfiguration), m_dependencies.onConfiguration)
     , m_budgets(m_dependencies.timers, *m_daemons, m_settings.bounds.retryBudget)
-    , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_loadTracker, m_crashTracker, m_replicas)
+    , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_loadTracker, m_speeds, m_crashTracker, m_replicas)
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
-    , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_crashTracker, m_budgets, m_settings.self.zone }
+    , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_crashTracker, m_budgets, m_settings.self.zone }
 {
 }
 
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -80,6 +80,7 @@
     GatewayDependencies m_dependencies;
     GatewaySettings m_settings;
     std::shared_ptr<LoadTracker> m_loadTracker;
+    SpeedTracker m_speeds;
     CrashTracker m_crashTracker;
     std::shared_ptr<StoreMirror> m_ownKeys;
     std::shared_ptr<DaemonDirectory> m_daemons;
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 
 namespace chestnut {
 
@@ -66,6 +67,17 @@
     Duration delay {};
 };
 
+/** Speed and prompt cache of the fake prefill engines. Each serves one prompt after the other, also those of aborted calls. */
+struct FakePrefillModel {
+    double tokensPerMillisecond = 100;
+    Duration fixedTime = std::chrono::milliseconds(2);
+    double tokensRead = 0; /**< by all engines */
+    double tokensInVain = 0; /**< of aborted calls */
+    std::map<ReplicaId, TimePoint> freeAt;
+    std::map<ReplicaId, std::set<uint64_t>> cachedParts;
+    std::set<ReplicaId> unresponsive; /**< accept calls and never respond */
+};
+
 /** Fake replicas with scripted responses. An aborted call fails like a broken connection. */
 class FakeReplicaClient final : public ReplicaClient {
 public:
@@ -84,6 +96,7 @@
 
     std::map<ReplicaId, std::deque<ScriptedResponse>> scripts; /**< the last response of a script is repeated */
     std::map<ReplicaId, std::optional<Error>> prefillErrors;
+    std::optional<FakePrefillModel> prefillModel; /**< absent: prefills respond immediately */
     std::map<ReplicaId, EngineReport> reports;
     std::vector<Sent> sent;
     std::vector<ReplicaId> prefills;
@@ -98,6 +111,10 @@
 
 private:
     ScriptedResponse nextResponse(const ReplicaId&);
+    /** Waits until a time; returns false when the call is aborted before. */
+    asio::awaitable<bool> waitUntil(TimePoint, std::shared_ptr<AbortHandle>);
+    /** Reads the missing parts of the prompt; returns when the engine has done so. */
+    TimePoint queuePrefill(const ReplicaCall&, double& missingTokens);
 
     VirtualTimerService& m_timers;
 };
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -28,6 +28,8 @@
     return response;
 }
 
+constexpr double prefillTokensPerMillisecond = 300;
+
 /** Two prefill and two decode engines; i-d1 is in the daemon's zone and therefore preferred. */
 struct Engines : GatewayFixture {
     Engines()
@@ -143,6 +145,8 @@
 TEST_CASE("no prefill starts while the decode engines are saturated")
 {
     Engines fixture;
+    // 20 requests at 8 slots: a slot becomes free after more than the 2 s that the request has.
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 1500ms);
     std::vector<LoadTracker::InFlightWork> inFlight;
     for (const auto* id : { "i-d1", "i-d2" }) {
         for (int i = 0; i < 10; ++i)
@@ -158,6 +162,7 @@
 TEST_CASE("a request whose prefill cannot end before its deadline is refused immediately")
 {
     Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
     std::vector<LoadTracker::InFlightWork> inFlight;
     for (const auto* id : { "i-p1", "i-p2" })
         inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 3 * 1000 * prefillTokensPerMillisecond, true));
@@ -172,6 +177,7 @@
 TEST_CASE("a request that will miss its latency objective gets a lower priority than one that can meet it")
 {
     Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
     std::vector<LoadTracker::InFlightWork> inFlight;
     for (const auto* id : { "i-p1", "i-p2" })
         inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 300 * prefillTokensPerMillisecond, false));
@@ -208,6 +214,7 @@
 TEST_CASE("a stalled stream is resumed at another engine, but not while its engine is full")
 {
     Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
     auto stalled = stream({ event(1) });
     stalled.delay = 1900ms;
     fixture.script("i-d1", { stalled });
