Keep the bound of decode work at a multiple of the slots; add the objectives to the prefill limit

Change: expectedSlotWait reports no wait beyond 2.5 times the slots; prefillWaitLimit adds three objectives instead of taking the maximum.

--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -11,6 +11,9 @@
 
     /** Extra weight of a repeated prefill of shared parts: it also delays all requests queued behind. */
     constexpr double repeatedPrefillWeight = 2;
+    /** Work at all replicas, as a multiple of their slots, beyond which they are full. Engines queue only some requests beyond
+        their slots and refuse more, and a prompt whose decode is refused has been read in vain. */
+    constexpr double fullSlotMultiple = 2.5;
     /** Compares engines by their tokens while their speed is unknown. */
     constexpr PrefillSpeed unknownSpeed { 1, 0 };
 
@@ -118,7 +121,7 @@
         slots += view.slots;
         requests += view.requests;
     }
-    if (slots == 0)
+    if (requests >= slots * fullSlotMultiple)
         return std::nullopt;
     return fromSeconds(std::max(requests + 1 - slots, 0.0) / slots * toSeconds(occupancy));
 }
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -76,7 +76,7 @@
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView>, const AvailabilityZone& ownZone);
 
 /** Expected time until a slot is free for a further request, when each request occupies a slot for `occupancy`. Nothing when
-    all replicas are ejected, full or there is none. */
+    all replicas are ejected or full, or there is none. */
 std::optional<Duration> expectedSlotWait(std::span<const PlacementView>, Duration occupancy);
 
 } // namespace chestnut
--- a/modules/decisions/speeds/WaitLimits.cpp
+++ b/modules/decisions/speeds/WaitLimits.cpp
@@ -34,7 +34,9 @@
 
 std::optional<Duration> prefillWaitLimit(std::optional<Duration> expected, Duration latencyObjective)
 {
-    return limitOf(expected, prefillMultiple, latencyObjective * prefillObjectives);
+    if (!expected)
+        return std::nullopt;
+    return *expected * prefillMultiple + latencyObjective * prefillObjectives;
 }
 
 std::optional<Duration> firstEventWaitLimit(const ServiceSpeed& speed, Duration latencyObjective)
