--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-    /** Extra weight of a repeated prefill of shared parts: it also delays all requests queued behind. */
-    constexpr double repeatedPrefillWeight = 2;
+    /** Bounds of the extra weight of a repeated prefill of shared parts. */
+    constexpr double leastRepeatedWeight = 0.3;
+    constexpr double mostRepeatedWeight = 3;
     /** Work at all replicas, as a multiple of their slots, beyond which they are full. Engines queue only some requests beyond
         their slots and refuse more, and a prompt whose decode is refused has been read in vain. */
     constexpr double fullSlotMultiple = 2.5;
@@ -41,6 +42,15 @@
         return home;
     }
 
+    /** Extra weight of a repeated prefill of shared parts, as it also delays the requests queued behind: ρ / (1 - ρ), the
+        length of a queue at the utilization ρ, which is the share of the engines that have work. */
+    double repeatedWeight(std::span<const PlacementView> views)
+    {
+        auto busy = static_cast<double>(std::ranges::count_if(views, [](const auto& view) { return view.prefillTokens + view.deferredTokens > 0; }));
+        auto idle = static_cast<double>(views.size()) - busy;
+        return std::clamp(busy / std::max(idle, 1.0), leastRepeatedWeight, mostRepeatedWeight);
+    }
+
     bool isUsable(const PlacementView& view)
     {
         return !view.isEjected && (view.requestsAtRefusal == 0 || view.requests < view.requestsAtRefusal);
@@ -52,6 +62,7 @@
         auto key = sharingKey(prompt);
         auto shared = sharedTokens(prompt);
         auto home = key == 0 ? std::nullopt : homeOf(key, views);
+        auto weight = repeatedWeight(views);
         std::optional<PrefillChoice> choice;
         auto best = std::numeric_limits<double>::max();
         for (size_t i = 0; i < views.size(); ++i) {
@@ -62,7 +73,7 @@
             auto missing = prompt.promptTokens - cached;
             auto queued = view.prefillTokens + (isDeferred ? view.deferredTokens : 0);
             auto repeated = missing - (prompt.promptTokens - shared);
-            auto cost = (queued + missing + repeated * repeatedPrefillWeight) * view.slowdown;
+            auto cost = (queued + missing + repeated * weight) * view.slowdown;
             if (cost >= best)
                 continue;
             best = cost;
