Rank prefills by their objectives: prompts with a long objective wait behind those with a short one

Change: PrefillRank urgent, relaxed, deferred in place of one flag; an urgent prompt counts relaxed tokens half in its placement.

--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -15,6 +15,11 @@
     /** Work at all replicas, as a multiple of their slots, beyond which they are full. Engines queue only some requests beyond
         their slots and refuse more, and a prompt whose decode is refused has been read in vain. */
     constexpr double fullSlotMultiple = 2.5;
+    /** An objective of this multiple of the shortest one leaves time to wait behind requests with that one. */
+    constexpr double relaxedObjectiveMultiple = 1.5;
+    /** Weight of relaxed tokens in the placement of an urgent prompt: one of their prefills may be running, and the rest is
+        delayed. Deferred ones have nothing to lose. */
+    constexpr double yieldingWeight = 0.5;
     /** Compares engines by their tokens while their speed is unknown. */
     constexpr PrefillSpeed unknownSpeed { 1, 0 };
 
@@ -46,7 +51,7 @@
         length of a queue at the utilization ρ, which is the share of the engines that have work. */
     double repeatedWeight(std::span<const PlacementView> views)
     {
-        auto busy = static_cast<double>(std::ranges::count_if(views, [](const auto& view) { return view.prefillTokens + view.deferredTokens > 0; }));
+        auto busy = static_cast<double>(std::ranges::count_if(views, [](const auto& view) { return tokensBefore(view.queued, PrefillRank::Deferred) > 0; }));
         auto idle = static_cast<double>(views.size()) - busy;
         return std::clamp(busy / std::max(idle, 1.0), leastRepeatedWeight, mostRepeatedWeight);
     }
@@ -56,8 +61,8 @@
         return !view.isEjected && (view.requestsAtRefusal == 0 || view.requests < view.requestsAtRefusal);
     }
 
-    /** The engine that ends the prefill first, queued behind the work that is not deferred or behind all work. */
-    std::optional<PrefillChoice> earliestEngine(const PromptShape& prompt, std::span<const PlacementView> views, const PrefillSpeed& speed, bool isDeferred)
+    /** The engine that ends a prefill of the rank first. */
+    std::optional<PrefillChoice> earliestEngine(const PromptShape& prompt, std::span<const PlacementView> views, const PrefillSpeed& speed, PrefillRank rank)
     {
         auto key = sharingKey(prompt);
         auto shared = sharedTokens(prompt);
@@ -71,36 +76,81 @@
                 continue;
             auto cached = home == i ? shared : std::min(view.cachedTokens, shared);
             auto missing = prompt.promptTokens - cached;
-            auto queued = view.prefillTokens + (isDeferred ? view.deferredTokens : 0);
+            auto queued = tokensBefore(view.queued, rank);
             auto repeated = missing - (prompt.promptTokens - shared);
-            auto cost = (queued + missing + repeated * weight) * view.slowdown;
+            auto yielding = rank == PrefillRank::Urgent ? view.queued.relaxed * yieldingWeight : 0;
+            auto cost = (queued + missing + yielding + repeated * weight) * view.slowdown;
             if (cost >= best)
                 continue;
             best = cost;
             auto expected = toSeconds(expectedPrefillTime(speed, queued + missing)) * view.slowdown;
-            choice = PrefillChoice { i, missing, queued + missing, fromSeconds(expected), isDeferred };
+            choice = PrefillChoice { i, missing, queued + missing, fromSeconds(expected), rank };
         }
         return choice;
     }
 
 } // namespace
 
+QueuedTokens& QueuedTokens::operator+=(const QueuedTokens& other)
+{
+    urgent += other.urgent;
+    relaxed += other.relaxed;
+    deferred += other.deferred;
+    return *this;
+}
+
+QueuedTokens& QueuedTokens::operator-=(const QueuedTokens& other)
+{
+    urgent = std::max(urgent - other.urgent, 0.0);
+    relaxed = std::max(relaxed - other.relaxed, 0.0);
+    deferred = std::max(deferred - other.deferred, 0.0);
+    return *this;
+}
+
+QueuedTokens queuedTokens(double tokens, PrefillRank rank)
+{
+    switch (rank) {
+    case PrefillRank::Urgent:
+        return { tokens, 0, 0 };
+    case PrefillRank::Relaxed:
+        return { 0, tokens, 0 };
+    case PrefillRank::Deferred:
+        break;
+    }
+    return { 0, 0, tokens };
+}
+
+double tokensBefore(const QueuedTokens& queued, PrefillRank rank)
+{
+    auto tokens = queued.urgent;
+    if (rank != PrefillRank::Urgent)
+        tokens += queued.relaxed;
+    if (rank == PrefillRank::Deferred)
+        tokens += queued.deferred;
+    return tokens;
+}
+
+PrefillRank rankOnTime(Duration latencyObjective, Duration shortestObjective)
+{
+    return toSeconds(latencyObjective) >= toSeconds(shortestObjective) * relaxedObjectiveMultiple ? PrefillRank::Relaxed : PrefillRank::Urgent;
+}
+
 uint64_t sharingKey(const PromptShape& prompt)
 {
     return prompt.parts.size() < 2 ? 0 : prompt.parts[prompt.parts.size() - 2].id;
 }
 
-std::optional<PrefillChoice> choosePrefillEngine(const PromptShape& prompt, std::span<const PlacementView> views, const std::optional<PrefillSpeed>& speed, Duration onTime)
+std::optional<PrefillChoice> choosePrefillEngine(const PromptShape& prompt, std::span<const PlacementView> views, const std::optional<PrefillSpeed>& speed, Duration onTime, PrefillRank onTimeRank)
 {
     if (!speed) {
-        auto choice = earliestEngine(prompt, views, unknownSpeed, false);
+        auto choice = earliestEngine(prompt, views, unknownSpeed, onTimeRank);
         if (choice)
             choice->expectedTime.reset();
         return choice;
     }
-    if (auto choice = earliestEngine(prompt, views, *speed, false); choice && choice->expectedTime <= onTime)
+    if (auto choice = earliestEngine(prompt, views, *speed, onTimeRank); choice && choice->expectedTime <= onTime)
         return choice;
-    return earliestEngine(prompt, views, *speed, true);
+    return earliestEngine(prompt, views, *speed, PrefillRank::Deferred);
 }
 
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView> views, const AvailabilityZone& ownZone)
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -33,14 +33,40 @@
 /** Id of the last part that other requests share; zero when none does. Requests with equal keys have the same home engine. */
 uint64_t sharingKey(const PromptShape&);
 
+/** The order in which an engine serves prefills. */
+enum class PrefillRank : uint8_t {
+    Urgent, /**< its objective is among the shortest of the service */
+    Relaxed, /**< its objective is much longer, and it can be on time behind urgent ones */
+    Deferred, /**< it cannot be on time and must not delay those that can */
+};
+
+/** Tokens that wait for their prefill at an engine, by rank. */
+struct QueuedTokens {
+    double urgent = 0;
+    double relaxed = 0;
+    double deferred = 0;
+
+    QueuedTokens& operator+=(const QueuedTokens&);
+    /** Each count stays at zero at least. */
+    QueuedTokens& operator-=(const QueuedTokens&);
+    bool operator==(const QueuedTokens&) const = default;
+};
+
+QueuedTokens queuedTokens(double tokens, PrefillRank);
+
+/** Tokens that an engine processes before a prefill of the rank. */
+double tokensBefore(const QueuedTokens&, PrefillRank);
+
+/** The rank of prefills that can be on time, from the latency objective of their route and the shortest one of the service. */
+PrefillRank rankOnTime(Duration latencyObjective, Duration shortestObjective);
+
 /** View of one replica that a daemon places a request with. Counts cover the work of all daemons. */
 struct PlacementView {
     ReplicaId id;
     AvailabilityZone zone;
     uint32_t slots = 1;
     uint32_t requests = 0; /**< in flight */
-    double prefillTokens = 0; /**< sent and not yet prefilled, of requests that can be on time */
-    double deferredTokens = 0; /**< the same of requests that will be late anyway and are prefilled after the others */
+    QueuedTokens queued; /**< sent and not yet prefilled */
     uint32_t requestsAtRefusal = 0; /**< requests in flight at which the replica refused more; zero: unknown */
     double slowdown = 1; /**< observed time over expected time */
     uint32_t cachedTokens = 0; /**< estimate for the shared parts of this prompt */
@@ -54,7 +80,7 @@
     uint32_t missingTokens = 0; /**< to be prefilled, as they are not cached */
     double workTokens = 0; /**< the missing tokens and those queued before them */
     std::optional<Duration> expectedTime; /**< until the end of the prefill; absent while the speed is unknown */
-    bool isDeferred = false; /**< it cannot be on time and is queued behind those that can */
+    PrefillRank rank = PrefillRank::Urgent;
 
     bool operator==(const PrefillChoice&) const = default;
 };
@@ -63,9 +89,9 @@
     that daemons agree without messages; the home is assumed to have the shared parts cached. When the home has more work
     queued than another prefill of the shared parts costs, the next engine takes the prompt. For peaks of demand above the
     capacity: a request whose prefill cannot end within `onTime` is deferred, so that those behind it that still can be on
-    time are not late as well. While the speed is unknown, engines are compared by their tokens and nothing is deferred.
+    time are not late as well; the others have the rank `onTimeRank`. While the speed is unknown, engines are compared by their tokens and nothing is deferred.
     Nothing when all engines are ejected or full, or there is none. */
-std::optional<PrefillChoice> choosePrefillEngine(const PromptShape&, std::span<const PlacementView>, const std::optional<PrefillSpeed>&, Duration onTime);
+std::optional<PrefillChoice> choosePrefillEngine(const PromptShape&, std::span<const PlacementView>, const std::optional<PrefillSpeed>&, Duration onTime, PrefillRank onTimeRank = PrefillRank::Urgent);
 
 /** Added to the occupancy of a replica in another availability zone, as a share of its slots. The request body then crosses
     zones once more, which is billed. */
--- a/modules/decisions/routes/RouteTable.cpp
+++ b/modules/decisions/routes/RouteTable.cpp
@@ -30,6 +30,14 @@
         std::ranges::stable_sort(routes, longerPrefix);
     for (size_t i = 0; i < m_configuration.services.size(); ++i)
         m_services[m_configuration.services[i].id] = i;
+    for (const auto& route : m_configuration.routes) {
+        if (route.kind != RouteKind::Streaming)
+            continue;
+        for (const auto& share : route.shares) {
+            auto [shortest, isNew] = m_shortestObjectives.try_emplace(share.service, route.latencyObjective);
+            shortest->second = std::min(shortest->second, route.latencyObjective);
+        }
+    }
 }
 
 const Route* RouteTable::find(std::string_view host, std::string_view path) const
@@ -50,6 +58,12 @@
     return found == m_services.end() ? nullptr : &m_configuration.services[found->second];
 }
 
+Duration RouteTable::shortestObjective(const ServiceId& id) const
+{
+    auto found = m_shortestObjectives.find(id);
+    return found == m_shortestObjectives.end() ? Duration::zero() : found->second;
+}
+
 const ServiceId& serviceFor(const Route& route, uint64_t hash)
 {
     assert(!route.shares.empty());
--- a/modules/decisions/routes/RouteTable.h
+++ b/modules/decisions/routes/RouteTable.h
@@ -94,12 +94,15 @@
     const Route* find(std::string_view host, std::string_view path) const;
 
     const ServiceProfile* service(const ServiceId&) const;
+    /** The shortest latency objective of the streaming routes to a service; zero when there is none. */
+    Duration shortestObjective(const ServiceId&) const;
     const RoutingConfiguration& configuration() const { return m_configuration; }
 
 private:
     RoutingConfiguration m_configuration;
     std::unordered_map<std::string, std::vector<size_t>> m_routesOfHost; /**< longest prefix first */
     std::unordered_map<ServiceId, size_t> m_services;
+    std::unordered_map<ServiceId, Duration> m_shortestObjectives;
 };
 
 /** The service for one request: shares are weighted, equal hashes get equal services. Asserts that there is a share. */
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -45,8 +45,7 @@
             if (own == part.end())
                 continue;
             work.requests -= std::min(work.requests, own->requests);
-            work.prefillTokens = std::max(work.prefillTokens - own->prefillTokens, 0.0);
-            work.deferredTokens = std::max(work.deferredTokens - own->deferredTokens, 0.0);
+            work.queued -= own->queued;
         }
         return sum;
     }
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -24,7 +24,7 @@
     {
         auto list = json::array();
         for (const auto& item : work)
-            list.push_back({ item.replica.value(), item.requests, static_cast<int64_t>(item.prefillTokens), static_cast<int64_t>(item.deferredTokens) });
+            list.push_back({ item.replica.value(), item.requests, static_cast<int64_t>(item.queued.urgent), static_cast<int64_t>(item.queued.relaxed), static_cast<int64_t>(item.queued.deferred) });
         return list;
     }
 
@@ -89,7 +89,7 @@
     {
         std::vector<ReplicaWork> work;
         for (const auto& item : list)
-            work.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>(), item.at(2).get<double>(), item.at(3).get<double>() });
+            work.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>(), { item.at(2).get<double>(), item.at(3).get<double>(), item.at(4).get<double>() } });
         return work;
     }
 
--- a/modules/gateway/replicas/LoadTracker.cpp
+++ b/modules/gateway/replicas/LoadTracker.cpp
@@ -71,16 +71,14 @@
 {
     auto& sum = m_records[work.replica].*side;
     sum.requests += work.requests;
-    sum.prefillTokens += work.prefillTokens;
-    sum.deferredTokens += work.deferredTokens;
+    sum.queued += work.queued;
 }
 
 void LoadTracker::subtract(const ReplicaWork& work, ReplicaWork Record::*side)
 {
     auto& sum = m_records[work.replica].*side;
     sum.requests -= std::min(sum.requests, work.requests);
-    sum.prefillTokens = std::max(sum.prefillTokens - work.prefillTokens, 0.0);
-    sum.deferredTokens = std::max(sum.deferredTokens - work.deferredTokens, 0.0);
+    sum.queued -= work.queued;
 }
 
 LoadTracker::InFlightWork LoadTracker::beginWork(ReplicaWork work)
@@ -91,12 +89,12 @@
 
 LoadTracker::InFlightWork LoadTracker::begin(const ReplicaId& replica)
 {
-    return beginWork({ replica, 1, 0, 0 });
+    return beginWork({ replica, 1, {} });
 }
 
-LoadTracker::InFlightWork LoadTracker::beginPrefill(const ReplicaId& replica, double tokens, bool isDeferred)
+LoadTracker::InFlightWork LoadTracker::beginPrefill(const ReplicaId& replica, double tokens, PrefillRank rank)
 {
-    return beginWork({ replica, 1, isDeferred ? 0 : tokens, isDeferred ? tokens : 0 });
+    return beginWork({ replica, 1, queuedTokens(tokens, rank) });
 }
 
 const LoadTracker::Record* LoadTracker::find(const ReplicaId& replica) const
@@ -113,7 +111,8 @@
     auto now = m_timers.now();
     const auto& [own, peers] = std::tie(record->own, record->peers);
     ReplicaObservation observation;
-    observation.work = { replica, own.requests + peers.requests, own.prefillTokens + peers.prefillTokens, own.deferredTokens + peers.deferredTokens };
+    observation.work = { replica, own.requests + peers.requests, own.queued };
+    observation.work.queued += peers.queued;
     observation.requestsAtRefusal = now < record->refusalValidUntil ? record->requestsAtRefusal : 0;
     observation.slowdown = record->slowdown;
     observation.isEjected = now < record->ejectedUntil;
@@ -126,7 +125,7 @@
     std::vector<ReplicaWork> work;
     for (const auto& [replica, record] : m_records) {
         if (record.own.requests > 0)
-            work.push_back({ replica, record.own.requests, record.own.prefillTokens, record.own.deferredTokens });
+            work.push_back({ replica, record.own.requests, record.own.queued });
     }
     return work;
 }
@@ -139,8 +138,7 @@
             auto& sum = sums[item.replica];
             sum.replica = item.replica;
             sum.requests += item.requests;
-            sum.prefillTokens += item.prefillTokens;
-            sum.deferredTokens += item.deferredTokens;
+            sum.queued += item.queued;
         }
     };
     addAll(ownWork());
--- a/modules/gateway/replicas/LoadTracker.h
+++ b/modules/gateway/replicas/LoadTracker.h
@@ -2,6 +2,7 @@
 
 #include "base/ids/StrongId.h"
 #include "base/time/TimePoint.h"
+#include "decisions/placement/PromptPlacement.h"
 #include "kernel/logging/Log.h"
 #include "kernel/timers/TimerService.h"
 
@@ -16,8 +17,7 @@
 struct ReplicaWork {
     ReplicaId replica;
     uint32_t requests = 0;
-    double prefillTokens = 0; /**< of requests that can meet their latency objective */
-    double deferredTokens = 0; /**< of requests with lower priority, as they will miss it */
+    QueuedTokens queued;
 
     bool operator==(const ReplicaWork&) const = default;
 };
@@ -64,7 +64,7 @@
 
     [[nodiscard]] InFlightWork begin(const ReplicaId&);
     /** Counts a prefill at an engine. */
-    [[nodiscard]] InFlightWork beginPrefill(const ReplicaId&, double tokens, bool isDeferred);
+    [[nodiscard]] InFlightWork beginPrefill(const ReplicaId&, double tokens, PrefillRank);
 
     ReplicaObservation observe(const ReplicaId&) const;
     uint32_t requestsAt(const ReplicaId& replica) const { return observe(replica).work.requests; }
--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -2,13 +2,14 @@
 
 #include "decisions/speeds/WaitLimits.h"
 
+#include <array>
+
 namespace chestnut {
 
 namespace {
 
     /** Priorities at the engines: requests that can meet their objective precede those that will miss it. */
-    constexpr uint32_t onTimePriority = 4;
-    constexpr uint32_t deferredPriority = 7;
+    constexpr std::array<uint32_t, 3> priorityOfRank { 4, 5, 7 };
     constexpr uint32_t maximumCalls = 2;
 
     int64_t millisecondsOf(Duration duration)
@@ -44,7 +45,7 @@
     auto speed = services.speeds.speedOf(m_relay.service);
     auto elapsed = services.timers.now() - m_relay.request.arrival;
     auto onTime = m_relay.route.latencyObjective - elapsed - speed.firstEvent.value_or(Duration::zero());
-    auto choice = choosePrefillEngine(m_prompt, views, speed.prefill, onTime);
+    auto choice = choosePrefillEngine(m_prompt, views, speed.prefill, onTime, rankOnTime(m_relay.route.latencyObjective, m_relay.table->shortestObjective(m_relay.service)));
     if (!choice)
         return std::nullopt;
     return Placement { *entries[choice->index], *choice, speed.prefill };
@@ -76,8 +77,8 @@
 {
     const auto& [engine, choice, speed] = placement;
     auto& services = m_relay.services;
-    auto inFlightWork = services.loadTracker->beginPrefill(engine.id, choice.missingTokens, choice.isDeferred);
-    m_priority = choice.isDeferred ? deferredPriority : onTimePriority;
+    auto inFlightWork = services.loadTracker->beginPrefill(engine.id, choice.missingTokens, choice.rank);
+    m_priority = priorityOfRank.at(static_cast<size_t>(choice.rank));
     std::vector<uint64_t> parts;
     for (size_t i = 0; i + 1 < m_prompt.parts.size(); ++i)
         parts.push_back(m_prompt.parts[i].id);
@@ -128,7 +129,7 @@
             co_return saturatedError("the prefill engines are saturated: expected prefill time " + std::to_string(millisecondsOf(*choice.expectedTime)) + " ms, time left " + std::to_string(millisecondsOf(m_relay.remaining())) + " ms");
         if (isRetry && !services.budgets.tryTakeRetry(m_relay.service))
             co_return std::nullopt;
-        services.log.write(EventId::PrefillPlaced, { { "request", m_relay.request.id }, { "replica", engine.id }, { "missing", choice.missingTokens }, { "queued", choice.workTokens - choice.missingTokens }, { "expected_ms", millisecondsOf(choice.expectedTime) }, { "deferred", choice.isDeferred ? 1 : 0 } });
+        services.log.write(EventId::PrefillPlaced, { { "request", m_relay.request.id }, { "replica", engine.id }, { "missing", choice.missingTokens }, { "queued", choice.workTokens - choice.missingTokens }, { "expected_ms", millisecondsOf(choice.expectedTime) }, { "rank", static_cast<int>(choice.rank) } });
         auto response = co_await callEngine(*placement);
         if (response)
             co_return response->handle;
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -148,8 +148,7 @@
     view.zone = entry.zone;
     view.slots = entry.slots;
     view.requests = observation.work.requests;
-    view.prefillTokens = observation.work.prefillTokens;
-    view.deferredTokens = observation.work.deferredTokens;
+    view.queued = observation.work.queued;
     view.requestsAtRefusal = observation.requestsAtRefusal;
     view.slowdown = observation.slowdown;
     view.isEjected = observation.isEjected;
--- a/tests/decisions/PromptPlacementTest.cpp
+++ b/tests/decisions/PromptPlacementTest.cpp
@@ -83,11 +83,11 @@
     for (double now = gap(random); now < length; now += gap(random)) {
         for (size_t i = 0; i < engineCount; ++i) {
             onTime += queues[i].runUntil(now, objective);
-            views[i].prefillTokens = queues[i].queuedTokens(false);
-            views[i].deferredTokens = queues[i].queuedTokens(true);
+            views[i].queued.urgent = queues[i].queuedTokens(false);
+            views[i].queued.deferred = queues[i].queuedTokens(true);
         }
         auto choice = choosePrefillEngine(promptOf(random() % 100'000), views, speed, mayDefer ? Duration(100ms) : Duration(1h));
-        queues[choice->index].jobs.push_back({ now, choice->missingTokens / speed.tokensPerMillisecond, choice->isDeferred });
+        queues[choice->index].jobs.push_back({ now, choice->missingTokens / speed.tokensPerMillisecond, choice->rank == PrefillRank::Deferred });
         ++requests;
     }
     for (auto& queue : queues)
@@ -126,9 +126,9 @@
 {
     auto views = engines(4);
     auto home = choosePrefillEngine(promptOf(7), views, speed, 1s)->index;
-    views[home].prefillTokens = 6300;
+    views[home].queued.urgent = 6300;
     CHECK(choosePrefillEngine(promptOf(7), views, speed, 1s)->index == home);
-    views[home].prefillTokens = 60'000;
+    views[home].queued.urgent = 60'000;
     auto other = choosePrefillEngine(promptOf(7), views, speed, 1s);
     CHECK(other->index != home);
     CHECK(other->missingTokens == 9190);
@@ -201,11 +201,11 @@
     auto views = engines(4);
     auto home = choosePrefillEngine(promptOf(7), views, {}, 1ms);
     CHECK_FALSE(home->expectedTime.has_value());
-    CHECK_FALSE(home->isDeferred);
-    views[home->index].prefillTokens = 60'000;
+    CHECK(home->rank == PrefillRank::Urgent);
+    views[home->index].queued.urgent = 60'000;
     auto other = choosePrefillEngine(promptOf(7), views, {}, 1ms);
     CHECK(other->index != home->index);
-    CHECK_FALSE(other->isDeferred);
+    CHECK(other->rank == PrefillRank::Urgent);
 }
 
 TEST_CASE("the expected time of the same prompt grows with slower engines")
@@ -214,5 +214,20 @@
     auto fast = choosePrefillEngine(promptOf(7), views, speed, 1s);
     auto slow = choosePrefillEngine(promptOf(7), views, PrefillSpeed { 50, 2 }, 1s);
     CHECK(*slow->expectedTime > *fast->expectedTime * 5);
-    CHECK(choosePrefillEngine(promptOf(7), views, PrefillSpeed { 50, 2 }, 20ms)->isDeferred);
+    CHECK(choosePrefillEngine(promptOf(7), views, PrefillSpeed { 50, 2 }, 20ms)->rank == PrefillRank::Deferred);
+}
+
+// Guards against a long prompt with a long objective that delays a short one with a short objective beyond it.
+TEST_CASE("a prompt with a long objective waits behind those with a short one, which do not wait for it")
+{
+    CHECK(rankOnTime(1200ms, 400ms) == PrefillRank::Relaxed);
+    CHECK(rankOnTime(500ms, 400ms) == PrefillRank::Urgent);
+    CHECK(rankOnTime(150ms, 150ms) == PrefillRank::Urgent);
+    auto views = engines(1);
+    views[0].queued = { 1000, 20'000, 50'000 };
+    CHECK(choosePrefillEngine(promptOf(1), views, speed, 1s, PrefillRank::Urgent)->workTokens == 1000 + 2890);
+    CHECK(choosePrefillEngine(promptOf(1), views, speed, 1s, PrefillRank::Relaxed)->workTokens == 21'000 + 2890);
+    auto late = choosePrefillEngine(promptOf(1), views, speed, 40ms, PrefillRank::Relaxed);
+    CHECK(late->rank == PrefillRank::Deferred);
+    CHECK(late->workTokens == 71'000 + 2890);
 }
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -163,9 +163,9 @@
     fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
     std::vector<LoadTracker::InFlightWork> inFlight;
     for (const auto* id : { "i-p1", "i-p2" })
-        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 3 * 1000 * prefillTokensPerMillisecond, true));
+        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 3 * 1000 * prefillTokensPerMillisecond, PrefillRank::Deferred));
     for (const auto* id : { "i-p1", "i-p2" })
-        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 200 * prefillTokensPerMillisecond, false));
+        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 200 * prefillTokensPerMillisecond, PrefillRank::Urgent));
     FakeWriter writer;
     fixture.runRequest(fixture.single(), writer, fixture.longPrompt(), 10ms);
     CHECK(writer.status == 503);
@@ -178,7 +178,7 @@
     fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
     std::vector<LoadTracker::InFlightWork> inFlight;
     for (const auto* id : { "i-p1", "i-p2" })
-        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 300 * prefillTokensPerMillisecond, false));
+        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 300 * prefillTokensPerMillisecond, PrefillRank::Urgent));
     FakeWriter late;
     fixture.runRequest(fixture.single(), late, fixture.longPrompt(), 10ms);
     inFlight.clear();
--- a/tests/gateway/LoadTrackerTest.cpp
+++ b/tests/gateway/LoadTrackerTest.cpp
@@ -14,13 +14,13 @@
 TEST_CASE("the work of a peer expires when the peer stops sending messages")
 {
     GatewayFixture fixture;
-    auto inFlightWork = fixture.loadTracker->beginPrefill(replica, 100, false);
-    fixture.loadTracker->setPeerWork(DaemonId("d1"), { { replica, 3, 500, 40 } });
-    fixture.loadTracker->setPeerWork(DaemonId("d1"), { { replica, 2, 400, 30 } });
-    CHECK(fixture.loadTracker->observe(replica).work == ReplicaWork { replica, 3, 500, 30 });
+    auto inFlightWork = fixture.loadTracker->beginPrefill(replica, 100, PrefillRank::Urgent);
+    fixture.loadTracker->setPeerWork(DaemonId("d1"), { { replica, 3, { 500, 0, 40 } } });
+    fixture.loadTracker->setPeerWork(DaemonId("d1"), { { replica, 2, { 400, 0, 30 } } });
+    CHECK(fixture.loadTracker->observe(replica).work == ReplicaWork { replica, 3, { 500, 0, 30 } });
     fixture.timers.advance(2s);
     fixture.loadTracker->expirePeers();
-    CHECK(fixture.loadTracker->observe(replica).work == ReplicaWork { replica, 1, 100, 0 });
+    CHECK(fixture.loadTracker->observe(replica).work == ReplicaWork { replica, 1, { 100, 0, 0 } });
     inFlightWork.end();
     CHECK(fixture.loadTracker->requestsAt(replica) == 0);
 }
