Pause attempts to acquire the lease over the engines after a conflict

Change: after a conflict no attempt for 12 s unless the store shows that the key is removed; first attempts spread over 1 s. Test: a daemon with a 10 s pause makes at most 4 calls in 9 s and takes over after the holder has left.

--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -19,6 +19,11 @@
     /** Spreads the attempts of the candidates: a failed one costs two calls, and the others see the first success only a
         second later. */
     constexpr Duration electionSpread = std::chrono::milliseconds(50);
+    /** The least spread: a daemon that has just started knows few of the others. */
+    constexpr Duration leastElectionSpread = std::chrono::seconds(1);
+    /** Pause after a failed attempt because another daemon holds the lease. It is longer than the pause between two watches
+        of a daemon that relies on its collectors, after which that daemon knows the holder. */
+    constexpr Duration conflictPause = std::chrono::seconds(12);
     constexpr Duration adjustPeriod = std::chrono::milliseconds(500);
     constexpr Duration samplePeriod = std::chrono::milliseconds(200);
     /** Weight of a sample in the moving average of the demand. The time constant of eight seconds filters out fluctuations
@@ -50,7 +55,13 @@
     , m_settings(std::move(settings))
     , m_mirror(std::move(mirror))
 {
-    m_mirror->subscribe(std::string(holderKey), { [this](const StoreItem& item) { m_isHeldByAnother = item.value != m_settings.self.value() || item.createdAt != m_fencingNumber; }, [this](const std::string&) { m_isHeldByAnother = false; } });
+    m_mirror->subscribe(std::string(holderKey), { [this](const StoreItem& item) { recordHolder(item.value != m_settings.self.value() || item.createdAt != m_fencingNumber); }, [this](const std::string&) { recordHolder(false); } });
+}
+
+void RoleManager::recordHolder(bool isAnother)
+{
+    m_isHeldByAnother = isAnother;
+    m_nextAttemptAt = {};
 }
 
 void RoleManager::start()
@@ -85,12 +96,17 @@
             co_await m_timers.sleep(renewalPeriod);
             continue;
         }
-        std::uniform_int_distribution<Duration::rep> jitter(0, Duration(electionSpread * m_settings.candidates()).count());
+        std::uniform_int_distribution<Duration::rep> jitter(0, std::max(leastElectionSpread, Duration(electionSpread * m_settings.candidates())).count());
         co_await m_timers.sleep(electionPeriod + Duration(jitter(random)));
-        if (!m_mirror->isListed() || m_mirror->isFailing() || m_isHeldByAnother || m_isStopped)
+        auto mayTry = m_mirror->isListed() && !m_mirror->isFailing() && !m_isHeldByAnother && m_timers.now() >= m_nextAttemptAt;
+        if (!mayTry || m_isStopped)
+            continue;
+        auto acquired = co_await acquire();
+        if (acquired)
             continue;
-        if (auto acquired = co_await acquire(); !acquired)
-            m_log.write(EventId::LeaseNotAcquired, { { "key", holderKey }, { "kind", describe(acquired.error().kind).name }, { "detail", acquired.error().detail } });
+        if (acquired.error().kind == ErrorKind::PlatformConflict)
+            m_nextAttemptAt = m_timers.now() + conflictPause;
+        m_log.write(EventId::LeaseNotAcquired, { { "key", holderKey }, { "kind", describe(acquired.error().kind).name }, { "detail", acquired.error().detail } });
     }
 }
 
--- a/modules/gateway/roles/RoleManager.h
+++ b/modules/gateway/roles/RoleManager.h
@@ -43,6 +43,8 @@
     asio::awaitable<void> manageSplits();
     asio::awaitable<void> adjustSplit(const ServiceProfile&);
     asio::awaitable<void> sendOrder(const ServiceProfile&, StageChange, const DecodeDemand&);
+    /** Records whether another daemon holds the lease, as read from the store. */
+    void recordHolder(bool isAnother);
     bool mayOrder() const;
     void sampleDemand();
     std::vector<SplitEngine> enginesOf(const ServiceId&) const;
@@ -59,6 +61,7 @@
     RoleManagerSettings m_settings;
     std::shared_ptr<StoreMirror> m_mirror;
     bool m_isHeldByAnother = false;
+    TimePoint m_nextAttemptAt; /**< no earlier attempt to acquire the lease */
     uint64_t m_lease = 0;
     FencingNumber m_fencingNumber = 0;
     TimePoint m_renewedAt; /**< time including suspend, just before the last successful renewal was sent */
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -76,3 +76,27 @@
     fixture.timers.advance(20s);
     CHECK(fixture.replicaClient.orders.empty());
 }
+
+// Guards against calls to the store that grow with the number of daemons: each failed attempt costs two.
+TEST_CASE("a daemon that watches the store rarely does not retry while another one holds the lease, and takes over later")
+{
+    GatewayFixture fixture;
+    RoutingSource source(fixture.context, fixture.store, fixture.timers, fixture.log, "op/config", [](std::string_view) -> Result<RoutingConfiguration> { return RoutingConfiguration {}; }, [](const RoutingConfiguration&) {});
+    auto rareKeys = std::make_shared<StoreMirror>(fixture.context, fixture.store, fixture.timers, fixture.log, "chestnutroute/", [] { return 10s; });
+    RoleManager manager(fixture.context, fixture.store, fixture.timers, fixture.log, rareKeys, fixture.replicaClient, fixture.replicas, fixture.loadTracker, source, RoleManagerSettings { DaemonId("d1"), 3s });
+    rareKeys->start();
+    fixture.timers.advance(100ms);
+    // The change of another key ends the watch, so the holder's key is read only after the pause.
+    fixture.store.put("chestnutroute/daemons/d2", "{}");
+    fixture.timers.advance(100ms);
+    fixture.store.put("chestnutroute/roles/holder", "d2");
+    manager.start();
+    auto before = fixture.store.calls;
+    fixture.timers.advance(9s);
+    CHECK(fixture.store.calls - before <= 4);
+    CHECK(fixture.store.items().at("chestnutroute/roles/holder").value == "d2");
+    fixture.timers.advance(5s);
+    fixture.store.erase("chestnutroute/roles/holder");
+    fixture.timers.advance(15s);
+    CHECK(fixture.store.items().at("chestnutroute/roles/holder").value == "d1");
+}
