--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -10,7 +10,7 @@
 
     /** Maximum duration of one watch. Each watch is a billed call. An outage of the store during a watch is detected by the
         renewal of the daemon's registration, which then restarts the watches. */
-    constexpr Duration watchTime = std::chrono::seconds(20);
+    constexpr Duration watchTime = std::chrono::seconds(29);
     constexpr Duration pauseCheckPeriod = std::chrono::milliseconds(250);
     /** A watch returns every version of a key. While large values change in quick succession, the prefix is listed after
         pauses instead, which returns only the newest version. Otherwise the versions could occupy a slow link and delay the
--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -20,8 +20,10 @@
     constexpr Duration expiryPeriod = std::chrono::milliseconds(500);
     /** Part of the idle timeout announced by a server after which an idle connection is not reused. */
     constexpr double usableIdleTimeoutFraction = 0.5;
-    /** A connection is closed after more than this many responses to earlier requests. */
+    /** A connection is closed after more than this many interim responses and responses to earlier requests. */
     constexpr int maximumSkippedResponses = 3;
+    /** A response to an earlier request may be skipped up to this size. A faulty server may send it without end. */
+    constexpr size_t maximumSkippedBytes = 1 << 20;
 
     struct IdleConnection {
         ClientConnectionPointer connection;
@@ -145,12 +147,15 @@
             for (int skipped = 0; skipped <= maximumSkippedResponses; ++skipped) {
                 if (auto header = co_await readNextHeader(); !header)
                     co_return header;
+                auto isInterim = status() / 100 == 1;
+                if (isInterim)
+                    continue;
                 if (!m_options.matchesRequest || m_options.matchesRequest(m_headers))
                     co_return Result<void>();
                 if (auto body = co_await skipBody(); !body)
                     co_return body;
             }
-            co_return makeError(ErrorKind::BackendFailed, "received only responses to other requests from " + formatEndpoint(m_endpoint));
+            co_return makeError(ErrorKind::BackendFailed, "received only interim responses or responses to other requests from " + formatEndpoint(m_endpoint));
         }
 
         int status() const override { return static_cast<int>(m_parser->get().result_int()); }
@@ -163,6 +168,8 @@
             while (body.empty() && !m_parser->is_done()) {
                 if (m_options.bodyReadTimeout)
                     m_connection->stream.expires_after(*m_options.bodyReadTimeout);
+                else if (m_bodyDeadline)
+                    m_connection->stream.expires_at(*m_bodyDeadline);
                 co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
                 if (error)
                     co_return errorAfterSend(error, m_endpoint, "read response body from");
@@ -190,17 +197,23 @@
                 co_return errorAfterSend(error, m_endpoint, "read response header from");
             m_headers = headersOf(m_parser->get().base());
             m_connection->stream.expires_never();
+            if (m_options.bodyTimeout)
+                m_bodyDeadline = std::chrono::steady_clock::now() + *m_options.bodyTimeout;
             co_return Result<void>();
         }
 
         asio::awaitable<Result<void>> skipBody()
         {
             error_code error;
+            size_t skipped = 0;
             m_connection->stream.expires_at(m_deadline);
-            while (!m_parser->is_done() && !error) {
+            while (!m_parser->is_done() && !error && skipped <= maximumSkippedBytes) {
                 co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
+                skipped += m_parser->get().body().size();
                 m_parser->get().body().clear();
             }
+            if (skipped > maximumSkippedBytes)
+                co_return makeError(ErrorKind::BackendFailed, "a response to another request does not end, from " + formatEndpoint(m_endpoint));
             if (error)
                 co_return errorAfterSend(error, m_endpoint, "read a response to another request from");
             if (!m_parser->keep_alive())
@@ -225,6 +238,7 @@
         ClientConnectionPointer m_connection;
         ExchangeOptions m_options;
         std::chrono::steady_clock::time_point m_deadline;
+        std::optional<std::chrono::steady_clock::time_point> m_bodyDeadline;
         bool m_isHead; /**< the response has no body, whatever its header says */
         std::optional<ResponseParser> m_parser;
         HttpHeaders m_headers;
--- a/modules/http/client/ConnectionPool.h
+++ b/modules/http/client/ConnectionPool.h
@@ -26,6 +26,8 @@
     Duration timeout = std::chrono::seconds(30); /**< until the end of the response header */
     std::optional<Duration> connectTimeout; /**< default: that of the pool */
     std::optional<Duration> bodyReadTimeout; /**< of each read of the body; default: none */
+    /** From the response header to the end of the body, however often bytes arrive; default: none. */
+    std::optional<Duration> bodyTimeout;
     bool needsFreshConnection = false; /**< never reuse an idle connection */
     std::shared_ptr<AbortHandle> abort; /**< may be null */
     /** Returns whether a response with these headers belongs to this request. Other responses, such as late ones to earlier
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -14,10 +14,24 @@
         return makeError(ErrorKind::PlatformUnavailable, "the store is down");
     }
 
+    /** Waits until a time; returns false when the call is aborted before. */
+    asio::awaitable<bool> waitUnlessAborted(VirtualTimerService& timers, TimePoint end, std::shared_ptr<AbortHandle> abort)
+    {
+        bool wasInterrupted = false;
+        if (abort)
+            abort->attach([&wasInterrupted] { wasInterrupted = true; });
+        while (timers.now() < end && !wasInterrupted)
+            co_await timers.sleep(std::chrono::milliseconds(1));
+        if (abort)
+            abort->detach();
+        co_return !wasInterrupted;
+    }
+
     class ScriptedBody final : public HttpBodyStream {
     public:
-        ScriptedBody(ScriptedResponse response, std::shared_ptr<AbortHandle> abort)
-            : m_response(std::move(response))
+        ScriptedBody(VirtualTimerService& timers, ScriptedResponse response, std::shared_ptr<AbortHandle> abort)
+            : m_timers(timers)
+            , m_response(std::move(response))
             , m_abort(std::move(abort))
         {
         }
@@ -29,6 +43,8 @@
         {
             if (m_abort && m_abort->isAborted())
                 co_return makeError(ErrorKind::BackendFailed, "aborted");
+            if (!co_await waitUnlessAborted(m_timers, m_timers.now() + m_response.chunkDelay, m_abort))
+                co_return makeError(ErrorKind::BackendFailed, "interrupted");
             if (m_next < m_response.chunks.size())
                 co_return std::optional(m_response.chunks[m_next++]);
             if (m_response.closesEarly)
@@ -37,6 +53,7 @@
         }
 
     private:
+        VirtualTimerService& m_timers;
         ScriptedResponse m_response;
         std::shared_ptr<AbortHandle> m_abort;
         HttpHeaders m_headers;
@@ -192,18 +209,6 @@
     return response;
 }
 
-asio::awaitable<bool> FakeReplicaClient::waitUntil(TimePoint end, std::shared_ptr<AbortHandle> abort)
-{
-    bool wasInterrupted = false;
-    if (abort)
-        abort->attach([&wasInterrupted] { wasInterrupted = true; });
-    while (m_timers.now() < end && !wasInterrupted)
-        co_await m_timers.sleep(std::chrono::milliseconds(1));
-    if (abort)
-        abort->detach();
-    co_return !wasInterrupted;
-}
-
 TimePoint FakeReplicaClient::queuePrefill(const ReplicaCall& call, double& missingTokens)
 {
     auto& model = *prefillModel;
@@ -223,12 +228,12 @@
 {
     sent.push_back({ call.replica, call.handle, call.resumeAfter, call.priority, call.timeLeft });
     auto response = nextResponse(call.replica);
-    if (!co_await waitUntil(m_timers.now() + response.delay, call.abort))
+    if (!co_await waitUnlessAborted(m_timers, m_timers.now() + response.delay, call.abort))
         co_return makeError(ErrorKind::BackendFailed, "aborted");
     if (response.error)
         co_return *response.error;
     auto executionStatus = response.executionStatus;
-    co_return ReplicaResponse { executionStatus, { { "X-Replica", call.replica.value() } }, std::make_unique<ScriptedBody>(std::move(response), call.abort) };
+    co_return ReplicaResponse { executionStatus, { { "X-Replica", call.replica.value() } }, std::make_unique<ScriptedBody>(m_timers, std::move(response), call.abort) };
 }
 
 asio::awaitable<Result<PrefillResponse>> FakeReplicaClient::prefill(ReplicaCall call)
@@ -237,7 +242,7 @@
     if (auto error = prefillErrors[call.replica])
         co_return *error;
     double missingTokens = 0;
-    if (prefillModel && !co_await waitUntil(queuePrefill(call, missingTokens), call.abort)) {
+    if (prefillModel && !co_await waitUnlessAborted(m_timers, queuePrefill(call, missingTokens), call.abort)) {
         prefillModel->tokensInVain += missingTokens;
         co_return makeError(ErrorKind::BackendFailed, "aborted");
     }
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -65,6 +65,7 @@
     std::vector<std::string> chunks;
     bool closesEarly = false; /**< after the chunks, without the end of the body */
     Duration delay {};
+    Duration chunkDelay {}; /**< before each chunk */
 };
 
 /** Speed and prompt cache of the fake prefill engines. Each serves one prompt after the other, also those of aborted calls. */
@@ -111,8 +112,6 @@
 
 private:
     ScriptedResponse nextResponse(const ReplicaId&);
-    /** Waits until a time; returns false when the call is aborted before. */
-    asio::awaitable<bool> waitUntil(TimePoint, std::shared_ptr<AbortHandle>);
     /** Reads the missing parts of the prompt; returns when the engine has done so. */
     TimePoint queuePrefill(const ReplicaCall&, double& missingTokens);
 
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -231,3 +231,36 @@
     fixture.runRequest(fixture.resumable(), waiting, fixture.longPrompt(), 1500ms);
     CHECK(fixture.replicaClient.sent.size() == before + 1);
 }
+
+// Guards against a stream that sends a byte now and then and so never counts as stalled.
+TEST_CASE("bytes that complete no event are no progress of a stream")
+{
+    Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
+    auto trickling = stream({ event(1) });
+    trickling.chunks.insert(trickling.chunks.end(), 100, "x");
+    trickling.chunkDelay = 100ms;
+    fixture.script("i-d1", { trickling });
+    fixture.script("i-d2", { stream({ event(1) + event(2) }) });
+    FakeWriter writer;
+    fixture.runRequest(fixture.resumable(), writer, fixture.longPrompt(), 1500ms);
+    CHECK(writer.isFinished);
+    CHECK(writer.body == event(1) + event(2));
+    CHECK(fixture.replicaClient.sent.back().resumeAfter == "1");
+}
+
+TEST_CASE("a slow stream is not cut while its events arrive at the pace of the service")
+{
+    Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 700ms, 900ms);
+    auto slow = stream({ event(1), event(2), event(3) });
+    slow.chunkDelay = 800ms;
+    fixture.script("i-d1", { slow });
+    auto route = fixture.resumable();
+    route.timeout = 10s;
+    FakeWriter writer;
+    fixture.runRequest(route, writer, fixture.longPrompt(), 5s);
+    CHECK(writer.body == event(1) + event(2) + event(3));
+    CHECK(writer.isFinished);
+    CHECK(fixture.replicaClient.sent.size() == 1);
+}
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -81,7 +81,8 @@
 TEST_CASE("a daemon that watches the store rarely does not retry while another one holds the lease, and takes over later")
 {
     GatewayFixture fixture;
-    RoutingSource source(fixture.context, fixture.store, fixture.timers, fixture.log, "op/config", [](std::string_view) -> Result<RoutingConfiguration> { return RoutingConfiguration {}; }, [](const RoutingConfiguration&) {});
+    RoutingSource source(
+        fixture.context, fixture.store, fixture.timers, fixture.log, "op/config", [](std::string_view) -> Result<RoutingConfiguration> { return RoutingConfiguration {}; }, [](const RoutingConfiguration&) {});
     auto rareKeys = std::make_shared<StoreMirror>(fixture.context, fixture.store, fixture.timers, fixture.log, "chestnutroute/", [] { return 10s; });
     RoleManager manager(fixture.context, fixture.store, fixture.timers, fixture.log, rareKeys, fixture.replicaClient, fixture.replicas, fixture.loadTracker, source, RoleManagerSettings { DaemonId("d1"), 3s });
     rareKeys->start();
--- a/tests/http/ConnectionPoolTest.cpp
+++ b/tests/http/ConnectionPoolTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -33,9 +34,12 @@
     struct Reply {
         std::string bytes;
         bool closes = false;
+        std::string endless = {}; /**< sent again and again until the client closes the connection */
+        Duration pause {}; /**< before each repetition */
     };
     std::deque<Reply> replies;
     int connections = 0;
+    size_t sentBytes = 0; /**< of endless replies */
 
 private:
     asio::awaitable<void> acceptAll()
@@ -62,6 +66,12 @@
             auto reply = replies.front();
             replies.pop_front();
             co_await asio::async_write(socket, asio::buffer(reply.bytes), asio::redirect_error(asio::use_awaitable, error));
+            while (!error && !reply.endless.empty()) {
+                asio::steady_timer timer(socket.get_executor(), reply.pause);
+                co_await timer.async_wait(asio::use_awaitable);
+                co_await asio::async_write(socket, asio::buffer(reply.endless), asio::redirect_error(asio::use_awaitable, error));
+                sentBytes += reply.endless.size();
+            }
             if (reply.closes)
                 co_return;
         }
@@ -202,3 +212,64 @@
     CHECK(fixture.call().value() == "two");
     CHECK(fixture.server.connections == 1);
 }
+
+// Guards against a faulty server that sends bytes without end, which would occupy memory and the caller until its deadline.
+TEST_CASE("bytes without end in a response are bounded, and the connection is closed")
+{
+    std::string kilobyte(1024, 'x');
+    std::string ok = "HTTP/1.1 200 OK\r\n";
+    auto chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    std::vector<ScriptedServer::Reply> replies {
+        { "", false, kilobyte },
+        { ok + "X: ", false, kilobyte },
+        { ok, false, "X-Field: " + kilobyte + "\r\n" },
+        { "", false, "HTTP/1.1 100 Continue\r\n\r\n" },
+        { chunked + "1;", false, kilobyte },
+        { chunked + "0\r\n", false, "X-Field: " + kilobyte + "\r\n" },
+        { chunked, false, "400\r\n" + kilobyte + "\r\n" },
+        { ok + "\r\n", false, kilobyte },
+    };
+    for (const auto& reply : replies) {
+        PoolFixture fixture;
+        fixture.server.replies = { reply };
+        auto startedAt = fixture.timers.now();
+        CHECK_FALSE(fixture.call().has_value());
+        CHECK(fixture.timers.now() - startedAt < 1500ms);
+        fixture.context.run_for(50ms);
+        auto sent = fixture.server.sentBytes;
+        fixture.context.run_for(50ms);
+        CHECK(fixture.server.sentBytes == sent);
+        // What was read beyond the limits of 16 KB, 64 KB and 1 MB was in the buffers of the sockets.
+        CHECK(sent < 32 << 20);
+    }
+}
+
+// Guards against an interim response that is taken for the response itself.
+TEST_CASE("an interim response is skipped")
+{
+    PoolFixture fixture;
+    fixture.server.replies = { { "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + response("final") } };
+    CHECK(fixture.call().value() == "final");
+}
+
+TEST_CASE("a late response without end to an earlier request ends the exchange before its deadline")
+{
+    PoolFixture fixture;
+    fixture.server.replies = { { "HTTP/1.1 200 OK\r\nId: q0\r\n\r\n", false, std::string(64 << 10, 'x') } };
+    ExchangeOptions options;
+    options.matchesRequest = [](const HttpHeaders& headers) { return headers.value("Id") == "q1"; };
+    auto startedAt = fixture.timers.now();
+    CHECK(fixture.call(options).error().kind == ErrorKind::BackendFailed);
+    CHECK(fixture.timers.now() - startedAt < 500ms);
+}
+
+TEST_CASE("a body that arrives byte by byte is ended at its timeout")
+{
+    PoolFixture fixture;
+    fixture.server.replies = { { "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", false, "x", 10ms } };
+    ExchangeOptions options;
+    options.bodyTimeout = 200ms;
+    auto startedAt = fixture.timers.now();
+    CHECK_FALSE(fixture.call(options).has_value());
+    CHECK(fixture.timers.now() - startedAt < 600ms);
+}
