--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -63,7 +63,7 @@
     {
         auto list = json::array();
         for (const auto& [loss, age, runTime] : losses)
-            list.push_back({ toHex(loss.content), loss.attempt.value(), loss.replica.value(), age.count(), runTime.count() });
+            list.push_back({ toHex(loss.content), loss.attempt.value(), loss.replica.value(), loss.replicaStart, age.count(), runTime.count() });
         return list;
     }
 
@@ -98,7 +98,7 @@
         std::vector<LostAttemptReport> losses;
         for (const auto& item : list) {
             if (auto content = digestFromHex(item.at(0).get<std::string>()))
-                losses.push_back({ { *content, RequestId(item.at(1).get<std::string>()), ReplicaId(item.at(2).get<std::string>()) }, Duration(item.at(3).get<int64_t>()), Duration(item.at(4).get<int64_t>()) });
+                losses.push_back({ { *content, RequestId(item.at(1).get<std::string>()), ReplicaId(item.at(2).get<std::string>()), item.at(3).get<int64_t>() }, Duration(item.at(4).get<int64_t>()), Duration(item.at(5).get<int64_t>()) });
         }
         return losses;
     }
--- a/modules/gateway/replicas/SpeedTracker.cpp
+++ b/modules/gateway/replicas/SpeedTracker.cpp
@@ -90,6 +90,7 @@
 std::vector<ServiceSamples> SpeedTracker::ownSamples() const
 {
     std::vector<ServiceSamples> list;
+    list.reserve(m_own.size());
     for (const auto& [service, entry] : m_own) {
         auto samples = entry.samples;
         scale(samples, decayOver(m_timers.now() - entry.scaledAt));
@@ -107,6 +108,7 @@
             addAll(sums, peer.samples);
     }
     std::vector<ServiceSamples> list;
+    list.reserve(sums.size());
     for (auto& [service, sum] : sums)
         list.push_back(sum);
     return list;
--- a/modules/gateway/requests/CrashTracker.cpp
+++ b/modules/gateway/requests/CrashTracker.cpp
@@ -24,9 +24,20 @@
     /** Maximum error of the times in reports, caused by the transit time of a datagram. */
     constexpr Duration reportTimeError = std::chrono::milliseconds(10);
 
-    /** Counts the crashes of one replica; a single crash loses all attempts that were sent before it. */
-    size_t countCrashes(std::vector<LostAttemptTimes> losses)
+    /** One process start of a replica. */
+    struct ReplicaStart {
+        ReplicaId replica;
+        int64_t start = 0;
+
+        auto operator<=>(const ReplicaStart&) const = default;
+    };
+
+    /** Counts the crashes of one start of a replica: a process crashes once, and an address whose process has ended may reset
+        every later attempt. When the start is unknown, a single crash loses all attempts that were sent before it. */
+    size_t countCrashes(const ReplicaStart& start, std::vector<LostAttemptTimes> losses)
     {
+        if (start.start != 0)
+            return 1;
         std::ranges::sort(losses, {}, &LostAttemptTimes::detectedAt);
         size_t crashes = 0;
         std::optional<TimePoint> lastCrash;
@@ -91,12 +102,12 @@
 
 bool CrashTracker::isBlocked(const Digest& content) const
 {
-    std::map<ReplicaId, std::vector<LostAttemptTimes>> lossesOf;
+    std::map<ReplicaStart, std::vector<LostAttemptTimes>> lossesOf;
     for (auto loss = m_losses.lower_bound(LostAttempt { content, RequestId(), ReplicaId() }); loss != m_losses.end() && loss->first.content == content; ++loss)
-        lossesOf[loss->first.replica].push_back(loss->second);
+        lossesOf[{ loss->first.replica, loss->first.replicaStart }].push_back(loss->second);
     size_t crashes = 0;
-    for (auto& [replica, losses] : lossesOf)
-        crashes += countCrashes(std::move(losses));
+    for (auto& [start, losses] : lossesOf)
+        crashes += countCrashes(start, std::move(losses));
     return crashes >= crashesToBlock;
 }
 
--- a/modules/gateway/requests/CrashTracker.h
+++ b/modules/gateway/requests/CrashTracker.h
@@ -15,6 +15,7 @@
     Digest content;
     RequestId attempt;
     ReplicaId replica;
+    int64_t replicaStart = 0; /**< Unix milliseconds of the process start that the attempt was sent to; zero: unknown */
 
     auto operator<=>(const LostAttempt&) const = default;
 };
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -123,7 +123,7 @@
         return;
     mayHaveRun = true;
     ++runs;
-    if (error.kind == ErrorKind::BackendFailed && services.crashTracker.add({ content(), request.id, replica }, m_sentAt))
+    if (error.kind == ErrorKind::BackendFailed && services.crashTracker.add({ content(), request.id, replica, registered ? registered->entry.startedAt : 0 }, m_sentAt))
         services.log.write(EventId::RequestSuspected, { { "request", request.id }, { "replica", replica }, { "content", toHex(content()) } });
 }
 
--- a/tests/gateway/CrashTrackerTest.cpp
+++ b/tests/gateway/CrashTrackerTest.cpp
@@ -116,3 +116,20 @@
     fixture.loseAt("i-3");
     CHECK(fixture.crashTracker.isBlocked(fixture.content));
 }
+
+// Guards against a popular request that is refused for minutes because a replica has ended and its address resets each
+// attempt (soak seed 4 with --dead_replicas_reset).
+TEST_CASE("attempts that are reset by one ended process count as one crash, and a crash of its next start as another")
+{
+    CrashTrackerFixture fixture;
+    auto loseAtStart = [&fixture](const std::string& attempt, int64_t start) {
+        fixture.crashTracker.add({ fixture.content, RequestId(attempt), ReplicaId("i-1"), start }, fixture.timers.now());
+        fixture.timers.advance(1500ms);
+    };
+    for (const auto* attempt : { "q1", "q2", "q3", "q4" })
+        loseAtStart(attempt, 1000);
+    CHECK_FALSE(fixture.crashTracker.isBlocked(fixture.content));
+    loseAtStart("q5", 9000);
+    loseAtStart("q6", 19'000);
+    CHECK(fixture.crashTracker.isBlocked(fixture.content));
+}
