--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -91,6 +91,19 @@
 
 } // namespace
 
+std::string_view nameOf(PrefillRank rank)
+{
+    switch (rank) {
+    case PrefillRank::Urgent:
+        return "urgent";
+    case PrefillRank::Relaxed:
+        return "relaxed";
+    case PrefillRank::Deferred:
+        return "deferred";
+    }
+    return "urgent";
+}
+
 QueuedTokens& QueuedTokens::operator+=(const QueuedTokens& other)
 {
     urgent += other.urgent;
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chestnut {
@@ -40,6 +41,8 @@
     Deferred, /**< it cannot be on time and must not delay those that can */
 };
 
+std::string_view nameOf(PrefillRank);
+
 /** Tokens that wait for their prefill at an engine, by rank. */
 struct QueuedTokens {
     double urgent = 0;
--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -129,7 +129,7 @@
             co_return saturatedError("the prefill engines are saturated: expected prefill time " + std::to_string(millisecondsOf(*choice.expectedTime)) + " ms, time left " + std::to_string(millisecondsOf(m_relay.remaining())) + " ms");
         if (isRetry && !services.budgets.tryTakeRetry(m_relay.service))
             co_return std::nullopt;
-        services.log.write(EventId::PrefillPlaced, { { "request", m_relay.request.id }, { "replica", engine.id }, { "missing", choice.missingTokens }, { "queued", choice.workTokens - choice.missingTokens }, { "expected_ms", millisecondsOf(choice.expectedTime) }, { "rank", static_cast<int>(choice.rank) } });
+        services.log.write(EventId::PrefillPlaced, { { "request", m_relay.request.id }, { "replica", engine.id }, { "missing", choice.missingTokens }, { "queued", choice.workTokens - choice.missingTokens }, { "expected_ms", millisecondsOf(choice.expectedTime) }, { "rank", nameOf(choice.rank) } });
         auto response = co_await callEngine(*placement);
         if (response)
             co_return response->handle;
