Let the daemons with the fastest links collect the load messages of their zone

Change: daemon.link_megabits from the settings, published in the daemon's record; collectors are chosen by it, then by id. Test: LoadTopologyTest fails without the change (the first daemon by id stays a collector).

--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -18,7 +18,7 @@
     /** An objective of this multiple of the shortest one leaves time to wait behind requests with that one. */
     constexpr double relaxedObjectiveMultiple = 1.5;
     /** Weight of relaxed tokens in the placement of an urgent prompt: one of their prefills may be running, and the rest is
-        delayed. Deferred ones have nothing to lose. */
+        delayed. Deferred ones are late in any case. */
     constexpr double yieldingWeight = 0.5;
     /** Compares engines by their tokens while their speed is unknown. */
     constexpr PrefillSpeed unknownSpeed { 1, 0 };
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -92,8 +92,8 @@
     that daemons agree without messages; the home is assumed to have the shared parts cached. When the home has more work
     queued than another prefill of the shared parts costs, the next engine takes the prompt. For peaks of demand above the
     capacity: a request whose prefill cannot end within `onTime` is deferred, so that those behind it that still can be on
-    time are not late as well; the others have the rank `onTimeRank`. While the speed is unknown, engines are compared by their tokens and nothing is deferred.
-    Nothing when all engines are ejected or full, or there is none. */
+    time are not late as well; the others have the rank `onTimeRank`. While the speed is unknown, engines are compared by
+    their tokens and nothing is deferred. Nothing when all engines are ejected or full, or there is none. */
 std::optional<PrefillChoice> choosePrefillEngine(const PromptShape&, std::span<const PlacementView>, const std::optional<PrefillSpeed>&, Duration onTime, PrefillRank onTimeRank = PrefillRank::Urgent);
 
 /** Added to the occupancy of a replica in another availability zone, as a share of its slots. The request body then crosses
--- a/modules/gateway/members/DaemonDirectory.cpp
+++ b/modules/gateway/members/DaemonDirectory.cpp
@@ -34,6 +34,7 @@
         { "zone", record.zone.value() },
         { "front", formatEndpoint(record.clientEndpoint) },
         { "peers", formatEndpoint(record.peerEndpoint) },
+        { "link", record.linkMegabits },
     };
     return document.dump();
 }
@@ -51,7 +52,9 @@
     auto peerEndpoint = parseEndpoint(textOf("peers"));
     if (textOf("id").empty() || !clientEndpoint || !peerEndpoint)
         return makeError(ErrorKind::ProtocolError, "daemon record has no id or no valid addresses");
-    return DaemonRecord { DaemonId(textOf("id")), AvailabilityZone(textOf("zone")), *clientEndpoint, *peerEndpoint };
+    auto link = document.find("link");
+    auto linkMegabits = link != document.end() && link->is_number_unsigned() ? link->get<uint32_t>() : 0;
+    return DaemonRecord { DaemonId(textOf("id")), AvailabilityZone(textOf("zone")), *clientEndpoint, *peerEndpoint, linkMegabits };
 }
 
 bool isEntryPoint(const DaemonView& view)
--- a/modules/gateway/members/DaemonDirectory.h
+++ b/modules/gateway/members/DaemonDirectory.h
@@ -18,6 +18,7 @@
     AvailabilityZone zone;
     Endpoint clientEndpoint; /**< where clients connect */
     Endpoint peerEndpoint; /**< where it receives load messages */
+    uint32_t linkMegabits = 0; /**< megabits per second of the VM's link; zero: unknown */
 
     bool operator==(const DaemonRecord&) const = default;
 };
--- a/modules/gateway/members/LoadTopology.cpp
+++ b/modules/gateway/members/LoadTopology.cpp
@@ -7,7 +7,16 @@
 
 namespace {
 
-    /** The live daemons of each zone, sorted by id so that all daemons elect the same collectors. */
+    /** Orders daemons as candidates for collectors: those with the fastest links first, as a collector sends the sum to all
+        members of its zone, and by id so that all daemons elect the same ones. */
+    bool isBetterCollector(const DaemonRecord& left, const DaemonRecord& right)
+    {
+        if (left.linkMegabits != right.linkMegabits)
+            return left.linkMegabits > right.linkMegabits;
+        return left.id < right.id;
+    }
+
+    /** The live daemons of each zone, the collectors first. */
     using Zones = std::map<AvailabilityZone, std::vector<DaemonRecord>>;
 
     Zones liveDaemonsByZone(const DaemonRecord& self, const std::vector<DaemonView>& others)
@@ -19,7 +28,7 @@
                 zones[view.record.zone].push_back(view.record);
         }
         for (auto& [zone, daemons] : zones)
-            std::ranges::sort(daemons, {}, &DaemonRecord::id);
+            std::ranges::sort(daemons, isBetterCollector);
         return zones;
     }
 
--- a/programs/chestnutrouted/GatewayDaemonSettings.cpp
+++ b/programs/chestnutrouted/GatewayDaemonSettings.cpp
@@ -36,6 +36,7 @@
     auto& self = settings.gateway.self;
     self.id = DaemonId(reader.text("daemon", "id"));
     self.zone = AvailabilityZone(reader.text("daemon", "zone"));
+    self.linkMegabits = static_cast<uint32_t>(reader.number("daemon", "link_megabits", 0, 0, 1e6));
     self.clientEndpoint = settings.clientListener;
     self.peerEndpoint = reader.endpoint("listen", "peers");
     readBounds(reader, settings);
--- a/tests/gateway/LoadTopologyTest.cpp
+++ b/tests/gateway/LoadTopologyTest.cpp
@@ -65,3 +65,22 @@
     auto topology = loadTopologyFor(daemonOf(20), others);
     CHECK(topology.ownWorkTargets.size() == 22);
 }
+
+// Guards against a collector whose link is filled by the sums that it sends, so that its calls to the store time out.
+TEST_CASE("the daemons of a zone with the fastest links collect its load messages")
+{
+    auto others = othersOf(0, 69);
+    for (auto& view : others)
+        view.record.linkMegabits = 10;
+    auto self = daemonOf(0);
+    self.linkMegabits = 10;
+    CHECK(loadTopologyFor(self, others).isCollector);
+    size_t faster = 0;
+    for (auto& view : others) {
+        if (view.record.zone == self.zone && faster < collectorsPerZone) {
+            view.record.linkMegabits = 200;
+            ++faster;
+        }
+    }
+    CHECK_FALSE(loadTopologyFor(self, others).isCollector);
+}
