Close nng sockets on threads of their own

Repeated eight at a time, 2 of about 170 runs stopped; the stack shows the thread of the io_context in nng_close() and the reaper thread of nng 1.5.2 in an operation without end. Ruled out: the order of closing (contexts after the socket: 4 of 4 runs stopped as well) and slowness of the machine (the other tests of that run were as fast as ever). A daemon in ticket mode that disconnects from a lost peer can stop the same way.

Change: SocketCloser runs nng_close() on a thread of its own; closing a listener waits at most 100 ms. While eight closes are pending, idle connections stay open, because a close without end keeps its file descriptor; peer_close_stalled is logged and chestnut_peer_sockets_closing shows the number.

Before: NngTransportTest stopped in 7 of 7 runs. After: 4 of 4 runs pass, in 1.5 to 20 s, three of them with a reaper that hung; all 21 cases of test_peers pass.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -35,6 +35,7 @@
         { EventId::IncarnationRenewed, "incarnation_renewed", Severity::Warning, "Peers had removed this daemon or had a newer record of it; it continues with a new incarnation." },
         { EventId::IdentityConflict, "identity_conflict", Severity::Error, "Another process uses this daemon's id." },
         { EventId::PeerHandlerFailed, "peer_handler_failed", Severity::Error, "A message handler ended with an exception." },
+        { EventId::PeerCloseStalled, "peer_close_stalled", Severity::Error, "Sockets to peers cannot be closed and keep their file descriptors; idle ones stay open. Restart the daemon." },
 
         // claims
         { EventId::ClaimDecided, "claim_decided", Severity::Info, "The claim of a call that is not idempotent was granted, answered with a recorded response, or refused." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -41,6 +41,7 @@
     IncarnationRenewed = 1402,
     IdentityConflict = 1403,
     PeerHandlerFailed = 1404,
+    PeerCloseStalled = 1405,
 
     // claims: 1500 to 1599
     ClaimDecided = 1500,
--- a/modules/peers/peers.h
+++ b/modules/peers/peers.h
@@ -7,3 +7,4 @@
 #include "peers/service/NngPeerService.h"
 #include "peers/service/PeerService.h"
 #include "peers/transport/NngTransport.h"
+#include "peers/transport/SocketCloser.h"
--- a/modules/peers/service/NngPeerHeartbeats.cpp
+++ b/modules/peers/service/NngPeerHeartbeats.cpp
@@ -38,7 +38,7 @@
 void NngPeerService::State::sendHeartbeats()
 {
     publish(expireMembers(table, timers.now()));
-    m_transport.closeIdle();
+    closeIdleSockets();
     incrementOwnCounter(table);
     auto targets = chooseHeartbeatTargets(table, m_random);
     if (auto removed = takeRemovedButAlive(table, m_random)) {
@@ -53,6 +53,17 @@
         contactNonMembers(1);
 }
 
+void NngPeerService::State::closeIdleSockets()
+{
+    m_transport.closeIdle();
+    auto pending = m_transport.pendingCloses();
+    metrics.setGauge("chestnut_peer_sockets_closing", static_cast<double>(pending));
+    bool isStalled = pending >= NngTransport::maximumPendingCloses;
+    if (isStalled && !m_hasLoggedStalledCloses)
+        log.write(EventId::PeerCloseStalled, { { "sockets", pending } });
+    m_hasLoggedStalledCloses = isStalled;
+}
+
 std::vector<std::string> NngPeerService::State::nonMemberAddresses() const
 {
     std::set<std::string> addresses;
--- a/modules/peers/service/NngPeerState.h
+++ b/modules/peers/service/NngPeerState.h
@@ -54,6 +54,7 @@
     static constexpr Duration rejectionLogPeriod = std::chrono::minutes(1);
 
     void sendHeartbeats();
+    void closeIdleSockets();
     void spawnHeartbeat(std::string address, std::optional<MemberRecord> removed = {});
     asio::awaitable<void> sendHeartbeat(std::string address, std::optional<MemberRecord> removed);
     /** Returns the seeds, bootstrap addresses and addresses of removed members, which may have returned, but no address of a
@@ -81,6 +82,7 @@
     HeartbeatBudget m_budget;
     std::set<std::string> m_heartbeatsInFlight;
     std::map<std::string, TimePoint> m_loggedRejections;
+    bool m_hasLoggedStalledCloses = false;
     std::vector<TimePoint> m_renewals;
     size_t m_handledRequests = 0;
     uint64_t m_heartbeatRounds = 0;
--- a/modules/peers/transport/NngTransport.cpp
+++ b/modules/peers/transport/NngTransport.cpp
@@ -21,6 +21,8 @@
     constexpr nng_duration maximumReconnectDelay = 1000;
     /** A reply that the peer does not receive is discarded after this time, which frees its context. */
     constexpr nng_duration replySendTimeout = 1000;
+    /** The port of a closed listener is free within this time, unless nng does not end one of its connections. */
+    constexpr Duration maximumListenerCloseTime = std::chrono::milliseconds(100);
     /** Reconnects after this many calls in a row without a reply, because the peer's address may belong to a new VM. */
     constexpr uint32_t timeoutsUntilReconnect = 3;
 
@@ -106,13 +108,16 @@
 /** The REQ socket to one peer. */
 class NngTransport::PeerSocket {
 public:
-    PeerSocket() = default;
+    explicit PeerSocket(SocketCloser closer)
+        : m_closer(std::move(closer))
+    {
+    }
     PeerSocket(const PeerSocket&) = delete;
     PeerSocket& operator=(const PeerSocket&) = delete;
     ~PeerSocket()
     {
         if (m_isOpen)
-            nng_close(socket);
+            m_closer.close([socket = socket] { nng_close(socket); }, Duration::zero());
     }
 
     int open(const std::string& address)
@@ -134,6 +139,7 @@
     uint32_t timeouts = 0; /**< in a row */
 
 private:
+    SocketCloser m_closer;
     bool m_isOpen = false;
 };
 
@@ -239,8 +245,9 @@
 /** The REP socket and its contexts, each of which handles one request at a time. */
 class NngTransport::Listener {
 public:
-    Listener(asio::io_context& context, RequestHandler handler)
+    Listener(asio::io_context& context, SocketCloser closer, RequestHandler handler)
         : m_context(context)
+        , m_closer(std::move(closer))
         , m_handler(std::make_shared<RequestHandler>(std::move(handler)))
     {
     }
@@ -251,7 +258,7 @@
         for (auto& slot : m_slots)
             slot->close();
         m_slots.clear();
-        nng_close(m_socket);
+        m_closer.close([socket = m_socket] { nng_close(socket); }, maximumListenerCloseTime);
     }
 
     Result<Endpoint> open(const Endpoint& endpoint)
@@ -341,6 +348,7 @@
     };
 
     asio::io_context& m_context;
+    SocketCloser m_closer;
     std::shared_ptr<RequestHandler> m_handler;
     nng_socket m_socket = NNG_SOCKET_INITIALIZER;
     std::vector<std::shared_ptr<Slot>> m_slots;
@@ -359,7 +367,7 @@
 
 Result<Endpoint> NngTransport::listen(const Endpoint& endpoint, RequestHandler handler)
 {
-    m_listener = std::make_unique<Listener>(m_context, std::move(handler));
+    m_listener = std::make_unique<Listener>(m_context, m_closer, std::move(handler));
     return m_listener->open(endpoint);
 }
 
@@ -367,7 +375,7 @@
 {
     auto& socket = m_sockets[address];
     if (!socket) {
-        auto created = std::make_shared<PeerSocket>();
+        auto created = std::make_shared<PeerSocket>(m_closer);
         if (int code = created->open(address); code != 0) {
             m_sockets.erase(address);
             return transportError(ErrorKind::ConnectFailed, code);
@@ -420,6 +428,8 @@
 
 void NngTransport::closeIdle()
 {
+    if (pendingCloses() >= maximumPendingCloses)
+        return;
     auto idleSince = m_timers.now() - idleTime;
     std::erase_if(m_sockets, [&](const auto& entry) { return entry.second->calls == 0 && entry.second->lastUsed < idleSince; });
 }
--- a/modules/peers/transport/NngTransport.h
+++ b/modules/peers/transport/NngTransport.h
@@ -3,6 +3,7 @@
 #include "base/errors/Result.h"
 #include "kernel/settings/SettingsReader.h"
 #include "kernel/timers/TimerService.h"
+#include "peers/transport/SocketCloser.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -24,6 +25,7 @@
     static constexpr size_t maximumCallsPerPeer = 32;
     /** Maximum number of concurrent requests; further ones wait in their connections. */
     static constexpr size_t maximumRequests = 64;
+    static constexpr size_t maximumPendingCloses = 8;
 
     NngTransport(asio::io_context&, TimerService&);
     ~NngTransport();
@@ -35,8 +37,11 @@
         Overloaded when too many calls are outstanding. */
     asio::awaitable<Result<std::string>> call(std::string address, std::string request, Duration timeout);
 
-    /** Closes connections that have not been used for idleTime. */
+    /** Closes connections that have not been used for idleTime, unless maximumPendingCloses closes are pending: a connection
+        whose close does not end keeps its file descriptor. */
     void closeIdle();
+    /** Number of sockets that nng has not closed yet. */
+    size_t pendingCloses() const { return m_closer.pending(); }
     /** Closes the connection to a peer as soon as its calls in progress have ended. */
     void disconnect(const std::string& address);
     /** Fails all calls in progress and stops receiving requests. */
@@ -55,6 +60,7 @@
 
     asio::io_context& m_context;
     TimerService& m_timers;
+    SocketCloser m_closer;
     std::map<std::string, std::shared_ptr<PeerSocket>> m_sockets;
     std::vector<std::weak_ptr<PendingCall>> m_calls;
     std::unique_ptr<Listener> m_listener;
