--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -25,6 +25,7 @@
 #include "decisions/routing/PrefixIndex.h"
 #include "decisions/routing/Routing.h"
 #include "decisions/speeds/ServiceSpeed.h"
+#include "decisions/speeds/StreamProgress.h"
 #include "decisions/speeds/WaitLimits.h"
 #include "decisions/subsets/Subsets.h"
 #include "decisions/tickets/Configuration.h"
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -3,6 +3,7 @@
 #include "base/digest/Digest.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace chestnut {
@@ -33,9 +34,18 @@
         return { static_cast<float>(samples.count), static_cast<float>(samples.milliseconds) };
     }
 
+    /** Rejects NaN and infinity, which CBOR can encode: they would stay in each sum that they are added to. */
+    double decodeSum(const json& item)
+    {
+        auto value = item.get<double>();
+        if (!std::isfinite(value) || value < 0)
+            throw json::out_of_range::create(406, "sample sum out of range", &item);
+        return value;
+    }
+
     TimeSamples decodeTime(const json& item)
     {
-        return { item.at(0).get<double>(), item.at(1).get<double>() };
+        return { decodeSum(item.at(0)), decodeSum(item.at(1)) };
     }
 
     json encodeSamples(const std::vector<ServiceSamples>& list)
@@ -53,7 +63,7 @@
         std::vector<ServiceSamples> list;
         for (const auto& item : items) {
             const auto& sums = item.at(1);
-            PrefillSamples prefill { sums.at(0).get<double>(), sums.at(1).get<double>(), sums.at(2).get<double>(), sums.at(3).get<double>(), sums.at(4).get<double>() };
+            PrefillSamples prefill { decodeSum(sums.at(0)), decodeSum(sums.at(1)), decodeSum(sums.at(2)), decodeSum(sums.at(3)), decodeSum(sums.at(4)) };
             list.push_back({ ServiceId(item.at(0).get<std::string>()), prefill, decodeTime(item.at(2)), decodeTime(item.at(3)), decodeTime(item.at(4)) });
         }
         return list;
--- a/modules/gateway/replicas/SpeedTracker.h
+++ b/modules/gateway/replicas/SpeedTracker.h
@@ -27,7 +27,7 @@
     std::vector<ServiceSamples> ownSamples() const;
     /** The sum of the samples of this daemon and the chosen peers. */
     std::vector<ServiceSamples> samplesOf(const std::function<bool(const DaemonId&)>& isChosen) const;
-    /** Replaces the samples of a peer. They are kept when the peer stops, as they describe the engines. */
+    /** Replaces the samples of a peer. They describe the engines and are therefore kept for a minute after the peer has stopped. */
     void setPeerSamples(const DaemonId&, std::vector<ServiceSamples>);
     /** Replaces the samples of all daemons together. They include the own ones, which are therefore not added. */
     void setFleetSamples(std::vector<ServiceSamples>);
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -16,6 +16,8 @@
     /** Decode calls that may be preceded by a prefill; in later ones the decode engine processes the prompt. */
     constexpr uint32_t maximumPrefillRounds = 2;
     constexpr size_t maximumResponseBytes = 1 << 20;
+    /** Multiple of the stall limit that a stream may wait while the streams of all other engines are silent too. */
+    constexpr int commonSilenceMultiple = 2;
     /** Describes the engines, their requests in flight and the number of ejected ones. */
     std::string describeLoad(const std::vector<PlacementView>& views)
     {
@@ -60,13 +62,22 @@
     auto isFull = registered && relay.services.loadTracker->requestsAt(replica) > registered->entry.slots;
     if (!relay.route.isResumable || isFull || !limit)
         return;
-    m_stallTimer = relay.services.timers.once(*limit, [this, waitedSince = relay.services.timers.now()] {
-        // The event needs at least this time, so that engines that have become slower are abandoned less often.
-        recordEvents(waitedSince);
-        m_relay->abort->interrupt();
+    m_stallTimer = relay.services.timers.once(*limit, [this, replica, limit = *limit, waitedSince = relay.services.timers.now()] {
+        // When all streams are silent, the fault is not that of one engine.
+        if (m_relay->services.streams.areOthersSilent(m_relay->service, replica, waitedSince))
+            m_stallTimer = m_relay->services.timers.once(limit * (commonSilenceMultiple - 1), [this, waitedSince] { interruptStalledStream(waitedSince); });
+        else
+            interruptStalledStream(waitedSince);
     });
 }
 
+void GenerationRelay::interruptStalledStream(TimePoint waitedSince)
+{
+    // The event needs at least this time, so that engines that have become slower are abandoned less often.
+    recordEventTime(waitedSince);
+    m_relay->abort->interrupt();
+}
+
 Result<ReplicaEntry> GenerationRelay::chooseDecodeEngine()
 {
     auto& relay = *m_relay;
@@ -156,7 +167,8 @@
             splitter.append(**bytes);
         auto batch = splitter.takeEvents();
         if (!batch.bytes.empty()) {
-            recordEvents(sentAt);
+            relay.services.streams.recordEvent(relay.service, engine, relay.services.timers.now());
+            recordEventTime(sentAt);
             startStallTimer(engine, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
         }
         if (isEnd)
@@ -172,7 +184,7 @@
     }
 }
 
-void GenerationRelay::recordEvents(TimePoint sentAt)
+void GenerationRelay::recordEventTime(TimePoint sentAt)
 {
     auto& relay = *m_relay;
     auto now = relay.services.timers.now();
@@ -258,7 +270,9 @@
             co_return engine.error();
         if (relay.isOver() || !relay.acquireAttempt())
             co_return last;
+        relay.services.streams.begin(relay.service, engine->id, relay.services.timers.now());
         auto served = co_await decodeAt(*engine);
+        relay.services.streams.end(relay.service, engine->id);
         if (served)
             co_return served;
         last = served.error();
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -39,9 +39,10 @@
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
     /** Interrupts the stream when the engine sends no complete event for the given time. Bytes of an incomplete event are no
-        progress. */
+        progress. While all streams of the service are silent, it waits for twice as long. */
     void startStallTimer(const ReplicaId& engine, std::optional<Duration> limit);
-    void recordEvents(TimePoint sentAt);
+    void interruptStalledStream(TimePoint waitedSince);
+    void recordEventTime(TimePoint sentAt);
 
     asio::awaitable<void> sendFailure(Error);
     void releaseHandle();
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -2,6 +2,7 @@
 
 #include "decisions/retries/ServiceRetryBudget.h"
 #include "decisions/routes/RouteTable.h"
+#include "decisions/speeds/StreamProgress.h"
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/replicas/ReplicaDirectory.h"
 #include "gateway/replicas/SpeedTracker.h"
@@ -44,6 +45,7 @@
     ReplicaDirectory& replicas;
     std::shared_ptr<LoadTracker> loadTracker;
     SpeedTracker& speeds;
+    StreamProgress& streams;
     CrashTracker& crashTracker;
     RetryBudgets& budgets;
     AvailabilityZone zone;
--- a/tests/decisions/ServiceSpeedTest.cpp
+++ b/tests/decisions/ServiceSpeedTest.cpp
@@ -1,4 +1,5 @@
 #include "decisions/speeds/ServiceSpeed.h"
+#include "decisions/speeds/StreamProgress.h"
 #include "decisions/speeds/WaitLimits.h"
 
 #include <doctest/doctest.h>
@@ -98,3 +99,23 @@
     CHECK(isShortPrompt(220, 90, {}, 150ms));
     CHECK_FALSE(isShortPrompt(9000, 2, {}, 150ms));
 }
+
+// Guards against a new stream, or the progress of the engine itself, that is taken for a sign of progress elsewhere.
+TEST_CASE("only events of other engines show that a silence is not common")
+{
+    ServiceId service("s");
+    ReplicaId first("1"), second("2");
+    auto at = [](int milliseconds) { return TimePoint(std::chrono::milliseconds(milliseconds)); };
+    StreamProgress streams;
+    streams.begin(service, first, at(0));
+    CHECK_FALSE(streams.areOthersSilent(service, first, at(10)));
+    streams.begin(service, second, at(20));
+    CHECK_FALSE(streams.areOthersSilent(service, first, at(10)));
+    streams.recordEvent(service, first, at(30));
+    CHECK(streams.areOthersSilent(service, first, at(25)));
+    streams.recordEvent(service, second, at(40));
+    CHECK_FALSE(streams.areOthersSilent(service, first, at(35)));
+    CHECK(streams.areOthersSilent(service, first, at(45)));
+    streams.end(service, second);
+    CHECK_FALSE(streams.areOthersSilent(service, first, at(45)));
+}
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayFixture.h"
 
+#include <array>
 #include <doctest/doctest.h>
 
 using namespace chestnut;
@@ -264,3 +265,38 @@
     CHECK(writer.isFinished);
     CHECK(fixture.replicaClient.sent.size() == 1);
 }
+
+// Guards against streams that are cut at all engines at the same moment, because the daemon received nothing for a second; the
+// engines were then ejected and requests were lost.
+TEST_CASE("while the streams of all engines are silent they wait twice as long")
+{
+    Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
+    auto paused = stream({ event(1), event(2) });
+    SUBCASE("and continue")
+    {
+        paused.chunkDelay = 900ms;
+        fixture.script("i-d1", { paused });
+        fixture.script("i-d2", { paused });
+        std::array<FakeWriter, 2> writers;
+        for (auto& writer : writers)
+            fixture.start(fixture.resumable(), writer, fixture.longPrompt());
+        fixture.timers.advance(1900ms);
+        CHECK(writers[0].body == event(1) + event(2));
+        CHECK(writers[1].body == event(1) + event(2));
+        CHECK(fixture.replicaClient.sent.size() == 2);
+    }
+    SUBCASE("and are then resumed at another engine")
+    {
+        paused.chunkDelay = 5s;
+        fixture.script("i-d1", { paused });
+        fixture.script("i-d2", { paused });
+        std::array<FakeWriter, 2> writers;
+        for (auto& writer : writers)
+            fixture.start(fixture.resumable(), writer, fixture.longPrompt());
+        fixture.timers.advance(1100ms);
+        CHECK(fixture.replicaClient.sent.size() == 2);
+        fixture.timers.advance(200ms);
+        CHECK(fixture.replicaClient.sent.size() > 2);
+    }
+}
--- a/tests/gateway/LoadMessageTest.cpp
+++ b/tests/gateway/LoadMessageTest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/members/LoadMessage.h"
 
+#include <cmath>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -93,3 +94,13 @@
     CHECK_FALSE(isAccepted(0, 0));
     CHECK_FALSE(isAccepted(0, 4'000'000'000));
 }
+
+// Guards against a number without a value that one peer sends and that then stays in the speeds of the whole fleet.
+TEST_CASE("a load message whose samples are not finite or negative is rejected")
+{
+    for (auto value : { std::nan(""), std::numeric_limits<double>::infinity(), -1.0 }) {
+        LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Daemon, false };
+        message.speedSamples = { { ServiceId("s"), { 4, 1000, 20, 300000, 6000 }, { 2, 30 }, { 9, 90 }, { 2, value } } };
+        CHECK_FALSE(decodeLoadMessage(encodeLoadMessage(message).front()).has_value());
+    }
+}
