Remove replicas that only peers report unless the store confirms them

Cause: collectors tell members of changed entries. A daemon that has just started lists the store once; if a peer that is behind then reports the entry of a replica that has already left, no removal of it is ever read from the store (StoreMirror forwards removals of keys that it has seen), so the replica stays in use until the daemon ends.

Change: an entry from a peer is removed after 25 s unless the own mirror has read it, which happens every 10 s; during an outage of the store the time does not run.

--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -18,6 +18,8 @@
     constexpr Duration leavingReportTime = std::chrono::seconds(3);
     /** Changed entries are reported to peers for this long, so in several datagrams. */
     constexpr Duration changeReportTime = std::chrono::seconds(2);
+    /** A daemon that relies on collectors reads the store every 10 s. */
+    constexpr Duration unconfirmedLifetime = std::chrono::seconds(25);
 
 } // namespace
 
@@ -53,6 +55,7 @@
     m_mirror->start();
     m_expiryTimer = m_timers.every(expiryPeriod, [this] {
         expireOrders();
+        removeUnconfirmed();
         for (const auto& id : expireLapsed(m_registry, m_timers.now())) {
             recordLeaving(id);
             logChange(id, "lapsed");
@@ -73,6 +76,7 @@
         m_log.write(EventId::StoreEntryUnreadable, { { "key", item.key }, { "revision", item.revision }, { "detail", entry.error().detail } });
         return;
     }
+    m_unconfirmed.erase(id);
     if (apply(*entry, "entry"))
         m_changedAt[id] = m_timers.now();
 }
@@ -103,12 +107,32 @@
 
 void ReplicaDirectory::applyPeerEntry(const ReplicaEntry& entry)
 {
-    apply(entry, "peer");
+    if (apply(entry, "peer"))
+        m_unconfirmed[entry.id] = m_timers.now();
+}
+
+void ReplicaDirectory::removeUnconfirmed()
+{
+    auto now = m_timers.now();
+    for (auto item = m_unconfirmed.begin(); item != m_unconfirmed.end();) {
+        auto& [id, appliedAt] = *item;
+        // The store cannot confirm an entry during an outage.
+        if (isStoreUnavailable())
+            appliedAt = now;
+        if (now - appliedAt < unconfirmedLifetime) {
+            ++item;
+            continue;
+        }
+        if (applyRemoval(m_registry, id, now, Duration::zero()))
+            logChange(id, "unconfirmed");
+        item = m_unconfirmed.erase(item);
+    }
 }
 
 void ReplicaDirectory::onRemoval(const std::string& key)
 {
     ReplicaId id(key.substr(m_keyPrefix.size()));
+    m_unconfirmed.erase(id);
     if (!applyRemoval(m_registry, id, m_timers.now(), removalGrace()))
         return;
     if (find(id)->status == ReplicaStatus::Removed)
@@ -119,7 +143,7 @@
 Duration ReplicaDirectory::removalGrace() const
 {
     // Entries expire during an outage of the store; removals at any other time are deliberate.
-    return m_mirror->isFailing() || m_isStoreUnavailable() ? expiryGrace : Duration::zero();
+    return isStoreUnavailable() ? expiryGrace : Duration::zero();
 }
 
 void ReplicaDirectory::recordLeaving(const ReplicaId& id)
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -54,7 +54,8 @@
     /** Entries that were recently added or changed in the store, for peers that watch the store less often. */
     std::vector<ReplicaEntry> changedEntries() const;
 
-    /** Applies an entry that a peer has read from the store. */
+    /** Applies an entry that a peer has read from the store. The replica is removed again if the entry is not read from the store
+        within unconfirmedLifetime: the peer may be behind, and this daemon, after a restart, does not learn of an earlier removal. */
     void applyPeerEntry(const ReplicaEntry&);
 
     /** Stops sending work to a replica until its entry shows the ordered stage: the replica first completes its running
@@ -96,6 +97,9 @@
     void recordLeaving(const ReplicaId&);
     bool isPaused(const ReplicaId&) const;
     void expireOrders();
+    /** Removes replicas whose entries were only reported by peers. */
+    void removeUnconfirmed();
+    bool isStoreUnavailable() const { return m_mirror->isFailing() || m_isStoreUnavailable(); }
     Duration removalGrace() const;
     void logChange(const ReplicaId&, std::string_view cause) const;
 
@@ -109,6 +113,7 @@
     ReplicaRegistry m_registry;
     std::map<ReplicaId, LeavingReport> m_leaving;
     std::map<ReplicaId, TimePoint> m_changedAt; /**< when the change was read from the store */
+    std::map<ReplicaId, TimePoint> m_unconfirmed; /**< entries from peers, and when they were applied */
     std::map<ReplicaId, PeerPause> m_pauses;
     std::map<ReplicaId, OrderedStage> m_ordered;
     TimerSubscription m_expiryTimer;
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -253,3 +253,32 @@
     fixture.timers.advance(200ms);
     CHECK(applied.back() == "40");
 }
+
+// Guards against a replica that left before this daemon was restarted, and that stays in use because a peer that is behind has
+// reported its entry afterwards: no removal of it is read from the store any more.
+TEST_CASE("an entry that only a peer has reported is removed unless the store confirms it")
+{
+    OneReplica fixture;
+    auto entry = fixture.replicas.changedEntries().front();
+    for (const auto* id : { "i-2", "i-3" }) {
+        entry.id = ReplicaId(id);
+        fixture.replicas.applyPeerEntry(entry);
+    }
+    fixture.store.put("servers/i-3", testEntry("s", "none"));
+    SUBCASE("after 25 s")
+    {
+        fixture.timers.advance(20s);
+        CHECK(statusOf(fixture.replicas, "i-2") == ReplicaStatus::Ready);
+        fixture.timers.advance(6s);
+        CHECK(statusOf(fixture.replicas, "i-2") == ReplicaStatus::Removed);
+    }
+    SUBCASE("but not during an outage of the store")
+    {
+        fixture.timers.advance(1s);
+        fixture.store.isDown = true;
+        fixture.timers.advance(40s);
+        CHECK(statusOf(fixture.replicas, "i-2") == ReplicaStatus::Ready);
+    }
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Ready);
+    CHECK(statusOf(fixture.replicas, "i-3") == ReplicaStatus::Ready);
+}
