Decode percent escapes in one place

HttpMessage and PercentEncoding (infrastructure) held the same decoder, one with and one without the plus sign of queries. The functions move to base, and HttpRequest::queryValue replaces plus signs before it decodes.

--- a/modules/base/base.h
+++ b/modules/base/base.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** @module base
-    Owns the types that all modules share: identifiers, time points, digests, the closed list of error kinds with their
+    Owns the types that all modules share: identifiers, time points, digests, percent-encoding, the closed list of error kinds with their
     HTTP status codes, and the catalogue of numbered log events. Only Result.h needs Boost. */
 
 #include "base/digest/Digest.h"
@@ -10,4 +10,5 @@
 #include "base/errors/Result.h"
 #include "base/events/EventId.h"
 #include "base/ids/StrongId.h"
+#include "base/text/PercentEncoding.h"
 #include "base/time/TimePoint.h"
--- a/modules/infrastructure/client/PercentEncoding.cpp
+++ b/modules/base/text/PercentEncoding.cpp
@@ -1,4 +1,4 @@
-#include "infrastructure/client/PercentEncoding.h"
+#include "base/text/PercentEncoding.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/escaping.h>
@@ -27,7 +27,7 @@
     return encoded;
 }
 
-std::string percentDecodePath(std::string_view text)
+std::string percentDecode(std::string_view text)
 {
     std::string decoded;
     for (size_t i = 0; i < text.size(); ++i) {
--- a/modules/http/message/HttpMessage.cpp
+++ b/modules/http/message/HttpMessage.cpp
@@ -1,5 +1,7 @@
 #include "http/message/HttpMessage.h"
 
+#include "base/text/PercentEncoding.h"
+
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -7,28 +9,11 @@
 
 namespace {
 
-    int hexDigit(char c)
+    /** In a query, a plus sign stands for a space. */
+    std::string decodeQueryValue(std::string text)
     {
-        if (c >= '0' && c <= '9')
-            return c - '0';
-        if (c >= 'a' && c <= 'f')
-            return c - 'a' + 10;
-        if (c >= 'A' && c <= 'F')
-            return c - 'A' + 10;
-        return -1;
-    }
-
-    std::string percentDecode(std::string_view text)
-    {
-        std::string decoded;
-        for (size_t i = 0; i < text.size(); ++i) {
-            if (text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0) {
-                decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
-                i += 2;
-            } else
-                decoded += text[i] == '+' ? ' ' : text[i];
-        }
-        return decoded;
+        std::ranges::replace(text, '+', ' ');
+        return percentDecode(text);
     }
 
 } // namespace
@@ -74,7 +59,7 @@
         rest = pair.size() < rest.size() ? rest.substr(pair.size() + 1) : std::string_view();
         auto equals = pair.find('=');
         if (pair.substr(0, equals) == name)
-            return equals == std::string_view::npos ? std::string() : percentDecode(pair.substr(equals + 1));
+            return equals == std::string_view::npos ? std::string() : decodeQueryValue(std::string(pair.substr(equals + 1)));
     }
     return {};
 }
--- a/modules/infrastructure/keyvalue/ConsulKeyValueStore.cpp
+++ b/modules/infrastructure/keyvalue/ConsulKeyValueStore.cpp
@@ -1,6 +1,6 @@
 #include "infrastructure/keyvalue/ConsulKeyValueStore.h"
 
-#include "infrastructure/client/PercentEncoding.h"
+#include "base/text/PercentEncoding.h"
 
 #include <absl/strings/escaping.h>
 #include <cassert>
--- a/modules/infrastructure/weightstore/HttpWeightStore.cpp
+++ b/modules/infrastructure/weightstore/HttpWeightStore.cpp
@@ -1,6 +1,6 @@
 #include "infrastructure/weightstore/HttpWeightStore.h"
 
-#include "infrastructure/client/PercentEncoding.h"
+#include "base/text/PercentEncoding.h"
 
 #include <charconv>
 
--- a/standins/kvstandin/ConsulServer.cpp
+++ b/standins/kvstandin/ConsulServer.cpp
@@ -1,6 +1,6 @@
 #include "ConsulServer.h"
 
-#include "infrastructure/client/PercentEncoding.h"
+#include "base/text/PercentEncoding.h"
 
 #include <absl/strings/escaping.h>
 #include <charconv>
@@ -37,7 +37,7 @@
 
     std::string keyOf(const HttpRequest& request)
     {
-        return percentDecodePath(request.path().substr(kvPath.size()));
+        return percentDecode(request.path().substr(kvPath.size()));
     }
 
     HttpResponse jsonResponse(int status, const json& body)
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -139,3 +139,13 @@
     CHECK(response->headers.value("Connection") == "close");
     CHECK(fixture.run(hasNoConnectionsLeft(fixture.server)));
 }
+
+// Guards against a decoder that reads past a truncated escape, or that takes an escaped plus sign for a space.
+TEST_CASE("a query value is decoded, and malformed escapes are kept")
+{
+    HttpRequest request { "GET", "/a?x=1%2B1+=%zz%4&y=%C3%a9&z" };
+    CHECK(request.queryValue("x") == "1+1 =%zz%4");
+    CHECK(request.queryValue("y") == "\xC3\xA9");
+    CHECK(request.queryValue("z").empty());
+    CHECK(request.queryValue("w").empty());
+}
