Keep the pending attempts of one request apart in ticket mode

Cause: HttpBackendServerClient held one pending call for each request id. With two attempts of one request, the second took the place of the first, and the end of either removed the entry of the other.

Change: a multimap; each call removes its own entry, and a response goes to an attempt that has none yet.

--- a/modules/backends/servers/HttpBackendServerClient.cpp
+++ b/modules/backends/servers/HttpBackendServerClient.cpp
@@ -1,5 +1,6 @@
 #include "backends/servers/HttpBackendServerClient.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -44,12 +45,13 @@
         asio::steady_timer responseReady; /**< cancelled when the response is set */
     };
 
-    std::map<std::string, std::shared_ptr<Call>> byId;
+    std::multimap<std::string, std::shared_ptr<Call>> byId; /**< attempts of one request have the same id */
 
     bool deliver(const std::string& id, HttpResponse response)
     {
-        auto call = byId.find(id);
-        if (call == byId.end() || call->second->response)
+        auto [first, last] = byId.equal_range(id);
+        auto call = std::find_if(first, last, [](const auto& entry) { return !entry.second->response; });
+        if (call == last)
             return false;
         call->second->response = std::move(response);
         call->second->responseReady.cancel();
@@ -71,8 +73,7 @@
     std::string id(request.headers.value("X-Request-Id"));
     auto pending = m_pending;
     auto call = std::make_shared<PendingCalls::Call>(co_await asio::this_coro::executor);
-    if (!id.empty())
-        pending->byId[id] = call;
+    auto entry = pending->byId.emplace(id, call);
     auto response = co_await m_client.exchange(endpoint, std::move(request), timeouts);
     std::string responseId(response ? response->headers.value("X-Request-Id") : "");
     if (!responseId.empty() && responseId != id) {
@@ -82,7 +83,7 @@
         if (wasExpected && !call->response)
             co_await call->responseReady.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    pending->byId.erase(id);
+    pending->byId.erase(entry);
     if (call->response)
         co_return std::move(*call->response);
     if (!response)
--- a/tests/backends/HttpEngineClientTest.cpp
+++ b/tests/backends/HttpEngineClientTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
+#include <map>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -161,6 +162,56 @@
 }
 
 // Guards against relaying a response whose own call is unknown.
+// Guards against a call that ends and takes the place of another attempt of the same request with it: the response to that attempt,
+// arriving on another connection, was then discarded although its caller waited for it.
+TEST_CASE("two attempts of one request wait for their responses independently")
+{
+    HttpResponseWriter* attemptWriter = nullptr;
+    bool isFirstDone = false;
+    bool isSwapped = false;
+    auto waitFor = [](const bool& condition) -> asio::awaitable<void> {
+        asio::steady_timer poll(co_await asio::this_coro::executor);
+        while (!condition) {
+            poll.expires_after(std::chrono::milliseconds(1));
+            co_await poll.async_wait(asio::use_awaitable);
+        }
+    };
+    bool hasAttempt = false;
+    BackendFixture fixture([&](HttpRequest request, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        if (request.path() == "/first") {
+            co_await waitFor(hasAttempt);
+            co_await writer.send({ 200, { { "X-Request-Id", "r1" } }, "first" });
+        } else if (request.path() == "/second") {
+            attemptWriter = &writer;
+            hasAttempt = true;
+            co_await waitFor(isSwapped);
+        } else {
+            co_await waitFor(isFirstDone);
+            co_await attemptWriter->send({ 200, { { "X-Request-Id", "r2" } }, "other" });
+            co_await writer.send({ 200, { { "X-Request-Id", "r1" } }, "second" });
+            isSwapped = true;
+        }
+    });
+    std::map<std::string, Result<HttpResponse>> responses;
+    auto start = [&](const std::string& path, const std::string& id) {
+        auto call = fixture.servers.call(fixture.server.endpoint(), { "POST", path, { { "X-Request-Id", id } }, "" }, std::chrono::seconds(5));
+        asio::co_spawn(fixture.context, std::move(call), [&, path](const std::exception_ptr&, Result<HttpResponse> response) {
+            isFirstDone |= path == "/first";
+            responses.emplace(path, std::move(response));
+        });
+    };
+    start("/first", "r1");
+    start("/second", "r1");
+    start("/other", "r2");
+    while (responses.size() < 3)
+        fixture.context.run_one();
+    for (const auto& entry : responses)
+        REQUIRE_MESSAGE(entry.second.has_value(), entry.first);
+    CHECK(responses.at("/first")->body == "first");
+    CHECK(responses.at("/second")->body == "second");
+    CHECK(responses.at("/other")->body == "other");
+}
+
 TEST_CASE("a backend server's response to another request never reaches the caller")
 {
     BackendFixture fixture([](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> { co_await writer.send({ 200, { { "X-Request-Id", "r2" } }, "other" }); });
