Log exceptions of background tasks and restart those that must not end

Cause: tasks were started with asio::detached, which drops exceptions.

Change: kernel/tasks: spawnTask logs task_failed, spawnPermanentTask starts the task again after a second, ScopedFlag resets flags. The five loops of the gateway, the release of handles, the VM list and intents of ReplicaFleet and the cleaning of claims use them; the other detached tasks of ticket mode do not yet.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -16,6 +16,7 @@
         { EventId::DaemonStopped, "daemon_stopped", Severity::Info, "All work is complete; the process exits." },
         { EventId::SettingsRefused, "settings_refused", Severity::Error, "A setting is unknown, missing or out of range." },
         { EventId::LogLinesDropped, "log_lines_dropped", Severity::Warning, "Earlier log lines were dropped because the output was blocked; the field gives their number." },
+        { EventId::TaskFailed, "task_failed", Severity::Error, "A background task ended with an exception; a permanent one is started again after a second." },
 
         // http
         { EventId::ListenerStarted, "listener_started", Severity::Info, "A listener accepts connections." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -22,6 +22,7 @@
     DaemonStopped = 1003,
     SettingsRefused = 1004,
     LogLinesDropped = 1005,
+    TaskFailed = 1006,
 
     // http: 1100 to 1199
     ListenerStarted = 1100,
--- a/modules/claims/log/EpochCleaner.cpp
+++ b/modules/claims/log/EpochCleaner.cpp
@@ -1,5 +1,7 @@
 #include "claims/log/EpochCleaner.h"
 
+#include "kernel/tasks/BackgroundTask.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -24,7 +26,7 @@
     auto self = shared_from_this();
     if (m_isRunning)
         co_return;
-    m_isRunning = true;
+    ScopedFlag isRunning(m_isRunning);
     auto newest = claimEpochOf(m_dependencies.timers.wallClock());
     while (!isEpochClosable(newest, m_dependencies.timers.wallClock()))
         --newest;
@@ -34,7 +36,6 @@
     if (m_isResponsible(newest, 0))
         co_await catchUp(newest - recentEpochs);
     std::erase_if(m_cleaned, [newest](const auto& shard) { return shard.first <= newest - recentEpochs; });
-    m_isRunning = false;
 }
 
 asio::awaitable<void> EpochCleaner::cleanEpoch(ClaimEpoch epoch)
--- a/modules/claims/service/SharedClaimService.cpp
+++ b/modules/claims/service/SharedClaimService.cpp
@@ -1,7 +1,6 @@
 #include "claims/service/SharedClaimService.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "kernel/tasks/BackgroundTask.h"
 
 namespace chestnut {
 
@@ -118,7 +117,7 @@
     m_peers.handle(recordedResponseMessage, [this](const DaemonId&, json body) { return handlePeerRequest(std::move(body)); });
     m_cleaningTimer = m_dependencies.timers.every(cleaningPeriod, [this] {
         removeExpired();
-        asio::co_spawn(m_dependencies.executor, m_cleaner->clean(), asio::detached);
+        spawnTask(m_dependencies.executor, m_dependencies.log, "claim_cleaning", m_cleaner->clean());
     });
 }
 
--- a/modules/control/fleet/ReplicaFleet.cpp
+++ b/modules/control/fleet/ReplicaFleet.cpp
@@ -1,9 +1,7 @@
 #include "control/fleet/ReplicaFleet.h"
 
 #include "kernel/settings/SettingsReader.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "kernel/tasks/BackgroundTask.h"
 
 namespace chestnut {
 
@@ -176,11 +174,11 @@
     state->configuration.onChange([state](const std::shared_ptr<const Configuration>&) { state->updateAllReplicas(); });
     state->peers.handle(engineNoticeMessage, [state](DaemonId, nlohmann::json body) { return handleNotice(state, std::move(body)); });
     state->updateAllReplicas();
-    m_timers.push_back(state->timers.every(vmPollPeriod, [this] { asio::co_spawn(m_context, pollVms(m_state), asio::detached); }));
+    m_timers.push_back(state->timers.every(vmPollPeriod, [this] { spawnTask(m_context.get_executor(), m_state->log, "vm_list", pollVms(m_state)); }));
     m_timers.push_back(state->timers.every(expiryPeriod, [this] {
         m_state->expireNotices();
         m_state->updateAllReplicas();
-        asio::co_spawn(m_context, readIntents(m_state), asio::detached);
+        spawnTask(m_context.get_executor(), m_state->log, "intents", readIntents(m_state));
     }));
 }
 
@@ -195,9 +193,8 @@
 {
     if (state->isPolling)
         co_return;
-    state->isPolling = true;
+    ScopedFlag isPolling(state->isPolling);
     auto vms = co_await state->vmList.fetch();
-    state->isPolling = false;
     if (vms && !state->isStopped)
         state->updateLeavingVms(*vms);
 }
--- a/modules/gateway/members/DaemonDirectory.cpp
+++ b/modules/gateway/members/DaemonDirectory.cpp
@@ -1,8 +1,8 @@
 #include "gateway/members/DaemonDirectory.h"
 
+#include "kernel/tasks/BackgroundTask.h"
+
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 namespace chestnut {
@@ -94,7 +94,7 @@
 
 void DaemonDirectory::start()
 {
-    asio::co_spawn(m_context, maintainRegistration(), asio::detached);
+    spawnPermanentTask(m_context.get_executor(), m_timers, m_log, "registration", [this] { return maintainRegistration(); });
 }
 
 asio::awaitable<void> DaemonDirectory::deregister()
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -1,10 +1,10 @@
 #include "gateway/members/LoadExchange.h"
 
+#include "kernel/tasks/BackgroundTask.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -68,7 +68,7 @@
 void LoadExchange::start()
 {
     m_socket.non_blocking(true);
-    asio::co_spawn(m_context, receiveAll(), asio::detached);
+    spawnPermanentTask(m_context.get_executor(), m_timers, m_log, "load_exchange", [this] { return receiveAll(); });
     m_timer = m_timers.every(tickPeriod, [this] { sendAll(); });
 }
 
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -1,10 +1,9 @@
 #include "gateway/requests/GenerationRelay.h"
 
 #include "decisions/speeds/WaitLimits.h"
+#include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace chestnut {
 
@@ -308,7 +307,7 @@
         if (!released)
             services.log.write(EventId::HandleReleaseFailed, { { "source", handle.source }, { "handle", handle.id }, { "detail", released.error().detail } });
     };
-    asio::co_spawn(m_relay->services.context, release(m_relay->services, *m_handle), asio::detached);
+    spawnTask(m_relay->services.context.get_executor(), m_relay->services.log, "handle_release", release(m_relay->services, *m_handle));
 }
 
 } // namespace chestnut
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -1,8 +1,8 @@
 #include "gateway/roles/RoleManager.h"
 
+#include "kernel/tasks/BackgroundTask.h"
+
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <random>
 
 namespace chestnut {
@@ -66,8 +66,8 @@
 
 void RoleManager::start()
 {
-    asio::co_spawn(m_context, maintainLease(), asio::detached);
-    asio::co_spawn(m_context, manageSplits(), asio::detached);
+    spawnPermanentTask(m_context.get_executor(), m_timers, m_log, "role_lease", [this] { return maintainLease(); });
+    spawnPermanentTask(m_context.get_executor(), m_timers, m_log, "role_splits", [this] { return manageSplits(); });
     m_sampleTimer = m_timers.every(samplePeriod, [this] { sampleDemand(); });
 }
 
--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -1,8 +1,8 @@
 #include "gateway/store/StoreMirror.h"
 
+#include "kernel/tasks/BackgroundTask.h"
+
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace chestnut {
 
@@ -48,7 +48,7 @@
 
 void StoreMirror::start()
 {
-    asio::co_spawn(m_context, follow(shared_from_this()), asio::detached);
+    spawnPermanentTask(m_context.get_executor(), m_timers, m_log, "mirror of " + m_prefix, [self = shared_from_this()] { return follow(self); });
 }
 
 asio::awaitable<void> StoreMirror::follow(std::shared_ptr<StoreMirror> self)
--- /dev/null
+++ b/modules/kernel/tasks/BackgroundTask.cpp
@@ -0,0 +1,49 @@
+#include "kernel/tasks/BackgroundTask.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <exception>
+
+namespace chestnut {
+
+namespace {
+
+    std::string describe(const std::exception_ptr& exception)
+    {
+        try {
+            std::rethrow_exception(exception);
+        } catch (const std::exception& error) {
+            return error.what();
+        } catch (...) {
+            return "unknown exception";
+        }
+    }
+
+    asio::awaitable<void> runUntilReturn(TimerService& timers, Log& log, std::string name, std::function<asio::awaitable<void>()> start)
+    {
+        while (true) {
+            try {
+                co_await start();
+                co_return;
+            } catch (...) {
+                log.write(EventId::TaskFailed, { { "task", name }, { "exception", describe(std::current_exception()) } });
+            }
+            co_await timers.sleep(taskRestartPause);
+        }
+    }
+
+} // namespace
+
+void spawnTask(asio::any_io_executor executor, Log& log, std::string name, asio::awaitable<void> task)
+{
+    asio::co_spawn(std::move(executor), std::move(task), [&log, name = std::move(name)](const std::exception_ptr& exception) {
+        if (exception)
+            log.write(EventId::TaskFailed, { { "task", name }, { "exception", describe(exception) } });
+    });
+}
+
+void spawnPermanentTask(asio::any_io_executor executor, TimerService& timers, Log& log, std::string name, std::function<asio::awaitable<void>()> start)
+{
+    spawnTask(std::move(executor), log, name, runUntilReturn(timers, log, name, std::move(start)));
+}
+
+} // namespace chestnut
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -282,3 +282,24 @@
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Ready);
     CHECK(statusOf(fixture.replicas, "i-3") == ReplicaStatus::Ready);
 }
+
+// Guards against a mirror that ends silently at the first exception of a handler, so that a daemon keeps its old configuration.
+TEST_CASE("a mirror continues after an exception of a handler")
+{
+    GatewayFixture fixture;
+    size_t seen = 0;
+    auto mirror = std::make_shared<StoreMirror>(fixture.context, fixture.store, fixture.timers, fixture.log, "x/", [] { return Duration::zero(); });
+    auto apply = [&seen](const StoreItem&) {
+        if (++seen == 1)
+            throw std::runtime_error("no record");
+    };
+    mirror->subscribe("x/", { apply, [](const std::string&) {} });
+    mirror->start();
+    fixture.settle();
+    fixture.store.put("x/1", "a");
+    fixture.settle();
+    fixture.store.put("x/2", "b");
+    fixture.timers.advance(3s);
+    CHECK(seen > 1);
+    CHECK(fixture.log.recent(EventId::TaskFailed).size() == 1);
+}
--- /dev/null
+++ b/tests/kernel/BackgroundTaskTest.cpp
@@ -0,0 +1,53 @@
+#include "kernel/tasks/BackgroundTask.h"
+
+#include "kernel/timers/VirtualTimerService.h"
+
+#include <doctest/doctest.h>
+#include <stdexcept>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+asio::awaitable<void> failTimes(int& starts, int failures)
+{
+    if (++starts <= failures)
+        throw std::runtime_error("no record");
+    co_return;
+}
+
+} // namespace
+
+// Guards against a loop that ends silently, for example one that renews a lease, while the daemon goes on without it.
+TEST_CASE("a permanent task is started again after an exception, which is logged, until it returns")
+{
+    asio::io_context context;
+    VirtualTimerService timers(context);
+    MemoryLog log;
+    int starts = 0;
+    spawnPermanentTask(context.get_executor(), timers, log, "renewal", [&starts] { return failTimes(starts, 2); });
+    timers.advance(500ms);
+    CHECK(starts == 1);
+    timers.advance(10s);
+    CHECK(starts == 3);
+    CHECK(log.recent(EventId::TaskFailed).size() == 2);
+}
+
+// Guards against an exception of a task that is lost, and against a flag that blocks all later runs.
+TEST_CASE("an exception of a task is logged and its flags are reset")
+{
+    asio::io_context context;
+    VirtualTimerService timers(context);
+    MemoryLog log;
+    bool isRunning = false;
+    auto run = [](bool& flag) -> asio::awaitable<void> {
+        ScopedFlag scoped(flag);
+        throw std::runtime_error("no record");
+        co_return;
+    };
+    spawnTask(context.get_executor(), log, "poll", run(isRunning));
+    timers.runReady();
+    CHECK_FALSE(isRunning);
+    CHECK(log.recent(EventId::TaskFailed).size() == 1);
+}
