--- a/modules/base/base.h
+++ b/modules/base/base.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** @module base
-    Owns the types that all modules share: identifiers, time points, digests, percent-encoding, the closed list of error kinds with their
-    HTTP status codes, and the catalogue of numbered log events. Only Result.h needs Boost. */
+    Owns the types that all modules share: identifiers, time points, digests, percent-encoding, the closed list of error
+    kinds with their HTTP status codes, and the catalogue of numbered log events. Only Result.h needs Boost. */
 
 #include "base/digest/Digest.h"
 #include "base/errors/Error.h"
