--- a/modules/kernel/tasks/BackgroundTask.cpp
+++ b/modules/kernel/tasks/BackgroundTask.cpp
@@ -33,17 +33,17 @@
 
 } // namespace
 
-void spawnTask(asio::any_io_executor executor, Log& log, std::string name, asio::awaitable<void> task)
+void spawnTask(const asio::any_io_executor& executor, Log& log, std::string name, asio::awaitable<void> task)
 {
-    asio::co_spawn(std::move(executor), std::move(task), [&log, name = std::move(name)](const std::exception_ptr& exception) {
+    asio::co_spawn(executor, std::move(task), [&log, name = std::move(name)](const std::exception_ptr& exception) {
         if (exception)
             log.write(EventId::TaskFailed, { { "task", name }, { "exception", describe(exception) } });
     });
 }
 
-void spawnPermanentTask(asio::any_io_executor executor, TimerService& timers, Log& log, std::string name, std::function<asio::awaitable<void>()> start)
+void spawnPermanentTask(const asio::any_io_executor& executor, TimerService& timers, Log& log, std::string name, std::function<asio::awaitable<void>()> start)
 {
-    spawnTask(std::move(executor), log, name, runUntilReturn(timers, log, name, std::move(start)));
+    spawnTask(executor, log, name, runUntilReturn(timers, log, name, std::move(start)));
 }
 
 } // namespace chestnut
