--- a/modules/claims/log/EpochCleaner.cpp
+++ b/modules/claims/log/EpochCleaner.cpp
@@ -1,6 +1,6 @@
 #include "claims/log/EpochCleaner.h"
 
-#include "kernel/tasks/BackgroundTask.h"
+#include "kernel/tasks/ScopedFlag.h"
 
 #include <algorithm>
 #include <charconv>
--- a/modules/control/fleet/ReplicaFleet.cpp
+++ b/modules/control/fleet/ReplicaFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/settings/SettingsReader.h"
 #include "kernel/tasks/BackgroundTask.h"
+#include "kernel/tasks/ScopedFlag.h"
 
 namespace chestnut {
 
--- a/modules/decisions/speeds/StreamProgress.cpp
+++ b/modules/decisions/speeds/StreamProgress.cpp
@@ -46,4 +46,17 @@
     return wereOthersInProgress;
 }
 
+StreamProgress::Stream::Stream(std::shared_ptr<StreamProgress> progress, ServiceId service, ReplicaId replica, TimePoint now)
+    : m_progress(std::move(progress))
+    , m_service(std::move(service))
+    , m_replica(std::move(replica))
+{
+    m_progress->begin(m_service, m_replica, now);
+}
+
+StreamProgress::Stream::~Stream()
+{
+    m_progress->end(m_service, m_replica);
+}
+
 } // namespace chestnut
--- a/modules/decisions/speeds/StreamProgress.h
+++ b/modules/decisions/speeds/StreamProgress.h
@@ -4,6 +4,7 @@
 #include "base/time/TimePoint.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 
 namespace chestnut {
@@ -19,6 +20,20 @@
     /** Whether streams were in progress at other engines of the service at `since`, and none has received an event afterwards. */
     bool areOthersSilent(const ServiceId&, const ReplicaId&, TimePoint since) const;
 
+    /** Counts a stream as in progress during its lifetime. It may outlive all other owners of the progress. */
+    class Stream {
+    public:
+        Stream(std::shared_ptr<StreamProgress>, ServiceId, ReplicaId, TimePoint now);
+        ~Stream();
+        Stream(const Stream&) = delete;
+        Stream& operator=(const Stream&) = delete;
+
+    private:
+        std::shared_ptr<StreamProgress> m_progress;
+        ServiceId m_service;
+        ReplicaId m_replica;
+    };
+
 private:
     struct EngineStreams {
         uint32_t count = 0;
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -17,6 +17,7 @@
     constexpr size_t maximumResponseBytes = 1 << 20;
     /** Multiple of the stall limit that a stream may wait while the streams of all other engines are silent too. */
     constexpr int commonSilenceMultiple = 2;
+
     /** Describes the engines, their requests in flight and the number of ejected ones. */
     std::string describeLoad(const std::vector<PlacementView>& views)
     {
@@ -63,7 +64,7 @@
         return;
     m_stallTimer = relay.services.timers.once(*limit, [this, replica, limit = *limit, waitedSince = relay.services.timers.now()] {
         // When all streams are silent, the fault is not that of one engine.
-        if (m_relay->services.streams.areOthersSilent(m_relay->service, replica, waitedSince))
+        if (m_relay->services.streams->areOthersSilent(m_relay->service, replica, waitedSince))
             m_stallTimer = m_relay->services.timers.once(limit * (commonSilenceMultiple - 1), [this, waitedSince] { interruptStalledStream(waitedSince); });
         else
             interruptStalledStream(waitedSince);
@@ -166,7 +167,7 @@
             splitter.append(**bytes);
         auto batch = splitter.takeEvents();
         if (!batch.bytes.empty()) {
-            relay.services.streams.recordEvent(relay.service, engine, relay.services.timers.now());
+            relay.services.streams->recordEvent(relay.service, engine, relay.services.timers.now());
             recordEventTime(sentAt);
             startStallTimer(engine, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
         }
@@ -232,6 +233,7 @@
     auto& relay = *m_relay;
     auto inFlightWork = relay.services.loadTracker->begin(engine.id);
     auto sentAt = relay.services.timers.now();
+    StreamProgress::Stream inProgress(relay.services.streams, relay.service, engine.id, sentAt);
     m_lastEventAt.reset();
     auto response = co_await openDecodeStream(engine);
     if (!response) {
@@ -269,9 +271,7 @@
             co_return engine.error();
         if (relay.isOver() || !relay.acquireAttempt())
             co_return last;
-        relay.services.streams.begin(relay.service, engine->id, relay.services.timers.now());
         auto served = co_await decodeAt(*engine);
-        relay.services.streams.end(relay.service, engine->id);
         if (served)
             co_return served;
         last = served.error();
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -45,7 +45,7 @@
     ReplicaDirectory& replicas;
     std::shared_ptr<LoadTracker> loadTracker;
     SpeedTracker& speeds;
-    StreamProgress& streams;
+    std::shared_ptr<StreamProgress> streams;
     CrashTracker& crashTracker;
     RetryBudgets& budgets;
     AvailabilityZone zone;
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -81,7 +81,7 @@
     GatewaySettings m_settings;
     std::shared_ptr<LoadTracker> m_loadTracker;
     SpeedTracker m_speeds;
-    StreamProgress m_streams;
+    std::shared_ptr<StreamProgress> m_streams = std::make_shared<StreamProgress>();
     CrashTracker m_crashTracker;
     std::shared_ptr<StoreMirror> m_ownKeys;
     std::shared_ptr<DaemonDirectory> m_daemons;
--- a/modules/kernel/kernel.h
+++ b/modules/kernel/kernel.h
@@ -10,4 +10,5 @@
 #include "kernel/registry/ServiceRegistry.h"
 #include "kernel/settings/SettingsReader.h"
 #include "kernel/tasks/BackgroundTask.h"
+#include "kernel/tasks/ScopedFlag.h"
 #include "kernel/timers/TimerService.h"
--- a/modules/kernel/tasks/BackgroundTask.h
+++ b/modules/kernel/tasks/BackgroundTask.h
@@ -14,26 +14,10 @@
 void spawnTask(const asio::any_io_executor&, Log&, std::string name, asio::awaitable<void>);
 
 /** Starts a task that runs as long as the daemon, for example a loop that renews a lease. After an exception, which is logged,
-    it is started again within taskRestartPause; a task that returns is not. */
+    it is started again after taskRestartPause; a task that returns is not. */
 void spawnPermanentTask(const asio::any_io_executor&, TimerService&, Log&, std::string name, std::function<asio::awaitable<void>()> start);
 
 /** Limits the log lines and calls of a task that fails immediately after each start. */
 constexpr Duration taskRestartPause = std::chrono::seconds(1);
 
-/** Sets a flag for the lifetime of this object, so that a task that ends with an exception does not leave it set. */
-class ScopedFlag {
-public:
-    explicit ScopedFlag(bool& flag)
-        : m_flag(flag)
-    {
-        m_flag = true;
-    }
-    ~ScopedFlag() { m_flag = false; }
-    ScopedFlag(const ScopedFlag&) = delete;
-    ScopedFlag& operator=(const ScopedFlag&) = delete;
-
-private:
-    bool& m_flag;
-};
-
 } // namespace chestnut
--- a/modules/peers/service/NngPeerHeartbeats.cpp
+++ b/modules/peers/service/NngPeerHeartbeats.cpp
@@ -24,6 +24,8 @@
     constexpr size_t maximumExtensionBytes = 1024;
     /** Extensions leave at least this many bytes of a heartbeat to the membership payload. */
     constexpr size_t minimumMembershipBytes = 600;
+    /** The loss of a zone closes tens of sockets at the same time, which takes less than this many heartbeat rounds. */
+    constexpr uint32_t roundsUntilCloseStalled = 5;
     /** Number of new incarnations within a minute that indicates a second process with the same id. */
     constexpr size_t renewalsUntilConflict = 3;
 
@@ -55,13 +57,12 @@
 
 void NngPeerService::State::closeIdleSockets()
 {
-    m_transport.closeIdle();
     auto pending = m_transport.pendingCloses();
     metrics.setGauge("chestnut_peer_sockets_closing", static_cast<double>(pending));
-    bool isStalled = pending >= NngTransport::maximumPendingCloses;
-    if (isStalled && !m_hasLoggedStalledCloses)
+    m_roundsWithStalledCloses = pending >= NngTransport::maximumPendingCloses ? m_roundsWithStalledCloses + 1 : 0;
+    if (m_roundsWithStalledCloses == roundsUntilCloseStalled)
         log.write(EventId::PeerCloseStalled, { { "sockets", pending } });
-    m_hasLoggedStalledCloses = isStalled;
+    m_transport.closeIdle();
 }
 
 std::vector<std::string> NngPeerService::State::nonMemberAddresses() const
--- a/modules/peers/service/NngPeerState.h
+++ b/modules/peers/service/NngPeerState.h
@@ -82,7 +82,7 @@
     HeartbeatBudget m_budget;
     std::set<std::string> m_heartbeatsInFlight;
     std::map<std::string, TimePoint> m_loggedRejections;
-    bool m_hasLoggedStalledCloses = false;
+    uint32_t m_roundsWithStalledCloses = 0; /**< in a row */
     std::vector<TimePoint> m_renewals;
     size_t m_handledRequests = 0;
     uint64_t m_heartbeatRounds = 0;
--- a/tests/kernel/BackgroundTaskTest.cpp
+++ b/tests/kernel/BackgroundTaskTest.cpp
@@ -1,4 +1,5 @@
 #include "kernel/tasks/BackgroundTask.h"
+#include "kernel/tasks/ScopedFlag.h"
 
 #include "kernel/timers/VirtualTimerService.h"
 
