Catch exceptions of permanent tasks on AArch64

A loop such as the renewal of a lease ended at an exception and was not started again.

Cause: clang 14 for AArch64 at -O1 and above misses an exception that an awaited task throws when the try block also contains a co_return. The exception then leaves the coroutine.

Change: the try block contains only the co_await.

Conclusion: a fault of the compiler that the code avoids. Other try blocks around a co_await were read: none in modules, platform or programs contains a co_return; one in the key-value stand-in does, around calls that do not throw across the co_await.

--- a/modules/kernel/tasks/BackgroundTask.cpp
+++ b/modules/kernel/tasks/BackgroundTask.cpp
@@ -21,12 +21,16 @@
     asio::awaitable<void> runUntilReturn(TimerService& timers, Log& log, std::string name, std::function<asio::awaitable<void>()> start)
     {
         while (true) {
+            std::exception_ptr exception;
+            // No co_return inside the try block: clang 14 for AArch64 then misses exceptions that the awaited task throws.
             try {
                 co_await start();
-                co_return;
             } catch (...) {
-                log.write(EventId::TaskFailed, { { "task", name }, { "exception", describe(std::current_exception()) } });
+                exception = std::current_exception();
             }
+            if (!exception)
+                co_return;
+            log.write(EventId::TaskFailed, { { "task", name }, { "exception", describe(exception) } });
             co_await timers.sleep(taskRestartPause);
         }
     }
