Log attempts that are interrupted because their replica is silent

Change: event attempt_silent with the time of the silence, whether the client has received a part of the response, and the attempts that the route allows. No decision changes.

Before and after: test_gateway 86 of 86 cases, test_base passes.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -98,6 +98,7 @@
         { EventId::PrefillFailed, "prefill_failed", Severity::Warning, "An engine did not prefill a prompt; the request was not executed there." },
         { EventId::RetryBudgetExhausted, "retry_budget_exhausted", Severity::Info, "A retry was not sent because the retry budget of the service is used up." },
         { EventId::HandleReleaseFailed, "handle_release_failed", Severity::Info, "KV cache that no request will use could not be freed; it expires by itself." },
+        { EventId::AttemptSilent, "attempt_silent", Severity::Warning, "A replica has sent nothing for longer than such attempts usually need; the fields give the time and what the daemon does." },
         { EventId::SettingsReloaded, "settings_reloaded", Severity::Info, "SIGHUP was received; the limits and the log level of the settings file are applied." },
     });
 
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -104,6 +104,7 @@
     PrefillFailed = 2231,
     RetryBudgetExhausted = 2232,
     HandleReleaseFailed = 2233,
+    AttemptSilent = 2234,
     SettingsReloaded = 2240,
 };
 
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -65,14 +65,15 @@
     m_stallTimer = relay.services.timers.once(*limit, [this, replica, limit = *limit, waitedSince = relay.services.timers.now()] {
         // When all streams are silent, the fault is not that of one engine.
         if (m_relay->services.streams->areOthersSilent(m_relay->service, replica, waitedSince))
-            m_stallTimer = m_relay->services.timers.once(limit * (commonSilenceMultiple - 1), [this, waitedSince] { interruptStalledStream(waitedSince); });
+            m_stallTimer = m_relay->services.timers.once(limit * (commonSilenceMultiple - 1), [this, replica, waitedSince] { interruptStalledStream(replica, waitedSince); });
         else
-            interruptStalledStream(waitedSince);
+            interruptStalledStream(replica, waitedSince);
     });
 }
 
-void GenerationRelay::interruptStalledStream(TimePoint waitedSince)
+void GenerationRelay::interruptStalledStream(const ReplicaId& replica, TimePoint waitedSince)
 {
+    logSilentAttempt(*m_relay, replica, m_relay->services.timers.now() - waitedSince, m_writer.hasBegun());
     // The event needs at least this time, so that engines that have become slower are abandoned less often.
     recordEventTime(waitedSince);
     m_relay->abort->interrupt();
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -41,7 +41,7 @@
     /** Interrupts the stream when the engine sends no complete event for the given time. Bytes of an incomplete event are no
         progress. While all streams of the service are silent, it waits for twice as long. */
     void startStallTimer(const ReplicaId& engine, std::optional<Duration> limit);
-    void interruptStalledStream(TimePoint waitedSince);
+    void interruptStalledStream(const ReplicaId&, TimePoint waitedSince);
     void recordEventTime(TimePoint sentAt);
 
     asio::awaitable<void> sendFailure(Error);
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -33,7 +33,8 @@
         ReplicaCall call { relay.request, replica.id, replica.address, relay.remaining() };
         call.abort = relay.abort;
         auto startedAt = relay.services.timers.now();
-        auto stall = relay.services.timers.once(timeout, [&relay, timeout] {
+        auto stall = relay.services.timers.once(timeout, [&relay, timeout, id = replica.id] {
+            logSilentAttempt(relay, id, timeout, false);
             // The call needs at least this time, so that a service that has become slower is abandoned less often.
             relay.services.speeds.recordOccupancy(relay.service, timeout);
             relay.abort->interrupt();
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -185,6 +185,11 @@
     return error;
 }
 
+void logSilentAttempt(const RelayContext& relay, const ReplicaId& replica, Duration silence, bool hasBegun)
+{
+    relay.services.log.write(EventId::AttemptSilent, { { "request", relay.request.id }, { "replica", replica }, { "silent_ms", silence.count() / 1000 }, { "begun", hasBegun ? 1 : 0 }, { "attempts", relay.runs + 1 }, { "maximum_attempts", relay.route.maximumAttempts }, { "action", "interrupt" } });
+}
+
 asio::awaitable<void> sendErrorResponse(HttpResponseWriter& writer, const RequestId& request, const Error& error)
 {
     const auto& description = describe(error.kind);
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -117,6 +117,9 @@
 /** The refusal of a request for which the engines have no capacity before its deadline. */
 Error saturatedError(std::string detail);
 
+/** Logs that the attempt is interrupted because its replica has been silent for this time. */
+void logSilentAttempt(const RelayContext&, const ReplicaId&, Duration silence, bool hasBegun);
+
 /** Sends an error response, with a Retry-After header if the client may retry. */
 asio::awaitable<void> sendErrorResponse(HttpResponseWriter&, const RequestId&, const Error&);
 
