--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -20,6 +20,13 @@
         settle();
     }
 
+    /** Removes a replica and waits until the directory does not list it. */
+    void removeReplica(const std::string& id)
+    {
+        store.erase("servers/" + id);
+        settle();
+    }
+
     void settle() { timers.advance(std::chrono::milliseconds(700)); }
 
     Route route(RouteKind kind, uint32_t attempts, bool isResumable = false) const
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -290,3 +290,49 @@
     for (auto& writer : writers)
         CHECK((writer.body == event(1) + event(2)) == isShort);
 }
+
+// Guards against a response that is ended because of a silence of its engine although nothing can continue it.
+TEST_CASE("a stream whose engine is silent for a second ends in full when no other attempt is possible")
+{
+    Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
+    auto silent = stream({ event(1), event(2) });
+    silent.chunkDelay = 700ms;
+    fixture.script("i-d1", { silent });
+    fixture.script("i-d2", { stream({ event(1) + event(2) }) });
+    auto route = fixture.resumable();
+    route.timeout = 15s;
+    SUBCASE("as the retry budget is exhausted") { fixture.budgets.setLimits({ 0, 0, 10s }); }
+    SUBCASE("as the route allows one attempt") { route.maximumAttempts = 1; }
+    SUBCASE("as there is no other engine") { fixture.removeReplica("i-d2"); }
+    SUBCASE("as the other engine refuses work")
+    {
+        for (int i = 0; i < 3; ++i)
+            fixture.loadTracker->recordFailure(ReplicaId("i-d2"));
+    }
+    FakeWriter writer;
+    fixture.runRequest(route, writer, fixture.longPrompt());
+    CHECK(writer.body == event(1) + event(2));
+    CHECK(writer.isFinished);
+    CHECK_FALSE(writer.wasAborted);
+    CHECK(fixture.replicaClient.sent.size() == 1);
+}
+
+// Guards against work that is read again elsewhere for a pause that sound engines make.
+TEST_CASE("a stream that has begun is not moved during a silence of one second")
+{
+    Engines fixture;
+    for (int i = 0; i < 6; ++i) {
+        fixture.speeds.recordFirstEvent(ServiceId("s"), 200ms);
+        fixture.speeds.recordEventGap(ServiceId("s"), 10ms);
+    }
+    auto silent = stream({ event(1), event(2) });
+    silent.chunkDelay = 1s;
+    fixture.script("i-d1", { silent });
+    auto route = fixture.resumable();
+    route.timeout = 15s;
+    FakeWriter writer;
+    fixture.runRequest(route, writer, fixture.longPrompt());
+    CHECK(writer.body == event(1) + event(2));
+    CHECK(fixture.replicaClient.sent.size() == 1);
+}
--- a/tests/gateway/PlainRelayTest.cpp
+++ b/tests/gateway/PlainRelayTest.cpp
@@ -108,6 +108,25 @@
     CHECK(writer.body == "here");
 }
 
+// Guards against a response that is given up because of a silence of its replica although nothing else can answer.
+TEST_CASE("an idempotent call waits for a silent replica when no other attempt is possible")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    auto silent = respondWith("late");
+    silent.delay = 1s;
+    fixture.replicaClient.scripts[ReplicaId("i-1")] = { silent };
+    SUBCASE("as the retry budget is exhausted")
+    {
+        fixture.addReplica("i-2", "s", "none", "b");
+        fixture.budgets.setLimits({ 0, 0, 10s });
+    }
+    SUBCASE("as there is no other replica") { }
+    FakeWriter writer;
+    fixture.runRequest(fixture.route(RouteKind::Idempotent, 2), writer);
+    CHECK(writer.body == "late");
+}
+
 TEST_CASE("a response without a seal is treated as a failure that may have run")
 {
     GatewayFixture fixture;
