--- a/modules/decisions/speeds/WaitLimits.cpp
+++ b/modules/decisions/speeds/WaitLimits.cpp
@@ -16,6 +16,10 @@
     constexpr int prefillObjectives = 3;
     constexpr int streamObjectives = 4;
     constexpr int responseObjectives = 2;
+    /** Sound engines may be silent for about a second in the middle of a stream. Clients leave a stream after two seconds. */
+    constexpr Duration longestSoundSilence = std::chrono::milliseconds(1500);
+    /** Share of the time left that a stream may wait in such a silence. */
+    constexpr double shareForSilence = 0.5;
     /** A decode engine processes prompts at half the speed of a prefill engine. */
     constexpr double decodeEngineSlowdown = 2;
     /** Share of the longest allowed pause by which a prompt may delay the streams of a decode engine. */
@@ -44,9 +48,10 @@
     return limitOf(speed.firstEvent, firstEventMultiple, latencyObjective * streamObjectives);
 }
 
-std::optional<Duration> eventGapWaitLimit(const ServiceSpeed& speed, Duration latencyObjective)
+std::optional<Duration> eventGapWaitLimit(const ServiceSpeed& speed, Duration latencyObjective, Duration timeLeft)
 {
-    return limitOf(speed.eventGap, eventGapMultiple, latencyObjective * streamObjectives);
+    auto silence = std::min(longestSoundSilence, fromSeconds(toSeconds(timeLeft) * shareForSilence));
+    return limitOf(speed.eventGap, eventGapMultiple, std::max(latencyObjective * streamObjectives, silence));
 }
 
 Duration responseWaitLimit(const ServiceSpeed& speed, Duration latencyObjective)
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -15,8 +15,6 @@
     /** Decode calls that may be preceded by a prefill; in later ones the decode engine processes the prompt. */
     constexpr uint32_t maximumPrefillRounds = 2;
     constexpr size_t maximumResponseBytes = 1 << 20;
-    /** Multiple of the stall limit that a stream may wait while the streams of all other engines are silent too. */
-    constexpr int commonSilenceMultiple = 2;
 
     /** Describes the engines, their requests in flight and the number of ejected ones. */
     std::string describeLoad(const std::vector<PlacementView>& views)
@@ -41,6 +39,7 @@
     : m_relay(std::move(relay))
     , m_writer(writer)
     , m_prompt(m_relay->request.prompt ? &*m_relay->request.prompt : nullptr)
+    , m_silenceWatch(*m_relay, silenceCallbacks())
 {
     if (m_prompt)
         m_prefill.emplace(*m_relay);
@@ -53,36 +52,33 @@
     releaseHandle();
 }
 
-void GenerationRelay::startStallTimer(const ReplicaId& replica, std::optional<Duration> limit)
+SilenceWatch::Callbacks GenerationRelay::silenceCallbacks()
 {
-    m_stallTimer.cancel();
-    auto& relay = *m_relay;
-    const auto* registered = relay.services.replicas.find(replica);
-    // At a full engine the request is queued; sending it to another engine would only add work.
-    auto isFull = registered && relay.services.loadTracker->requestsAt(replica) > registered->entry.slots;
-    if (!relay.route.isResumable || isFull || !limit)
-        return;
-    m_stallTimer = relay.services.timers.once(*limit, [this, replica, limit = *limit, waitedSince = relay.services.timers.now()] {
-        // When all streams are silent, the fault is not that of one engine.
-        if (m_relay->services.streams->areOthersSilent(m_relay->service, replica, waitedSince))
-            m_stallTimer = m_relay->services.timers.once(limit * (commonSilenceMultiple - 1), [this, replica, waitedSince] { interruptStalledStream(replica, waitedSince); });
-        else
-            interruptStalledStream(replica, waitedSince);
-    });
+    auto canContinueElsewhere = [this](const ReplicaId& engine) {
+        auto excluded = m_relay->excluded;
+        excluded.insert(engine);
+        auto canRead = m_decodeCalls >= maximumPrefillRounds || !mustReadPrompt() || m_prefill->canRunInTime();
+        return m_decodeCalls < maximumDecodeCalls && canRead && chooseDecodeEngine(excluded);
+    };
+    auto hasBegun = [this] { return m_writer.hasBegun(); };
+    // The event needs at least this time, so that engines that have become slower are abandoned less often.
+    auto onInterrupt = [this](TimePoint since) { recordEventTime(since); };
+    return { canContinueElsewhere, hasBegun, onInterrupt };
 }
 
-void GenerationRelay::interruptStalledStream(const ReplicaId& replica, TimePoint waitedSince)
+void GenerationRelay::watchSilence(const ReplicaId& engine, std::optional<Duration> limit)
 {
-    logSilentAttempt(*m_relay, replica, m_relay->services.timers.now() - waitedSince, m_writer.hasBegun());
-    // The event needs at least this time, so that engines that have become slower are abandoned less often.
-    recordEventTime(waitedSince);
-    m_relay->abort->interrupt();
+    const auto& services = m_relay->services;
+    const auto* registered = services.replicas.find(engine);
+    // At a full engine the request is queued; sending it to another engine would only add work.
+    auto isFull = registered && services.loadTracker->requestsAt(engine) > registered->entry.slots;
+    m_silenceWatch.start(engine, isFull ? std::nullopt : limit);
 }
 
-Result<ReplicaEntry> GenerationRelay::chooseDecodeEngine()
+Result<ReplicaEntry> GenerationRelay::chooseDecodeEngine(const std::set<ReplicaId>& excluded) const
 {
     auto& relay = *m_relay;
-    auto entries = relay.services.replicas.usable(relay.service, EngineStage::Decode, relay.excluded);
+    auto entries = relay.services.replicas.usable(relay.service, EngineStage::Decode, excluded);
     if (entries.empty())
         return makeError(ErrorKind::NoBackend, "the service has no usable decode engine");
     std::vector<PlacementView> views;
@@ -98,7 +94,12 @@
 
 bool GenerationRelay::needsPrefill() const
 {
-    if (!m_prompt || !m_lastEventId.empty() || m_handle)
+    return !m_handle && mustReadPrompt();
+}
+
+bool GenerationRelay::mustReadPrompt() const
+{
+    if (!m_prompt || !m_lastEventId.empty())
         return false;
     const auto& relay = *m_relay;
     auto speed = relay.services.speeds.speedOf(relay.service);
@@ -114,7 +115,7 @@
     call.handle = m_handle;
     if (!m_lastEventId.empty())
         call.resumeAfter = m_lastEventId;
-    startStallTimer(engine.id, firstEventWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
+    watchSilence(engine.id, firstEventWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
     relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "in_flight", relay.services.loadTracker->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "left_ms", relay.remaining().count() / 1000 } });
     auto response = co_await relay.services.replicaClient.send(std::move(call));
     if (!response) {
@@ -170,7 +171,7 @@
         if (!batch.bytes.empty()) {
             relay.services.streams->recordEvent(relay.service, engine, relay.services.timers.now());
             recordEventTime(sentAt);
-            startStallTimer(engine, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
+            watchSilence(engine, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective, relay.remaining()));
         }
         if (isEnd)
             batch.bytes += splitter.takeRemainder();
@@ -219,14 +220,14 @@
 {
     if (mayPrefill && needsPrefill()) {
         // No prefill starts while the decode engines are saturated. The decode engine is chosen again after the prefill.
-        if (auto engine = chooseDecodeEngine(); !engine)
+        if (auto engine = chooseDecodeEngine(m_relay->excluded); !engine)
             co_return engine.error();
         auto handle = co_await m_prefill->run();
         if (!handle)
             co_return handle.error();
         m_handle = std::move(*handle);
     }
-    co_return chooseDecodeEngine();
+    co_return chooseDecodeEngine(m_relay->excluded);
 }
 
 asio::awaitable<Result<void>> GenerationRelay::decodeAt(const ReplicaEntry& engine)
@@ -238,13 +239,13 @@
     m_lastEventAt.reset();
     auto response = co_await openDecodeStream(engine);
     if (!response) {
-        m_stallTimer.cancel();
+        m_silenceWatch.stop();
         co_return response.error();
     }
     if (!isSuccess(response->body->status()))
         co_return co_await relayWholeResponse(*response);
     auto end = co_await relayEvents(engine.id, *response, sentAt);
-    m_stallTimer.cancel();
+    m_silenceWatch.stop();
     switch (end) {
     case StreamEnd::Complete:
         relay.services.speeds.recordOccupancy(relay.service, relay.services.timers.now() - sentAt);
@@ -266,12 +267,13 @@
     if (relay.isBlockedContent())
         co_return crashingRequestError();
     auto last = makeError(ErrorKind::NoBackend, "the service has no usable decode engine");
-    for (uint32_t calls = 0; calls < maximumDecodeCalls; ++calls) {
-        auto engine = co_await prepareDecode(calls < maximumPrefillRounds);
+    while (m_decodeCalls < maximumDecodeCalls) {
+        auto engine = co_await prepareDecode(m_decodeCalls < maximumPrefillRounds);
         if (!engine)
             co_return engine.error();
         if (relay.isOver() || !relay.acquireAttempt())
             co_return last;
+        ++m_decodeCalls;
         auto served = co_await decodeAt(*engine);
         if (served)
             co_return served;
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -2,6 +2,7 @@
 
 #include "gateway/requests/EventSplitter.h"
 #include "gateway/requests/PromptPrefill.h"
+#include "gateway/requests/SilenceWatch.h"
 
 namespace chestnut {
 
@@ -17,7 +18,7 @@
     /** How a decode attempt ended. */
     enum class StreamEnd : uint8_t {
         Complete,
-        Broken, /**< the connection failed or stalled, or an event was too long */
+        Broken, /**< the connection failed or was interrupted, or an event was too long */
         ClientDisconnected,
     };
 
@@ -28,9 +29,11 @@
     /** Chooses the decode engine, after running the prefill if needed. */
     asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayPrefill);
     /** The engine for the next decode call, or an error if there is none. */
-    Result<ReplicaEntry> chooseDecodeEngine();
+    Result<ReplicaEntry> chooseDecodeEngine(const std::set<ReplicaId>& excluded) const;
     /** Whether prefill engines should process the prompt; decode engines process short ones themselves. */
     bool needsPrefill() const;
+    /** Whether the next decode attempt needs a prefill, unless it has a handle to the KV cache of an earlier one. */
+    bool mustReadPrompt() const;
     /** Runs one decode attempt. Succeeds when the client has received the complete response. */
     asio::awaitable<Result<void>> decodeAt(const ReplicaEntry&);
     asio::awaitable<Result<ReplicaResponse>> openDecodeStream(const ReplicaEntry&);
@@ -38,10 +41,9 @@
     asio::awaitable<bool> writeEvents(ReplicaResponse&, EventBatch);
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
-    /** Interrupts the stream when the engine sends no complete event for the given time. Bytes of an incomplete event are no
-        progress. While all streams of the service are silent, it waits for twice as long. */
-    void startStallTimer(const ReplicaId& engine, std::optional<Duration> limit);
-    void interruptStalledStream(const ReplicaId&, TimePoint waitedSince);
+    /** Waits for the next complete event; bytes of an incomplete one are no progress. */
+    void watchSilence(const ReplicaId& engine, std::optional<Duration> limit);
+    SilenceWatch::Callbacks silenceCallbacks();
     void recordEventTime(TimePoint sentAt);
 
     asio::awaitable<void> sendFailure(Error);
@@ -55,7 +57,8 @@
     std::optional<CacheHandle> m_handle;
     std::string m_lastEventId;
     std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
-    TimerSubscription m_stallTimer;
+    SilenceWatch m_silenceWatch;
+    uint32_t m_decodeCalls = 0;
     TimePoint m_firstEventAt;
     std::optional<TimePoint> m_lastEventAt; /**< of the present decode attempt */
 };
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -1,6 +1,9 @@
 #include "gateway/requests/PlainRelay.h"
 
 #include "decisions/speeds/WaitLimits.h"
+#include "gateway/requests/SilenceWatch.h"
+
+#include <algorithm>
 
 namespace chestnut {
 
@@ -14,6 +17,13 @@
         std::string body;
     };
 
+    /** Waiting for a silent replica is better than a call to one that fails. */
+    bool canAnswerElsewhere(const RelayContext& relay, const ReplicaId& replica)
+    {
+        auto entries = relay.services.replicas.usable(relay.service, EngineStage::None, relay.excluded);
+        return std::ranges::any_of(entries, [&](const ReplicaEntry* entry) { return entry->id != replica && !relay.viewOf(*entry).isEjected; });
+    }
+
     const ReplicaEntry* choose(RelayContext& relay)
     {
         auto entries = relay.services.replicas.usable(relay.service, EngineStage::None, relay.excluded);
@@ -28,17 +38,22 @@
         return choice ? entries[*choice] : nullptr;
     }
 
-    asio::awaitable<Result<CompleteResponse>> attempt(RelayContext& relay, const ReplicaEntry& replica, Duration timeout)
+    /** The callbacks of an attempt that waits for its response until `limit`. */
+    SilenceWatch::Callbacks silenceCallbacks(RelayContext& relay, Duration limit)
+    {
+        auto canContinueElsewhere = [&relay](const ReplicaId& replica) { return canAnswerElsewhere(relay, replica); };
+        // The call needs at least this time, so that a service that has become slower is abandoned less often.
+        auto onInterrupt = [&relay, limit](TimePoint) { relay.services.speeds.recordOccupancy(relay.service, limit); };
+        return { canContinueElsewhere, [] { return false; }, onInterrupt };
+    }
+
+    asio::awaitable<Result<CompleteResponse>> attempt(RelayContext& relay, const ReplicaEntry& replica, Duration limit)
     {
         ReplicaCall call { relay.request, replica.id, replica.address, relay.remaining() };
         call.abort = relay.abort;
         auto startedAt = relay.services.timers.now();
-        auto stall = relay.services.timers.once(timeout, [&relay, timeout, id = replica.id] {
-            logSilentAttempt(relay, id, timeout, false);
-            // The call needs at least this time, so that a service that has become slower is abandoned less often.
-            relay.services.speeds.recordOccupancy(relay.service, timeout);
-            relay.abort->interrupt();
-        });
+        SilenceWatch watch(relay, silenceCallbacks(relay, limit));
+        watch.start(replica.id, limit);
         auto inFlightWork = relay.services.loadTracker->begin(replica.id);
         auto response = co_await relay.services.replicaClient.send(std::move(call));
         if (!response)
@@ -59,13 +74,6 @@
         co_return CompleteResponse { response->body->status(), std::move(response->headers), std::move(*body) };
     }
 
-    Duration attemptTimeout(const RelayContext& relay)
-    {
-        auto isRetryable = relay.route.kind == RouteKind::Idempotent && relay.runs + 1 < relay.route.maximumAttempts;
-        auto limit = responseWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective);
-        return isRetryable ? std::min(relay.remaining(), limit) : relay.remaining();
-    }
-
     asio::awaitable<Result<CompleteResponse>> callWithRetries(RelayContext& relay)
     {
         if (relay.isBlockedContent())
@@ -77,7 +85,7 @@
                 co_return relay.finalError(last);
             auto replica = *entry;
             relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", replica.id }, { "in_flight", relay.services.loadTracker->requestsAt(replica.id) }, { "left_ms", relay.remaining().count() / 1000 } });
-            auto response = co_await attempt(relay, replica, attemptTimeout(relay));
+            auto response = co_await attempt(relay, replica, responseWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
             if (response)
                 co_return response;
             last = response.error();
--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -51,6 +51,12 @@
     return Placement { *entries[choice->index], *choice, speed.prefill };
 }
 
+bool PromptPrefill::canRunInTime() const
+{
+    auto placement = findEngine();
+    return !placement || placement->choice.expectedTime.value_or(Duration::zero()) < m_relay.remaining();
+}
+
 void PromptPrefill::watchProgress(const Placement& placement, TimePoint since)
 {
     auto limit = prefillWaitLimit(placement.choice.expectedTime, m_relay.route.latencyObjective);
--- a/modules/gateway/requests/PromptPrefill.h
+++ b/modules/gateway/requests/PromptPrefill.h
@@ -19,6 +19,9 @@
     /** Duration of the last completed call. */
     std::chrono::milliseconds time() const { return m_time; }
 
+    /** Whether the prefill can be completed before the request's deadline. Without a prefill engine there is nothing to wait for. */
+    bool canRunInTime() const;
+
 private:
     struct Placement {
         ReplicaEntry engine;
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace chestnut {
 
@@ -84,16 +85,38 @@
 {
     if (isOver())
         return false;
-    auto isRetryable = route.kind == RouteKind::Idempotent || (route.kind == RouteKind::Streaming && route.isResumable);
-    return !mayHaveRun || (isRetryable && runs < route.maximumAttempts);
+    return !mayHaveRun || (isRetryable() && runs < route.maximumAttempts);
+}
+
+bool RelayContext::mayRunAgain() const
+{
+    return !isOver() && isRetryable() && runs + 1 < route.maximumAttempts;
+}
+
+bool RelayContext::isRetryable() const
+{
+    return route.kind == RouteKind::Idempotent || (route.kind == RouteKind::Streaming && route.isResumable);
+}
+
+bool RelayContext::reserveRetry()
+{
+    m_hasReservedRetry = m_hasReservedRetry || services.budgets.tryTakeRetry(service);
+    return m_hasReservedRetry;
+}
+
+void RelayContext::interruptAttempt()
+{
+    m_isInterrupted = true;
+    abort->interrupt();
 }
 
 bool RelayContext::acquireAttempt()
 {
-    if (m_attempts > 0 && !services.budgets.tryTakeRetry(service)) {
+    if (m_attempts > 0 && !reserveRetry()) {
         services.log.write(EventId::RetryBudgetExhausted, { { "request", request.id }, { "service", service } });
         return false;
     }
+    m_hasReservedRetry = false;
     ++m_attempts;
     m_sentAt = services.timers.now();
     return true;
@@ -109,6 +132,7 @@
 {
     excluded.insert(replica);
     auto hasRun = describe(error.kind).outcome != Outcome::NotRun;
+    auto wasInterrupted = std::exchange(m_isInterrupted, false);
     services.log.write(EventId::AttemptFailed, { { "request", request.id }, { "replica", replica }, { "kind", describe(error.kind).name }, { "may_have_run", hasRun ? 1 : 0 }, { "detail", error.detail } });
     if (isOver()) {
         mayHaveRun = mayHaveRun || hasRun;
@@ -123,7 +147,7 @@
         return;
     mayHaveRun = true;
     ++runs;
-    if (error.kind == ErrorKind::BackendFailed && services.crashTracker.add({ content(), request.id, replica, registered ? registered->entry.startedAt : 0 }, m_sentAt))
+    if (error.kind == ErrorKind::BackendFailed && !wasInterrupted && services.crashTracker.add({ content(), request.id, replica, registered ? registered->entry.startedAt : 0 }, m_sentAt))
         services.log.write(EventId::RequestSuspected, { { "request", request.id }, { "replica", replica }, { "content", toHex(content()) } });
 }
 
@@ -185,11 +209,6 @@
     return error;
 }
 
-void logSilentAttempt(const RelayContext& relay, const ReplicaId& replica, Duration silence, bool hasBegun)
-{
-    relay.services.log.write(EventId::AttemptSilent, { { "request", relay.request.id }, { "replica", replica }, { "silent_ms", silence.count() / 1000 }, { "begun", hasBegun ? 1 : 0 }, { "attempts", relay.runs + 1 }, { "maximum_attempts", relay.route.maximumAttempts }, { "action", "interrupt" } });
-}
-
 asio::awaitable<void> sendErrorResponse(HttpResponseWriter& writer, const RequestId& request, const Error& error)
 {
     const auto& description = describe(error.kind);
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -68,6 +68,15 @@
     /** Whether another attempt is safe and allowed by the route. */
     bool mayRetry() const;
 
+    /** Whether the route allows another attempt after the one in progress, which may have run. */
+    bool mayRunAgain() const;
+
+    /** Takes the next retry from the retry budget in advance; returns false when the budget is exhausted. */
+    bool reserveRetry();
+
+    /** Ends the attempt in progress, so that its failure is not that of the replica. */
+    void interruptAttempt();
+
     /** Counts one attempt; returns false when it is a retry and the retry budget is exhausted. */
     bool acquireAttempt();
 
@@ -99,6 +108,7 @@
 
 private:
     const Digest& content() const;
+    bool isRetryable() const;
 
     TimePoint m_deadline;
     TimerSubscription m_deadlineTimer;
@@ -106,6 +116,8 @@
     TimePoint m_sentAt; /**< of the last attempt */
     bool m_isClientDisconnected = false;
     bool m_hasExpired = false;
+    bool m_hasReservedRetry = false;
+    bool m_isInterrupted = false; /**< the attempt in progress */
     mutable std::optional<Digest> m_content;
 };
 
@@ -117,9 +129,6 @@
 /** The refusal of a request for which the engines have no capacity before its deadline. */
 Error saturatedError(std::string detail);
 
-/** Logs that the attempt is interrupted because its replica has been silent for this time. */
-void logSilentAttempt(const RelayContext&, const ReplicaId&, Duration silence, bool hasBegun);
-
 /** Sends an error response, with a Retry-After header if the client may retry. */
 asio::awaitable<void> sendErrorResponse(HttpResponseWriter&, const RequestId&, const Error&);
 
