Treat a stream that ends inside an event as broken off

What callers saw: the bytes of a partial event at the end of a stream that looked complete, when a replica stopped in the middle of an event and its body had no length, or ended regularly.

Cause: GenerationRelay::relayEvents appended the splitter's remainder at the end of any body.

Change: such a stream is broken off; it is resumed at the last complete event, or aborted where the route does not allow that. Line ends after the last event are passed on. A 2xx response whose content type is not text/event-stream (decided by its header) is relayed as a whole, since it has no events.

Before (GenerationRelayTest, 'a stream that ends inside an event is resumed or aborted ...'): 4 of its checks failed, among them: CHECK( single.wasAborted ) false, CHECK_FALSE( single.isFinished ) true, and a body that ended with 'id: 2\nda'. After: test_gateway passes, 88 cases.

Conclusion: an event is complete only with its blank line, whatever ends the body. What remains: a replica that closes between two events of a body without length cannot be told from one that is done; no event is marked as the last one.

--- a/modules/gateway/requests/EventSplitter.h
+++ b/modules/gateway/requests/EventSplitter.h
@@ -30,6 +30,9 @@
     /** Removes and returns the bytes of the incomplete event. */
     std::string takeRemainder();
 
+    /** Whether the remaining bytes are part of an event, and not only line ends. */
+    bool isInsideEvent() const { return m_buffer.find_first_not_of("\r\n") != std::string::npos; }
+
     bool isOverlong() const { return m_buffer.size() > maximumEventBytes; }
 
 private:
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -4,6 +4,7 @@
 #include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
 
 namespace chestnut {
 
@@ -14,7 +15,7 @@
     constexpr uint32_t maximumDecodeCalls = 3;
     /** Decode calls that may be preceded by a prefill; in later ones the decode engine processes the prompt. */
     constexpr uint32_t maximumPrefillRounds = 2;
-    constexpr size_t maximumResponseBytes = 1 << 20;
+    constexpr size_t maximumResponseBytes = 8 << 20;
     /** Multiple of the stall limit that a stream may wait while the streams of all other engines are silent too. */
     constexpr int commonSilenceMultiple = 2;
 
@@ -35,6 +36,13 @@
         return status >= 200 && status < 300;
     }
 
+    /** Whether the response is a stream of events. Without a content type it is taken for one. */
+    bool isEventStream(const ReplicaResponse& response)
+    {
+        auto type = response.headers.value("Content-Type");
+        return isSuccess(response.body->status()) && (type.empty() || boost::algorithm::istarts_with(type, "text/event-stream"));
+    }
+
 } // namespace
 
 GenerationRelay::GenerationRelay(RelayPointer relay, HttpResponseWriter& writer)
@@ -171,12 +179,14 @@
             recordEventTime(sentAt);
             startStallTimer(engine, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
         }
-        if (isEnd)
+        if (isEnd && !splitter.isInsideEvent())
             batch.bytes += splitter.takeRemainder();
         if (!co_await writeEvents(response, std::move(batch)))
             co_return StreamEnd::ClientDisconnected;
         if (!isEnd)
             continue;
+        if (splitter.isInsideEvent())
+            co_return StreamEnd::Broken;
         // An empty stream is a complete response.
         if (!m_writer.hasBegun() && !co_await m_writer.begin(response.body->status(), response.headers))
             co_return StreamEnd::ClientDisconnected;
@@ -240,8 +250,14 @@
         m_stallTimer.cancel();
         co_return response.error();
     }
-    if (!isSuccess(response->body->status()))
-        co_return co_await relayWholeResponse(*response);
+    if (!isEventStream(*response)) {
+        auto relayed = co_await relayWholeResponse(*response);
+        if (relayed && isSuccess(response->body->status())) {
+            relay.recordAttemptSuccess(engine.id, sentAt, 1);
+            relay.recordCompletion();
+        }
+        co_return relayed;
+    }
     auto end = co_await relayEvents(engine.id, *response, sentAt);
     m_stallTimer.cancel();
     switch (end) {
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -17,7 +17,7 @@
     /** How a decode attempt ended. */
     enum class StreamEnd : uint8_t {
         Complete,
-        Broken, /**< the connection failed or stalled, or an event was too long */
+        Broken, /**< the connection failed or stalled, the body ended inside an event, or an event was too long */
         ClientDisconnected,
     };
 
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -62,6 +62,7 @@
     std::optional<Error> error;
     ExecutionStatus executionStatus = ExecutionStatus::Executed;
     int status = 200;
+    HttpHeaders headers;
     std::vector<std::string> chunks;
     bool closesEarly = false; /**< after the chunks, without the end of the body */
     Duration delay {};
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -87,6 +87,37 @@
     CHECK_FALSE(fixture.replicaClient.sent.back().handle.has_value());
 }
 
+// Guards against a partial event, and a stream that looks complete although its engine stopped.
+TEST_CASE("a stream that ends inside an event is resumed or aborted, even when its body ended regularly")
+{
+    Engines fixture;
+    fixture.script("i-d1", { stream({ event(1), "id: 2\nda" }) });
+    fixture.script("i-d2", { stream({ event(2) }) });
+    FakeWriter resumed;
+    fixture.runRequest(fixture.resumable(), resumed, fixture.longPrompt());
+    CHECK(resumed.body == event(1) + event(2));
+    CHECK(resumed.isFinished);
+    FakeWriter single;
+    fixture.runRequest(fixture.single(), single, fixture.longPrompt());
+    CHECK(single.body == event(1));
+    CHECK(single.wasAborted);
+    CHECK_FALSE(single.isFinished);
+}
+
+// Guards against a document that is taken for a stream that ends inside an event.
+TEST_CASE("a response that is not an event stream reaches the client unchanged")
+{
+    Engines fixture;
+    auto document = stream({ "{\"text\":", "1}" });
+    document.headers.set("Content-Type", "application/json");
+    fixture.script("i-d1", { document });
+    FakeWriter writer;
+    fixture.runRequest(fixture.single(), writer, fixture.longPrompt());
+    CHECK(writer.status == 200);
+    CHECK(writer.body == R"({"text":1})");
+    CHECK(writer.isFinished);
+}
+
 TEST_CASE("a broken stream that is not resumable is aborted and not run again")
 {
     Engines fixture;
