Test responses that stop in the middle of their header, length or chunks

Other operators saw a 200 with an empty or short body, framed as whole, after a server stopped in the middle of its response header. It does not happen here: the pool reports BackendFailed in all 15 cases of the table, and also when the connection of a body without length is reset.

--- a/tests/http/ConnectionPoolTest.cpp
+++ b/tests/http/ConnectionPoolTest.cpp
@@ -36,6 +36,7 @@
         bool closes = false;
         std::string endless = {}; /**< sent again and again until the client closes the connection */
         Duration pause {}; /**< before each repetition */
+        bool resets = false; /**< closes with a reset */
     };
     std::deque<Reply> replies;
     int connections = 0;
@@ -72,6 +73,10 @@
                 co_await asio::async_write(socket, asio::buffer(reply.endless), asio::redirect_error(asio::use_awaitable, error));
                 sentBytes += reply.endless.size();
             }
+            if (reply.resets) {
+                socket.set_option(tcp::socket::linger(true, 0));
+                socket.close();
+            }
             if (reply.closes)
                 co_return;
         }
@@ -156,15 +161,30 @@
 // Guards against reporting a request as not executed although the server received it.
 TEST_CASE("an invalid or truncated response is an error of a request that may have been executed")
 {
-    for (const std::string& bytes : { std::string("garbage garbage\r\n\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort") }) {
+    std::string ok = "HTTP/1.1 200 OK\r\n";
+    auto chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    std::vector<std::string> replies { "garbage garbage\r\n\r\n", "HTTP/1.1 20", "HTTP/1.1 200 OK", ok, ok + "Content-Type: text/", ok + "X-Field: 1\r\n", ok + "X-Field: 1\r\n\r",
+        ok + "Content-Length: 10\r\n\r\n", ok + "Content-Length: 10\r\n\r\nshort", ok + "Content-Length: ten\r\n\r\nshort", chunked, chunked + "5", chunked + "5\r\nsho", chunked + "5\r\nshort\r\n", chunked + "5\r\nshort\r\n0\r\n" };
+    for (const auto& bytes : replies) {
         PoolFixture fixture;
         fixture.server.replies = { { bytes, true } };
         auto result = fixture.call();
-        REQUIRE_FALSE(result.has_value());
+        REQUIRE_MESSAGE(!result.has_value(), bytes);
         CHECK(result.error().kind == ErrorKind::BackendFailed);
     }
 }
 
+// Guards against a body that looks complete although its connection was reset.
+TEST_CASE("a response without a length whose connection is reset is an error")
+{
+    for (const std::string& body : { std::string(), std::string("part") }) {
+        PoolFixture fixture;
+        fixture.server.replies = { { "HTTP/1.1 200 OK\r\n\r\n" + body, true } };
+        fixture.server.replies.front().resets = true;
+        CHECK(fixture.call().error().kind == ErrorKind::BackendFailed);
+    }
+}
+
 // Guards against a body without Content-Length that is lost or reported as truncated.
 TEST_CASE("a response without a length ends with its connection")
 {
