Answer requests that are queued, unread or read in part at a planned stop

What callers saw: a reset connection, although their request had been sent before the daemon stopped: the connection waited in the accept queue of the kernel, or its bytes had not been read yet, or its request had been read in part.

Cause: HttpServer::stopAccepting closed the listener with its queue and every connection whose bytes were still in the kernel. The daemon then waited for the requests that had reached a handler only, and exited while others were being read.

Change: stopAccepting first accepts what is queued; a connection on which bytes have arrived is served, any other is closed. Connections are counted when they are accepted, and the daemon waits until none is open, within its shutdown time.

No test runs the daemon's own loop.

Conclusion: a request whose bytes reached the machine before the stop is in one of three places, and each is now served and counted.

--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -217,7 +217,12 @@
         ServerConnection& operator=(const ServerConnection&) = delete;
         ~ServerConnection() { watcher->callback = nullptr; }
 
-        bool hasPartialRequest() const { return buffer.size() > 0; }
+        /** Whether bytes of a request were received, including those that the server has not read yet. */
+        bool hasPartialRequest() const
+        {
+            error_code error;
+            return buffer.size() > 0 || stream.socket().available(error) > 0;
+        }
         void close()
         {
             error_code ignored;
@@ -312,13 +317,12 @@
         co_return writer.isFinished() && writer.keepsAlive();
     }
 
-    asio::awaitable<void> serveConnection(ServerState state, tcp::socket socket)
+    asio::awaitable<void> serveConnection(ServerState state, tcp::socket socket, std::unique_ptr<OpenConnectionGuard>)
     {
-        OpenConnectionGuard count(state);
         ServerConnection connection(std::move(socket));
         error_code error;
         connection.stream.socket().set_option(tcp::no_delay(true), error);
-        while (true) {
+        while (state->isAccepting || connection.hasPartialRequest()) {
             error = {};
             auto request = co_await readRequest(connection, state, error);
             if (!request) {
@@ -331,18 +335,37 @@
         }
     }
 
+    /** Serves a new connection, which is counted from now on. */
+    void startConnection(const ServerState& state, tcp::socket socket)
+    {
+        if (state->openConnections >= state->limits.maximumConnections) {
+            state->log.write(EventId::ConnectionRefused, { { "open", state->openConnections } });
+            return;
+        }
+        auto count = std::make_unique<OpenConnectionGuard>(state);
+        asio::co_spawn(state->context, serveConnection(state, std::move(socket), std::move(count)), asio::detached);
+    }
+
     asio::awaitable<void> acceptLoop(ServerState state)
     {
         while (state->isAccepting) {
             error_code error;
             auto socket = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-            if (error)
-                continue;
-            if (state->openConnections >= state->limits.maximumConnections) {
-                state->log.write(EventId::ConnectionRefused, { { "open", state->openConnections } });
-                continue;
-            }
-            asio::co_spawn(state->context, serveConnection(state, std::move(socket)), asio::detached);
+            if (!error)
+                startConnection(state, std::move(socket));
+        }
+    }
+
+    /** Accepts the connections that wait in the queue of the kernel. Closing the listener would reset them. */
+    void acceptQueued(const ServerState& state)
+    {
+        error_code error;
+        state->acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(state->context);
+            state->acceptor.accept(socket, error);
+            if (!error)
+                startConnection(state, std::move(socket));
         }
     }
 
@@ -383,7 +406,10 @@
 
 void HttpServer::stopAccepting()
 {
+    if (!m_state->isAccepting)
+        return;
     m_state->isAccepting = false;
+    acceptQueued(m_state);
     error_code ignored;
     m_state->acceptor.close(ignored);
     for (auto* connection : m_state->waitingConnections) {
--- a/modules/http/server/HttpServer.h
+++ b/modules/http/server/HttpServer.h
@@ -62,7 +62,8 @@
 
     void start();
 
-    /** Stops accepting connections and closes the idle ones. The others are closed after their responses in progress. */
+    /** Stops accepting connections, except those that are already queued, and closes the idle ones. Those on which bytes of a
+        request have arrived are closed after its response. */
     void stopAccepting();
 
     /** Closes each connection after its next response, which carries `Connection: close`. */
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -114,9 +114,10 @@
     while (daemon.m_timers.now() < closesAt)
         co_await daemon.m_timers.sleep(drainCheckPeriod);
     daemon.m_clientServer->stopAccepting();
-    while (daemon.m_gateway.inProgress() > 0 && daemon.m_timers.now() < endsAt)
+    // The open connections include requests that have not been read in full.
+    while (daemon.m_clientServer->openConnections() > 0 && daemon.m_timers.now() < endsAt)
         co_await daemon.m_timers.sleep(drainCheckPeriod);
-    daemon.m_log.write(EventId::DaemonStopped, { { "daemon", daemon.m_settings.gateway.self.id }, { "in_progress", daemon.m_gateway.inProgress() } });
+    daemon.m_log.write(EventId::DaemonStopped, { { "daemon", daemon.m_settings.gateway.self.id }, { "in_progress", daemon.m_gateway.inProgress() }, { "connections", daemon.m_clientServer->openConnections() } });
     daemon.m_context.stop();
 }
 
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -1,8 +1,10 @@
 #include "support/HttpFixture.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace chestnut;
@@ -140,6 +142,62 @@
     CHECK(fixture.run(hasNoConnectionsLeft(fixture.server)));
 }
 
+namespace {
+
+/** A client that uses blocking calls, so that the server only sees its bytes when the context runs. */
+struct BlockingClient {
+    explicit BlockingClient(const Endpoint& endpoint)
+    {
+        socket.connect({ asio::ip::make_address(endpoint.address), endpoint.port });
+    }
+
+    void send(std::string_view text) { asio::write(socket, asio::buffer(text.data(), text.size())); }
+
+    /** Runs the server for a while and returns what it has sent until then. */
+    std::string receive(asio::io_context& serverContext)
+    {
+        serverContext.restart();
+        serverContext.run_for(std::chrono::milliseconds(50));
+        std::string received(4096, 0);
+        boost::system::error_code error;
+        socket.non_blocking(true);
+        received.resize(socket.receive(asio::buffer(received), 0, error));
+        return received;
+    }
+
+    asio::io_context context;
+    asio::ip::tcp::socket socket { context };
+};
+
+} // namespace
+
+// Guards against a planned stop that resets the connections of clients whose request was already sent.
+TEST_CASE("requests that are queued, unread or read in part at stopAccepting are counted and answered")
+{
+    HttpFixture fixture(echo);
+    BlockingClient idle(fixture.server.endpoint());
+    BlockingClient unread(fixture.server.endpoint());
+    BlockingClient partial(fixture.server.endpoint());
+    partial.send("GET /part HT");
+    CHECK(idle.receive(fixture.context).empty());
+    std::vector<std::unique_ptr<BlockingClient>> queued;
+    for (int i = 0; i < 3; ++i)
+        queued.push_back(std::make_unique<BlockingClient>(fixture.server.endpoint()));
+    for (auto& client : queued)
+        client->send("GET /queued HTTP/1.1\r\n\r\n");
+    unread.send("GET /unread HTTP/1.1\r\n\r\n");
+    fixture.server.stopAccepting();
+    CHECK(fixture.server.openConnections() >= 5);
+    CHECK(unread.receive(fixture.context).find("/unread") != std::string::npos);
+    for (auto& client : queued)
+        CHECK(client->receive(fixture.context).find("/queued") != std::string::npos);
+    CHECK(fixture.server.openConnections() == 1);
+    CHECK(idle.receive(fixture.context).empty());
+    partial.send("TP/1.1\r\n\r\n");
+    CHECK(partial.receive(fixture.context).find("/part") != std::string::npos);
+    CHECK(fixture.server.openConnections() == 0);
+}
+
 // Guards against a decoder that reads past a truncated escape, or that takes an escaped plus sign for a space.
 TEST_CASE("a query value is decoded, and malformed escapes are kept")
 {
