--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -18,7 +18,7 @@
     /** How a decode attempt ended. */
     enum class StreamEnd : uint8_t {
         Complete,
-        Broken, /**< the connection failed or was interrupted, or an event was too long */
+        Broken, /**< the connection failed or was interrupted, the body ended inside an event, or an event was too long */
         ClientDisconnected,
     };
 
