Let the soak's metadata store respond to watches on AArch64

Cause: after inlining into the coroutine PlatformStore::watch, clang 14 for AArch64 at -O1 reads the initializer list of the JSON body from a wrong address (gdb: basic_json() at json.hpp:898, in eventsResponse, inlined in watch). A function that takes the list in the coroutine's place crashes as well when it is inlined (trial).

Change: the bodies that watch() sends are filled member by member.

Conclusion: a fault of the compiler that the code avoids. Initializer lists in coroutines without a loop around a co_await have worked here (reports, prefills, orders); whether they always do was not measured.

--- a/tests/soak/PlatformStore.cpp
+++ b/tests/soak/PlatformStore.cpp
@@ -26,6 +26,15 @@
         return limits;
     }
 
+    HttpResponse eventsResponse(const std::vector<json>& events, uint64_t revision)
+    {
+        // No initializer list, for the same reason as in errorResponse().
+        json body;
+        body["events"] = events;
+        body["current_rev"] = revision;
+        return jsonResponse(200, body);
+    }
+
     std::string lastSegmentOf(std::string_view path)
     {
         return std::string(path.substr(path.rfind('/') + 1));
@@ -142,12 +151,12 @@
         co_return endLease(lastSegmentOf(path));
     auto document = json::parse(request.body, nullptr, false);
     if (!document.is_object())
-        co_return jsonResponse(400, { { "error", "the body is not a JSON object" } });
+        co_return errorResponse(400, "the body is not a JSON object");
     if (path == "/v1/kv-txn")
         co_return transact(document);
     if (path == "/v1/kv-lease")
         co_return grantLease(document);
-    co_return jsonResponse(404, { { "error", "unknown path" } });
+    co_return errorResponse(404, "unknown path");
 }
 
 HttpResponse PlatformStore::range(const HttpRequest& request) const
@@ -179,10 +188,10 @@
     auto end = m_timers.now() + std::chrono::milliseconds(std::stoll(request.queryValue("wait_ms")));
     while (true) {
         if (revision < m_oldestRevision)
-            co_return jsonResponse(410, { { "error", "the revision is older than the stored history" } });
+            co_return errorResponse(410, "the revision is older than the stored history");
         auto events = eventsAfter(revision, prefix);
         if (!events.empty() || m_timers.now() >= end)
-            co_return jsonResponse(200, { { "events", events }, { "current_rev", m_revision } });
+            co_return eventsResponse(events, m_revision);
         co_await m_timers.sleep(watchCheckPeriod);
         if (faults.isDown)
             co_return HttpResponse { 503, {}, {} };
@@ -201,7 +210,7 @@
     for (const auto& entry : writes) {
         auto lease = entry.value("lease", uint64_t(0));
         if (lease != 0 && !m_leases.contains(lease))
-            return jsonResponse(404, { { "error", "no such lease" } });
+            return errorResponse(404, "no such lease");
     }
     for (const auto& entry : writes) {
         std::string value;
@@ -224,7 +233,7 @@
 {
     auto found = m_leases.find(std::stoull(id));
     if (found == m_leases.end())
-        return jsonResponse(404, { { "error", "no such lease" } });
+        return errorResponse(404, "no such lease");
     found->second.remaining = found->second.timeToLive;
     return jsonResponse(200, { { "lease", found->first } });
 }
@@ -232,7 +241,7 @@
 HttpResponse PlatformStore::endLease(const std::string& id)
 {
     if (!m_leases.contains(std::stoull(id)))
-        return jsonResponse(404, { { "error", "no such lease" } });
+        return errorResponse(404, "no such lease");
     removeLease(std::stoull(id));
     return jsonResponse(200, json::object());
 }
