Soak: sound replicas that are silent for about a second

A sound replica, plain or engine, may be silent for 0.8 to 1.5 s before or inside its responses and then go on. It is no unplanned fault, so the checks for LOST and FAILED hold as in seeds with planned work only, and the silence is played in these seeds too. All bytes of a stand-in pass through StandinWriter, so that no response is left out.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -68,6 +68,7 @@
         { "hang_up", &FaultInjector::sendHangup, true },
         { "manifest", &FaultInjector::changeManifest, true },
         { "drain_replica", &FaultInjector::drainReplica, true },
+        { "silence", &FaultInjector::silenceReplicas, true, &FaultProfile::includesSilence },
         { "kill", &FaultInjector::killDaemon, false },
         { "kill_all", &FaultInjector::killAll, false },
         { "pause", &FaultInjector::pauseDaemon, false },
@@ -100,7 +101,7 @@
 {
     auto end = m_fleet.timers.now() + time;
     std::vector<NamedFault> eligible;
-    std::ranges::copy_if(allFaults(), std::back_inserter(eligible), [this](const NamedFault& fault) { return fault.isPlanned || m_profile == FaultProfile::All; });
+    std::ranges::copy_if(allFaults(), std::back_inserter(eligible), [this](const NamedFault& fault) { return isEligible(fault); });
     while (m_fleet.timers.now() < end) {
         begin(eligible[pickIndex(eligible.size())]);
         // Faults come in bursts: mostly short pauses and some long ones.
@@ -110,6 +111,12 @@
         co_await m_fleet.timers.sleep(processCheckPeriod);
 }
 
+bool FaultInjector::isEligible(const NamedFault& fault) const
+{
+    auto isIncluded = !fault.option || m_profile.*fault.option;
+    return isIncluded && (fault.isPlanned || !m_profile.isPlannedOnly);
+}
+
 void FaultInjector::begin(const NamedFault& fault)
 {
     auto seconds = std::to_string(toSeconds(m_fleet.timers.now() - m_startedAt));
@@ -193,6 +200,26 @@
     replica.restart();
 }
 
+asio::awaitable<void> FaultInjector::silenceReplicas()
+{
+    auto isAlone = pick(0, 1) == 0;
+    auto includesAllEngines = pick(0, 1) == 0;
+    auto startsTogether = pick(0, 1) == 0;
+    auto& single = randomReplica();
+    auto duration = between(800, 1500);
+    for (auto& replica : m_fleet.replicas) {
+        auto isIncluded = isAlone ? replica.get() == &single : pick(0, 1) == 0 || (includesAllEngines && replica->isEngine());
+        if (isIncluded)
+            replica->beSilent(duration, pick(0, 1) == 0);
+        if (isIncluded && !startsTogether)
+            co_await m_fleet.timers.sleep(between(0, 400));
+    }
+    if (pick(0, 1) == 0)
+        co_return;
+    co_await m_fleet.timers.sleep(between(0, 800));
+    co_await changeManifest();
+}
+
 asio::awaitable<void> FaultInjector::kill(SoakDaemon& daemon)
 {
     ProcessFault fault(daemon);
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -5,9 +5,11 @@
 namespace chestnut::soak {
 
 /** The faults from which a run chooses at random. */
-enum class FaultProfile : uint8_t {
-    PlannedOnly, /**< SIGTERM, SIGHUP, new manifests and replicas that announce their departure */
-    All,
+struct FaultProfile {
+    bool isPlannedOnly = false; /**< SIGTERM, SIGHUP, new manifests and replicas that announce their departure */
+    bool includesSilence = false; /**< replicas that delay their responses for about a second */
+
+    bool operator==(const FaultProfile&) const = default;
 };
 
 /** Injects random faults from outside the daemons. Each fault ends after a random time; faults may overlap. */
@@ -27,9 +29,11 @@
         const char* name;
         Fault fault;
         bool isPlanned;
+        bool FaultProfile::*option = nullptr; /**< included only with this option */
     };
     static const std::vector<NamedFault>& allFaults();
 
+    bool isEligible(const NamedFault&) const;
     void begin(const NamedFault&);
     void checkProcesses();
 
@@ -37,6 +41,7 @@
     asio::awaitable<void> sendHangup();
     asio::awaitable<void> changeManifest();
     asio::awaitable<void> drainReplica();
+    asio::awaitable<void> silenceReplicas();
 
     asio::awaitable<void> killDaemon();
     asio::awaitable<void> killAll();
--- a/tests/soak/ReplicaStandin.cpp
+++ b/tests/soak/ReplicaStandin.cpp
@@ -23,6 +23,8 @@
     /** After this time without heartbeats an entry expires: three periods. */
     constexpr Duration entryExpiryTime = heartbeatPeriod * 3;
     constexpr Duration stageChangeTime = std::chrono::milliseconds(300);
+    /** So that one response meets a single silence. */
+    constexpr Duration timeBetweenSilences = std::chrono::seconds(1);
     constexpr Duration prefillTime = std::chrono::milliseconds(8);
     constexpr Duration eventInterval = std::chrono::milliseconds(25);
     constexpr int minimumWorkMilliseconds = 5;
@@ -107,6 +109,7 @@
     m_isChangingStage = false;
     m_isDown = false;
     m_drainingSince.reset();
+    m_silence = {};
     m_stopTimer.cancel();
     m_link->setFault(LinkFault::None);
     m_link->listen();
@@ -131,7 +134,7 @@
         { "seq_no", ++m_heartbeat },
         { "born", m_startedAt },
     };
-    if (m_placement.stage != EngineStage::None)
+    if (isEngine())
         entry["stage"] = nameOf(m_placement.stage);
     m_store.put(key(), entry.dump());
 }
@@ -153,6 +156,12 @@
     m_expiryTimer = m_timers.once(entryExpiryTime, [this, expiredKey = key()] { m_store.erase(expiredKey); });
 }
 
+void ReplicaStandin::beSilent(Duration duration, bool startsInsideBytes)
+{
+    if (!isLeavingOrDown() && m_timers.now() > m_silence.end + timeBetweenSilences)
+        m_silence = { m_timers.now() + duration, startsInsideBytes };
+}
+
 void ReplicaStandin::stop()
 {
     ++m_starts;
@@ -164,8 +173,9 @@
     m_link->resetAll();
 }
 
-asio::awaitable<void> ReplicaStandin::handle(HttpRequest request, HttpResponseWriter& writer)
+asio::awaitable<void> ReplicaStandin::handle(HttpRequest request, HttpResponseWriter& connection)
 {
+    StandinWriter writer(connection, m_timers, m_silence);
     auto expected = request.headers.value(names::expectedReplica);
     if (!expected.empty() && expected != m_id.value()) {
         (void)co_await writer.send({ 421, { { std::string(names::respondingReplica), m_id.value() } }, {} });
@@ -250,8 +260,7 @@
         co_return;
     }
     auto isPrefill = request.headers.value(names::stage) == "prefill";
-    auto isEngine = m_placement.stage != EngineStage::None;
-    if (isEngine && isPrefill != (m_placement.stage == EngineStage::Prefill)) {
+    if (isEngine() && isPrefill != (m_placement.stage == EngineStage::Prefill)) {
         (void)co_await writer.send({ 421, { { std::string(names::respondingReplica), m_id.value() } }, {} });
         co_return;
     }
@@ -267,7 +276,7 @@
         (void)co_await writer.send({ 500, sealedHeaders(id), "failed" });
         co_return;
     }
-    if (isEngine)
+    if (isEngine())
         co_await runStream(request, writer, id);
     else
         co_await runPlain(writer, id);
--- a/tests/soak/ReplicaStandin.h
+++ b/tests/soak/ReplicaStandin.h
@@ -5,6 +5,7 @@
 #include "soak/FaultyLink.h"
 #include "soak/Ledger.h"
 #include "soak/PlatformStore.h"
+#include "soak/StandinWriter.h"
 
 #include <functional>
 #include <random>
@@ -47,11 +48,15 @@
     void drain(std::function<bool(const std::string& daemon, TimePoint since)> isStableSince);
     /** Stops immediately and without an announcement; its entry expires later. */
     void crash();
+    /** Delays all its responses for a time and then goes on; nothing is wrong with it. No effect soon after another silence,
+        or when the replica is leaving or down. */
+    void beSilent(Duration, bool startsInsideBytes);
     /** Removes its entry, as if it expired while the store is down; the next heartbeat writes it again. */
     void expireEntry() { m_store.erase(key()); }
     /** Starts again with a new id. */
     void restart();
 
+    bool isEngine() const { return m_placement.stage != EngineStage::None; }
     bool isLeavingOrDown() const { return m_isDown || m_drainingSince.has_value(); }
 
     ReplicaFaults faults;
@@ -91,6 +96,7 @@
     bool m_isChangingStage = false;
     bool m_isDown = false;
     std::optional<TimePoint> m_drainingSince;
+    ReplicaSilence m_silence;
     std::function<bool(const std::string&, TimePoint)> m_isStableSince;
     HttpServer m_server;
     TimerSubscription m_heartbeatTimer;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,6 +14,7 @@
 ABSL_FLAG(int, engines, 5, "number of engines");
 ABSL_FLAG(int, clients, 24, "number of clients");
 ABSL_FLAG(bool, dead_replicas_reset, false, "addresses of stopped replicas accept connections and reset them (known red)");
+ABSL_FLAG(bool, silence, false, "adds sound replicas that delay their responses for about a second (issue 22)");
 ABSL_FLAG(std::string, folder, "/tmp/chestnut_soak", "folder for the settings and logs of the daemons");
 
 namespace {
@@ -60,7 +61,7 @@
 {
     auto seed = absl::GetFlag(FLAGS_seed);
     FleetShape shape { absl::GetFlag(FLAGS_daemons), absl::GetFlag(FLAGS_replicas), absl::GetFlag(FLAGS_engines), absl::GetFlag(FLAGS_dead_replicas_reset) };
-    auto profile = seed % plannedOnlyInterval == 0 ? FaultProfile::PlannedOnly : FaultProfile::All;
+    FaultProfile profile { seed % plannedOnlyInterval == 0, absl::GetFlag(FLAGS_silence) };
     SoakFleet fleet(shape, seed, absl::GetFlag(FLAGS_folder) + "/" + std::to_string(seed));
     SoakClients clients(fleet, seed + 1);
     FaultInjector faults(fleet, profile, seed + 2);
