Soak: replicas that state in their responses that they leave or want a pause

Check DRAIN: no request that a client sent more than 2 s after the daemon had passed on such a response reaches this start of the replica from that daemon. The seal of a response now names its replica, so that the client knows whose response was passed on. - One refuses all requests for up to 3 s, alone or with all others of its service, each with a Retry-After of 0.7 to 3.0 s. Check BUDGET: at most two requests (runs, prefills, orders) of one daemon reach it from 0.5 s after the refusal until that time ends. A restart or freeze excuses a daemon from both, a fault of the replica's link from pauses. Reports are not counted: they name no sender.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -69,6 +69,8 @@
         { "manifest", &FaultInjector::changeManifest, true },
         { "drain_replica", &FaultInjector::drainReplica, true },
         { "silence", &FaultInjector::silenceReplicas, true, &FaultProfile::includesSilence },
+        { "leave_in_responses", &FaultInjector::leaveInResponses, true, &FaultProfile::includesNotices },
+        { "shed", &FaultInjector::shedRequests, true, &FaultProfile::includesNotices },
         { "kill", &FaultInjector::killDaemon, false },
         { "kill_all", &FaultInjector::killAll, false },
         { "pause", &FaultInjector::pauseDaemon, false },
@@ -185,12 +187,21 @@
     co_return;
 }
 
+bool FaultInjector::canLeave(const ReplicaStandin& replica) const
+{
+    auto remaining = std::ranges::count_if(m_fleet.replicas, [](const auto& candidate) { return !candidate->isLeavingOrDown(); });
+    return remaining > minimumRemainingReplicas && !replica.isLeavingOrDown();
+}
+
 asio::awaitable<void> FaultInjector::drainReplica()
 {
-    auto remaining = std::ranges::count_if(m_fleet.replicas, [](const auto& replica) { return !replica->isLeavingOrDown(); });
     auto& replica = randomReplica();
-    if (remaining <= minimumRemainingReplicas || replica.isLeavingOrDown() || m_fleet.store.faults.isDown || m_fleet.store.faults.isUnresponsive)
-        co_return;
+    if (canLeave(replica) && !m_fleet.store.faults.isDown && !m_fleet.store.faults.isUnresponsive)
+        co_await drain(replica);
+}
+
+asio::awaitable<void> FaultInjector::drain(ReplicaStandin& replica)
+{
     replica.drain([this](const std::string& name, TimePoint since) {
         auto daemon = std::ranges::find(m_fleet.daemons, name, [](const auto& candidate) { return candidate->name; });
         return daemon != m_fleet.daemons.end() && m_fleet.isStableSince(**daemon, since);
@@ -200,6 +211,36 @@
     replica.restart();
 }
 
+asio::awaitable<void> FaultInjector::leaveInResponses()
+{
+    static const std::vector<NamedFault> companions {
+        { "store_down beside it", &FaultInjector::takeStoreDown, false },
+        { "pause beside it", &FaultInjector::pauseDaemon, false },
+        { "kill beside it", &FaultInjector::killDaemon, false },
+    };
+    auto& replica = randomReplica();
+    if (!canLeave(replica))
+        co_return;
+    replica.announceDeparture();
+    if (!m_profile.isPlannedOnly && pick(0, 1) == 0)
+        begin(companions[pickIndex(companions.size())]);
+    // Its entry says "ready" for a time that may be longer than the time in which it accepts requests.
+    co_await m_fleet.timers.sleep(between(0, 6000));
+    co_await drain(replica);
+}
+
+asio::awaitable<void> FaultInjector::shedRequests()
+{
+    auto& single = randomReplica();
+    auto isAlone = pick(0, 2) > 0;
+    auto duration = between(300, 3000);
+    for (auto& replica : m_fleet.replicas) {
+        if (isAlone ? replica.get() == &single : replica->isEngine() == single.isEngine())
+            replica->shed(duration);
+    }
+    co_await m_fleet.timers.sleep(duration);
+}
+
 asio::awaitable<void> FaultInjector::silenceReplicas()
 {
     auto isAlone = pick(0, 1) == 0;
@@ -257,6 +298,7 @@
     daemon->process->signal(SIGSTOP);
     co_await m_fleet.timers.sleep(between(300, 4000));
     daemon->process->signal(SIGCONT);
+    m_fleet.notices.excuse(daemon->name);
 }
 
 asio::awaitable<void> FaultInjector::takeStoreDown()
@@ -362,7 +404,9 @@
     if (m_fleet.replicas[index]->isLeavingOrDown())
         co_return;
     Disturbance disturbance({ &m_fleet.unplannedDisturbances });
+    m_fleet.notices.excusePauses(m_fleet.replicas[index]->id());
     co_await injectLinkFault(m_fleet.replicaLinks[index]);
+    m_fleet.notices.excusePauses(m_fleet.replicas[index]->id());
 }
 
 asio::awaitable<void> FaultInjector::crashReplica()
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -8,6 +8,7 @@
 struct FaultProfile {
     bool isPlannedOnly = false; /**< SIGTERM, SIGHUP, new manifests and replicas that announce their departure */
     bool includesSilence = false; /**< replicas that delay their responses for about a second */
+    bool includesNotices = false; /**< replicas that state in their responses that they leave or want a pause */
 
     bool operator==(const FaultProfile&) const = default;
 };
@@ -42,6 +43,8 @@
     asio::awaitable<void> changeManifest();
     asio::awaitable<void> drainReplica();
     asio::awaitable<void> silenceReplicas();
+    asio::awaitable<void> leaveInResponses();
+    asio::awaitable<void> shedRequests();
 
     asio::awaitable<void> killDaemon();
     asio::awaitable<void> killAll();
@@ -59,6 +62,8 @@
     asio::awaitable<void> failRequests();
     asio::awaitable<void> truncateResponses();
 
+    bool canLeave(const ReplicaStandin&) const;
+    asio::awaitable<void> drain(ReplicaStandin&);
     asio::awaitable<void> kill(SoakDaemon&);
     asio::awaitable<void> injectLinkFault(LinkPointer);
     asio::awaitable<void> injectReplicaFault(double ReplicaFaults::*share);
--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -22,7 +22,9 @@
 
 void Ledger::recordSent(const RequestId& id, CallKind kind)
 {
-    m_attempts[id].kind = kind;
+    auto& attempt = m_attempts[id];
+    attempt.kind = kind;
+    attempt.sentAt = m_timers.now();
 }
 
 void Ledger::recordExecution(const RequestId& id, const ReplicaId& replica)
@@ -55,6 +57,12 @@
     return found != m_attempts.end() && !found->second.executions.empty();
 }
 
+std::optional<TimePoint> Ledger::sentAt(const RequestId& id) const
+{
+    auto found = m_attempts.find(id);
+    return found == m_attempts.end() ? std::nullopt : std::optional(found->second.sentAt);
+}
+
 void Ledger::reportViolation(const std::string& promise, const std::string& detail)
 {
     auto seconds = std::to_string(toSeconds(m_timers.now() - m_startedAt));
--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -4,6 +4,7 @@
 #include "kernel/timers/TimerService.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,7 @@
     void recordRefused(const RequestId&, int status);
     void recordFailed() { ++m_counts.failed; }
     bool wasExecuted(const RequestId&) const;
+    std::optional<TimePoint> sentAt(const RequestId&) const;
 
     void reportViolation(const std::string& promise, const std::string& detail);
 
@@ -46,6 +48,7 @@
 private:
     struct Attempt {
         CallKind kind = CallKind::Idempotent;
+        TimePoint sentAt;
         std::vector<ReplicaId> executions;
         bool isRefused = false;
     };
--- a/tests/soak/ReplicaStandin.cpp
+++ b/tests/soak/ReplicaStandin.cpp
@@ -27,14 +27,12 @@
     constexpr Duration timeBetweenSilences = std::chrono::seconds(1);
     constexpr Duration prefillTime = std::chrono::milliseconds(8);
     constexpr Duration eventInterval = std::chrono::milliseconds(25);
+    /** Bounds of the time for which a shedding replica refuses a daemon, in tenths of a second. */
+    constexpr int shortestPauseTenths = 7;
+    constexpr int longestPauseTenths = 30;
     constexpr int minimumWorkMilliseconds = 5;
     constexpr int maximumWorkMilliseconds = 60;
 
-    HttpHeaders sealedHeaders(const std::string& id)
-    {
-        return { { std::string(names::requestId), id }, { std::string(names::seal), "seal-" + toHex(digestOf(id)) } };
-    }
-
     /** Counts a running request while it exists. */
     class RunningRequest {
     public:
@@ -62,6 +60,12 @@
     return body;
 }
 
+ReplicaId sealedBy(const HttpHeaders& headers)
+{
+    auto seal = headers.value(names::seal);
+    return ReplicaId(std::string(seal.substr(seal.find('@') + 1)));
+}
+
 std::string expectedEventData(const std::string& requestId, uint64_t number)
 {
     return requestId + "/" + std::to_string(number);
@@ -74,11 +78,12 @@
     return fewest + hash64(requestId) % variety;
 }
 
-ReplicaStandin::ReplicaStandin(asio::io_context& context, TimerService& timers, Log& log, PlatformStore& store, Ledger& ledger, ReplicaPlacement placement, LinkPointer link, uint32_t seed)
+ReplicaStandin::ReplicaStandin(asio::io_context& context, TimerService& timers, Log& log, PlatformStore& store, Ledger& ledger, NoticeChecks& notices, ReplicaPlacement placement, LinkPointer link, uint32_t seed)
     : m_context(context)
     , m_timers(timers)
     , m_store(store)
     , m_ledger(ledger)
+    , m_notices(notices)
     , m_placement(std::move(placement))
     , m_link(std::move(link))
     , m_random(seed)
@@ -109,7 +114,8 @@
     m_isChangingStage = false;
     m_isDown = false;
     m_drainingSince.reset();
-    m_silence = {};
+    m_behavior = {};
+    m_shedsUntil = {};
     m_stopTimer.cancel();
     m_link->setFault(LinkFault::None);
     m_link->listen();
@@ -158,8 +164,13 @@
 
 void ReplicaStandin::beSilent(Duration duration, bool startsInsideBytes)
 {
-    if (!isLeavingOrDown() && m_timers.now() > m_silence.end + timeBetweenSilences)
-        m_silence = { m_timers.now() + duration, startsInsideBytes };
+    if (!isLeavingOrDown() && m_timers.now() > m_behavior.silence.end + timeBetweenSilences)
+        m_behavior.silence = { m_timers.now() + duration, startsInsideBytes };
+}
+
+void ReplicaStandin::shed(Duration duration)
+{
+    m_shedsUntil = m_timers.now() + duration;
 }
 
 void ReplicaStandin::stop()
@@ -175,7 +186,7 @@
 
 asio::awaitable<void> ReplicaStandin::handle(HttpRequest request, HttpResponseWriter& connection)
 {
-    StandinWriter writer(connection, m_timers, m_silence);
+    StandinWriter writer(connection, m_timers, m_behavior);
     auto expected = request.headers.value(names::expectedReplica);
     if (!expected.empty() && expected != m_id.value()) {
         (void)co_await writer.send({ 421, { { std::string(names::respondingReplica), m_id.value() } }, {} });
@@ -206,6 +217,7 @@
 {
     auto holder = order.at("holder").get<std::string>();
     auto fencing = order.at("fencing_token").get<uint64_t>();
+    m_notices.checkArrival(holder, m_id);
     if (fencing < m_highestFencingNumber)
         m_ledger.reportViolation("ONE", m_id.value() + " received an order with fencing number " + std::to_string(fencing) + " after " + std::to_string(m_highestFencingNumber));
     if (fencing == m_highestFencingNumber && holder != m_holder)
@@ -251,12 +263,36 @@
         m_ledger.reportViolation("MIXED", id + " continues from the handle of another request: " + std::string(source));
 }
 
+HttpHeaders ReplicaStandin::sealedHeaders(const std::string& id)
+{
+    if (m_behavior.announcesDeparture)
+        m_notices.recordLeaving(RequestId(id), m_id);
+    return { { std::string(names::requestId), id }, { std::string(names::seal), "seal-" + toHex(digestOf(id)) + "@" + m_id.value() } };
+}
+
+asio::awaitable<void> ReplicaStandin::refuseForTime(HttpResponseWriter& writer, const std::string& daemon, const std::string& id)
+{
+    auto tenths = std::uniform_int_distribution<int>(shortestPauseTenths, longestPauseTenths)(m_random);
+    HttpHeaders headers;
+    headers.set(names::requestId, id);
+    headers.set(names::notExecuted, "1");
+    headers.set("Retry-After", std::to_string(tenths / 10) + "." + std::to_string(tenths % 10));
+    if (co_await writer.send({ 503, std::move(headers), {} }))
+        m_notices.recordShedding(daemon, m_id, std::chrono::milliseconds(tenths * 100));
+}
+
 asio::awaitable<void> ReplicaStandin::run(const HttpRequest& request, HttpResponseWriter& writer)
 {
     std::string id(request.headers.value(names::requestId));
+    std::string daemon(request.headers.value(daemonHeader));
     checkDrain(request, id);
+    m_notices.checkRequest(daemon, RequestId(id), m_id);
+    if (m_timers.now() < m_shedsUntil) {
+        co_await refuseForTime(writer, daemon, id);
+        co_return;
+    }
     if (m_isChangingStage || m_running >= slots + queueLength) {
-        (void)co_await writer.send({ 503, { { std::string(names::notExecuted), "1" } }, {} });
+        (void)co_await writer.send({ 503, { { std::string(names::requestId), id }, { std::string(names::notExecuted), "1" } }, {} });
         co_return;
     }
     auto isPrefill = request.headers.value(names::stage) == "prefill";
--- a/tests/soak/ReplicaStandin.h
+++ b/tests/soak/ReplicaStandin.h
@@ -4,6 +4,7 @@
 #include "soak/DisturbanceTracker.h"
 #include "soak/FaultyLink.h"
 #include "soak/Ledger.h"
+#include "soak/NoticeChecks.h"
 #include "soak/PlatformStore.h"
 #include "soak/StandinWriter.h"
 
@@ -32,13 +33,15 @@
 
 /** Contents that a correct response has: the body of a plain response, and the events of a stream. */
 std::string expectedBody(const std::string& requestId);
+/** The replica that sent the response, as its seal states. */
+ReplicaId sealedBy(const HttpHeaders&);
 std::string expectedEventData(const std::string& requestId, uint64_t number);
 uint64_t expectedEventCount(const std::string& requestId);
 
 /** Test double of a replica with the platform's published protocol, behind a faulty link. */
 class ReplicaStandin {
 public:
-    ReplicaStandin(asio::io_context&, TimerService&, Log&, PlatformStore&, Ledger&, ReplicaPlacement, LinkPointer, uint32_t seed);
+    ReplicaStandin(asio::io_context&, TimerService&, Log&, PlatformStore&, Ledger&, NoticeChecks&, ReplicaPlacement, LinkPointer, uint32_t seed);
 
     /** Opens the listener and registers the replica. */
     void start();
@@ -51,13 +54,19 @@
     /** Delays all its responses for a time and then goes on; nothing is wrong with it. No effect soon after another silence,
         or when the replica is leaving or down. */
     void beSilent(Duration, bool startsInsideBytes);
+    /** Announces its departure in all its responses; its entry in the store stays as it is. */
+    void announceDeparture() { m_behavior.announcesDeparture = true; }
+    /** Refuses all requests for a time, each for a random time during which it wants no other request from that daemon. */
+    void shed(Duration);
     /** Removes its entry, as if it expired while the store is down; the next heartbeat writes it again. */
     void expireEntry() { m_store.erase(key()); }
+    /** Changed at each start. */
+    const ReplicaId& id() const { return m_id; }
     /** Starts again with a new id. */
     void restart();
 
     bool isEngine() const { return m_placement.stage != EngineStage::None; }
-    bool isLeavingOrDown() const { return m_isDown || m_drainingSince.has_value(); }
+    bool isLeavingOrDown() const { return m_isDown || m_behavior.announcesDeparture || m_drainingSince.has_value(); }
 
     ReplicaFaults faults;
     Duration clockError {}; /**< error of the start time in its entry */
@@ -69,6 +78,8 @@
     asio::awaitable<void> changeStage(EngineStage);
     asio::awaitable<void> run(const HttpRequest&, HttpResponseWriter&);
     asio::awaitable<void> runStream(const HttpRequest&, HttpResponseWriter&, const std::string& id);
+    asio::awaitable<void> refuseForTime(HttpResponseWriter&, const std::string& daemon, const std::string& id);
+    HttpHeaders sealedHeaders(const std::string& id);
     asio::awaitable<void> runPlain(HttpResponseWriter&, const std::string& id);
     void checkHandle(const HttpRequest&, const std::string& id);
     void checkDrain(const HttpRequest&, const std::string& id);
@@ -81,6 +92,7 @@
     TimerService& m_timers;
     PlatformStore& m_store;
     Ledger& m_ledger;
+    NoticeChecks& m_notices;
     ReplicaPlacement m_placement;
     LinkPointer m_link;
     std::mt19937 m_random;
@@ -96,7 +108,8 @@
     bool m_isChangingStage = false;
     bool m_isDown = false;
     std::optional<TimePoint> m_drainingSince;
-    ReplicaSilence m_silence;
+    ResponseBehavior m_behavior;
+    TimePoint m_shedsUntil; /**< refuses all requests until then and states for how long */
     std::function<bool(const std::string&, TimePoint)> m_isStableSince;
     HttpServer m_server;
     TimerSubscription m_heartbeatTimer;
--- a/tests/soak/SoakClients.cpp
+++ b/tests/soak/SoakClients.cpp
@@ -118,6 +118,7 @@
     auto stream = co_await m_pool.open(call.daemon->clientLink->endpoint(), std::move(request), std::move(options));
     if (!stream)
         co_return std::nullopt;
+    m_fleet.notices.recordPassedOn(call.daemon->name, RequestId(call.id), sealedBy((*stream)->headers()));
     auto body = co_await readWholeBody(**stream, maximumResponseBody);
     if (!body)
         co_return std::nullopt;
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -62,7 +62,7 @@
     ReplicaPlacement placement { service, stage, zoneOf(number), test::freePort() };
     auto link = makeLink({ "127.0.0.1", placement.serverPort });
     replicaLinks.push_back(link);
-    replicas.push_back(std::make_unique<ReplicaStandin>(context, timers, log, store, ledger, placement, link, static_cast<uint32_t>(m_random())));
+    replicas.push_back(std::make_unique<ReplicaStandin>(context, timers, log, store, ledger, notices, placement, link, static_cast<uint32_t>(m_random())));
     replicas.back()->faults.resetsWhenDown = resetsWhenDown;
 }
 
@@ -92,8 +92,9 @@
         startProcess(*daemon);
 }
 
-void SoakFleet::startProcess(SoakDaemon& daemon) const
+void SoakFleet::startProcess(SoakDaemon& daemon)
 {
+    notices.excuse(daemon.name);
     daemon.process.reset();
     daemon.process = std::make_unique<test::ChildProcess>(daemonProgram, std::vector<std::string> { "--gateway", "--config=" + daemon.settingsPath }, daemon.outputPath);
     daemon.startedAt = timers.now();
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -51,7 +51,7 @@
 
     /** Starts the store, the replicas and the daemons. */
     void start();
-    void startProcess(SoakDaemon&) const;
+    void startProcess(SoakDaemon&);
 
     /** Whether daemon and store were undisturbed long enough that the daemon must have read the state of the store at that time. */
     bool isStableSince(const SoakDaemon&, TimePoint) const;
@@ -71,6 +71,7 @@
     AsioTimerService timers { context };
     MemoryLog log;
     Ledger ledger { timers };
+    NoticeChecks notices { timers, ledger };
     DisturbanceTracker unplannedDisturbances { timers }; /**< of the whole fleet; planned work does not count */
     DisturbanceTracker storeDisturbances { timers };
     PlatformStore store;
--- a/tests/soak/StandinWriter.cpp
+++ b/tests/soak/StandinWriter.cpp
@@ -2,15 +2,28 @@
 
 namespace chestnut::soak {
 
+namespace {
+
+    constexpr std::string_view leavingHeader = "Server-Leaving";
+
+} // namespace
+
 asio::awaitable<void> StandinWriter::waitForSilence()
 {
     while (isSilent())
-        co_await m_timers.sleep(m_silence.end - m_timers.now());
+        co_await m_timers.sleep(m_behavior.silence.end - m_timers.now());
+}
+
+void StandinWriter::addNotice(HttpHeaders& headers) const
+{
+    if (m_behavior.announcesDeparture)
+        headers.set(leavingHeader, "1");
 }
 
 asio::awaitable<Result<void>> StandinWriter::send(HttpResponse response)
 {
-    if (isSilent() && m_silence.startsInsideBytes && !response.body.empty()) {
+    if (isSilent() && m_behavior.silence.startsInsideBytes && !response.body.empty()) {
+        addNotice(response.headers);
         if (auto begun = co_await m_writer.begin(response.status, std::move(response.headers)); !begun)
             co_return begun;
         if (auto written = co_await write(std::move(response.body)); !written)
@@ -18,18 +31,20 @@
         co_return co_await m_writer.finish();
     }
     co_await waitForSilence();
+    addNotice(response.headers);
     co_return co_await m_writer.send(std::move(response));
 }
 
 asio::awaitable<Result<void>> StandinWriter::begin(int status, HttpHeaders headers)
 {
     co_await waitForSilence();
+    addNotice(headers);
     co_return co_await m_writer.begin(status, std::move(headers));
 }
 
 asio::awaitable<Result<void>> StandinWriter::write(std::string chunk)
 {
-    if (isSilent() && m_silence.startsInsideBytes) {
+    if (isSilent() && m_behavior.silence.startsInsideBytes) {
         auto half = chunk.size() / 2;
         if (auto written = co_await m_writer.write(chunk.substr(0, half)); !written)
             co_return written;
--- a/tests/soak/StandinWriter.h
+++ b/tests/soak/StandinWriter.h
@@ -11,13 +11,19 @@
     bool startsInsideBytes = false; /**< half of an event or a body is sent before it, otherwise whole ones */
 };
 
-/** Writes the responses of a replica stand-in, delayed by its silence. */
+/** What a replica stand-in does in all its responses. */
+struct ResponseBehavior {
+    ReplicaSilence silence;
+    bool announcesDeparture = false;
+};
+
+/** Writes the responses of a replica stand-in with its behavior. */
 class StandinWriter final : public HttpResponseWriter {
 public:
-    StandinWriter(HttpResponseWriter& writer, TimerService& timers, const ReplicaSilence& silence)
+    StandinWriter(HttpResponseWriter& writer, TimerService& timers, const ResponseBehavior& behavior)
         : m_writer(writer)
         , m_timers(timers)
-        , m_silence(silence)
+        , m_behavior(behavior)
     {
     }
 
@@ -30,12 +36,13 @@
     bool hasBegun() const override { return m_writer.hasBegun(); }
 
 private:
-    bool isSilent() const { return m_timers.now() < m_silence.end; }
+    bool isSilent() const { return m_timers.now() < m_behavior.silence.end; }
     asio::awaitable<void> waitForSilence();
+    void addNotice(HttpHeaders&) const;
 
     HttpResponseWriter& m_writer;
     TimerService& m_timers;
-    const ReplicaSilence& m_silence;
+    const ResponseBehavior& m_behavior;
 };
 
 } // namespace chestnut::soak
