--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -68,6 +68,9 @@
         { "hang_up", &FaultInjector::sendHangup, true },
         { "manifest", &FaultInjector::changeManifest, true },
         { "drain_replica", &FaultInjector::drainReplica, true },
+        { "silence", &FaultInjector::silenceReplicas, true, &FaultProfile::includesSilence },
+        { "leave_in_responses", &FaultInjector::leaveInResponses, true, &FaultProfile::includesNotices },
+        { "shed", &FaultInjector::shedRequests, true, &FaultProfile::includesNotices },
         { "kill", &FaultInjector::killDaemon, false },
         { "kill_all", &FaultInjector::killAll, false },
         { "pause", &FaultInjector::pauseDaemon, false },
@@ -100,7 +103,7 @@
 {
     auto end = m_fleet.timers.now() + time;
     std::vector<NamedFault> eligible;
-    std::ranges::copy_if(allFaults(), std::back_inserter(eligible), [this](const NamedFault& fault) { return fault.isPlanned || m_profile == FaultProfile::All; });
+    std::ranges::copy_if(allFaults(), std::back_inserter(eligible), [this](const NamedFault& fault) { return isEligible(fault); });
     while (m_fleet.timers.now() < end) {
         begin(eligible[pickIndex(eligible.size())]);
         // Faults come in bursts: mostly short pauses and some long ones.
@@ -110,6 +113,12 @@
         co_await m_fleet.timers.sleep(processCheckPeriod);
 }
 
+bool FaultInjector::isEligible(const NamedFault& fault) const
+{
+    auto isIncluded = !fault.option || m_profile.*fault.option;
+    return isIncluded && (fault.isPlanned || !m_profile.isPlannedOnly);
+}
+
 void FaultInjector::begin(const NamedFault& fault)
 {
     auto seconds = std::to_string(toSeconds(m_fleet.timers.now() - m_startedAt));
@@ -178,12 +187,21 @@
     co_return;
 }
 
+bool FaultInjector::canLeave(const ReplicaStandin& replica) const
+{
+    auto remaining = std::ranges::count_if(m_fleet.replicas, [](const auto& candidate) { return !candidate->isLeavingOrDown(); });
+    return remaining > minimumRemainingReplicas && !replica.isLeavingOrDown();
+}
+
 asio::awaitable<void> FaultInjector::drainReplica()
 {
-    auto remaining = std::ranges::count_if(m_fleet.replicas, [](const auto& replica) { return !replica->isLeavingOrDown(); });
     auto& replica = randomReplica();
-    if (remaining <= minimumRemainingReplicas || replica.isLeavingOrDown() || m_fleet.store.faults.isDown || m_fleet.store.faults.isUnresponsive)
-        co_return;
+    if (canLeave(replica) && !m_fleet.store.faults.isDown && !m_fleet.store.faults.isUnresponsive)
+        co_await drain(replica);
+}
+
+asio::awaitable<void> FaultInjector::drain(ReplicaStandin& replica)
+{
     replica.drain([this](const std::string& name, TimePoint since) {
         auto daemon = std::ranges::find(m_fleet.daemons, name, [](const auto& candidate) { return candidate->name; });
         return daemon != m_fleet.daemons.end() && m_fleet.isStableSince(**daemon, since);
@@ -193,6 +211,56 @@
     replica.restart();
 }
 
+asio::awaitable<void> FaultInjector::leaveInResponses()
+{
+    static const std::vector<NamedFault> companions {
+        { "store_down beside it", &FaultInjector::takeStoreDown, false },
+        { "pause beside it", &FaultInjector::pauseDaemon, false },
+        { "kill beside it", &FaultInjector::killDaemon, false },
+    };
+    auto& replica = randomReplica();
+    if (!canLeave(replica))
+        co_return;
+    replica.announceDeparture();
+    if (!m_profile.isPlannedOnly && pick(0, 1) == 0)
+        begin(companions[pickIndex(companions.size())]);
+    // Its entry says "ready" for a time that may be longer than the time in which it accepts requests.
+    co_await m_fleet.timers.sleep(between(0, 6000));
+    co_await drain(replica);
+}
+
+asio::awaitable<void> FaultInjector::shedRequests()
+{
+    auto& single = randomReplica();
+    auto isAlone = pick(0, 2) > 0;
+    auto duration = between(300, 3000);
+    for (auto& replica : m_fleet.replicas) {
+        if (isAlone ? replica.get() == &single : replica->isEngine() == single.isEngine())
+            replica->shed(duration);
+    }
+    co_await m_fleet.timers.sleep(duration);
+}
+
+asio::awaitable<void> FaultInjector::silenceReplicas()
+{
+    auto isAlone = pick(0, 1) == 0;
+    auto includesAllEngines = pick(0, 1) == 0;
+    auto startsTogether = pick(0, 1) == 0;
+    auto& single = randomReplica();
+    auto duration = between(800, 1500);
+    for (auto& replica : m_fleet.replicas) {
+        auto isIncluded = isAlone ? replica.get() == &single : pick(0, 1) == 0 || (includesAllEngines && replica->isEngine());
+        if (isIncluded)
+            replica->beSilent(duration, pick(0, 1) == 0);
+        if (isIncluded && !startsTogether)
+            co_await m_fleet.timers.sleep(between(0, 400));
+    }
+    if (pick(0, 1) == 0)
+        co_return;
+    co_await m_fleet.timers.sleep(between(0, 800));
+    co_await changeManifest();
+}
+
 asio::awaitable<void> FaultInjector::kill(SoakDaemon& daemon)
 {
     ProcessFault fault(daemon);
@@ -230,6 +298,7 @@
     daemon->process->signal(SIGSTOP);
     co_await m_fleet.timers.sleep(between(300, 4000));
     daemon->process->signal(SIGCONT);
+    m_fleet.notices.excuse(daemon->name);
 }
 
 asio::awaitable<void> FaultInjector::takeStoreDown()
@@ -335,7 +404,9 @@
     if (m_fleet.replicas[index]->isLeavingOrDown())
         co_return;
     Disturbance disturbance({ &m_fleet.unplannedDisturbances });
+    m_fleet.notices.excusePauses(m_fleet.replicas[index]->id());
     co_await injectLinkFault(m_fleet.replicaLinks[index]);
+    m_fleet.notices.excusePauses(m_fleet.replicas[index]->id());
 }
 
 asio::awaitable<void> FaultInjector::crashReplica()
