--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -47,7 +47,7 @@
         RoutedRequest request;
         request.id = RequestId("q" + std::to_string(++m_requests));
         request.host = "h";
-        request.forwarded = { "POST", "/x", {}, "body" };
+        request.forwarded = { "POST", "/x", {}, body };
         request.prompt = std::move(prompt);
         request.arrival = timers.now();
         budgets.addRequest(ServiceId("s"));
@@ -81,6 +81,7 @@
 
     static PromptShape longPrompt() { return { "m", 9000, 2, { { 1, 6000 }, { 2, 3000 } } }; }
 
+    std::string body = "body"; /**< of the next request */
     asio::io_context context;
     VirtualTimerService timers { context };
     MemoryLog log;
