Block prompt parts that crash the engines that begin to generate from them

Cause: CrashTracker compares whole requests by their digest.

Change: a decision of its own, decisions/quarantine/CrashingParts. A crash is counted against the parts of the requests that waited at this start of the engine for their first event. A first event with a part refutes all its earlier crashes, because a part that crashes every engine cannot begin. Three crashes at least 250 ms apart block a part: a loss of power ends many engines at once and must block nothing. Each crash is explained by one part, the one that has not begun for longest, so that the first part that all prompts share is not blocked with the crashing one. Daemons share crashes and first events (load messages of version 8, bounded, values out of range rejected). A blocked part is tried with one request after a minute or more, ever less often. Requests with a blocked part are not prefilled either. Log events part_suspected, part_blocked, part_released; gauge chestnut_blocked_prompt_parts.

Conclusion: the evidence is what distinguishes the part, that nothing with it ever begins; popular parts begin all the time.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -98,6 +98,9 @@
         { EventId::PrefillFailed, "prefill_failed", Severity::Warning, "An engine did not prefill a prompt; the request was not executed there." },
         { EventId::RetryBudgetExhausted, "retry_budget_exhausted", Severity::Info, "A retry was not sent because the retry budget of the service is used up." },
         { EventId::HandleReleaseFailed, "handle_release_failed", Severity::Info, "KV cache that no request will use could not be freed; it expires by itself." },
+        { EventId::PartSuspected, "part_suspected", Severity::Warning, "Engines crashed while requests with one prompt part waited there for their first event; the fields give the part, crashes and replicas." },
+        { EventId::PartBlocked, "part_blocked", Severity::Error, "A prompt part explains the crashes of several engines; requests with it are refused by all daemons." },
+        { EventId::PartReleased, "part_released", Severity::Info, "A prompt part is no longer suspected or blocked, because a request with it has begun or another part explains the crashes." },
         { EventId::SettingsReloaded, "settings_reloaded", Severity::Info, "SIGHUP was received; the limits and the log level of the settings file are applied." },
     });
 
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -104,6 +104,9 @@
     PrefillFailed = 2231,
     RetryBudgetExhausted = 2232,
     HandleReleaseFailed = 2233,
+    PartSuspected = 2234,
+    PartBlocked = 2235,
+    PartReleased = 2236,
     SettingsReloaded = 2240,
 };
 
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -19,6 +19,7 @@
 #include "decisions/leases/Order.h"
 #include "decisions/membership/Member.h"
 #include "decisions/membership/Membership.h"
+#include "decisions/quarantine/CrashingParts.h"
 #include "decisions/quarantine/RequestQuarantine.h"
 #include "decisions/retries/Retries.h"
 #include "decisions/roles/Roles.h"
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -131,6 +131,10 @@
         m_crashTracker.add(loss);
     for (const auto& success : message->successes)
         m_crashTracker.recordCompletion(success);
+    for (const auto& crash : message->engineCrashes)
+        m_crashTracker.addPartCrash(crash);
+    for (const auto& begin : message->partBegins)
+        m_crashTracker.recordPartBegin(begin);
     for (const auto& replica : message->leavingReplicas)
         m_replicas.applyPeerLeaving(replica);
     for (const auto& pause : message->pausedReplicas)
@@ -187,6 +191,8 @@
     message.speedSamples = samplesFor(scope);
     message.losses = m_crashTracker.recentLosses();
     message.successes = m_crashTracker.recentSuccesses();
+    message.engineCrashes = m_crashTracker.recentPartCrashes();
+    message.partBegins = m_crashTracker.recentPartBegins();
     message.leavingReplicas = m_replicas.leaving();
     message.pausedReplicas = m_replicas.pausedReplicas();
     message.isStoreReachable = !m_directory.isStoreUnavailable();
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -12,12 +12,16 @@
 
 namespace {
 
-    constexpr int messageVersion = 7;
+    constexpr int messageVersion = 8;
     /** Maximum number of items of each list in one datagram. Ids take up to 40 bytes, so a full part takes 8 KB. */
     constexpr size_t workItemsPerPart = 40;
     constexpr size_t liveDaemonsPerPart = 30;
     constexpr size_t leavingReplicasPerPart = 15;
     constexpr size_t entriesPerPart = 12;
+    constexpr size_t engineCrashesPerPart = 3;
+    constexpr size_t partBeginsPerPart = 12;
+    /** Older reports are not sent; the limit keeps calculations with reported ages in range. */
+    constexpr Duration maximumReportAge = std::chrono::minutes(1);
     /** Limits the memory of a receiver, which stores a list for each part. The two-year target needs far fewer parts. */
     constexpr uint32_t maximumParts = 256;
 
@@ -113,6 +117,63 @@
         return losses;
     }
 
+    json encodeEngineCrashes(const std::vector<EngineCrashReport>& reports)
+    {
+        auto list = json::array();
+        for (const auto& [engine, age, isRefuted, suspects] : reports) {
+            auto parts = json::array();
+            for (const auto& part : suspects)
+                parts.push_back({ part.id, part.position });
+            list.push_back({ engine.replica.value(), engine.startedAt, age.count(), isRefuted, std::move(parts) });
+        }
+        return list;
+    }
+
+    Duration decodeAge(const json& item)
+    {
+        Duration age(item.get<int64_t>());
+        if (age < Duration::zero() || age > maximumReportAge)
+            throw json::out_of_range::create(406, "age of a report out of range", &item);
+        return age;
+    }
+
+    void checkSize(const json& list, size_t maximum)
+    {
+        if (list.size() > maximum)
+            throw json::out_of_range::create(406, "too many reports", &list);
+    }
+
+    std::vector<EngineCrashReport> decodeEngineCrashes(const json& list)
+    {
+        checkSize(list, maximumCrashReports);
+        std::vector<EngineCrashReport> reports;
+        for (const auto& item : list) {
+            EngineCrashReport report { { ReplicaId(item.at(0).get<std::string>()), item.at(1).get<int64_t>() }, decodeAge(item.at(2)), item.at(3).get<bool>(), {} };
+            checkSize(item.at(4), maximumReportedSuspects);
+            for (const auto& part : item.at(4))
+                report.suspects.push_back({ part.at(0).get<uint64_t>(), part.at(1).get<uint32_t>() });
+            reports.push_back(std::move(report));
+        }
+        return reports;
+    }
+
+    json encodePartBegins(const std::vector<PartBeginReport>& reports)
+    {
+        auto list = json::array();
+        for (const auto& [part, age] : reports)
+            list.push_back({ part, age.count() });
+        return list;
+    }
+
+    std::vector<PartBeginReport> decodePartBegins(const json& list)
+    {
+        checkSize(list, maximumBeginReports);
+        std::vector<PartBeginReport> reports;
+        for (const auto& item : list)
+            reports.push_back({ item.at(0).get<uint64_t>(), decodeAge(item.at(1)) });
+        return reports;
+    }
+
     json encodeEntries(const std::vector<ReplicaEntry>& entries)
     {
         auto list = json::array();
@@ -212,6 +273,8 @@
             { "speeds", encodeSamples(message.speedSamples) },
             { "losses", encodeLosses(message.losses) },
             { "served", encodeSuccesses(message.successes) },
+            { "crashes", encodeEngineCrashes(message.engineCrashes) },
+            { "begun", encodePartBegins(message.partBegins) },
             { "gone", encodeLeaving(message.leavingReplicas) },
             { "paused", encodePauses(message.pausedReplicas) },
             { "entries", encodeEntries(message.entries) },
@@ -230,7 +293,7 @@
 
     uint32_t countOfParts(const LoadMessage& message)
     {
-        auto parts = std::max({ partsOf(message.work.size(), workItemsPerPart), partsOf(message.liveDaemons.size(), liveDaemonsPerPart), partsOf(message.leavingReplicas.size(), leavingReplicasPerPart), partsOf(message.entries.size(), entriesPerPart), size_t(1) });
+        auto parts = std::max({ partsOf(message.work.size(), workItemsPerPart), partsOf(message.liveDaemons.size(), liveDaemonsPerPart), partsOf(message.leavingReplicas.size(), leavingReplicasPerPart), partsOf(message.entries.size(), entriesPerPart), partsOf(message.engineCrashes.size(), engineCrashesPerPart), partsOf(message.partBegins.size(), partBeginsPerPart), size_t(1) });
         return static_cast<uint32_t>(parts);
     }
 
@@ -259,6 +322,8 @@
         part.liveDaemons = sliceOf(message.liveDaemons, part.part);
         part.leavingReplicas = sliceOf(message.leavingReplicas, part.part);
         part.entries = sliceOf(message.entries, part.part);
+        part.engineCrashes = sliceOf(message.engineCrashes, part.part);
+        part.partBegins = sliceOf(message.partBegins, part.part);
         datagrams.push_back(encodePart(part));
     }
     return datagrams;
@@ -279,6 +344,8 @@
         message.speedSamples = decodeSamples(document.at("speeds"));
         message.losses = decodeLosses(document.at("losses"));
         message.successes = decodeSuccesses(document.at("served"));
+        message.engineCrashes = decodeEngineCrashes(document.at("crashes"));
+        message.partBegins = decodePartBegins(document.at("begun"));
         message.leavingReplicas = decodeLeaving(document.at("gone"));
         message.pausedReplicas = decodePauses(document.at("paused"));
         message.entries = decodeEntries(document.at("entries"));
--- a/modules/gateway/members/LoadMessage.h
+++ b/modules/gateway/members/LoadMessage.h
@@ -24,6 +24,8 @@
     std::vector<ServiceSamples> speedSamples; /**< of the same daemons; only in the first part of a message */
     std::vector<LostAttemptReport> losses;
     std::vector<SuccessReport> successes; /**< requests that were completed after attempts with them had been lost */
+    std::vector<EngineCrashReport> engineCrashes; /**< with the prompt parts that they are counted against */
+    std::vector<PartBeginReport> partBegins; /**< first events of requests with such parts */
     std::vector<LeavingReplica> leavingReplicas; /**< that the sender has recently recorded as leaving */
     std::vector<PausedReplica> pausedReplicas; /**< that are executing an order */
     std::vector<ReplicaEntry> entries; /**< recently changed in the store; only in messages of the scope Fleet */
--- a/modules/gateway/requests/CrashTracker.cpp
+++ b/modules/gateway/requests/CrashTracker.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requests/CrashTracker.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 
 namespace chestnut {
@@ -21,6 +22,11 @@
     /** Limits the memory for losses to about 400 KB. */
     constexpr size_t maximumLosses = 4096;
 
+    /** The parts are evaluated at most this often, because each request asks for them. */
+    constexpr Duration partsUpdatePeriod = std::chrono::milliseconds(20);
+    /** Limits the memory for changes that nobody asks for. */
+    constexpr size_t maximumPartChanges = 256;
+
     /** Maximum error of the times in reports, caused by the transit time of a datagram. */
     constexpr Duration reportTimeError = std::chrono::milliseconds(10);
 
@@ -52,8 +58,9 @@
 
 } // namespace
 
-CrashTracker::CrashTracker(TimerService& timers)
+CrashTracker::CrashTracker(TimerService& timers, uint64_t seed)
     : m_timers(timers)
+    , m_seed(seed)
 {
 }
 
@@ -145,6 +152,74 @@
         auto oldest = std::ranges::min_element(m_losses, {}, [](const auto& entry) { return entry.second.detectedAt; });
         m_losses.erase(oldest);
     }
+    expireCrashes(m_parts, now);
+}
+
+void CrashTracker::addPartCrash(const EngineStart& engine, std::span<const SharedPart> parts, TimePoint sentAt)
+{
+    expire();
+    recordEngineCrash(m_parts, engine, parts, sentAt, m_timers.now());
+}
+
+void CrashTracker::addPartCrash(const EngineCrashReport& report)
+{
+    expire();
+    mergeEngineCrash(m_parts, report, m_timers.now());
+}
+
+void CrashTracker::recordPartsBegun(const EngineStart& engine, std::span<const SharedPart> parts, TimePoint sentAt)
+{
+    expire();
+    recordEngineResponse(m_parts, engine, sentAt);
+    chestnut::recordPartsBegun(m_parts, parts, m_timers.now());
+}
+
+void CrashTracker::recordPartBegin(const PartBeginReport& report)
+{
+    mergePartBegin(m_parts, report, m_timers.now());
+}
+
+PartAdmission CrashTracker::admitParts(std::span<const SharedPart> parts)
+{
+    updateCrashingParts();
+    auto admission = PartAdmission::Admitted;
+    for (const auto& part : parts) {
+        auto crashing = m_crashingParts.find(part.id);
+        if (crashing == m_crashingParts.end() || crashing->second.state != PartState::Blocked)
+            continue;
+        auto jitter = static_cast<double>(hash64(std::to_string(part.id), m_seed)) / static_cast<double>(std::numeric_limits<uint64_t>::max());
+        if (!takeTrial(m_parts, crashing->second, jitter, m_timers.now()))
+            return PartAdmission::Blocked;
+        admission = PartAdmission::Trial;
+    }
+    return admission;
+}
+
+size_t CrashTracker::blockedParts() const
+{
+    return static_cast<size_t>(std::ranges::count_if(m_crashingParts, [](const auto& entry) { return entry.second.state == PartState::Blocked; }));
+}
+
+void CrashTracker::updateCrashingParts()
+{
+    auto now = m_timers.now();
+    if (now - m_partsUpdatedAt < partsUpdatePeriod || (m_parts.crashes.empty() && m_crashingParts.empty()))
+        return;
+    m_partsUpdatedAt = now;
+    std::map<uint64_t, CrashingPart> current;
+    for (auto& part : findCrashingParts(m_parts, now)) {
+        auto former = m_crashingParts.find(part.part);
+        if (former == m_crashingParts.end() || former->second.state != part.state)
+            m_partChanges.push_back({ part, false });
+        current.emplace(part.part, std::move(part));
+    }
+    for (const auto& [id, part] : m_crashingParts) {
+        if (!current.contains(id))
+            m_partChanges.push_back({ part, true });
+    }
+    m_crashingParts = std::move(current);
+    if (m_partChanges.size() > maximumPartChanges)
+        m_partChanges.erase(m_partChanges.begin(), m_partChanges.end() - maximumPartChanges);
 }
 
 } // namespace chestnut
--- a/modules/gateway/requests/CrashTracker.h
+++ b/modules/gateway/requests/CrashTracker.h
@@ -2,9 +2,11 @@
 
 #include "base/digest/Digest.h"
 #include "base/ids/StrongId.h"
+#include "decisions/quarantine/CrashingParts.h"
 #include "kernel/timers/TimerService.h"
 
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace chestnut {
@@ -45,11 +47,26 @@
     bool operator==(const SuccessReport&) const = default;
 };
 
-/** Detects requests that crash the replicas that run them, by the digest of their content. Clients retry such a request at
-    any daemon, so daemons share the lost attempts; after three crashes every daemon blocks the request. */
+/** Whether a request may be sent to an engine. */
+enum class PartAdmission : uint8_t {
+    Admitted,
+    Trial, /**< admitted once, although a part of its prompt is blocked */
+    Blocked,
+};
+
+/** A prompt part that became suspected or blocked, or that was released. */
+struct PartChange {
+    CrashingPart part;
+    bool isReleased = false;
+};
+
+/** Detects requests that crash the replicas that run them, by the digest of their content and by the parts of their prompt.
+    Clients send such requests to any daemon, so daemons share the lost attempts; after three crashes every daemon blocks the
+    content or the part. */
 class CrashTracker {
 public:
-    explicit CrashTracker(TimerService&);
+    /** The seed differs between daemons. */
+    explicit CrashTracker(TimerService&, uint64_t seed = 0);
 
     /** Returns whether the loss is new. */
     bool add(const LostAttempt&, TimePoint sentAt);
@@ -69,6 +86,20 @@
     /** Contents that were recently answered after a loss, for the peers. */
     std::vector<SuccessReport> recentSuccesses() const;
 
+    /** Counts the crash of an engine against the parts of a request that was waiting there for its first event. */
+    void addPartCrash(const EngineStart&, std::span<const SharedPart>, TimePoint sentAt);
+    void addPartCrash(const EngineCrashReport&);
+    /** Records the first event of a request with the parts. */
+    void recordPartsBegun(const EngineStart&, std::span<const SharedPart>, TimePoint sentAt);
+    void recordPartBegin(const PartBeginReport&);
+    /** Decides on a request with these parts. */
+    PartAdmission admitParts(std::span<const SharedPart>);
+    std::vector<EngineCrashReport> recentPartCrashes() const { return recentEngineCrashes(m_parts, m_timers.now()); }
+    std::vector<PartBeginReport> recentPartBegins() const { return chestnut::recentPartBegins(m_parts, m_timers.now()); }
+    /** The changes since the last call. */
+    std::vector<PartChange> takePartChanges() { return std::exchange(m_partChanges, {}); }
+    size_t blockedParts() const;
+
 private:
     struct Success {
         TimePoint at;
@@ -77,11 +108,17 @@
 
     bool addLoss(const LostAttempt&, LostAttemptTimes);
     void expire();
+    void updateCrashingParts();
 
     TimerService& m_timers;
+    uint64_t m_seed;
     std::map<LostAttempt, LostAttemptTimes> m_losses;
     std::map<Digest, Success> m_successes; /**< contents answered while there were losses of any content */
     TimePoint m_expiredAt;
+    CrashingPartTable m_parts;
+    std::map<uint64_t, CrashingPart> m_crashingParts; /**< as of m_partsUpdatedAt */
+    std::vector<PartChange> m_partChanges;
+    TimePoint m_partsUpdatedAt;
 };
 
 } // namespace chestnut
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -152,7 +152,7 @@
     co_return static_cast<bool>(co_await m_writer.write(std::move(batch.bytes)));
 }
 
-asio::awaitable<GenerationRelay::StreamEnd> GenerationRelay::relayEvents(const ReplicaId& engine, ReplicaResponse& response, TimePoint sentAt)
+asio::awaitable<GenerationRelay::StreamEnd> GenerationRelay::relayEvents(const ReplicaEntry& engine, ReplicaResponse& response, TimePoint sentAt)
 {
     auto& relay = *m_relay;
     EventSplitter splitter;
@@ -167,9 +167,11 @@
             splitter.append(**bytes);
         auto batch = splitter.takeEvents();
         if (!batch.bytes.empty()) {
-            relay.services.streams->recordEvent(relay.service, engine, relay.services.timers.now());
+            relay.services.streams->recordEvent(relay.service, engine.id, relay.services.timers.now());
+            if (!m_lastEventAt)
+                relay.recordFirstEvent(engine);
             recordEventTime(sentAt);
-            startStallTimer(engine, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
+            startStallTimer(engine.id, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
         }
         if (isEnd)
             batch.bytes += splitter.takeRemainder();
@@ -242,7 +244,7 @@
     }
     if (!isSuccess(response->body->status()))
         co_return co_await relayWholeResponse(*response);
-    auto end = co_await relayEvents(engine.id, *response, sentAt);
+    auto end = co_await relayEvents(engine, *response, sentAt);
     m_stallTimer.cancel();
     switch (end) {
     case StreamEnd::Complete:
@@ -266,9 +268,14 @@
         co_return crashingRequestError();
     auto last = makeError(ErrorKind::NoBackend, "the service has no usable decode engine");
     for (uint32_t calls = 0; calls < maximumDecodeCalls; ++calls) {
+        if (relay.hasBlockedPart())
+            co_return crashingPartError();
         auto engine = co_await prepareDecode(calls < maximumPrefillRounds);
         if (!engine)
             co_return engine.error();
+        // Peers may have reported further crashes during the prefill.
+        if (relay.hasBlockedPart())
+            co_return crashingPartError();
         if (relay.isOver() || !relay.acquireAttempt())
             co_return last;
         auto served = co_await decodeAt(*engine);
@@ -276,6 +283,8 @@
             co_return served;
         last = served.error();
         relay.recordAttemptFailure(engine->id, last);
+        if (!m_lastEventAt)
+            relay.recordLossBeforeFirstEvent(*engine, last);
         if (last.kind == ErrorKind::CallerGone || !relay.mayRetry())
             break;
     }
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -34,7 +34,7 @@
     /** Runs one decode attempt. Succeeds when the client has received the complete response. */
     asio::awaitable<Result<void>> decodeAt(const ReplicaEntry&);
     asio::awaitable<Result<ReplicaResponse>> openDecodeStream(const ReplicaEntry&);
-    asio::awaitable<StreamEnd> relayEvents(const ReplicaId& engine, ReplicaResponse&, TimePoint sentAt);
+    asio::awaitable<StreamEnd> relayEvents(const ReplicaEntry& engine, ReplicaResponse&, TimePoint sentAt);
     asio::awaitable<bool> writeEvents(ReplicaResponse&, EventBatch);
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -25,6 +25,22 @@
         return text.data();
     }
 
+    /** The id as it is written in a prompt, in hexadecimal. */
+    std::string partName(uint64_t part)
+    {
+        std::array<char, 17> text {};
+        std::snprintf(text.data(), text.size(), "%llx", static_cast<unsigned long long>(part));
+        return text.data();
+    }
+
+    std::string listOf(const std::set<ReplicaId>& replicas)
+    {
+        std::string list;
+        for (const auto& replica : replicas)
+            list += (list.empty() ? "" : ",") + replica.value();
+        return list;
+    }
+
 } // namespace
 
 RetryBudgets::RetryBudgets(TimerService& timers, DaemonDirectory& directory, ServiceRetryLimits limits)
@@ -57,6 +73,9 @@
     , service(std::move(chosenService))
     , m_deadline(request.arrival + timeAllowed(request, matchedRoute))
 {
+    // The last part belongs to the request alone.
+    for (uint32_t i = 0; request.prompt && i + 1 < request.prompt->parts.size(); ++i)
+        m_sharedParts.push_back({ request.prompt->parts[i].id, i });
 }
 
 void RelayContext::abortOnDisconnectOrDeadline(HttpResponseWriter& writer)
@@ -167,6 +186,37 @@
     return services.crashTracker.hasLosses() && services.crashTracker.isBlocked(content());
 }
 
+bool RelayContext::hasBlockedPart()
+{
+    if (m_sharedParts.empty() || (m_isPartTrial && !mayHaveRun))
+        return false;
+    auto admission = services.crashTracker.admitParts(m_sharedParts);
+    m_isPartTrial = admission == PartAdmission::Trial;
+    reportPartChanges();
+    return admission == PartAdmission::Blocked;
+}
+
+void RelayContext::recordFirstEvent(const ReplicaEntry& engine)
+{
+    services.crashTracker.recordPartsBegun({ engine.id, engine.startedAt }, m_sharedParts, m_sentAt);
+}
+
+void RelayContext::recordLossBeforeFirstEvent(const ReplicaEntry& engine, const Error& error)
+{
+    if (!isOver() && error.kind == ErrorKind::BackendFailed && !m_sharedParts.empty())
+        services.crashTracker.addPartCrash({ engine.id, engine.startedAt }, m_sharedParts, m_sentAt);
+}
+
+void RelayContext::reportPartChanges()
+{
+    for (const auto& [part, isReleased] : services.crashTracker.takePartChanges()) {
+        auto event = isReleased ? EventId::PartReleased : part.state == PartState::Blocked ? EventId::PartBlocked
+                                                                                           : EventId::PartSuspected;
+        services.log.write(event, { { "part", partName(part.part) }, { "crashes", part.crashes }, { "replicas", listOf(part.replicas) } });
+        services.metrics.setGauge("chestnut_blocked_prompt_parts", static_cast<double>(services.crashTracker.blockedParts()));
+    }
+}
+
 void RelayContext::recordCompletion()
 {
     if (services.crashTracker.hasLosses())
@@ -178,6 +228,11 @@
     return makeError(ErrorKind::NoBackend, "the request has crashed the replicas that ran it");
 }
 
+Error crashingPartError()
+{
+    return makeError(ErrorKind::NoBackend, "a part of the prompt has crashed the replicas that ran it");
+}
+
 Error saturatedError(std::string detail)
 {
     auto error = makeError(ErrorKind::Overloaded, std::move(detail));
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -84,6 +84,12 @@
 
     /** Whether requests with this content have crashed too many replicas. */
     bool isBlockedContent() const;
+    /** Whether a prompt part of the request has crashed too many engines. */
+    bool hasBlockedPart();
+    /** Records that an engine began to generate the response to the request. */
+    void recordFirstEvent(const ReplicaEntry&);
+    /** Records that an attempt was lost before its first event, after recordAttemptFailure(). */
+    void recordLossBeforeFirstEvent(const ReplicaEntry&, const Error&);
     /** Records that the request was answered, so that earlier lost attempts are not counted against its content. */
     void recordCompletion();
 
@@ -99,6 +105,7 @@
 
 private:
     const Digest& content() const;
+    void reportPartChanges();
 
     TimePoint m_deadline;
     TimerSubscription m_deadlineTimer;
@@ -107,6 +114,8 @@
     bool m_isClientDisconnected = false;
     bool m_hasExpired = false;
     mutable std::optional<Digest> m_content;
+    std::vector<SharedPart> m_sharedParts; /**< of the prompt */
+    bool m_isPartTrial = false;
 };
 
 using RelayPointer = std::shared_ptr<RelayContext>;
@@ -114,6 +123,9 @@
 /** The error for a request that has crashed the replicas that ran it. */
 Error crashingRequestError();
 
+/** The error for a request with a prompt part that has crashed engines. */
+Error crashingPartError();
+
 /** The refusal of a request for which the engines have no capacity before its deadline. */
 Error saturatedError(std::string detail);
 
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -47,7 +47,7 @@
     , m_settings(std::move(settings))
     , m_loadTracker(std::make_shared<LoadTracker>(m_dependencies.timers, m_dependencies.log))
     , m_speeds(m_dependencies.timers)
-    , m_crashTracker(m_dependencies.timers)
+    , m_crashTracker(m_dependencies.timers, hash64(m_settings.self.id.value()))
     , m_ownKeys(std::make_shared<StoreMirror>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::string(ownKeyPrefix), [this] { return m_exchange.receivesStoreChanges() ? memberPause : ownKeysPause; }))
     , m_daemons(std::make_shared<DaemonDirectory>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_settings.self, [this] { restartWatches(); }))
     , m_replicas(
--- a/tests/gateway/LoadExchangeTest.cpp
+++ b/tests/gateway/LoadExchangeTest.cpp
@@ -94,8 +94,32 @@
     }
 }
 
+/** Records crashes at different daemons, of which none sees enough to block the part, and then a first event at another. */
+void checkSharedPartCrashes(int size)
+{
+    ExchangeFleet fleet(size);
+    std::vector<SharedPart> parts { { 7, 0 } };
+    auto countAdmitting = [&] { return std::ranges::count_if(fleet.members, [&](const auto& member) { return member->crashTracker.admitParts(parts) == PartAdmission::Admitted; }); };
+    for (size_t i = 0; i < 3; ++i) {
+        CHECK(countAdmitting() == size);
+        fleet.members[i]->crashTracker.addPartCrash({ ReplicaId("i-" + std::to_string(i)), 1 }, parts, fleet.timers.now());
+        fleet.advanceSteps(300ms);
+    }
+    fleet.advanceSteps(1s);
+    CHECK(countAdmitting() == 0);
+    fleet.members.back()->crashTracker.recordPartsBegun({ ReplicaId("i-9"), 1 }, parts, fleet.timers.now());
+    fleet.advanceSteps(1s);
+    CHECK(countAdmitting() == size);
+}
+
 } // namespace
 
+TEST_CASE("every daemon blocks a prompt part whose crashes were seen by three of them, until one sees a first event")
+{
+    checkSharedPartCrashes(4);
+    checkSharedPartCrashes(15);
+}
+
 // Guards against daemons that know nothing of the engines' speed after a restart, or with little traffic of their own.
 TEST_CASE("every daemon learns the speed of the engines from the calls of one daemon")
 {
--- a/tests/gateway/LoadMessageTest.cpp
+++ b/tests/gateway/LoadMessageTest.cpp
@@ -25,6 +25,10 @@
         message.leavingReplicas.push_back({ ReplicaId(longId("replica", i)), 1'796'374'817'144, 1234, true });
     message.losses.push_back({ { digestOf("content"), RequestId("r1"), ReplicaId("i-1") }, std::chrono::milliseconds(20), std::chrono::milliseconds(7) });
     message.successes.push_back({ digestOf("other"), std::chrono::milliseconds(300) });
+    // Parts have ids of 64 bits and are reported for each crash.
+    for (size_t i = 0; i < (daemons > 100 ? maximumCrashReports : 1); ++i)
+        message.engineCrashes.push_back({ { ReplicaId(longId("replica", static_cast<int>(i))), 1'796'374'817'144 }, std::chrono::seconds(3), false, std::vector<SharedPart>(maximumReportedSuspects, { ~uint64_t(i), 1 }) });
+    message.partBegins.assign(daemons > 100 ? maximumBeginReports : 1, { ~uint64_t(0), std::chrono::seconds(3) });
     message.pausedReplicas.push_back({ ReplicaId("i-2"), 17 });
     for (int i = 0; i < replicas / 5; ++i)
         message.entries.push_back({ ReplicaId(longId("replica", i)), ServiceId("service-0123456789"), "10.255.255.255:65535", AvailabilityZone("zone-0123456789"), 48, false, EngineStage::Decode, 1'796'374'817'144, 1234 });
@@ -36,7 +40,7 @@
 
 TEST_CASE("a load message is decoded as it was encoded, and an invalid datagram is rejected")
 {
-    LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Fleet, true, { { ReplicaId("i-1"), 3, { 500, 20, 40 } } }, { { ServiceId("s"), { 4, 1000, 20, 300000, 6000 }, { 2, 30 }, { 9, 90 }, { 2, 80 } } }, { { { Digest { 1, 2 }, RequestId("q1"), ReplicaId("i-1"), 99 }, Duration(5), Duration(6) } }, { { Digest { 3, 4 }, Duration(7) } }, { { ReplicaId("i-8"), 17, 4, true } }, { { ReplicaId("i-9"), 77 } }, {}, true, { DaemonId("d2") } };
+    LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Fleet, true, { { ReplicaId("i-1"), 3, { 500, 20, 40 } } }, { { ServiceId("s"), { 4, 1000, 20, 300000, 6000 }, { 2, 30 }, { 9, 90 }, { 2, 80 } } }, { { { Digest { 1, 2 }, RequestId("q1"), ReplicaId("i-1"), 99 }, Duration(5), Duration(6) } }, { { Digest { 3, 4 }, Duration(7) } }, { { { ReplicaId("i-3"), 5 }, Duration(8), true, { { 9, 1 } } } }, { { 10, Duration(11) } }, { { ReplicaId("i-8"), 17, 4, true } }, { { ReplicaId("i-9"), 77 } }, {}, true, { DaemonId("d2") } };
     auto decoded = decodeLoadMessage(encodeLoadMessage(message).front());
     REQUIRE(decoded.has_value());
     CHECK(*decoded == message);
@@ -70,6 +74,8 @@
         joined.liveDaemons.insert(joined.liveDaemons.end(), part->liveDaemons.begin(), part->liveDaemons.end());
         joined.leavingReplicas.insert(joined.leavingReplicas.end(), part->leavingReplicas.begin(), part->leavingReplicas.end());
         joined.entries.insert(joined.entries.end(), part->entries.begin(), part->entries.end());
+        joined.engineCrashes.insert(joined.engineCrashes.end(), part->engineCrashes.begin(), part->engineCrashes.end());
+        joined.partBegins.insert(joined.partBegins.end(), part->partBegins.begin(), part->partBegins.end());
         CHECK(part->losses == message.losses);
         CHECK(part->pausedReplicas == message.pausedReplicas);
     }
@@ -77,6 +83,8 @@
     CHECK(joined.liveDaemons == message.liveDaemons);
     CHECK(joined.leavingReplicas == message.leavingReplicas);
     CHECK(joined.entries == message.entries);
+    CHECK(joined.engineCrashes == message.engineCrashes);
+    CHECK(joined.partBegins == message.partBegins);
 }
 
 // Guards against excessive allocations caused by a corrupt or foreign datagram.
@@ -104,3 +112,19 @@
         CHECK_FALSE(decodeLoadMessage(encodeLoadMessage(message).front()).has_value());
     }
 }
+
+// Guards against a peer whose reports refute crashes of the future, are counted forever, or fill the memory.
+TEST_CASE("a load message with reports of crashes out of range is rejected")
+{
+    auto isAccepted = [](Duration crashAge, Duration beginAge, size_t suspects) {
+        LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Daemon, false };
+        message.engineCrashes = { { { ReplicaId("i-1"), 1 }, crashAge, false, std::vector<SharedPart>(suspects) } };
+        message.partBegins = { { 1, beginAge } };
+        return decodeLoadMessage(encodeLoadMessage(message).front()).has_value();
+    };
+    CHECK(isAccepted(Duration(1), Duration(1), 1));
+    CHECK_FALSE(isAccepted(Duration(-1), Duration(1), 1));
+    CHECK_FALSE(isAccepted(Duration(1), Duration(-1), 1));
+    CHECK_FALSE(isAccepted(std::chrono::hours(1), Duration(1), 1));
+    CHECK_FALSE(isAccepted(Duration(1), Duration(1), maximumReportedSuspects + 1));
+}
