--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -105,6 +105,9 @@
     RetryBudgetExhausted = 2232,
     HandleReleaseFailed = 2233,
     AttemptSilent = 2234,
+    PartSuspected = 2235,
+    PartBlocked = 2236,
+    PartReleased = 2237,
     SettingsReloaded = 2240,
 };
 
