Send no work to replicas that announce their departure in a response

Callers saw: after a replica had said in a response that it leaves, requests still went to it as long as the store listed it as ready, and were lost when its process ended after the drain time. The header was not read anywhere.

Cause: only the store's entry and peers' reports made a replica draining. A peer's report was also ignored when the receiver had read a newer heartbeat, and a departure was forgotten when the entry was removed and written again.

ReplicaDirectory applies it to the process start that the request was sent to (same address, start known before the request was sent). The registry keeps the newest leaving start of each id apart from the entries: it holds through newer heartbeats, removals, erased records and late reports, and ends with a later start. Peers learn it from the load messages that already list leaving replicas. The role manager sends no order to such an engine.

Conclusion: the fact belongs to the process start and is stored as such, and all selections of replicas already respect the draining status, so no path to a replica needs a check of its own.

--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -100,6 +100,8 @@
     RegistrationFailed = 2211,
     LeaseNotAcquired = 2212,
     ReplicaChanged = 2220,
+    ReplicaAnnouncedLeaving = 2221,
+    ReplicaNoticeUnreadable = 2222,
     PrefillPlaced = 2230,
     PrefillFailed = 2231,
     RetryBudgetExhausted = 2232,
--- a/modules/decisions/replicas/ReplicaRegistry.cpp
+++ b/modules/decisions/replicas/ReplicaRegistry.cpp
@@ -12,6 +12,19 @@
         return left != right;
     }
 
+    bool hasAnnouncedDeparture(const ReplicaRegistry& registry, const ReplicaEntry& entry)
+    {
+        auto leaving = registry.leavingStarts.find(entry.id);
+        return leaving != registry.leavingStarts.end() && entry.startedAt <= leaving->second.startedAt;
+    }
+
+    void recordLeavingStart(ReplicaRegistry& registry, const LeavingReplica& report, TimePoint now)
+    {
+        auto [present, isNew] = registry.leavingStarts.try_emplace(report.id, LeavingStart { report.startedAt, now });
+        if (!isNew && report.startedAt >= present->second.startedAt)
+            present->second = { report.startedAt, now };
+    }
+
     void markRemoved(RegisteredReplica& replica, TimePoint now)
     {
         replica.status = ReplicaStatus::Removed;
@@ -35,7 +48,8 @@
 
 bool applyEntry(ReplicaRegistry& registry, const ReplicaEntry& entry)
 {
-    auto status = entry.isDraining ? ReplicaStatus::Draining : ReplicaStatus::Ready;
+    auto hasAnnounced = hasAnnouncedDeparture(registry, entry);
+    auto status = entry.isDraining || hasAnnounced ? ReplicaStatus::Draining : ReplicaStatus::Ready;
     auto [present, isNew] = registry.replicas.try_emplace(entry.id, RegisteredReplica { entry, status, {}, {} });
     if (isNew)
         return true;
@@ -44,7 +58,7 @@
     auto isSameStart = entry.startedAt == before.startedAt;
     if (std::tie(entry.startedAt, entry.heartbeat) < std::tie(before.startedAt, before.heartbeat))
         return false;
-    auto isLeaving = replica.status == ReplicaStatus::Draining || before.isDraining;
+    auto isLeaving = replica.status == ReplicaStatus::Draining || before.isDraining || hasAnnounced;
     if (isSameStart && isLeaving && !entry.isDraining)
         return false;
     // A removed replica becomes ready again only with a newer heartbeat.
@@ -71,16 +85,22 @@
 
 bool applyLeavingReport(ReplicaRegistry& registry, const LeavingReplica& report, TimePoint now)
 {
+    if (report.isDraining)
+        recordLeavingStart(registry, report, now);
     auto present = registry.replicas.find(report.id);
     if (present == registry.replicas.end() || !mayReceiveWork(present->second))
         return false;
-    const auto& entry = present->second.entry;
+    auto& replica = present->second;
+    const auto& entry = replica.entry;
+    if (report.isDraining) {
+        if (entry.startedAt > report.startedAt)
+            return false;
+        replica.status = ReplicaStatus::Draining;
+        return true;
+    }
     if (std::tie(entry.startedAt, entry.heartbeat) > std::tie(report.startedAt, report.heartbeat))
         return false;
-    if (report.isDraining)
-        present->second.status = ReplicaStatus::Draining;
-    else
-        markRemoved(present->second, now);
+    markRemoved(replica, now);
     return true;
 }
 
@@ -106,6 +126,10 @@
         erased.push_back(id);
         return true;
     });
+    std::erase_if(registry.leavingStarts, [&](const auto& entry) {
+        const auto& [id, leaving] = entry;
+        return !registry.replicas.contains(id) && now - leaving.reportedAt >= leavingRetention;
+    });
     return erased;
 }
 
--- a/modules/decisions/replicas/ReplicaRegistry.h
+++ b/modules/decisions/replicas/ReplicaRegistry.h
@@ -52,9 +52,18 @@
     bool operator==(const RegisteredReplica&) const = default;
 };
 
+/** The newest process start of a replica that has announced its departure. */
+struct LeavingStart {
+    int64_t startedAt = 0; /**< Unix milliseconds */
+    TimePoint reportedAt; /**< last report */
+
+    bool operator==(const LeavingStart&) const = default;
+};
+
 /** The registered replicas and the recently removed ones, which a late heartbeat must not make ready again. */
 struct ReplicaRegistry {
     std::map<ReplicaId, RegisteredReplica> replicas;
+    std::map<ReplicaId, LeavingStart> leavingStarts; /**< reported by the replicas themselves or by peers, whatever the store says */
 };
 
 /** Applies a heartbeat. Returns whether anything but the heartbeat number changed. A heartbeat that is older than the last
@@ -65,7 +74,7 @@
     their replicas live) a ready replica stays usable until it ends. Returns whether the replica's status changed. */
 bool applyRemoval(ReplicaRegistry&, const ReplicaId&, TimePoint now, Duration grace);
 
-/** A peer's report of a replica that leaves. */
+/** A report of a replica that leaves, from the replica itself or from a peer. */
 struct LeavingReplica {
     ReplicaId id;
     int64_t startedAt = 0; /**< of the start that leaves */
@@ -75,17 +84,21 @@
     bool operator==(const LeavingReplica&) const = default;
 };
 
-/** Applies a peer's report. A report older than the present entry changes nothing: an entry that was removed and
-    then written again must not be removed a second time. Returns whether the replica's status changed. */
+/** Applies a report. An announced departure holds for its process start and all earlier ones, whatever heartbeats follow.
+    The report of a removal that is older than the present entry changes nothing: an entry that was removed and then
+    written again must not be removed a second time. Returns whether the replica's status changed. */
 bool applyLeavingReport(ReplicaRegistry&, const LeavingReplica&, TimePoint now);
 
 /** Marks lapsed replicas as removed when their grace time has ended. Returns their ids. */
 std::vector<ReplicaId> expireLapsed(ReplicaRegistry&, TimePoint now);
 
-/** Erases replicas that were removed at least removedRetention ago. Returns their ids. */
+/** Erases replicas that were removed at least removedRetention ago, and announced departures of unregistered replicas after
+    leavingRetention. Returns the ids of the erased replicas. */
 std::vector<ReplicaId> eraseRemoved(ReplicaRegistry&, TimePoint now);
 /** No heartbeat of a removed replica arrives later than this, although stores may respond some seconds late. */
 constexpr Duration removedRetention = std::chrono::seconds(60);
+/** No process serves for longer than this after it has announced its departure. */
+constexpr Duration leavingRetention = std::chrono::minutes(10);
 
 bool mayReceiveWork(const RegisteredReplica&);
 
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -61,7 +61,7 @@
             logChange(id, "lapsed");
         }
         for (const auto& id : eraseRemoved(m_registry, m_timers.now()))
-            m_loadTracker->resetObservations(id);
+            forget(id);
         auto now = m_timers.now();
         std::erase_if(m_leaving, [now](const auto& entry) { return now - entry.second.since > leavingReportTime; });
         std::erase_if(m_changedAt, [now](const auto& entry) { return now - entry.second > changeReportTime; });
@@ -87,8 +87,10 @@
     auto isNewStart = !replica || replica->entry.startedAt != entry.startedAt;
     if (!applyEntry(m_registry, entry))
         return false;
-    if (isNewStart)
-        m_loadTracker->resetObservations(entry.id);
+    if (isNewStart) {
+        forget(entry.id);
+        m_startSeenAt[entry.id] = m_timers.now();
+    }
     if (entry.isDraining)
         recordLeaving(entry.id);
     logChange(entry.id, cause);
@@ -111,6 +113,12 @@
         m_unconfirmed[entry.id] = m_timers.now();
 }
 
+void ReplicaDirectory::forget(const ReplicaId& id)
+{
+    m_loadTracker->resetObservations(id);
+    m_startSeenAt.erase(id);
+}
+
 void ReplicaDirectory::removeUnconfirmed()
 {
     auto now = m_timers.now();
@@ -162,6 +170,32 @@
     logChange(report.id, "peer");
 }
 
+const RegisteredReplica* ReplicaDirectory::subjectOf(const ReplicaNotice& notice) const
+{
+    const auto* replica = find(notice.replica);
+    if (!replica || replica->entry.address != notice.address)
+        return nullptr;
+    auto seenAt = m_startSeenAt.find(notice.replica);
+    auto isEarlierStart = seenAt != m_startSeenAt.end() && notice.sentAt < seenAt->second;
+    return isEarlierStart ? nullptr : replica;
+}
+
+void ReplicaDirectory::applyNotice(const ReplicaNotice& notice)
+{
+    const auto& content = notice.content;
+    if (!content.unreadable.empty())
+        m_log.write(EventId::ReplicaNoticeUnreadable, { { "replica", notice.replica }, { "request", notice.request }, { "detail", content.unreadable } });
+    const auto* replica = subjectOf(notice);
+    if (!replica || !content.isLeaving)
+        return;
+    const auto& entry = replica->entry;
+    if (!applyLeavingReport(m_registry, { entry.id, entry.startedAt, entry.heartbeat, true }, m_timers.now()))
+        return;
+    m_log.write(EventId::ReplicaAnnouncedLeaving, { { "replica", notice.replica }, { "request", notice.request }, { "started_at", entry.startedAt } });
+    recordLeaving(notice.replica);
+    logChange(notice.replica, "response");
+}
+
 bool ReplicaDirectory::isPaused(const ReplicaId& id) const
 {
     if (m_ordered.contains(id))
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -3,6 +3,7 @@
 #include "decisions/placement/PromptPlacement.h"
 #include "decisions/replicas/ReplicaRegistry.h"
 #include "gateway/replicas/LoadTracker.h"
+#include "gateway/requests/ReplicaNotice.h"
 #include "gateway/store/StoreMirror.h"
 
 #include <functional>
@@ -51,6 +52,9 @@
     /** Applies a peer's report that the replica is leaving. */
     void applyPeerLeaving(const LeavingReplica&);
 
+    /** Applies what a replica has said about itself in a response. */
+    void applyNotice(const ReplicaNotice&);
+
     /** Entries that were recently added or changed in the store, for peers that watch the store less often. */
     std::vector<ReplicaEntry> changedEntries() const;
 
@@ -88,12 +92,16 @@
         TimePoint orderedAt;
     };
 
+    /** The replica that the notice is about; null if that process start is not the one in the directory. */
+    const RegisteredReplica* subjectOf(const ReplicaNotice&) const;
     /** The replicas of a service that may receive work and satisfy the predicate. */
     std::vector<const ReplicaEntry*> select(const ServiceId&, const std::function<bool(const ReplicaEntry&)>& isWanted) const;
     void onItem(const StoreItem&);
     /** Returns whether the entry changed the registry. */
     bool apply(const ReplicaEntry&, std::string_view cause);
     void onRemoval(const std::string& key);
+    /** Erases what was observed of a process start. */
+    void forget(const ReplicaId&);
     void recordLeaving(const ReplicaId&);
     bool isPaused(const ReplicaId&) const;
     void expireOrders();
@@ -111,6 +119,7 @@
     std::function<bool()> m_isStoreUnavailable;
     std::shared_ptr<StoreMirror> m_mirror;
     ReplicaRegistry m_registry;
+    std::map<ReplicaId, TimePoint> m_startSeenAt; /**< when the present process start of each replica was first read */
     std::map<ReplicaId, LeavingReport> m_leaving;
     std::map<ReplicaId, TimePoint> m_changedAt; /**< when the change was read from the store */
     std::map<ReplicaId, TimePoint> m_unconfirmed; /**< entries from peers, and when they were applied */
--- a/modules/gateway/requests/ReplicaClient.h
+++ b/modules/gateway/requests/ReplicaClient.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "decisions/replicas/ReplicaRegistry.h"
+#include "gateway/requests/ReplicaNotice.h"
 #include "gateway/requests/RoutedRequest.h"
 #include "http/client/AbortHandle.h"
 #include "http/client/HttpBodyStream.h"
 
+#include <functional>
 #include <memory>
 
 namespace chestnut {
@@ -65,7 +67,7 @@
     Refused,
 };
 
-/** Sends requests to replicas. Errors: ConnectFailed when no byte was sent; Overloaded when the replica refused the request
+/** Sends requests to replicas, and passes on what their responses say about them. Errors: ConnectFailed when no byte was sent; Overloaded when the replica refused the request
     without running it; BackendFailed and DeadlineExceeded when it may have run. */
 class ReplicaClient : public Service {
 public:
@@ -83,6 +85,20 @@
 
     virtual asio::awaitable<Result<EngineReport>> report(ReplicaId, std::string address) = 0;
     virtual asio::awaitable<Result<OrderResult>> order(StageOrder) = 0;
+
+    /** Registers the only receiver of notices. It is called for each response header that contains one, whatever the call
+        and its outcome, and before the call returns. */
+    void onNotice(std::function<void(const ReplicaNotice&)> receiver) { m_noticeReceiver = std::move(receiver); }
+
+protected:
+    void publishNotice(const ReplicaNotice& notice) const
+    {
+        if (m_noticeReceiver && notice.content != NoticeContent {})
+            m_noticeReceiver(notice);
+    }
+
+private:
+    std::function<void(const ReplicaNotice&)> m_noticeReceiver;
 };
 
 } // namespace chestnut
--- /dev/null
+++ b/modules/gateway/requests/ReplicaNotice.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/ids/StrongId.h"
+#include "base/time/TimePoint.h"
+
+#include <optional>
+#include <string>
+
+namespace chestnut {
+
+/** What one response of a replica says about the replica itself. */
+struct NoticeContent {
+    bool isLeaving = false; /**< this process start is about to end */
+    std::string unreadable; /**< header fields that could not be read, for the log */
+
+    bool operator==(const NoticeContent&) const = default;
+};
+
+/** A notice and the replica that it came from. */
+struct ReplicaNotice {
+    ReplicaId replica;
+    std::string address; /**< IP:PORT to which the request was sent */
+    TimePoint sentAt; /**< of the request; a response to an earlier process start must not affect a later one */
+    std::string request; /**< the request's id, or the name of the control call */
+    NoticeContent content;
+
+    bool operator==(const ReplicaNotice&) const = default;
+};
+
+} // namespace chestnut
--- a/modules/gateway/requests/RoutedRequest.h
+++ b/modules/gateway/requests/RoutedRequest.h
@@ -24,6 +24,7 @@
 struct CacheHandle {
     std::string source; /**< IP:PORT of the engine */
     std::string id;
+    ReplicaId engine;
 
     bool operator==(const CacheHandle&) const = default;
 };
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -172,7 +172,7 @@
         const auto* replica = m_replicas.find(entry.first);
         auto age = now - entry.second.orderedAt;
         auto isDone = replica && replica->entry.stage == entry.second.stage && age > service.engine->roleChangeTime;
-        return isDone || !replica || age > longestChange;
+        return isDone || !replica || !mayReceiveWork(*replica) || age > longestChange;
     });
 }
 
@@ -222,6 +222,8 @@
     }
     if (report->stage == change.stage)
         co_return;
+    if (const auto* reported = m_replicas.find(change.id); !reported || !mayReceiveWork(*reported))
+        co_return;
     m_log.write(EventId::OrderSent, { { "replica", change.id }, { "service", service.id }, { "stage", nameOf(change.stage) }, { "fencing", m_fencingNumber }, { "expected_orders", report->acceptedOrders }, { "demand", demand.requests }, { "slots", demand.slots } });
     m_replicas.pauseForOrder(change.id, change.stage);
     auto result = co_await m_replicaClient.order({ change.id, address, change.stage, m_settings.self.value(), m_fencingNumber, report->acceptedOrders });
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -58,6 +58,14 @@
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
     , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone }
 {
+    m_dependencies.replicaClient.onNotice([this](const ReplicaNotice& notice) { onNotice(notice); });
+}
+
+void Gateway::onNotice(const ReplicaNotice& notice)
+{
+    if (notice.content.isLeaving)
+        m_dependencies.metrics.count("chestnut_replica_leaving_notices_total");
+    m_replicas.applyNotice(notice);
 }
 
 void Gateway::start()
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -74,6 +74,7 @@
     size_t inProgress() const { return m_inProgress; }
 
 private:
+    void onNotice(const ReplicaNotice&);
     void restartWatches();
     asio::awaitable<void> relay(RoutedRequest, HttpResponseWriter&);
 
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -33,7 +33,7 @@
     , m_log(LogFormat::Logfmt, m_settings.logLevel)
     , m_connectionPool(context, m_timers, {})
     , m_store(m_connectionPool, m_settings.store)
-    , m_replicas(m_connectionPool)
+    , m_replicas(m_connectionPool, m_timers)
     , m_gateway({ context, m_timers, m_log, m_metrics, m_store, m_replicas, [this](const RoutingConfiguration& configuration) { applyLimits(configuration); } }, platformFormats(), m_settings.gateway)
     , m_api(m_gateway, m_timers)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
--- a/tests/decisions/ReplicaRegistryTest.cpp
+++ b/tests/decisions/ReplicaRegistryTest.cpp
@@ -80,6 +80,33 @@
     CHECK(statusIn(registry) == ReplicaStatus::Removed);
 }
 
+TEST_CASE("an announced departure holds through newer heartbeats, removals and late reports, and ends with a new start")
+{
+    ReplicaRegistry registry;
+    applyEntry(registry, entryOf(1, 9));
+    // The daemon that reports the departure has read an earlier heartbeat.
+    CHECK(applyLeavingReport(registry, { replica, 1, 5, true }, start));
+    CHECK_FALSE(applyEntry(registry, entryOf(1, 10)));
+    applyRemoval(registry, replica, start, 2500ms);
+    CHECK_FALSE(applyEntry(registry, entryOf(1, 11)));
+    CHECK_FALSE(mayReceiveWork(registry.replicas.at(replica)));
+    eraseRemoved(registry, start + removedRetention);
+    applyEntry(registry, entryOf(1, 12));
+    CHECK(statusIn(registry) == ReplicaStatus::Draining);
+    CHECK(applyEntry(registry, entryOf(2, 1)));
+    CHECK(statusIn(registry) == ReplicaStatus::Ready);
+    CHECK_FALSE(applyLeavingReport(registry, { replica, 1, 20, true }, start));
+    CHECK(statusIn(registry) == ReplicaStatus::Ready);
+}
+
+TEST_CASE("the departure of a start whose entry has not been read yet holds once it is read")
+{
+    ReplicaRegistry registry;
+    applyLeavingReport(registry, { replica, 2, 1, true }, start);
+    applyEntry(registry, entryOf(2, 1));
+    CHECK(statusIn(registry) == ReplicaStatus::Draining);
+}
+
 TEST_CASE("a heartbeat that only increases its number is not reported as a change")
 {
     ReplicaRegistry registry;
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -198,6 +198,11 @@
     co_return Result<void>();
 }
 
+void FakeReplicaClient::publish(const ReplicaId& replica, const std::string& address, TimePoint sentAt)
+{
+    publishNotice({ replica, address, sentAt, "call", notices[replica] });
+}
+
 ScriptedResponse FakeReplicaClient::nextResponse(const ReplicaId& replica)
 {
     auto& script = scripts[replica];
@@ -227,9 +232,11 @@
 asio::awaitable<Result<ReplicaResponse>> FakeReplicaClient::send(ReplicaCall call)
 {
     sent.push_back({ call.replica, call.handle, call.resumeAfter, call.priority, call.timeLeft });
+    auto sentAt = m_timers.now();
     auto response = nextResponse(call.replica);
     if (!co_await waitUnlessAborted(m_timers, m_timers.now() + response.delay, call.abort))
         co_return makeError(ErrorKind::BackendFailed, "aborted");
+    publish(call.replica, call.address, sentAt);
     if (response.error)
         co_return *response.error;
     auto executionStatus = response.executionStatus;
@@ -239,6 +246,7 @@
 asio::awaitable<Result<PrefillResponse>> FakeReplicaClient::prefill(ReplicaCall call)
 {
     prefills.push_back(call.replica);
+    publish(call.replica, call.address, m_timers.now());
     if (auto error = prefillErrors[call.replica])
         co_return *error;
     double missingTokens = 0;
@@ -246,22 +254,25 @@
         prefillModel->tokensInVain += missingTokens;
         co_return makeError(ErrorKind::BackendFailed, "aborted");
     }
-    co_return PrefillResponse { { call.address, "handle-" + std::to_string(prefills.size()) }, 0 };
+    co_return PrefillResponse { { call.address, "handle-" + std::to_string(prefills.size()), call.replica }, 0 };
 }
 
 asio::awaitable<Result<void>> FakeReplicaClient::release(CacheHandle handle)
 {
+    publish(handle.engine, handle.source, m_timers.now());
     released.push_back(std::move(handle));
     co_return Result<void>();
 }
 
-asio::awaitable<Result<EngineReport>> FakeReplicaClient::report(ReplicaId replica, std::string)
+asio::awaitable<Result<EngineReport>> FakeReplicaClient::report(ReplicaId replica, std::string address)
 {
+    publish(replica, address, m_timers.now());
     co_return reports[replica];
 }
 
 asio::awaitable<Result<OrderResult>> FakeReplicaClient::order(StageOrder order)
 {
+    publish(order.replica, order.address, m_timers.now());
     orders.push_back(std::move(order));
     co_return OrderResult::Accepted;
 }
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -99,6 +99,7 @@
     std::map<ReplicaId, std::optional<Error>> prefillErrors;
     std::optional<FakePrefillModel> prefillModel; /**< absent: prefills respond immediately */
     std::map<ReplicaId, EngineReport> reports;
+    std::map<ReplicaId, NoticeContent> notices; /**< in each response of the replica, also in errors */
     std::vector<Sent> sent;
     std::vector<ReplicaId> prefills;
     std::vector<CacheHandle> released;
@@ -111,6 +112,7 @@
     asio::awaitable<Result<OrderResult>> order(StageOrder) override;
 
 private:
+    void publish(const ReplicaId&, const std::string& address, TimePoint sentAt);
     ScriptedResponse nextResponse(const ReplicaId&);
     /** Reads the missing parts of the prompt; returns when the engine has done so. */
     TimePoint queuePrefill(const ReplicaCall&, double& missingTokens);
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -9,6 +9,7 @@
 public:
     GatewayFixture()
     {
+        replicaClient.onNotice([this](const ReplicaNotice& notice) { replicas.applyNotice(notice); });
         replicas.start();
         settle();
     }
--- /dev/null
+++ b/tests/gateway/ReplicaNoticeTest.cpp
@@ -0,0 +1,158 @@
+#include "gateway/GatewayFixture.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+const NoticeContent leaving { true, {} };
+const std::string event = "id: 1\ndata: t\n\n";
+
+/** Two replicas of each stage; those with the number 1 are in the daemon's zone and therefore preferred. */
+struct Replicas : GatewayFixture {
+    Replicas()
+    {
+        for (const auto* stage : { "none", "prefill", "decode" }) {
+            addReplica(std::string("i-") + stage + "-1", "s", stage);
+            addReplica(std::string("i-") + stage + "-2", "s", stage, "b");
+        }
+    }
+
+    ScriptedResponse stream(bool closesEarly = false)
+    {
+        ScriptedResponse response;
+        response.chunks = { event };
+        response.closesEarly = closesEarly;
+        return response;
+    }
+
+    void script(const std::string& id, ScriptedResponse response) { replicaClient.scripts[ReplicaId(id)] = { std::move(response) }; }
+
+    FakeWriter call()
+    {
+        FakeWriter writer;
+        runRequest(route(RouteKind::NonIdempotent, 1), writer);
+        return writer;
+    }
+
+    FakeWriter generate(bool isLong, bool isResumable = false)
+    {
+        FakeWriter writer;
+        auto prompt = isLong ? longPrompt() : PromptShape { "m", 10, 2, { { 3, 10 } } };
+        runRequest(route(RouteKind::Streaming, isResumable ? 3 : 1, isResumable), writer, std::move(prompt));
+        return writer;
+    }
+
+    /** Calls to a replica, of all kinds. */
+    size_t callsTo(const std::string& id) const
+    {
+        auto calls = std::ranges::count(replicaClient.prefills, ReplicaId(id));
+        return static_cast<size_t>(calls + std::ranges::count(replicaClient.sent, ReplicaId(id), &FakeReplicaClient::Sent::replica));
+    }
+
+    /** What a prefill engine and a decode engine have to say about themselves is said in its first response. */
+    void announce(const std::string& id, const NoticeContent& content) { replicaClient.notices[ReplicaId(id)] = content; }
+
+    /** The id of the prefill engine that takes the long prompt. */
+    std::string prefillEngine()
+    {
+        generate(true);
+        return replicaClient.prefills.back().value();
+    }
+};
+
+} // namespace
+
+TEST_CASE("after a response that announces a departure, a plain replica gets no call, whatever the store and its failures say")
+{
+    Replicas fixture;
+    fixture.announce("i-none-1", leaving);
+    CHECK(fixture.call().status == 200);
+    for (int heartbeat : { 2, 3 }) {
+        fixture.store.put("servers/i-none-1", testEntry("s", "none", "a", "ready", 1, heartbeat));
+        fixture.settle();
+        CHECK(fixture.call().status == 200);
+        fixture.store.isDown = heartbeat == 2;
+        fixture.settle();
+    }
+    CHECK(fixture.callsTo("i-none-1") == 1);
+    // The other replica fails: a retry must not go to the leaving one either.
+    ScriptedResponse refusal;
+    refusal.status = 503;
+    refusal.executionStatus = ExecutionStatus::NotExecuted;
+    fixture.script("i-none-2", refusal);
+    auto refused = fixture.call();
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.contains("Retry-After"));
+    CHECK(fixture.callsTo("i-none-1") == 1);
+}
+
+TEST_CASE("an engine that announces its departure in the response to a prefill gets no further prefill")
+{
+    Replicas fixture;
+    auto engine = fixture.prefillEngine();
+    fixture.announce(engine, leaving);
+    CHECK(fixture.generate(true).status == 200);
+    auto calls = fixture.callsTo(engine);
+    CHECK(fixture.generate(true).status == 200);
+    CHECK(fixture.callsTo(engine) == calls);
+}
+
+TEST_CASE("a stream on a leaving engine ends in full, and later decodes, also after a prefill, go elsewhere")
+{
+    for (auto isLong : { false, true }) {
+        CAPTURE(isLong);
+        Replicas fixture;
+        fixture.script("i-decode-1", fixture.stream());
+        fixture.announce("i-decode-1", leaving);
+        auto writer = fixture.generate(isLong);
+        CHECK(writer.body == event);
+        CHECK(writer.isFinished);
+        CHECK(fixture.generate(isLong).status == 200);
+        CHECK(fixture.callsTo("i-decode-1") == 1);
+    }
+}
+
+TEST_CASE("an interrupted stream is not resumed at a leaving engine")
+{
+    Replicas fixture;
+    fixture.script("i-decode-1", fixture.stream());
+    fixture.announce("i-decode-1", leaving);
+    fixture.generate(false);
+    fixture.script("i-decode-2", fixture.stream(true));
+    auto writer = fixture.generate(false, true);
+    CHECK(writer.wasAborted);
+    CHECK(fixture.callsTo("i-decode-1") == 1);
+}
+
+TEST_CASE("a departure ends with the next start, which a late response of the previous start does not affect")
+{
+    Replicas fixture;
+    auto late = fixture.stream();
+    late.delay = 1500ms;
+    fixture.script("i-none-1", late);
+    fixture.announce("i-none-1", leaving);
+    FakeWriter writer;
+    fixture.start(fixture.route(RouteKind::NonIdempotent, 1), writer);
+    fixture.store.put("servers/i-none-1", testEntry("s", "none", "a", "ready", 2));
+    fixture.timers.advance(2s);
+    CHECK(writer.status == 200);
+    CHECK(mayReceiveWork(*fixture.replicas.find(ReplicaId("i-none-1"))));
+    fixture.call();
+    CHECK_FALSE(mayReceiveWork(*fixture.replicas.find(ReplicaId("i-none-1"))));
+    fixture.store.put("servers/i-none-1", testEntry("s", "none", "a", "ready", 3));
+    fixture.settle();
+    CHECK(mayReceiveWork(*fixture.replicas.find(ReplicaId("i-none-1"))));
+}
+
+TEST_CASE("a departure is reported to peers, and only the replica at the address can announce it")
+{
+    Replicas fixture;
+    fixture.replicas.applyNotice({ ReplicaId("i-none-1"), "10.0.0.2:80", fixture.timers.now(), "q", leaving });
+    CHECK(fixture.replicas.leaving().empty());
+    fixture.replicas.applyNotice({ ReplicaId("i-none-1"), "10.0.0.1:80", fixture.timers.now(), "q", leaving });
+    CHECK(fixture.replicas.leaving() == std::vector<LeavingReplica> { { ReplicaId("i-none-1"), 1, 1, true } });
+}
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -68,6 +68,15 @@
     CHECK(fixture.replicaClient.orders.empty());
 }
 
+TEST_CASE("an engine that announces its departure in a report gets no order")
+{
+    TwoDaemons fixture;
+    for (const auto& [id, report] : fixture.replicaClient.reports)
+        fixture.replicaClient.notices[id].isLeaving = true;
+    fixture.timers.advance(8s);
+    CHECK(fixture.replicaClient.orders.empty());
+}
+
 TEST_CASE("during an outage of the store no orders are sent and no other daemon takes over")
 {
     TwoDaemons fixture;
