Continue a broken stream only with events that follow what the client has received

What callers saw: in the middle of a stream that had broken off, the text of another replica's document, a gap, or events twice; or a false end; or, when the events had no ids, the error of the next replica as a whole response inside the stream.

Cause: a further decode attempt after the first event was checked by its status alone, and only if the client had received an event with an id. Its events were relayed whatever their numbers were; without ids the request ran from its start.

Change: StreamPosition (decisions/streams) holds what the client has received. A further run must respond with an event stream, and its events must have numbers that follow the last one, without a gap if there was none so far; repeated events are dropped. Otherwise the attempt has failed. A stream with an event without an increasing number is not continued, it is aborted; so is one whose route is not resumable. Events of the first run are passed on unchanged.

Conclusion: nothing is written to a begun stream that is not known to be its next event.

--- a/modules/gateway/requests/EventSplitter.cpp
+++ b/modules/gateway/requests/EventSplitter.cpp
@@ -22,6 +22,18 @@
         return std::string_view::npos;
     }
 
+    bool isComment(std::string_view event)
+    {
+        auto isLineStart = true;
+        for (auto character : event) {
+            auto isEndOfLine = character == '\r' || character == '\n';
+            if (isLineStart && !isEndOfLine && character != ':')
+                return false;
+            isLineStart = isEndOfLine;
+        }
+        return true;
+    }
+
     std::string_view idOf(std::string_view event)
     {
         std::string_view id;
@@ -73,19 +85,18 @@
     return number;
 }
 
-std::string withoutEventsUpTo(std::string_view events, uint64_t lastId)
+std::vector<StreamEvent> eventsOf(std::string_view batch)
 {
-    std::string kept;
+    std::vector<StreamEvent> events;
     size_t start = 0;
-    for (auto end = endOfEvent(events, start); end != std::string_view::npos; end = endOfEvent(events, start)) {
-        auto event = events.substr(start, end - start);
-        auto number = eventNumber(idOf(event));
-        if (!number || *number > lastId)
-            kept.append(event);
+    for (auto end = endOfEvent(batch, start); end != std::string_view::npos; end = endOfEvent(batch, start)) {
+        auto text = batch.substr(start, end - start);
+        events.push_back({ text, idOf(text), isComment(text) });
         start = end;
     }
-    kept.append(events.substr(start));
-    return kept;
+    if (start < batch.size())
+        events.push_back({ batch.substr(start), {}, true });
+    return events;
 }
 
 } // namespace chestnut
--- a/modules/gateway/requests/EventSplitter.h
+++ b/modules/gateway/requests/EventSplitter.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace chestnut {
 
@@ -39,9 +40,17 @@
     std::string m_buffer;
 };
 
-/** Drops the events with numeric ids up to and including this one; a replica that resumes a stream may send some of them
-    again. */
-std::string withoutEventsUpTo(std::string_view events, uint64_t lastId);
+/** One event within the bytes of a batch. */
+struct StreamEvent {
+    std::string_view text;
+    std::string_view id; /**< empty when it has none */
+    bool isComment = false; /**< it has comments and blank lines only */
+
+    bool operator==(const StreamEvent&) const = default;
+};
+
+/** Splits complete events. Line ends after the last one become a comment. */
+std::vector<StreamEvent> eventsOf(std::string_view batch);
 
 /** Parses a numeric event id. */
 std::optional<uint64_t> eventNumber(std::string_view id);
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -139,15 +139,41 @@
     m_handle.reset();
     if (response->executionStatus == ExecutionStatus::Unverified)
         co_return makeError(ErrorKind::BackendFailed, "the response has no valid replica seal");
-    if (!m_lastEventId.empty() && !isSuccess(response->body->status()))
+    if (m_isContinuation && !isEventStream(*response))
         co_return makeError(ErrorKind::BackendFailed, "the replica did not resume the stream: status " + status);
     co_return response;
 }
 
+bool GenerationRelay::keepContinuation(EventBatch& batch)
+{
+    std::string kept;
+    auto fits = true;
+    for (const auto& event : eventsOf(batch.bytes)) {
+        auto number = eventNumber(event.id);
+        auto fit = m_isContinuation && !event.isComment ? m_position.fitOf(number) : EventFit::Next;
+        fits = fit != EventFit::Mismatch;
+        if (!fits)
+            break;
+        if (fit == EventFit::Repeated)
+            continue;
+        kept.append(event.text);
+        if (event.isComment)
+            continue;
+        m_position.recordSent(number);
+        if (!event.id.empty())
+            m_lastEventId = event.id;
+    }
+    batch.bytes = std::move(kept);
+    return fits;
+}
+
+bool GenerationRelay::mayContinue() const
+{
+    return !m_writer.hasBegun() || (m_relay->route.isResumable && m_position.canContinue());
+}
+
 asio::awaitable<bool> GenerationRelay::writeEvents(ReplicaResponse& response, EventBatch batch)
 {
-    if (auto last = eventNumber(m_lastEventId))
-        batch.bytes = withoutEventsUpTo(batch.bytes, *last);
     if (batch.bytes.empty())
         co_return true;
     if (!m_writer.hasBegun()) {
@@ -155,8 +181,6 @@
         if (!co_await m_writer.begin(response.body->status(), response.headers))
             co_return false;
     }
-    if (!batch.lastId.empty())
-        m_lastEventId = batch.lastId;
     co_return static_cast<bool>(co_await m_writer.write(std::move(batch.bytes)));
 }
 
@@ -181,8 +205,11 @@
         }
         if (isEnd && !splitter.isInsideEvent())
             batch.bytes += splitter.takeRemainder();
+        auto fits = keepContinuation(batch);
         if (!co_await writeEvents(response, std::move(batch)))
             co_return StreamEnd::ClientDisconnected;
+        if (!fits)
+            co_return StreamEnd::Mismatch;
         if (!isEnd)
             continue;
         if (splitter.isInsideEvent())
@@ -245,6 +272,7 @@
     auto sentAt = relay.services.timers.now();
     StreamProgress::Stream inProgress(relay.services.streams, relay.service, engine.id, sentAt);
     m_lastEventAt.reset();
+    m_isContinuation = m_writer.hasBegun();
     auto response = co_await openDecodeStream(engine);
     if (!response) {
         m_stallTimer.cancel();
@@ -269,6 +297,8 @@
         co_return Result<void>();
     case StreamEnd::ClientDisconnected:
         co_return makeError(ErrorKind::CallerGone, "the client disconnected after event " + m_lastEventId);
+    case StreamEnd::Mismatch:
+        co_return makeError(ErrorKind::BackendFailed, "the replica did not continue the stream after event " + m_lastEventId);
     case StreamEnd::Broken:
         break;
     }
@@ -292,7 +322,7 @@
             co_return served;
         last = served.error();
         relay.recordAttemptFailure(engine->id, last);
-        if (last.kind == ErrorKind::CallerGone || !relay.mayRetry())
+        if (last.kind == ErrorKind::CallerGone || !relay.mayRetry() || !mayContinue())
             break;
     }
     co_return last;
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/streams/StreamPosition.h"
 #include "gateway/requests/EventSplitter.h"
 #include "gateway/requests/PromptPrefill.h"
 
@@ -18,6 +19,7 @@
     enum class StreamEnd : uint8_t {
         Complete,
         Broken, /**< the connection failed or stalled, the body ended inside an event, or an event was too long */
+        Mismatch, /**< its events do not continue those that the client has received */
         ClientDisconnected,
     };
 
@@ -35,7 +37,12 @@
     asio::awaitable<Result<void>> decodeAt(const ReplicaEntry&);
     asio::awaitable<Result<ReplicaResponse>> openDecodeStream(const ReplicaEntry&);
     asio::awaitable<StreamEnd> relayEvents(const ReplicaId& engine, ReplicaResponse&, TimePoint sentAt);
+    /** Removes the events that the client has received, and all from the first one on that does not continue its stream.
+        Returns false if there is such an event. */
+    bool keepContinuation(EventBatch&);
     asio::awaitable<bool> writeEvents(ReplicaResponse&, EventBatch);
+    /** Whether another run may continue what the client has received. */
+    bool mayContinue() const;
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
     /** Interrupts the stream when the engine sends no complete event for the given time. Bytes of an incomplete event are no
@@ -54,6 +61,8 @@
     const PromptShape* m_prompt;
     std::optional<CacheHandle> m_handle;
     std::string m_lastEventId;
+    StreamPosition m_position;
+    bool m_isContinuation = false; /**< the client had received events before the present decode attempt */
     std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
     TimerSubscription m_stallTimer;
     TimePoint m_firstEventAt;
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -118,6 +118,49 @@
     CHECK(writer.isFinished);
 }
 
+// Guards against foreign text, a second header, a gap or a false end within a client's stream.
+TEST_CASE("a response that does not continue the stream adds nothing to it")
+{
+    auto failure = stream({ "the engine failed" });
+    failure.status = 500;
+    auto document = stream({ R"({"text":"whole"})" });
+    document.headers.set("Content-Type", "application/json");
+    auto otherDocument = stream({ event(2) });
+    otherDocument.headers = document.headers;
+    auto unverified = stream({ event(2) });
+    unverified.executionStatus = ExecutionStatus::Unverified;
+    for (const auto& response : { failure, document, otherDocument, unverified, refuse(), stream({ event(3) }), stream({ "data: t2\n\n" }), stream({ event(1) + event(3) }) }) {
+        Engines fixture;
+        fixture.script("i-d1", { stream({ event(1) }, true) });
+        fixture.script("i-d2", { response });
+        FakeWriter writer;
+        fixture.runRequest(fixture.resumable(), writer, fixture.longPrompt());
+        CHECK(writer.status == 200);
+        CHECK(writer.body == event(1));
+        CHECK(writer.wasAborted);
+        CHECK_FALSE(writer.isFinished);
+    }
+}
+
+// Guards against events that a client gets twice because nothing says where to continue.
+TEST_CASE("a stream with an event without id is not resumed")
+{
+    for (const auto& first : { std::string("data: t1\n\n"), event(1) + "data: t2\n\n", std::string("id: x\ndata: t1\n\n") }) {
+        Engines fixture;
+        fixture.script("i-d1", { stream({ first }, true) });
+        for (const auto* status : { "200", "500" }) {
+            auto next = stream({ event(1) + event(2) });
+            next.status = std::stoi(status);
+            fixture.script("i-d2", { next });
+            FakeWriter writer;
+            fixture.runRequest(fixture.resumable(), writer, fixture.longPrompt());
+            CHECK(writer.body == first);
+            CHECK(writer.wasAborted);
+            CHECK_FALSE(writer.isFinished);
+        }
+    }
+}
+
 TEST_CASE("a broken stream that is not resumable is aborted and not run again")
 {
     Engines fixture;
