--- a/modules/base/base.h
+++ b/modules/base/base.h
@@ -7,6 +7,7 @@
 #include "base/digest/Digest.h"
 #include "base/errors/Error.h"
 #include "base/errors/ErrorKind.h"
+#include "base/errors/MakeResult.h"
 #include "base/errors/Result.h"
 #include "base/events/EventId.h"
 #include "base/ids/StrongId.h"
--- a/modules/claims/service/ClaimRouter.cpp
+++ b/modules/claims/service/ClaimRouter.cpp
@@ -1,5 +1,7 @@
 #include "claims/service/ClaimRouter.h"
 
+#include "base/errors/MakeResult.h"
+
 #include <algorithm>
 
 namespace chestnut {
@@ -189,7 +191,7 @@
         auto notOwned = Result<ClaimEntry>(makeError(ErrorKind::OutcomeUnknown, "this daemon does not own the key"));
         results.push_back(toReply(isOwned ? co_await decideHere(key, entry) : notOwned));
     }
-    co_return json { { "results", std::move(results) } };
+    co_return makeResult(json { { "results", std::move(results) } });
 }
 
 } // namespace chestnut
--- a/modules/claims/service/SharedClaimService.cpp
+++ b/modules/claims/service/SharedClaimService.cpp
@@ -1,5 +1,6 @@
 #include "claims/service/SharedClaimService.h"
 
+#include "base/errors/MakeResult.h"
 #include "kernel/tasks/BackgroundTask.h"
 
 namespace chestnut {
@@ -298,8 +299,8 @@
         auto entry = entryFromJson(body.at("entry"));
         auto recorded = m_responses.find(entry.id, m_dependencies.timers.now());
         if (!recorded || recorded->content != entry.content)
-            co_return json::object();
-        co_return responseToJson(*recorded);
+            co_return makeResult(json::object());
+        co_return makeResult(responseToJson(*recorded));
     } catch (const std::exception& exception) {
         co_return makeError(ErrorKind::ProtocolError, std::string("unreadable request for a recorded response: ") + exception.what());
     }
--- a/modules/control/configuration/StoredConfigurationService.cpp
+++ b/modules/control/configuration/StoredConfigurationService.cpp
@@ -1,5 +1,6 @@
 #include "control/configuration/StoredConfigurationService.h"
 
+#include "base/errors/MakeResult.h"
 #include "control/configuration/ConfigurationDocument.h"
 #include "control/tickets/TicketService.h"
 #include "decisions/leases/Lease.h"
@@ -214,7 +215,7 @@
 {
     if (!state->current)
         co_return makeError(ErrorKind::NotReady, "this daemon has no configuration yet");
-    co_return makePullReply(request, *state->current, state->history, state->compressed);
+    co_return makeResult(makePullReply(request, *state->current, state->history, state->compressed));
 }
 
 } // namespace chestnut
--- a/modules/control/fleet/ReplicaFleet.cpp
+++ b/modules/control/fleet/ReplicaFleet.cpp
@@ -1,5 +1,6 @@
 #include "control/fleet/ReplicaFleet.h"
 
+#include "base/errors/MakeResult.h"
 #include "kernel/settings/SettingsReader.h"
 #include "kernel/tasks/BackgroundTask.h"
 #include "kernel/tasks/ScopedFlag.h"
@@ -219,7 +220,7 @@
     if (!notice)
         co_return notice.error();
     state->applyNotice(*notice);
-    co_return nlohmann::json { { "taken", true } };
+    co_return makeResult(nlohmann::json { { "taken", true } });
 }
 
 bool ReplicaFleet::acceptsNewWork(const ReplicaId& id) const
--- a/modules/control/status/FleetStatusService.cpp
+++ b/modules/control/status/FleetStatusService.cpp
@@ -1,5 +1,6 @@
 #include "control/status/FleetStatusService.h"
 
+#include "base/errors/MakeResult.h"
 #include "control/fleet/EngineNotice.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -67,7 +68,7 @@
 
 asio::awaitable<Result<nlohmann::json>> FleetStatusService::handleRequest() const
 {
-    co_return nlohmann::json { { "engines", localEngines() } };
+    co_return makeResult(nlohmann::json { { "engines", localEngines() } });
 }
 
 asio::awaitable<void> FleetStatusService::queryMember(PeerService& peers, DaemonId member, std::shared_ptr<Collection> collection)
--- a/modules/frontend/replicas/HeartbeatExchange.cpp
+++ b/modules/frontend/replicas/HeartbeatExchange.cpp
@@ -1,5 +1,6 @@
 #include "frontend/replicas/HeartbeatExchange.h"
 
+#include "base/errors/MakeResult.h"
 #include "kernel/signals/AutoResetEvent.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -142,7 +143,7 @@
             } catch (const json::exception& exception) {
                 co_return makeError(ErrorKind::BadJson, exception.what());
             }
-            co_return json::object();
+            co_return makeResult(json::object());
         });
     }
 
--- a/modules/frontend/streams/StreamHandover.cpp
+++ b/modules/frontend/streams/StreamHandover.cpp
@@ -1,5 +1,7 @@
 #include "frontend/streams/StreamHandover.h"
 
+#include "base/errors/MakeResult.h"
+
 namespace chestnut {
 
 using nlohmann::json;
@@ -63,7 +65,7 @@
     asio::awaitable<Result<json>> handleTakeStream(FrontendStatePointer state, std::shared_ptr<StreamStore> streamStore, DaemonId sender, json body)
     {
         try {
-            co_return handOver(state, *streamStore, sender, body.at("stream").get<std::string>());
+            co_return makeResult(handOver(state, *streamStore, sender, body.at("stream").get<std::string>()));
         } catch (const json::exception& exception) {
             co_return makeError(ErrorKind::ProtocolError, std::string("malformed message: ") + exception.what());
         }
@@ -77,7 +79,7 @@
     state->services.peers.handle(takeStreamMessage, [weak, streamStore](DaemonId sender, json body) -> asio::awaitable<Result<json>> {
         auto locked = weak.lock();
         if (!locked)
-            return []() -> asio::awaitable<Result<json>> { co_return json::object(); }();
+            return []() -> asio::awaitable<Result<json>> { co_return makeResult(json::object()); }();
         return handleTakeStream(std::move(locked), streamStore, std::move(sender), std::move(body));
     });
 }
--- a/modules/peers/service/NngPeerMessages.cpp
+++ b/modules/peers/service/NngPeerMessages.cpp
@@ -1,5 +1,7 @@
 #include "peers/service/NngPeerState.h"
 
+#include "base/errors/MakeResult.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <stdexcept>
 
@@ -130,7 +132,7 @@
         HeartbeatPayload received;
         if (auto accepted = acceptHeartbeat(sender, body, received); !accepted)
             co_return accepted.error();
-        co_return composeHeartbeatBody(&received);
+        co_return makeResult(composeHeartbeatBody(&received));
     }
     if (m_handledRequests >= maximumConcurrentRequests)
         co_return makeError(ErrorKind::Overloaded, "too many concurrent requests from peers");
@@ -177,7 +179,7 @@
         co_return decodeError(reply->body);
     if (reply->deployment != options.deployment || (!receiver.empty() && reply->sender != receiver))
         co_return makeError(ErrorKind::OutcomeUnknown, "the reply is from another daemon or deployment: daemon " + reply->sender.value());
-    co_return std::move(reply->body);
+    co_return makeResult(std::move(reply->body));
 }
 
 asio::awaitable<Result<json>> NngPeerService::State::call(DaemonId receiver, std::string type, json body, Duration timeout)
--- a/tests/frontend/CompletionTest.cpp
+++ b/tests/frontend/CompletionTest.cpp
@@ -1,3 +1,4 @@
+#include "base/errors/MakeResult.h"
 #include "frontend/FrontendFixture.h"
 
 #include <doctest/doctest.h>
@@ -107,7 +108,7 @@
     std::vector<size_t> lostReplicas;
     peer.handle("suspects", [&](DaemonId, nlohmann::json body) -> asio::awaitable<Result<nlohmann::json>> {
         lostReplicas.push_back(body.at(0).at("r").size());
-        co_return nlohmann::json::object();
+        co_return makeResult(nlohmann::json::object());
     });
     fixture.peers.others.push_back(peer.record);
     fixture.peers.reachable[peer.record.id] = &peer;
--- a/tests/peers/NngPeerServiceTest.cpp
+++ b/tests/peers/NngPeerServiceTest.cpp
@@ -1,4 +1,6 @@
 #include "PeerFleet.h"
+
+#include "base/errors/MakeResult.h"
 #include "peers/transport/NngTransport.h"
 
 #include <doctest/doctest.h>
@@ -12,7 +14,7 @@
 PeerHandler echoHandler()
 {
     return [](DaemonId sender, nlohmann::json body) -> asio::awaitable<Result<nlohmann::json>> {
-        co_return nlohmann::json { { "sender", sender.value() }, { "body", std::move(body) } };
+        co_return makeResult(nlohmann::json { { "sender", sender.value() }, { "body", std::move(body) } });
     };
 }
 
