Do not interrupt the last prefill call that a request may make

What callers could see: a 503, or a 502 after an earlier decode, because a silent engine's prefill was interrupted although no further prefill call was allowed.

--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -68,7 +68,7 @@
         m_relay.excluded.insert(placement.engine.id);
         auto other = findEngine();
         m_relay.excluded = std::move(excluded);
-        auto canComplete = other && (!other->choice.expectedTime || *other->choice.expectedTime < m_relay.remaining());
+        auto canComplete = m_mayCallAgain && other && (!other->choice.expectedTime || *other->choice.expectedTime < m_relay.remaining());
         if (completedAt > since || !canComplete) {
             watchProgress(placement, m_relay.services.timers.now());
             return;
@@ -126,6 +126,7 @@
     auto& services = m_relay.services;
     for (uint32_t calls = 0; calls < maximumCalls && !m_relay.isOver(); ++calls) {
         auto isRetry = !std::exchange(m_isFirstCall, false);
+        m_mayCallAgain = calls + 1 < maximumCalls;
         auto placement = findEngine();
         // Without a prefill engine the decode engine processes the prompt.
         if (!placement)
--- a/modules/gateway/requests/PromptPrefill.h
+++ b/modules/gateway/requests/PromptPrefill.h
@@ -41,6 +41,7 @@
     std::optional<uint32_t> m_priority;
     std::chrono::milliseconds m_time { 0 };
     TimerSubscription m_progressTimer;
+    bool m_mayCallAgain = false; /**< after the call in progress */
     bool m_isFirstCall = true; /**< the retry budget counts later calls as retries */
 };
 
