Do not count a slow client as a silence of its engine

What callers could see: a stream that was moved, or cut, because its client had not read for 1.5 s.

Cause: the wait for the next event began before the last one was written to the client.

Change: the wait ends with an event and begins again when the event has been written.

Before: with the old order "a client that reads slowly is no silence of the engine" fails (the body ends after event 1, two engines are called).

--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -200,12 +200,14 @@
         if (!isEnd)
             splitter.append(**bytes);
         auto batch = splitter.takeEvents();
-        if (!batch.bytes.empty()) {
+        auto hasEvents = !batch.bytes.empty();
+        if (hasEvents) {
+            // A client that reads slowly is no silence of the engine.
+            m_silenceWatch.stop();
             relay.services.streams->recordEvent(relay.service, engine.id, relay.services.timers.now());
             if (!m_lastEventAt)
                 relay.recordFirstEvent(engine);
             recordEventTime(sentAt);
-            watchSilence(engine.id, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective, relay.remaining()));
         }
         if (isEnd && !splitter.isInsideEvent())
             batch.bytes += splitter.takeRemainder();
@@ -214,6 +216,8 @@
             co_return StreamEnd::ClientDisconnected;
         if (!fits)
             co_return StreamEnd::Mismatch;
+        if (hasEvents && !isEnd)
+            watchSilence(engine.id, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective, relay.remaining()));
         if (!isEnd)
             continue;
         if (splitter.isInsideEvent())
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -297,6 +297,8 @@
 
 asio::awaitable<Result<void>> FakeWriter::write(std::string chunk)
 {
+    if (beforeWrite)
+        co_await beforeWrite();
     body += chunk;
     co_return Result<void>();
 }
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -138,6 +138,7 @@
     bool isFinished = false;
     bool wasAborted = false;
     std::function<void()> disconnectCallback;
+    std::function<asio::awaitable<void>()> beforeWrite; /**< delays the client */
 };
 
 /** Encodes a replica entry for decodeTestEntry(): service, stage, zone, state, start, heartbeat, slots. */
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -392,21 +392,44 @@
     CHECK(fixture.replicaClient.sent.size() == 1);
 }
 
+/** Engines whose first event takes 200 ms and whose further events follow at once. */
+struct PacedEngines : Engines {
+    PacedEngines()
+    {
+        for (int i = 0; i < 6; ++i) {
+            speeds.recordFirstEvent(ServiceId("s"), 200ms);
+            speeds.recordEventGap(ServiceId("s"), 10ms);
+        }
+    }
+
+    /** Runs a request with 15 s whose stream at i-d1 has two events, each after this pause. */
+    void runStream(FakeWriter& writer, Duration pause)
+    {
+        auto paused = stream({ event(1), event(2) });
+        paused.chunkDelay = pause;
+        script("i-d1", { paused });
+        auto route = resumable();
+        route.timeout = 15s;
+        runRequest(route, writer, longPrompt(), 12s);
+        CHECK(writer.body == event(1) + event(2));
+        CHECK(writer.isFinished);
+    }
+};
+
 // Guards against work that is read again elsewhere for a pause that sound engines make.
 TEST_CASE("a stream that has begun is not moved during a silence of one second")
 {
-    Engines fixture;
-    for (int i = 0; i < 6; ++i) {
-        fixture.speeds.recordFirstEvent(ServiceId("s"), 200ms);
-        fixture.speeds.recordEventGap(ServiceId("s"), 10ms);
-    }
-    auto silent = stream({ event(1), event(2) });
-    silent.chunkDelay = 1s;
-    fixture.script("i-d1", { silent });
-    auto route = fixture.resumable();
-    route.timeout = 15s;
+    PacedEngines fixture;
     FakeWriter writer;
-    fixture.runRequest(route, writer, fixture.longPrompt());
-    CHECK(writer.body == event(1) + event(2));
+    fixture.runStream(writer, 1s);
+    CHECK(fixture.replicaClient.sent.size() == 1);
+}
+
+TEST_CASE("a client that reads slowly is no silence of the engine")
+{
+    PacedEngines fixture;
+    FakeWriter writer;
+    writer.beforeWrite = [&fixture] { return fixture.timers.sleep(2s); };
+    fixture.runStream(writer, 10ms);
     CHECK(fixture.replicaClient.sent.size() == 1);
 }
