Return to a silent replica when no other one takes the request

What callers could see: a response that ends with 502, or in the middle of its stream, because its attempt was interrupted and the next replica refused.

Cause: an interrupted replica was excluded for good, a full replica counted as one that can continue, and an interruption while the connection was being established cancelled nothing but was charged.

Change: interrupted replicas are kept apart and used again when no other one is left; the other replica needs a free slot; an attempt without a connection is not interrupted. Obstacles are checked again every 100 ms and logged once; RetryObstacle names them.

Before: with the old exclusion "a stream returns to its silent engine when all others refuse" fails (the stream ends after event 1) and so does the new subcase "as the other replica refuses" (502 instead of the response).

--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -63,10 +63,8 @@
 SilenceWatch::Callbacks GenerationRelay::silenceCallbacks()
 {
     auto canContinueElsewhere = [this](const ReplicaId& engine) {
-        auto excluded = m_relay->excluded;
-        excluded.insert(engine);
         auto canRead = m_decodeCalls >= maximumPrefillRounds || !mustReadPrompt() || m_prefill->canRunInTime();
-        return m_decodeCalls < maximumDecodeCalls && canRead && chooseDecodeEngine(excluded);
+        return m_decodeCalls < maximumDecodeCalls && mayContinue() && canRead && m_relay->hasFreeReplica(EngineStage::Decode, engine);
     };
     auto hasBegun = [this] { return m_writer.hasBegun(); };
     // The event needs at least this time, so that engines that have become slower are abandoned less often.
@@ -83,10 +81,10 @@
     m_silenceWatch.start(engine, isFull ? std::nullopt : limit);
 }
 
-Result<ReplicaEntry> GenerationRelay::chooseDecodeEngine(const std::set<ReplicaId>& excluded) const
+Result<ReplicaEntry> GenerationRelay::chooseDecodeEngine() const
 {
     auto& relay = *m_relay;
-    auto entries = relay.services.replicas.usable(relay.service, EngineStage::Decode, excluded);
+    auto entries = relay.candidates(EngineStage::Decode);
     if (entries.empty())
         return makeError(ErrorKind::NoBackend, "the service has no usable decode engine");
     std::vector<PlacementView> views;
@@ -263,14 +261,14 @@
 {
     if (mayPrefill && needsPrefill()) {
         // No prefill starts while the decode engines are saturated. The decode engine is chosen again after the prefill.
-        if (auto engine = chooseDecodeEngine(m_relay->excluded); !engine)
+        if (auto engine = chooseDecodeEngine(); !engine)
             co_return engine.error();
         auto handle = co_await m_prefill->run();
         if (!handle)
             co_return handle.error();
         m_handle = std::move(*handle);
     }
-    co_return chooseDecodeEngine(m_relay->excluded);
+    co_return chooseDecodeEngine();
 }
 
 asio::awaitable<Result<void>> GenerationRelay::decodeAt(const ReplicaEntry& engine)
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -31,7 +31,7 @@
     /** Chooses the decode engine, after running the prefill if needed. */
     asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayPrefill);
     /** The engine for the next decode call, or an error if there is none. */
-    Result<ReplicaEntry> chooseDecodeEngine(const std::set<ReplicaId>& excluded) const;
+    Result<ReplicaEntry> chooseDecodeEngine() const;
     /** Whether prefill engines should process the prompt; decode engines process short ones themselves. */
     bool needsPrefill() const;
     /** Whether the next decode attempt needs a prefill, unless it has a handle to the KV cache of an earlier one. */
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -17,16 +17,9 @@
         std::string body;
     };
 
-    /** Waiting for a silent replica is better than a call to one that fails. */
-    bool canAnswerElsewhere(const RelayContext& relay, const ReplicaId& replica)
-    {
-        auto entries = relay.services.replicas.usable(relay.service, EngineStage::None, relay.excluded);
-        return std::ranges::any_of(entries, [&](const ReplicaEntry* entry) { return entry->id != replica && !relay.viewOf(*entry).isEjected; });
-    }
-
     const ReplicaEntry* choose(RelayContext& relay)
     {
-        auto entries = relay.services.replicas.usable(relay.service, EngineStage::None, relay.excluded);
+        auto entries = relay.candidates(EngineStage::None);
         std::vector<PlacementView> views;
         views.reserve(entries.size());
         for (const auto* entry : entries)
@@ -41,7 +34,7 @@
     /** The callbacks of an attempt that waits for its response until `limit`. */
     SilenceWatch::Callbacks silenceCallbacks(RelayContext& relay, Duration limit)
     {
-        auto canContinueElsewhere = [&relay](const ReplicaId& replica) { return canAnswerElsewhere(relay, replica); };
+        auto canContinueElsewhere = [&relay](const ReplicaId& replica) { return relay.hasFreeReplica(EngineStage::None, replica); };
         // The call needs at least this time, so that a service that has become slower is abandoned less often.
         auto onInterrupt = [&relay, limit](TimePoint) { relay.services.speeds.recordOccupancy(relay.service, limit); };
         return { canContinueElsewhere, [] { return false; }, onInterrupt };
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -149,7 +149,7 @@
 
 void RelayContext::recordAttemptFailure(const ReplicaId& replica, const Error& error)
 {
-    excluded.insert(replica);
+    (m_isInterrupted ? silent : excluded).insert(replica);
     auto hasRun = describe(error.kind).outcome != Outcome::NotRun;
     services.log.write(EventId::AttemptFailed, { { "request", request.id }, { "replica", replica }, { "kind", describe(error.kind).name }, { "may_have_run", hasRun ? 1 : 0 }, { "detail", error.detail } });
     if (isOver()) {
@@ -197,6 +197,22 @@
     return view;
 }
 
+std::vector<const ReplicaEntry*> RelayContext::candidates(EngineStage stage) const
+{
+    auto used = excluded;
+    used.insert(silent.begin(), silent.end());
+    auto entries = services.replicas.usable(service, stage, used);
+    return entries.empty() ? services.replicas.usable(service, stage, excluded) : entries;
+}
+
+bool RelayContext::hasFreeReplica(EngineStage stage, const ReplicaId& other) const
+{
+    return std::ranges::any_of(candidates(stage), [&](const ReplicaEntry* entry) {
+        auto view = viewOf(*entry);
+        return entry->id != other && !view.isEjected && view.requests < view.slots;
+    });
+}
+
 const Digest& RelayContext::content() const
 {
     if (!m_content)
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -74,7 +74,7 @@
     /** Takes the next retry from the retry budget in advance; returns false when the budget is exhausted. */
     bool reserveRetry();
 
-    /** Ends the attempt in progress, so that its failure is not that of the replica. */
+    /** Ends the attempt in progress, which then counts neither as a crash of the replica nor against the request's content. */
     void interruptAttempt();
 
     /** Counts one attempt; returns false when it is a retry and the retry budget is exhausted. */
@@ -91,6 +91,11 @@
 
     PlacementView viewOf(const ReplicaEntry&) const;
 
+    /** The replicas that this request has not been sent to, or if there are none, those that were only silent. */
+    std::vector<const ReplicaEntry*> candidates(EngineStage) const;
+    /** Whether a replica other than this one has a free slot for the request. */
+    bool hasFreeReplica(EngineStage, const ReplicaId& other) const;
+
     /** Whether requests with this content have crashed too many replicas. */
     bool isBlockedContent() const;
     /** Whether a prompt part of the request has crashed too many engines. */
@@ -109,6 +114,7 @@
     const ServiceId service;
     const std::shared_ptr<AbortHandle> abort = std::make_shared<AbortHandle>();
     std::set<ReplicaId> excluded; /**< replicas that failed this request */
+    std::set<ReplicaId> silent; /**< replicas whose attempts were interrupted; they are used again when no other one is left */
     bool mayHaveRun = false;
     uint32_t runs = 0; /**< attempts that may have run */
 
--- a/modules/gateway/requests/SilenceWatch.cpp
+++ b/modules/gateway/requests/SilenceWatch.cpp
@@ -2,6 +2,30 @@
 
 namespace chestnut {
 
+namespace {
+
+    /** Period in which an obstacle is checked again. */
+    constexpr Duration recheckPeriod = std::chrono::milliseconds(100);
+
+} // namespace
+
+std::string_view nameOf(RetryObstacle obstacle)
+{
+    switch (obstacle) {
+    case RetryObstacle::None:
+        return "none";
+    case RetryObstacle::NotConnected:
+        return "not_connected";
+    case RetryObstacle::NoAttemptLeft:
+        return "no_attempt_left";
+    case RetryObstacle::NoFreeReplica:
+        return "no_free_replica";
+    case RetryObstacle::BudgetExhausted:
+        return "budget_exhausted";
+    }
+    return "none";
+}
+
 SilenceWatch::SilenceWatch(RelayContext& relay, Callbacks callbacks)
     : m_relay(relay)
     , m_callbacks(std::move(callbacks))
@@ -12,45 +36,52 @@
 {
     stop();
     if (limit)
-        startTimer({ replica, *limit, m_relay.services.timers.now() }, false);
+        startTimer({ replica, *limit, m_relay.services.timers.now() }, *limit);
 }
 
-void SilenceWatch::startTimer(const Wait& wait, bool isExtended)
+void SilenceWatch::startTimer(const Wait& wait, Duration time)
 {
-    m_timer = m_relay.services.timers.once(wait.limit, [this, wait, isExtended] { onLimit(wait, isExtended); });
+    m_timer = m_relay.services.timers.once(time, [this, wait] { onTimer(wait); });
 }
 
-void SilenceWatch::onLimit(const Wait& wait, bool isExtended)
+void SilenceWatch::onTimer(Wait wait)
 {
     // When all streams are silent, the fault is not that of one engine.
-    if (!isExtended && m_relay.services.streams->areOthersSilent(m_relay.service, wait.replica, wait.since)) {
-        startTimer(wait, true);
+    if (!wait.isExtended && m_relay.services.streams->areOthersSilent(m_relay.service, wait.replica, wait.since)) {
+        wait.isExtended = true;
+        startTimer(wait, wait.limit);
         return;
     }
-    if (auto reason = obstacle(wait.replica); !reason.empty()) {
-        log(wait, "wait", reason);
-        startTimer(wait, true);
+    auto obstacle = findObstacle(wait.replica);
+    if (obstacle == RetryObstacle::None && !m_relay.reserveRetry())
+        obstacle = RetryObstacle::BudgetExhausted;
+    if (obstacle == RetryObstacle::None) {
+        log(wait, "interrupt", obstacle);
+        m_callbacks.onInterrupt(wait.since);
+        m_relay.interruptAttempt();
         return;
     }
-    log(wait, "interrupt", "");
-    m_callbacks.onInterrupt(wait.since);
-    m_relay.interruptAttempt();
+    if (obstacle != wait.logged)
+        log(wait, "wait", obstacle);
+    wait.isExtended = true;
+    wait.logged = obstacle;
+    startTimer(wait, recheckPeriod);
 }
 
-std::string_view SilenceWatch::obstacle(const ReplicaId& replica)
+RetryObstacle SilenceWatch::findObstacle(const ReplicaId& replica) const
 {
+    if (!m_relay.abort->isAttached())
+        return RetryObstacle::NotConnected;
     if (!m_relay.mayRunAgain())
-        return "the route allows no other attempt";
-    if (!m_callbacks.canContinueElsewhere(replica))
-        return "no other replica can do the work in time";
-    return m_relay.reserveRetry() ? "" : "the retry budget is exhausted";
+        return RetryObstacle::NoAttemptLeft;
+    return m_callbacks.canContinueElsewhere(replica) ? RetryObstacle::None : RetryObstacle::NoFreeReplica;
 }
 
-void SilenceWatch::log(const Wait& wait, std::string_view action, std::string_view reason) const
+void SilenceWatch::log(const Wait& wait, std::string_view action, RetryObstacle obstacle) const
 {
     const auto& services = m_relay.services;
     auto silence = services.timers.now() - wait.since;
-    services.log.write(EventId::AttemptSilent, { { "request", m_relay.request.id }, { "replica", wait.replica }, { "silent_ms", silence.count() / 1000 }, { "begun", m_callbacks.hasBegun() ? 1 : 0 }, { "action", action }, { "reason", reason } });
+    services.log.write(EventId::AttemptSilent, { { "request", m_relay.request.id }, { "replica", wait.replica }, { "silent_ms", silence.count() / 1000 }, { "begun", m_callbacks.hasBegun() ? 1 : 0 }, { "action", action }, { "obstacle", nameOf(obstacle) } });
     services.metrics.count("chestnut_gateway_silent_attempts_total", { { "action", std::string(action) } });
 }
 
--- a/modules/http/client/AbortHandle.h
+++ b/modules/http/client/AbortHandle.h
@@ -22,6 +22,9 @@
             callback();
     }
 
+    /** Whether an exchange is attached, which interrupt() would cancel. */
+    bool isAttached() const { return static_cast<bool>(m_callback); }
+
     bool isAborted() const { return m_isAborted; }
 
     /** Sets the callback that cancels the exchange in progress. Calls it immediately when the handle is already aborted. */
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -425,6 +425,16 @@
     CHECK(fixture.replicaClient.sent.size() == 1);
 }
 
+// Guards against a stream that is ended because the next engine refuses what a silent one would have continued.
+TEST_CASE("a stream returns to its silent engine when all others refuse")
+{
+    PacedEngines fixture;
+    fixture.script("i-d2", { refuse() });
+    FakeWriter writer;
+    fixture.runStream(writer, 1550ms);
+    CHECK(fixture.replicaClient.sent.size() == 3);
+}
+
 TEST_CASE("a client that reads slowly is no silence of the engine")
 {
     PacedEngines fixture;
--- a/tests/gateway/PlainRelayTest.cpp
+++ b/tests/gateway/PlainRelayTest.cpp
@@ -122,6 +122,11 @@
         fixture.budgets.setLimits({ 0, 0, 10s });
     }
     SUBCASE("as there is no other replica") { }
+    SUBCASE("as the other replica refuses")
+    {
+        fixture.addReplica("i-2", "s", "none", "b");
+        fixture.replicaClient.scripts[ReplicaId("i-2")] = { refuse() };
+    }
     FakeWriter writer;
     fixture.runRequest(fixture.route(RouteKind::Idempotent, 2), writer);
     CHECK(writer.body == "late");
