Believe only responses that carry the id of their request

What callers saw: 'not run, try again' for a request that a replica was running (REFUSED), or its second run (TWICE), when a replica wrote an earlier refusal once more on a kept connection and that copy had no request id.

Cause: isResponseTo() accepted a response without an id for any request.

Change: the id must be equal; only a request without an id, as the control calls are, accepts a response without one. A copy is skipped, and the response after it is returned; without one, the outcome of the request is unknown.

Before (HttpReplicaClientTest, 'an earlier refusal that is written once more ...'): the copies with an empty id and without an id were returned as NotExecuted; 2 checks failed. A copy with the earlier id was skipped already. After: test_platform passes, 18 cases.

Conclusion: each client attempt has its own id, so a response to another request cannot have it.

--- /dev/null
+++ b/tests/platform/HttpReplicaClientTest.cpp
@@ -0,0 +1,87 @@
+#include "platform/HttpReplicaClient.h"
+
+#include "kernel/timers/AsioTimerService.h"
+#include "support/HttpFixture.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+namespace {
+
+const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Chestnutroute-Not-Executed: 1\r\n";
+const std::string noBody = "Content-Length: 0\r\n\r\n";
+const std::string success = "HTTP/1.1 200 OK\r\nX-Chestnutroute-Request-Id: q2\r\nX-Chestnutroute-Server-Seal: s\r\n" + noBody;
+
+/** Refuses the first request of a connection and responds to the second one with the given bytes. */
+struct KeptConnection {
+    explicit KeptConnection(std::string bytes)
+        : response(std::move(bytes))
+    {
+        asio::co_spawn(context, serve(), asio::detached);
+    }
+
+    asio::awaitable<void> serve()
+    {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        asio::streambuf buffer;
+        for (const auto& bytes : { refusal + "X-Chestnutroute-Request-Id: q1\r\n" + noBody, response }) {
+            buffer.consume(co_await asio::async_read_until(socket, buffer, "\r\n\r\n", asio::use_awaitable));
+            co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+        }
+        // The connection stays open.
+        co_await socket.async_wait(tcp::socket::wait_error, asio::use_awaitable);
+    }
+
+    Result<ExecutionStatus> call(const std::string& id)
+    {
+        RoutedRequest request;
+        request.id = RequestId(id);
+        request.forwarded = { "GET", "/", { { "X-Chestnutroute-Request-Id", id } }, {} };
+        auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        auto exchange = [](platform::HttpReplicaClient& replicas, ReplicaCall replicaCall) -> asio::awaitable<Result<ExecutionStatus>> {
+            auto result = co_await replicas.send(std::move(replicaCall));
+            if (!result)
+                co_return result.error();
+            auto body = co_await readWholeBody(*result->body, 100);
+            if (!body)
+                co_return body.error();
+            co_return result->executionStatus;
+        };
+        return test::runToEnd(context, exchange(client, { request, ReplicaId("i-1"), address, 200ms }));
+    }
+
+    std::string response;
+    asio::io_context context;
+    tcp::acceptor acceptor { context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0) };
+    AsioTimerService timers { context };
+    ConnectionPool pool { context, timers, {} };
+    platform::HttpReplicaClient client { pool };
+};
+
+} // namespace
+
+// Guards against "not run" for a request that a replica runs, and against its second run.
+TEST_CASE("an earlier refusal that is written once more does not refuse the next request on its connection")
+{
+    for (const std::string& id : { std::string("X-Chestnutroute-Request-Id: q1\r\n"), std::string("X-Chestnutroute-Request-Id: \r\n"), std::string() }) {
+        auto copy = refusal + id + noBody;
+        KeptConnection responding(copy + success);
+        CHECK(responding.call("q1").value() == ExecutionStatus::NotExecuted);
+        CHECK(responding.call("q2").value() == ExecutionStatus::Executed);
+        KeptConnection silent(copy + copy);
+        CHECK(silent.call("q1").value() == ExecutionStatus::NotExecuted);
+        auto unanswered = silent.call("q2");
+        REQUIRE_FALSE(unanswered.has_value());
+        CHECK(describe(unanswered.error().kind).outcome != Outcome::NotRun);
+    }
+}
--- a/tests/platform/RequestCodecTest.cpp
+++ b/tests/platform/RequestCodecTest.cpp
@@ -95,4 +95,5 @@
 {
     CHECK(isResponseTo({ { "X-Chestnutroute-Request-Id", "q1" } }, RequestId("q1")));
     CHECK_FALSE(isResponseTo({ { "X-Chestnutroute-Request-Id", "q0" } }, RequestId("q1")));
+    CHECK(isResponseTo({}, RequestId()));
 }
--- a/tests/soak/ReplicaStandin.cpp
+++ b/tests/soak/ReplicaStandin.cpp
@@ -33,6 +33,12 @@
         return { { std::string(names::requestId), id }, { std::string(names::seal), "seal-" + toHex(digestOf(id)) } };
     }
 
+    HttpResponse withRequestId(const HttpRequest& request, HttpResponse response)
+    {
+        response.headers.set(names::requestId, request.headers.value(names::requestId));
+        return response;
+    }
+
     /** Counts a running request while it exists. */
     class RunningRequest {
     public:
@@ -168,7 +174,7 @@
 {
     auto expected = request.headers.value(names::expectedReplica);
     if (!expected.empty() && expected != m_id.value()) {
-        (void)co_await writer.send({ 421, { { std::string(names::respondingReplica), m_id.value() } }, {} });
+        (void)co_await writer.send(withRequestId(request, { 421, { { std::string(names::respondingReplica), m_id.value() } }, {} }));
         co_return;
     }
     if (request.path().starts_with("/v1/")) {
@@ -246,18 +252,18 @@
     std::string id(request.headers.value(names::requestId));
     checkDrain(request, id);
     if (m_isChangingStage || m_running >= slots + queueLength) {
-        (void)co_await writer.send({ 503, { { std::string(names::notExecuted), "1" } }, {} });
+        (void)co_await writer.send(withRequestId(request, { 503, { { std::string(names::notExecuted), "1" } }, {} }));
         co_return;
     }
     auto isPrefill = request.headers.value(names::stage) == "prefill";
     auto isEngine = m_placement.stage != EngineStage::None;
     if (isEngine && isPrefill != (m_placement.stage == EngineStage::Prefill)) {
-        (void)co_await writer.send({ 421, { { std::string(names::respondingReplica), m_id.value() } }, {} });
+        (void)co_await writer.send(withRequestId(request, { 421, { { std::string(names::respondingReplica), m_id.value() } }, {} }));
         co_return;
     }
     if (isPrefill) {
         co_await m_timers.sleep(prefillTime);
-        (void)co_await writer.send(jsonResponse(200, { { "kv_handle", id + "-" + std::to_string(++m_handles) }, { "tokens", 2000 }, { "version", 1 } }));
+        (void)co_await writer.send(withRequestId(request, jsonResponse(200, { { "kv_handle", id + "-" + std::to_string(++m_handles) }, { "tokens", 2000 }, { "version", 1 } })));
         co_return;
     }
     checkHandle(request, id);
