Close the connection when a second response to one request is started

Other operators saw the head of an error in the middle of a stream. ResponseWriter::send and begin only asserted that no response had begun, and release builds have no assertions. No present caller does this; the writer now closes the connection, logs handler_failed and returns Internal.

Test: HttpServerTest, 'a second response to one request closes the connection'; it was not run on the code before, where the assertion ends the test program. After: test_http passes, 23 cases.

--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -98,7 +98,8 @@
 
         asio::awaitable<Result<void>> send(HttpResponse response) override
         {
-            assert(!m_hasBegun);
+            if (m_hasBegun)
+                co_return abandonBegunResponse();
             m_hasBegun = true;
             BeastResponse message(static_cast<http::status>(response.status), 11);
             setHeaders(message, response.headers);
@@ -117,7 +118,8 @@
 
         asio::awaitable<Result<void>> begin(int status, HttpHeaders headers) override
         {
-            assert(!m_hasBegun);
+            if (m_hasBegun)
+                co_return abandonBegunResponse();
             m_hasBegun = true;
             http::response<http::empty_body> message(static_cast<http::status>(status), 11);
             setHeaders(message, headers);
@@ -165,6 +167,15 @@
         bool keepsAlive() const { return m_requestKeepsAlive && m_state->isAccepting && m_state->allowsKeepAlive; }
 
     private:
+        /** A second header would become a part of the first response, so the connection is closed instead. */
+        Result<void> abandonBegunResponse()
+        {
+            m_isFinished = false;
+            abort();
+            m_state->log.write(EventId::HandlerFailed, { { "reason", "a second response was started" } });
+            return makeError(ErrorKind::Internal, "a response has already begun");
+        }
+
         static Result<void> resultOf(const error_code& error)
         {
             if (error)
--- a/modules/http/server/HttpServer.h
+++ b/modules/http/server/HttpServer.h
@@ -24,7 +24,8 @@
     Duration writeTimeout = std::chrono::seconds(30);
 };
 
-/** Writes the response to one request, whole or in chunks. Write errors are reported as CallerGone. */
+/** Writes the response to one request, whole or in chunks. Write errors are reported as CallerGone. Starting a second response
+    closes the connection and fails with Internal. */
 class HttpResponseWriter {
 public:
     virtual ~HttpResponseWriter() = default;
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -142,6 +142,19 @@
     CHECK(fixture.run(hasNoConnectionsLeft(fixture.server)));
 }
 
+// Guards against a whole response, with its header, in the middle of a stream.
+TEST_CASE("a second response to one request closes the connection")
+{
+    HttpFixture fixture([](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        (void)co_await writer.begin(200, {});
+        (void)co_await writer.write("event");
+        auto sent = co_await writer.send({ 503, {}, "error" });
+        CHECK_FALSE(sent.has_value());
+    });
+    auto response = fixture.run(fixture.client.exchange(fixture.server.endpoint(), { "POST", "/", {}, "" }, {}));
+    CHECK_FALSE(response.has_value());
+}
+
 namespace {
 
 /** A client that uses blocking calls, so that the server only sees its bytes when the context runs. */
