Treat a stream without length as broken off when it ends before its first event

What callers saw: a 200 with an empty body, framed as whole, or a stream that ends early, when an engine stopped after the header of a response that has neither a length nor chunks.

Cause: GenerationRelay took an empty stream for a complete response, whatever ends its body.

Change: HttpBodyStream::endsWithConnection; such a stream has failed if it has no event, also when it continues another one. Empty streams with a length or a last chunk stay complete.

Conclusion: a generation has at least one event, so nothing sound is refused. The end between two events remains ambiguous.

--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -205,6 +205,7 @@
         }
         if (isEnd && !splitter.isInsideEvent())
             batch.bytes += splitter.takeRemainder();
+        m_hasEvents = m_hasEvents || !batch.bytes.empty();
         auto fits = keepContinuation(batch);
         if (!co_await writeEvents(response, std::move(batch)))
             co_return StreamEnd::ClientDisconnected;
@@ -214,7 +215,9 @@
             continue;
         if (splitter.isInsideEvent())
             co_return StreamEnd::Broken;
-        // An empty stream is a complete response.
+        // An empty stream is a complete response, unless its connection may have been closed after the header.
+        if (!m_hasEvents && response.body->endsWithConnection())
+            co_return StreamEnd::Broken;
         if (!m_writer.hasBegun() && !co_await m_writer.begin(response.body->status(), response.headers))
             co_return StreamEnd::ClientDisconnected;
         co_return co_await m_writer.finish() ? StreamEnd::Complete : StreamEnd::ClientDisconnected;
@@ -273,6 +276,7 @@
     StreamProgress::Stream inProgress(relay.services.streams, relay.service, engine.id, sentAt);
     m_lastEventAt.reset();
     m_isContinuation = m_writer.hasBegun();
+    m_hasEvents = false;
     auto response = co_await openDecodeStream(engine);
     if (!response) {
         m_stallTimer.cancel();
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -62,6 +62,7 @@
     std::optional<CacheHandle> m_handle;
     std::string m_lastEventId;
     StreamPosition m_position;
+    bool m_hasEvents = false; /**< of the present decode attempt */
     bool m_isContinuation = false; /**< the client had received events before the present decode attempt */
     std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
     TimerSubscription m_stallTimer;
--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -160,6 +160,7 @@
 
         int status() const override { return static_cast<int>(m_parser->get().result_int()); }
         const HttpHeaders& headers() const override { return m_headers; }
+        bool endsWithConnection() const override { return m_parser->need_eof(); }
 
         asio::awaitable<Result<std::optional<std::string>>> read() override
         {
--- a/modules/http/client/HttpBodyStream.h
+++ b/modules/http/client/HttpBodyStream.h
@@ -17,6 +17,9 @@
     virtual int status() const = 0;
     virtual const HttpHeaders& headers() const = 0;
 
+    /** Whether the body has neither a length nor chunks, so that it ends with its connection. */
+    virtual bool endsWithConnection() const { return false; }
+
     /** Returns the next bytes of the body, or nothing at its end. Fails with BackendFailed when the connection is lost
         before the end, and with DeadlineExceeded when the read times out. */
     virtual asio::awaitable<Result<std::optional<std::string>>> read() = 0;
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -38,6 +38,7 @@
 
         int status() const override { return m_response.status; }
         const HttpHeaders& headers() const override { return m_headers; }
+        bool endsWithConnection() const override { return m_response.endsWithConnection; }
 
         asio::awaitable<Result<std::optional<std::string>>> read() override
         {
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -64,6 +64,7 @@
     int status = 200;
     HttpHeaders headers;
     std::vector<std::string> chunks;
+    bool endsWithConnection = false; /**< the body has no length */
     bool closesEarly = false; /**< after the chunks, without the end of the body */
     Duration delay {};
     Duration chunkDelay {}; /**< before each chunk */
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -142,6 +142,24 @@
     }
 }
 
+// Guards against an empty response that looks complete although the engine stopped after its header.
+TEST_CASE("a stream that ends with its connection before its first event is broken off")
+{
+    auto empty = stream({});
+    empty.endsWithConnection = true;
+    for (const auto& first : { empty, stream({ event(1) }, true) }) {
+        Engines fixture;
+        fixture.script("i-d1", { first });
+        fixture.script("i-d2", { empty });
+        FakeWriter writer;
+        fixture.runRequest(fixture.resumable(), writer, fixture.longPrompt());
+        auto hasBegun = first.closesEarly;
+        CHECK(writer.status == (hasBegun ? 200 : 502));
+        CHECK(writer.wasAborted == hasBegun);
+        CHECK(writer.isFinished == !hasBegun);
+    }
+}
+
 // Guards against events that a client gets twice because nothing says where to continue.
 TEST_CASE("a stream with an event without id is not resumed")
 {
