--- a/tests/soak/ReplicaStandin.cpp
+++ b/tests/soak/ReplicaStandin.cpp
@@ -33,6 +33,12 @@
     constexpr int minimumWorkMilliseconds = 5;
     constexpr int maximumWorkMilliseconds = 60;
 
+    HttpResponse withRequestId(const HttpRequest& request, HttpResponse response)
+    {
+        response.headers.set(names::requestId, request.headers.value(names::requestId));
+        return response;
+    }
+
     /** Counts a running request while it exists. */
     class RunningRequest {
     public:
@@ -189,7 +195,7 @@
     StandinWriter writer(connection, m_timers, m_behavior);
     auto expected = request.headers.value(names::expectedReplica);
     if (!expected.empty() && expected != m_id.value()) {
-        (void)co_await writer.send({ 421, { { std::string(names::respondingReplica), m_id.value() } }, {} });
+        (void)co_await writer.send(withRequestId(request, { 421, { { std::string(names::respondingReplica), m_id.value() } }, {} }));
         co_return;
     }
     if (request.path().starts_with("/v1/")) {
@@ -297,12 +303,12 @@
     }
     auto isPrefill = request.headers.value(names::stage) == "prefill";
     if (isEngine() && isPrefill != (m_placement.stage == EngineStage::Prefill)) {
-        (void)co_await writer.send({ 421, { { std::string(names::respondingReplica), m_id.value() } }, {} });
+        (void)co_await writer.send(withRequestId(request, { 421, { { std::string(names::respondingReplica), m_id.value() } }, {} }));
         co_return;
     }
     if (isPrefill) {
         co_await m_timers.sleep(prefillTime);
-        (void)co_await writer.send(jsonResponse(200, { { "kv_handle", id + "-" + std::to_string(++m_handles) }, { "tokens", 2000 }, { "version", 1 } }));
+        (void)co_await writer.send(withRequestId(request, jsonResponse(200, { { "kv_handle", id + "-" + std::to_string(++m_handles) }, { "tokens", 2000 }, { "version", 1 } })));
         co_return;
     }
     checkHandle(request, id);
