Count crashes of engines apart from 100 ms on

A loss of power is seen at all engines within the transit time of a packet, so 100 ms still combine its crashes.

--- a/modules/decisions/quarantine/CrashingParts.cpp
+++ b/modules/decisions/quarantine/CrashingParts.cpp
@@ -11,7 +11,7 @@
     constexpr uint32_t crashesToSuspect = 2;
     constexpr uint32_t crashesToBlock = 3;
     /** Crashes within this time count as one: a loss of power ends many engines at once, and popular parts wait at each. */
-    constexpr Duration commonCauseTime = std::chrono::milliseconds(250);
+    constexpr Duration commonCauseTime = std::chrono::milliseconds(100);
     /** A crash counts after this time, within which reports of peers about the same crash and first events arrive. */
     constexpr Duration settleTime = std::chrono::milliseconds(300);
     /** Error of the times in reports, caused by the transit time of a datagram. */
