--- a/modules/decisions/quarantine/CrashingParts.cpp
+++ b/modules/decisions/quarantine/CrashingParts.cpp
@@ -223,11 +223,15 @@
 
 std::vector<EngineCrashReport> recentEngineCrashes(const CrashingPartTable& table, TimePoint now)
 {
+    auto isRecent = [now](const auto& entry) { return now - entry.second.at < reportTime; };
+    if (std::ranges::none_of(table.crashes, isRecent))
+        return {};
     auto crashesByPart = countedCrashes(table, now);
     std::vector<EngineCrashReport> reports;
-    for (const auto& [engine, crash] : table.crashes) {
-        if (now - crash.at >= reportTime)
+    for (const auto& entry : table.crashes) {
+        if (!isRecent(entry))
             continue;
+        const auto& [engine, crash] = entry;
         auto suspects = reportedSuspects(crash, crashesByPart);
         if (crash.isRefuted || !suspects.empty())
             reports.push_back({ engine, now - crash.at, crash.isRefuted, std::move(suspects) });
