Retry no request with a suspected prompt part

A request that crashed an engine was sent to a second one although two earlier crashes already pointed to a part of its prompt: one more engine lost for a request that cannot succeed. Such a request now fails as one that may have run. The parts are evaluated every 50 ms at most.

--- a/modules/gateway/requests/CrashTracker.cpp
+++ b/modules/gateway/requests/CrashTracker.cpp
@@ -23,7 +23,7 @@
     constexpr size_t maximumLosses = 4096;
 
     /** The parts are evaluated at most this often, because each request asks for them. */
-    constexpr Duration partsUpdatePeriod = std::chrono::milliseconds(20);
+    constexpr Duration partsUpdatePeriod = std::chrono::milliseconds(50);
     /** Limits the memory for changes that nobody asks for. */
     constexpr size_t maximumPartChanges = 256;
 
@@ -179,13 +179,17 @@
     mergePartBegin(m_parts, report, m_timers.now());
 }
 
-PartAdmission CrashTracker::admitParts(std::span<const SharedPart> parts)
+PartAdmission CrashTracker::admitParts(std::span<const SharedPart> parts, bool mayHaveRun)
 {
     updateCrashingParts();
     auto admission = PartAdmission::Admitted;
     for (const auto& part : parts) {
         auto crashing = m_crashingParts.find(part.id);
-        if (crashing == m_crashingParts.end() || crashing->second.state != PartState::Blocked)
+        if (crashing == m_crashingParts.end())
+            continue;
+        if (mayHaveRun)
+            return PartAdmission::Blocked;
+        if (crashing->second.state != PartState::Blocked)
             continue;
         auto jitter = static_cast<double>(hash64(std::to_string(part.id), m_seed)) / static_cast<double>(std::numeric_limits<uint64_t>::max());
         if (!takeTrial(m_parts, crashing->second, jitter, m_timers.now()))
--- a/modules/gateway/requests/CrashTracker.h
+++ b/modules/gateway/requests/CrashTracker.h
@@ -92,8 +92,8 @@
     /** Records the first event of a request with the parts. */
     void recordPartsBegun(const EngineStart&, std::span<const SharedPart>, TimePoint sentAt);
     void recordPartBegin(const PartBeginReport&);
-    /** Decides on a request with these parts. */
-    PartAdmission admitParts(std::span<const SharedPart>);
+    /** Decides on a request with these parts. One that may have run is not sent again with a suspected part either. */
+    PartAdmission admitParts(std::span<const SharedPart>, bool mayHaveRun = false);
     std::vector<EngineCrashReport> recentPartCrashes() const { return recentEngineCrashes(m_parts, m_timers.now()); }
     std::vector<PartBeginReport> recentPartBegins() const { return chestnut::recentPartBegins(m_parts, m_timers.now()); }
     /** The changes since the last call. */
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -190,7 +190,7 @@
 {
     if (m_sharedParts.empty() || (m_isPartTrial && !mayHaveRun))
         return false;
-    auto admission = services.crashTracker.admitParts(m_sharedParts);
+    auto admission = services.crashTracker.admitParts(m_sharedParts, mayHaveRun);
     m_isPartTrial = admission == PartAdmission::Trial;
     reportPartChanges();
     return admission == PartAdmission::Blocked;
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -84,7 +84,7 @@
 
     /** Whether requests with this content have crashed too many replicas. */
     bool isBlockedContent() const;
-    /** Whether a prompt part of the request has crashed too many engines. */
+    /** Whether a prompt part of the request has crashed too many engines for another attempt. */
     bool hasBlockedPart();
     /** Records that an engine began to generate the response to the request. */
     void recordFirstEvent(const ReplicaEntry&);
--- a/tests/gateway/CrashingPartTest.cpp
+++ b/tests/gateway/CrashingPartTest.cpp
@@ -33,10 +33,12 @@
         body = "body " + std::to_string(++m_number);
         auto before = replicaClient.sent.size();
         FakeWriter writer;
-        runRequest(route(RouteKind::Streaming, 1), writer, PromptShape { "m", 300, 9, { { commonPart, 100 }, { part, 100 }, { 1000 + m_number, 100 } } }, 100ms);
+        runRequest(route(RouteKind::Streaming, attempts, attempts > 1), writer, PromptShape { "m", 300, 9, { { commonPart, 100 }, { part, 100 }, { 1000 + m_number, 100 } } }, 100ms);
         return replicaClient.sent.size() > before;
     }
 
+    uint32_t attempts = 1; /**< allowed by the route */
+
 private:
     int m_start = 0;
     uint64_t m_number = 0;
@@ -57,3 +59,15 @@
     CHECK(crashes <= 4);
     CHECK(begun == 10);
 }
+
+TEST_CASE("a request that crashed an engine is not retried when a part of its prompt is already suspected")
+{
+    CrashingEngines fixture;
+    fixture.attempts = 2;
+    for (int i = 0; i < 5; ++i) {
+        fixture.runWith(crashingPart, true);
+        fixture.restartEngines();
+    }
+    // Two requests with a retry each, and one without a retry.
+    CHECK(fixture.replicaClient.sent.size() == 5);
+}
