--- a/tests/decisions/CrashingPartsTest.cpp
+++ b/tests/decisions/CrashingPartsTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <iterator>
 
 using namespace chestnut;
 using namespace std::chrono_literals;
@@ -41,8 +42,7 @@
     static std::vector<SharedPart> shared(const std::vector<uint64_t>& ids)
     {
         std::vector<SharedPart> parts;
-        for (auto id : ids)
-            parts.push_back({ id, static_cast<uint32_t>(parts.size()) });
+        std::ranges::transform(ids, std::back_inserter(parts), [&parts](uint64_t id) { return SharedPart { id, static_cast<uint32_t>(parts.size()) }; });
         return parts;
     }
 
