Send nothing to a replica for the time that it asks for with a refusal

Callers saw: a replica that refused with 503 and a Retry-After got the next requests of the same daemon at once; each was refused as well and cost a retry of the service's budget and time of the caller. The header was not read from replicas.

Cause: a refusal only counted towards the ejection of the replica, after three in a row, and for one second.

Change: the codec reads Retry-After of each response with 503 (seconds with a fraction; the longest of repeated fields; negative, infinite and unreadable values count as absent and are logged). decisions/replicas/ReplicaBackoff keeps the end of the backoff on the monotonic clock for one replica and this daemon; a shorter later one does not end it, a new process start does, and it lasts 60 s at most. ReplicaDirectory::usable() omits such replicas, which covers first attempts, retries, prefills, decodes and resumed streams; reports, orders and releases of handles are left out too. The refusal does not count as a failure. When all replicas of a service back off, the refusal's Retry-After is the time until the first of them ends.

Conclusion: all requests of clients choose their replica through usable(), and the choice is made again after each wait, so a backoff holds for them from the moment of the response.

--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -102,6 +102,7 @@
     ReplicaChanged = 2220,
     ReplicaAnnouncedLeaving = 2221,
     ReplicaNoticeUnreadable = 2222,
+    ReplicaBackoffStarted = 2223,
     PrefillPlaced = 2230,
     PrefillFailed = 2231,
     RetryBudgetExhausted = 2232,
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -20,6 +20,7 @@
 #include "decisions/membership/Member.h"
 #include "decisions/membership/Membership.h"
 #include "decisions/quarantine/RequestQuarantine.h"
+#include "decisions/replicas/ReplicaBackoff.h"
 #include "decisions/retries/Retries.h"
 #include "decisions/roles/Roles.h"
 #include "decisions/routing/PrefixIndex.h"
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -55,6 +55,7 @@
     m_mirror->start();
     m_expiryTimer = m_timers.every(expiryPeriod, [this] {
         expireOrders();
+        expireBackoffs(m_backoffs, m_timers.now());
         removeUnconfirmed();
         for (const auto& id : expireLapsed(m_registry, m_timers.now())) {
             recordLeaving(id);
@@ -117,6 +118,7 @@
 {
     m_loadTracker->resetObservations(id);
     m_startSeenAt.erase(id);
+    m_backoffs.ends.erase(id);
 }
 
 void ReplicaDirectory::removeUnconfirmed()
@@ -186,9 +188,16 @@
     if (!content.unreadable.empty())
         m_log.write(EventId::ReplicaNoticeUnreadable, { { "replica", notice.replica }, { "request", notice.request }, { "detail", content.unreadable } });
     const auto* replica = subjectOf(notice);
-    if (!replica || !content.isLeaving)
+    if (!replica)
         return;
-    const auto& entry = replica->entry;
+    if (content.isLeaving)
+        applyDeparture(notice, replica->entry);
+    if (content.backoff)
+        applyRequestedBackoff(notice, *content.backoff);
+}
+
+void ReplicaDirectory::applyDeparture(const ReplicaNotice& notice, const ReplicaEntry& entry)
+{
     if (!applyLeavingReport(m_registry, { entry.id, entry.startedAt, entry.heartbeat, true }, m_timers.now()))
         return;
     m_log.write(EventId::ReplicaAnnouncedLeaving, { { "replica", notice.replica }, { "request", notice.request }, { "started_at", entry.startedAt } });
@@ -196,6 +205,32 @@
     logChange(notice.replica, "response");
 }
 
+void ReplicaDirectory::applyRequestedBackoff(const ReplicaNotice& notice, Duration time)
+{
+    if (!applyBackoff(m_backoffs, notice.replica, time, m_timers.now()))
+        return;
+    m_log.write(EventId::ReplicaBackoffStarted, { { "replica", notice.replica }, { "request", notice.request }, { "requested_ms", time.count() / 1000 }, { "ms", std::min(time, longestBackoff).count() / 1000 } });
+}
+
+bool ReplicaDirectory::acceptsControlCalls(const ReplicaId& id) const
+{
+    const auto* replica = find(id);
+    return replica && mayReceiveWork(*replica) && !isBackingOff(id);
+}
+
+std::optional<Duration> ReplicaDirectory::timeUntilBackoffEnds(const ServiceId& service) const
+{
+    std::optional<Duration> shortest;
+    auto now = m_timers.now();
+    for (const auto* entry : select(service, [this](const ReplicaEntry& candidate) { return candidate.stage != EngineStage::Prefill && !isPaused(candidate.id); })) {
+        auto end = backoffEnd(m_backoffs, entry->id, now);
+        if (!end)
+            return std::nullopt;
+        shortest = std::min(shortest.value_or(*end - now), *end - now);
+    }
+    return shortest;
+}
+
 bool ReplicaDirectory::isPaused(const ReplicaId& id) const
 {
     if (m_ordered.contains(id))
@@ -266,7 +301,7 @@
 
 std::vector<const ReplicaEntry*> ReplicaDirectory::usable(const ServiceId& service, EngineStage stage, const std::set<ReplicaId>& excluded) const
 {
-    return select(service, [&](const ReplicaEntry& entry) { return entry.stage == stage && !excluded.contains(entry.id) && !isPaused(entry.id); });
+    return select(service, [&](const ReplicaEntry& entry) { return entry.stage == stage && !excluded.contains(entry.id) && !isPaused(entry.id) && !isBackingOff(entry.id); });
 }
 
 std::vector<const ReplicaEntry*> ReplicaDirectory::engines(const ServiceId& service) const
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/placement/PromptPlacement.h"
+#include "decisions/replicas/ReplicaBackoff.h"
 #include "decisions/replicas/ReplicaRegistry.h"
 #include "gateway/replicas/LoadTracker.h"
 #include "gateway/requests/ReplicaNotice.h"
@@ -38,14 +39,24 @@
     /** See StoreMirror::restartWatch(). */
     void restartWatch() { m_mirror->restartWatch(); }
 
-    /** The usable replicas of a service in one stage, without the excluded ones. */
+    /** The replicas of a service in one stage that may get a request now, without the excluded ones. */
     std::vector<const ReplicaEntry*> usable(const ServiceId&, EngineStage, const std::set<ReplicaId>& excluded = {}) const;
 
-    /** All engines of a service that are not leaving, including those that are executing an order. */
+    /** All engines of a service that are not leaving, including those that are executing an order or want no requests now. */
     std::vector<const ReplicaEntry*> engines(const ServiceId&) const;
 
     const RegisteredReplica* find(const ReplicaId&) const;
 
+    /** Whether the replica wants no requests from this daemon now. */
+    bool isBackingOff(const ReplicaId& id) const { return backoffEnd(m_backoffs, id, m_timers.now()).has_value(); }
+
+    /** Whether the replica may get requests that are not a client's, such as orders. */
+    bool acceptsControlCalls(const ReplicaId&) const;
+
+    /** Time until the first replica of a service accepts requests again, if all that may get work want none now. Prefill
+        engines do not count, as decode engines can process prompts. */
+    std::optional<Duration> timeUntilBackoffEnds(const ServiceId&) const;
+
     /** Replicas that started leaving within the last seconds. */
     std::vector<LeavingReplica> leaving() const;
 
@@ -92,6 +103,8 @@
         TimePoint orderedAt;
     };
 
+    void applyDeparture(const ReplicaNotice&, const ReplicaEntry&);
+    void applyRequestedBackoff(const ReplicaNotice&, Duration);
     /** The replica that the notice is about; null if that process start is not the one in the directory. */
     const RegisteredReplica* subjectOf(const ReplicaNotice&) const;
     /** The replicas of a service that may receive work and satisfy the predicate. */
@@ -125,6 +138,7 @@
     std::map<ReplicaId, TimePoint> m_unconfirmed; /**< entries from peers, and when they were applied */
     std::map<ReplicaId, PeerPause> m_pauses;
     std::map<ReplicaId, OrderedStage> m_ordered;
+    ReplicaBackoffs m_backoffs;
     TimerSubscription m_expiryTimer;
 };
 
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -300,7 +300,8 @@
 
 void GenerationRelay::releaseHandle()
 {
-    if (!m_handle)
+    // An unused handle expires by itself.
+    if (!m_handle || m_relay->services.replicas.isBackingOff(m_handle->engine))
         return;
     auto release = [](RelayServices& services, CacheHandle handle) -> asio::awaitable<void> {
         auto released = co_await services.replicaClient.release(handle);
--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -110,7 +110,8 @@
     if (error.kind == ErrorKind::Overloaded) {
         if (!isRetry)
             services.budgets.chargeRejection(m_relay.service);
-        services.loadTracker->recordRefusal(engine.id, engine.slots);
+        if (!services.replicas.isBackingOff(engine.id))
+            services.loadTracker->recordRefusal(engine.id, engine.slots);
     } else if (!m_relay.isOver())
         services.loadTracker->recordFailure(engine.id);
 }
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -117,7 +117,7 @@
     const auto* registered = services.replicas.find(replica);
     if (error.kind != ErrorKind::Overloaded)
         services.loadTracker->recordFailure(replica);
-    else if (registered)
+    else if (registered && !services.replicas.isBackingOff(replica))
         services.loadTracker->recordRefusal(replica, registered->entry.slots);
     if (!hasRun)
         return;
@@ -136,7 +136,9 @@
     if (m_hasExpired)
         return makeError(ErrorKind::DeadlineUnreachable, "the deadline passed before a replica accepted the request");
     if (describe(last.kind).outcome != Outcome::NotRun)
-        return makeError(ErrorKind::Overloaded, last.detail);
+        last = makeError(ErrorKind::Overloaded, last.detail);
+    if (auto wait = services.replicas.timeUntilBackoffEnds(service))
+        last.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*wait);
     return last;
 }
 
--- a/modules/gateway/requests/ReplicaNotice.h
+++ b/modules/gateway/requests/ReplicaNotice.h
@@ -11,6 +11,7 @@
 /** What one response of a replica says about the replica itself. */
 struct NoticeContent {
     bool isLeaving = false; /**< this process start is about to end */
+    std::optional<Duration> backoff; /**< with a refusal: the time for which it wants no requests from this daemon */
     std::string unreadable; /**< header fields that could not be read, for the log */
 
     bool operator==(const NoticeContent&) const = default;
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -160,7 +160,9 @@
     for (const auto* entry : m_replicas.engines(service)) {
         auto pending = m_pendingOrders.find(entry->id);
         auto isChanging = pending != m_pendingOrders.end();
-        engines.push_back({ entry->id, entry->zone, isChanging ? pending->second.stage : entry->stage, isChanging });
+        // An engine that wants no requests gets no order either.
+        auto isUnavailable = isChanging || m_replicas.isBackingOff(entry->id);
+        engines.push_back({ entry->id, entry->zone, isChanging ? pending->second.stage : entry->stage, isUnavailable });
     }
     return engines;
 }
@@ -222,7 +224,7 @@
     }
     if (report->stage == change.stage)
         co_return;
-    if (const auto* reported = m_replicas.find(change.id); !reported || !mayReceiveWork(*reported))
+    if (!m_replicas.acceptsControlCalls(change.id))
         co_return;
     m_log.write(EventId::OrderSent, { { "replica", change.id }, { "service", service.id }, { "stage", nameOf(change.stage) }, { "fencing", m_fencingNumber }, { "expected_orders", report->acceptedOrders }, { "demand", demand.requests }, { "slots", demand.slots } });
     m_replicas.pauseForOrder(change.id, change.stage);
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -65,6 +65,8 @@
 {
     if (notice.content.isLeaving)
         m_dependencies.metrics.count("chestnut_replica_leaving_notices_total");
+    if (notice.content.backoff)
+        m_dependencies.metrics.count("chestnut_replica_backoff_notices_total");
     m_replicas.applyNotice(notice);
 }
 
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -266,6 +266,7 @@
 
 asio::awaitable<Result<EngineReport>> FakeReplicaClient::report(ReplicaId replica, std::string address)
 {
+    ++reportCalls;
     publish(replica, address, m_timers.now());
     co_return reports[replica];
 }
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -103,6 +103,7 @@
     std::vector<Sent> sent;
     std::vector<ReplicaId> prefills;
     std::vector<CacheHandle> released;
+    size_t reportCalls = 0;
     std::vector<StageOrder> orders;
 
     asio::awaitable<Result<ReplicaResponse>> send(ReplicaCall) override;
--- a/tests/gateway/ReplicaNoticeTest.cpp
+++ b/tests/gateway/ReplicaNoticeTest.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-const NoticeContent leaving { true, {} };
+const NoticeContent leaving { true, {}, {} };
+const NoticeContent backoff { false, 3s, {} };
 const std::string event = "id: 1\ndata: t\n\n";
 
 /** Two replicas of each stage; those with the number 1 are in the daemon's zone and therefore preferred. */
@@ -29,6 +30,14 @@
         return response;
     }
 
+    ScriptedResponse refusal() const
+    {
+        ScriptedResponse response;
+        response.status = 503;
+        response.executionStatus = ExecutionStatus::NotExecuted;
+        return response;
+    }
+
     void script(const std::string& id, ScriptedResponse response) { replicaClient.scripts[ReplicaId(id)] = { std::move(response) }; }
 
     FakeWriter call()
@@ -53,7 +62,6 @@
         return static_cast<size_t>(calls + std::ranges::count(replicaClient.sent, ReplicaId(id), &FakeReplicaClient::Sent::replica));
     }
 
-    /** What a prefill engine and a decode engine have to say about themselves is said in its first response. */
     void announce(const std::string& id, const NoticeContent& content) { replicaClient.notices[ReplicaId(id)] = content; }
 
     /** The id of the prefill engine that takes the long prompt. */
@@ -80,10 +88,7 @@
     }
     CHECK(fixture.callsTo("i-none-1") == 1);
     // The other replica fails: a retry must not go to the leaving one either.
-    ScriptedResponse refusal;
-    refusal.status = 503;
-    refusal.executionStatus = ExecutionStatus::NotExecuted;
-    fixture.script("i-none-2", refusal);
+    fixture.script("i-none-2", fixture.refusal());
     auto refused = fixture.call();
     CHECK(refused.status == 503);
     CHECK(refused.headers.contains("Retry-After"));
@@ -156,3 +161,93 @@
     fixture.replicas.applyNotice({ ReplicaId("i-none-1"), "10.0.0.1:80", fixture.timers.now(), "q", leaving });
     CHECK(fixture.replicas.leaving() == std::vector<LeavingReplica> { { ReplicaId("i-none-1"), 1, 1, true } });
 }
+
+TEST_CASE("a plain replica gets no first attempt and no retry until its backoff ends, without being ejected")
+{
+    Replicas fixture;
+    fixture.script("i-none-1", fixture.refusal());
+    fixture.announce("i-none-1", backoff);
+    FakeWriter writer;
+    fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 1), writer, {}, 100ms);
+    CHECK(writer.status == 200);
+    for (int i = 0; i < 5; ++i) {
+        FakeWriter later;
+        fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 1), later, {}, 100ms);
+        CHECK(later.status == 200);
+    }
+    fixture.script("i-none-2", fixture.refusal());
+    FakeWriter refused;
+    fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 1), refused, {}, 100ms);
+    CHECK(refused.status == 503);
+    CHECK(fixture.callsTo("i-none-1") == 1);
+    fixture.timers.advance(3s);
+    CHECK_FALSE(fixture.loadTracker->observe(ReplicaId("i-none-1")).isEjected);
+    CHECK(fixture.loadTracker->observe(ReplicaId("i-none-1")).requestsAtRefusal == 0);
+    fixture.call();
+    CHECK(fixture.callsTo("i-none-1") == 2);
+}
+
+TEST_CASE("when all replicas back off, a request is refused at once with the time until the first of them ends")
+{
+    for (const auto* stage : { "none", "decode" }) {
+        CAPTURE(stage);
+        GatewayFixture fixture;
+        for (const auto& [id, time] : std::vector<std::pair<std::string, Duration>> { { "i-1", 20s }, { "i-2", 8s } }) {
+            fixture.addReplica(id, "s", stage);
+            fixture.replicas.applyNotice({ ReplicaId(id), "10.0.0.1:80", fixture.timers.now(), "q", { false, time, {} } });
+        }
+        auto prompt = std::string(stage) == "none" ? std::nullopt : std::optional(fixture.longPrompt());
+        FakeWriter writer;
+        fixture.runRequest(fixture.route(RouteKind::Streaming, 1), writer, prompt, 100ms);
+        CHECK(writer.status == 503);
+        CHECK(writer.headers.value("Retry-After") == "8.000");
+        CHECK(fixture.replicaClient.sent.empty());
+        // A new process start has not asked for anything.
+        fixture.store.put("servers/i-1", testEntry("s", stage, "a", "ready", 2));
+        fixture.settle();
+        FakeWriter later;
+        fixture.runRequest(fixture.route(RouteKind::Streaming, 1), later, prompt, 100ms);
+        CHECK(later.status == 200);
+    }
+}
+
+TEST_CASE("a prefill engine gets no prefill and no release of a handle during its backoff")
+{
+    Replicas fixture;
+    auto engine = fixture.prefillEngine();
+    fixture.replicaClient.prefillErrors[ReplicaId(engine)] = makeError(ErrorKind::Overloaded, "refused");
+    fixture.announce(engine, { false, 20s, {} });
+    fixture.generate(true);
+    auto calls = fixture.callsTo(engine);
+    auto other = std::string(engine == "i-prefill-1" ? "i-prefill-2" : "i-prefill-1");
+    fixture.store.erase("servers/" + other);
+    fixture.settle();
+    CHECK(fixture.generate(true).status == 200);
+    CHECK(fixture.callsTo(engine) == calls);
+    CHECK_FALSE(fixture.loadTracker->observe(ReplicaId(engine)).isEjected);
+    // The other engine prefills the prompt and then wants no requests; the decode engines refuse, so the handle stays unused.
+    fixture.store.put("servers/" + other, testEntry("s", "prefill", "a", "ready", 2));
+    fixture.settle();
+    fixture.announce(other, { false, 20s, {} });
+    for (const auto* id : { "i-decode-1", "i-decode-2" })
+        fixture.script(id, fixture.refusal());
+    auto prefills = fixture.callsTo(other);
+    CHECK(fixture.generate(true).status == 503);
+    CHECK(fixture.callsTo(other) == prefills + 1);
+    CHECK(fixture.replicaClient.released.empty());
+}
+
+TEST_CASE("a decode engine gets no decode, handed-over or resumed stream during its backoff")
+{
+    for (auto isLong : { false, true }) {
+        CAPTURE(isLong);
+        Replicas fixture;
+        fixture.script("i-decode-1", fixture.refusal());
+        fixture.announce("i-decode-1", { false, 20s, {} });
+        CHECK(fixture.generate(isLong).status == 200);
+        CHECK(fixture.generate(isLong).status == 200);
+        fixture.script("i-decode-2", fixture.stream(true));
+        CHECK(fixture.generate(isLong, true).wasAborted);
+        CHECK(fixture.callsTo("i-decode-1") == 1);
+    }
+}
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -77,6 +77,18 @@
     CHECK(fixture.replicaClient.orders.empty());
 }
 
+TEST_CASE("an engine that wants no requests gets neither a report nor an order until its backoff ends")
+{
+    TwoDaemons fixture;
+    for (const auto& [id, report] : fixture.replicaClient.reports)
+        fixture.replicas.applyNotice({ id, "10.0.0.1:80", fixture.timers.now(), "q", { false, 8s, {} } });
+    fixture.timers.advance(7900ms);
+    CHECK(fixture.replicaClient.reportCalls == 0);
+    CHECK(fixture.replicaClient.orders.empty());
+    fixture.timers.advance(3s);
+    CHECK_FALSE(fixture.replicaClient.orders.empty());
+}
+
 TEST_CASE("during an outage of the store no orders are sent and no other daemon takes over")
 {
     TwoDaemons fixture;
--- a/tests/platform/NoticeTest.cpp
+++ b/tests/platform/NoticeTest.cpp
@@ -45,11 +45,12 @@
     for (int status : { 200, 202, 404, 500, 503 }) {
         CAPTURE(status);
         ReplicaFixture fixture;
-        fixture.response = { status, { { "Server-Leaving", "1" } }, "" };
+        fixture.response = { status, { { "Server-Leaving", "1" }, { "Retry-After", "1.5" } }, "" };
         fixture.callAll();
         std::vector<std::string> requests;
         for (const auto& notice : fixture.notices) {
             CHECK(notice.content.isLeaving);
+            CHECK(notice.content.backoff == (status == 503 ? std::optional(Duration(1500ms)) : std::nullopt));
             CHECK(notice.replica == ReplicaId("i-1"));
             CHECK(notice.address == fixture.address);
             requests.push_back(notice.request);
@@ -81,22 +82,54 @@
              { { { "Server-Leaving", "" } }, false, false },
              { { { "Server-Leaving", "11" } }, false, false },
              { { { "Server-Leaving", "1, 1" } }, false, false } }) {
-        auto content = platform::decodeNotice(headers);
+        auto content = platform::decodeNotice(200, headers);
         CAPTURE(content.unreadable);
         CHECK(content.isLeaving == isLeaving);
         CHECK(content.unreadable.empty() == isReadable);
     }
 }
 
-TEST_CASE("no value of the header but 1 takes a replica out of service")
+TEST_CASE("Retry-After of a refusal is read in seconds; invalid values are reported as unreadable")
+{
+    struct Case {
+        HttpHeaders headers;
+        std::optional<Duration> backoff;
+        bool isReadable;
+    };
+    for (const auto& [headers, backoff, isReadable] : std::vector<Case> {
+             { { { "retry-after", " 2 " } }, 2s, true },
+             { { { "Retry-After", "0.25" } }, 250ms, true },
+             { { { "Retry-After", "0" } }, 0s, true },
+             { { { "Retry-After", "1e300" } }, 24h, true },
+             { { { "Retry-After", "1" }, { "Retry-After", "3" }, { "Retry-After", "2" } }, 3s, true },
+             { { { "Retry-After", "soon" }, { "Retry-After", "2" } }, 2s, false },
+             { { { "Retry-After", "-1" } }, std::nullopt, false },
+             { { { "Retry-After", "nan" } }, std::nullopt, false },
+             { { { "Retry-After", "inf" } }, std::nullopt, false },
+             { { { "Retry-After", "1, 2" } }, std::nullopt, false },
+             { { { "Retry-After", "" } }, std::nullopt, false },
+             { { { "Retry-After", "Fri, 04 Dec 2026 22:00:00 GMT" } }, std::nullopt, false } }) {
+        auto content = platform::decodeNotice(503, headers);
+        const auto value = headers.fields().front().second;
+        CAPTURE(value);
+        CHECK(content.backoff == backoff);
+        CHECK(content.unreadable.empty() == isReadable);
+        CHECK(platform::decodeNotice(200, headers) == NoticeContent {});
+    }
+}
+
+// Guards against bytes of a faulty replica that are read as a departure, or as a time that is negative or out of range.
+TEST_CASE("arbitrary values of both headers are read as one departure, a bounded time, or nothing")
 {
     rc::detail::TestParams parameters;
     parameters.seed = 23;
     auto property = [] {
-        auto value = *rc::gen::container<std::string>(rc::gen::elementOf(std::string("01 \t,x")));
+        auto value = *rc::gen::container<std::string>(rc::gen::elementOf(std::string("0123456789.eE+-xnaif \t,")));
+        auto content = platform::decodeNotice(503, { { "Server-Leaving", value }, { "Retry-After", value } });
         auto isOne = value.find_first_not_of(" \t1") == std::string::npos && std::ranges::count(value, '1') == 1;
-        RC_PRE(!isOne);
-        RC_ASSERT_FALSE(platform::decodeNotice({ { "Server-Leaving", value } }).isLeaving);
+        RC_ASSERT(!content.isLeaving || isOne);
+        RC_ASSERT(content.backoff.value_or(0s) >= 0s);
+        RC_ASSERT(content.backoff.value_or(0s) <= 24h);
     };
     CHECK(rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters).is<rc::detail::SuccessResult>());
 }
