--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -71,6 +71,9 @@
         { "silence", &FaultInjector::silenceReplicas, true, &FaultProfile::includesSilence },
         { "leave_in_responses", &FaultInjector::leaveInResponses, true, &FaultProfile::includesNotices },
         { "shed", &FaultInjector::shedRequests, true, &FaultProfile::includesNotices },
+        { "without_length", &FaultInjector::omitLengths, true, &FaultProfile::includesFraming },
+        { "broken_response", &FaultInjector::breakResponses, false, &FaultProfile::includesFraming },
+        { "refusal_repeated", &FaultInjector::repeatRefusals, false, &FaultProfile::includesFraming },
         { "kill", &FaultInjector::killDaemon, false },
         { "kill_all", &FaultInjector::killAll, false },
         { "pause", &FaultInjector::pauseDaemon, false },
@@ -115,6 +118,8 @@
 
 bool FaultInjector::isEligible(const NamedFault& fault) const
 {
+    if (!m_profile.only.empty())
+        return fault.name == m_profile.only;
     auto isIncluded = !fault.option || m_profile.*fault.option;
     return isIncluded && (fault.isPlanned || !m_profile.isPlannedOnly);
 }
@@ -430,6 +435,35 @@
     return injectReplicaFault(&ReplicaFaults::truncateShare);
 }
 
+asio::awaitable<void> FaultInjector::omitLengths()
+{
+    return injectResponseFault(pickIndex(m_fleet.replicas.size()), ResponseFault::WithoutLength);
+}
+
+asio::awaitable<void> FaultInjector::breakResponses()
+{
+    Disturbance disturbance({ &m_fleet.unplannedDisturbances });
+    auto fault = pick(0, 1) == 0 ? ResponseFault::CutWithoutLength : ResponseFault::CutHeader;
+    co_await injectResponseFault(pickIndex(m_fleet.replicas.size()), fault);
+}
+
+asio::awaitable<void> FaultInjector::repeatRefusals()
+{
+    Disturbance disturbance({ &m_fleet.unplannedDisturbances });
+    auto index = pickIndex(m_fleet.replicas.size());
+    auto refusalTime = between(100, 500);
+    m_fleet.replicas[index]->refuse(refusalTime);
+    co_await m_fleet.timers.sleep(refusalTime);
+    co_await injectResponseFault(index, ResponseFault::RepeatedRefusal);
+}
+
+asio::awaitable<void> FaultInjector::injectResponseFault(size_t replica, ResponseFault fault)
+{
+    m_fleet.replicaLinks[replica]->setResponseFault(fault);
+    co_await m_fleet.timers.sleep(between(500, 3000));
+    m_fleet.replicaLinks[replica]->setResponseFault(ResponseFault::None);
+}
+
 asio::awaitable<void> FaultInjector::injectReplicaFault(double ReplicaFaults::*share)
 {
     Disturbance disturbance({ &m_fleet.unplannedDisturbances });
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -9,6 +9,8 @@
     bool isPlannedOnly = false; /**< SIGTERM, SIGHUP, new manifests and replicas that announce their departure */
     bool includesSilence = false; /**< replicas that delay their responses for about a second */
     bool includesNotices = false; /**< replicas that state in their responses that they leave or want a pause */
+    bool includesFraming = false; /**< responses that end with the connection, are cut, or are sent twice */
+    std::string only; /**< name of the only fault to inject, of any kind; empty: all */
 
     bool operator==(const FaultProfile&) const = default;
 };
@@ -45,6 +47,7 @@
     asio::awaitable<void> silenceReplicas();
     asio::awaitable<void> leaveInResponses();
     asio::awaitable<void> shedRequests();
+    asio::awaitable<void> omitLengths();
 
     asio::awaitable<void> killDaemon();
     asio::awaitable<void> killAll();
@@ -61,6 +64,9 @@
     asio::awaitable<void> crashReplica();
     asio::awaitable<void> failRequests();
     asio::awaitable<void> truncateResponses();
+    asio::awaitable<void> breakResponses();
+    asio::awaitable<void> repeatRefusals();
+    asio::awaitable<void> injectResponseFault(size_t replica, ResponseFault);
 
     bool canLeave(const ReplicaStandin&) const;
     asio::awaitable<void> drain(ReplicaStandin&);
--- a/tests/soak/FaultyLink.cpp
+++ b/tests/soak/FaultyLink.cpp
@@ -44,11 +44,20 @@
         closeWithReset(server);
     }
 
+    /** Ends the data for the caller, which can still read what was sent. */
+    void close()
+    {
+        error_code ignored;
+        caller.shutdown(tcp::socket::shutdown_send, ignored);
+        server.close(ignored);
+    }
+
     bool isOpen() const { return caller.is_open(); }
 
     tcp::socket caller;
     tcp::socket server;
     bool isStalled = false;
+    ResponseRewriter rewriter;
 };
 
 FaultyLink::FaultyLink(asio::io_context& context, TimerService& timers, uint16_t port, Endpoint server)
@@ -135,6 +144,14 @@
     return connection.isOpen() && (connection.isStalled || m_fault == held);
 }
 
+asio::awaitable<void> FaultyLink::repeatRefusal(Connection& connection)
+{
+    auto refusal = m_responseFault == ResponseFault::RepeatedRefusal ? connection.rewriter.takeRefusal() : std::string();
+    error_code ignored;
+    if (!refusal.empty())
+        co_await asio::async_write(connection.caller, asio::buffer(refusal), asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 asio::awaitable<void> FaultyLink::forwardBytes(std::shared_ptr<FaultyLink> self, ConnectionPointer connection, bool carriesRequests)
 {
     auto& from = carriesRequests ? connection->caller : connection->server;
@@ -143,7 +160,8 @@
     error_code error;
     while (true) {
         auto size = co_await from.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
-        auto isReset = error && error != asio::error::eof;
+        auto isCutOff = error && !carriesRequests && connection->rewriter.isRewriting();
+        auto isReset = isCutOff || (error && error != asio::error::eof);
         if (self->m_fault == LinkFault::Delay && !isReset)
             co_await self->m_timers.sleep(self->m_delay);
         while (self->isHeld(*connection, carriesRequests))
@@ -156,11 +174,20 @@
             to.shutdown(tcp::socket::shutdown_send, error);
             co_return;
         }
-        co_await asio::async_write(to, asio::buffer(buffer.data(), size), asio::redirect_error(asio::use_awaitable, error));
+        std::string bytes(buffer.data(), size);
+        if (carriesRequests)
+            co_await self->repeatRefusal(*connection);
+        else
+            bytes = connection->rewriter.rewrite(bytes, self->m_responseFault);
+        co_await asio::async_write(to, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             connection->reset();
             co_return;
         }
+        if (auto end = connection->rewriter.end(); end != ConnectionEnd::None) {
+            end == ConnectionEnd::Reset ? connection->reset() : connection->close();
+            co_return;
+        }
     }
 }
 
--- a/tests/soak/FaultyLink.h
+++ b/tests/soak/FaultyLink.h
@@ -2,6 +2,7 @@
 
 #include "kernel/settings/SettingsReader.h"
 #include "kernel/timers/TimerService.h"
+#include "soak/ResponseRewriter.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
@@ -35,6 +36,9 @@
         m_delay = delay;
     }
 
+    /** Applies from the next response of each connection. */
+    void setResponseFault(ResponseFault fault) { m_responseFault = fault; }
+
     /** Resets all open connections. */
     void resetAll();
     /** Stops forwarding on the open connections without closing them; new ones work. */
@@ -47,6 +51,7 @@
     static asio::awaitable<void> acceptAll(std::shared_ptr<FaultyLink>);
     static asio::awaitable<void> connectToServer(std::shared_ptr<FaultyLink>, ConnectionPointer);
     static asio::awaitable<void> forwardBytes(std::shared_ptr<FaultyLink>, ConnectionPointer, bool carriesRequests);
+    asio::awaitable<void> repeatRefusal(Connection&);
     bool isHeld(const Connection&, bool carriesRequests) const;
 
     asio::io_context& m_context;
@@ -56,6 +61,7 @@
     Endpoint m_server;
     LinkFault m_fault = LinkFault::None;
     Duration m_delay {};
+    ResponseFault m_responseFault = ResponseFault::None;
     std::vector<std::weak_ptr<Connection>> m_connections;
 };
 
--- a/tests/soak/ReplicaStandin.cpp
+++ b/tests/soak/ReplicaStandin.cpp
@@ -173,6 +173,11 @@
     m_shedsUntil = m_timers.now() + duration;
 }
 
+void ReplicaStandin::refuse(Duration duration)
+{
+    m_refusesUntil = m_timers.now() + duration;
+}
+
 void ReplicaStandin::stop()
 {
     ++m_starts;
@@ -291,7 +296,7 @@
         co_await refuseForTime(writer, daemon, id);
         co_return;
     }
-    if (m_isChangingStage || m_running >= slots + queueLength) {
+    if (m_timers.now() < m_refusesUntil || m_isChangingStage || m_running >= slots + queueLength) {
         (void)co_await writer.send({ 503, { { std::string(names::requestId), id }, { std::string(names::notExecuted), "1" } }, {} });
         co_return;
     }
--- a/tests/soak/ReplicaStandin.h
+++ b/tests/soak/ReplicaStandin.h
@@ -58,6 +58,8 @@
     void announceDeparture() { m_behavior.announcesDeparture = true; }
     /** Refuses all requests for a time, each for a random time during which it wants no other request from that daemon. */
     void shed(Duration);
+    /** Refuses all requests for a time without such a statement. */
+    void refuse(Duration);
     /** Removes its entry, as if it expired while the store is down; the next heartbeat writes it again. */
     void expireEntry() { m_store.erase(key()); }
     /** Changed at each start. */
@@ -110,6 +112,7 @@
     std::optional<TimePoint> m_drainingSince;
     ResponseBehavior m_behavior;
     TimePoint m_shedsUntil; /**< refuses all requests until then and states for how long */
+    TimePoint m_refusesUntil;
     std::function<bool(const std::string&, TimePoint)> m_isStableSince;
     HttpServer m_server;
     TimerSubscription m_heartbeatTimer;
