Count crashes at the same time once for every part again

Cause: counts each engine start by itself for a part that has never begun. After a restart of all daemons no part has begun, so that a loss of power at several engines could block the first part of every prompt, and with it all requests of a route.

--- a/modules/decisions/quarantine/CrashingParts.cpp
+++ b/modules/decisions/quarantine/CrashingParts.cpp
@@ -12,8 +12,6 @@
     constexpr uint32_t crashesToBlock = 3;
     /** Crashes within this time count as one: a loss of power ends many engines at once, and popular parts wait at each. */
     constexpr Duration commonCauseTime = std::chrono::milliseconds(100);
-    /** A daemon that has recorded first events for this long knows the popular parts. */
-    constexpr Duration experienceTime = std::chrono::seconds(5);
     /** A crash counts after this time, within which reports of peers about the same crash and first events arrive. */
     constexpr Duration settleTime = std::chrono::milliseconds(300);
     /** Error of the times in reports, caused by the transit time of a datagram. */
@@ -79,7 +77,6 @@
 
     void recordBegin(CrashingPartTable& table, uint64_t part, TimePoint at)
     {
-        table.firstBeginAt = std::min(table.firstBeginAt.value_or(at), at);
         auto& begunAt = table.begunAt.try_emplace(part, at).first->second;
         begunAt = std::max(begunAt, at);
         limitSize(table.begunAt, maximumBegins, [](TimePoint time) { return time; });
@@ -100,14 +97,7 @@
         return crashesByPart;
     }
 
-    /** Whether no request with the part has begun, although first events have been recorded for a while. A part that many
-        engines had in common before a loss of power has begun before. */
-    bool hasNeverBegun(const CrashingPartTable& table, uint64_t part, TimePoint firstCrash)
-    {
-        return !table.begunAt.contains(part) && table.firstBeginAt && firstCrash - *table.firstBeginAt >= experienceTime;
-    }
-
-    CrashingPart describePart(const CrashingPartTable& table, uint64_t part, const std::vector<const CrashOfEngine*>& crashes)
+    CrashingPart describePart(uint64_t part, const std::vector<const CrashOfEngine*>& crashes)
     {
         CrashingPart result { part };
         std::vector<TimePoint> times;
@@ -116,10 +106,9 @@
             result.replicas.insert(crash->first.replica);
         }
         std::ranges::sort(times);
-        auto separation = hasNeverBegun(table, part, times.front()) ? Duration::zero() : commonCauseTime;
         std::optional<TimePoint> last;
         for (auto time : times) {
-            if (last && time - *last < separation)
+            if (last && time - *last < commonCauseTime)
                 continue;
             ++result.crashes;
             last = time;
@@ -142,7 +131,7 @@
     {
         std::optional<CrashingPart> best;
         for (const auto& [part, crashes] : crashesByPart) {
-            auto candidate = describePart(table, part, crashes);
+            auto candidate = describePart(part, crashes);
             if (candidate.crashes < crashesToSuspect)
                 continue;
             if (!best || guiltOf(table, candidate, crashes) > guiltOf(table, *best, crashesByPart.at(best->part)))
--- a/modules/decisions/quarantine/CrashingParts.h
+++ b/modules/decisions/quarantine/CrashingParts.h
@@ -40,7 +40,6 @@
 struct CrashingPartTable {
     std::map<EngineStart, EngineCrash> crashes;
     std::map<uint64_t, TimePoint> begunAt; /**< last first event of a request with the part */
-    std::optional<TimePoint> firstBeginAt; /**< of any part */
     std::map<uint64_t, TimePoint> trials; /**< last request that this daemon admitted although its part is blocked */
 };
 
