--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -1,5 +1,6 @@
 #include "support/HttpFixture.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -193,9 +194,9 @@
     BlockingClient partial(fixture.server.endpoint());
     partial.send("GET /part HT");
     CHECK(idle.receive(fixture.context).empty());
-    std::vector<std::unique_ptr<BlockingClient>> queued;
-    for (int i = 0; i < 3; ++i)
-        queued.push_back(std::make_unique<BlockingClient>(fixture.server.endpoint()));
+    std::array<std::unique_ptr<BlockingClient>, 3> queued;
+    for (auto& client : queued)
+        client = std::make_unique<BlockingClient>(fixture.server.endpoint());
     for (auto& client : queued)
         client->send("GET /queued HTTP/1.1\r\n\r\n");
     unread.send("GET /unread HTTP/1.1\r\n\r\n");
--- a/tests/platform/HttpReplicaClientTest.cpp
+++ b/tests/platform/HttpReplicaClientTest.cpp
@@ -22,6 +22,15 @@
 const std::string noBody = "Content-Length: 0\r\n\r\n";
 const std::string success = "HTTP/1.1 200 OK\r\nX-Chestnutroute-Request-Id: q2\r\nX-Chestnutroute-Server-Seal: s\r\n" + noBody;
 
+/** A refusal with these header lines. */
+std::string refusalWith(std::string_view lines)
+{
+    auto text = refusal;
+    text.append(lines);
+    text.append(noBody);
+    return text;
+}
+
 /** Refuses the first request of a connection and responds to the second one with the given bytes. */
 struct KeptConnection {
     explicit KeptConnection(std::string bytes)
@@ -34,7 +43,7 @@
     {
         auto socket = co_await acceptor.async_accept(asio::use_awaitable);
         asio::streambuf buffer;
-        for (const auto& bytes : { refusal + "X-Chestnutroute-Request-Id: q1\r\n" + noBody, response }) {
+        for (const auto& bytes : { refusalWith("X-Chestnutroute-Request-Id: q1\r\n"), response }) {
             buffer.consume(co_await asio::async_read_until(socket, buffer, "\r\n\r\n", asio::use_awaitable));
             co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
         }
@@ -74,7 +83,7 @@
 TEST_CASE("an earlier refusal that is written once more does not refuse the next request on its connection")
 {
     for (const std::string& id : { std::string("X-Chestnutroute-Request-Id: q1\r\n"), std::string("X-Chestnutroute-Request-Id: \r\n"), std::string() }) {
-        auto copy = refusal + id + noBody;
+        auto copy = refusalWith(id);
         KeptConnection responding(copy + success);
         CHECK(responding.call("q1").value() == ExecutionStatus::NotExecuted);
         CHECK(responding.call("q2").value() == ExecutionStatus::Executed);
--- a/tests/platform/NoticeTest.cpp
+++ b/tests/platform/NoticeTest.cpp
@@ -11,10 +11,15 @@
 
 namespace {
 
-/** A replica that gives a fixed response to every request. */
+/** A replica that gives a fixed response to every request, with the request's id if it has one. */
 struct ReplicaFixture {
     HttpResponse response;
-    test::HttpFixture http { [this](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> { (void)co_await writer.send(response); } };
+    test::HttpFixture http { [this](HttpRequest request, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        auto copy = response;
+        if (auto id = request.headers.value("X-Chestnutroute-Request-Id"); !id.empty())
+            copy.headers.set("X-Chestnutroute-Request-Id", std::string(id));
+        (void)co_await writer.send(std::move(copy));
+    } };
     ConnectionPool pool { http.context, http.timers, {} };
     platform::HttpReplicaClient client { pool, http.timers };
     std::vector<ReplicaNotice> notices;
@@ -29,6 +34,7 @@
     {
         RoutedRequest request;
         request.id = RequestId("q1");
+        request.forwarded = { "GET", "/", { { "X-Chestnutroute-Request-Id", "q1" } }, {} };
         ReplicaCall call { request, ReplicaId("i-1"), address, 1s };
         (void)http.run(client.send(call));
         (void)http.run(client.prefill(call));
