Serve completions and their resumption in a part of their own

Frontend.cpp had 470 lines with five jobs. CompletionHandler takes completions and the resumption of streams, RequestOutcome the refusal and the log lines of finished requests. No behaviour changes: 44 cases and 240 assertions of test_frontend before and after; Frontend.cpp has 249 lines now.

--- a/modules/frontend/listener/Frontend.cpp
+++ b/modules/frontend/listener/Frontend.cpp
@@ -2,10 +2,10 @@
 
 #include "frontend/discovery/DiscoveryResponse.h"
 #include "frontend/replicas/HeartbeatExchange.h"
+#include "frontend/requests/RequestOutcome.h"
 #include "frontend/streams/StreamHandover.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace chestnut {
 
@@ -21,26 +21,6 @@
         return path == "/v1/completions" || path == "/v1/chat/completions";
     }
 
-    /** Estimated tokens of a prompt. */
-    double promptTokensOf(const std::string& prompt)
-    {
-        return std::max(1.0, static_cast<double>(prompt.size()) / charactersPerToken);
-    }
-
-    std::string_view nameOfClass(PriorityClass priorityClass)
-    {
-        return priorityClass == PriorityClass::Live ? "live" : "batch";
-    }
-
-    std::optional<uint64_t> parseNumber(std::string_view text)
-    {
-        uint64_t number = 0;
-        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-        if (error != std::errc() || end != text.data() + text.size())
-            return std::nullopt;
-        return number;
-    }
-
 } // namespace
 
 struct Frontend::InProgressCounter {
@@ -100,6 +80,7 @@
     : m_state(std::make_shared<FrontendState>(services, std::move(settings), std::move(statusSource)))
     , m_dispatcher(std::make_shared<Dispatcher>(m_state))
     , m_streamStore(std::make_shared<StreamStore>())
+    , m_completions(m_state, m_dispatcher, m_streamStore)
     , m_poller(m_state)
     , m_progress(std::make_shared<InProgressCounter>(services.context))
 {
@@ -189,20 +170,20 @@
     if (!refusal && !isWithinAccountLimit(caller.account))
         refusal = makeError(ErrorKind::AccountLimit, "the account has reached its limit of requests in flight");
     if (refusal) {
-        co_await refuse(caller, *refusal, writer);
+        co_await refuse(*m_state, caller, *refusal, writer);
         co_return;
     }
     AccountInFlightGuard accountGuard(m_state, caller.account);
     m_state->retryBudget = withRequest(m_state->retryBudget);
     std::string path(request.path());
     if (isCompletionPath(path) && request.method == "POST")
-        co_await complete(std::move(caller), std::move(request), writer);
+        co_await m_completions.complete(std::move(caller), std::move(request), writer);
     else if (path.starts_with(streamsPrefix) && request.method == "GET")
-        co_await resume(std::move(caller), std::move(request), writer);
+        co_await m_completions.resume(std::move(caller), path.substr(streamsPrefix.size()), request.queryValue("after"), writer);
     else if (path.starts_with(servicesPrefix))
         co_await callService(std::move(caller), std::move(request), writer);
     else
-        co_await refuse(caller, makeError(ErrorKind::NotFound, "no such path or method"), writer);
+        co_await refuse(*m_state, caller, makeError(ErrorKind::NotFound, "no such path or method"), writer);
 }
 
 std::optional<Error> Frontend::refusalIfNotServing() const
@@ -224,40 +205,6 @@
     return count == m_state->inFlightByAccount.end() || count->second < spec->second.maximumInFlight;
 }
 
-Result<std::shared_ptr<StreamRecord>> Frontend::makeRecord(CallerRequest caller, std::string target, std::string text, bool& isStreamed) const
-{
-    auto body = parseCompletionBody(text);
-    if (!body)
-        return body.error();
-    if (body->resumeAfter > 0)
-        return makeError(ErrorKind::BadRequest, "resume_after is reserved; resume a stream with GET /v1/streams");
-    if (!m_state->replicas->hasGroup(groupOf(body->model)))
-        return makeError(ErrorKind::UnknownModel, "there is no model " + body->model.value());
-    isStreamed = body->isStreamed;
-    auto record = std::make_shared<StreamRecord>();
-    record->caller = std::move(caller);
-    record->target = std::move(target);
-    record->body = std::move(text);
-    record->model = body->model;
-    record->isChat = record->target == "/v1/chat/completions";
-    record->maximumTokens = body->maximumTokens;
-    record->blocks = prefixBlockHashes(body->prompt);
-    record->promptTokens = promptTokensOf(body->prompt);
-    record->digestPrefix = digestPrefixOf(record->caller.content);
-    return record;
-}
-
-void Frontend::countArrival(const StreamRecord& record)
-{
-    const auto& caller = record.caller;
-    auto work = estimateWork(record.promptTokens, std::max(1U, record.maximumTokens), m_state->outputModel(caller.account, caller.priorityClass));
-    // The part of the prompt that an engine has cached is rarely prefilled again.
-    auto cached = m_state->replicas->cachedTokens(m_state->replicas->views(groupOf(record.model)), record.blocks);
-    if (!cached.empty())
-        work.prefillTokens = std::max(0.0, work.prefillTokens - *std::ranges::max_element(cached));
-    m_state->demand.recordArrival(record.model, work, m_state->now());
-}
-
 GroupDemand Frontend::demandOf(const EngineGroupId& group) const
 {
     auto configuration = m_state->services.configuration.current();
@@ -270,145 +217,15 @@
     return { demand, mixedRoleRates(m_state->replicas->views(groupOf(engine->second.model)), engine->second.zone) };
 }
 
-asio::awaitable<void> Frontend::complete(CallerRequest caller, HttpRequest request, HttpResponseWriter& writer)
-{
-    bool isStreamed = false;
-    auto record = makeRecord(caller, std::string(request.path()), std::move(request.body), isStreamed);
-    if (!record) {
-        co_await refuse(caller, record.error(), writer);
-        co_return;
-    }
-    SseCompletionSink sseSink(writer, caller.id);
-    BufferedCompletionSink bufferedSink(writer, caller.id);
-    CompletionSink& sink = isStreamed ? static_cast<CompletionSink&>(sseSink) : bufferedSink;
-    (*record)->isResumable = isStreamed;
-    countArrival(**record);
-    co_await runSession(*record, sink, writer, 0);
-}
-
-asio::awaitable<void> Frontend::runSession(std::shared_ptr<StreamRecord> record, CompletionSink& sink, HttpResponseWriter& writer, uint64_t afterToken)
-{
-    auto session = std::make_shared<RequestSession>(m_state, m_dispatcher, m_streamStore, record);
-    std::weak_ptr<RequestSession> weak = session;
-    auto stop = [weak] {
-        if (auto running = weak.lock())
-            running->onCallerDisconnected();
-    };
-    if (record->stopSession)
-        record->stopSession();
-    record->stopSession = stop;
-    ++record->runningSessions;
-    writer.onCallerDisconnect(stop);
-    auto caller = record->caller;
-    auto result = co_await session->run(sink, afterToken);
-    if (result)
-        logCompleted(caller, session->lastEngine(), session->attempts(), record->lastIndex(), session->firstTokenDelay());
-    else {
-        logRefused(caller, result.error());
-        if (result.error().kind == ErrorKind::CallerGone)
-            writer.abort();
-        else
-            co_await sink.fail(result.error());
-    }
-    --record->runningSessions;
-    m_streamStore->end(record, m_state->now());
-}
-
-asio::awaitable<void> Frontend::resume(CallerRequest caller, HttpRequest request, HttpResponseWriter& writer)
-{
-    std::string text(request.path().substr(streamsPrefix.size()));
-    auto id = parseStreamId(text);
-    auto after = parseNumber(request.queryValue("after"));
-    if (!id || !after) {
-        co_await refuse(caller, makeError(ErrorKind::BadRequest, "the stream id or the token index is malformed"), writer);
-        co_return;
-    }
-    auto record = m_streamStore->find(text);
-    m_state->services.log.write(EventId::StreamResumed, { { "request", caller.id }, { "stream", text }, { "after", *after }, { "held", record ? "true" : "false" } });
-    if (!record || !record->movedTo.empty())
-        record = co_await fetchStream(caller, record ? record->movedTo : daemonOf(*id).value_or(DaemonId()), text);
-    if (!record || *after + 1 < record->firstIndex) {
-        co_await resumeAtEngine(std::move(caller), std::move(*id), *after, writer);
-        co_return;
-    }
-    if (*after > record->lastIndex()) {
-        co_await refuse(caller, makeError(ErrorKind::BadRequest, "the stream has not produced this token yet"), writer);
-        co_return;
-    }
-    record->caller.id = caller.id;
-    record->caller.deadline = std::max(record->caller.deadline, caller.deadline);
-    SseCompletionSink sseSink(writer, caller.id);
-    co_await runSession(record, sseSink, writer, *after);
-}
-
-asio::awaitable<std::shared_ptr<StreamRecord>> Frontend::fetchStream(CallerRequest caller, DaemonId holder, std::string streamId)
-{
-    auto handover = co_await requestStreamHandover(m_state, std::move(holder), streamId);
-    if (!handover)
-        co_return nullptr;
-    caller.account = std::move(handover->account);
-    caller.priorityClass = handover->priorityClass;
-    caller.deadline = std::max(caller.deadline, m_state->now() + handover->remaining);
-    caller.content = handover->content;
-    bool isStreamed = false;
-    auto record = makeRecord(std::move(caller), std::move(handover->target), std::move(handover->body), isStreamed);
-    if (!record)
-        co_return nullptr;
-    (*record)->firstIndex = handover->firstIndex;
-    (*record)->tokens = std::move(handover->tokens);
-    (*record)->finishReason = std::move(handover->finishReason);
-    (*record)->streamId = std::move(streamId);
-    (*record)->isResumable = true;
-    m_streamStore->add(*record);
-    co_return *record;
-}
-
-asio::awaitable<void> Frontend::resumeAtEngine(CallerRequest caller, StreamId id, uint64_t afterToken, HttpResponseWriter& writer)
-{
-    auto configuration = m_state->services.configuration.current();
-    auto engine = configuration->engines.find(id.engine.value());
-    auto endpoint = engine == configuration->engines.end() ? std::nullopt : parseEndpoint(engine->second.address);
-    if (!endpoint) {
-        co_await refuse(caller, makeError(ErrorKind::StreamLost, "the engine of the stream is not configured"), writer);
-        co_return;
-    }
-    auto record = std::make_shared<StreamRecord>();
-    record->caller = caller;
-    record->model = engine->second.model;
-    record->digestPrefix = id.digestPrefix;
-    record->firstIndex = afterToken + 1;
-    ReplicaId replica(id.engine.value());
-    InFlightRequestInfo info;
-    info.content = caller.content;
-    info.priorityClass = caller.priorityClass;
-    info.work = { 0, 1 };
-    auto inFlight = std::make_shared<InFlightRequest>(std::weak_ptr<ReplicaTable>(), replica, std::move(info), m_state->now());
-    auto session = std::make_shared<RequestSession>(m_state, m_dispatcher, m_streamStore, record);
-    std::weak_ptr<RequestSession> weak = session;
-    writer.onCallerDisconnect([weak] {
-        if (auto running = weak.lock())
-            running->onCallerDisconnected();
-    });
-    SseCompletionSink sseSink(writer, caller.id);
-    auto result = co_await session->resumeAtEngine(sseSink, { replica, *endpoint, std::move(inFlight) }, id.engineRequest, afterToken);
-    if (result)
-        logCompleted(caller, replica, 1, record->lastIndex(), session->firstTokenDelay());
-    else {
-        logRefused(caller, result.error());
-        co_await sseSink.fail(result.error());
-    }
-    m_streamStore->end(record, m_state->now());
-}
-
 asio::awaitable<void> Frontend::callService(CallerRequest caller, HttpRequest request, HttpResponseWriter& writer)
 {
     auto parsed = parseServiceRequest(caller, request);
     if (!parsed) {
-        co_await refuse(caller, parsed.error(), writer);
+        co_await refuse(*m_state, caller, parsed.error(), writer);
         co_return;
     }
     if (!m_state->replicas->hasGroup(groupOf(parsed->service))) {
-        co_await refuse(caller, makeError(ErrorKind::UnknownService, "there is no service " + parsed->service.value()), writer);
+        co_await refuse(*m_state, caller, makeError(ErrorKind::UnknownService, "there is no service " + parsed->service.value()), writer);
         co_return;
     }
     auto call = std::make_shared<ServiceCall>(m_state, m_dispatcher, std::move(*parsed));
@@ -419,52 +236,14 @@
     });
     auto response = co_await call->run();
     if (!response) {
-        co_await refuse(caller, response.error(), writer);
+        co_await refuse(*m_state, caller, response.error(), writer);
         co_return;
     }
-    logCompleted(caller, call->lastReplica(), call->attempts(), 0, std::nullopt);
+    logCompleted(*m_state, caller, { .replica = call->lastReplica(), .attempts = call->attempts() });
     HttpHeaders headers { { "X-Request-Id", caller.id.value() } };
     if (auto type = response->headers.value("Content-Type"); !type.empty())
         headers.set("Content-Type", type);
     co_await writer.send({ response->status, std::move(headers), std::move(response->body) });
 }
 
-asio::awaitable<void> Frontend::refuse(const CallerRequest& caller, Error error, HttpResponseWriter& writer)
-{
-    logRefused(caller, error);
-    auto response = errorResponse(error, caller.id);
-    co_await writer.send(std::move(response));
-}
-
-void Frontend::logRefused(const CallerRequest& caller, const Error& error)
-{
-    const auto& description = describe(error.kind);
-    m_state->services.metrics.count("chestnut_requests_refused_total", { { "kind", std::string(description.name) } });
-    m_state->services.log.write(EventId::RequestRefused, {
-                                                             { "request", caller.id },
-                                                             { "kind", description.name },
-                                                             { "outcome", nameOf(description.outcome) },
-                                                             { "reason", error.detail },
-                                                             { "class", nameOfClass(caller.priorityClass) },
-                                                             { "account", caller.account },
-                                                         });
-}
-
-void Frontend::logCompleted(const CallerRequest& caller, const ReplicaId& replica, uint32_t attempts, uint64_t tokens, std::optional<Duration> firstToken)
-{
-    m_state->services.metrics.count("chestnut_requests_completed_total", { { "class", std::string(nameOfClass(caller.priorityClass)) } });
-    LogFields fields {
-        { "request", caller.id },
-        { "replica", replica },
-        { "attempts", attempts },
-        { "tokens", tokens },
-        { "total_ms", (m_state->now() - caller.arrival).count() / 1000 },
-        { "class", nameOfClass(caller.priorityClass) },
-        { "account", caller.account },
-    };
-    if (firstToken)
-        fields.emplace_back("first_token_ms", firstToken->count() / 1000);
-    m_state->services.log.write(EventId::RequestCompleted, std::move(fields));
-}
-
 } // namespace chestnut
--- a/modules/frontend/listener/Frontend.h
+++ b/modules/frontend/listener/Frontend.h
@@ -1,24 +1,14 @@
 #pragma once
 
-#include "frontend/completions/RequestSession.h"
+#include "frontend/completions/CompletionHandler.h"
 #include "frontend/dispatch/Dispatcher.h"
 #include "frontend/replicas/ReplicaPoller.h"
 #include "frontend/services/ServiceCall.h"
-#include "frontend/streams/StreamId.h"
-#include "frontend/streams/StreamStore.h"
 #include "http/server/HttpServer.h"
 
 namespace chestnut {
 
-/** Handles the requests of the callers' listener (section 2.1 of the design).
-
-    A caller can resume a stream with its last event's id, at any daemon:
-    - The caller's connection broke and the daemon that accepted the stream is up: that daemon keeps the request and the
-      tokens for a minute after the connection ended. It sends the missed tokens and continues the stream on any engine.
-      Another daemon first fetches the request and the tokens from it (see StreamHandover) and does the same.
-    - The daemon crashed: the engine continues the request and buffers its tokens. Every daemon can resume the stream
-      there. If that engine crashes too, the request's body is lost and the stream fails with StreamLost.
-    - The engine crashed: the daemon that accepted the stream continues it on another engine; the caller does nothing. */
+/** Handles the requests of the callers' listener (section 2.1 of the design). */
 class Frontend final : public Service {
 public:
     static constexpr std::string_view serviceName = "frontend";
@@ -53,23 +43,14 @@
 
     HttpResponse handleDiscovery(const HttpRequest&, const RequestId&) const;
     asio::awaitable<void> handleWork(HttpRequest, RequestId, HttpResponseWriter&);
-    asio::awaitable<void> complete(CallerRequest, HttpRequest, HttpResponseWriter&);
-    asio::awaitable<void> resume(CallerRequest, HttpRequest, HttpResponseWriter&);
     asio::awaitable<void> callService(CallerRequest, HttpRequest, HttpResponseWriter&);
-    asio::awaitable<void> runSession(std::shared_ptr<StreamRecord>, CompletionSink&, HttpResponseWriter&, uint64_t afterToken);
-    asio::awaitable<std::shared_ptr<StreamRecord>> fetchStream(CallerRequest, DaemonId holder, std::string streamId);
-    asio::awaitable<void> resumeAtEngine(CallerRequest, StreamId, uint64_t afterToken, HttpResponseWriter&);
-    Result<std::shared_ptr<StreamRecord>> makeRecord(CallerRequest, std::string target, std::string body, bool& isStreamed) const;
-    void countArrival(const StreamRecord&);
     std::optional<Error> refusalIfNotServing() const;
     bool isWithinAccountLimit(const AccountId&) const;
-    void logRefused(const CallerRequest&, const Error&);
-    void logCompleted(const CallerRequest&, const ReplicaId&, uint32_t attempts, uint64_t tokens, std::optional<Duration> firstToken);
-    asio::awaitable<void> refuse(const CallerRequest&, Error, HttpResponseWriter&);
 
     FrontendStatePointer m_state;
     std::shared_ptr<Dispatcher> m_dispatcher;
     std::shared_ptr<StreamStore> m_streamStore;
+    CompletionHandler m_completions;
     ReplicaPoller m_poller;
     bool m_isLeaving = false; /**< still serves, but is no longer listed by discovery */
     bool m_isStopping = false; /**< refuses new work */
