--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -237,6 +237,12 @@
     return admission == PartAdmission::Blocked;
 }
 
+bool RelayContext::hasSuspectedPart() const
+{
+    constexpr bool hasRun = true;
+    return services.crashTracker.admitParts(m_sharedParts, hasRun) == PartAdmission::Blocked;
+}
+
 void RelayContext::recordFirstEvent(const ReplicaEntry& engine)
 {
     services.crashTracker.recordPartsBegun({ engine.id, engine.startedAt }, m_sharedParts, m_sentAt);
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -100,6 +100,8 @@
     bool isBlockedContent() const;
     /** Whether a prompt part of the request has crashed too many engines for another attempt. */
     bool hasBlockedPart();
+    /** Whether a prompt part of the request is suspected, so that it is not sent again once it may have run. */
+    bool hasSuspectedPart() const;
     /** Records that an engine began to generate the response to the request. */
     void recordFirstEvent(const ReplicaEntry&);
     /** Records that an attempt was lost before its first event, after recordAttemptFailure(). */
--- a/modules/gateway/requests/SilenceWatch.cpp
+++ b/modules/gateway/requests/SilenceWatch.cpp
@@ -18,6 +18,8 @@
         return "not_connected";
     case RetryObstacle::NoAttemptLeft:
         return "no_attempt_left";
+    case RetryObstacle::SuspectedPart:
+        return "suspected_part";
     case RetryObstacle::NoFreeReplica:
         return "no_free_replica";
     case RetryObstacle::BudgetExhausted:
@@ -74,6 +76,8 @@
         return RetryObstacle::NotConnected;
     if (!m_relay.mayRunAgain())
         return RetryObstacle::NoAttemptLeft;
+    if (m_relay.hasSuspectedPart())
+        return RetryObstacle::SuspectedPart;
     return m_callbacks.canContinueElsewhere(replica) ? RetryObstacle::None : RetryObstacle::NoFreeReplica;
 }
 
--- a/modules/gateway/requests/SilenceWatch.h
+++ b/modules/gateway/requests/SilenceWatch.h
@@ -11,6 +11,7 @@
     None,
     NotConnected, /**< the connection to the replica is being established, which has a limit of its own */
     NoAttemptLeft, /**< the route allows no other attempt */
+    SuspectedPart, /**< a part of the prompt is suspected, so that the request is not run again */
     NoFreeReplica,
     BudgetExhausted,
 };
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -402,6 +402,14 @@
         for (int i = 0; i < 3; ++i)
             fixture.loadTracker->recordFailure(ReplicaId("i-d2"));
     }
+    SUBCASE("as a part of its prompt is suspected, so that it is not run again")
+    {
+        std::vector<SharedPart> suspects { { fixture.longPrompt().parts.front().id, 0 } };
+        for (int start = 1; start <= 2; ++start) {
+            fixture.crashTracker.addPartCrash({ ReplicaId("i-d3"), start }, suspects, fixture.timers.now());
+            fixture.settle();
+        }
+    }
     FakeWriter writer;
     fixture.runRequest(route, writer, fixture.longPrompt());
     CHECK(writer.body == event(1) + event(2));
