--- a/modules/frontend/completions/RequestSession.cpp
+++ b/modules/frontend/completions/RequestSession.cpp
@@ -100,7 +100,7 @@
         co_return replayed;
     m_isContinuation = m_lastSentIndex > 0;
     while (m_record->finishReason.empty()) {
-        auto reservation = co_await m_dispatcher->acquire(dispatchRequest());
+        auto reservation = co_await acquireEngine();
         if (!reservation)
             co_return finalError(reservation.error());
         startAttempt(std::move(*reservation));
@@ -120,6 +120,13 @@
     co_return co_await finish(sink);
 }
 
+asio::awaitable<Result<ReplicaReservation>> RequestSession::acquireEngine()
+{
+    if (auto reserved = std::exchange(m_reservedRetry, std::nullopt); reserved && reserved->target)
+        co_return std::move(*reserved->target);
+    co_return co_await m_dispatcher->acquire(dispatchRequest());
+}
+
 asio::awaitable<Result<void>> RequestSession::resumeAtEngine(CompletionSink& sink, ReplicaReservation reservation, RequestId engineRequest, uint64_t afterToken)
 {
     auto self = shared_from_this();
@@ -275,7 +282,7 @@
 void RequestSession::dropFailedAttempts()
 {
     for (const auto& attempt : m_attempts) {
-        bool isStalledNow = !attempt->error && isStalled(*attempt);
+        bool isStalledNow = !attempt->error && isStalled(*attempt) && canReplace(*attempt);
         if (!attempt->error && !isStalledNow)
             continue;
         m_error = isStalledNow ? makeError(ErrorKind::BackendFailed, "the engine sends no tokens") : toRequestError(*attempt->error);
@@ -296,6 +303,32 @@
     return idleTime >= unresponsiveTimeout && !m_state->replicas->isResponsive(attempt.engine);
 }
 
+bool RequestSession::canReplace(const EngineAttempt& stalled)
+{
+    auto isOtherRunning = [&](const auto& other) { return other.get() != &stalled && !other->error && !other->isAbandoned; };
+    if (std::ranges::any_of(m_attempts, isOtherRunning))
+        return true;
+    if (m_record->body.empty() || isQuarantined(m_state->quarantine, m_record->caller.content, m_state->now()))
+        return false;
+    auto request = dispatchRequest();
+    request.excluded.push_back(stalled.engine);
+    auto target = m_dispatcher->tryAcquire(request);
+    if (!target && !mayWaitForOtherEngine(stalled.engine))
+        return false;
+    auto delay = tryTakeRetry(ErrorKind::BackendFailed, m_backendsLost + 1);
+    if (!delay)
+        return false;
+    m_reservedRetry = ReservedRetry { std::move(target), *delay };
+    return true;
+}
+
+bool RequestSession::mayWaitForOtherEngine(const ReplicaId& engine) const
+{
+    if (m_state->replicas->isResponsive(engine))
+        return false;
+    return std::ranges::any_of(m_state->replicas->views(groupOf(m_record->model)), [&](const ReplicaView& view) { return view.acceptsNewWork && view.id != engine; });
+}
+
 bool RequestSession::checkInterruption()
 {
     if (m_isCallerDisconnected)
@@ -342,19 +375,27 @@
         co_return false;
     if (kind == ErrorKind::BackendFailed)
         co_await broadcastLossHistory(m_state, m_record->caller.content);
-    RetryQuery query { kind, true, m_attemptCount, m_backendsLost, m_record->caller.deadline, Duration::zero() };
+    auto delay = m_reservedRetry ? std::optional(m_reservedRetry->delay) : tryTakeRetry(kind, m_backendsLost);
+    if (!delay)
+        co_return false;
+    m_state->services.metrics.count(m_lastSentIndex > 0 ? "chestnut_failovers_total" : "chestnut_retries_total");
+    m_isContinuation = m_isContinuation || m_mayHaveRun;
+    co_await m_state->services.timers.sleep(*delay);
+    co_return true;
+}
+
+std::optional<Duration> RequestSession::tryTakeRetry(ErrorKind kind, uint32_t backendsLost)
+{
+    RetryQuery query { kind, true, m_attemptCount, backendsLost, m_record->caller.deadline, Duration::zero() };
     // A failed backend interrupts many requests at once. Each may retry once outside the budget, which would run out.
-    bool isFirstLoss = kind == ErrorKind::BackendFailed && m_backendsLost == 1;
+    bool isFirstLoss = kind == ErrorKind::BackendFailed && backendsLost == 1;
     auto budget = isFirstLoss ? RetryBudget {} : m_state->retryBudget;
     auto decision = decideRetry(query, budget, m_state->now(), m_state->random);
     if (!decision.retry)
-        co_return false;
+        return std::nullopt;
     if (!isFirstLoss)
         m_state->retryBudget = decision.budget;
-    m_state->services.metrics.count(m_lastSentIndex > 0 ? "chestnut_failovers_total" : "chestnut_retries_total");
-    m_isContinuation = m_isContinuation || m_mayHaveRun;
-    co_await m_state->services.timers.sleep(decision.delay);
-    co_return true;
+    return decision.delay;
 }
 
 asio::awaitable<Result<void>> RequestSession::finish(CompletionSink& sink)
--- a/modules/frontend/completions/RequestSession.h
+++ b/modules/frontend/completions/RequestSession.h
@@ -28,6 +28,12 @@
     std::optional<Duration> firstTokenDelay() const { return m_firstTokenDelay; }
 
 private:
+    /** A retry that is certain before the attempt that it replaces is abandoned. */
+    struct ReservedRetry {
+        std::optional<ReplicaReservation> target; /**< empty: the request waits in the queue */
+        Duration delay {};
+    };
+
     enum class End : uint8_t {
         Done,
         Preempted,
@@ -35,6 +41,8 @@
     };
 
     DispatchRequest dispatchRequest();
+    /** The engine of a reserved retry, or the next one that the dispatcher selects. */
+    asio::awaitable<Result<ReplicaReservation>> acquireEngine();
     asio::awaitable<Result<void>> replay(CompletionSink&);
     void startAttempt(ReplicaReservation);
     void startHedge();
@@ -49,6 +57,12 @@
     bool checkInterruption();
     /** Whether the attempt has produced no token for so long that it is abandoned. */
     bool isStalled(const EngineAttempt&) const;
+    /** Whether the request goes on when this stalled attempt is abandoned: at a hedged attempt, or at another engine with a
+        retry that is taken from the budget now. */
+    bool canReplace(const EngineAttempt& stalled);
+    /** Whether an engine other than this one accepts new work, and the request may wait for it. */
+    bool mayWaitForOtherEngine(const ReplicaId&) const;
+    std::optional<Duration> tryTakeRetry(ErrorKind, uint32_t backendsLost);
     Duration timeUntilNextCheck() const;
     void recordAttemptFailure(EngineAttempt&, const Error&);
     /** Broadcasts the loss of an engine and waits for the retry delay. False when the request must not be retried. */
@@ -67,6 +81,7 @@
     LossChecks m_lossChecks;
     std::optional<TimePoint> m_hedgeAt;
     std::optional<Error> m_error; /**< of the last attempt */
+    std::optional<ReservedRetry> m_reservedRetry;
     std::vector<ReplicaId> m_excluded;
     TimePoint m_startedAt;
     TimePoint m_lastProgress;
--- a/tests/frontend/CompletionTest.cpp
+++ b/tests/frontend/CompletionTest.cpp
@@ -180,6 +180,31 @@
     CHECK(received.text == expectedText(1, 50));
 }
 
+// Guards against a response that is given up for a silence of its engine although no other engine can continue it.
+TEST_CASE("a stalled stream goes on at its engine when no other attempt is possible")
+{
+    uint16_t engineCount = 1;
+    SUBCASE("as there is no other engine") { }
+    SUBCASE("as a second loss allows no retry") { engineCount = 2; }
+    FrontendFixture fixture(engineCount);
+    auto writer = fixture.sendRequest(fixture.completion("p", 50, true, { { "X-Request-Timeout", "60000" } }));
+    fixture.advance(200ms);
+    if (engineCount == 2) {
+        fixture.engines.at(busyEngine(fixture, 2)).dropsNextConnection = true;
+        fixture.advance(100ms);
+    }
+    auto running = busyEngine(fixture, 2);
+    auto calls = fixture.engines.calls();
+    fixture.engines.at(running).isHung = true;
+    fixture.advance(12s);
+    fixture.engines.at(running).isHung = false;
+    fixture.advance(2s);
+    auto received = readStream(*writer);
+    CHECK(received.isWhole);
+    CHECK(received.text == expectedText(1, 50));
+    CHECK(fixture.engines.calls() == calls);
+}
+
 // Guards against unbounded buffering for a caller that does not read.
 TEST_CASE("a slow client slows its own stream only and still gets every token")
 {
