--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -103,7 +103,7 @@
             m_hasBegun = true;
             BeastResponse message(static_cast<http::status>(response.status), 11);
             setHeaders(message, response.headers);
-            message.keep_alive(keepsAlive());
+            message.keep_alive(decideKeepAlive());
             message.body() = std::move(response.body);
             message.prepare_payload();
             if (m_isHead)
@@ -123,7 +123,7 @@
             m_hasBegun = true;
             http::response<http::empty_body> message(static_cast<http::status>(status), 11);
             setHeaders(message, headers);
-            message.keep_alive(keepsAlive());
+            message.keep_alive(decideKeepAlive());
             message.chunked(true);
             error_code error;
             m_stream.expires_after(m_writeTimeout);
@@ -163,10 +163,16 @@
         bool hasBegun() const override { return m_hasBegun; }
         bool isFinished() const { return m_isFinished; }
 
-        /** Whether the connection stays open for another request. A server that stops during the request closes it. */
-        bool keepsAlive() const { return m_requestKeepsAlive && m_state->isAccepting && m_state->allowsKeepAlive; }
+        /** Whether the response has announced that the connection stays open for another request. */
+        bool keepsAlive() const { return m_keepsAlive; }
 
     private:
+        bool decideKeepAlive()
+        {
+            m_keepsAlive = m_requestKeepsAlive && m_state->isAccepting && m_state->allowsKeepAlive;
+            return m_keepsAlive;
+        }
+
         /** A second header would become a part of the first response, so the connection is closed instead. */
         Result<void> abandonBegunResponse()
         {
@@ -188,6 +194,7 @@
         ServerState m_state;
         Duration m_writeTimeout;
         bool m_requestKeepsAlive;
+        bool m_keepsAlive = false;
         bool m_isHead;
         bool m_hasBegun = false;
         bool m_isFinished = false;
--- a/modules/http/server/HttpServer.h
+++ b/modules/http/server/HttpServer.h
@@ -67,7 +67,7 @@
         request have arrived are closed after its response. */
     void stopAccepting();
 
-    /** Closes each connection after its next response, which carries `Connection: close`. */
+    /** Closes each connection after the next response that begins, which carries `Connection: close`. */
     void closeAfterResponses();
 
     /** Takes effect from the next request of each connection. */
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -212,6 +212,25 @@
     CHECK(fixture.server.openConnections() == 0);
 }
 
+// Guards against a request that is lost because its connection is closed after a response that announced keep-alive.
+TEST_CASE("a connection whose response had begun before closeAfterResponses serves one more request")
+{
+    HttpServer* server = nullptr;
+    HttpFixture fixture([&server](HttpRequest request, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        co_await writer.begin(200, {});
+        server->closeAfterResponses();
+        co_await writer.write(std::string(request.path()));
+        co_await writer.finish();
+    });
+    server = &fixture.server;
+    BlockingClient client(fixture.server.endpoint());
+    client.send("GET /first HTTP/1.1\r\n\r\nGET /second HTTP/1.1\r\n\r\n");
+    auto received = client.receive(fixture.context);
+    CHECK(received.find("/first") < received.find("Connection: close"));
+    CHECK(received.find("/second") != std::string::npos);
+    CHECK(fixture.server.openConnections() == 0);
+}
+
 // Guards against a decoder that reads past a truncated escape, or that takes an escaped plus sign for a space.
 TEST_CASE("a query value is decoded, and malformed escapes are kept")
 {
