--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -2,9 +2,11 @@
 
 #include "http/message/BeastConversions.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -27,6 +29,15 @@
 
     struct ServerConnection;
 
+    using Clock = std::chrono::steady_clock;
+
+    constexpr Duration idleCheckPeriod = std::chrono::milliseconds(100);
+
+    Duration idleTimeoutOf(const HttpServerLimits& limits)
+    {
+        return limits.headerTimeout + limits.idleTimeout;
+    }
+
 } // namespace
 
 struct HttpServer::State {
@@ -36,7 +47,8 @@
     HttpServerLimits limits;
     HttpHandler handler;
     HttpErrorResponder errorResponder;
-    std::set<ServerConnection*> waitingConnections; /**< connections without a complete request header */
+    std::set<ServerConnection*> idleConnections; /**< that wait for the first byte of a request */
+    asio::steady_timer idleTimer { context };
     size_t openConnections = 0;
     bool isAccepting = true;
     bool allowsKeepAlive = true;
@@ -249,21 +261,25 @@
 
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
+        Clock::time_point idleSince;
+        Duration idleTimeout {}; /**< as configured at idleSince */
         std::shared_ptr<DisconnectWatcher> watcher;
     };
 
-    /** Lists a connection in waitingConnections for the lifetime of this object. */
-    class WaitingConnectionGuard {
+    /** Lists a connection in idleConnections for the lifetime of this object. */
+    class IdleConnectionGuard {
     public:
-        WaitingConnectionGuard(ServerState state, ServerConnection& connection)
+        IdleConnectionGuard(ServerState state, ServerConnection& connection)
             : m_state(std::move(state))
             , m_connection(&connection)
         {
-            m_state->waitingConnections.insert(m_connection);
+            m_connection->idleSince = Clock::now();
+            m_connection->idleTimeout = idleTimeoutOf(m_state->limits);
+            m_state->idleConnections.insert(m_connection);
         }
-        WaitingConnectionGuard(const WaitingConnectionGuard&) = delete;
-        WaitingConnectionGuard& operator=(const WaitingConnectionGuard&) = delete;
-        ~WaitingConnectionGuard() { m_state->waitingConnections.erase(m_connection); }
+        IdleConnectionGuard(const IdleConnectionGuard&) = delete;
+        IdleConnectionGuard& operator=(const IdleConnectionGuard&) = delete;
+        ~IdleConnectionGuard() { m_state->idleConnections.erase(m_connection); }
 
     private:
         ServerState m_state;
@@ -284,17 +300,42 @@
             co_await connection.stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ignored));
     }
 
+    /** Waits until bytes of a request have arrived, or until the connection is closed. */
+    asio::awaitable<void> waitForRequest(ServerConnection& connection, const ServerState& state, error_code& error)
+    {
+        if (connection.hasPartialRequest())
+            co_return;
+        IdleConnectionGuard guard(state, connection);
+        co_await connection.stream.socket().async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    }
+
+    /** Closes the connections that have been idle for too long, unless bytes of a request have just arrived. The idle time of a
+        connection does not become shorter while it waits, as its client may rely on it. */
+    asio::awaitable<void> closeIdleConnections(ServerState state)
+    {
+        while (state->isAccepting) {
+            error_code error;
+            state->idleTimer.expires_after(idleCheckPeriod);
+            co_await state->idleTimer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            for (auto* connection : state->idleConnections) {
+                auto timeout = std::max(connection->idleTimeout, idleTimeoutOf(state->limits));
+                if (Clock::now() - connection->idleSince >= timeout && !connection->hasPartialRequest())
+                    connection->close();
+            }
+        }
+    }
+
     asio::awaitable<Result<BeastRequest>> readRequest(ServerConnection& connection, const ServerState& state, error_code& error)
     {
+        co_await waitForRequest(connection, state, error);
+        if (error)
+            co_return makeError(ErrorKind::BadRequest, error.message());
         auto limits = state->limits;
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<uint32_t>(limits.maximumHeader));
         parser.body_limit(limits.maximumBody);
-        connection.stream.expires_after(limits.headerTimeout + limits.idleTimeout);
-        {
-            WaitingConnectionGuard guard(state, connection);
-            co_await http::async_read_header(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        }
+        connection.stream.expires_after(limits.headerTimeout);
+        co_await http::async_read_header(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return makeError(ErrorKind::BadRequest, error.message());
         connection.stream.expires_after(limits.bodyTimeout);
@@ -420,6 +461,7 @@
 {
     m_state->log.write(EventId::ListenerStarted, { { "address", formatEndpoint(endpoint()) } });
     asio::co_spawn(m_state->context, acceptLoop(m_state), asio::detached);
+    asio::co_spawn(m_state->context, closeIdleConnections(m_state), asio::detached);
 }
 
 void HttpServer::stopAccepting()
@@ -430,7 +472,8 @@
     acceptQueued(m_state);
     error_code ignored;
     m_state->acceptor.close(ignored);
-    for (auto* connection : m_state->waitingConnections) {
+    m_state->idleTimer.cancel();
+    for (auto* connection : m_state->idleConnections) {
         if (!connection->hasPartialRequest())
             connection->close();
     }
--- a/modules/http/server/HttpServer.h
+++ b/modules/http/server/HttpServer.h
@@ -18,8 +18,8 @@
     size_t maximumHeader = 16 << 10; /**< bytes */
     size_t maximumBody = 4 << 20; /**< bytes */
     size_t maximumConnections = 4096;
-    Duration headerTimeout = std::chrono::seconds(10); /**< also limits idle keep-alive connections unless idleTimeout is set */
-    Duration idleTimeout {}; /**< of a keep-alive connection, added to headerTimeout; zero: headerTimeout alone */
+    Duration headerTimeout = std::chrono::seconds(10); /**< from the first byte of a request */
+    Duration idleTimeout {}; /**< added to headerTimeout to limit the wait for the first byte of a request */
     Duration bodyTimeout = std::chrono::seconds(30);
     Duration writeTimeout = std::chrono::seconds(30);
 };
@@ -70,7 +70,7 @@
     /** Closes each connection after the next response that begins, which carries `Connection: close`. */
     void closeAfterResponses();
 
-    /** Takes effect from the next request of each connection. */
+    /** Takes effect from the next request of each connection. A longer idle time also applies to connections that wait. */
     void setLimits(HttpServerLimits);
 
     size_t openConnections() const;
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -212,6 +213,38 @@
     CHECK(fixture.server.openConnections() == 0);
 }
 
+// Guards against an idle connection that is closed, or a request that is refused, by limits which a configuration has replaced.
+TEST_CASE("an idle connection follows new limits, and the end of the idle time does not cut a request that has arrived")
+{
+    HttpServerLimits limits;
+    limits.maximumBody = 1;
+    limits.headerTimeout = std::chrono::milliseconds(120);
+    HttpFixture fixture(echo, limits);
+    BlockingClient client(fixture.server.endpoint());
+    auto runFor = [&](std::chrono::milliseconds time) {
+        fixture.context.restart();
+        fixture.context.run_for(time);
+    };
+    runFor(std::chrono::milliseconds(20));
+    limits.maximumBody = 100;
+    SUBCASE("longer")
+    {
+        limits.idleTimeout = std::chrono::seconds(10);
+        fixture.server.setLimits(limits);
+        runFor(std::chrono::milliseconds(300));
+        client.send("POST /late HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody");
+    }
+    SUBCASE("unread at the end of the idle time")
+    {
+        fixture.server.setLimits(limits);
+        client.send("POST /late HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody");
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    CHECK(client.receive(fixture.context).find("/late") != std::string::npos);
+    runFor(std::chrono::milliseconds(400));
+    CHECK((fixture.server.openConnections() == 0) == (limits.idleTimeout == Duration {}));
+}
+
 // Guards against a request that is lost because its connection is closed after a response that announced keep-alive.
 TEST_CASE("a connection whose response had begun before closeAfterResponses serves one more request")
 {
