--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -85,11 +85,8 @@
             self->onClientDisconnect();
     });
     m_deadlineTimer = services.timers.once(std::max(remaining(), Duration(1)), [weak = weak_from_this()] {
-        auto self = weak.lock();
-        if (!self)
-            return;
-        self->m_hasExpired = true;
-        self->abort->abort();
+        if (auto self = weak.lock())
+            self->expire();
     });
 }
 
@@ -99,6 +96,12 @@
     abort->abort();
 }
 
+void RelayContext::expire()
+{
+    m_hasExpired = true;
+    abort->abort();
+}
+
 bool RelayContext::mayRetry() const
 {
     if (isOver())
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -64,6 +64,8 @@
     bool isOver() const { return m_isClientDisconnected || m_hasExpired; }
     bool isClientDisconnected() const { return m_isClientDisconnected; }
     void onClientDisconnect();
+    /** Ends the request as at its deadline. */
+    void expire();
 
     /** Whether another attempt is safe and allowed by the route. */
     bool mayRetry() const;
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -40,6 +40,24 @@
         size_t& m_count;
     };
 
+    /** Lists a request for the lifetime of this object, which may exceed that of the gateway. */
+    class RequestGuard {
+    public:
+        RequestGuard(std::shared_ptr<std::set<RelayPointer>> requests, RelayPointer request)
+            : m_requests(std::move(requests))
+            , m_request(std::move(request))
+        {
+            m_requests->insert(m_request);
+        }
+        RequestGuard(const RequestGuard&) = delete;
+        RequestGuard& operator=(const RequestGuard&) = delete;
+        ~RequestGuard() { m_requests->erase(m_request); }
+
+    private:
+        std::shared_ptr<std::set<RelayPointer>> m_requests;
+        RelayPointer m_request;
+    };
+
 } // namespace
 
 Gateway::Gateway(GatewayDependencies dependencies, GatewayFormats formats, GatewaySettings settings)
@@ -102,6 +120,13 @@
     co_await m_daemons->deregister();
 }
 
+void Gateway::endRequests()
+{
+    auto requests = *m_requests;
+    for (const auto& request : requests)
+        request->expire();
+}
+
 bool Gateway::isReady() const
 {
     return !m_shutdown && m_routing.table() && !m_replicas.isEmpty();
@@ -147,6 +172,7 @@
         co_return;
     }
     context->abortOnDisconnectOrDeadline(writer);
+    RequestGuard listed(m_requests, context);
     const auto* profile = table->service(service);
     if (profile && profile->engine) {
         GenerationRelay generation(context, writer);
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -66,6 +66,9 @@
         ones that could last beyond `endsAt`; these are refused. */
     asio::awaitable<void> leave(TimePoint endsAt);
 
+    /** Ends the requests in progress as at their deadlines; those without a response get an error. */
+    void endRequests();
+
     /** Handles one request. */
     asio::awaitable<void> handle(RoutedRequest, HttpResponseWriter&);
 
@@ -93,6 +96,7 @@
     RoleManager m_roles;
     RelayServices m_relayServices;
     size_t m_inProgress = 0;
+    std::shared_ptr<std::set<RelayPointer>> m_requests = std::make_shared<std::set<RelayPointer>>(); /**< in progress */
     std::optional<ShutdownPlan> m_shutdown; /**< set when the shutdown starts */
 };
 
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -14,9 +14,12 @@
     /** Requests still in progress this long before the end of the shutdown time are abandoned. The margin covers the delivery
         of the signal and the exit of the process. */
     constexpr Duration shutdownMargin = std::chrono::milliseconds(200);
+    /** Part of the margin in which the abandoned requests get an error response. */
+    constexpr Duration errorResponseTime = std::chrono::milliseconds(100);
     /** Clients may use cached discovery responses for this long after this daemon announced that it leaves. */
     constexpr Duration discoveryExpiry = std::chrono::milliseconds(4700);
     constexpr Duration drainCheckPeriod = std::chrono::milliseconds(50);
+    constexpr Duration errorCheckPeriod = std::chrono::milliseconds(10);
 
     GatewayFormats platformFormats()
     {
@@ -117,7 +120,11 @@
     // The open connections include requests that have not been read in full.
     while (daemon.m_clientServer->openConnections() > 0 && daemon.m_timers.now() < endsAt)
         co_await daemon.m_timers.sleep(drainCheckPeriod);
-    daemon.m_log.write(EventId::DaemonStopped, { { "daemon", daemon.m_settings.gateway.self.id }, { "in_progress", daemon.m_gateway.inProgress() }, { "connections", daemon.m_clientServer->openConnections() } });
+    auto abandoned = daemon.m_gateway.inProgress();
+    daemon.m_gateway.endRequests();
+    while (daemon.m_gateway.inProgress() > 0 && daemon.m_timers.now() < endsAt + errorResponseTime)
+        co_await daemon.m_timers.sleep(errorCheckPeriod);
+    daemon.m_log.write(EventId::DaemonStopped, { { "daemon", daemon.m_settings.gateway.self.id }, { "in_progress", abandoned }, { "connections", daemon.m_clientServer->openConnections() } });
     daemon.m_context.stop();
 }
 
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -105,6 +105,20 @@
     CHECK(served.status == 200);
 }
 
+// Guards against requests that get no response because the daemon stops while they wait for their replica.
+TEST_CASE("requests in progress at the end of a shutdown are answered with an error")
+{
+    WholeGateway whole("idempotent 15000");
+    whole.replicaClient.scripts[ReplicaId("i-1")] = { { .chunks = { "answer" }, .delay = 10s } };
+    FakeWriter writer;
+    whole.start(writer);
+    whole.leave(8s);
+    whole.gateway.endRequests();
+    whole.timers.advance(10ms);
+    CHECK(writer.status == 504);
+    CHECK(whole.gateway.inProgress() == 0);
+}
+
 // Guards against reloaded settings (SIGHUP) that have no effect.
 TEST_CASE("changed bounds take effect while the gateway runs")
 {
