--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -85,11 +85,8 @@
             self->onClientDisconnect();
     });
     m_deadlineTimer = services.timers.once(std::max(remaining(), Duration(1)), [weak = weak_from_this()] {
-        auto self = weak.lock();
-        if (!self)
-            return;
-        self->m_hasExpired = true;
-        self->abort->abort();
+        if (auto self = weak.lock())
+            self->expire();
     });
 }
 
@@ -99,6 +96,12 @@
     abort->abort();
 }
 
+void RelayContext::expire()
+{
+    m_hasExpired = true;
+    abort->abort();
+}
+
 bool RelayContext::mayRetry() const
 {
     if (isOver())
@@ -237,6 +240,12 @@
     return admission == PartAdmission::Blocked;
 }
 
+bool RelayContext::hasSuspectedPart() const
+{
+    constexpr bool hasRun = true;
+    return services.crashTracker.admitParts(m_sharedParts, hasRun) == PartAdmission::Blocked;
+}
+
 void RelayContext::recordFirstEvent(const ReplicaEntry& engine)
 {
     services.crashTracker.recordPartsBegun({ engine.id, engine.startedAt }, m_sharedParts, m_sentAt);
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -64,6 +64,8 @@
     bool isOver() const { return m_isClientDisconnected || m_hasExpired; }
     bool isClientDisconnected() const { return m_isClientDisconnected; }
     void onClientDisconnect();
+    /** Ends the request as at its deadline. */
+    void expire();
 
     /** Whether another attempt is safe and allowed by the route. */
     bool mayRetry() const;
@@ -100,6 +102,8 @@
     bool isBlockedContent() const;
     /** Whether a prompt part of the request has crashed too many engines for another attempt. */
     bool hasBlockedPart();
+    /** Whether a prompt part of the request is suspected, so that it is not sent again once it may have run. */
+    bool hasSuspectedPart() const;
     /** Records that an engine began to generate the response to the request. */
     void recordFirstEvent(const ReplicaEntry&);
     /** Records that an attempt was lost before its first event, after recordAttemptFailure(). */
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -212,6 +213,57 @@
     CHECK(fixture.server.openConnections() == 0);
 }
 
+// Guards against an idle connection that is closed, or a request that is refused, by limits which a configuration has replaced.
+TEST_CASE("an idle connection follows new limits, and the end of the idle time does not cut a request that has arrived")
+{
+    HttpServerLimits limits;
+    limits.maximumBody = 1;
+    limits.headerTimeout = std::chrono::milliseconds(120);
+    HttpFixture fixture(echo, limits);
+    BlockingClient client(fixture.server.endpoint());
+    auto runFor = [&](std::chrono::milliseconds time) {
+        fixture.context.restart();
+        fixture.context.run_for(time);
+    };
+    runFor(std::chrono::milliseconds(20));
+    limits.maximumBody = 100;
+    SUBCASE("longer")
+    {
+        limits.idleTimeout = std::chrono::seconds(10);
+        fixture.server.setLimits(limits);
+        runFor(std::chrono::milliseconds(300));
+        client.send("POST /late HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody");
+    }
+    SUBCASE("unread at the end of the idle time")
+    {
+        fixture.server.setLimits(limits);
+        client.send("POST /late HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody");
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    CHECK(client.receive(fixture.context).find("/late") != std::string::npos);
+    runFor(std::chrono::milliseconds(400));
+    CHECK((fixture.server.openConnections() == 0) == (limits.idleTimeout == Duration {}));
+}
+
+// Guards against a request that is lost because its connection is closed after a response that announced keep-alive.
+TEST_CASE("a connection whose response had begun before closeAfterResponses serves one more request")
+{
+    HttpServer* server = nullptr;
+    HttpFixture fixture([&server](HttpRequest request, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        co_await writer.begin(200, {});
+        server->closeAfterResponses();
+        co_await writer.write(std::string(request.path()));
+        co_await writer.finish();
+    });
+    server = &fixture.server;
+    BlockingClient client(fixture.server.endpoint());
+    client.send("GET /first HTTP/1.1\r\n\r\nGET /second HTTP/1.1\r\n\r\n");
+    auto received = client.receive(fixture.context);
+    CHECK(received.find("/first") < received.find("Connection: close"));
+    CHECK(received.find("/second") != std::string::npos);
+    CHECK(fixture.server.openConnections() == 0);
+}
+
 // Guards against a decoder that reads past a truncated escape, or that takes an escaped plus sign for a space.
 TEST_CASE("a query value is decoded, and malformed escapes are kept")
 {
