--- a/modules/decisions/replicas/ReplicaBackoff.cpp
+++ b/modules/decisions/replicas/ReplicaBackoff.cpp
@@ -4,29 +4,29 @@
 
 namespace chestnut {
 
-bool applyBackoff(ReplicaBackoffs& backoffs, const ReplicaId& replica, Duration time, TimePoint now)
+bool applyBackoff(ReplicaBackoffs& backoffs, const ReplicaId& replica, int64_t startedAt, Duration time, TimePoint now)
 {
     if (time <= Duration::zero())
         return false;
-    auto end = now + std::min(time, longestBackoff);
-    auto& present = backoffs.ends[replica];
-    if (end <= present)
+    ReplicaBackoff backoff { startedAt, now + std::min(time, longestBackoff) };
+    auto [present, isNew] = backoffs.backoffs.try_emplace(replica, backoff);
+    if (!isNew && backoff <= present->second)
         return false;
-    present = end;
+    present->second = backoff;
     return true;
 }
 
-std::optional<TimePoint> backoffEnd(const ReplicaBackoffs& backoffs, const ReplicaId& replica, TimePoint now)
+std::optional<TimePoint> backoffEnd(const ReplicaBackoffs& backoffs, const ReplicaId& replica, int64_t startedAt, TimePoint now)
 {
-    auto found = backoffs.ends.find(replica);
-    if (found == backoffs.ends.end() || now >= found->second)
+    auto found = backoffs.backoffs.find(replica);
+    if (found == backoffs.backoffs.end() || startedAt > found->second.startedAt || now >= found->second.end)
         return std::nullopt;
-    return found->second;
+    return found->second.end;
 }
 
 void expireBackoffs(ReplicaBackoffs& backoffs, TimePoint now)
 {
-    std::erase_if(backoffs.ends, [now](const auto& entry) { return now >= entry.second; });
+    std::erase_if(backoffs.backoffs, [now](const auto& entry) { return now >= entry.second.end; });
 }
 
 } // namespace chestnut
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -118,7 +118,6 @@
 {
     m_loadTracker->resetObservations(id);
     m_startSeenAt.erase(id);
-    m_backoffs.ends.erase(id);
 }
 
 void ReplicaDirectory::removeUnconfirmed()
@@ -193,7 +192,7 @@
     if (content.isLeaving)
         applyDeparture(notice, replica->entry);
     if (content.backoff)
-        applyRequestedBackoff(notice, *content.backoff);
+        applyRequestedBackoff(notice, replica->entry, *content.backoff);
 }
 
 void ReplicaDirectory::applyDeparture(const ReplicaNotice& notice, const ReplicaEntry& entry)
@@ -205,13 +204,19 @@
     logChange(notice.replica, "response");
 }
 
-void ReplicaDirectory::applyRequestedBackoff(const ReplicaNotice& notice, Duration time)
+void ReplicaDirectory::applyRequestedBackoff(const ReplicaNotice& notice, const ReplicaEntry& entry, Duration time)
 {
-    if (!applyBackoff(m_backoffs, notice.replica, time, m_timers.now()))
+    if (!applyBackoff(m_backoffs, entry.id, entry.startedAt, time, m_timers.now()))
         return;
     m_log.write(EventId::ReplicaBackoffStarted, { { "replica", notice.replica }, { "request", notice.request }, { "requested_ms", time.count() / 1000 }, { "ms", std::min(time, longestBackoff).count() / 1000 } });
 }
 
+bool ReplicaDirectory::isBackingOff(const ReplicaId& id) const
+{
+    const auto* replica = find(id);
+    return replica && backoffEnd(m_backoffs, id, replica->entry.startedAt, m_timers.now());
+}
+
 bool ReplicaDirectory::acceptsControlCalls(const ReplicaId& id) const
 {
     const auto* replica = find(id);
@@ -223,7 +228,7 @@
     std::optional<Duration> shortest;
     auto now = m_timers.now();
     for (const auto* entry : select(service, [this](const ReplicaEntry& candidate) { return candidate.stage != EngineStage::Prefill && !isPaused(candidate.id); })) {
-        auto end = backoffEnd(m_backoffs, entry->id, now);
+        auto end = backoffEnd(m_backoffs, entry->id, entry->startedAt, now);
         if (!end)
             return std::nullopt;
         shortest = std::min(shortest.value_or(*end - now), *end - now);
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -48,7 +48,7 @@
     const RegisteredReplica* find(const ReplicaId&) const;
 
     /** Whether the replica wants no requests from this daemon now. */
-    bool isBackingOff(const ReplicaId& id) const { return backoffEnd(m_backoffs, id, m_timers.now()).has_value(); }
+    bool isBackingOff(const ReplicaId&) const;
 
     /** Whether the replica may get requests that are not a client's, such as orders. */
     bool acceptsControlCalls(const ReplicaId&) const;
@@ -104,7 +104,7 @@
     };
 
     void applyDeparture(const ReplicaNotice&, const ReplicaEntry&);
-    void applyRequestedBackoff(const ReplicaNotice&, Duration);
+    void applyRequestedBackoff(const ReplicaNotice&, const ReplicaEntry&, Duration);
     /** The replica that the notice is about; null if that process start is not the one in the directory. */
     const RegisteredReplica* subjectOf(const ReplicaNotice&) const;
     /** The replicas of a service that may receive work and satisfy the predicate. */
--- a/tests/gateway/ReplicaNoticeTest.cpp
+++ b/tests/gateway/ReplicaNoticeTest.cpp
@@ -211,6 +211,28 @@
     }
 }
 
+// Guards against requests within the time of a long Retry-After, also to an entry that was removed and written again.
+TEST_CASE("a backoff of an hour holds in full, also while its entry is missing from the store for minutes")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.replicas.applyNotice({ ReplicaId("i-1"), "10.0.0.1:80", fixture.timers.now(), "q", { false, 1h, {} } });
+    fixture.removeReplica("i-1");
+    fixture.timers.advance(2min);
+    fixture.store.put("servers/i-1", testEntry("s", "none", "a", "ready", 1, 2));
+    for (auto time : { 1min, 56min }) {
+        fixture.timers.advance(time);
+        FakeWriter writer;
+        fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 1), writer);
+        CHECK(writer.status == 503);
+    }
+    CHECK(fixture.replicaClient.sent.empty());
+    fixture.timers.advance(1min);
+    FakeWriter writer;
+    fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 1), writer);
+    CHECK(writer.status == 200);
+}
+
 TEST_CASE("a prefill engine gets no prefill and no release of a handle during its backoff")
 {
     Replicas fixture;
