Check a replica's pause again when the connection to it is open

Found in review, not in a run of the daemon: after a burst, a replica that had refused with 503 and a Retry-After would get requests in its pause, as those whose connections were being opened when the refusal arrived were sent up to 400 ms later (the connect timeout), and were refused too.

Cause: the pause was read only when the replica was chosen.

Change: ReplicaClient asks the gateway once more when the connection is open, for all calls. A call that is not sent ends with Overloaded, goes back to the choice of a replica, leaves the connection to the pool and keeps the handle of its prompt.

Before: test_platform 'a call is not sent when ...' 1 of 2 assertions fails (the notices of the sent calls); test_gateway 'the handle of a decode that was not sent ...' fails, 2 prefills instead of 1. After: test_gateway, test_http and test_platform pass (114, 23 and 24 cases).

--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -126,7 +126,7 @@
     auto response = co_await relay.services.replicaClient.send(std::move(call));
     if (!response) {
         // The engine may have fetched the KV cache, and a handle is valid for a single fetch.
-        if (response.error().kind != ErrorKind::ConnectFailed)
+        if (describe(response.error().kind).outcome != Outcome::NotRun)
             m_handle.reset();
         co_return response.error();
     }
--- a/modules/gateway/requests/ReplicaClient.h
+++ b/modules/gateway/requests/ReplicaClient.h
@@ -67,8 +67,8 @@
     Refused,
 };
 
-/** Sends requests to replicas, and passes on what their responses say about them. Errors: ConnectFailed when no byte was sent; Overloaded when the replica refused the request
-    without running it; BackendFailed and DeadlineExceeded when it may have run. */
+/** Sends requests to replicas, and passes on what their responses say about them. Errors: ConnectFailed when no byte was sent;
+    Overloaded when the replica refused the request without running it, or wants none; BackendFailed and DeadlineExceeded when it may have run. */
 class ReplicaClient : public Service {
 public:
     static constexpr std::string_view serviceName = "replicaclient";
@@ -90,7 +90,13 @@
         and its outcome, and before the call returns. */
     void onNotice(std::function<void(const ReplicaNotice&)> receiver) { m_noticeReceiver = std::move(receiver); }
 
+    /** Registers the check of whether a replica wants requests now. It is made after the connection is open; a call that is not
+        sent because of it ends with Overloaded. */
+    void setAdmission(std::function<bool(const ReplicaId&)> admission) { m_admission = std::move(admission); }
+
 protected:
+    bool admits(const ReplicaId& replica) const { return !m_admission || m_admission(replica); }
+
     void publishNotice(const ReplicaNotice& notice) const
     {
         if (m_noticeReceiver && notice.content != NoticeContent {})
@@ -99,6 +105,7 @@
 
 private:
     std::function<void(const ReplicaNotice&)> m_noticeReceiver;
+    std::function<bool(const ReplicaId&)> m_admission;
 };
 
 } // namespace chestnut
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -59,6 +59,7 @@
     , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone }
 {
     m_dependencies.replicaClient.onNotice([this](const ReplicaNotice& notice) { onNotice(notice); });
+    m_dependencies.replicaClient.setAdmission([this](const ReplicaId& replica) { return !m_replicas.isBackingOff(replica); });
 }
 
 void Gateway::onNotice(const ReplicaNotice& notice)
--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -276,6 +276,10 @@
         connection = std::move(*opened);
         ++state->opened;
     }
+    if (options.maySend && !options.maySend()) {
+        state->putBack(endpoint, std::move(connection), {});
+        co_return makeError(ErrorKind::Overloaded, "not sent: the server asked for a pause while the connection was opened");
+    }
     auto message = toBeast(endpoint, std::move(request));
     auto isHead = message.method() == http::verb::head;
     auto exchange = std::make_unique<PooledExchange>(state, endpoint, std::move(connection), std::move(options), isHead);
--- a/modules/http/client/ConnectionPool.h
+++ b/modules/http/client/ConnectionPool.h
@@ -28,6 +28,8 @@
     std::optional<Duration> bodyReadTimeout; /**< of each read of the body; default: none */
     /** From the response header to the end of the body, however often bytes arrive; default: none. */
     std::optional<Duration> bodyTimeout;
+    /** Asked when the connection is open, as the reason not to send may have arrived meanwhile. Null: always. */
+    std::function<bool()> maySend;
     bool needsFreshConnection = false; /**< never reuse an idle connection */
     std::shared_ptr<AbortHandle> abort; /**< may be null */
     /** Returns whether a response with these headers belongs to this request. Other responses, such as late ones to earlier
@@ -36,8 +38,8 @@
 };
 
 /** HTTP/1.1 client for requests that must not be executed twice: it never sends a request twice. An idle connection is reused
-    only if the server has neither closed it nor sent surplus bytes. Errors: ConnectFailed when no byte was sent,
-    BackendFailed and DeadlineExceeded when the server may have received the request. */
+    only if the server has neither closed it nor sent surplus bytes. Errors: ConnectFailed and Overloaded (see
+    ExchangeOptions::maySend) when no byte was sent, BackendFailed and DeadlineExceeded when the server may have received the request. */
 class ConnectionPool {
 public:
     ConnectionPool(asio::io_context&, TimerService&, ConnectionPoolSettings);
--- a/tests/gateway/ReplicaNoticeTest.cpp
+++ b/tests/gateway/ReplicaNoticeTest.cpp
@@ -121,6 +121,18 @@
     }
 }
 
+// Guards against a second prefill of a prompt whose decode was never sent.
+TEST_CASE("the handle of a decode that was not sent, as the engine wants no requests, is used at another engine")
+{
+    Replicas fixture;
+    ScriptedResponse notSent;
+    notSent.error = makeError(ErrorKind::Overloaded, "not sent");
+    fixture.script("i-decode-1", notSent);
+    CHECK(fixture.generate(true).status == 200);
+    CHECK(fixture.replicaClient.prefills.size() == 1);
+    CHECK(fixture.replicaClient.sent.back().handle.has_value());
+}
+
 TEST_CASE("an interrupted stream is not resumed at a leaving engine")
 {
     Replicas fixture;
--- a/tests/platform/NoticeTest.cpp
+++ b/tests/platform/NoticeTest.cpp
@@ -65,6 +65,17 @@
     }
 }
 
+// Guards against bursts that reach a replica in its pause because their connections were being opened when it began.
+TEST_CASE("a call is not sent when its replica wants no requests once the connection is open")
+{
+    ReplicaFixture fixture;
+    fixture.response = { 200, { { "Server-Leaving", "1" } }, "" };
+    fixture.client.setAdmission([](const ReplicaId& replica) { return replica != ReplicaId("i-1"); });
+    fixture.callAll();
+    CHECK(fixture.notices.empty());
+    CHECK(fixture.pool.openedConnections() > 0);
+}
+
 TEST_CASE("a response of another replica at the address says nothing about the expected one")
 {
     ReplicaId expected("i-1");
