Remove lapsed replicas that announce their departure

Found in review: a replica whose entry had expired in an outage of the store, and which then said that it leaves, stayed registered as draining for good.

Cause: only lapsed replicas were removed at the end of the grace time, and no removal follows for an entry that is missing already.

Change: the announced departure does not end the grace time. It still holds for the process start if the entry returns.

--- a/modules/decisions/replicas/ReplicaRegistry.cpp
+++ b/modules/decisions/replicas/ReplicaRegistry.cpp
@@ -25,6 +25,12 @@
             present->second = { report.startedAt, now };
     }
 
+    /** Whether the entry was removed with a grace time. A departure that is announced in it does not end that. */
+    bool isLapsed(const RegisteredReplica& replica)
+    {
+        return replica.status == ReplicaStatus::Lapsed || (replica.status == ReplicaStatus::Draining && replica.lapsedUntil != TimePoint());
+    }
+
     void markRemoved(RegisteredReplica& replica, TimePoint now)
     {
         replica.status = ReplicaStatus::Removed;
@@ -108,7 +114,7 @@
 {
     std::vector<ReplicaId> expired;
     for (auto& [id, replica] : registry.replicas) {
-        if (replica.status != ReplicaStatus::Lapsed || now < replica.lapsedUntil)
+        if (!isLapsed(replica) || now < replica.lapsedUntil)
             continue;
         markRemoved(replica, now);
         expired.push_back(id);
--- a/tests/decisions/ReplicaRegistryTest.cpp
+++ b/tests/decisions/ReplicaRegistryTest.cpp
@@ -99,6 +99,19 @@
     CHECK(statusIn(registry) == ReplicaStatus::Ready);
 }
 
+// Guards against records that stay for good: no removal follows when the entry has lapsed already.
+TEST_CASE("a lapsed replica that announces its departure is removed at the end of its grace time")
+{
+    ReplicaRegistry registry;
+    applyEntry(registry, entryOf(1, 5));
+    applyRemoval(registry, replica, start, 2500ms);
+    CHECK(applyLeavingReport(registry, { replica, 1, 5, true }, start));
+    expireLapsed(registry, start + 2400ms);
+    CHECK(statusIn(registry) == ReplicaStatus::Draining);
+    expireLapsed(registry, start + 2500ms);
+    CHECK(statusIn(registry) == ReplicaStatus::Removed);
+}
+
 TEST_CASE("the departure of a start whose entry has not been read yet holds once it is read")
 {
     ReplicaRegistry registry;
