--- a/tests/gateway/ReplicaNoticeTest.cpp
+++ b/tests/gateway/ReplicaNoticeTest.cpp
@@ -121,6 +121,18 @@
     }
 }
 
+// Guards against a second prefill of a prompt whose decode was never sent.
+TEST_CASE("the handle of a decode that was not sent, as the engine wants no requests, is used at another engine")
+{
+    Replicas fixture;
+    ScriptedResponse notSent;
+    notSent.error = makeError(ErrorKind::Overloaded, "not sent");
+    fixture.script("i-decode-1", notSent);
+    CHECK(fixture.generate(true).status == 200);
+    CHECK(fixture.replicaClient.prefills.size() == 1);
+    CHECK(fixture.replicaClient.sent.back().handle.has_value());
+}
+
 TEST_CASE("an interrupted stream is not resumed at a leaving engine")
 {
     Replicas fixture;
@@ -211,6 +223,28 @@
     }
 }
 
+// Guards against requests within the time of a long Retry-After, also to an entry that was removed and written again.
+TEST_CASE("a backoff of an hour holds in full, also while its entry is missing from the store for minutes")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.replicas.applyNotice({ ReplicaId("i-1"), "10.0.0.1:80", fixture.timers.now(), "q", { false, 1h, {} } });
+    fixture.removeReplica("i-1");
+    fixture.timers.advance(2min);
+    fixture.store.put("servers/i-1", testEntry("s", "none", "a", "ready", 1, 2));
+    for (auto time : { 1min, 56min }) {
+        fixture.timers.advance(time);
+        FakeWriter writer;
+        fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 1), writer);
+        CHECK(writer.status == 503);
+    }
+    CHECK(fixture.replicaClient.sent.empty());
+    fixture.timers.advance(1min);
+    FakeWriter writer;
+    fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 1), writer);
+    CHECK(writer.status == 200);
+}
+
 TEST_CASE("a prefill engine gets no prefill and no release of a handle during its backoff")
 {
     Replicas fixture;
