Limit what a connection buffers of a request that does not end

What operators would see: memory of a daemon that grows with each byte that a client sends as a chunk header, a chunk extension or a trailer, until the body timeout (30 s by default), and a client that is never told.

Cause: the parser limits the header and the body, but not these parts, and the buffer of a server connection had no limit.

Change: the buffer holds a header of maximum size and 64 KB more; beyond that the client gets 400 and the connection is closed.

Before (HttpServerTest, 'bytes without end in a request ...', nine kinds): 6 of 18 checks failed; for a chunk header, an extension and a trailer the server took all 16 MB that the test sends and did not respond. The other six kinds passed.

Conclusion: whatever part of a request does not end, what is buffered of it has a limit that does not depend on the parser.

--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "http/message/BeastConversions.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -44,6 +45,14 @@
 
 namespace {
 
+    /** Bytes that a connection buffers beyond a header of maximum size. */
+    constexpr size_t readAheadBytes = 64 << 10;
+
+    size_t maximumBufferOf(const HttpServerLimits& limits)
+    {
+        return limits.maximumHeader + readAheadBytes;
+    }
+
     using ServerState = std::shared_ptr<HttpServer::State>;
 
     /** Detects that the caller closes the connection while a handler runs. */
@@ -219,8 +228,9 @@
     };
 
     struct ServerConnection {
-        explicit ServerConnection(tcp::socket socket)
+        ServerConnection(tcp::socket socket, const HttpServerLimits& limits)
             : stream(std::move(socket))
+            , buffer(maximumBufferOf(limits))
             , watcher(std::make_shared<DisconnectWatcher>(stream.socket()))
         {
         }
@@ -283,6 +293,8 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<uint32_t>(limits.maximumHeader));
         parser.body_limit(limits.maximumBody);
+        // The parser does not limit the sizes of chunk extensions and trailers; the buffer does.
+        connection.buffer.max_size(std::max(connection.buffer.max_size(), maximumBufferOf(limits)));
         connection.stream.expires_after(limits.headerTimeout + limits.idleTimeout);
         {
             WaitingConnectionGuard guard(state, connection);
@@ -330,7 +342,7 @@
 
     asio::awaitable<void> serveConnection(ServerState state, tcp::socket socket, std::unique_ptr<OpenConnectionGuard>)
     {
-        ServerConnection connection(std::move(socket));
+        ServerConnection connection(std::move(socket), state->limits);
         error_code error;
         connection.stream.socket().set_option(tcp::no_delay(true), error);
         while (state->isAccepting || connection.hasPartialRequest()) {
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -212,6 +213,56 @@
     CHECK(fixture.server.openConnections() == 0);
 }
 
+namespace {
+
+/** Sends the prefix of a request and then the filler again and again; returns the bytes sent until the server responds or closes. */
+asio::awaitable<size_t> sendWithoutEnd(Endpoint endpoint, std::string prefix, std::string filler, std::string& response)
+{
+    boost::system::error_code error;
+    auto ignoringErrors = asio::redirect_error(asio::use_awaitable, error);
+    asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+    co_await socket.async_connect({ asio::ip::make_address(endpoint.address), endpoint.port }, asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(prefix), ignoringErrors);
+    size_t sent = prefix.size();
+    while (!error && socket.available() == 0 && sent < 16 << 20)
+        sent += co_await asio::async_write(socket, asio::buffer(filler), ignoringErrors);
+    response.resize(4096);
+    response.resize(co_await socket.async_read_some(asio::buffer(response), ignoringErrors));
+    co_return sent;
+}
+
+} // namespace
+
+// Guards against a client whose request does not end, which would occupy memory.
+TEST_CASE("bytes without end in a request are bounded, and the client is told")
+{
+    HttpServerLimits limits;
+    limits.maximumBody = 100 << 10;
+    limits.headerTimeout = limits.bodyTimeout = std::chrono::seconds(2);
+    std::string kilobyte(1024, 'x');
+    std::string post = "POST / HTTP/1.1\r\n";
+    auto chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+    std::vector<std::pair<std::string, std::string>> requests {
+        { "", kilobyte },
+        { "GET /", kilobyte },
+        { post + "X: ", kilobyte },
+        { post, "X: " + kilobyte + "\r\n" },
+        { post + "Content-Length: 1000000000000\r\n\r\n", kilobyte },
+        { chunked, "400\r\n" + kilobyte + "\r\n" },
+        { chunked + "1;", kilobyte },
+        { chunked + "0\r\n", "X: " + kilobyte + "\r\n" },
+        { chunked, kilobyte },
+    };
+    for (const auto& request : requests) {
+        HttpFixture fixture(echo, limits);
+        std::string response;
+        auto sent = fixture.run(sendWithoutEnd(fixture.server.endpoint(), request.first, request.second, response));
+        CHECK_MESSAGE(response.starts_with("HTTP/1.1 4"), request.first);
+        // Beyond the limits, bytes were in the buffers of the sockets.
+        CHECK_MESSAGE(sent < 8 << 20, request.first);
+    }
+}
+
 // Guards against a decoder that reads past a truncated escape, or that takes an escaped plus sign for a space.
 TEST_CASE("a query value is decoded, and malformed escapes are kept")
 {
