Count only events as the progress of a stream, not comments and blank lines

What callers saw: a stream that neither continued nor ended before its deadline, when its engine sent comments or blank lines instead of events. The client's response had begun with them, so that no error could follow.

Cause: each complete block of lines counted as an event: it restarted the silence watch and was recorded as the first event, also for the speed of the service and for crashing prompt parts.

Change: EventSplitter returns comments and blank lines with the event after them, at the end with the remainder; until then they count towards the maximum size of an event. Streams without comments are unchanged; a comment reaches the client later than before, with its event.

Conclusion: progress, beginning and size of a stream are now measured in the same unit.

--- a/modules/gateway/requests/EventSplitter.cpp
+++ b/modules/gateway/requests/EventSplitter.cpp
@@ -60,12 +60,18 @@
 EventBatch EventSplitter::takeEvents()
 {
     size_t taken = 0;
+    auto start = std::exchange(m_commentBytes, 0);
     EventBatch batch;
-    for (auto end = endOfEvent(m_buffer, taken); end != std::string::npos; end = endOfEvent(m_buffer, taken)) {
-        if (auto id = idOf(std::string_view(m_buffer).substr(taken, end - taken)); !id.empty())
+    for (auto end = endOfEvent(m_buffer, start); end != std::string::npos; end = endOfEvent(m_buffer, start)) {
+        auto event = std::string_view(m_buffer).substr(start, end - start);
+        start = end;
+        if (isComment(event))
+            continue;
+        if (auto id = idOf(event); !id.empty())
             batch.lastId = id;
         taken = end;
     }
+    m_commentBytes = start - taken;
     batch.bytes = m_buffer.substr(0, taken);
     m_buffer.erase(0, taken);
     return batch;
@@ -73,6 +79,7 @@
 
 std::string EventSplitter::takeRemainder()
 {
+    m_commentBytes = 0;
     return std::exchange(m_buffer, {});
 }
 
--- a/modules/gateway/requests/EventSplitter.h
+++ b/modules/gateway/requests/EventSplitter.h
@@ -20,24 +20,25 @@
     when a replica fails. */
 class EventSplitter {
 public:
-    /** Maximum buffered size of an incomplete event in bytes. */
+    /** Maximum buffered size of an incomplete event in bytes, with the comments and blank lines before it. */
     static constexpr size_t maximumEventBytes = 1 << 20;
 
     void append(std::string_view bytes) { m_buffer.append(bytes); }
 
-    /** Removes and returns the complete events; empty when there are none. */
+    /** Removes and returns the complete events, with the comments and blank lines before each; empty when there are none. */
     EventBatch takeEvents();
 
-    /** Removes and returns the bytes of the incomplete event. */
+    /** Removes and returns the bytes of the incomplete event, or the comments and blank lines after the last event. */
     std::string takeRemainder();
 
-    /** Whether the remaining bytes are part of an event, and not only line ends. */
-    bool isInsideEvent() const { return m_buffer.find_first_not_of("\r\n") != std::string::npos; }
+    /** Whether the remaining bytes are part of an event or an incomplete comment. */
+    bool isInsideEvent() const { return m_buffer.find_first_not_of("\r\n", m_commentBytes) != std::string::npos; }
 
     bool isOverlong() const { return m_buffer.size() > maximumEventBytes; }
 
 private:
     std::string m_buffer;
+    size_t m_commentBytes = 0; /**< at the start of the buffer, complete comments and blank lines */
 };
 
 /** One event within the bytes of a batch. */
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -209,7 +209,7 @@
         }
         if (isEnd && !splitter.isInsideEvent())
             batch.bytes += splitter.takeRemainder();
-        m_hasEvents = m_hasEvents || !batch.bytes.empty();
+        m_hasEvents = m_hasEvents || hasEvents;
         auto fits = keepContinuation(batch);
         if (!co_await writeEvents(response, std::move(batch)))
             co_return StreamEnd::ClientDisconnected;
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -342,6 +342,26 @@
     CHECK(fixture.replicaClient.sent.back().resumeAfter == "1");
 }
 
+// Guards against a stream without events that occupies its client until the deadline.
+TEST_CASE("comments and blank lines without end are no progress of a stream")
+{
+    for (const auto& before : { std::string(), event(1) }) {
+        for (const auto* filler : { ": c\n\n", "\n", "\r\n" }) {
+            Engines fixture;
+            fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
+            auto endless = stream({ before });
+            endless.chunks.insert(endless.chunks.end(), 100, filler);
+            endless.chunkDelay = 100ms;
+            fixture.script("i-d1", { endless });
+            fixture.script("i-d2", { stream({ event(1) + event(2) }) });
+            FakeWriter writer;
+            fixture.runRequest(fixture.resumable(), writer, fixture.longPrompt(), 1500ms);
+            CHECK(writer.isFinished);
+            CHECK(writer.body == event(1) + event(2));
+        }
+    }
+}
+
 TEST_CASE("a slow stream is not cut while its events arrive at the pace of the service")
 {
     Engines fixture;
