End responses of engines and backend servers that go on without end at the time limit

What callers saw (ticket mode): no response at all to a claimed call whose backend server sent its body byte by byte, since nothing else ends such a call at its deadline. An engine that sent comments without end kept the connection of an attempt open after the attempt was abandoned.

Cause: HttpClient limited each read of a body; each byte restarted the limit.

Change: HttpTimeouts::body limits a whole response from its header to its end: calls to backend servers and engines by their time limit, the key-value service, the weight store and the command line by the default of 60 s. A stream of an engine waits for each event for at most the time limit of the call, however many bytes arrive.

Before (HttpEngineClientTest, 'bytes without end in a response ...'): the call to a backend server with a limit of 200 ms returned after 2 s, when the test server ended its body (a required check failed, the rest of the case did not run).

--- a/modules/backends/engines/HttpEngineClient.cpp
+++ b/modules/backends/engines/HttpEngineClient.cpp
@@ -44,20 +44,25 @@
 
     class HttpCompletionStream final : public CompletionStream {
     public:
-        HttpCompletionStream(std::unique_ptr<HttpBodyStream> body, RequestId request, uint64_t afterToken)
+        /** Waits for each event for at most `timeout`, however often bytes arrive. */
+        HttpCompletionStream(std::unique_ptr<HttpBodyStream> body, RequestId request, uint64_t afterToken, Duration timeout)
             : m_body(std::move(body))
             , m_request(std::move(request))
             , m_lastIndex(afterToken)
+            , m_timeout(timeout)
         {
         }
 
         asio::awaitable<Result<std::optional<TokenEvent>>> next() override
         {
+            auto deadline = std::chrono::steady_clock::now() + m_timeout;
             while (true) {
                 if (auto event = m_parser.next())
                     co_return tokenOf(std::move(*event));
                 if (m_parser.hasFailed())
                     co_return makeError(ErrorKind::ProtocolError, "the engine sent an event that is too long");
+                if (std::chrono::steady_clock::now() >= deadline)
+                    co_return makeError(ErrorKind::DeadlineExceeded, "the engine sent bytes without an event");
                 auto bytes = co_await m_body->read();
                 if (!bytes)
                     co_return bytes.error();
@@ -91,6 +96,7 @@
         std::unique_ptr<HttpBodyStream> m_body;
         RequestId m_request;
         uint64_t m_lastIndex;
+        Duration m_timeout;
         bool m_hasLast = false;
         SseParser m_parser;
     };
@@ -107,13 +113,15 @@
             co_return makeError(errorKindOfStatus(status), "the engine responded with status " + std::to_string(status));
         if (auto responseId = (*body)->headers().value(requestIdHeader); responseId != id.value())
             co_return makeError(ErrorKind::ProtocolError, "the engine sent the response to request " + std::string(responseId) + " instead of " + id.value());
-        co_return std::unique_ptr<CompletionStream>(std::make_unique<HttpCompletionStream>(std::move(*body), std::move(id), afterToken));
+        co_return std::unique_ptr<CompletionStream>(std::make_unique<HttpCompletionStream>(std::move(*body), std::move(id), afterToken, timeout));
     }
 
     asio::awaitable<Result<std::string>> fetch(HttpClient& client, Endpoint endpoint, std::string target)
     {
         HttpTimeouts timeouts;
         timeouts.read = controlTimeout;
+        timeouts.body = controlTimeout;
+        timeouts.body = controlTimeout;
         HttpRequest request;
         request.target = std::move(target);
         auto response = co_await client.exchange(endpoint, std::move(request), timeouts);
@@ -170,6 +178,7 @@
 {
     HttpTimeouts timeouts;
     timeouts.read = controlTimeout;
+    timeouts.body = controlTimeout;
     auto response = co_await m_client.exchange(endpoint, { "POST", "/v1/cancel/" + id.value(), {}, "" }, timeouts);
     if (!response)
         co_return response.error();
@@ -199,6 +208,7 @@
     HttpTimeouts timeouts;
     timeouts.connect = std::min(timeouts.connect, timeout);
     timeouts.read = timeout;
+    timeouts.body = timeout;
     HttpRequest request { "POST", "/admin/order", {}, toJson(order).dump() };
     request.headers.set("Content-Type", "application/json");
     auto response = co_await m_client.exchange(endpoint, std::move(request), timeouts);
--- a/modules/backends/servers/HttpBackendServerClient.cpp
+++ b/modules/backends/servers/HttpBackendServerClient.cpp
@@ -70,6 +70,7 @@
     HttpTimeouts timeouts;
     timeouts.connect = std::min(timeouts.connect, timeout);
     timeouts.read = timeout;
+    timeouts.body = timeout;
     std::string id(request.headers.value("X-Request-Id"));
     auto pending = m_pending;
     auto call = std::make_shared<PendingCalls::Call>(co_await asio::this_coro::executor);
@@ -97,6 +98,7 @@
 {
     HttpTimeouts timeouts;
     timeouts.read = loadTimeout;
+    timeouts.body = loadTimeout;
     HttpRequest request;
     request.target = "/load";
     auto response = co_await m_client.exchange(endpoint, std::move(request), timeouts);
--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -2,6 +2,7 @@
 
 #include "http/client/ClientConnection.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -110,6 +111,7 @@
 namespace {
 
     using PoolState = std::shared_ptr<ConnectionPool::State>;
+    using SteadyTime = std::chrono::steady_clock::time_point;
     using ResponseParser = http::response_parser<http::string_body>;
 
     /** An exchange in progress on one connection. */
@@ -167,10 +169,7 @@
             auto& body = m_parser->get().body();
             error_code error;
             while (body.empty() && !m_parser->is_done()) {
-                if (m_options.bodyReadTimeout)
-                    m_connection->stream.expires_after(*m_options.bodyReadTimeout);
-                else if (m_bodyDeadline)
-                    m_connection->stream.expires_at(*m_bodyDeadline);
+                limitBodyRead();
                 co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
                 if (error)
                     co_return errorAfterSend(error, m_endpoint, "read response body from");
@@ -185,6 +184,15 @@
         }
 
     private:
+        void limitBodyRead()
+        {
+            auto deadline = m_bodyDeadline;
+            if (m_options.bodyReadTimeout)
+                deadline = std::min(deadline.value_or(SteadyTime::max()), std::chrono::steady_clock::now() + *m_options.bodyReadTimeout);
+            if (deadline)
+                m_connection->stream.expires_at(*deadline);
+        }
+
         asio::awaitable<Result<void>> readNextHeader()
         {
             m_parser.emplace();
@@ -238,8 +246,8 @@
         Endpoint m_endpoint;
         ClientConnectionPointer m_connection;
         ExchangeOptions m_options;
-        std::chrono::steady_clock::time_point m_deadline;
-        std::optional<std::chrono::steady_clock::time_point> m_bodyDeadline;
+        SteadyTime m_deadline;
+        std::optional<SteadyTime> m_bodyDeadline;
         bool m_isHead; /**< the response has no body, whatever its header says */
         std::optional<ResponseParser> m_parser;
         HttpHeaders m_headers;
--- a/modules/http/client/HttpClient.cpp
+++ b/modules/http/client/HttpClient.cpp
@@ -26,7 +26,9 @@
 
 asio::awaitable<Result<HttpResponse>> HttpClient::exchangeOnce(Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, size_t maximumBody, bool mayReuse)
 {
-    auto stream = co_await m_pool.open(std::move(endpoint), std::move(request), optionsFor(timeouts, mayReuse));
+    auto options = optionsFor(timeouts, mayReuse);
+    options.bodyTimeout = timeouts.body;
+    auto stream = co_await m_pool.open(std::move(endpoint), std::move(request), std::move(options));
     if (!stream)
         co_return stream.error();
     auto body = co_await readWholeBody(**stream, maximumBody);
--- a/modules/http/client/HttpClient.h
+++ b/modules/http/client/HttpClient.h
@@ -9,6 +9,8 @@
     Duration connect = std::chrono::milliseconds(500);
     /** From the end of the request to the end of the response header, and for each read of the body. */
     Duration read = std::chrono::seconds(30);
+    /** Of a whole response, from its header to the end of its body, however often bytes arrive. */
+    Duration body = std::chrono::seconds(60);
 };
 
 /** HTTP/1.1 client for whole responses and streams, with its own connection pool. Errors distinguish whether the server may
--- a/tests/backends/HttpEngineClientTest.cpp
+++ b/tests/backends/HttpEngineClientTest.cpp
@@ -217,3 +217,46 @@
     REQUIRE_FALSE(response.has_value());
     CHECK(response.error().kind == ErrorKind::ProtocolError);
 }
+
+namespace {
+
+/** Responds with a filler every 20 ms, for two seconds. */
+HttpHandler fillerOf(std::string filler)
+{
+    return [filler](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        return [](std::string bytes, HttpResponseWriter& out) -> asio::awaitable<void> {
+            co_await out.begin(200, { { "X-Request-Id", "r1" } });
+            asio::steady_timer timer(co_await asio::this_coro::executor);
+            auto isOpen = true;
+            for (int i = 0; i < 100 && isOpen; ++i) {
+                timer.expires_after(std::chrono::milliseconds(20));
+                co_await timer.async_wait(asio::use_awaitable);
+                isOpen = (co_await out.write(bytes)).has_value();
+            }
+            co_await out.finish();
+        }(filler, writer);
+    };
+}
+
+} // namespace
+
+// Guards against a caller that waits beyond its deadline while a server sends bytes that are no response.
+TEST_CASE("bytes without end in a response end it at the time limit of the call")
+{
+    constexpr auto limit = std::chrono::milliseconds(200);
+    for (const auto* filler : { "x", ": comment\n\n", "\n\n" }) {
+        BackendFixture fixture(fillerOf(filler));
+        auto startedAt = fixture.timers.now();
+        auto call = callWith("r1");
+        call.timeout = limit;
+        auto tokens = fixture.run(countTokens(fixture.engines, fixture.server.endpoint(), call));
+        CHECK(tokens.error().kind == ErrorKind::DeadlineExceeded);
+        auto response = fixture.run(fixture.servers.call(fixture.server.endpoint(), { "POST", "/x", { { "X-Request-Id", "r1" } }, "" }, limit));
+        REQUIRE_FALSE(response.has_value());
+        CHECK(response.error().kind == ErrorKind::DeadlineExceeded);
+        auto order = fixture.run(fixture.engines.order(fixture.server.endpoint(), {}, limit));
+        REQUIRE_FALSE(order.has_value());
+        CHECK(order.error().kind == ErrorKind::OutcomeUnknown);
+        CHECK(fixture.timers.now() - startedAt < std::chrono::milliseconds(1500));
+    }
+}
