--- a/tests/platform/HttpReplicaClientTest.cpp
+++ b/tests/platform/HttpReplicaClientTest.cpp
@@ -94,3 +94,49 @@
         CHECK(describe(unanswered.error().kind).outcome != Outcome::NotRun);
     }
 }
+
+namespace {
+
+/** Responds to each request of a connection with its report, written once more before a later response, which refuses an order. */
+struct RepeatingReplica {
+    RepeatingReplica() { asio::co_spawn(context, acceptAll(), asio::detached); }
+
+    asio::awaitable<void> acceptAll()
+    {
+        while (true)
+            asio::co_spawn(context, serve(co_await acceptor.async_accept(asio::use_awaitable)), asio::detached);
+    }
+
+    static asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string report = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"seq_no\":2}";
+        std::string refusedOrder = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+        asio::streambuf buffer;
+        std::string earlier;
+        while (true) {
+            auto size = co_await asio::async_read_until(socket, buffer, "\r\n\r\n", asio::use_awaitable);
+            auto isReport = static_cast<const char*>(buffer.data().data())[0] == 'G';
+            buffer.consume(isReport ? size : buffer.size());
+            earlier += isReport ? report : refusedOrder;
+            co_await asio::async_write(socket, asio::buffer(earlier), asio::use_awaitable);
+        }
+    }
+
+    asio::io_context context;
+    tcp::acceptor acceptor { context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0) };
+    AsioTimerService timers { context };
+    ConnectionPool pool { context, timers, {} };
+    platform::HttpReplicaClient client { pool, timers };
+};
+
+} // namespace
+
+// Guards against an order that is taken for done because the report before it was written once more.
+TEST_CASE("an earlier report that is written once more is not the response to an order")
+{
+    RepeatingReplica replica;
+    ReplicaId id("i-1");
+    auto address = "127.0.0.1:" + std::to_string(replica.acceptor.local_endpoint().port());
+    CHECK(test::runToEnd(replica.context, replica.client.report(id, address)).value().acceptedOrders == 2);
+    CHECK(test::runToEnd(replica.context, replica.client.order({ id, address, EngineStage::Decode, "d0", 1, 2 })).value() == OrderResult::Refused);
+}
