Keep to the refusal in a response's header when its body is broken

What callers saw: 502, which promises nothing, for a call that is not idempotent and that a replica had refused as not run, when the body of the refusal was cut or had no end. Another replica could have served it.

Cause: the relay looked at the body before the header.

Change: a header that states 'not run' or 'wrong replica' decides, as it does for generations.

Before (PlainRelayTest, 'a broken body does not change ...'): 4 of 6 checks failed; the two for calls that have run passed.

--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -52,12 +52,13 @@
         if (!response)
             co_return response.error();
         auto body = co_await readWholeBody(*response->body, maximumResponseBytes);
-        if (!body)
-            co_return makeError(ErrorKind::BackendFailed, body.error().detail);
+        // The header has already said that the request was not run, however its body ends.
         if (response->executionStatus == ExecutionStatus::NotExecuted)
             co_return makeError(ErrorKind::Overloaded, "refused by the replica with status " + std::to_string(response->body->status()));
         if (response->executionStatus == ExecutionStatus::WrongReplica)
             co_return makeError(ErrorKind::NoBackend, "the address belongs to another replica");
+        if (!body)
+            co_return makeError(ErrorKind::BackendFailed, body.error().detail);
         if (response->executionStatus == ExecutionStatus::Unverified)
             co_return makeError(ErrorKind::BackendFailed, "the response has no valid replica seal");
         auto elapsed = relay.services.timers.now() - startedAt;
--- a/tests/gateway/PlainRelayTest.cpp
+++ b/tests/gateway/PlainRelayTest.cpp
@@ -57,6 +57,32 @@
     CHECK_FALSE(writer.headers.contains("Retry-After"));
 }
 
+// Guards against a response that is cut or without end and is taken for a whole one or for "not run".
+TEST_CASE("a broken body does not change what the header of the response says about the call")
+{
+    std::string megabyte(1 << 20, 'x');
+    for (auto isEndless : { true, false }) {
+        GatewayFixture fixture;
+        fixture.addReplica("i-1", "s", "none");
+        fixture.addReplica("i-2", "s", "none", "b");
+        auto broken = respondWith("part");
+        broken.chunks.resize(isEndless ? 20 : 1, megabyte);
+        broken.closesEarly = !isEndless;
+        auto refused = broken;
+        refused.status = 503;
+        refused.executionStatus = ExecutionStatus::NotExecuted;
+        fixture.replicaClient.scripts[ReplicaId("i-1")] = { broken, refused };
+        fixture.replicaClient.scripts[ReplicaId("i-2")] = { respondWith("done") };
+        FakeWriter executed;
+        fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 3), executed);
+        CHECK(executed.status == 502);
+        FakeWriter refusedFirst;
+        fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 3), refusedFirst);
+        CHECK(refusedFirst.status == 200);
+        CHECK(fixture.replicaClient.sent.size() == 3);
+    }
+}
+
 TEST_CASE("a call that a replica refused is sent to another one, even if it is not idempotent")
 {
     GatewayFixture fixture;
