Test the configuration after a restart, and responses of the store without end

A restarted daemon has no configuration until the store sends one, and then the newest, also when the store was down at the start and has lost its history. A response of the store of more than 8 MB is a lost response for lists, watches and transactions.

--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -28,6 +28,13 @@
     }
 };
 
+Result<RoutingConfiguration> decodeVersion(std::string_view text)
+{
+    RoutingConfiguration configuration;
+    configuration.version = std::stoull(std::string(text));
+    return configuration;
+}
+
 } // namespace
 
 TEST_CASE("changes of the store are applied, and the last state is kept during an outage")
@@ -162,12 +169,7 @@
 TEST_CASE("the configuration never returns to an older version")
 {
     GatewayFixture fixture;
-    auto decode = [](std::string_view text) -> Result<RoutingConfiguration> {
-        RoutingConfiguration configuration;
-        configuration.version = static_cast<uint64_t>(std::stoi(std::string(text)));
-        return configuration;
-    };
-    RoutingSource source(fixture.context, fixture.store, fixture.timers, fixture.log, "op/config", decode, [](const RoutingConfiguration&) {});
+    RoutingSource source(fixture.context, fixture.store, fixture.timers, fixture.log, "op/config", decodeVersion, [](const RoutingConfiguration&) {});
     source.start();
     fixture.settle();
     CHECK(source.table() == nullptr);
@@ -178,6 +180,24 @@
     CHECK(source.table()->configuration().version == 9);
 }
 
+// Guards against a withdrawn route that is in use again after a restart.
+TEST_CASE("a restarted daemon has no configuration until the store sends the newest one, also when its history is lost")
+{
+    GatewayFixture fixture;
+    fixture.store.put("op/config", "4");
+    fixture.store.put("op/config", "9");
+    fixture.store.compact();
+    fixture.store.isDown = true;
+    std::vector<uint64_t> applied;
+    RoutingSource source(fixture.context, fixture.store, fixture.timers, fixture.log, "op/config", decodeVersion, [&applied](const RoutingConfiguration& configuration) { applied.push_back(configuration.version); });
+    source.start();
+    fixture.timers.advance(5s);
+    CHECK(source.table() == nullptr);
+    fixture.store.isDown = false;
+    fixture.timers.advance(5s);
+    CHECK(applied == std::vector<uint64_t> { 9 });
+}
+
 // Guards against a directory that grows with each replaced replica, and against a late heartbeat that restores a removed one.
 TEST_CASE("the record of a removed replica is kept for a minute and then erased")
 {
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -87,3 +87,13 @@
     platform::StoreClient unreachable(fixture.pool, { "127.0.0.1", 1 });
     CHECK(fixture.http.run(unreachable.grantLease(3s)).error().kind == ErrorKind::PlatformUnavailable);
 }
+
+// Guards against memory use that grows with a response of the store.
+TEST_CASE("a response of the store without end is a lost response")
+{
+    StoreFixture fixture;
+    fixture.response = { 200, {}, std::string(9 << 20, 'x') };
+    CHECK(fixture.http.run(fixture.store.list("my/", "")).error().kind == ErrorKind::PlatformAnswerLost);
+    CHECK(fixture.http.run(fixture.store.watch("my/", 1, 1s, nullptr)).error().kind == ErrorKind::PlatformAnswerLost);
+    CHECK(fixture.http.run(fixture.store.transact({}, {}, { "my/a" })).error().kind == ErrorKind::PlatformAnswerLost);
+}
