Send each call to a backend server on a connection of its own

What callers could see (ticket mode): the response to an earlier GET as the response to theirs, when a backend server writes it once more on a kept connection without a request id. Responses need not have one, so that only those of known other requests were recognized.

Cause: HttpClient::exchange uses idle connections for GET and HEAD.

Change: calls to backend servers use a new connection, as those of other methods did; HttpClient::exchangeOnNewConnection. A GET that fails is no longer sent again below ServiceCall, which counts its attempts.

Before (HttpEngineClientTest, 'a call to a backend server is not sent on a connection that was used before'): 1 of 4 checks failed.

--- a/modules/backends/servers/HttpBackendServerClient.cpp
+++ b/modules/backends/servers/HttpBackendServerClient.cpp
@@ -75,7 +75,8 @@
     auto pending = m_pending;
     auto call = std::make_shared<PendingCalls::Call>(co_await asio::this_coro::executor);
     auto entry = pending->byId.emplace(id, call);
-    auto response = co_await m_client.exchange(endpoint, std::move(request), timeouts);
+    // A response need not have an id, so a copy of an earlier one on the same connection could not be told from it.
+    auto response = co_await m_client.exchangeOnNewConnection(endpoint, std::move(request), timeouts);
     std::string responseId(response ? response->headers.value("X-Request-Id") : "");
     if (!responseId.empty() && responseId != id) {
         auto wasExpected = pending->deliver(responseId, *response);
--- a/modules/http/client/HttpClient.cpp
+++ b/modules/http/client/HttpClient.cpp
@@ -46,7 +46,12 @@
         if (response || response.error().kind != ErrorKind::BackendFailed)
             co_return response;
     }
-    co_return co_await exchangeOnce(std::move(endpoint), std::move(request), timeouts, maximumBody, false);
+    co_return co_await exchangeOnNewConnection(std::move(endpoint), std::move(request), timeouts, maximumBody);
+}
+
+asio::awaitable<Result<HttpResponse>> HttpClient::exchangeOnNewConnection(Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, size_t maximumBody)
+{
+    return exchangeOnce(std::move(endpoint), std::move(request), timeouts, maximumBody, false);
 }
 
 asio::awaitable<Result<std::unique_ptr<HttpBodyStream>>> HttpClient::open(Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts)
--- a/modules/http/client/HttpClient.h
+++ b/modules/http/client/HttpClient.h
@@ -23,6 +23,9 @@
         only: if one fails, the server may have received the request, so that only these methods can be retried. */
     asio::awaitable<Result<HttpResponse>> exchange(Endpoint, HttpRequest, HttpTimeouts, size_t maximumBody = 8 << 20);
 
+    /** As exchange(), on a new connection and without a retry. */
+    asio::awaitable<Result<HttpResponse>> exchangeOnNewConnection(Endpoint, HttpRequest, HttpTimeouts, size_t maximumBody = 8 << 20);
+
     /** Sends a request on a new connection and returns after the response header. */
     asio::awaitable<Result<std::unique_ptr<HttpBodyStream>>> open(Endpoint, HttpRequest, HttpTimeouts);
 
--- a/tests/backends/HttpEngineClientTest.cpp
+++ b/tests/backends/HttpEngineClientTest.cpp
@@ -210,6 +210,17 @@
     CHECK(responses.at("/other")->body == "other");
 }
 
+// Guards against a copy of an earlier response, without an id, that is taken for the response to the next call.
+TEST_CASE("a call to a backend server is not sent on a connection that was used before")
+{
+    BackendFixture fixture([](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> { co_await writer.send({ 200, {}, "done" }); });
+    for (size_t calls = 1; calls <= 2; ++calls) {
+        auto response = fixture.run(fixture.servers.call(fixture.server.endpoint(), { "GET", "/x", { { "X-Request-Id", "r1" } }, "" }, std::chrono::seconds(1)));
+        CHECK(response.has_value());
+        CHECK(fixture.server.openConnections() == calls);
+    }
+}
+
 TEST_CASE("a backend server's response to another request never reaches the caller")
 {
     BackendFixture fixture([](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> { co_await writer.send({ 200, { { "X-Request-Id", "r2" } }, "other" }); });
