--- a/modules/http/client/HttpClient.cpp
+++ b/modules/http/client/HttpClient.cpp
@@ -26,7 +26,9 @@
 
 asio::awaitable<Result<HttpResponse>> HttpClient::exchangeOnce(Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, size_t maximumBody, bool mayReuse)
 {
-    auto stream = co_await m_pool.open(std::move(endpoint), std::move(request), optionsFor(timeouts, mayReuse));
+    auto options = optionsFor(timeouts, mayReuse);
+    options.bodyTimeout = timeouts.body;
+    auto stream = co_await m_pool.open(std::move(endpoint), std::move(request), std::move(options));
     if (!stream)
         co_return stream.error();
     auto body = co_await readWholeBody(**stream, maximumBody);
@@ -44,7 +46,12 @@
         if (response || response.error().kind != ErrorKind::BackendFailed)
             co_return response;
     }
-    co_return co_await exchangeOnce(std::move(endpoint), std::move(request), timeouts, maximumBody, false);
+    co_return co_await exchangeOnNewConnection(std::move(endpoint), std::move(request), timeouts, maximumBody);
+}
+
+asio::awaitable<Result<HttpResponse>> HttpClient::exchangeOnNewConnection(Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, size_t maximumBody)
+{
+    return exchangeOnce(std::move(endpoint), std::move(request), timeouts, maximumBody, false);
 }
 
 asio::awaitable<Result<std::unique_ptr<HttpBodyStream>>> HttpClient::open(Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts)
