Count crashes at the same time one by one against parts that are not popular

Five engines crash within 100 ms of each other, which counts as one or two crashes; the part is blocked when the restarted engines have crashed again.

Cause: crashes within 100 ms count as one, so that a loss of power blocks no popular part. The rule has no regard to whether the part is a popular one.

Change: a sound part that waits at several engines at once begins often. If requests with the part have not begun for more than 1 s and four times the longest wait of the lost requests, while other requests have, each engine counts by itself, 1 s after its crash, when the first events of all daemons are known. The comparison ends with the last first event that was known when the crash was recorded: an outage and a second loss of power, in which nothing begins, prove nothing, and neither does a daemon that has just started. Crash reports carry the longest wait. The delay between trials is limited to 5 minutes, as there may now be many crashes.

--- a/modules/decisions/quarantine/CrashingParts.cpp
+++ b/modules/decisions/quarantine/CrashingParts.cpp
@@ -20,8 +20,15 @@
     constexpr Duration shortestRestart = std::chrono::seconds(1);
     /** Each crash is reported for this long, so in several datagrams, because some do not arrive. */
     constexpr Duration reportTime = std::chrono::seconds(3);
+    /** A popular part waits at several engines at once only if it begins often: not to begin for so many times the longest
+        wait, while other requests do, excludes it. */
+    constexpr int64_t waitsOfUnpopular = 4;
+    constexpr Duration shortestUnpopularTime = std::chrono::seconds(1);
+    /** Peers do not report earlier first events. */
+    constexpr Duration longestUnpopularTime = reportTime - shortestRestart;
     /** Multiplied by the number of crashes, so that a part that crashes engines in its trials is tried ever less often. */
     constexpr Duration trialDelay = std::chrono::seconds(30);
+    constexpr Duration longestTrialDelay = std::chrono::minutes(5);
     constexpr Duration crashRetention = std::chrono::minutes(20);
     /** Exceeds reportTime, so that a late report of a peer does not restore a refuted suspicion. */
     constexpr Duration beginRetention = std::chrono::minutes(5);
@@ -39,17 +46,19 @@
         return begun != table.begunAt.end() && crash <= begun->second;
     }
 
-    /** Drops the oldest quarter of the entries when there are too many, so that most calls cost nothing. */
+    /** Drops the oldest quarter of the entries when there are too many, so that most calls cost nothing. Returns the time of
+        the last one that was dropped. */
     template <typename Key, typename Value, typename TimeOf>
-    void limitSize(std::map<Key, Value>& entries, size_t maximum, TimeOf timeOf)
+    std::optional<TimePoint> limitSize(std::map<Key, Value>& entries, size_t maximum, TimeOf timeOf)
     {
         if (entries.size() <= maximum)
-            return;
+            return std::nullopt;
         std::vector<TimePoint> times;
         std::ranges::transform(entries, std::back_inserter(times), [&](const auto& entry) { return timeOf(entry.second); });
         auto limit = times.begin() + static_cast<ptrdiff_t>(times.size() / 4);
         std::ranges::nth_element(times, limit);
         std::erase_if(entries, [&](const auto& entry) { return timeOf(entry.second) <= *limit; });
+        return *limit;
     }
 
     void removeRefutedSuspects(const CrashingPartTable& table, EngineCrash& crash)
@@ -70,7 +79,7 @@
     EngineCrash& crashOf(CrashingPartTable& table, const EngineStart& engine, TimePoint at)
     {
         limitSize(table.crashes, maximumCrashes, [](const auto& crash) { return crash.at; });
-        auto& crash = table.crashes.try_emplace(engine, EngineCrash { at, false, {} }).first->second;
+        auto& crash = table.crashes.try_emplace(engine, EngineCrash { at, false, {}, {}, table.lastBegin }).first->second;
         crash.at = std::min(crash.at, at);
         return crash;
     }
@@ -79,7 +88,11 @@
     {
         auto& begunAt = table.begunAt.try_emplace(part, at).first->second;
         begunAt = std::max(begunAt, at);
-        limitSize(table.begunAt, maximumBegins, [](TimePoint time) { return time; });
+        if (!table.lastBegin)
+            table.beginsKnownSince = at;
+        table.lastBegin = std::max(table.lastBegin.value_or(at), at);
+        if (auto dropped = limitSize(table.begunAt, maximumBegins, [](TimePoint time) { return time; }))
+            table.beginsKnownSince = std::max(table.beginsKnownSince, *dropped);
     }
 
     CrashesByPart countedCrashes(const CrashingPartTable& table, TimePoint latest)
@@ -97,23 +110,36 @@
         return crashesByPart;
     }
 
-    CrashingPart describePart(uint64_t part, const std::vector<const CrashOfEngine*>& crashes)
+    /** Whether requests with the part had not begun for long before the crash although others had. A popular part, which a
+        loss of power finds waiting at many engines, has. */
+    bool isUnpopular(const CrashingPartTable& table, uint64_t part, const EngineCrash& crash, Duration waited)
+    {
+        auto required = std::max(shortestUnpopularTime, waitsOfUnpopular * waited);
+        if (!crash.lastBegin || required > longestUnpopularTime)
+            return false;
+        auto begun = table.begunAt.find(part);
+        auto begunAt = begun == table.begunAt.end() ? table.beginsKnownSince : begun->second;
+        return std::min(*crash.lastBegin, crash.at) - begunAt > required;
+    }
+
+    CrashingPart describePart(const CrashingPartTable& table, uint64_t part, std::vector<const CrashOfEngine*> crashes, TimePoint now)
     {
         CrashingPart result { part };
-        std::vector<TimePoint> times;
-        for (const auto* crash : crashes) {
-            times.push_back(crash->second.at);
-            result.replicas.insert(crash->first.replica);
-        }
-        std::ranges::sort(times);
+        std::ranges::sort(crashes, {}, [](const auto* entry) { return entry->second.at; });
+        auto waited = std::ranges::max(crashes, {}, [](const auto* entry) { return entry->second.waited; })->second.waited;
         std::optional<TimePoint> last;
-        for (auto time : times) {
-            if (last && time - *last < commonCauseTime)
+        for (const auto* entry : crashes) {
+            const auto& [engine, crash] = *entry;
+            result.replicas.insert(engine.replica);
+            auto isApart = !last || crash.at - *last >= commonCauseTime;
+            // No engine is back sooner, so that nothing is lost by waiting for first events that peers report.
+            auto isReported = now - crash.at >= shortestRestart;
+            if (!isApart && !(isReported && isUnpopular(table, part, crash, waited)))
                 continue;
             ++result.crashes;
-            last = time;
+            last = crash.at;
         }
-        result.lastCrash = times.back();
+        result.lastCrash = crashes.back()->second.at;
         result.state = result.crashes >= crashesToBlock ? PartState::Blocked : PartState::Suspected;
         return result;
     }
@@ -127,11 +153,11 @@
         return std::tuple(part.state, sinceBegin, crashes.size(), crashes.front()->second.suspects.at(part.part));
     }
 
-    std::optional<CrashingPart> guiltiestPart(const CrashingPartTable& table, const CrashesByPart& crashesByPart)
+    std::optional<CrashingPart> guiltiestPart(const CrashingPartTable& table, const CrashesByPart& crashesByPart, TimePoint now)
     {
         std::optional<CrashingPart> best;
         for (const auto& [part, crashes] : crashesByPart) {
-            auto candidate = describePart(part, crashes);
+            auto candidate = describePart(table, part, crashes, now);
             if (candidate.crashes < crashesToSuspect)
                 continue;
             if (!best || guiltOf(table, candidate, crashes) > guiltOf(table, *best, crashesByPart.at(best->part)))
@@ -168,14 +194,17 @@
 {
     auto& crash = crashOf(table, engine, now);
     // A request that was sent after the crash was reset by the address of the ended process.
-    if (sentAt <= crash.at + reportTimeError)
-        addSuspects(table, crash, parts);
+    if (sentAt > crash.at + reportTimeError)
+        return;
+    crash.waited = std::max(crash.waited, crash.at - sentAt);
+    addSuspects(table, crash, parts);
 }
 
 void mergeEngineCrash(CrashingPartTable& table, const EngineCrashReport& report, TimePoint now)
 {
     auto& crash = crashOf(table, report.engine, now - report.age);
     crash.isRefuted = crash.isRefuted || report.isRefuted;
+    crash.waited = std::max(crash.waited, report.waited);
     addSuspects(table, crash, report.suspects);
 }
 
@@ -203,7 +232,7 @@
 {
     auto crashesByPart = countedCrashes(table, now - settleTime);
     std::vector<CrashingPart> parts;
-    while (auto part = guiltiestPart(table, crashesByPart)) {
+    while (auto part = guiltiestPart(table, crashesByPart, now)) {
         removeExplained(crashesByPart, part->part);
         parts.push_back(std::move(*part));
     }
@@ -212,7 +241,7 @@
 
 bool takeTrial(CrashingPartTable& table, const CrashingPart& part, double jitter, TimePoint now)
 {
-    auto delay = trialDelay * static_cast<int64_t>(part.crashes);
+    auto delay = std::min(longestTrialDelay, trialDelay * static_cast<int64_t>(part.crashes));
     auto due = part.lastCrash + delay + fromSeconds(toSeconds(delay) * jitter);
     auto trial = table.trials.find(part.part);
     if (now < due || (trial != table.trials.end() && now < trial->second + delay))
@@ -234,7 +263,7 @@
         const auto& [engine, crash] = entry;
         auto suspects = reportedSuspects(crash, crashesByPart);
         if (crash.isRefuted || !suspects.empty())
-            reports.push_back({ engine, now - crash.at, crash.isRefuted, std::move(suspects) });
+            reports.push_back({ engine, now - crash.at, crash.isRefuted, std::move(suspects), std::min(crash.waited, reportTime) });
     }
     std::ranges::sort(reports, {}, &EngineCrashReport::age);
     reports.resize(std::min(reports.size(), maximumCrashReports));
--- a/modules/decisions/quarantine/CrashingParts.h
+++ b/modules/decisions/quarantine/CrashingParts.h
@@ -32,6 +32,8 @@
     TimePoint at;
     bool isRefuted = false; /**< the engine has responded since, so that it has not crashed */
     std::map<uint64_t, uint32_t> suspects; /**< positions by part */
+    Duration waited {}; /**< the longest time that one of the requests had been waiting */
+    std::optional<TimePoint> lastBegin; /**< last first event of any request when the crash was recorded */
 
     bool operator==(const EngineCrash&) const = default;
 };
@@ -40,6 +42,8 @@
 struct CrashingPartTable {
     std::map<EngineStart, EngineCrash> crashes;
     std::map<uint64_t, TimePoint> begunAt; /**< last first event of a request with the part */
+    std::optional<TimePoint> lastBegin; /**< of any request */
+    TimePoint beginsKnownSince; /**< earlier first events may be missing in begunAt */
     std::map<uint64_t, TimePoint> trials; /**< last request that this daemon admitted although its part is blocked */
 };
 
@@ -52,7 +56,7 @@
 struct CrashingPart {
     uint64_t part = 0;
     PartState state = PartState::Suspected;
-    uint32_t crashes = 0; /**< crashes shortly after each other count as one */
+    uint32_t crashes = 0; /**< crashes shortly after each other count as one if the part may be a popular one */
     TimePoint lastCrash;
     std::set<ReplicaId> replicas;
 
@@ -65,6 +69,7 @@
     Duration age {};
     bool isRefuted = false;
     std::vector<SharedPart> suspects;
+    Duration waited {}; /**< the longest time that one of the requests had been waiting */
 
     bool operator==(const EngineCrashReport&) const = default;
 };
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -120,11 +120,11 @@
     json encodeEngineCrashes(const std::vector<EngineCrashReport>& reports)
     {
         auto list = json::array();
-        for (const auto& [engine, age, isRefuted, suspects] : reports) {
+        for (const auto& [engine, age, isRefuted, suspects, waited] : reports) {
             auto parts = json::array();
             for (const auto& part : suspects)
                 parts.push_back({ part.id, part.position });
-            list.push_back({ engine.replica.value(), engine.startedAt, age.count(), isRefuted, std::move(parts) });
+            list.push_back({ engine.replica.value(), engine.startedAt, age.count(), isRefuted, std::move(parts), waited.count() });
         }
         return list;
     }
@@ -148,7 +148,7 @@
         checkSize(list, maximumCrashReports);
         std::vector<EngineCrashReport> reports;
         for (const auto& item : list) {
-            EngineCrashReport report { { ReplicaId(item.at(0).get<std::string>()), item.at(1).get<int64_t>() }, decodeAge(item.at(2)), item.at(3).get<bool>(), {} };
+            EngineCrashReport report { { ReplicaId(item.at(0).get<std::string>()), item.at(1).get<int64_t>() }, decodeAge(item.at(2)), item.at(3).get<bool>(), {}, decodeAge(item.at(5)) };
             checkSize(item.at(4), maximumReportedSuspects);
             for (const auto& part : item.at(4))
                 report.suspects.push_back({ part.at(0).get<uint64_t>(), part.at(1).get<uint32_t>() });
--- a/tests/decisions/CrashingPartsTest.cpp
+++ b/tests/decisions/CrashingPartsTest.cpp
@@ -13,10 +13,12 @@
 constexpr uint64_t crashingPart = 7;
 /** After this time a crash counts. */
 constexpr Duration settled = 400ms;
+/** After this time all reports about a crash have arrived. */
+constexpr Duration crashesReported = 1100ms;
 
 /** The table of one daemon and the clock. */
 struct Crashes {
-    void crash(const std::string& replica, std::vector<uint64_t> parts, int64_t start = 1) { recordEngineCrash(table, { ReplicaId(replica), start }, shared(parts), now, now); }
+    void crash(const std::string& replica, std::vector<uint64_t> parts, int64_t start = 1) { recordEngineCrash(table, { ReplicaId(replica), start }, shared(parts), now - waited, now); }
 
     void begin(std::vector<uint64_t> parts) { recordPartsBegun(table, shared(parts), now); }
 
@@ -29,10 +31,10 @@
             mergePartBegin(table, report, now);
     }
 
-    std::vector<uint64_t> blocked() const
+    std::vector<uint64_t> blocked(Duration later = settled) const
     {
         std::vector<uint64_t> parts;
-        for (const auto& part : findCrashingParts(table, now + settled)) {
+        for (const auto& part : findCrashingParts(table, now + later)) {
             if (part.state == PartState::Blocked)
                 parts.push_back(part.part);
         }
@@ -48,6 +50,7 @@
 
     CrashingPartTable table;
     TimePoint now = TimePoint(1h);
+    Duration waited {}; /**< from the send to the crash */
 };
 
 using Parts = std::vector<uint64_t>;
@@ -84,6 +87,71 @@
     CHECK(daemon.blocked().empty());
 }
 
+// Guards against five engines that crash within 100 ms, after which the next crash counts as the second only.
+TEST_CASE("a part that did not begin for long is blocked after crashes at the same time, popular parts are not")
+{
+    // The part is new, or it began sometimes before it became harmful.
+    for (auto isNew : { true, false }) {
+        std::vector<Crashes> daemons(2);
+        auto beginAtAll = [&daemons](const Parts& parts) {
+            for (auto& daemon : daemons) {
+                daemon.begin(parts);
+                daemon.now += 100ms;
+            }
+        };
+        beginAtAll(isNew ? Parts { commonPart } : Parts { commonPart, crashingPart });
+        for (int i = 0; i < 20; ++i)
+            beginAtAll({ commonPart, 20 });
+        for (int i = 0; i < 5; ++i) {
+            daemons[0].crash("i-" + std::to_string(i), { commonPart, crashingPart });
+            daemons[0].crash("i-" + std::to_string(i), { commonPart, 20 });
+        }
+        daemons[1].receiveFrom(daemons[0]);
+        for (const auto& daemon : daemons) {
+            CHECK(daemon.blocked().empty());
+            CHECK(daemon.blocked(crashesReported) == Parts { crashingPart });
+        }
+    }
+}
+
+// Guards against blocking a sound part after losses of power: it began at another daemon, or nothing began before the loss.
+TEST_CASE("engines that crash at the same time block no part that began elsewhere, and none while nothing begins")
+{
+    std::vector<Crashes> daemons(2);
+    auto advanceAll = [&daemons](Duration time) {
+        for (auto& daemon : daemons)
+            daemon.now += time;
+    };
+    auto loseAll = [&daemons](int start) {
+        for (int i = 0; i < 5; ++i)
+            daemons[0].crash("i-" + std::to_string(i), { commonPart, 20 }, start);
+        for (size_t i : { 0, 1, 0 })
+            daemons[1 - i].receiveFrom(daemons[i]);
+    };
+    for (int i = 0; i < 20; ++i) {
+        daemons[0].begin({ commonPart });
+        daemons[1].begin({ commonPart, 20 });
+        advanceAll(100ms);
+    }
+    loseAll(1);
+    CHECK(daemons[0].blocked(crashesReported).empty());
+    CHECK(daemons[1].blocked(crashesReported).empty());
+    // The requests waited for long, so that a part of them may begin rarely.
+    advanceAll(5s);
+    daemons[0].begin({ commonPart, 20 });
+    advanceAll(1500ms);
+    daemons[0].begin({ commonPart });
+    daemons[0].waited = 450ms;
+    loseAll(3);
+    CHECK(daemons[0].blocked(crashesReported).empty());
+    daemons[0].waited = {};
+    // Power fails again before the restarted engines begin anything.
+    advanceAll(5s);
+    loseAll(2);
+    CHECK(daemons[0].blocked(crashesReported).empty());
+    CHECK(daemons[1].blocked(crashesReported).empty());
+}
+
 TEST_CASE("a process that resets further attempts after its crash counts as one crash")
 {
     Crashes daemon;
