Read only the newest versions when a watch returns more than 512 KB

After an outage the first watch returned every version written meanwhile. Twenty versions of a configuration of 330 KB are 9 MB, by calculation 7 s of a link of 10 Mbit/s before the newest one takes effect. By reading, a response of more than 8 MB was refused on each attempt, so the mirror did not advance until the store discarded its history.

--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -108,6 +108,11 @@
         m_log.write(EventId::StoreHistoryLost, { { "prefix", m_prefix }, { "revision", m_revision } });
         co_return co_await listAll();
     }
+    if (changes->isTooLong) {
+        m_needsList = true;
+        m_isCatchingUp = true;
+        co_return co_await listAll();
+    }
     size_t bytes = 0;
     for (const auto& change : changes->changes) {
         bytes += change.item.value.size();
--- a/modules/gateway/store/VersionedStore.h
+++ b/modules/gateway/store/VersionedStore.h
@@ -39,6 +39,7 @@
     std::vector<StoreChange> changes;
     uint64_t revision = 0;
     bool isHistoryLost = false; /**< the changes since the given revision were compacted; list again */
+    bool isTooLong = false; /**< the changes have more than maximumWatchBytes and were not read; list again */
 };
 
 struct StoreCondition {
@@ -52,6 +53,9 @@
     uint64_t lease = 0; /**< zero: none */
 };
 
+/** Longest encoded response to a watch that is read. A watch returns every version of a key, a list only the newest one. */
+constexpr size_t maximumWatchBytes = 512 << 10;
+
 /** A key-value store with a global revision counter, leases and watches of prefixes.
     Errors: PlatformUnavailable when the call had no effect, PlatformAnswerLost when it may have had or may still get one,
     PlatformConflict when a condition does not hold, NotFound when a lease has expired. */
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -9,6 +9,11 @@
 
     constexpr Duration watchStep = std::chrono::milliseconds(10);
 
+    size_t base64Size(size_t bytes)
+    {
+        return bytes * 4 / 3;
+    }
+
     Error unavailable()
     {
         return makeError(ErrorKind::PlatformUnavailable, "the store is down");
@@ -114,6 +119,12 @@
     return changes;
 }
 
+asio::awaitable<void> FakeVersionedStore::transfer(size_t valueBytes)
+{
+    if (linkBytesPerSecond > 0)
+        co_await m_timers.sleep(fromSeconds(static_cast<double>(base64Size(valueBytes)) / static_cast<double>(linkBytesPerSecond)));
+}
+
 asio::awaitable<Result<StorePage>> FakeVersionedStore::list(std::string prefix, std::string after)
 {
     ++calls;
@@ -125,6 +136,10 @@
         if (key.starts_with(prefix) && key > after)
             page.items.push_back(item);
     }
+    size_t bytes = 0;
+    for (const auto& item : page.items)
+        bytes += item.value.size();
+    co_await transfer(bytes);
     co_return page;
 }
 
@@ -139,8 +154,15 @@
         if (revision + 1 < m_oldest)
             co_return StoreChanges { {}, 0, true };
         auto changes = changesAfter(prefix, revision);
-        if (!changes.changes.empty() || m_timers.now() >= end)
+        if (!changes.changes.empty() || m_timers.now() >= end) {
+            size_t bytes = 0;
+            for (const auto& change : changes.changes)
+                bytes += change.item.value.size();
+            if (base64Size(bytes) > maximumWatchBytes)
+                co_return StoreChanges { {}, 0, false, true };
+            co_await transfer(bytes);
             co_return changes;
+        }
         co_await m_timers.sleep(watchStep);
     }
 }
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -23,6 +23,7 @@
     bool isDown = false;
     bool dropsResponses = false; /**< writes take effect, but their responses are lost */
     size_t calls = 0;
+    size_t linkBytesPerSecond = 0; /**< at which lists and changes are transferred; zero: without delay */
 
     void put(const std::string& key, const std::string& value, uint64_t lease = 0);
     void erase(const std::string& key);
@@ -43,6 +44,8 @@
         TimePoint end;
     };
 
+    /** Completes when the values have been received. */
+    asio::awaitable<void> transfer(size_t valueBytes);
     StoreChanges changesAfter(const std::string& prefix, uint64_t revision) const;
     void expireLeases();
     void removeLease(uint64_t lease);
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -254,6 +254,26 @@
     CHECK(applied.back() == "40");
 }
 
+// Guards against a daemon that reads every version since an outage over a slow link before it applies the newest one.
+TEST_CASE("after an outage with many large versions only the newest one is read")
+{
+    GatewayFixture fixture;
+    std::vector<std::string> applied;
+    auto mirror = std::make_shared<StoreMirror>(fixture.context, fixture.store, fixture.timers, fixture.log, "x/", [] { return Duration::zero(); });
+    mirror->subscribe("x/", { [&applied](const StoreItem& item) { applied.push_back(item.value.substr(0, 2)); }, [](const std::string&) {} });
+    mirror->start();
+    fixture.settle();
+    fixture.store.linkBytesPerSecond = 1'250'000;
+    fixture.store.isDown = true;
+    fixture.timers.advance(1s);
+    for (int version = 10; version < 30; ++version)
+        fixture.store.put("x/1", std::to_string(version) + std::string(330 << 10, 'x'));
+    fixture.store.isDown = false;
+    mirror->restartWatch();
+    fixture.timers.advance(1s);
+    CHECK(applied == std::vector<std::string> { "29" });
+}
+
 // Guards against a replica that left before this daemon was restarted, and that stays in use because a peer that is behind has
 // reported its entry afterwards: no removal of it is read from the store any more.
 TEST_CASE("an entry that only a peer has reported is removed unless the store confirms it")
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -52,6 +52,16 @@
     CHECK(fixture.http.run(fixture.store.watch("my/", 6, 100ms, nullptr))->isHistoryLost);
 }
 
+// Guards against superseded versions of large values that occupy a slow link.
+TEST_CASE("changes that are longer than the limit of a watch are not read")
+{
+    StoreFixture fixture;
+    fixture.response = { 200, {}, R"({"events":[],"padding":")" + std::string(maximumWatchBytes, 'x') + R"(","current_rev":9})" };
+    auto changes = fixture.http.run(fixture.store.watch("my/", 6, 100ms, nullptr));
+    REQUIRE(changes.has_value());
+    CHECK(changes->isTooLong);
+}
+
 TEST_CASE("a transaction contains its conditions, writes and removals")
 {
     StoreFixture fixture;
