Read a request without a separate wait for its first byte

Suspected part of it: since a connection first waits for bytes and then reads, two turns of the event loop and three system calls more for each request.

Change: the header is read directly, as before, without a timer. One periodic check closes the connections that are idle for too long, or that have had a part of a header for too long; setLimits() changes the limits of the parsers that wait.

--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -31,7 +31,7 @@
 
     using Clock = std::chrono::steady_clock;
 
-    constexpr Duration idleCheckPeriod = std::chrono::milliseconds(100);
+    constexpr Duration waitCheckPeriod = std::chrono::milliseconds(100);
 
     Duration idleTimeoutOf(const HttpServerLimits& limits)
     {
@@ -47,8 +47,8 @@
     HttpServerLimits limits;
     HttpHandler handler;
     HttpErrorResponder errorResponder;
-    std::set<ServerConnection*> idleConnections; /**< that wait for the first byte of a request */
-    asio::steady_timer idleTimer { context };
+    std::set<ServerConnection*> waitingConnections; /**< connections without a complete request header */
+    asio::steady_timer waitTimer { context };
     size_t openConnections = 0;
     bool isAccepting = true;
     bool allowsKeepAlive = true;
@@ -65,6 +65,7 @@
     }
 
     using ServerState = std::shared_ptr<HttpServer::State>;
+    using RequestParser = http::request_parser<http::string_body>;
 
     /** Detects that the caller closes the connection while a handler runs. */
     struct DisconnectWatcher : std::enable_shared_from_this<DisconnectWatcher> {
@@ -270,25 +271,39 @@
 
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
+        RequestParser* parser = nullptr; /**< of the header that the connection waits for */
         Clock::time_point idleSince;
         Duration idleTimeout {}; /**< as configured at idleSince */
+        std::optional<Clock::time_point> headerSince; /**< since when a part of a request header has been buffered */
         std::shared_ptr<DisconnectWatcher> watcher;
     };
 
-    /** Lists a connection in idleConnections for the lifetime of this object. */
-    class IdleConnectionGuard {
+    /** Sets the limits of a request of which no complete header has been read. */
+    void applyLimits(ServerConnection& connection, const HttpServerLimits& limits)
+    {
+        connection.parser->header_limit(static_cast<uint32_t>(limits.maximumHeader));
+        connection.parser->body_limit(limits.maximumBody);
+        // The parser does not limit the sizes of chunk extensions and trailers; the buffer does.
+        connection.buffer.max_size(std::max(connection.buffer.max_size(), maximumBufferOf(limits)));
+    }
+
+    /** Lists a connection in waitingConnections for the lifetime of this object. */
+    class WaitingConnectionGuard {
     public:
-        IdleConnectionGuard(ServerState state, ServerConnection& connection)
+        WaitingConnectionGuard(ServerState state, ServerConnection& connection, RequestParser& parser)
             : m_state(std::move(state))
             , m_connection(&connection)
         {
+            m_connection->parser = &parser;
             m_connection->idleSince = Clock::now();
             m_connection->idleTimeout = idleTimeoutOf(m_state->limits);
-            m_state->idleConnections.insert(m_connection);
+            m_connection->headerSince.reset();
+            applyLimits(*m_connection, m_state->limits);
+            m_state->waitingConnections.insert(m_connection);
         }
-        IdleConnectionGuard(const IdleConnectionGuard&) = delete;
-        IdleConnectionGuard& operator=(const IdleConnectionGuard&) = delete;
-        ~IdleConnectionGuard() { m_state->idleConnections.erase(m_connection); }
+        WaitingConnectionGuard(const WaitingConnectionGuard&) = delete;
+        WaitingConnectionGuard& operator=(const WaitingConnectionGuard&) = delete;
+        ~WaitingConnectionGuard() { m_state->waitingConnections.erase(m_connection); }
 
     private:
         ServerState m_state;
@@ -309,26 +324,26 @@
             co_await connection.stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ignored));
     }
 
-    /** Waits until bytes of a request have arrived, or until the connection is closed. */
-    asio::awaitable<void> waitForRequest(ServerConnection& connection, const ServerState& state, error_code& error)
+    /** Whether a connection has waited too long for a request header. Bytes that have arrived keep an idle one open, and its idle
+        time does not become shorter while it waits, as its client may rely on it. */
+    bool isOverdue(ServerConnection& connection, const HttpServerLimits& limits, Clock::time_point now)
     {
-        if (connection.hasPartialRequest())
-            co_return;
-        IdleConnectionGuard guard(state, connection);
-        co_await connection.stream.socket().async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        if (connection.buffer.size() > 0) {
+            connection.headerSince = connection.headerSince.value_or(now);
+            return now - *connection.headerSince >= limits.headerTimeout;
+        }
+        auto timeout = std::max(connection.idleTimeout, idleTimeoutOf(limits));
+        return now - connection.idleSince >= timeout && !connection.hasPartialRequest();
     }
 
-    /** Closes the connections that have been idle for too long, unless bytes of a request have just arrived. The idle time of a
-        connection does not become shorter while it waits, as its client may rely on it. */
-    asio::awaitable<void> closeIdleConnections(ServerState state)
+    asio::awaitable<void> closeOverdueConnections(ServerState state)
     {
-        while (state->isAccepting) {
+        while (state->isAccepting || !state->waitingConnections.empty()) {
             error_code error;
-            state->idleTimer.expires_after(idleCheckPeriod);
-            co_await state->idleTimer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-            for (auto* connection : state->idleConnections) {
-                auto timeout = std::max(connection->idleTimeout, idleTimeoutOf(state->limits));
-                if (Clock::now() - connection->idleSince >= timeout && !connection->hasPartialRequest())
+            state->waitTimer.expires_after(waitCheckPeriod);
+            co_await state->waitTimer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            for (auto* connection : state->waitingConnections) {
+                if (isOverdue(*connection, state->limits, Clock::now()))
                     connection->close();
             }
         }
@@ -336,20 +351,15 @@
 
     asio::awaitable<Result<BeastRequest>> readRequest(ServerConnection& connection, const ServerState& state, error_code& error)
     {
-        co_await waitForRequest(connection, state, error);
-        if (error)
-            co_return makeError(ErrorKind::BadRequest, error.message());
-        auto limits = state->limits;
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<uint32_t>(limits.maximumHeader));
-        parser.body_limit(limits.maximumBody);
-        // The parser does not limit the sizes of chunk extensions and trailers; the buffer does.
-        connection.buffer.max_size(std::max(connection.buffer.max_size(), maximumBufferOf(limits)));
-        connection.stream.expires_after(limits.headerTimeout);
-        co_await http::async_read_header(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        RequestParser parser;
+        connection.stream.expires_never();
+        {
+            WaitingConnectionGuard guard(state, connection, parser);
+            co_await http::async_read_header(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        }
         if (error)
             co_return makeError(ErrorKind::BadRequest, error.message());
-        connection.stream.expires_after(limits.bodyTimeout);
+        connection.stream.expires_after(state->limits.bodyTimeout);
         if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             constexpr std::string_view interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
             co_await asio::async_write(connection.stream, asio::buffer(interimResponse), asio::redirect_error(asio::use_awaitable, error));
@@ -472,7 +482,7 @@
 {
     m_state->log.write(EventId::ListenerStarted, { { "address", formatEndpoint(endpoint()) } });
     asio::co_spawn(m_state->context, acceptLoop(m_state), asio::detached);
-    asio::co_spawn(m_state->context, closeIdleConnections(m_state), asio::detached);
+    asio::co_spawn(m_state->context, closeOverdueConnections(m_state), asio::detached);
 }
 
 void HttpServer::stopAccepting()
@@ -483,8 +493,8 @@
     acceptQueued(m_state);
     error_code ignored;
     m_state->acceptor.close(ignored);
-    m_state->idleTimer.cancel();
-    for (auto* connection : m_state->idleConnections) {
+    m_state->waitTimer.cancel();
+    for (auto* connection : m_state->waitingConnections) {
         if (!connection->hasPartialRequest())
             connection->close();
     }
@@ -498,6 +508,8 @@
 void HttpServer::setLimits(HttpServerLimits limits)
 {
     m_state->limits = limits;
+    for (auto* connection : m_state->waitingConnections)
+        applyLimits(*connection, limits);
 }
 
 size_t HttpServer::openConnections() const
