--- a/tests/platform/HttpReplicaClientTest.cpp
+++ b/tests/platform/HttpReplicaClientTest.cpp
@@ -31,8 +31,19 @@
     return text;
 }
 
+/** The listener of a replica whose bytes a test writes, and a client. */
+struct ReplicaListener {
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+
+    asio::io_context context;
+    tcp::acceptor acceptor { context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0) };
+    AsioTimerService timers { context };
+    ConnectionPool pool { context, timers, {} };
+    platform::HttpReplicaClient client { pool, timers };
+};
+
 /** Refuses the first request of a connection and responds to the second one with the given bytes. */
-struct KeptConnection {
+struct KeptConnection : ReplicaListener {
     explicit KeptConnection(std::string bytes)
         : response(std::move(bytes))
     {
@@ -56,7 +67,6 @@
         RoutedRequest request;
         request.id = RequestId(id);
         request.forwarded = { "GET", "/", { { "X-Chestnutroute-Request-Id", id } }, {} };
-        auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
         auto exchange = [](platform::HttpReplicaClient& replicas, ReplicaCall replicaCall) -> asio::awaitable<Result<ExecutionStatus>> {
             auto result = co_await replicas.send(std::move(replicaCall));
             if (!result)
@@ -66,15 +76,10 @@
                 co_return body.error();
             co_return result->executionStatus;
         };
-        return test::runToEnd(context, exchange(client, { request, ReplicaId("i-1"), address, 200ms }));
+        return test::runToEnd(context, exchange(client, { request, ReplicaId("i-1"), address(), 200ms }));
     }
 
     std::string response;
-    asio::io_context context;
-    tcp::acceptor acceptor { context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0) };
-    AsioTimerService timers { context };
-    ConnectionPool pool { context, timers, {} };
-    platform::HttpReplicaClient client { pool, timers };
 };
 
 } // namespace
@@ -98,7 +103,7 @@
 namespace {
 
 /** Responds to each request of a connection with its report, written once more before a later response, which refuses an order. */
-struct RepeatingReplica {
+struct RepeatingReplica : ReplicaListener {
     RepeatingReplica() { asio::co_spawn(context, acceptAll(), asio::detached); }
 
     asio::awaitable<void> acceptAll()
@@ -121,12 +126,6 @@
             co_await asio::async_write(socket, asio::buffer(earlier), asio::use_awaitable);
         }
     }
-
-    asio::io_context context;
-    tcp::acceptor acceptor { context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0) };
-    AsioTimerService timers { context };
-    ConnectionPool pool { context, timers, {} };
-    platform::HttpReplicaClient client { pool, timers };
 };
 
 } // namespace
@@ -136,7 +135,6 @@
 {
     RepeatingReplica replica;
     ReplicaId id("i-1");
-    auto address = "127.0.0.1:" + std::to_string(replica.acceptor.local_endpoint().port());
-    CHECK(test::runToEnd(replica.context, replica.client.report(id, address)).value().acceptedOrders == 2);
-    CHECK(test::runToEnd(replica.context, replica.client.order({ id, address, EngineStage::Decode, "d0", 1, 2 })).value() == OrderResult::Refused);
+    CHECK(test::runToEnd(replica.context, replica.client.report(id, replica.address())).value().acceptedOrders == 2);
+    CHECK(test::runToEnd(replica.context, replica.client.order({ id, replica.address(), EngineStage::Decode, "d0", 1, 2 })).value() == OrderResult::Refused);
 }
