--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -377,15 +377,9 @@
             && error != http::error::end_of_stream && error != http::error::partial_message;
     }
 
-    /** Runs the handler for one request, unless the client has closed the connection. Returns false when the connection must be
-        closed. */
+    /** Runs the handler for one request. Returns false when the connection must be closed. */
     asio::awaitable<bool> handleRequest(ServerConnection& connection, const ServerState& state, BeastRequest message)
     {
-        // In an overload the client may have given up since it sent the request.
-        if (connection.watcher->isClosed()) {
-            state->log.write(EventId::RequestRefused, { { "kind", describe(ErrorKind::CallerGone).name }, { "target", viewOf(message.target()) }, { "detail", "the client closed the connection before its request was read" } });
-            co_return false;
-        }
         HttpRequest request { std::string(viewOf(message.method_string())), std::string(viewOf(message.target())), headersOf(message.base()), std::move(message.body()) };
         ResponseWriter writer(connection.stream, connection.watcher, state, message.keep_alive(), request.method == "HEAD");
         connection.stream.expires_never();
