Show restores of the store in logs and metrics

Cause to be found: a confirmed configuration is not in force after the store was restored from a copy. The log could not tell whether the change is not received, ignored by its revision, or ignored by its version. Each response of the store now shows its epoch (header Store-Era, decoded once in platform/); `store_restored` is written when it changes, `store_change_ignored` when a watch returns a change that is not newer than the applied revision. A response from before a known restore is a lost response. An unreadable value counts as absent and is logged once. No decision changes yet.

Test: StoreClientTest (each response shows the epoch), of new code.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -90,6 +90,9 @@
         // gateway
         { EventId::StoreHistoryLost, "store_history_lost", Severity::Warning, "The store no longer has the changes after a revision; the prefix is listed again." },
         { EventId::StoreEntryUnreadable, "store_entry_unreadable", Severity::Warning, "The value of a key in the store could not be read; the key is ignored." },
+        { EventId::StoreRestored, "store_restored", Severity::Warning, "The store was restored from a copy: revisions go back, and what was written after the copy is lost." },
+        { EventId::StoreEpochUnreadable, "store_epoch_unreadable", Severity::Warning, "The header field that shows restores of the store could not be read; it counts as absent." },
+        { EventId::StoreChangeIgnored, "store_change_ignored", Severity::Info, "A change that a watch returned was ignored because a newer revision of the key has been applied." },
         { EventId::DaemonRegistered, "daemon_registered", Severity::Info, "This daemon is registered in the store's list of daemons." },
         { EventId::RegistrationFailed, "registration_failed", Severity::Warning, "The registration of this daemon could not be written, renewed or withdrawn." },
         { EventId::LeaseNotAcquired, "lease_not_acquired", Severity::Info, "The lease over the engines could not be acquired; usually another daemon holds it." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -96,6 +96,9 @@
     // gateway: 2200 to 2299
     StoreHistoryLost = 2200,
     StoreEntryUnreadable = 2201,
+    StoreRestored = 2202,
+    StoreEpochUnreadable = 2203,
+    StoreChangeIgnored = 2204,
     DaemonRegistered = 2210,
     RegistrationFailed = 2211,
     LeaseNotAcquired = 2212,
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -77,6 +77,7 @@
     , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone }
 {
     m_dependencies.replicaClient.onNotice([this](const ReplicaNotice& notice) { onNotice(notice); });
+    m_dependencies.store.onEpochChange([this] { onStoreRestored(); });
     m_dependencies.replicaClient.setAdmission([this](const ReplicaId& replica) { return !m_replicas.isBackingOff(replica); });
 }
 
@@ -113,6 +114,12 @@
     m_ownKeys->restartWatch();
 }
 
+void Gateway::onStoreRestored()
+{
+    m_dependencies.log.write(EventId::StoreRestored, { { "epoch", m_dependencies.store.epoch() } });
+    m_dependencies.metrics.count("chestnut_store_restores_total");
+}
+
 asio::awaitable<void> Gateway::leave(TimePoint endsAt)
 {
     m_shutdown = ShutdownPlan { m_dependencies.timers.now(), endsAt };
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -79,6 +79,7 @@
 private:
     void onNotice(const ReplicaNotice&);
     void restartWatches();
+    void onStoreRestored();
     asio::awaitable<void> relay(RoutedRequest, HttpResponseWriter&);
 
     GatewayDependencies m_dependencies;
--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -118,8 +118,8 @@
         bytes += change.item.value.size();
         if (change.isRemoval)
             applyRemoval(change.item.key);
-        else
-            applyItem(change.item);
+        else if (!applyItem(change.item))
+            m_log.write(EventId::StoreChangeIgnored, { { "key", change.item.key }, { "revision", change.item.revision }, { "applied", m_revisions[change.item.key] } });
         m_revision = std::max(m_revision, change.item.revision);
     }
     m_revision = std::max(m_revision, changes->revision);
--- a/modules/gateway/store/VersionedStore.h
+++ b/modules/gateway/store/VersionedStore.h
@@ -6,12 +6,18 @@
 #include "kernel/registry/Service.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace chestnut {
 
+/** Number of a store's history. It changes when the store is restored from a copy: revisions go back and are assigned again, and
+    what was written after the copy is lost, leases included. */
+using StoreEpoch = uint64_t;
+
 /** One key of the store. */
 struct StoreItem {
     std::string key;
@@ -76,6 +82,23 @@
     virtual asio::awaitable<Result<uint64_t>> grantLease(Duration timeToLive) = 0;
     virtual asio::awaitable<Result<void>> renewLease(uint64_t lease) = 0;
     virtual asio::awaitable<Result<void>> endLease(uint64_t lease) = 0;
+
+    /** The newest epoch that a response has shown; zero before that. A result belongs to the epoch that is current when the call
+        returns. */
+    StoreEpoch epoch() const { return m_epoch.value_or(0); }
+
+    /** Registers the only receiver of epoch changes. It is called before the call whose response shows the change returns, and
+        not for the first epoch. */
+    void onEpochChange(std::function<void()> receiver) { m_epochReceiver = std::move(receiver); }
+
+protected:
+    /** Records the epoch of a response. `sentIn` is the epoch that was current when the call was sent. Returns false for a
+        response from before a restore that is already known: what it says may no longer hold. */
+    bool recordEpoch(StoreEpoch ofResponse, StoreEpoch sentIn);
+
+private:
+    std::optional<StoreEpoch> m_epoch;
+    std::function<void()> m_epochReceiver;
 };
 
 } // namespace chestnut
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -35,7 +35,7 @@
     , m_timers(context)
     , m_log(LogFormat::Logfmt, m_settings.logLevel)
     , m_connectionPool(context, m_timers, {})
-    , m_store(m_connectionPool, m_settings.store)
+    , m_store(m_connectionPool, m_log, m_settings.store)
     , m_replicas(m_connectionPool, m_timers)
     , m_gateway({ context, m_timers, m_log, m_metrics, m_store, m_replicas, [this](const RoutingConfiguration& configuration) { applyLimits(configuration); } }, platformFormats(), m_settings.gateway)
     , m_api(m_gateway, m_timers)
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -86,6 +86,22 @@
     m_history.push_back({ { key, "", m_revision, 0 }, true });
 }
 
+FakeVersionedStore::Copy FakeVersionedStore::copy() const
+{
+    return { m_items, m_leaseOf, m_leases, m_revision, m_lastLease };
+}
+
+void FakeVersionedStore::restore(const Copy& copy)
+{
+    m_items = copy.items;
+    m_leaseOf = copy.leaseOf;
+    m_leases = copy.leases;
+    m_revision = copy.revision;
+    m_lastLease = copy.lastLease;
+    std::erase_if(m_history, [&](const StoreChange& change) { return change.item.revision > copy.revision; });
+    ++m_ownEpoch;
+}
+
 void FakeVersionedStore::removeLease(uint64_t lease)
 {
     m_leases.erase(lease);
@@ -139,6 +155,7 @@
     size_t bytes = 0;
     for (const auto& item : page.items)
         bytes += item.value.size();
+    sendHeader();
     co_await transfer(bytes);
     co_return page;
 }
@@ -151,8 +168,10 @@
         expireLeases();
         if (isDown)
             co_return unavailable();
-        if (revision + 1 < m_oldest)
+        if (revision + 1 < m_oldest || revision > m_revision) {
+            sendHeader();
             co_return StoreChanges { {}, 0, true };
+        }
         auto changes = changesAfter(prefix, revision);
         if (!changes.changes.empty() || m_timers.now() >= end) {
             size_t bytes = 0;
@@ -160,6 +179,7 @@
                 bytes += change.item.value.size();
             if (base64Size(bytes) > maximumWatchBytes)
                 co_return StoreChanges { {}, 0, false, true };
+            sendHeader();
             co_await transfer(bytes);
             co_return changes;
         }
@@ -173,6 +193,7 @@
     expireLeases();
     if (isDown)
         co_return unavailable();
+    sendHeader();
     for (const auto& condition : conditions) {
         auto item = m_items.find(condition.key);
         if ((item == m_items.end() ? 0 : item->second.revision) != condition.revision)
@@ -195,6 +216,7 @@
     ++calls;
     if (isDown)
         co_return unavailable();
+    sendHeader();
     m_leases[++m_lastLease] = { timeToLive, m_timers.now() + timeToLive };
     co_return m_lastLease;
 }
@@ -205,6 +227,7 @@
     expireLeases();
     if (isDown)
         co_return unavailable();
+    sendHeader();
     auto found = m_leases.find(lease);
     if (found == m_leases.end())
         co_return makeError(ErrorKind::NotFound, "lease");
@@ -217,6 +240,7 @@
     ++calls;
     if (isDown)
         co_return unavailable();
+    sendHeader();
     removeLease(lease);
     co_return Result<void>();
 }
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -31,6 +31,12 @@
     void compact() { m_oldest = m_revision + 1; }
     const std::map<std::string, StoreItem>& items() const { return m_items; }
 
+    /** The state of the store at one moment. */
+    struct Copy;
+    Copy copy() const;
+    /** Replaces the state by a copy. Revisions go back and the epoch increases. */
+    void restore(const Copy&);
+
     asio::awaitable<Result<StorePage>> list(std::string prefix, std::string after) override;
     asio::awaitable<Result<StoreChanges>> watch(std::string prefix, uint64_t revision, Duration wait, std::shared_ptr<AbortHandle>) override;
     asio::awaitable<Result<uint64_t>> transact(std::vector<StoreCondition>, std::vector<StoreWrite>, std::vector<std::string> removals) override;
@@ -44,6 +50,8 @@
         TimePoint end;
     };
 
+    /** Records the epoch that the header of a response shows. */
+    void sendHeader() { recordEpoch(m_ownEpoch, epoch()); }
     /** Completes when the values have been received. */
     asio::awaitable<void> transfer(size_t valueBytes);
     StoreChanges changesAfter(const std::string& prefix, uint64_t revision) const;
@@ -58,6 +66,15 @@
     uint64_t m_revision = 1;
     uint64_t m_oldest = 1;
     uint64_t m_lastLease = 0;
+    StoreEpoch m_ownEpoch = 0;
+};
+
+struct FakeVersionedStore::Copy {
+    std::map<std::string, StoreItem> items;
+    std::map<std::string, uint64_t> leaseOf;
+    std::map<uint64_t, Lease> leases;
+    uint64_t revision = 0;
+    uint64_t lastLease = 0;
 };
 
 /** The response of a fake replica to one call. */
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -21,7 +21,8 @@
     } };
     AsioTimerService timers { http.context };
     ConnectionPool pool { http.context, timers, {} };
-    platform::StoreClient store { pool, http.server.endpoint() };
+    MemoryLog log;
+    platform::StoreClient store { pool, log, http.server.endpoint() };
 };
 
 } // namespace
@@ -94,7 +95,7 @@
 TEST_CASE("a call to an unreachable store is reported as without effect")
 {
     StoreFixture fixture;
-    platform::StoreClient unreachable(fixture.pool, { "127.0.0.1", 1 });
+    platform::StoreClient unreachable(fixture.pool, fixture.log, { "127.0.0.1", 1 });
     CHECK(fixture.http.run(unreachable.grantLease(3s)).error().kind == ErrorKind::PlatformUnavailable);
 }
 
@@ -110,3 +111,28 @@
     CHECK(changes->changes.empty());
     CHECK(fixture.http.run(fixture.store.transact({}, {}, { "my/a" })).error().kind == ErrorKind::PlatformAnswerLost);
 }
+
+// Guards against a restore of the store that goes unnoticed because the revision is high again when the watch returns.
+TEST_CASE("each response shows the epoch of the store, and one from before a known restore is a lost response")
+{
+    StoreFixture fixture;
+    size_t changes = 0;
+    fixture.store.onEpochChange([&changes] { ++changes; });
+    auto statusIn = [&](int status, const char* epoch) {
+        fixture.response = { status, { { "Store-Era", epoch } }, R"({"revision":412})" };
+        return fixture.http.run(fixture.store.transact({}, { { "k", "v", 0 } }, {}));
+    };
+    CHECK(statusIn(200, "4").has_value());
+    CHECK(changes == 0);
+    CHECK(statusIn(412, "5").error().kind == ErrorKind::PlatformConflict);
+    CHECK(fixture.store.epoch() == 5);
+    CHECK(changes == 1);
+    // Unreadable values change nothing and are logged once.
+    for (const auto* value : { "x", "-1", "99999999999999999999" })
+        CHECK(statusIn(200, value).has_value());
+    CHECK(fixture.store.epoch() == 5);
+    CHECK(fixture.log.recent(EventId::StoreEpochUnreadable).size() == 1);
+    // The call was sent when epoch 5 was known: the store was replaced by an older one.
+    CHECK(statusIn(200, "2").has_value());
+    CHECK(changes == 2);
+}
