Apply the items of a restored store whatever their revisions are

If the restored store holds the watched revision again when the watch returns, not even a lost history is reported, so revisions alone cannot show a restore.

The mirror now remembers the epoch that its revisions belong to. In another epoch it forgets them and lists its prefix; all waiting watches and pauses end when any response shows the new epoch. Older versions of the configuration are still ignored by their number.

--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -118,6 +118,7 @@
 {
     m_dependencies.log.write(EventId::StoreRestored, { { "epoch", m_dependencies.store.epoch() } });
     m_dependencies.metrics.count("chestnut_store_restores_total");
+    restartWatches();
 }
 
 asio::awaitable<void> Gateway::leave(TimePoint endsAt)
--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -54,7 +54,7 @@
 asio::awaitable<void> StoreMirror::follow(std::shared_ptr<StoreMirror> self)
 {
     while (true) {
-        auto outcome = self->m_needsList ? co_await self->listAll() : co_await self->watchOnce();
+        auto outcome = self->m_needsList || self->isStale() ? co_await self->listAll() : co_await self->watchOnce();
         co_await self->recordOutcome(outcome);
     }
 }
@@ -69,6 +69,9 @@
         auto page = co_await m_store.list(m_prefix, after);
         if (!page)
             co_return page.error();
+        if (revision && isStale())
+            co_return makeError(ErrorKind::PlatformAnswerLost, "the store was restored between two pages");
+        beginEpoch();
         // The pages are not a snapshot; watching from the revision of the first page returns the changes between them.
         revision = revision.value_or(page->revision);
         for (const auto& item : page->items) {
@@ -103,6 +106,8 @@
     auto changes = co_await m_store.watch(m_prefix, m_revision, wait, m_abort);
     if (!changes)
         co_return changes.error();
+    if (isStale())
+        co_return co_await listAll();
     if (changes->isHistoryLost) {
         m_needsList = true;
         m_log.write(EventId::StoreHistoryLost, { { "prefix", m_prefix }, { "revision", m_revision } });
@@ -133,10 +138,21 @@
     co_return Result<void>();
 }
 
+void StoreMirror::beginEpoch()
+{
+    if (!isStale())
+        return;
+    // Items of the new epoch are applied whatever their revisions are.
+    for (auto& [key, appliedRevision] : m_revisions)
+        appliedRevision = 0;
+    m_epoch = m_store.epoch();
+    m_needsList = true;
+}
+
 asio::awaitable<void> StoreMirror::waitPause()
 {
     auto since = m_timers.now();
-    for (auto left = m_pause(); left > Duration::zero(); left = m_pause() - (m_timers.now() - since))
+    for (auto left = m_pause(); left > Duration::zero() && !isStale(); left = m_pause() - (m_timers.now() - since))
         co_await m_timers.sleep(std::min(left, pauseCheckPeriod));
 }
 
--- a/modules/gateway/store/StoreMirror.h
+++ b/modules/gateway/store/StoreMirror.h
@@ -19,7 +19,8 @@
 };
 
 /** Mirrors one prefix of the store: lists it once and watches it afterwards. During an outage of the store the last state
-    is kept; then the watch resumes, or the prefix is listed again if the history has been compacted. */
+    is kept; then the watch resumes, or the prefix is listed again if the history has been compacted or the store has been
+    restored. */
 class StoreMirror : public std::enable_shared_from_this<StoreMirror> {
 public:
     /** The mirror waits for `pause` between two watches, so that frequent changes are batched into one call. It re-evaluates
@@ -45,6 +46,10 @@
     asio::awaitable<Result<void>> listAll();
     asio::awaitable<Result<void>> watchOnce();
     asio::awaitable<void> waitPause();
+    /** Whether the store has been restored since the last list. */
+    bool isStale() const { return m_epoch != m_store.epoch(); }
+    /** Makes the revisions that follow comparable. Called with the first page of a list. */
+    void beginEpoch();
     asio::awaitable<void> recordOutcome(const Result<void>&);
     /** Returns whether the item is newer than the one applied before. */
     bool applyItem(const StoreItem&);
@@ -61,6 +66,7 @@
     AutoResetEvent m_restart;
     std::map<std::string, uint64_t> m_revisions; /**< of the existing keys */
     uint64_t m_revision = 0;
+    StoreEpoch m_epoch = 0; /**< that the revisions belong to */
     uint32_t m_failures = 0;
     bool m_isListed = false;
     bool m_needsList = true;
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -180,6 +180,58 @@
     CHECK(source.table()->configuration().version == 9);
 }
 
+// Guards against a configuration that is never applied because the restored store assigned it a revision that was used before.
+TEST_CASE("after a restore of the store a new configuration is applied although its revision is not above the last one")
+{
+    GatewayFixture fixture;
+    RoutingSource source(fixture.context, fixture.store, fixture.timers, fixture.log, "op/config", decodeVersion, [](const RoutingConfiguration&) {});
+    fixture.store.put("op/config", "4");
+    source.start();
+    fixture.settle();
+    auto copy = fixture.store.copy();
+    fixture.store.put("op/config", "9");
+    fixture.settle();
+    auto restore = [&] {
+        fixture.store.isDown = true;
+        fixture.timers.advance(2s);
+        fixture.store.restore(copy);
+    };
+    auto end = [&] {
+        fixture.store.isDown = false;
+        fixture.timers.advance(5s);
+    };
+    SUBCASE("while the watch reports a lost history")
+    {
+        restore();
+        end();
+        CHECK(source.table()->configuration().version == 9);
+        fixture.store.put("op/config", "12");
+    }
+    SUBCASE("and the revision of the watch exists again when the watch returns")
+    {
+        restore();
+        fixture.store.put("op/config", "12");
+        fixture.store.put("other", "x");
+        end();
+    }
+    SUBCASE("and the store was restored twice in a row")
+    {
+        restore();
+        fixture.store.restore(copy);
+        fixture.store.put("op/config", "12");
+        end();
+    }
+    SUBCASE("and no call failed meanwhile")
+    {
+        fixture.store.restore(copy);
+        fixture.store.put("op/config", "12");
+        fixture.store.put("other", "x");
+        fixture.timers.advance(30s);
+    }
+    fixture.timers.advance(1s);
+    CHECK(source.table()->configuration().version == 12);
+}
+
 // Guards against a withdrawn route that is in use again after a restart.
 TEST_CASE("a restarted daemon has no configuration until the store sends the newest one, also when its history is lost")
 {
