Tie leases of the store to its epoch

Not seen by callers yet; found by reading after the restore of the store. Lease ids are granted again by a restored store. A daemon whose lease was lost went on to renew the id, which then was another daemon's: the former holder of the lease over the engines kept ordering beside its successor (two holders of one engine), and a daemon that left ended the registration of another one.

A lease now carries the epoch in which it was granted; in another epoch it counts as expired, and no order is sent under it.

--- a/modules/gateway/members/DaemonDirectory.cpp
+++ b/modules/gateway/members/DaemonDirectory.cpp
@@ -100,7 +100,7 @@
 asio::awaitable<void> DaemonDirectory::deregister()
 {
     m_isDeregistered = true;
-    if (auto lease = std::exchange(m_lease, 0); lease != 0) {
+    if (auto lease = std::exchange(m_lease, {}); lease.id != 0) {
         if (auto ended = co_await m_store.endLease(lease); !ended)
             m_log.write(EventId::RegistrationFailed, { { "step", "withdraw" }, { "detail", ended.error().detail } });
     }
@@ -109,7 +109,7 @@
 asio::awaitable<void> DaemonDirectory::maintainRegistration()
 {
     while (!m_isDeregistered) {
-        auto outcome = m_lease == 0 ? co_await registerSelf() : co_await m_store.renewLease(m_lease);
+        auto outcome = m_lease.id == 0 ? co_await registerSelf() : co_await m_store.renewLease(m_lease);
         if (outcome) {
             if (std::exchange(m_isStoreUnavailable, false))
                 m_onStoreRecovered();
@@ -118,7 +118,7 @@
         }
         m_isStoreUnavailable = m_isStoreUnavailable || outcome.error().kind != ErrorKind::NotFound;
         if (outcome.error().kind == ErrorKind::NotFound || outcome.error().kind == ErrorKind::PlatformConflict)
-            m_lease = 0;
+            m_lease = {};
         m_log.write(EventId::RegistrationFailed, { { "step", "renew" }, { "detail", outcome.error().detail } });
         co_await m_timers.sleep(retryPeriod);
     }
@@ -129,9 +129,12 @@
     auto lease = co_await m_store.grantLease(registrationLeaseTime);
     if (!lease)
         co_return lease.error();
-    auto written = co_await m_store.transact({}, { { keyOf(m_self.id), encodeDaemonRecord(m_self), *lease } }, {});
+    auto written = co_await m_store.transact({}, { { keyOf(m_self.id), encodeDaemonRecord(m_self), lease->id } }, {});
     if (!written)
         co_return written.error();
+    // The lease may be another daemon's in the restored store; writing the key again moves it to a lease of our own.
+    if (lease->epoch != m_store.epoch())
+        co_return makeError(ErrorKind::NotFound, "the store was restored during the registration");
     m_lease = *lease;
     m_log.write(EventId::DaemonRegistered, { { "daemon", m_self.id }, { "revision", *written } });
     co_return Result<void>();
@@ -155,7 +158,7 @@
 void DaemonDirectory::onRemoval(const std::string& key)
 {
     if (key == keyOf(m_self.id)) {
-        m_lease = 0;
+        m_lease = {};
         return;
     }
     auto daemon = m_others.find(DaemonId(key.substr(keyPrefix.size())));
--- a/modules/gateway/members/DaemonDirectory.h
+++ b/modules/gateway/members/DaemonDirectory.h
@@ -97,7 +97,7 @@
     std::shared_ptr<StoreMirror> m_mirror;
     std::map<DaemonId, DaemonEntry> m_others;
     std::function<void()> m_onStoreRecovered;
-    uint64_t m_lease = 0;
+    StoreLease m_lease;
     bool m_isStoreUnavailable = false;
     bool m_isDeregistered = false;
 };
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -74,7 +74,7 @@
 asio::awaitable<void> RoleManager::stop()
 {
     m_isStopped = true;
-    if (auto lease = std::exchange(m_lease, 0); lease != 0) {
+    if (auto lease = std::exchange(m_lease, {}); lease.id != 0) {
         auto ended = co_await m_store.endLease(lease);
         m_log.write(EventId::LeaseReleased, { { "key", holderKey }, { "fencing", m_fencingNumber }, { "answered", ended ? 1 : 0 } });
     }
@@ -84,14 +84,14 @@
 {
     std::mt19937 random { std::random_device {}() };
     while (!m_isStopped) {
-        if (m_lease != 0) {
+        if (m_lease.id != 0) {
             auto sentAt = m_timers.nowIncludingSuspend();
             auto renewed = co_await m_store.renewLease(m_lease);
             if (renewed)
                 m_renewedAt = sentAt;
             else if (renewed.error().kind == ErrorKind::NotFound || m_timers.nowIncludingSuspend() - m_renewedAt > leaseTime) {
                 m_log.write(EventId::LeaseLost, { { "key", holderKey }, { "fencing", m_fencingNumber }, { "detail", renewed.error().detail } });
-                m_lease = 0;
+                m_lease = {};
             }
             co_await m_timers.sleep(renewalPeriod);
             continue;
@@ -116,7 +116,7 @@
     auto lease = co_await m_store.grantLease(leaseTime);
     if (!lease)
         co_return lease.error();
-    auto revision = co_await m_store.transact({ { std::string(holderKey), 0 } }, { { std::string(holderKey), m_settings.self.value(), *lease } }, {});
+    auto revision = co_await m_store.transact({ { std::string(holderKey), 0 } }, { { std::string(holderKey), m_settings.self.value(), lease->id } }, {});
     if (!revision)
         co_return revision.error();
     m_lease = *lease;
@@ -130,7 +130,7 @@
 
 bool RoleManager::mayOrder() const
 {
-    return m_lease != 0 && !m_isStopped && m_timers.now() >= m_ordersAllowedFrom && m_timers.nowIncludingSuspend() - m_renewedAt < leaseTime - leaseMargin;
+    return m_lease.id != 0 && m_lease.epoch == m_store.epoch() && !m_isStopped && m_timers.now() >= m_ordersAllowedFrom && m_timers.nowIncludingSuspend() - m_renewedAt < leaseTime - leaseMargin;
 }
 
 void RoleManager::sampleDemand()
--- a/modules/gateway/roles/RoleManager.h
+++ b/modules/gateway/roles/RoleManager.h
@@ -62,7 +62,7 @@
     std::shared_ptr<StoreMirror> m_mirror;
     bool m_isHeldByAnother = false;
     TimePoint m_nextAttemptAt; /**< no earlier attempt to acquire the lease */
-    uint64_t m_lease = 0;
+    StoreLease m_lease;
     FencingNumber m_fencingNumber = 0;
     TimePoint m_renewedAt; /**< time including suspend, just before the last successful renewal was sent */
     TimePoint m_ordersAllowedFrom;
--- a/modules/gateway/store/VersionedStore.cpp
+++ b/modules/gateway/store/VersionedStore.cpp
@@ -2,6 +2,40 @@
 
 namespace chestnut {
 
+namespace {
+
+    Error earlierEpoch()
+    {
+        return makeError(ErrorKind::NotFound, "the lease was granted before the store was restored");
+    }
+
+} // namespace
+
+asio::awaitable<Result<StoreLease>> VersionedStore::grantLease(Duration timeToLive)
+{
+    auto lease = co_await grant(timeToLive);
+    if (!lease)
+        co_return lease.error();
+    co_return StoreLease { *lease, epoch() };
+}
+
+asio::awaitable<Result<void>> VersionedStore::renewLease(StoreLease lease)
+{
+    if (lease.epoch != epoch())
+        co_return earlierEpoch();
+    auto renewed = co_await renew(lease.id);
+    if (renewed && lease.epoch != epoch())
+        co_return earlierEpoch();
+    co_return renewed;
+}
+
+asio::awaitable<Result<void>> VersionedStore::endLease(StoreLease lease)
+{
+    if (lease.epoch != epoch())
+        co_return earlierEpoch();
+    co_return co_await end(lease.id);
+}
+
 bool VersionedStore::recordEpoch(StoreEpoch ofResponse, StoreEpoch sentIn)
 {
     if (ofResponse == m_epoch)
--- a/modules/gateway/store/VersionedStore.h
+++ b/modules/gateway/store/VersionedStore.h
@@ -59,12 +59,20 @@
     uint64_t lease = 0; /**< zero: none */
 };
 
+/** A granted lease. After a restore of the store its id may be granted again, to another daemon. */
+struct StoreLease {
+    uint64_t id = 0; /**< zero: none */
+    StoreEpoch epoch = 0; /**< in which it was granted */
+
+    auto operator<=>(const StoreLease&) const = default;
+};
+
 /** Longest encoded response to a watch that is read. A watch returns every version of a key, a list only the newest one. */
 constexpr size_t maximumWatchBytes = 512 << 10;
 
 /** A key-value store with a global revision counter, leases and watches of prefixes.
     Errors: PlatformUnavailable when the call had no effect, PlatformAnswerLost when it may have had or may still get one,
-    PlatformConflict when a condition does not hold, NotFound when a lease has expired. */
+    PlatformConflict when a condition does not hold, NotFound when a lease has expired or is of an earlier epoch. */
 class VersionedStore : public Service {
 public:
     static constexpr std::string_view serviceName = "versionedstore";
@@ -79,9 +87,9 @@
     /** Applies all writes and removals, or none. Returns the new revision. */
     virtual asio::awaitable<Result<uint64_t>> transact(std::vector<StoreCondition>, std::vector<StoreWrite>, std::vector<std::string> removals) = 0;
 
-    virtual asio::awaitable<Result<uint64_t>> grantLease(Duration timeToLive) = 0;
-    virtual asio::awaitable<Result<void>> renewLease(uint64_t lease) = 0;
-    virtual asio::awaitable<Result<void>> endLease(uint64_t lease) = 0;
+    asio::awaitable<Result<StoreLease>> grantLease(Duration timeToLive);
+    asio::awaitable<Result<void>> renewLease(StoreLease);
+    asio::awaitable<Result<void>> endLease(StoreLease);
 
     /** The newest epoch that a response has shown; zero before that. A result belongs to the epoch that is current when the call
         returns. */
@@ -92,6 +100,10 @@
     void onEpochChange(std::function<void()> receiver) { m_epochReceiver = std::move(receiver); }
 
 protected:
+    virtual asio::awaitable<Result<uint64_t>> grant(Duration timeToLive) = 0;
+    virtual asio::awaitable<Result<void>> renew(uint64_t lease) = 0;
+    virtual asio::awaitable<Result<void>> end(uint64_t lease) = 0;
+
     /** Records the epoch of a response. `sentIn` is the epoch that was current when the call was sent. Returns false for a
         response from before a restore that is already known: what it says may no longer hold. */
     bool recordEpoch(StoreEpoch ofResponse, StoreEpoch sentIn);
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -211,7 +211,7 @@
     co_return m_revision;
 }
 
-asio::awaitable<Result<uint64_t>> FakeVersionedStore::grantLease(Duration timeToLive)
+asio::awaitable<Result<uint64_t>> FakeVersionedStore::grant(Duration timeToLive)
 {
     ++calls;
     if (isDown)
@@ -221,7 +221,7 @@
     co_return m_lastLease;
 }
 
-asio::awaitable<Result<void>> FakeVersionedStore::renewLease(uint64_t lease)
+asio::awaitable<Result<void>> FakeVersionedStore::renew(uint64_t lease)
 {
     ++calls;
     expireLeases();
@@ -235,7 +235,7 @@
     co_return Result<void>();
 }
 
-asio::awaitable<Result<void>> FakeVersionedStore::endLease(uint64_t lease)
+asio::awaitable<Result<void>> FakeVersionedStore::end(uint64_t lease)
 {
     ++calls;
     if (isDown)
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -40,11 +40,12 @@
     asio::awaitable<Result<StorePage>> list(std::string prefix, std::string after) override;
     asio::awaitable<Result<StoreChanges>> watch(std::string prefix, uint64_t revision, Duration wait, std::shared_ptr<AbortHandle>) override;
     asio::awaitable<Result<uint64_t>> transact(std::vector<StoreCondition>, std::vector<StoreWrite>, std::vector<std::string> removals) override;
-    asio::awaitable<Result<uint64_t>> grantLease(Duration timeToLive) override;
-    asio::awaitable<Result<void>> renewLease(uint64_t lease) override;
-    asio::awaitable<Result<void>> endLease(uint64_t lease) override;
 
 private:
+    asio::awaitable<Result<uint64_t>> grant(Duration timeToLive) override;
+    asio::awaitable<Result<void>> renew(uint64_t lease) override;
+    asio::awaitable<Result<void>> end(uint64_t lease) override;
+
     struct Lease {
         Duration timeToLive {};
         TimePoint end;
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -35,6 +35,15 @@
             manager->start();
     }
 
+    /** Restores a copy of the store and grants the ids of lost leases again. */
+    void restoreAndGrant(const FakeVersionedStore::Copy& copy)
+    {
+        store.restore(copy);
+        for (int i = 0; i < 20; ++i)
+            asio::co_spawn(context, store.grantLease(1h), asio::detached);
+        timers.advance(1ms);
+    }
+
     std::unique_ptr<RoutingSource> source;
     std::vector<std::unique_ptr<RoleManager>> managers;
 };
@@ -122,3 +131,16 @@
     fixture.timers.advance(15s);
     CHECK(fixture.store.items().at("chestnutroute/roles/holder").value == "d1");
 }
+
+// Guards against two daemons that order at the same time, because one of them renews a lease that is no longer its own.
+TEST_CASE("after a restore of the store the former holder does not keep a lease whose id was granted again")
+{
+    TwoDaemons fixture;
+    auto copy = fixture.store.copy();
+    fixture.timers.advance(6s);
+    REQUIRE_FALSE(fixture.replicaClient.orders.empty());
+    fixture.restoreAndGrant(copy);
+    fixture.timers.advance(5s);
+    CHECK(fixture.log.recent(EventId::LeaseLost).size() == 1);
+    CHECK(fixture.log.recent(EventId::LeaseAcquired).size() == 2);
+}
