Let fencing numbers increase across restores of the store

Not seen by callers yet. The fencing number of the holder was the revision at which it acquired its lease. A restored store assigns revisions again, so the next holder's number could be lower than, or equal to, one that engines had seen.

The number now consists of the epoch of the store and the revision. During a rolling update, holders of the version before have lower numbers than those of this one.

--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -17,6 +17,7 @@
 #include "decisions/hedging/Hedging.h"
 #include "decisions/leases/Lease.h"
 #include "decisions/leases/Order.h"
+#include "decisions/leases/StoreFencing.h"
 #include "decisions/membership/Member.h"
 #include "decisions/membership/Membership.h"
 #include "decisions/quarantine/CrashingParts.h"
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -1,5 +1,6 @@
 #include "gateway/roles/RoleManager.h"
 
+#include "decisions/leases/StoreFencing.h"
 #include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
@@ -55,7 +56,7 @@
     , m_settings(std::move(settings))
     , m_mirror(std::move(mirror))
 {
-    m_mirror->subscribe(std::string(holderKey), { [this](const StoreItem& item) { recordHolder(item.value != m_settings.self.value() || item.createdAt != m_fencingNumber); }, [this](const std::string&) { recordHolder(false); } });
+    m_mirror->subscribe(std::string(holderKey), { [this](const StoreItem& item) { recordHolder(item.value != m_settings.self.value() || item.createdAt != m_acquiredAt); }, [this](const std::string&) { recordHolder(false); } });
 }
 
 void RoleManager::recordHolder(bool isAnother)
@@ -120,7 +121,8 @@
     if (!revision)
         co_return revision.error();
     m_lease = *lease;
-    m_fencingNumber = *revision;
+    m_acquiredAt = *revision;
+    m_fencingNumber = fencingNumberAt(lease->epoch, *revision);
     m_renewedAt = sentAt;
     m_ordersAllowedFrom = m_timers.now() + m_settings.takeoverWait;
     m_pendingOrders.clear();
--- a/modules/gateway/roles/RoleManager.h
+++ b/modules/gateway/roles/RoleManager.h
@@ -19,7 +19,7 @@
 };
 
 /** Maintains the split of the engines between prefill and decode. One daemon at a time holds the lease and sends orders;
-    its fencing number is the store revision at which it acquired the lease. */
+    its fencing number is that of the epoch and the revision of the store at which it acquired the lease. */
 class RoleManager : public Service {
 public:
     static constexpr std::string_view serviceName = "rolemanager";
@@ -63,6 +63,7 @@
     bool m_isHeldByAnother = false;
     TimePoint m_nextAttemptAt; /**< no earlier attempt to acquire the lease */
     StoreLease m_lease;
+    uint64_t m_acquiredAt = 0; /**< revision of the store */
     FencingNumber m_fencingNumber = 0;
     TimePoint m_renewedAt; /**< time including suspend, just before the last successful renewal was sent */
     TimePoint m_ordersAllowedFrom;
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -144,3 +144,20 @@
     CHECK(fixture.log.recent(EventId::LeaseLost).size() == 1);
     CHECK(fixture.log.recent(EventId::LeaseAcquired).size() == 2);
 }
+
+// Guards against an order that engines or operators cannot tell from an older one.
+TEST_CASE("fencing numbers increase across restores of the store")
+{
+    TwoDaemons fixture;
+    auto copy = fixture.store.copy();
+    for (int i = 0; i < 5; ++i)
+        fixture.store.put("other", "x");
+    fixture.timers.advance(6s);
+    REQUIRE_FALSE(fixture.replicaClient.orders.empty());
+    auto before = fixture.replicaClient.orders.back().fencingNumber;
+    fixture.replicaClient.orders.clear();
+    fixture.restoreAndGrant(copy);
+    fixture.timers.advance(40s);
+    REQUIRE_FALSE(fixture.replicaClient.orders.empty());
+    CHECK(fixture.replicaClient.orders.front().fencingNumber > before);
+}
