Keep replicas in use whose entries a restore of the store has lost

Replicas that registered after the copy was made are missing in the restored store until they write their entries again, about two seconds later. The list after the restore removed them at once, as no call had failed for the mirror at that moment or the first list had already ended the outage.

Removals within 2.5 s after a restore now have the grace time of an outage. Test: "a replica whose entry is lost in a restore of the store stays in use for 2.5 seconds"; the first check failed before.

--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -7,7 +7,8 @@
 namespace {
 
     constexpr Duration expiryPeriod = std::chrono::milliseconds(250);
-    /** Entries that expired during an outage of the store are written again about two seconds after its end. */
+    /** Entries that expired during an outage of the store, or that a restore has lost, are written again about two seconds after
+        its end. */
     constexpr Duration expiryGrace = std::chrono::milliseconds(2500);
     /** After this time an engine is used in the stage of its entry even if the order has not taken effect; streams run up to 15 s. */
     constexpr Duration longestOrderPause = std::chrono::seconds(20);
@@ -151,8 +152,11 @@
 
 Duration ReplicaDirectory::removalGrace() const
 {
-    // Entries expire during an outage of the store; removals at any other time are deliberate.
-    return isStoreUnavailable() ? expiryGrace : Duration::zero();
+    // Entries expire during an outage of the store and are lost in a restore; removals at any other time are deliberate.
+    if (isStoreUnavailable())
+        return expiryGrace;
+    auto restoredAt = m_mirror->restoredAt();
+    return restoredAt ? std::max(Duration::zero(), *restoredAt + expiryGrace - m_timers.now()) : Duration::zero();
 }
 
 void ReplicaDirectory::recordLeaving(const ReplicaId& id)
--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -146,6 +146,8 @@
     for (auto& [key, appliedRevision] : m_revisions)
         appliedRevision = 0;
     m_epoch = m_store.epoch();
+    if (m_isListed)
+        m_restoredAt = m_timers.now();
     m_needsList = true;
 }
 
--- a/modules/gateway/store/StoreMirror.h
+++ b/modules/gateway/store/StoreMirror.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace chestnut {
 
@@ -38,6 +39,9 @@
     /** Whether the prefix has been listed at least once. */
     bool isListed() const { return m_isListed; }
 
+    /** When a restore of the store was last noticed, if ever. */
+    std::optional<TimePoint> restoredAt() const { return m_restoredAt; }
+
     /** Whether calls fail. Remains true until the first changes after an outage have been applied. */
     bool isFailing() const { return m_isFailing; }
 
@@ -67,6 +71,7 @@
     std::map<std::string, uint64_t> m_revisions; /**< of the existing keys */
     uint64_t m_revision = 0;
     StoreEpoch m_epoch = 0; /**< that the revisions belong to */
+    std::optional<TimePoint> m_restoredAt;
     uint32_t m_failures = 0;
     bool m_isListed = false;
     bool m_needsList = true;
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -59,6 +59,27 @@
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Removed);
 }
 
+// Guards against sound replicas that get no work because a restored store has lost their entries.
+TEST_CASE("a replica whose entry is lost in a restore of the store stays in use for 2.5 seconds")
+{
+    GatewayFixture fixture;
+    auto copy = fixture.store.copy();
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none");
+    fixture.store.restore(copy);
+    fixture.replicas.restartWatch();
+    fixture.timers.advance(1s);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Lapsed);
+    fixture.store.put("servers/i-2", testEntry("s", "none", "a", "ready", 1, 9));
+    fixture.timers.advance(2s);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Removed);
+    CHECK(statusOf(fixture.replicas, "i-2") == ReplicaStatus::Ready);
+    // Later removals are deliberate.
+    fixture.store.erase("servers/i-2");
+    fixture.settle();
+    CHECK(statusOf(fixture.replicas, "i-2") == ReplicaStatus::Removed);
+}
+
 TEST_CASE("a removal after the first changes that follow an outage takes effect immediately")
 {
     // Search seeds 470558889183 and 779814292827 of the scenario tr-spares: a daemon that had been disconnected from the store
