Wait for the end of the former holder's lease after a restore of the store

Not seen by callers yet; found by reading. Outside restores, a lease can be acquired 3 s after the last renewal at the earliest, and the new holder then waits for the takeover time. A restore removes the lease at once, so that orders of the former holder (until 2.4 s after its last renewal) and of the next one could be 1.1 s apart.

A daemon that has noticed a restore begins the takeover time when a lease renewed just before it has ended. A daemon that starts after the restore does not know of it and waits for the takeover time only. Test: "the holder after a restore of the store waits until the former holder's lease has ended"; before, the first order is sent 3.5 s after the restore.

--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -128,7 +128,7 @@
     m_acquiredAt = *revision;
     m_fencingNumber = fencingNumberAt(lease->epoch, *revision);
     m_renewedAt = sentAt;
-    m_ordersAllowedFrom = m_timers.now() + m_settings.takeoverWait;
+    m_ordersAllowedFrom = std::max(m_timers.now(), formerLeaseEnd()) + m_settings.takeoverWait;
     m_pendingOrders.clear();
     m_log.write(EventId::LeaseAcquired, { { "key", holderKey }, { "fencing", m_fencingNumber } });
     co_return Result<void>();
@@ -142,6 +142,13 @@
         m_log.write(EventId::LeaseNotAcquired, { { "key", holderKey }, { "kind", describe(removed.error().kind).name }, { "detail", removed.error().detail } });
 }
 
+TimePoint RoleManager::formerLeaseEnd() const
+{
+    // A restore removes the lease of a holder that may have renewed it just before, and that sends orders until it ends.
+    auto restoredAt = m_mirror->restoredAt();
+    return restoredAt ? *restoredAt + leaseTime : TimePoint();
+}
+
 bool RoleManager::mayOrder() const
 {
     return m_lease.id != 0 && m_lease.epoch == m_store.epoch() && !m_isStopped && m_timers.now() >= m_ordersAllowedFrom && m_timers.nowIncludingSuspend() - m_renewedAt < leaseTime - leaseMargin;
--- a/modules/gateway/roles/RoleManager.h
+++ b/modules/gateway/roles/RoleManager.h
@@ -42,6 +42,8 @@
     asio::awaitable<Result<void>> acquire();
     /** Removes the holder's key, unless it has changed since the revision. */
     asio::awaitable<void> removeHolder(uint64_t revision);
+    /** The end of a lease that a restore of the store may have removed before its time; in the past if there was no restore. */
+    TimePoint formerLeaseEnd() const;
     asio::awaitable<void> manageSplits();
     asio::awaitable<void> adjustSplit(const ServiceProfile&);
     asio::awaitable<void> sendOrder(const ServiceProfile&, StageChange, const DecodeDemand&);
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -170,3 +170,18 @@
     fixture.timers.advance(15s);
     CHECK_FALSE(fixture.replicaClient.orders.empty());
 }
+
+// Guards against orders of two holders within the time of one lease.
+TEST_CASE("the holder after a restore of the store waits until the former holder's lease has ended")
+{
+    TwoDaemons fixture;
+    auto copy = fixture.store.copy();
+    fixture.timers.advance(26s);
+    fixture.replicaClient.orders.clear();
+    auto restoredAt = fixture.timers.now();
+    fixture.restoreAndGrant(copy);
+    while (fixture.replicaClient.orders.empty() && fixture.timers.now() - restoredAt < 20s)
+        fixture.timers.advance(10ms);
+    REQUIRE_FALSE(fixture.replicaClient.orders.empty());
+    CHECK(fixture.timers.now() - restoredAt >= 6s);
+}
