Do not report a restore of the store as an outage by each watch that it interrupts

Found in review. When any response shows a restore, all waiting watches are interrupted. Their error was returned before the epoch was compared, so each mirror wrote platform_lost and waited for its backoff, up to 3.2 s after an earlier outage, before it listed the restored store. The epoch is now compared first, and the end of an outage also ends the growth of the backoff.

Test: "a renewal that shows a restore of the store ends the watches that wait"; without the restart of the watches the configuration is not applied within 2 s. The fake store's watches can be interrupted now; that they were not hid this.

--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -42,6 +42,7 @@
 void StoreMirror::restartWatch()
 {
     m_abort->interrupt();
+    m_failures = 0;
     if (m_isFailing)
         m_restart.notify();
 }
@@ -71,7 +72,8 @@
             co_return page.error();
         if (revision && isStale())
             co_return makeError(ErrorKind::PlatformAnswerLost, "the store was restored between two pages");
-        beginEpoch();
+        if (isStale())
+            beginEpoch();
         // The pages are not a snapshot; watching from the revision of the first page returns the changes between them.
         revision = revision.value_or(page->revision);
         for (const auto& item : page->items) {
@@ -104,10 +106,11 @@
     // After a failure, a watch that returns immediately detects the end of the outage before the next one waits for a change.
     auto wait = m_isFailing ? Duration::zero() : watchTime;
     auto changes = co_await m_store.watch(m_prefix, m_revision, wait, m_abort);
-    if (!changes)
-        co_return changes.error();
+    // A restore that another call has shown interrupts the watch, which is not an outage.
     if (isStale())
         co_return co_await listAll();
+    if (!changes)
+        co_return changes.error();
     if (changes->isHistoryLost) {
         m_needsList = true;
         m_log.write(EventId::StoreHistoryLost, { { "prefix", m_prefix }, { "revision", m_revision } });
@@ -138,13 +141,15 @@
     co_return Result<void>();
 }
 
-void StoreMirror::beginEpoch()
+void StoreMirror::forgetRevisions()
 {
-    if (!isStale())
-        return;
-    // Items of the new epoch are applied whatever their revisions are.
     for (auto& [key, appliedRevision] : m_revisions)
         appliedRevision = 0;
+}
+
+void StoreMirror::beginEpoch()
+{
+    forgetRevisions();
     m_epoch = m_store.epoch();
     if (m_isListed)
         m_restoredAt = m_timers.now();
--- a/modules/gateway/store/StoreMirror.h
+++ b/modules/gateway/store/StoreMirror.h
@@ -50,10 +50,12 @@
     asio::awaitable<Result<void>> listAll();
     asio::awaitable<Result<void>> watchOnce();
     asio::awaitable<void> waitPause();
-    /** Whether the store has been restored since the last list. */
+    /** Whether the store has been restored since the last list, or there was none. */
     bool isStale() const { return m_epoch != m_store.epoch(); }
-    /** Makes the revisions that follow comparable. Called with the first page of a list. */
+    /** Forgets the revisions of the epoch before. Called with the first page of a list. */
     void beginEpoch();
+    /** Items are then applied whatever their revisions are. */
+    void forgetRevisions();
     asio::awaitable<void> recordOutcome(const Result<void>&);
     /** Returns whether the item is newer than the one applied before. */
     bool applyItem(const StoreItem&);
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -166,7 +166,7 @@
     co_return page;
 }
 
-asio::awaitable<Result<StoreChanges>> FakeVersionedStore::watch(std::string prefix, uint64_t revision, Duration wait, std::shared_ptr<AbortHandle>)
+asio::awaitable<Result<StoreChanges>> FakeVersionedStore::watch(std::string prefix, uint64_t revision, Duration wait, std::shared_ptr<AbortHandle> abort)
 {
     ++calls;
     auto end = m_timers.now() + wait;
@@ -189,7 +189,8 @@
             co_await transfer(bytes);
             co_return changes;
         }
-        co_await m_timers.sleep(watchStep);
+        if (!co_await waitUnlessAborted(m_timers, m_timers.now() + watchStep, abort))
+            co_return makeError(ErrorKind::PlatformAnswerLost, "interrupted");
     }
 }
 
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -21,6 +21,7 @@
     }
 
     bool isDown = false;
+    bool hidesEpoch = false; /**< responses do not show the epoch */
     bool dropsResponses = false; /**< writes take effect, but their responses are lost */
     size_t calls = 0;
     /** Grants a lease to another owner. */
@@ -55,7 +56,11 @@
     };
 
     /** Records the epoch that the header of a response shows. */
-    void sendHeader() { recordEpoch(m_ownEpoch, epoch()); }
+    void sendHeader()
+    {
+        if (!hidesEpoch)
+            recordEpoch(m_ownEpoch, epoch());
+    }
     /** Completes when the values have been received. */
     asio::awaitable<void> transfer(size_t valueBytes);
     StoreChanges changesAfter(const std::string& prefix, uint64_t revision) const;
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -7,12 +7,13 @@
 
 namespace {
 
-/** Decodes `kind timeout_ms` as a configuration with one route to the service "s". */
+/** Decodes `kind timeout_ms` as a configuration with one route to the service "s". Each one is newer than those decoded before. */
 Result<RoutingConfiguration> decodeTestConfiguration(std::string_view value)
 {
     auto space = value.find(' ');
     RoutingConfiguration configuration;
-    configuration.version = 1;
+    static uint64_t version = 0;
+    configuration.version = ++version;
     Route route;
     route.name = "r";
     route.host = "h";
@@ -136,3 +137,19 @@
     CHECK(writer.status == 503);
     CHECK(whole.replicaClient.sent.size() == 1);
 }
+
+// Guards against a configuration that takes effect half a minute late, as no call fails and the watch waits on.
+TEST_CASE("a renewal that shows a restore of the store ends the watches that wait")
+{
+    WholeGateway whole("idempotent 3000");
+    auto copy = whole.store.copy();
+    whole.store.put("config", "idempotent 2000");
+    whole.timers.advance(1s);
+    whole.store.restore(copy);
+    whole.store.put("config", "idempotent 1000");
+    auto applied = whole.log.recent(EventId::ConfigurationApplied).size();
+    whole.timers.advance(2s);
+    CHECK(whole.log.recent(EventId::ConfigurationApplied).size() == applied + 1);
+    // An interrupted watch is not an outage.
+    CHECK(whole.log.recent(EventId::PlatformLost).empty());
+}
