Apply the items that follow a lost history whatever their revisions are

Found in review. Items are now applied again after a lost history, and a list with a lower revision than the last one counts as a restore.

Test: "after a restore of the store a new configuration is applied", case "and no response shows the epoch"; before, version 9 stays in force instead of 12.

--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -72,7 +72,7 @@
             co_return page.error();
         if (revision && isStale())
             co_return makeError(ErrorKind::PlatformAnswerLost, "the store was restored between two pages");
-        if (isStale())
+        if (isStale() || (!revision && page->revision < m_revision))
             beginEpoch();
         // The pages are not a snapshot; watching from the revision of the first page returns the changes between them.
         revision = revision.value_or(page->revision);
@@ -113,6 +113,7 @@
         co_return changes.error();
     if (changes->isHistoryLost) {
         m_needsList = true;
+        forgetRevisions();
         m_log.write(EventId::StoreHistoryLost, { { "prefix", m_prefix }, { "revision", m_revision } });
         co_return co_await listAll();
     }
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -242,6 +242,13 @@
         fixture.store.put("op/config", "12");
         end();
     }
+    SUBCASE("and no response shows the epoch")
+    {
+        fixture.store.hidesEpoch = true;
+        restore();
+        end();
+        fixture.store.put("op/config", "12");
+    }
     SUBCASE("and no call failed meanwhile")
     {
         fixture.store.restore(copy);
