Do not let peers' reports of a lost entry end the grace time after a restore

Found in review. Collectors report a changed entry for 2 s. Two of them that had read an entry just before it was lost in a restore applied each other's report of the same heartbeat, which made the replica ready for 25 s instead of 2.5 s, although it may be gone. Reports of a heartbeat that is already known are ignored.

Test: "a replica whose entry is lost in a restore of the store stays in use for 2.5 seconds", with such a report; before, the replica is still ready after 3 s.

--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -1,6 +1,7 @@
 #include "gateway/replicas/ReplicaDirectory.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace chestnut {
 
@@ -111,6 +112,9 @@
 
 void ReplicaDirectory::applyPeerEntry(const ReplicaEntry& entry)
 {
+    // A report of the heartbeat that is known already must not end the grace time of a lapsed replica.
+    if (const auto* known = find(entry.id); known && std::tie(entry.startedAt, entry.heartbeat) <= std::tie(known->entry.startedAt, known->entry.heartbeat))
+        return;
     if (apply(entry, "peer"))
         m_unconfirmed[entry.id] = m_timers.now();
 }
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -70,6 +70,8 @@
     fixture.replicas.restartWatch();
     fixture.timers.advance(1s);
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Lapsed);
+    // A peer that has noticed the restore later still reports the lost entry.
+    fixture.replicas.applyPeerEntry(fixture.replicas.find(ReplicaId("i-1"))->entry);
     fixture.store.put("servers/i-2", testEntry("s", "none", "a", "ready", 1, 9));
     fixture.timers.advance(2s);
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Removed);
