Remove any key that names this daemon as holder while it holds no lease

The removal after an acquisition that a restore had interrupted was tried once, and not if the response to the write had been lost; the key could then stay as long as the daemon whose lease it was bound to, and no engine got an order. The revision of such a key is now taken from the mirror and the removal repeated until the key has changed. The wait for the former holder's lease is checked with each order, as the mirror may notice the restore after the acquisition.

Test: "a key that was written with a lease of another daemon after a restore is removed", case "also when the response to the write is lost"; without the removal no order is sent in 18 s.

--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -56,11 +56,20 @@
     , m_settings(std::move(settings))
     , m_mirror(std::move(mirror))
 {
-    m_mirror->subscribe(std::string(holderKey), { [this](const StoreItem& item) { recordHolder(item.value != m_settings.self.value() || item.createdAt != m_acquiredAt); }, [this](const std::string&) { recordHolder(false); } });
+    m_mirror->subscribe(std::string(holderKey), { [this](const StoreItem& item) { onHolder(item); }, [this](const std::string&) { recordHolder(false); } });
+}
+
+void RoleManager::onHolder(const StoreItem& item)
+{
+    auto isOwn = item.value == m_settings.self.value();
+    recordHolder(!isOwn || item.createdAt != m_acquiredAt);
+    // The response to the write was lost, or the key is bound to a lease of another epoch, which may be that of another daemon.
+    m_strayRevision = isOwn && m_lease.id == 0 ? item.revision : 0;
 }
 
 void RoleManager::recordHolder(bool isAnother)
 {
+    m_strayRevision = 0;
     m_isHeldByAnother = isAnother;
     m_nextAttemptAt = {};
 }
@@ -99,6 +108,10 @@
         }
         std::uniform_int_distribution<Duration::rep> jitter(0, std::max(leastElectionSpread, Duration(electionSpread * m_settings.candidates())).count());
         co_await m_timers.sleep(electionPeriod + Duration(jitter(random)));
+        if (m_strayRevision != 0 && !m_isStopped) {
+            co_await removeStrayKey();
+            continue;
+        }
         auto mayTry = m_mirror->isListed() && !m_mirror->isFailing() && !m_isHeldByAnother && m_timers.now() >= m_nextAttemptAt;
         if (!mayTry || m_isStopped)
             continue;
@@ -120,26 +133,23 @@
     auto revision = co_await m_store.transact({ { std::string(holderKey), 0 } }, { { std::string(holderKey), m_settings.self.value(), lease->id } }, {});
     if (!revision)
         co_return revision.error();
-    if (lease->epoch != m_store.epoch()) {
-        co_await removeHolder(*revision);
+    if (lease->epoch != m_store.epoch())
         co_return makeError(ErrorKind::NotFound, "the store was restored during the acquisition");
-    }
     m_lease = *lease;
     m_acquiredAt = *revision;
     m_fencingNumber = fencingNumberAt(lease->epoch, *revision);
     m_renewedAt = sentAt;
-    m_ordersAllowedFrom = std::max(m_timers.now(), formerLeaseEnd()) + m_settings.takeoverWait;
+    m_strayRevision = 0;
+    m_ordersAllowedFrom = m_timers.now() + m_settings.takeoverWait;
     m_pendingOrders.clear();
     m_log.write(EventId::LeaseAcquired, { { "key", holderKey }, { "fencing", m_fencingNumber } });
     co_return Result<void>();
 }
 
-asio::awaitable<void> RoleManager::removeHolder(uint64_t revision)
+asio::awaitable<void> RoleManager::removeStrayKey()
 {
-    // The key may be bound to the lease of another daemon, which would keep it for as long as that daemon lives.
-    auto removed = co_await m_store.transact({ { std::string(holderKey), revision } }, {}, { std::string(holderKey) });
-    if (!removed)
-        m_log.write(EventId::LeaseNotAcquired, { { "key", holderKey }, { "kind", describe(removed.error().kind).name }, { "detail", removed.error().detail } });
+    auto removed = co_await m_store.transact({ { std::string(holderKey), m_strayRevision } }, {}, { std::string(holderKey) });
+    m_log.write(EventId::LeaseReleased, { { "key", holderKey }, { "revision", m_strayRevision }, { "answered", removed ? 1 : 0 } });
 }
 
 TimePoint RoleManager::formerLeaseEnd() const
@@ -151,7 +161,7 @@
 
 bool RoleManager::mayOrder() const
 {
-    return m_lease.id != 0 && m_lease.epoch == m_store.epoch() && !m_isStopped && m_timers.now() >= m_ordersAllowedFrom && m_timers.nowIncludingSuspend() - m_renewedAt < leaseTime - leaseMargin;
+    return m_lease.id != 0 && m_lease.epoch == m_store.epoch() && !m_isStopped && m_timers.now() >= std::max(m_ordersAllowedFrom, formerLeaseEnd() + m_settings.takeoverWait) && m_timers.nowIncludingSuspend() - m_renewedAt < leaseTime - leaseMargin;
 }
 
 void RoleManager::sampleDemand()
--- a/modules/gateway/roles/RoleManager.h
+++ b/modules/gateway/roles/RoleManager.h
@@ -40,8 +40,9 @@
 
     asio::awaitable<void> maintainLease();
     asio::awaitable<Result<void>> acquire();
-    /** Removes the holder's key, unless it has changed since the revision. */
-    asio::awaitable<void> removeHolder(uint64_t revision);
+    /** Removes a key that names this daemon although it does not hold the lease, unless the key has changed. */
+    asio::awaitable<void> removeStrayKey();
+    void onHolder(const StoreItem&);
     /** The end of a lease that a restore of the store may have removed before its time; in the past if there was no restore. */
     TimePoint formerLeaseEnd() const;
     asio::awaitable<void> manageSplits();
@@ -68,6 +69,7 @@
     TimePoint m_nextAttemptAt; /**< no earlier attempt to acquire the lease */
     StoreLease m_lease;
     uint64_t m_acquiredAt = 0; /**< revision of the store */
+    uint64_t m_strayRevision = 0; /**< of a key that names this daemon without a lease; zero: none */
     FencingNumber m_fencingNumber = 0;
     TimePoint m_renewedAt; /**< time including suspend, just before the last successful renewal was sent */
     TimePoint m_ordersAllowedFrom;
