Spread the registrations after a restore of the store

Found in review. After a restore all daemons wrote their registrations at once, two writes each, and counted the store as unavailable until then, so that deliberate removals of replicas had a grace time meanwhile. The renewal that shows the restore shows that the store is available; the registrations are spread over 5 ms for each daemon. A registration that completes during the shutdown is ended.

--- a/modules/gateway/members/DaemonDirectory.cpp
+++ b/modules/gateway/members/DaemonDirectory.cpp
@@ -15,6 +15,8 @@
     /** A renewal costs a tenth of a call and also detects outages of the store that last a second or more. */
     constexpr Duration renewalPeriod = std::chrono::seconds(1);
     constexpr Duration retryPeriod = std::chrono::milliseconds(700);
+    /** Multiplied by the number of daemons: after a restore of the store all of them register again, with two writes each. */
+    constexpr Duration registrationSpread = std::chrono::milliseconds(5);
     /** Daemons send messages several times a second; without one for this long, a daemon gets no more clients. */
     constexpr Duration entryPointTimeout = std::chrono::milliseconds(1200);
     /** A daemon without registration is removed after this time without a message. */
@@ -116,6 +118,10 @@
             co_await m_timers.sleep(renewalPeriod);
             continue;
         }
+        if (wasRestored()) {
+            co_await waitToRegister();
+            continue;
+        }
         m_isStoreUnavailable = m_isStoreUnavailable || outcome.error().kind != ErrorKind::NotFound;
         if (outcome.error().kind == ErrorKind::NotFound || outcome.error().kind == ErrorKind::PlatformConflict)
             m_lease = {};
@@ -124,6 +130,20 @@
     }
 }
 
+bool DaemonDirectory::wasRestored() const
+{
+    return m_lease.id != 0 && m_lease.epoch != m_store.epoch();
+}
+
+asio::awaitable<void> DaemonDirectory::waitToRegister()
+{
+    // The response that showed the restore also showed that the store is available.
+    m_isStoreUnavailable = false;
+    m_lease = {};
+    std::uniform_int_distribution<Duration::rep> spread(0, (registrationSpread * activeDaemons()).count());
+    co_await m_timers.sleep(Duration(spread(m_random)));
+}
+
 asio::awaitable<Result<void>> DaemonDirectory::registerSelf()
 {
     auto lease = co_await m_store.grantLease(registrationLeaseTime);
@@ -136,6 +156,8 @@
     if (lease->epoch != m_store.epoch())
         co_return makeError(ErrorKind::NotFound, "the store was restored during the registration");
     m_lease = *lease;
+    if (m_isDeregistered)
+        co_await deregister();
     m_log.write(EventId::DaemonRegistered, { { "daemon", m_self.id }, { "revision", *written } });
     co_return Result<void>();
 }
--- a/modules/gateway/members/DaemonDirectory.h
+++ b/modules/gateway/members/DaemonDirectory.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace chestnut {
@@ -78,6 +79,9 @@
 private:
     asio::awaitable<void> maintainRegistration();
     asio::awaitable<Result<void>> registerSelf();
+    /** Whether the lease is of an earlier epoch of the store. */
+    bool wasRestored() const;
+    asio::awaitable<void> waitToRegister();
     void onItem(const StoreItem&);
     void onRemoval(const std::string& key);
 
@@ -98,6 +102,7 @@
     std::map<DaemonId, DaemonEntry> m_others;
     std::function<void()> m_onStoreRecovered;
     StoreLease m_lease;
+    std::mt19937 m_random { std::random_device {}() };
     bool m_isStoreUnavailable = false;
     bool m_isDeregistered = false;
 };
