Restore the store from a copy in the fault soak

Until now no test played a store that comes back from a copy: revisions and lease ids go back and are assigned again, and what was written since is lost. The soak's store now shows its epoch in each response, keeps a copy every 0.5 s (26 at most), and is restored from one that is 0.5 to 12 s old, after up to 3 s down or with all connections open. Operator and replicas write again what they wrote.

New checks: a process that has served the route of a manifest handles no later request by an older one, beside any fault; a departure that was announced while the store was stable binds beside later faults of the store too. A restore excuses no lost request.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -1,5 +1,7 @@
 #include "soak/FaultInjector.h"
 
+#include "platform/Names.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <csignal>
@@ -72,6 +74,8 @@
         { "leave_in_responses", &FaultInjector::leaveInResponses, true, &FaultProfile::includesNotices },
         { "shed", &FaultInjector::shedRequests, true, &FaultProfile::includesNotices },
         { "without_length", &FaultInjector::omitLengths, true, &FaultProfile::includesFraming },
+        // It excuses no lost requests, as planned work does not: requests do not need the store.
+        { "restored_store", &FaultInjector::restoreStore, true, &FaultProfile::includesRestore },
         { "broken_response", &FaultInjector::breakResponses, false, &FaultProfile::includesFraming },
         { "refusal_repeated", &FaultInjector::repeatRefusals, false, &FaultProfile::includesFraming },
         { "kill", &FaultInjector::killDaemon, false },
@@ -207,12 +211,19 @@
 
 asio::awaitable<void> FaultInjector::drain(ReplicaStandin& replica)
 {
-    replica.drain([this](const std::string& name, TimePoint since) {
+    // Daemons that have read the entry are bound by it, also when the store is disturbed or restored later.
+    auto isRead = std::make_shared<bool>(false);
+    auto announcedAt = m_fleet.timers.now();
+    replica.drain([this, isRead](const std::string& name, TimePoint since) {
         auto daemon = std::ranges::find(m_fleet.daemons, name, [](const auto& candidate) { return candidate->name; });
-        return daemon != m_fleet.daemons.end() && m_fleet.isStableSince(**daemon, since);
+        if (daemon == m_fleet.daemons.end())
+            return false;
+        return m_fleet.isStableSince(**daemon, since) || (*isRead && (*daemon)->disturbances.isUndisturbedSince(since - SoakFleet::stabilizationTime));
     });
     constexpr Duration maximumDrainTime = std::chrono::seconds(4);
-    co_await m_fleet.timers.sleep(maximumDrainTime + addressReuse);
+    co_await m_fleet.timers.sleep(ReplicaStandin::drainTime);
+    *isRead = m_fleet.storeDisturbances.isUndisturbedSince(announcedAt - SoakFleet::stabilizationTime);
+    co_await m_fleet.timers.sleep(maximumDrainTime - ReplicaStandin::drainTime + addressReuse);
     replica.restart();
 }
 
@@ -322,6 +333,78 @@
     co_await m_fleet.timers.sleep(std::chrono::seconds(2));
 }
 
+asio::awaitable<void> FaultInjector::restoreStore()
+{
+    static const std::vector<NamedFault> companions {
+        { "stages beside it", &FaultInjector::changeStages, true },
+        { "terminate beside it", &FaultInjector::terminate, true },
+        { "kill beside it", &FaultInjector::killDaemon, false },
+    };
+    // Mostly far enough from the one before for a new role holder to send orders.
+    if (m_fleet.timers.now() < m_nextRestoreAt)
+        co_return;
+    m_nextRestoreAt = m_fleet.timers.now() + between(0, 8000);
+    Disturbance disturbance({ &m_fleet.storeDisturbances });
+    if (const auto& companion = companions[pickIndex(companions.size())]; companion.isPlanned || !m_profile.isPlannedOnly)
+        begin(companion);
+    co_await restoreOnce();
+    if (pick(0, 3) > 0)
+        co_return;
+    co_await m_fleet.timers.sleep(between(0, 2000));
+    co_await restoreOnce();
+}
+
+asio::awaitable<void> FaultInjector::changeStages()
+{
+    constexpr int rounds = 3;
+    for (int i = 0; i < rounds; ++i) {
+        for (auto& replica : m_fleet.replicas) {
+            if (pick(0, 1) == 0)
+                replica->leaveDecodeStage();
+        }
+        co_await m_fleet.timers.sleep(between(1000, 4000));
+    }
+}
+
+asio::awaitable<void> FaultInjector::restoreOnce()
+{
+    auto& store = m_fleet.store;
+    auto age = pick(0, 1) == 0 ? between(500, 4000) : between(5000, 12'000);
+    if (pick(0, 1) == 0 && !store.faults.isDown) {
+        store.faults.isDown = true;
+        co_await m_fleet.timers.sleep(between(50, 3000));
+        store.faults.isDown = false;
+    }
+    auto entries = store.keysBelow(std::string(platform::names::replicaPrefix));
+    auto revision = store.revision();
+    store.restore(age);
+    if (pick(0, 1) == 0)
+        store.compact();
+    m_fleet.rewriteManifest();
+    // So that the revision from which daemons watch exists again before their watches return.
+    if (pick(0, 2) == 0) {
+        while (store.revision() <= revision)
+            m_fleet.rewriteManifest();
+    }
+    if (pick(0, 1) == 0)
+        m_fleet.writeManifest();
+    co_await writeAgain(std::move(entries));
+}
+
+asio::awaitable<void> FaultInjector::writeAgain(std::vector<std::string> entriesBefore)
+{
+    for (auto& replica : m_fleet.replicas) {
+        co_await m_fleet.timers.sleep(between(0, 150));
+        replica->renewEntry();
+    }
+    // The platform removes the entries of replicas that are gone.
+    for (const auto& key : m_fleet.store.keysBelow(std::string(platform::names::replicaPrefix))) {
+        auto isLive = std::ranges::any_of(m_fleet.replicas, [&key](const auto& replica) { return !replica->isDown() && replica->key() == key; });
+        if (!isLive && std::ranges::find(entriesBefore, key) == entriesBefore.end())
+            m_fleet.store.erase(key);
+    }
+}
+
 asio::awaitable<void> FaultInjector::makeStoreUnresponsive()
 {
     Disturbance disturbance({ &m_fleet.unplannedDisturbances, &m_fleet.storeDisturbances });
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -10,6 +10,7 @@
     bool includesSilence = false; /**< replicas that delay their responses for about a second */
     bool includesNotices = false; /**< replicas that state in their responses that they leave or want a pause */
     bool includesFraming = false; /**< responses that end with the connection, are cut, or are sent twice */
+    bool includesRestore = false; /**< restores of the store from a copy some seconds old */
     std::string only; /**< name of the only fault to inject, of any kind; empty: all */
 
     bool operator==(const FaultProfile&) const = default;
@@ -48,6 +49,11 @@
     asio::awaitable<void> leaveInResponses();
     asio::awaitable<void> shedRequests();
     asio::awaitable<void> omitLengths();
+    asio::awaitable<void> restoreStore();
+    asio::awaitable<void> restoreOnce();
+    /** Engines leave the decode stage without an order, so that the role holder sends orders. */
+    asio::awaitable<void> changeStages();
+    asio::awaitable<void> writeAgain(std::vector<std::string> entriesBefore);
 
     asio::awaitable<void> killDaemon();
     asio::awaitable<void> killAll();
@@ -83,6 +89,7 @@
     SoakFleet& m_fleet;
     FaultProfile m_profile;
     TimePoint m_startedAt;
+    TimePoint m_nextRestoreAt;
     std::mt19937 m_random;
     std::vector<std::string> m_history;
     int m_active = 0;
--- a/tests/soak/PlatformStore.cpp
+++ b/tests/soak/PlatformStore.cpp
@@ -1,5 +1,6 @@
 #include "soak/PlatformStore.h"
 
+#include "platform/Names.h"
 #include "soak/StandinResponses.h"
 
 #include <absl/strings/escaping.h>
@@ -18,6 +19,8 @@
     /** Delay with which a write may take effect after its response was lost. */
     constexpr Duration delayedExecution = std::chrono::seconds(1);
     constexpr size_t historyLength = 4096;
+    constexpr Duration copyPeriod = std::chrono::milliseconds(500);
+    constexpr size_t maximumCopies = 26;
 
     HttpServerLimits serverLimits()
     {
@@ -49,6 +52,7 @@
     , m_server(
           context, log, { "127.0.0.1", port }, serverLimits(), [this](HttpRequest request, HttpResponseWriter& writer) { return handle(std::move(request), writer); }, makeErrorResponse)
     , m_leaseTimer(timers.every(leaseCheckPeriod, [this] { advanceLeases(); }))
+    , m_copyTimer(timers.every(copyPeriod, [this] { takeCopy(); }))
 {
 }
 
@@ -61,23 +65,23 @@
 
 void PlatformStore::write(const std::string& key, const std::string& value, uint64_t lease)
 {
-    auto [found, isNew] = m_items.try_emplace(key);
+    auto [found, isNew] = m_state.items.try_emplace(key);
     auto& item = found->second;
-    auto createdAt = isNew ? m_revision + 1 : item.createdAt;
-    item = { value, ++m_revision, createdAt, lease };
-    m_history.push_back({ m_revision, key, itemJson(key, item) });
-    if (m_history.size() > historyLength) {
-        m_oldestRevision = m_history.front().revision;
-        m_history.pop_front();
+    auto createdAt = isNew ? m_state.revision + 1 : item.createdAt;
+    item = { value, ++m_state.revision, createdAt, lease };
+    m_state.history.push_back({ m_state.revision, key, itemJson(key, item) });
+    if (m_state.history.size() > historyLength) {
+        m_state.oldestRevision = m_state.history.front().revision;
+        m_state.history.pop_front();
     }
 }
 
 void PlatformStore::erase(const std::string& key)
 {
-    if (m_items.erase(key) == 0)
+    if (m_state.items.erase(key) == 0)
         return;
-    ++m_revision;
-    m_history.push_back({ m_revision, key, { { "key", key }, { "revision", m_revision }, { "tombstone", true } } });
+    ++m_state.revision;
+    m_state.history.push_back({ m_state.revision, key, { { "key", key }, { "revision", m_state.revision }, { "tombstone", true } } });
 }
 
 json PlatformStore::itemJson(const std::string& key, const Item& item) const
@@ -93,7 +97,7 @@
     if (faults.isDown && faults.pausesLeases)
         return;
     std::vector<uint64_t> ended;
-    for (auto& [id, lease] : m_leases) {
+    for (auto& [id, lease] : m_state.leases) {
         lease.remaining -= fromSeconds(toSeconds(passed) * faults.leaseSpeed);
         if (lease.remaining <= Duration::zero())
             ended.push_back(id);
@@ -102,11 +106,37 @@
         removeLease(id);
 }
 
+void PlatformStore::takeCopy()
+{
+    m_copies.push_back({ m_timers.now(), m_state });
+    if (m_copies.size() > maximumCopies)
+        m_copies.pop_front();
+}
+
+void PlatformStore::restore(Duration age)
+{
+    if (m_copies.empty())
+        takeCopy();
+    auto latest = m_timers.now() - age;
+    while (m_copies.size() > 1 && m_copies.back().takenAt > latest)
+        m_copies.pop_back();
+    m_state = m_copies.back().state;
+    ++m_epoch;
+}
+
+std::vector<std::string> PlatformStore::keysBelow(const std::string& prefix) const
+{
+    std::vector<std::string> keys;
+    for (auto found = m_state.items.lower_bound(prefix); found != m_state.items.end() && found->first.starts_with(prefix); ++found)
+        keys.push_back(found->first);
+    return keys;
+}
+
 void PlatformStore::removeLease(uint64_t lease)
 {
-    m_leases.erase(lease);
+    m_state.leases.erase(lease);
     std::vector<std::string> keys;
-    for (const auto& [key, item] : m_items) {
+    for (const auto& [key, item] : m_state.items) {
         if (item.lease == lease)
             keys.push_back(key);
     }
@@ -114,6 +144,12 @@
         erase(key);
 }
 
+asio::awaitable<Result<void>> PlatformStore::respond(HttpResponseWriter& writer, HttpResponse response) const
+{
+    response.headers.set(platform::names::storeEpoch, std::to_string(m_epoch));
+    return writer.send(std::move(response));
+}
+
 asio::awaitable<void> PlatformStore::handle(HttpRequest request, HttpResponseWriter& writer)
 {
     if (faults.latency > Duration::zero())
@@ -125,7 +161,7 @@
         co_return;
     }
     if (faults.isDown) {
-        (void)co_await writer.send({ 503, {}, {} });
+        (void)co_await respond(writer, { 503, {}, {} });
         co_return;
     }
     if (request.method == "POST" && chance(faults.lostResponseShare)) {
@@ -135,7 +171,8 @@
         writer.abort();
         co_return;
     }
-    (void)co_await writer.send(co_await execute(request));
+    auto response = co_await execute(request);
+    (void)co_await respond(writer, std::move(response));
 }
 
 asio::awaitable<HttpResponse> PlatformStore::execute(const HttpRequest& request)
@@ -164,17 +201,17 @@
     auto prefix = request.queryValue("prefix");
     auto after = request.queryValue("after");
     auto items = json::array();
-    for (auto found = m_items.lower_bound(prefix); found != m_items.end() && found->first.starts_with(prefix); ++found) {
+    for (auto found = m_state.items.lower_bound(prefix); found != m_state.items.end() && found->first.starts_with(prefix); ++found) {
         if (found->first > after)
             items.push_back(itemJson(found->first, found->second));
     }
-    return jsonResponse(200, { { "items", items }, { "has_more", false }, { "current_rev", m_revision } });
+    return jsonResponse(200, { { "items", items }, { "has_more", false }, { "current_rev", m_state.revision } });
 }
 
 std::vector<json> PlatformStore::eventsAfter(uint64_t revision, const std::string& prefix) const
 {
     std::vector<json> events;
-    for (const auto& event : m_history) {
+    for (const auto& event : m_state.history) {
         if (event.revision > revision && event.key.starts_with(prefix))
             events.push_back(event.content);
     }
@@ -187,11 +224,11 @@
     auto revision = std::stoull(request.queryValue("after"));
     auto end = m_timers.now() + std::chrono::milliseconds(std::stoll(request.queryValue("wait_ms")));
     while (true) {
-        if (revision < m_oldestRevision)
-            co_return errorResponse(410, "the revision is older than the stored history");
+        if (revision < m_state.oldestRevision || revision > m_state.revision)
+            co_return errorResponse(410, "the revision is not in the stored history");
         auto events = eventsAfter(revision, prefix);
         if (!events.empty() || m_timers.now() >= end)
-            co_return eventsResponse(events, m_revision);
+            co_return eventsResponse(events, m_state.revision);
         co_await m_timers.sleep(watchCheckPeriod);
         if (faults.isDown)
             co_return HttpResponse { 503, {}, {} };
@@ -201,15 +238,15 @@
 HttpResponse PlatformStore::transact(const json& document)
 {
     for (const auto& condition : document.value("expected", json::array())) {
-        auto found = m_items.find(condition.at("key").get<std::string>());
-        auto revision = found == m_items.end() ? 0 : found->second.revision;
+        auto found = m_state.items.find(condition.at("key").get<std::string>());
+        auto revision = found == m_state.items.end() ? 0 : found->second.revision;
         if (revision != condition.at("revision").get<uint64_t>())
             return jsonResponse(412, { { "items", json::array() } });
     }
     auto writes = document.value("writes", json::array());
     for (const auto& entry : writes) {
         auto lease = entry.value("lease", uint64_t(0));
-        if (lease != 0 && !m_leases.contains(lease))
+        if (lease != 0 && !m_state.leases.contains(lease))
             return errorResponse(404, "no such lease");
     }
     for (const auto& entry : writes) {
@@ -219,20 +256,20 @@
     }
     for (const auto& key : document.value("deletes", json::array()))
         erase(key.get<std::string>());
-    return jsonResponse(200, { { "revision", m_revision } });
+    return jsonResponse(200, { { "revision", m_state.revision } });
 }
 
 HttpResponse PlatformStore::grantLease(const json& document)
 {
     Duration timeToLive = std::chrono::milliseconds(document.at("ttl_ms").get<int64_t>());
-    m_leases[++m_lastLease] = { timeToLive, timeToLive };
-    return jsonResponse(200, { { "lease", m_lastLease }, { "ttl_ms", document.at("ttl_ms") } });
+    m_state.leases[++m_state.lastLease] = { timeToLive, timeToLive };
+    return jsonResponse(200, { { "lease", m_state.lastLease }, { "ttl_ms", document.at("ttl_ms") } });
 }
 
 HttpResponse PlatformStore::renewLease(const std::string& id)
 {
-    auto found = m_leases.find(std::stoull(id));
-    if (found == m_leases.end())
+    auto found = m_state.leases.find(std::stoull(id));
+    if (found == m_state.leases.end())
         return errorResponse(404, "no such lease");
     found->second.remaining = found->second.timeToLive;
     return jsonResponse(200, { { "lease", found->first } });
@@ -240,7 +277,7 @@
 
 HttpResponse PlatformStore::endLease(const std::string& id)
 {
-    if (!m_leases.contains(std::stoull(id)))
+    if (!m_state.leases.contains(std::stoull(id)))
         return errorResponse(404, "no such lease");
     removeLease(std::stoull(id));
     return jsonResponse(200, json::object());
--- a/tests/soak/PlatformStore.h
+++ b/tests/soak/PlatformStore.h
@@ -19,7 +19,8 @@
     bool pausesLeases = true; /**< leases do not expire while the store is down */
 };
 
-/** In-memory implementation of the platform's metadata store with its published protocol. */
+/** In-memory implementation of the platform's metadata store with its published protocol. It keeps copies of its state, from
+    which it can be restored. */
 class PlatformStore {
 public:
     PlatformStore(asio::io_context&, TimerService&, Log&, uint16_t port, uint32_t seed);
@@ -33,7 +34,12 @@
     void put(const std::string& key, const std::string& value) { write(key, value, 0); }
     void erase(const std::string& key);
     /** Drops the event history, so that watches from earlier revisions are refused. */
-    void compact() { m_oldestRevision = m_revision; }
+    void compact() { m_state.oldestRevision = m_state.revision; }
+
+    /** Replaces the state by the newest copy of at least this age, or the oldest one. Revisions and ids of leases are assigned again. */
+    void restore(Duration age);
+    uint64_t revision() const { return m_state.revision; }
+    std::vector<std::string> keysBelow(const std::string& prefix) const;
 
 private:
     struct Item {
@@ -51,8 +57,21 @@
         std::string key;
         nlohmann::json content;
     };
+    struct State {
+        std::map<std::string, Item> items;
+        std::map<uint64_t, Lease> leases;
+        std::deque<Event> history;
+        uint64_t revision = 100;
+        uint64_t oldestRevision = 0; /**< watches from an earlier revision are refused */
+        uint64_t lastLease = 0;
+    };
+    struct Copy {
+        TimePoint takenAt;
+        State state;
+    };
 
     asio::awaitable<void> handle(HttpRequest, HttpResponseWriter&);
+    asio::awaitable<Result<void>> respond(HttpResponseWriter&, HttpResponse) const;
     asio::awaitable<HttpResponse> execute(const HttpRequest&);
     asio::awaitable<HttpResponse> watch(const HttpRequest&);
     HttpResponse range(const HttpRequest&) const;
@@ -66,19 +85,18 @@
     void write(const std::string& key, const std::string& value, uint64_t lease);
     void removeLease(uint64_t lease);
     void advanceLeases();
+    void takeCopy();
     bool chance(double share);
 
     TimerService& m_timers;
-    std::map<std::string, Item> m_items;
-    std::map<uint64_t, Lease> m_leases;
-    std::deque<Event> m_history;
-    uint64_t m_revision = 100;
-    uint64_t m_oldestRevision = 0; /**< watches from an earlier revision are refused */
-    uint64_t m_lastLease = 0;
+    State m_state;
+    std::deque<Copy> m_copies;
+    uint64_t m_epoch = 1; /**< number of restores and one */
     uint64_t m_random;
     TimePoint m_leasesAdvancedAt;
     HttpServer m_server;
     TimerSubscription m_leaseTimer;
+    TimerSubscription m_copyTimer;
 };
 
 } // namespace chestnut::soak
--- a/tests/soak/ReplicaStandin.cpp
+++ b/tests/soak/ReplicaStandin.cpp
@@ -17,8 +17,6 @@
     constexpr uint32_t slots = 12;
     constexpr uint32_t queueLength = 24;
     constexpr Duration heartbeatPeriod = std::chrono::milliseconds(1200);
-    /** A leaving replica may get requests for drainTime, the drain_ms of the platform, and serves somewhat longer. */
-    constexpr Duration drainTime = std::chrono::milliseconds(2000);
     constexpr Duration serviceAfterDrain = std::chrono::milliseconds(3500);
     /** After this time without heartbeats an entry expires: three periods. */
     constexpr Duration entryExpiryTime = heartbeatPeriod * 3;
@@ -151,6 +149,18 @@
     m_store.put(key(), entry.dump());
 }
 
+void ReplicaStandin::leaveDecodeStage()
+{
+    if (m_placement.stage == EngineStage::Decode && !m_isChangingStage && !isLeavingOrDown())
+        asio::co_spawn(m_context, changeStage(EngineStage::Prefill), asio::detached);
+}
+
+void ReplicaStandin::renewEntry()
+{
+    if (!m_isDown)
+        writeEntry();
+}
+
 void ReplicaStandin::drain(std::function<bool(const std::string&, TimePoint)> isStableSince)
 {
     m_isStableSince = std::move(isStableSince);
--- a/tests/soak/ReplicaStandin.h
+++ b/tests/soak/ReplicaStandin.h
@@ -46,6 +46,9 @@
     /** Opens the listener and registers the replica. */
     void start();
 
+    /** A leaving replica may get requests for this time, the drain_ms of the platform, and serves somewhat longer. */
+    static constexpr Duration drainTime = std::chrono::milliseconds(2000);
+
     /** Announces its departure, keeps serving for a while, and stops. `isStableSince` returns whether a
         daemon must have read the entry. */
     void drain(std::function<bool(const std::string& daemon, TimePoint since)> isStableSince);
@@ -62,12 +65,18 @@
     void refuse(Duration);
     /** Removes its entry, as if it expired while the store is down; the next heartbeat writes it again. */
     void expireEntry() { m_store.erase(key()); }
+    /** Changes from the decode to the prefill stage without an order, after its running requests. */
+    void leaveDecodeStage();
+    /** Writes its entry again, as after a restore of the store. */
+    void renewEntry();
+    std::string key() const;
     /** Changed at each start. */
     const ReplicaId& id() const { return m_id; }
     /** Starts again with a new id. */
     void restart();
 
     bool isEngine() const { return m_placement.stage != EngineStage::None; }
+    bool isDown() const { return m_isDown; }
     bool isLeavingOrDown() const { return m_isDown || m_behavior.announcesDeparture || m_drainingSince.has_value(); }
 
     ReplicaFaults faults;
@@ -87,7 +96,6 @@
     void checkDrain(const HttpRequest&, const std::string& id);
     void stop();
     void writeEntry();
-    std::string key() const;
     bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
 
     asio::io_context& m_context;
--- a/tests/soak/SoakClients.cpp
+++ b/tests/soak/SoakClients.cpp
@@ -13,6 +13,7 @@
 
     /** Bounds stated by the platform; the manifest and the settings of the soak use them. */
     constexpr Duration configurationTime = std::chrono::milliseconds(2000);
+    constexpr Duration rollbackTolerance = std::chrono::milliseconds(250);
     constexpr Duration lateTolerance = std::chrono::milliseconds(500);
     constexpr uint64_t minimumLateResponses = 8;
     constexpr uint64_t lateDivisor = 4; /**< at most a quarter of the timed-out requests may be late */
@@ -194,12 +195,29 @@
     auto response = co_await exchange(call);
     if (!response)
         co_return;
+    if (version == m_fleet.manifestVersion())
+        checkRegression(call, version, requestsRemovedRoute, response->status);
     auto isStable = m_fleet.isStableSince(*call.daemon, call.sentAt);
     auto isWrong = response->status == (requestsRemovedRoute ? 200 : 404);
     if (isDue && isStable && isWrong && version == m_fleet.manifestVersion())
         m_fleet.ledger.reportViolation("CONFIG", call.daemon->name + " responded with " + std::to_string(response->status) + " to " + call.target + " though version " + std::to_string(version) + " is in force");
 }
 
+void SoakClients::checkRegression(const Call& call, uint64_t version, bool requestsRemovedRoute, int status)
+{
+    auto& daemon = *call.daemon;
+    if (call.sentAt < daemon.startedAt)
+        return;
+    auto hasServedVersion = daemon.servedVersion == version;
+    auto isWrong = status == (requestsRemovedRoute ? 200 : 404);
+    if (hasServedVersion && isWrong && call.sentAt > daemon.servedVersionAt + rollbackTolerance)
+        m_fleet.ledger.reportViolation("CONFIG", daemon.name + " responded with " + std::to_string(status) + " to " + call.target + " after it had served version " + std::to_string(version));
+    if (!hasServedVersion && !requestsRemovedRoute && status == 200) {
+        daemon.servedVersion = version;
+        daemon.servedVersionAt = m_fleet.timers.now();
+    }
+}
+
 void SoakClients::checkLateShare() const
 {
     if (m_lateResponses >= minimumLateResponses && m_lateResponses * lateDivisor > m_reachedTimeout)
--- a/tests/soak/SoakClients.h
+++ b/tests/soak/SoakClients.h
@@ -24,6 +24,7 @@
     asio::awaitable<void> callRepeatedly();
     asio::awaitable<void> callOnce();
     asio::awaitable<void> checkNewRoute();
+    void checkRegression(const Call&, uint64_t version, bool requestsRemovedRoute, int status);
     asio::awaitable<std::optional<HttpResponse>> exchange(const Call&);
     void checkResponse(const Call&, const std::optional<HttpResponse>&);
     void checkSuccess(const Call&, const HttpResponse&);
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -98,6 +98,7 @@
     daemon.process.reset();
     daemon.process = std::make_unique<test::ChildProcess>(daemonProgram, std::vector<std::string> { "--gateway", "--config=" + daemon.settingsPath }, daemon.outputPath);
     daemon.startedAt = timers.now();
+    daemon.servedVersion = 0;
     daemon.isDiscoverable = true;
 }
 
@@ -131,8 +132,14 @@
     services.push_back({ { "name", engineService }, { "health_path", "/health" }, { "max_conns", 100 }, { "engine", engine } });
     json limits { { "max_header_bytes", 16384 }, { "max_body_bytes", 1'048'576 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } };
     json manifest { { "version", m_version }, { "routes", routes }, { "services", services }, { "limits", limits } };
-    store.put(std::string(platform::names::configurationKey), manifest.dump());
+    m_manifest = manifest.dump();
+    rewriteManifest();
     m_manifestWrittenAt = timers.now();
 }
 
+void SoakFleet::rewriteManifest()
+{
+    store.put(std::string(platform::names::configurationKey), m_manifest);
+}
+
 } // namespace chestnut::soak
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -33,6 +33,8 @@
     LinkPointer storeLink;
     DisturbanceTracker disturbances;
     TimePoint startedAt; /**< start of the present process */
+    uint64_t servedVersion = 0; /**< newest manifest whose route the present process has served */
+    TimePoint servedVersionAt; /**< when a client first saw that */
     bool isDiscoverable = true; /**< discovery offers it to clients */
     bool hasProcessFault = false; /**< a fault of its process is in progress, so it may exit */
 };
@@ -61,6 +63,8 @@
 
     /** Writes the next manifest, which adds a route and removes the one that the previous manifest added. */
     void writeManifest();
+    /** Writes the present manifest again. */
+    void rewriteManifest();
     uint64_t manifestVersion() const { return m_version; }
     TimePoint manifestWrittenAt() const { return m_manifestWrittenAt; }
     static std::string addedPrefix(uint64_t version) { return "/added" + std::to_string(version) + "/"; }
@@ -87,6 +91,7 @@
     std::mt19937 m_random;
     std::string m_folder;
     uint64_t m_version = 0;
+    std::string m_manifest;
     TimePoint m_manifestWrittenAt;
 };
 
