--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -168,7 +168,7 @@
     auto service = serviceFor(*route, hash64(request.id.value()));
     m_budgets.addRequest(service);
     auto context = std::make_shared<RelayContext>(m_relayServices, std::move(request), table, *route, service);
-    if (m_shutdown && !mayStart(*m_shutdown, context->request.arrival, context->deadline())) {
+    if (m_shutdown && !mayStart(*m_shutdown, context->request.arrival, context->deadline(), m_speeds.speedOf(service).occupancy)) {
         co_await refuse(ErrorKind::Leaving, "the request could outlast this daemon, which is shutting down");
         co_return;
     }
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -62,8 +62,8 @@
     /** Replaces the bounds. A takeover wait that has started keeps its duration. */
     void setBounds(const GatewayBounds&);
 
-    /** Starts the shutdown: deregisters this daemon, so that clients use others. Requests are still served, except late
-        ones that could last beyond `endsAt`; these are refused. */
+    /** Starts the shutdown: deregisters this daemon, so that clients use others. Requests are still served, except those that
+        could or are expected to last beyond `endsAt`; see mayStart(). */
     asio::awaitable<void> leave(TimePoint endsAt);
 
     /** Ends the requests in progress as at their deadlines; those without a response get an error. */
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -105,6 +105,23 @@
     CHECK(served.status == 200);
 }
 
+// Guards against requests that a stopping daemon takes and passes on although they usually last longer than it.
+TEST_CASE("during a shutdown a request of a service with long requests is refused as not run")
+{
+    WholeGateway whole("non_idempotent 60000");
+    whole.replicaClient.scripts[ReplicaId("i-1")] = { { .chunks = { "answer" }, .delay = 5s } };
+    std::array<FakeWriter, 5> earlier;
+    for (auto& writer : earlier)
+        whole.start(writer);
+    whole.timers.advance(6s);
+    auto sent = whole.replicaClient.sent.size();
+    whole.leave(8s);
+    FakeWriter late;
+    whole.start(late);
+    CHECK(late.status == 503);
+    CHECK(whole.replicaClient.sent.size() == sent);
+}
+
 // Guards against requests that get no response because the daemon stops while they wait for their replica.
 TEST_CASE("requests in progress at the end of a shutdown are answered with an error")
 {
