Answer requests that are unfinished when a process ends its shutdown (LOST)

Callers in ticket mode got no answer when their request was in progress at the end of the shutdown time (10 minutes by default, as long as the default time limit of batch requests): the timer stopped the event loop, and the process exited. After the last request had ended, the loop stopped too although requests on queued connections or read in part were waiting.

HttpServer::endResponses() sends each caller without a response an error (504, outcome unknown) and cuts streams off without their end; it never says that a request was not run. Ticket mode uses it at its time limit and waits for open connections before it exits. The gateway uses it last, for handlers that have not reacted to their expiry within 100 ms; its wait for open connections now ends exactly when the margin begins, instead of up to 50 ms of 200 ms later.

Test: HttpServerTest (endResponses); two checks fail when the error is not sent.

--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -28,6 +28,7 @@
 namespace {
 
     struct ServerConnection;
+    class ResponseWriter;
 
     using Clock = std::chrono::steady_clock;
 
@@ -48,6 +49,7 @@
     HttpHandler handler;
     HttpErrorResponder errorResponder;
     std::set<ServerConnection*> waitingConnections; /**< connections without a complete request header */
+    std::set<ResponseWriter*> writers; /**< of the requests that are being handled */
     asio::steady_timer waitTimer { context };
     size_t openConnections = 0;
     bool isAccepting = true;
@@ -113,22 +115,22 @@
             , m_requestKeepsAlive(requestKeepsAlive)
             , m_isHead(isHead)
         {
+            m_state->writers.insert(this);
+        }
+        ResponseWriter(const ResponseWriter&) = delete;
+        ResponseWriter& operator=(const ResponseWriter&) = delete;
+        ~ResponseWriter() override
+        {
+            m_state->writers.erase(this);
+            m_watcher->callback = nullptr;
         }
-
-        ~ResponseWriter() override { m_watcher->callback = nullptr; }
 
         asio::awaitable<Result<void>> send(HttpResponse response) override
         {
             if (m_hasBegun)
                 co_return abandonBegunResponse();
             m_hasBegun = true;
-            BeastResponse message(static_cast<http::status>(response.status), 11);
-            setHeaders(message, response.headers);
-            message.keep_alive(decideKeepAlive());
-            message.body() = std::move(response.body);
-            message.prepare_payload();
-            if (m_isHead)
-                message.body().clear();
+            auto message = makeMessage(std::move(response));
             error_code error;
             m_stream.expires_after(m_writeTimeout);
             http::response_serializer<http::string_body> serializer(message);
@@ -180,6 +182,18 @@
             m_stream.socket().close(ignored);
         }
 
+        /** Ends the response without waiting, with this one if none has begun. */
+        void endNow(HttpResponse response)
+        {
+            error_code ignored;
+            m_watcher->callback = nullptr;
+            auto& socket = m_stream.socket();
+            socket.non_blocking(true, ignored);
+            if (!std::exchange(m_hasBegun, true))
+                http::write(socket, makeMessage(std::move(response)), ignored);
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+
         void onCallerDisconnect(std::function<void()> callback) override { m_watcher->arm(std::move(callback)); }
         bool hasBegun() const override { return m_hasBegun; }
         bool isFinished() const { return m_isFinished; }
@@ -188,6 +202,18 @@
         bool keepsAlive() const { return m_keepsAlive; }
 
     private:
+        BeastResponse makeMessage(HttpResponse response)
+        {
+            BeastResponse message(static_cast<http::status>(response.status), 11);
+            setHeaders(message, response.headers);
+            message.keep_alive(decideKeepAlive());
+            message.body() = std::move(response.body);
+            message.prepare_payload();
+            if (m_isHead)
+                message.body().clear();
+            return message;
+        }
+
         bool decideKeepAlive()
         {
             m_keepsAlive = m_requestKeepsAlive && m_state->isAccepting && m_state->allowsKeepAlive;
@@ -505,6 +531,14 @@
     m_state->allowsKeepAlive = false;
 }
 
+void HttpServer::endResponses()
+{
+    m_state->allowsKeepAlive = false;
+    auto error = makeError(ErrorKind::OutcomeUnknown, "the daemon stopped before the response");
+    for (auto* writer : m_state->writers)
+        writer->endNow(m_state->errorResponder(error));
+}
+
 void HttpServer::setLimits(HttpServerLimits limits)
 {
     m_state->limits = limits;
--- a/modules/http/server/HttpServer.h
+++ b/modules/http/server/HttpServer.h
@@ -70,6 +70,10 @@
     /** Closes each connection after the next response that begins, which carries `Connection: close`. */
     void closeAfterResponses();
 
+    /** Tells the callers whose response has not begun, without waiting, that the outcome of their request is unknown, and cuts
+        off the other responses. The process must exit afterwards. */
+    void endResponses();
+
     /** Takes effect from the next request of each connection. A longer idle time also applies to connections that wait. */
     void setLimits(HttpServerLimits);
 
--- a/programs/chestnutrouted/Daemon.cpp
+++ b/programs/chestnutrouted/Daemon.cpp
@@ -19,6 +19,7 @@
 namespace {
 
     constexpr Duration readinessPeriod = std::chrono::milliseconds(200);
+    constexpr Duration connectionCheckPeriod = std::chrono::milliseconds(50);
 
     uint64_t randomSeed()
     {
@@ -180,11 +181,20 @@
     auto& log = daemon.service<Log>();
     log.write(EventId::DaemonLeaving, { { "daemon", daemon.m_settings.id }, { "in_progress", daemon.service<Frontend>().inProgress() } });
     daemon.m_isLeaving = true;
-    auto deadline = daemon.service<TimerService>().once(daemon.m_settings.shutdownTimeout, [&daemon] { daemon.m_context.stop(); });
+    auto deadline = daemon.service<TimerService>().once(daemon.m_settings.shutdownTimeout, [&daemon] { daemon.exitAtOnce(); });
     co_await daemon.m_serviceRegistry.stop();
     daemon.m_callerListener->stopAccepting();
-    log.write(EventId::DaemonStopped, { { "daemon", daemon.m_settings.id } });
-    daemon.m_context.stop();
+    // Requests that are queued or have been read in part are refused.
+    while (daemon.m_callerListener->openConnections() > 0)
+        co_await daemon.service<TimerService>().sleep(connectionCheckPeriod);
+    daemon.exitAtOnce();
+}
+
+void Daemon::exitAtOnce()
+{
+    m_callerListener->endResponses();
+    service<Log>().write(EventId::DaemonStopped, { { "daemon", m_settings.id }, { "in_progress", service<Frontend>().inProgress() } });
+    m_context.stop();
 }
 
 } // namespace chestnut
--- a/programs/chestnutrouted/Daemon.h
+++ b/programs/chestnutrouted/Daemon.h
@@ -32,6 +32,8 @@
     std::vector<Endpoint> peersFromVmList() const;
     static asio::awaitable<void> refreshVmList(Daemon&);
     static asio::awaitable<void> shutDown(Daemon&);
+    /** Answers the requests in progress with an error and ends the process. */
+    void exitAtOnce();
     bool isReady() const;
     void updateReadiness();
 
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -3,6 +3,7 @@
 #include "platform/Manifest.h"
 #include "platform/Names.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <csignal>
@@ -119,11 +120,12 @@
     daemon.m_clientServer->stopAccepting();
     // The open connections include requests that have not been read in full.
     while (daemon.m_clientServer->openConnections() > 0 && daemon.m_timers.now() < endsAt)
-        co_await daemon.m_timers.sleep(drainCheckPeriod);
+        co_await daemon.m_timers.sleep(std::min(drainCheckPeriod, endsAt - daemon.m_timers.now()));
     auto abandoned = daemon.m_gateway.inProgress();
     daemon.m_gateway.endRequests();
     while (daemon.m_gateway.inProgress() > 0 && daemon.m_timers.now() < endsAt + errorResponseTime)
         co_await daemon.m_timers.sleep(errorCheckPeriod);
+    daemon.m_clientServer->endResponses();
     daemon.m_log.write(EventId::DaemonStopped, { { "daemon", daemon.m_settings.gateway.self.id }, { "in_progress", abandoned }, { "connections", daemon.m_clientServer->openConnections() } });
     daemon.m_context.stop();
 }
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -174,6 +174,11 @@
     {
         serverContext.restart();
         serverContext.run_for(std::chrono::milliseconds(50));
+        return receiveNow();
+    }
+
+    std::string receiveNow()
+    {
         std::string received(4096, 0);
         boost::system::error_code error;
         socket.non_blocking(true);
@@ -214,6 +219,29 @@
     CHECK(fixture.server.openConnections() == 0);
 }
 
+// Guards against a process that exits without an answer to requests in progress, and against an error inside a stream.
+TEST_CASE("endResponses answers the requests in progress with an error and cuts off the streams")
+{
+    HttpFixture fixture([](HttpRequest request, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        if (request.path() == "/stream") {
+            co_await writer.begin(200, {});
+            co_await writer.write("event");
+        }
+        co_await pauseFor(std::chrono::seconds(60));
+    });
+    BlockingClient waiting(fixture.server.endpoint());
+    BlockingClient streaming(fixture.server.endpoint());
+    waiting.send("POST /wait HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody");
+    streaming.send("GET /stream HTTP/1.1\r\n\r\n");
+    CHECK(waiting.receive(fixture.context).empty());
+    CHECK(streaming.receive(fixture.context).find("event") != std::string::npos);
+    fixture.server.endResponses();
+    auto answer = waiting.receiveNow();
+    CHECK(answer.starts_with("HTTP/1.1 504"));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(streaming.receiveNow().empty());
+}
+
 // Guards against an idle connection that is closed, or a request that is refused, by limits which a configuration has replaced.
 TEST_CASE("an idle connection follows new limits, and the end of the idle time does not cut a request that has arrived")
 {
