--- a/tests/processes/DaemonFailureTest.cpp
+++ b/tests/processes/DaemonFailureTest.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <doctest/doctest.h>
+#include <future>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -101,6 +102,25 @@
     }
 }
 
+// Guards against calls that get no answer because their daemon exits at the end of its shutdown time.
+TEST_CASE("a call that outlasts the shutdown of its daemon is answered as a call that may have run" * doctest::test_suite("rolling"))
+{
+    auto shape = fastShape("outlasting");
+    shape.daemons = 1;
+    shape.shutdownTimeout = "15s";
+    ProcessCluster cluster(shape);
+    REQUIRE(cluster.start());
+    for (size_t i = 0; i < cluster.serverCount(); ++i)
+        REQUIRE(setFaults(cluster, cluster.serverEndpoint(i), { { "serviceMs", 60000 } }));
+    auto call = std::async(std::launch::async, [&cluster] { return book(cluster, 0, newKey()); });
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    cluster.daemon(0).signal(SIGTERM);
+    CHECK(cluster.daemon(0).wait(20) == 0);
+    auto answer = call.get();
+    CHECK(answer.status == 504);
+    CHECK(answer.outcome == "unknown");
+}
+
 // Guards against requests interrupted by a planned change: a rolling replacement of all entry VMs (H2, H8).
 TEST_CASE("daemons are replaced one after another under load" * doctest::test_suite("rolling"))
 {
--- a/tests/processes/ProcessCluster.cpp
+++ b/tests/processes/ProcessCluster.cpp
@@ -94,7 +94,7 @@
 {
     std::string path = m_folder + "/daemon" + std::to_string(index) + ".ini";
     std::ofstream file(path);
-    file << "[daemon]\nid = d" << index << "\ndeployment = " << m_shape.name << "\nzone = " << zoneOf(index) << "\nregion = r1\n"
+    file << "[daemon]\nid = d" << index << "\ndeployment = " << m_shape.name << "\nzone = " << zoneOf(index) << "\nregion = r1\nshutdown_timeout = " << m_shape.shutdownTimeout << "\n"
          << "[listen]\ncallers = " << loopback(m_callerPorts[index]) << "\noperators = " << loopback(m_operatorPorts[index])
          << "\npeers = " << loopback(m_peerPorts[index]) << "\n[peers]\nseeds = " << listOf(m_peerPorts) << "\n"
          << "[platform]\nendpoint = " << loopback(m_keyValuePort) << "\n";
--- a/tests/processes/ProcessCluster.h
+++ b/tests/processes/ProcessCluster.h
@@ -22,6 +22,7 @@
     std::set<size_t> enginesIgnoringFencing; /**< these do not check fencing numbers, and their configuration declares so */
     std::vector<std::string> serviceFlags;
     std::vector<std::string> keyValueFlags;
+    std::string shutdownTimeout = "10m";
 };
 
 /** Runs the daemons and the stand-ins as processes on loopback addresses. */
