Split load messages with long names into more datagrams

Callers: daemons lose each other's loads and reports and stop listing each other as entry points. Cause: the number of datagrams followed from the number of items alone. One replica entry with long names, or a lost attempt whose request id (the client's choice) is long, made a datagram longer than the buffer of the receivers, which then reject it. Evidence: the new test, 14,603 bytes in a datagram of at most 8,192 before. Found in the code, not seen in a run. Change: the number of parts doubles until all of them fit; lost attempts with ids of more than 128 bytes are not reported. Test: failed before, passes now; test_gateway passes.

--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -13,7 +13,8 @@
 namespace {
 
     constexpr int messageVersion = 8;
-    /** Maximum number of items of each list in one datagram. Ids take up to 40 bytes, so a full part takes 8 KB. */
+    /** Maximum number of items of each list in one datagram. With ids of up to 40 bytes a full part takes 8 KB; longer ones
+        need more parts. */
     constexpr size_t workItemsPerPart = 40;
     constexpr size_t liveDaemonsPerPart = 30;
     constexpr size_t leavingReplicasPerPart = 15;
@@ -24,6 +25,8 @@
     constexpr Duration maximumReportAge = std::chrono::minutes(1);
     /** Limits the memory of a receiver, which stores a list for each part. The two-year target needs far fewer parts. */
     constexpr uint32_t maximumParts = 256;
+    /** Each part carries all lost attempts; one with a longer id, which a client chooses, is not reported. */
+    constexpr size_t maximumAttemptIdBytes = 128;
 
     json encodeWork(const std::vector<ReplicaWork>& work)
     {
@@ -76,8 +79,11 @@
     json encodeLosses(const std::vector<LostAttemptReport>& losses)
     {
         auto list = json::array();
-        for (const auto& [loss, age, runTime] : losses)
+        for (const auto& [loss, age, runTime] : losses) {
+            if (loss.attempt.value().size() > maximumAttemptIdBytes)
+                continue;
             list.push_back({ toHex(loss.content), loss.attempt.value(), loss.replica.value(), loss.replicaStart, age.count(), runTime.count() });
+        }
         return list;
     }
 
@@ -305,26 +311,45 @@
         return { items.begin() + static_cast<ptrdiff_t>(first), items.begin() + static_cast<ptrdiff_t>(last) };
     }
 
+    LoadMessage partOf(const LoadMessage& message, const MessagePart& part)
+    {
+        auto slice = message;
+        slice.part = part;
+        if (part.index > 0)
+            slice.speedSamples.clear();
+        slice.work = sliceOf(message.work, part);
+        slice.liveDaemons = sliceOf(message.liveDaemons, part);
+        slice.leavingReplicas = sliceOf(message.leavingReplicas, part);
+        slice.entries = sliceOf(message.entries, part);
+        slice.engineCrashes = sliceOf(message.engineCrashes, part);
+        slice.partBegins = sliceOf(message.partBegins, part);
+        return slice;
+    }
+
+    std::vector<std::string> encodeParts(const LoadMessage& message, uint32_t count)
+    {
+        if (count == 1)
+            return { encodePart(message) };
+        std::vector<std::string> datagrams;
+        for (uint32_t index = 0; index < count; ++index)
+            datagrams.push_back(encodePart(partOf(message, { index, count })));
+        return datagrams;
+    }
+
+    bool fitsBuffer(const std::string& datagram)
+    {
+        return datagram.size() <= maximumDatagram;
+    }
+
 } // namespace
 
 std::vector<std::string> encodeLoadMessage(const LoadMessage& message)
 {
     auto count = countOfParts(message);
-    if (count == 1)
-        return { encodePart(message) };
-    std::vector<std::string> datagrams;
-    for (uint32_t index = 0; index < count; ++index) {
-        auto part = message;
-        part.part = { index, count };
-        if (index > 0)
-            part.speedSamples.clear();
-        part.work = sliceOf(message.work, part.part);
-        part.liveDaemons = sliceOf(message.liveDaemons, part.part);
-        part.leavingReplicas = sliceOf(message.leavingReplicas, part.part);
-        part.entries = sliceOf(message.entries, part.part);
-        part.engineCrashes = sliceOf(message.engineCrashes, part.part);
-        part.partBegins = sliceOf(message.partBegins, part.part);
-        datagrams.push_back(encodePart(part));
+    auto datagrams = encodeParts(message, count);
+    while (!std::ranges::all_of(datagrams, fitsBuffer) && count <= maximumParts / 2) {
+        count *= 2;
+        datagrams = encodeParts(message, count);
     }
     return datagrams;
 }
--- a/tests/gateway/LoadMessageTest.cpp
+++ b/tests/gateway/LoadMessageTest.cpp
@@ -87,6 +87,24 @@
     CHECK(joined.partBegins == message.partBegins);
 }
 
+// Guards against one entry or one client's request whose long names make peers refuse all messages with them.
+TEST_CASE("long names in a load message do not make its datagrams longer than the buffer of the receiver")
+{
+    auto message = fleetMessage(60, 6, 2);
+    std::string name(200, 'n');
+    for (auto& entry : message.entries)
+        entry = { ReplicaId(name), ServiceId(name), "10.255.255.255:65535", AvailabilityZone(name), 48, false, EngineStage::Decode, 1, 1 };
+    message.losses.push_back({ { digestOf("x"), RequestId(std::string(9000, 'q')), ReplicaId("i-1") }, {}, {} });
+    std::vector<ReplicaEntry> entries;
+    for (const auto& datagram : encodeLoadMessage(message)) {
+        CHECK(datagram.size() <= maximumDatagram);
+        auto part = decodeLoadMessage(datagram);
+        REQUIRE(part.has_value());
+        entries.insert(entries.end(), part->entries.begin(), part->entries.end());
+    }
+    CHECK(entries == message.entries);
+}
+
 // Guards against excessive allocations caused by a corrupt or foreign datagram.
 TEST_CASE("a datagram with an invalid part number is rejected")
 {
