Reject load messages of other formats without an exception

Callers: a daemon that receives one such datagram reads none for the time after which a failed task restarts, so its lists of entry points and loads become older. Cause: the version was read, and the document parsed, outside the try block; a version that is not a number throws, and so does CBOR with an impossible element count. Evidence: 12 of 206 checks of the new test failed with a type_error that left the decoder. Found in the code, not seen in a run. Nesting of 8,192 levels, the longest that fits a datagram, is harmless. Change: the whole decoder is inside the try block. Test: failed before, passes now; test_gateway passes.

--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -356,10 +356,10 @@
 
 Result<LoadMessage> decodeLoadMessage(std::string_view datagram)
 {
-    auto document = json::from_cbor(datagram.begin(), datagram.end(), true, false);
-    if (!document.is_object() || document.value("v", 0) != messageVersion)
-        return makeError(ErrorKind::ProtocolError, "datagram is not a load message of a supported version");
     try {
+        auto document = json::from_cbor(datagram.begin(), datagram.end(), true, false);
+        if (!document.is_object() || document.value("v", 0) != messageVersion)
+            return makeError(ErrorKind::ProtocolError, "datagram is not a load message of a supported version");
         auto sender = decodeDaemonRecord(document.at("from").get<std::string>());
         if (!sender)
             return sender.error();
--- a/tests/gateway/LoadMessageTest.cpp
+++ b/tests/gateway/LoadMessageTest.cpp
@@ -121,6 +121,28 @@
     CHECK_FALSE(isAccepted(0, 4'000'000'000));
 }
 
+// Guards against an exception that leaves the decoder, after which the daemon receives no messages for a while.
+TEST_CASE("a datagram with fields of other types, out of range or nested deeply is rejected without an exception")
+{
+    using nlohmann::json;
+    auto decode = [](const json& document) {
+        auto bytes = json::to_cbor(document);
+        return decodeLoadMessage({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+    };
+    auto valid = json::from_cbor(encodeLoadMessage(fleetMessage(1, 1, 1)).front());
+    const std::vector<json> values { nullptr, true, -1, UINT64_MAX, INT64_MIN, 1e300, std::nan(""), "", "\xff", json::array(), json::object(), { 1, { "a" } } };
+    for (const auto& value : values) {
+        CHECK_FALSE(decode({ { "v", value } }).has_value());
+        for (const auto& [field, present] : valid.items()) {
+            auto document = valid;
+            document[field] = value;
+            CHECK_NOTHROW((void)decode(document));
+        }
+    }
+    CHECK_FALSE(decodeLoadMessage(std::string(maximumDatagram, '\x81')).has_value());
+    CHECK_FALSE(decodeLoadMessage("\x9b\xff\xff\xff\xff\xff\xff\xff\xff").has_value());
+}
+
 // Guards against a number without a value that one peer sends and that then stays in the speeds of the whole fleet.
 TEST_CASE("a load message whose samples are negative or not finite is rejected")
 {
