--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -76,3 +76,17 @@
     CHECK_FALSE(decodeServerEntry(id, replaced(entry, "\"slots\":12", "\"slots\":\"12\"")).has_value());
     CHECK_FALSE(decodeServerEntry(id, replaced(entry, "\"seq_no\":4,", "")).has_value());
 }
+
+// Guards against a wrapped or saturated number, after which the entry names a replica that takes all requests or no later heartbeat counts.
+TEST_CASE("entries with numbers out of range are rejected")
+{
+    for (const auto* value : { "0", "-1", "12.5", "65537", "4294967296", "18446744073709551616", "1e30", "1e400", "null", "[1]" }) {
+        CAPTURE(value);
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "\"slots\":12", "\"slots\":" + std::string(value))).has_value());
+    }
+    for (const auto* value : { "-1", "4.5", "9007199254740993", "18446744073709551615", "1e30", "1e400", "null", "\"4\"" }) {
+        CAPTURE(value);
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "\"seq_no\":4", "\"seq_no\":" + std::string(value))).has_value());
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "1700000000000", value)).has_value());
+    }
+}
