--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/Manifest.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace chestnut;
 using namespace chestnut::platform;
@@ -90,3 +91,17 @@
         CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "1700000000000", value)).has_value());
     }
 }
+
+// Guards against ids and names of other writers that break a request's header or fill the messages between daemons.
+TEST_CASE("entries with an id that is no token or with long names are rejected")
+{
+    for (const std::string& id : { std::string(), std::string(201, 'x'), std::string("a\r\nX-Other: 1"), std::string("a b"), std::string("a\0", 2), std::string("\xc3\xa9") }) {
+        CAPTURE(id);
+        CHECK_FALSE(decodeServerEntry(ReplicaId(id), entry).has_value());
+    }
+    for (const auto* field : { "service", "zone" }) {
+        auto document = nlohmann::json::parse(entry);
+        document[field] = std::string(201, 'x');
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), document.dump()).has_value());
+    }
+}
