--- a/modules/kernel/settings/SettingsReader.cpp
+++ b/modules/kernel/settings/SettingsReader.cpp
@@ -67,6 +67,9 @@
     if (host.size() >= 2 && host.front() == '[' && host.back() == ']')
         host = host.substr(1, host.size() - 2);
     auto port = parseNumber<uint16_t>(text.substr(colon + 1));
+    // make_address reads a host only up to the first null byte.
+    if (host.find('\0') != std::string_view::npos)
+        return std::nullopt;
     boost::system::error_code error;
     auto address = asio::ip::make_address(std::string(host), error);
     if (error || !port)
@@ -74,6 +77,14 @@
     return Endpoint { address.to_string(), *port };
 }
 
+bool isConnectable(const Endpoint& endpoint)
+{
+    boost::system::error_code error;
+    auto address = asio::ip::make_address(endpoint.address, error);
+    auto isBroadcast = address == asio::ip::address(asio::ip::address_v4::broadcast());
+    return !error && endpoint.port != 0 && !address.is_unspecified() && !address.is_multicast() && !isBroadcast;
+}
+
 std::string formatEndpoint(const Endpoint& endpoint)
 {
     auto host = endpoint.address.find(':') == std::string::npos ? endpoint.address : "[" + endpoint.address + "]";
--- a/modules/kernel/settings/SettingsReader.h
+++ b/modules/kernel/settings/SettingsReader.h
@@ -32,6 +32,8 @@
 
 /** Parses `127.0.0.1:8000` or `[::1]:8000`; host names are invalid, because processes address each other by IP. */
 std::optional<Endpoint> parseEndpoint(std::string_view);
+/** Whether another program can listen there: the address is that of one host, and the port is known. */
+bool isConnectable(const Endpoint&);
 std::string formatEndpoint(const Endpoint&);
 
 /** Parses an integer with a unit: `250ms`, `5s`, `2m`, `24h`. */
--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -105,3 +105,13 @@
         CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), document.dump()).has_value());
     }
 }
+
+// Guards against requests that this daemon sends to itself, and against bytes after a terminator that reach a header.
+TEST_CASE("entries whose address is not one of a host with a port are rejected")
+{
+    for (const std::string& address : { "", ":", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1:+80", "10.0.0.1: 80", "host:80", "10.0.0.1.2:80", "0.0.0.0:80", "[::]:80", "224.0.0.1:80", "255.255.255.255:80", "10.0.0.1\\u0000\\r\\nX-Other: 1:80" }) {
+        CAPTURE(address);
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "10.128.0.9:8080", address)).has_value());
+    }
+    CHECK(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "10.128.0.9:8080", "[2001:db8::1]:80"))->address == "[2001:db8::1]:80");
+}
