--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -115,3 +115,15 @@
     }
     CHECK(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "10.128.0.9:8080", "[2001:db8::1]:80"))->address == "[2001:db8::1]:80");
 }
+
+// Guards against log lines as long as the value of a key, and against recursion or exceptions on the way to them.
+TEST_CASE("the error for an unreadable entry is short, whatever the entry contains")
+{
+    std::string longText(100'000, '\x7f');
+    auto nested = std::string(100'000, '[') + std::string(100'000, ']');
+    for (const auto& text : { replaced(entry, "ready", longText), replaced(entry, "decode", longText), replaced(entry, "10.128.0.9:8080", longText), replaced(entry, "\"ready\"", nested), replaced(entry, "4", nested), nested, longText, replaced(entry, "ready", "\xff\xc3") }) {
+        auto decoded = decodeServerEntry(ReplicaId("i-1"), text);
+        REQUIRE_FALSE(decoded.has_value());
+        CHECK(decoded.error().detail.size() < 200);
+    }
+}
