Log an unreadable replica entry once, not for each of its versions

Callers: none directly; a writer that repeats an odd entry filled the log of every daemon, a line for each version. Cause: the directory logged each version that it could not read. Change: a key is logged again only after it was readable or removed. Test: failed before, passes now; test_gateway passes.

--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -74,9 +74,11 @@
     ReplicaId id(item.key.substr(m_keyPrefix.size()));
     auto entry = m_decode(id, item.value);
     if (!entry) {
-        m_log.write(EventId::StoreEntryUnreadable, { { "key", item.key }, { "revision", item.revision }, { "detail", entry.error().detail } });
+        if (m_unreadable.insert(id).second)
+            m_log.write(EventId::StoreEntryUnreadable, { { "key", item.key }, { "revision", item.revision }, { "detail", entry.error().detail } });
         return;
     }
+    m_unreadable.erase(id);
     m_unconfirmed.erase(id);
     if (apply(*entry, "entry"))
         m_changedAt[id] = m_timers.now();
@@ -141,6 +143,7 @@
 void ReplicaDirectory::onRemoval(const std::string& key)
 {
     ReplicaId id(key.substr(m_keyPrefix.size()));
+    m_unreadable.erase(id);
     m_unconfirmed.erase(id);
     if (!applyRemoval(m_registry, id, m_timers.now(), removalGrace()))
         return;
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -136,6 +136,7 @@
     std::map<ReplicaId, LeavingReport> m_leaving;
     std::map<ReplicaId, TimePoint> m_changedAt; /**< when the change was read from the store */
     std::map<ReplicaId, TimePoint> m_unconfirmed; /**< entries from peers, and when they were applied */
+    std::set<ReplicaId> m_unreadable; /**< whose entries could not be read and were logged */
     std::map<ReplicaId, PeerPause> m_pauses;
     std::map<ReplicaId, OrderedStage> m_ordered;
     ReplicaBackoffs m_backoffs;
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -152,6 +152,26 @@
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Ready);
 }
 
+// Guards against a log that another writer fills by writing its entry again and again.
+TEST_CASE("an unreadable entry is logged once until it becomes readable or is removed")
+{
+    GatewayFixture fixture;
+    auto writeInvalid = [&fixture] {
+        for (int i = 0; i < 20; ++i) {
+            fixture.store.put("servers/i-2", "invalid " + std::to_string(i));
+            fixture.settle();
+        }
+    };
+    writeInvalid();
+    CHECK(fixture.log.recent(EventId::StoreEntryUnreadable).size() == 1);
+    fixture.addReplica("i-2", "s", "none");
+    writeInvalid();
+    CHECK(fixture.log.recent(EventId::StoreEntryUnreadable).size() == 2);
+    fixture.removeReplica("i-2");
+    writeInvalid();
+    CHECK(fixture.log.recent(EventId::StoreEntryUnreadable).size() == 3);
+}
+
 TEST_CASE("an engine gets no work between its order and the entry with the new stage")
 {
     GatewayFixture fixture;
