Read a list or a watch although one item has unexpected fields

Callers: the daemon follows none of the keys of the prefix any more, and neither new nor removed replicas are noticed. Cause: one item without a text as key or without a revision made the whole response invalid, at each repetition. Values that are not base64 were and are read as empty, and reported by the decoder of the key. Change: such items are left out. A page that has none left but announces more is an error, as its end is unknown.

--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -98,6 +98,25 @@
     CHECK(fixture.http.run(unreachable.grantLease(3s)).error().kind == ErrorKind::PlatformUnavailable);
 }
 
+// Guards against one odd item after which the daemon follows none of the other keys.
+TEST_CASE("an item with missing or unexpected fields does not hide the other items of a list or a watch")
+{
+    const std::string odd = R"({"key":"my/a","value":"eA=="},{"key":7,"revision":4},{"key":"my/b","revision":-1},{"key":"my/c","revision":1e30},[],null,)";
+    const std::string sound = R"({"key":"my/d","value":"%","revision":5,"create_revision":"x"},{"key":"my/e","value":7,"revision":6,"tombstone":"no"})";
+    StoreFixture fixture;
+    fixture.response = { 200, {}, R"({"items":[)" + odd + sound + R"(],"current_rev":9})" };
+    auto page = fixture.http.run(fixture.store.list("my/", ""));
+    REQUIRE(page.has_value());
+    CHECK(page->items == std::vector<StoreItem> { { "my/d", "", 5, 0 }, { "my/e", "", 6, 0 } });
+    fixture.response = { 200, {}, R"({"events":[)" + odd + sound + R"(],"current_rev":9})" };
+    auto changes = fixture.http.run(fixture.store.watch("my/", 1, 1s, nullptr));
+    REQUIRE(changes.has_value());
+    CHECK(changes->changes == std::vector<StoreChange> { { { "my/d", "", 5, 0 } }, { { "my/e", "", 6, 0 } } });
+    // Without an item, the key after which the next page begins is unknown.
+    fixture.response = { 200, {}, R"({"items":[{}],"has_more":true,"current_rev":9})" };
+    CHECK_FALSE(fixture.http.run(fixture.store.list("my/", "")).has_value());
+}
+
 // Guards against memory use that grows with a response of the store.
 TEST_CASE("a response of the store without end is a lost response")
 {
