--- a/tests/platform/NoticeTest.cpp
+++ b/tests/platform/NoticeTest.cpp
@@ -135,6 +135,18 @@
     }
 }
 
+// Guards against log lines as long as a header, with bytes that are not text.
+TEST_CASE("unreadable values are reported in a short printable form")
+{
+    const std::string leavingValue(8000, '\xff');
+    const auto time = std::string(8000, '9') + "x";
+    auto content = platform::decodeNotice(503, { { "Server-Leaving", leavingValue }, { "Retry-After", time }, { "Retry-After", time }, { "Retry-After", time } });
+    CHECK_FALSE(content.unreadable.empty());
+    CHECK(content.unreadable.size() < 500);
+    CHECK(std::ranges::all_of(content.unreadable, [](unsigned char c) { return c >= ' ' && c < 0x7f; }));
+    CHECK_FALSE(content.backoff.has_value());
+}
+
 // Guards against bytes of a faulty replica that are read as a departure, or as a time that is negative or out of range.
 TEST_CASE("arbitrary values of both headers are read as one departure, a bounded time, or nothing")
 {
