--- a/tests/platform/NoticeTest.cpp
+++ b/tests/platform/NoticeTest.cpp
@@ -147,6 +147,22 @@
     CHECK_FALSE(content.backoff.has_value());
 }
 
+// Guards against a handle of a faulty engine that breaks the header or the path it is sent in.
+TEST_CASE("a prefill response whose handle is no token is a failed call")
+{
+    ReplicaFixture fixture;
+    RoutedRequest request;
+    request.forwarded = { "GET", "/", {}, {} };
+    for (const std::string handle : { R"()", R"(a\r\nX-Other: 1)", R"(a b)", R"(\u00e9)", R"(a\u0000)" }) {
+        CAPTURE(handle);
+        fixture.response = { 200, {}, R"({"kv_handle":")" + handle + R"("})" };
+        auto response = fixture.http.run(fixture.client.prefill({ request, ReplicaId("i-1"), fixture.address, 1s }));
+        CHECK_FALSE(response.has_value());
+    }
+    fixture.response = { 200, {}, R"({"kv_handle":"3fa09c41b7d5"})" };
+    CHECK(fixture.http.run(fixture.client.prefill({ request, ReplicaId("i-1"), fixture.address, 1s })).has_value());
+}
+
 // Guards against bytes of a faulty replica that are read as a departure, or as a time that is negative or out of range.
 TEST_CASE("arbitrary values of both headers are read as one departure, a bounded time, or nothing")
 {
