--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -78,6 +78,19 @@
     CHECK_FALSE(decodeServerEntry(id, replaced(entry, "\"seq_no\":4,", "")).has_value());
 }
 
+// Guards against a replica that no program runs: an entry without a documented field comes from another writer.
+TEST_CASE("entries without one of their fields, or with one of another type, are rejected")
+{
+    for (const auto* field : { "service", "address", "zone", "version", "slots", "state", "cold_left_ms", "seq_no" }) {
+        CAPTURE(field);
+        auto document = nlohmann::json::parse(entry);
+        document[field] = nlohmann::json::array();
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), document.dump()).has_value());
+        document.erase(field);
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), document.dump()).has_value());
+    }
+}
+
 // Guards against a wrapped or saturated number, after which the entry names a replica that takes all requests or no later heartbeat counts.
 TEST_CASE("entries with numbers out of range are rejected")
 {
