Ignore daemon records under another key or without a usable address

Callers: clients get an address at which no daemon listens, for as long as the key exists. Cause: the record's id was not compared with its key, so that the removal of the key did not end the registration; port 0, 0.0.0.0 and multicast addresses were accepted. Evidence: the new test failed before. Found in the code, not seen in a run. Change: such records are reported as unreadable.

--- a/modules/gateway/members/DaemonDirectory.cpp
+++ b/modules/gateway/members/DaemonDirectory.cpp
@@ -50,7 +50,8 @@
     };
     auto clientEndpoint = parseEndpoint(textOf("front"));
     auto peerEndpoint = parseEndpoint(textOf("peers"));
-    if (textOf("id").empty() || !clientEndpoint || !peerEndpoint)
+    auto hasEndpoints = clientEndpoint && isConnectable(*clientEndpoint) && peerEndpoint && isConnectable(*peerEndpoint);
+    if (textOf("id").empty() || !hasEndpoints)
         return makeError(ErrorKind::ProtocolError, "daemon record has no id or no valid addresses");
     auto link = document.find("link");
     auto linkMegabits = link != document.end() && link->is_number_unsigned() ? link->get<uint32_t>() : 0;
@@ -144,6 +145,11 @@
         m_log.write(EventId::StoreEntryUnreadable, { { "key", item.key }, { "detail", record.error().detail } });
         return;
     }
+    // The removal of another key would not end the registration.
+    if (item.key != keyOf(record->id)) {
+        m_log.write(EventId::StoreEntryUnreadable, { { "key", item.key }, { "detail", "the key belongs to another daemon" } });
+        return;
+    }
     if (record->id == m_self.id)
         return;
     auto& daemon = m_others[record->id];
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -363,3 +363,19 @@
     CHECK(seen > 1);
     CHECK(fixture.log.recent(EventId::TaskFailed).size() == 1);
 }
+
+// Guards against clients and messages that are sent to an address at which no daemon listens, for as long as the key exists.
+TEST_CASE("a daemon record under another key, or with an address at which no daemon can listen, is ignored")
+{
+    GatewayFixture fixture;
+    DaemonRecord self { DaemonId("d0"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 81 } };
+    DaemonDirectory directory(fixture.context, fixture.store, fixture.timers, fixture.log, fixture.ownKeys, self, [] {});
+    fixture.ownKeys->start();
+    for (const Endpoint& endpoint : { Endpoint { "10.0.0.2", 0 }, Endpoint { "0.0.0.0", 80 }, Endpoint { "224.0.0.1", 80 } }) {
+        fixture.store.put("chestnutroute/daemons/d1", encodeDaemonRecord({ DaemonId("d1"), AvailabilityZone("a"), endpoint, { "10.0.0.2", 81 } }));
+        fixture.settle();
+    }
+    fixture.store.put("chestnutroute/daemons/x", encodeDaemonRecord({ DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.2", 80 }, { "10.0.0.2", 81 } }));
+    fixture.settle();
+    CHECK(directory.others().empty());
+}
