--- a/tests/gateway/LoadMessageTest.cpp
+++ b/tests/gateway/LoadMessageTest.cpp
@@ -87,6 +87,24 @@
     CHECK(joined.partBegins == message.partBegins);
 }
 
+// Guards against one entry or one client's request whose long names make peers refuse all messages with them.
+TEST_CASE("long names in a load message do not make its datagrams longer than the buffer of the receiver")
+{
+    auto message = fleetMessage(60, 6, 2);
+    std::string name(200, 'n');
+    for (auto& entry : message.entries)
+        entry = { ReplicaId(name), ServiceId(name), "10.255.255.255:65535", AvailabilityZone(name), 48, false, EngineStage::Decode, 1, 1 };
+    message.losses.push_back({ { digestOf("x"), RequestId(std::string(9000, 'q')), ReplicaId("i-1") }, {}, {} });
+    std::vector<ReplicaEntry> entries;
+    for (const auto& datagram : encodeLoadMessage(message)) {
+        CHECK(datagram.size() <= maximumDatagram);
+        auto part = decodeLoadMessage(datagram);
+        REQUIRE(part.has_value());
+        entries.insert(entries.end(), part->entries.begin(), part->entries.end());
+    }
+    CHECK(entries == message.entries);
+}
+
 // Guards against excessive allocations caused by a corrupt or foreign datagram.
 TEST_CASE("a datagram with an invalid part number is rejected")
 {
@@ -103,6 +121,28 @@
     CHECK_FALSE(isAccepted(0, 4'000'000'000));
 }
 
+// Guards against an exception that leaves the decoder, after which the daemon receives no messages for a while.
+TEST_CASE("a datagram with fields of other types, out of range or nested deeply is rejected without an exception")
+{
+    using nlohmann::json;
+    auto decode = [](const json& document) {
+        auto bytes = json::to_cbor(document);
+        return decodeLoadMessage({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+    };
+    auto valid = json::from_cbor(encodeLoadMessage(fleetMessage(1, 1, 1)).front());
+    const std::vector<json> values { nullptr, true, -1, UINT64_MAX, INT64_MIN, 1e300, std::nan(""), "", "\xff", json::array(), json::object(), { 1, { "a" } } };
+    for (const auto& value : values) {
+        CHECK_FALSE(decode({ { "v", value } }).has_value());
+        for (const auto& [field, present] : valid.items()) {
+            auto document = valid;
+            document[field] = value;
+            CHECK_NOTHROW((void)decode(document));
+        }
+    }
+    CHECK_FALSE(decodeLoadMessage(std::string(maximumDatagram, '\x81')).has_value());
+    CHECK_FALSE(decodeLoadMessage("\x9b\xff\xff\xff\xff\xff\xff\xff\xff").has_value());
+}
+
 // Guards against a number without a value that one peer sends and that then stays in the speeds of the whole fleet.
 TEST_CASE("a load message whose samples are negative or not finite is rejected")
 {
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -175,6 +175,26 @@
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Ready);
 }
 
+// Guards against a log that another writer fills by writing its entry again and again.
+TEST_CASE("an unreadable entry is logged once until it becomes readable or is removed")
+{
+    GatewayFixture fixture;
+    auto writeInvalid = [&fixture] {
+        for (int i = 0; i < 20; ++i) {
+            fixture.store.put("servers/i-2", "invalid " + std::to_string(i));
+            fixture.settle();
+        }
+    };
+    writeInvalid();
+    CHECK(fixture.log.recent(EventId::StoreEntryUnreadable).size() == 1);
+    fixture.addReplica("i-2", "s", "none");
+    writeInvalid();
+    CHECK(fixture.log.recent(EventId::StoreEntryUnreadable).size() == 2);
+    fixture.removeReplica("i-2");
+    writeInvalid();
+    CHECK(fixture.log.recent(EventId::StoreEntryUnreadable).size() == 3);
+}
+
 TEST_CASE("an engine gets no work between its order and the entry with the new stage")
 {
     GatewayFixture fixture;
@@ -425,3 +445,19 @@
     CHECK(seen > 1);
     CHECK(fixture.log.recent(EventId::TaskFailed).size() == 1);
 }
+
+// Guards against clients and messages that are sent to an address at which no daemon listens, for as long as the key exists.
+TEST_CASE("a daemon record under another key, or with an address at which no daemon can listen, is ignored")
+{
+    GatewayFixture fixture;
+    DaemonRecord self { DaemonId("d0"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 81 } };
+    DaemonDirectory directory(fixture.context, fixture.store, fixture.timers, fixture.log, fixture.ownKeys, self, [] {});
+    fixture.ownKeys->start();
+    for (const Endpoint& endpoint : { Endpoint { "10.0.0.2", 0 }, Endpoint { "0.0.0.0", 80 }, Endpoint { "224.0.0.1", 80 } }) {
+        fixture.store.put("chestnutroute/daemons/d1", encodeDaemonRecord({ DaemonId("d1"), AvailabilityZone("a"), endpoint, { "10.0.0.2", 81 } }));
+        fixture.settle();
+    }
+    fixture.store.put("chestnutroute/daemons/x", encodeDaemonRecord({ DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.2", 80 }, { "10.0.0.2", 81 } }));
+    fixture.settle();
+    CHECK(directory.others().empty());
+}
--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/Manifest.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace chestnut;
 using namespace chestnut::platform;
@@ -76,3 +77,66 @@
     CHECK_FALSE(decodeServerEntry(id, replaced(entry, "\"slots\":12", "\"slots\":\"12\"")).has_value());
     CHECK_FALSE(decodeServerEntry(id, replaced(entry, "\"seq_no\":4,", "")).has_value());
 }
+
+// Guards against a replica that no program runs: an entry without a documented field comes from another writer.
+TEST_CASE("entries without one of their fields, or with one of another type, are rejected")
+{
+    for (const auto* field : { "service", "address", "zone", "version", "slots", "state", "cold_left_ms", "seq_no" }) {
+        CAPTURE(field);
+        auto document = nlohmann::json::parse(entry);
+        document[field] = nlohmann::json::array();
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), document.dump()).has_value());
+        document.erase(field);
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), document.dump()).has_value());
+    }
+}
+
+// Guards against a wrapped or saturated number, after which the entry names a replica that takes all requests or no later heartbeat counts.
+TEST_CASE("entries with numbers out of range are rejected")
+{
+    for (const auto* value : { "0", "-1", "12.5", "65537", "4294967296", "18446744073709551616", "1e30", "1e400", "null", "[1]" }) {
+        CAPTURE(value);
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "\"slots\":12", "\"slots\":" + std::string(value))).has_value());
+    }
+    for (const auto* value : { "-1", "4.5", "9007199254740993", "18446744073709551615", "1e30", "1e400", "null", "\"4\"" }) {
+        CAPTURE(value);
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "\"seq_no\":4", "\"seq_no\":" + std::string(value))).has_value());
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "1700000000000", value)).has_value());
+    }
+}
+
+// Guards against ids and names of other writers that break a request's header or fill the messages between daemons.
+TEST_CASE("entries with an id that is no token or with long names are rejected")
+{
+    for (const std::string& id : { std::string(), std::string(201, 'x'), std::string("a\r\nX-Other: 1"), std::string("a b"), std::string("a\0", 2), std::string("\xc3\xa9") }) {
+        CAPTURE(id);
+        CHECK_FALSE(decodeServerEntry(ReplicaId(id), entry).has_value());
+    }
+    for (const auto* field : { "service", "zone" }) {
+        auto document = nlohmann::json::parse(entry);
+        document[field] = std::string(201, 'x');
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), document.dump()).has_value());
+    }
+}
+
+// Guards against requests that this daemon sends to itself, and against bytes after a terminator that reach a header.
+TEST_CASE("entries whose address is not one of a host with a port are rejected")
+{
+    for (const std::string& address : { "", ":", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1:+80", "10.0.0.1: 80", "host:80", "10.0.0.1.2:80", "0.0.0.0:80", "[::]:80", "224.0.0.1:80", "255.255.255.255:80", "10.0.0.1\\u0000\\r\\nX-Other: 1:80" }) {
+        CAPTURE(address);
+        CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "10.128.0.9:8080", address)).has_value());
+    }
+    CHECK(decodeServerEntry(ReplicaId("i-1"), replaced(entry, "10.128.0.9:8080", "[2001:db8::1]:80"))->address == "[2001:db8::1]:80");
+}
+
+// Guards against log lines as long as the value of a key, and against recursion or exceptions on the way to them.
+TEST_CASE("the error for an unreadable entry is short, whatever the entry contains")
+{
+    std::string longText(100'000, '\x7f');
+    auto nested = std::string(100'000, '[') + std::string(100'000, ']');
+    for (const auto& text : { replaced(entry, "ready", longText), replaced(entry, "decode", longText), replaced(entry, "10.128.0.9:8080", longText), replaced(entry, "\"ready\"", nested), replaced(entry, "4", nested), nested, longText, replaced(entry, "ready", "\xff\xc3") }) {
+        auto decoded = decodeServerEntry(ReplicaId("i-1"), text);
+        REQUIRE_FALSE(decoded.has_value());
+        CHECK(decoded.error().detail.size() < 200);
+    }
+}
