Do not send a request whose client has closed the connection

Cause: a close is reported by the watcher of the connection, in a later turn of the event loop than the one in which the request is read. A daemon that is late finds the request and the close in the socket together, chooses a replica and writes to an idle connection to it in the same turn. A close behind unread bytes was not found at all, as the watcher looked at the next byte. Evidence: the test sends a request, closes the connection and only then lets the daemon run. Change: ConnectionPool asks the abort handle before an exchange is sent, before and after it has opened a connection; the handle of a relayed request asks the kernel about the client's connection (POLLRDHUP), whatever bytes are unread. A client that closes only its sending side cannot be told from one that closes the connection: the kernel reports the same until the daemon writes. The watcher has always treated both as a disconnect of a relayed request; the new check does the same. HttpServer itself still serves such clients (HttpFuzzTest).

--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -84,6 +84,11 @@
         if (auto self = weak.lock())
             self->onClientDisconnect();
     });
+    // A daemon that is late may read a request and its client's close in the same turn.
+    abort->onBeforeSend([weak = weak_from_this(), &writer] {
+        if (auto self = weak.lock(); self && writer.isCallerDisconnected())
+            self->onClientDisconnect();
+    });
     m_deadlineTimer = services.timers.once(std::max(remaining(), Duration(1)), [weak = weak_from_this()] {
         if (auto self = weak.lock())
             self->expire();
--- a/modules/http/client/AbortHandle.h
+++ b/modules/http/client/AbortHandle.h
@@ -27,6 +27,17 @@
 
     bool isAborted() const { return m_isAborted; }
 
+    /** Sets a callback that is called before each exchange is sent and may abort it. */
+    void onBeforeSend(std::function<void()> callback) { m_beforeSend = std::move(callback); }
+
+    /** Whether an exchange that is about to be sent must not be sent. */
+    bool forbidsSend()
+    {
+        if (m_beforeSend && !m_isAborted)
+            m_beforeSend();
+        return m_isAborted;
+    }
+
     /** Sets the callback that cancels the exchange in progress. Calls it immediately when the handle is already aborted. */
     void attach(std::function<void()> callback)
     {
@@ -39,6 +50,7 @@
 
 private:
     std::function<void()> m_callback;
+    std::function<void()> m_beforeSend;
     bool m_isAborted = false;
 };
 
--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -272,14 +272,14 @@
 asio::awaitable<Result<std::unique_ptr<HttpBodyStream>>> ConnectionPool::open(Endpoint endpoint, HttpRequest request, ExchangeOptions options)
 {
     auto state = m_state;
-    if (options.abort && options.abort->isAborted())
+    if (options.abort && options.abort->forbidsSend())
         co_return makeError(ErrorKind::ConnectFailed, "aborted before the request was sent");
     auto connection = options.needsFreshConnection ? nullptr : state->take(endpoint);
     if (!connection) {
         auto opened = co_await connect(state->context, endpoint, std::min(options.timeout, options.connectTimeout.value_or(state->settings.connectTimeout)));
         if (!opened)
             co_return opened.error();
-        if (options.abort && options.abort->isAborted())
+        if (options.abort && options.abort->forbidsSend())
             co_return makeError(ErrorKind::ConnectFailed, "aborted before the request was sent");
         connection = std::move(*opened);
         ++state->opened;
--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cassert>
+#include <poll.h>
 #include <set>
 
 namespace chestnut {
@@ -89,13 +90,11 @@
             });
         }
 
-        bool isClosed()
+        /** Also when bytes that were sent before the close have not been read. */
+        bool isClosed() const
         {
-            char byte = 0;
-            error_code error;
-            socket.non_blocking(true, error);
-            auto count = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-            return error ? error != asio::error::would_block : count == 0;
+            pollfd connection { socket.native_handle(), POLLRDHUP, 0 };
+            return !socket.is_open() || ::poll(&connection, 1, 0) > 0;
         }
 
         tcp::socket& socket;
@@ -181,6 +180,7 @@
         }
 
         void onCallerDisconnect(std::function<void()> callback) override { m_watcher->arm(std::move(callback)); }
+        bool isCallerDisconnected() const override { return m_watcher->isClosed(); }
         bool hasBegun() const override { return m_hasBegun; }
         bool isFinished() const { return m_isFinished; }
 
--- a/modules/http/server/HttpServer.h
+++ b/modules/http/server/HttpServer.h
@@ -43,6 +43,9 @@
     /** Sets a callback that is called, at most once, when the caller closes the connection while the handler runs. */
     virtual void onCallerDisconnect(std::function<void()>) = 0;
 
+    /** Whether the caller has closed the connection, which may be known before the callback is called. */
+    virtual bool isCallerDisconnected() const = 0;
+
     virtual bool hasBegun() const = 0;
 };
 
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -254,6 +254,8 @@
 
 asio::awaitable<Result<ReplicaResponse>> FakeReplicaClient::send(ReplicaCall call)
 {
+    if (call.abort && call.abort->forbidsSend())
+        co_return makeError(ErrorKind::ConnectFailed, "aborted");
     sent.push_back({ call.replica, call.handle, call.resumeAfter, call.priority, call.timeLeft });
     auto sentAt = m_timers.now();
     auto response = nextResponse(call.replica);
@@ -270,6 +272,8 @@
 
 asio::awaitable<Result<PrefillResponse>> FakeReplicaClient::prefill(ReplicaCall call)
 {
+    if (call.abort && call.abort->forbidsSend())
+        co_return makeError(ErrorKind::ConnectFailed, "aborted");
     prefills.push_back(call.replica);
     publish(call.replica, call.address, m_timers.now());
     if (auto error = prefillErrors[call.replica])
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -135,6 +135,7 @@
     asio::awaitable<Result<void>> finish() override;
     void abort() override { wasAborted = true; }
     void onCallerDisconnect(std::function<void()> callback) override { disconnectCallback = std::move(callback); }
+    bool isCallerDisconnected() const override { return false; }
     bool hasBegun() const override { return status != 0; }
 
     int status = 0;
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -46,7 +46,12 @@
     }
 
     /** Starts a request; `writer` records its response. */
-    void start(Route newRoute, FakeWriter& writer, std::optional<PromptShape> prompt = {})
+    void start(Route newRoute, HttpResponseWriter& writer, std::optional<PromptShape> prompt = {})
+    {
+        asio::co_spawn(context, serve(std::move(newRoute), writer, std::move(prompt)), asio::detached);
+    }
+
+    asio::awaitable<void> serve(Route newRoute, HttpResponseWriter& writer, std::optional<PromptShape> prompt)
     {
         RoutingConfiguration configuration;
         configuration.version = 1;
@@ -63,9 +68,9 @@
         auto relay = std::make_shared<RelayContext>(services, std::move(request), table, *table->find("h", "/x"), ServiceId("s"));
         relay->abortOnDisconnectOrDeadline(writer);
         if (isGeneration)
-            asio::co_spawn(context, generate(relay, writer), asio::detached);
+            co_await generate(relay, writer);
         else
-            asio::co_spawn(context, relayPlain(relay, writer), asio::detached);
+            co_await relayPlain(relay, writer);
     }
 
     /** Runs a request to completion. */
@@ -108,7 +113,7 @@
     RelayServices services { context, timers, log, metrics, replicaClient, replicas, loadTracker, speeds, streams, crashTracker, budgets, AvailabilityZone("a") };
 
 private:
-    static asio::awaitable<void> generate(RelayPointer relay, FakeWriter& writer)
+    static asio::awaitable<void> generate(RelayPointer relay, HttpResponseWriter& writer)
     {
         GenerationRelay generation(std::move(relay), writer);
         co_await generation.run();
--- a/tests/gateway/PlainRelayTest.cpp
+++ b/tests/gateway/PlainRelayTest.cpp
@@ -1,5 +1,7 @@
 #include "gateway/GatewayFixture.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace chestnut;
@@ -241,3 +243,40 @@
     CHECK(fixture.replicaClient.sent.size() == 3);
     CHECK(writers.back().status == 503);
 }
+
+// Guards against work for a client that has left before a late daemon reads its request (tr-spares, scale-1, seed 536911328482).
+TEST_CASE("a request that is read after its client has closed the connection is not sent to a replica")
+{
+    GatewayFixture fixture;
+    std::optional<PromptShape> prompt;
+    std::string surplus;
+    SUBCASE("plain") { fixture.addReplica("i-1", "s", "none"); }
+    SUBCASE("plain, with bytes after the request")
+    {
+        fixture.addReplica("i-1", "s", "none");
+        surplus.assign(8000, 'x');
+    }
+    SUBCASE("prefill")
+    {
+        fixture.addReplica("i-1", "s", "prefill");
+        fixture.addReplica("i-2", "s", "decode");
+        prompt = GatewayFixture::longPrompt();
+    }
+    SUBCASE("decode")
+    {
+        fixture.addReplica("i-2", "s", "decode");
+        prompt = GatewayFixture::longPrompt();
+    }
+    HttpServer server(
+        fixture.context, fixture.log, { "127.0.0.1", 0 }, {}, [&](HttpRequest, HttpResponseWriter& writer) { return fixture.serve(fixture.route(RouteKind::Idempotent, 2), writer, prompt); }, [](const Error&) { return HttpResponse {}; });
+    server.start();
+    asio::io_context clientContext;
+    asio::ip::tcp::socket client(clientContext);
+    client.connect({ asio::ip::make_address("127.0.0.1"), server.endpoint().port });
+    asio::write(client, asio::buffer("GET /x HTTP/1.1\r\nHost: h\r\n\r\n" + surplus));
+    client.close();
+    fixture.timers.advance(3s);
+    CHECK(fixture.log.recent(EventId::RequestRefused).size() == 1);
+    CHECK(fixture.replicaClient.prefills.empty());
+    CHECK(fixture.replicaClient.sent.empty());
+}
--- a/tests/soak/StandinWriter.h
+++ b/tests/soak/StandinWriter.h
@@ -33,6 +33,7 @@
     asio::awaitable<Result<void>> finish() override;
     void abort() override { m_writer.abort(); }
     void onCallerDisconnect(std::function<void()> callback) override { m_writer.onCallerDisconnect(std::move(callback)); }
+    bool isCallerDisconnected() const override { return m_writer.isCallerDisconnected(); }
     bool hasBegun() const override { return m_writer.hasBegun(); }
 
 private:
