--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -1,5 +1,6 @@
 #include "gateway/roles/RoleManager.h"
 
+#include "decisions/leases/StoreFencing.h"
 #include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
@@ -55,7 +56,7 @@
     , m_settings(std::move(settings))
     , m_mirror(std::move(mirror))
 {
-    m_mirror->subscribe(std::string(holderKey), { [this](const StoreItem& item) { recordHolder(item.value != m_settings.self.value() || item.createdAt != m_fencingNumber); }, [this](const std::string&) { recordHolder(false); } });
+    m_mirror->subscribe(std::string(holderKey), { [this](const StoreItem& item) { recordHolder(item.value != m_settings.self.value() || item.createdAt != m_acquiredAt); }, [this](const std::string&) { recordHolder(false); } });
 }
 
 void RoleManager::recordHolder(bool isAnother)
@@ -74,7 +75,7 @@
 asio::awaitable<void> RoleManager::stop()
 {
     m_isStopped = true;
-    if (auto lease = std::exchange(m_lease, 0); lease != 0) {
+    if (auto lease = std::exchange(m_lease, {}); lease.id != 0) {
         auto ended = co_await m_store.endLease(lease);
         m_log.write(EventId::LeaseReleased, { { "key", holderKey }, { "fencing", m_fencingNumber }, { "answered", ended ? 1 : 0 } });
     }
@@ -84,14 +85,14 @@
 {
     std::mt19937 random { std::random_device {}() };
     while (!m_isStopped) {
-        if (m_lease != 0) {
+        if (m_lease.id != 0) {
             auto sentAt = m_timers.nowIncludingSuspend();
             auto renewed = co_await m_store.renewLease(m_lease);
             if (renewed)
                 m_renewedAt = sentAt;
             else if (renewed.error().kind == ErrorKind::NotFound || m_timers.nowIncludingSuspend() - m_renewedAt > leaseTime) {
                 m_log.write(EventId::LeaseLost, { { "key", holderKey }, { "fencing", m_fencingNumber }, { "detail", renewed.error().detail } });
-                m_lease = 0;
+                m_lease = {};
             }
             co_await m_timers.sleep(renewalPeriod);
             continue;
@@ -116,11 +117,12 @@
     auto lease = co_await m_store.grantLease(leaseTime);
     if (!lease)
         co_return lease.error();
-    auto revision = co_await m_store.transact({ { std::string(holderKey), 0 } }, { { std::string(holderKey), m_settings.self.value(), *lease } }, {});
+    auto revision = co_await m_store.transact({ { std::string(holderKey), 0 } }, { { std::string(holderKey), m_settings.self.value(), lease->id } }, {});
     if (!revision)
         co_return revision.error();
     m_lease = *lease;
-    m_fencingNumber = *revision;
+    m_acquiredAt = *revision;
+    m_fencingNumber = fencingNumberAt(lease->epoch, *revision);
     m_renewedAt = sentAt;
     m_ordersAllowedFrom = m_timers.now() + m_settings.takeoverWait;
     m_pendingOrders.clear();
@@ -130,7 +132,7 @@
 
 bool RoleManager::mayOrder() const
 {
-    return m_lease != 0 && !m_isStopped && m_timers.now() >= m_ordersAllowedFrom && m_timers.nowIncludingSuspend() - m_renewedAt < leaseTime - leaseMargin;
+    return m_lease.id != 0 && m_lease.epoch == m_store.epoch() && !m_isStopped && m_timers.now() >= m_ordersAllowedFrom && m_timers.nowIncludingSuspend() - m_renewedAt < leaseTime - leaseMargin;
 }
 
 void RoleManager::sampleDemand()
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -59,6 +59,27 @@
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Removed);
 }
 
+// Guards against sound replicas that get no work because a restored store has lost their entries.
+TEST_CASE("a replica whose entry is lost in a restore of the store stays in use for 2.5 seconds")
+{
+    GatewayFixture fixture;
+    auto copy = fixture.store.copy();
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none");
+    fixture.store.restore(copy);
+    fixture.replicas.restartWatch();
+    fixture.timers.advance(1s);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Lapsed);
+    fixture.store.put("servers/i-2", testEntry("s", "none", "a", "ready", 1, 9));
+    fixture.timers.advance(2s);
+    CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Removed);
+    CHECK(statusOf(fixture.replicas, "i-2") == ReplicaStatus::Ready);
+    // Later removals are deliberate.
+    fixture.store.erase("servers/i-2");
+    fixture.settle();
+    CHECK(statusOf(fixture.replicas, "i-2") == ReplicaStatus::Removed);
+}
+
 TEST_CASE("a removal after the first changes that follow an outage takes effect immediately")
 {
     // Search seeds 470558889183 and 779814292827 of the scenario tr-spares: a daemon that had been disconnected from the store
@@ -180,6 +201,58 @@
     CHECK(source.table()->configuration().version == 9);
 }
 
+// Guards against a configuration that is never applied because the restored store assigned it a revision that was used before.
+TEST_CASE("after a restore of the store a new configuration is applied although its revision is not above the last one")
+{
+    GatewayFixture fixture;
+    RoutingSource source(fixture.context, fixture.store, fixture.timers, fixture.log, "op/config", decodeVersion, [](const RoutingConfiguration&) {});
+    fixture.store.put("op/config", "4");
+    source.start();
+    fixture.settle();
+    auto copy = fixture.store.copy();
+    fixture.store.put("op/config", "9");
+    fixture.settle();
+    auto restore = [&] {
+        fixture.store.isDown = true;
+        fixture.timers.advance(2s);
+        fixture.store.restore(copy);
+    };
+    auto end = [&] {
+        fixture.store.isDown = false;
+        fixture.timers.advance(5s);
+    };
+    SUBCASE("while the watch reports a lost history")
+    {
+        restore();
+        end();
+        CHECK(source.table()->configuration().version == 9);
+        fixture.store.put("op/config", "12");
+    }
+    SUBCASE("and the revision of the watch exists again when the watch returns")
+    {
+        restore();
+        fixture.store.put("op/config", "12");
+        fixture.store.put("other", "x");
+        end();
+    }
+    SUBCASE("and the store was restored twice in a row")
+    {
+        restore();
+        fixture.store.restore(copy);
+        fixture.store.put("op/config", "12");
+        end();
+    }
+    SUBCASE("and no call failed meanwhile")
+    {
+        fixture.store.restore(copy);
+        fixture.store.put("op/config", "12");
+        fixture.store.put("other", "x");
+        fixture.timers.advance(30s);
+    }
+    fixture.timers.advance(1s);
+    CHECK(source.table()->configuration().version == 12);
+}
+
 // Guards against a withdrawn route that is in use again after a restart.
 TEST_CASE("a restarted daemon has no configuration until the store sends the newest one, also when its history is lost")
 {
