Pause after a connection could not be accepted

Callers saw: nothing yet (finding of reading). Cause: acceptLoop tried again at once after each error of accept. While the file descriptors of the process are exhausted, the connection stays in the queue of the kernel and each attempt fails at once, so that the loop occupies a processor, which the requests in progress need to end and to free descriptors. Change: a pause of 100 ms after a failed accept; the event accept_failed (1103) once for each series of the same error. The test lowers the limit of descriptors: before, 281,211 handlers run in 350 ms; after, fewer than 100, one line is logged, and the queued connection is served once descriptors are free. test_http: 27 of 27 cases.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -22,6 +22,7 @@
         { EventId::ListenerStarted, "listener_started", Severity::Info, "A listener accepts connections." },
         { EventId::ConnectionRefused, "connection_refused", Severity::Warning, "The connection limit of a listener is reached." },
         { EventId::HandlerFailed, "handler_failed", Severity::Error, "A request handler ended with an exception." },
+        { EventId::AcceptFailed, "accept_failed", Severity::Error, "A connection could not be accepted, for example because file descriptors are exhausted; tried again every 100 ms, logged once." },
 
         // platform
         { EventId::PlatformLost, "platform_lost", Severity::Warning, "Calls to the key-value service fail." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -28,6 +28,7 @@
     ListenerStarted = 1100,
     ConnectionRefused = 1101,
     HandlerFailed = 1102,
+    AcceptFailed = 1103,
 
     // platform: 1200 to 1299
     PlatformLost = 1200,
--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -33,6 +33,7 @@
     using Clock = std::chrono::steady_clock;
 
     constexpr Duration waitCheckPeriod = std::chrono::milliseconds(100);
+    constexpr Duration pauseAfterFailedAccept = std::chrono::milliseconds(100);
 
     Duration idleTimeoutOf(const HttpServerLimits& limits)
     {
@@ -426,13 +427,28 @@
         asio::co_spawn(state->context, serveConnection(state, std::move(socket), std::move(count)), asio::detached);
     }
 
+    /** Waits until the cause may have passed, such as exhausted file descriptors. The connection stays in the queue of the kernel. */
+    asio::awaitable<void> pauseAccepting(ServerState state)
+    {
+        error_code ignored;
+        asio::steady_timer timer(state->context, pauseAfterFailedAccept);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
     asio::awaitable<void> acceptLoop(ServerState state)
     {
+        error_code lastError;
         while (state->isAccepting) {
             error_code error;
             auto socket = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            auto isNewError = std::exchange(lastError, error) != error;
             if (!error)
                 startConnection(state, std::move(socket));
+            else if (state->isAccepting) {
+                if (isNewError)
+                    state->log.write(EventId::AcceptFailed, { { "reason", error.message() } });
+                co_await pauseAccepting(state);
+            }
         }
     }
 
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -8,10 +8,12 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 #include <thread>
 
 using namespace chestnut;
 using namespace chestnut::test;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -324,3 +326,44 @@
     CHECK(request.queryValue("z").empty());
     CHECK(request.queryValue("w").empty());
 }
+
+namespace {
+
+/** Prevents that this process opens further file descriptors. */
+class ExhaustedDescriptors {
+public:
+    ExhaustedDescriptors()
+    {
+        auto lowestFree = ::dup(0);
+        ::close(lowestFree);
+        ::getrlimit(RLIMIT_NOFILE, &m_previous);
+        rlimit exhausted { static_cast<rlim_t>(lowestFree), m_previous.rlim_max };
+        ::setrlimit(RLIMIT_NOFILE, &exhausted);
+    }
+    ExhaustedDescriptors(const ExhaustedDescriptors&) = delete;
+    ExhaustedDescriptors& operator=(const ExhaustedDescriptors&) = delete;
+    ~ExhaustedDescriptors() { ::setrlimit(RLIMIT_NOFILE, &m_previous); }
+
+private:
+    rlimit m_previous {};
+};
+
+} // namespace
+
+// Guards against a listener that occupies a processor while no file descriptor is free, and against one that stops accepting.
+TEST_CASE("while file descriptors are exhausted a listener waits, and afterwards it serves the queued connection")
+{
+    HttpFixture fixture(echo);
+    asio::io_context clientContext;
+    asio::ip::tcp::socket client(clientContext);
+    client.connect({ asio::ip::make_address("127.0.0.1"), fixture.server.endpoint().port });
+    asio::write(client, asio::buffer(std::string_view("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    {
+        ExhaustedDescriptors exhausted;
+        CHECK(fixture.context.run_for(350ms) < 100);
+    }
+    CHECK(fixture.log.recent(EventId::AcceptFailed).size() == 1);
+    CHECK(client.available() == 0);
+    fixture.context.run_for(300ms);
+    CHECK(client.available() > 0);
+}
