--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -8,6 +8,7 @@
 
 using namespace chestnut;
 using namespace std::chrono_literals;
+using nlohmann::json;
 
 namespace {
 
@@ -136,3 +137,48 @@
     CHECK(statusIn(200, "2").has_value());
     CHECK(changes == 2);
 }
+
+namespace {
+
+/** A store that sends the body of each response in chunks. */
+struct SlowStoreFixture {
+    explicit SlowStoreFixture(const json& document)
+        : body(document.dump())
+    {
+    }
+
+    asio::awaitable<void> respond(HttpResponseWriter& writer)
+    {
+        (void)co_await writer.begin(200, {});
+        auto chunkBytes = body.size() / chunks + 1;
+        for (size_t sent = 0; sent < body.size() && sent / chunkBytes < sentChunks; sent += chunkBytes) {
+            (void)co_await writer.write(body.substr(sent, chunkBytes));
+            co_await http.timers.sleep(100ms);
+        }
+        if (sentChunks < chunks)
+            co_await http.timers.sleep(30s);
+        (void)co_await writer.finish();
+    }
+
+    std::string body;
+    size_t chunks = 25;
+    size_t sentChunks = chunks; /**< after fewer chunks the body stops without an end */
+    test::HttpFixture http { [this](HttpRequest, HttpResponseWriter& writer) { return respond(writer); } };
+    ConnectionPool pool { http.context, http.timers, {} };
+    platform::StoreClient store { pool, http.log, http.server.endpoint() };
+};
+
+} // namespace
+
+// Guards against a configuration that is late because the list that contains it has stopped midway (salvamanta-grown, hunt-5c6c-3).
+TEST_CASE("a list that stops midway fails soon, and a slow one that makes progress is read to its end")
+{
+    SlowStoreFixture fixture({ { "items", { { { "key", "my/a" }, { "revision", 7 }, { "value", std::string(1 << 20, 'A') } } } }, { "current_rev", 7 } });
+    auto page = fixture.http.run(fixture.store.list("my/", ""));
+    REQUIRE(page.has_value());
+    CHECK(page->items.size() == 1);
+    fixture.sentChunks = 1;
+    auto startedAt = fixture.http.timers.now();
+    CHECK(fixture.http.run(fixture.store.list("my/", "")).error().kind == ErrorKind::PlatformAnswerLost);
+    CHECK(fixture.http.timers.now() - startedAt < 5s);
+}
