Do not cancel the transfer of changes when a watch is restarted

Cause: when a renewal succeeds after a failed one, restartWatch interrupts the watch, also while its changes are being received; on a slow link the transfer of a large configuration began again with each such renewal. The test interrupts a watch 250 ms after its start, in the middle of 5 parts 100 ms apart.

--- a/modules/gateway/store/StoreMirror.h
+++ b/modules/gateway/store/StoreMirror.h
@@ -33,7 +33,8 @@
 
     void start();
 
-    /** Restarts the watch immediately. After an outage of the store, a watch that was started before it may never return. */
+    /** Restarts the watch immediately, unless its changes are being received. After an outage of the store, a watch that was
+        started before it may never return. */
     void restartWatch();
 
     /** Whether the prefix has been listed at least once. */
--- a/modules/gateway/store/VersionedStore.h
+++ b/modules/gateway/store/VersionedStore.h
@@ -81,7 +81,8 @@
     /** Returns one page of the keys with the prefix that sort after `after`. */
     virtual asio::awaitable<Result<StorePage>> list(std::string prefix, std::string after) = 0;
 
-    /** Returns the changes after the revision as soon as there are any, or none after `wait`. The handle cancels the call. */
+    /** Returns the changes after the revision as soon as there are any, or none after `wait`. The handle cancels the
+        wait, but not the transfer of changes once that has begun. */
     virtual asio::awaitable<Result<StoreChanges>> watch(std::string prefix, uint64_t revision, Duration wait, std::shared_ptr<AbortHandle>) = 0;
 
     /** Applies all writes and removals, or none. Returns the new revision. */
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -182,3 +182,15 @@
     CHECK(fixture.http.run(fixture.store.list("my/", "")).error().kind == ErrorKind::PlatformAnswerLost);
     CHECK(fixture.http.timers.now() - startedAt < 5s);
 }
+
+// Guards against changes that are transferred again because a renewal succeeds while they are received.
+TEST_CASE("the restart of a watch does not cancel the transfer of its changes")
+{
+    SlowStoreFixture fixture({ { "events", { { { "key", "my/a" }, { "revision", 8 }, { "value", std::string(100000, 'A') } } } }, { "current_rev", 8 } });
+    fixture.chunks = fixture.sentChunks = 5;
+    auto abort = std::make_shared<AbortHandle>();
+    auto restart = fixture.http.timers.once(250ms, [&] { abort->interrupt(); });
+    auto changes = fixture.http.run(fixture.store.watch("my/", 7, 10s, abort));
+    REQUIRE(changes.has_value());
+    CHECK(changes->changes.size() == 1);
+}
