Make the longest silence of a sound engine a setting of the gateway

The limit for the next event of a stream compiled in 1.5 s, with the reason that clients leave after two seconds, which is a property of the clients of one deployment. It is now bounds.sound_silence_ms, default 1500, changed by SIGHUP as the other bounds; the default behavior does not change.

--- a/modules/decisions/speeds/WaitLimits.cpp
+++ b/modules/decisions/speeds/WaitLimits.cpp
@@ -16,8 +16,6 @@
     constexpr int prefillObjectives = 3;
     constexpr int streamObjectives = 4;
     constexpr int responseObjectives = 2;
-    /** Sound engines may be silent for about a second in the middle of a stream. Clients leave a stream after two seconds. */
-    constexpr Duration longestSoundSilence = std::chrono::milliseconds(1500);
     /** Share of the time left that a stream may wait in such a silence. */
     constexpr double shareForSilence = 0.5;
     /** A decode engine processes prompts at half the speed of a prefill engine. */
@@ -48,9 +46,9 @@
     return limitOf(speed.firstEvent, firstEventMultiple, latencyObjective * streamObjectives);
 }
 
-std::optional<Duration> eventGapWaitLimit(const ServiceSpeed& speed, Duration latencyObjective, Duration timeLeft)
+std::optional<Duration> eventGapWaitLimit(const ServiceSpeed& speed, Duration latencyObjective, Duration timeLeft, Duration soundSilence)
 {
-    auto silence = std::min(longestSoundSilence, fromSeconds(toSeconds(timeLeft) * shareForSilence));
+    auto silence = std::min(soundSilence, fromSeconds(toSeconds(timeLeft) * shareForSilence));
     return limitOf(speed.eventGap, eventGapMultiple, std::max(latencyObjective * streamObjectives, silence));
 }
 
--- a/modules/decisions/speeds/WaitLimits.h
+++ b/modules/decisions/speeds/WaitLimits.h
@@ -13,9 +13,9 @@
 /** For the first event of a stream. */
 std::optional<Duration> firstEventWaitLimit(const ServiceSpeed&, Duration latencyObjective);
 
-/** For the next event of a stream. It is longer than the silences of sound engines, unless too little of the time left would then
-    remain for another engine. */
-std::optional<Duration> eventGapWaitLimit(const ServiceSpeed&, Duration latencyObjective, Duration timeLeft);
+/** For the next event of a stream. It is longer than `soundSilence`, the longest silence of a sound engine in the middle of
+    a stream, unless too little of the time left would then remain for another engine. */
+std::optional<Duration> eventGapWaitLimit(const ServiceSpeed&, Duration latencyObjective, Duration timeLeft, Duration soundSilence);
 
 /** For the response of a plain service to a call that may be repeated. It follows from the objective alone while the speed is
     unknown, as such a call is cheap. */
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -216,7 +216,7 @@
         if (!fits)
             co_return StreamEnd::Mismatch;
         if (hasEvents && !isEnd)
-            watchSilence(engine.id, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective, relay.remaining()));
+            watchSilence(engine.id, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective, relay.remaining(), relay.services.soundSilence));
         if (!isEnd)
             continue;
         if (splitter.isInsideEvent())
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -49,6 +49,7 @@
     CrashTracker& crashTracker;
     RetryBudgets& budgets;
     AvailabilityZone zone;
+    Duration soundSilence; /**< longest silence of a sound engine in the middle of a stream */
 };
 
 /** The state of one request in progress: its route, its deadline and the outcome of its attempts. */
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -21,6 +21,7 @@
     ServiceRetryLimits retryBudget;
     Duration takeoverWait = std::chrono::seconds(3);
     Duration longestDiscoveryValidity = std::chrono::seconds(5);
+    Duration soundSilence = std::chrono::milliseconds(1500); /**< longest silence of a sound engine in the middle of a stream */
 
     bool operator==(const GatewayBounds&) const = default;
 };
--- a/programs/chestnutrouted/GatewayDaemonSettings.cpp
+++ b/programs/chestnutrouted/GatewayDaemonSettings.cpp
@@ -19,6 +19,7 @@
         bounds.retryBudget.window = secondsSetting(reader, "retry_window_seconds", 10, 3600);
         bounds.takeoverWait = std::chrono::milliseconds(reader.integer("bounds", "takeover_wait_ms", 3000, 0, 600'000));
         bounds.longestDiscoveryValidity = secondsSetting(reader, "discovery_seconds", 5, 3600);
+        bounds.soundSilence = std::chrono::milliseconds(reader.integer("bounds", "sound_silence_ms", 1500, 0, 600'000));
         settings.shutdownTimeout = secondsSetting(reader, "shutdown_seconds", 8, 3600);
     }
 
--- a/tests/decisions/ServiceSpeedTest.cpp
+++ b/tests/decisions/ServiceSpeedTest.cpp
@@ -79,12 +79,13 @@
 {
     CHECK_FALSE(prefillWaitLimit({}, 150ms).has_value());
     CHECK_FALSE(firstEventWaitLimit({}, 150ms).has_value());
-    CHECK_FALSE(eventGapWaitLimit({}, 150ms, 10s).has_value());
+    CHECK_FALSE(eventGapWaitLimit({}, 150ms, 10s, 1500ms).has_value());
     CHECK(responseWaitLimit({}, 150ms) == 300ms);
     auto speed = estimateSpeed(samplesOf(55, 50));
     CHECK(*prefillWaitLimit(2s, 150ms) >= 8s);
     CHECK(*prefillWaitLimit(1ms, 150ms) >= 450ms);
-    CHECK(*eventGapWaitLimit(speed, 1ms, 10ms) >= 400ms);
+    CHECK(*eventGapWaitLimit(speed, 1ms, 10ms, 1500ms) >= 400ms);
+    CHECK(*eventGapWaitLimit(speed, 1ms, 10s, 3s) >= 3s);
     CHECK(*firstEventWaitLimit(speed, 1ms) >= 600ms);
 }
 
