--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -102,6 +102,12 @@
     ++m_ownEpoch;
 }
 
+uint64_t FakeVersionedStore::addLease(Duration timeToLive)
+{
+    m_leases[++m_lastLease] = { timeToLive, m_timers.now() + timeToLive };
+    return m_lastLease;
+}
+
 void FakeVersionedStore::removeLease(uint64_t lease)
 {
     m_leases.erase(lease);
@@ -160,7 +166,7 @@
     co_return page;
 }
 
-asio::awaitable<Result<StoreChanges>> FakeVersionedStore::watch(std::string prefix, uint64_t revision, Duration wait, std::shared_ptr<AbortHandle>)
+asio::awaitable<Result<StoreChanges>> FakeVersionedStore::watch(std::string prefix, uint64_t revision, Duration wait, std::shared_ptr<AbortHandle> abort)
 {
     ++calls;
     auto end = m_timers.now() + wait;
@@ -183,7 +189,8 @@
             co_await transfer(bytes);
             co_return changes;
         }
-        co_await m_timers.sleep(watchStep);
+        if (!co_await waitUnlessAborted(m_timers, m_timers.now() + watchStep, abort))
+            co_return makeError(ErrorKind::PlatformAnswerLost, "interrupted");
     }
 }
 
@@ -217,8 +224,10 @@
     if (isDown)
         co_return unavailable();
     sendHeader();
-    m_leases[++m_lastLease] = { timeToLive, m_timers.now() + timeToLive };
-    co_return m_lastLease;
+    auto lease = addLease(timeToLive);
+    if (auto call = std::exchange(afterGrant, {}))
+        call();
+    co_return lease;
 }
 
 asio::awaitable<Result<void>> FakeVersionedStore::renew(uint64_t lease)
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -40,8 +40,7 @@
     {
         store.restore(copy);
         for (int i = 0; i < 20; ++i)
-            asio::co_spawn(context, store.grantLease(1h), asio::detached);
-        timers.advance(1ms);
+            store.addLease(1h);
     }
 
     std::unique_ptr<RoutingSource> source;
@@ -161,3 +160,34 @@
     REQUIRE_FALSE(fixture.replicaClient.orders.empty());
     CHECK(fixture.replicaClient.orders.front().fencingNumber > before);
 }
+
+// Guards against a holder's key that outlives every holder, so that no daemon can order any more.
+TEST_CASE("a key that was written with a lease of another daemon after a restore is removed")
+{
+    TwoDaemons fixture;
+    auto copy = fixture.store.copy();
+    fixture.store.afterGrant = [&] { fixture.restoreAndGrant(copy); };
+    SUBCASE("also when the response to the write is lost")
+    {
+        fixture.store.dropsResponses = true;
+        fixture.timers.advance(2s);
+        fixture.store.dropsResponses = false;
+    }
+    fixture.timers.advance(18s);
+    CHECK_FALSE(fixture.replicaClient.orders.empty());
+}
+
+// Guards against orders of two holders within the time of one lease.
+TEST_CASE("the holder after a restore of the store waits until the former holder's lease has ended")
+{
+    TwoDaemons fixture;
+    auto copy = fixture.store.copy();
+    fixture.timers.advance(26s);
+    fixture.replicaClient.orders.clear();
+    auto restoredAt = fixture.timers.now();
+    fixture.restoreAndGrant(copy);
+    while (fixture.replicaClient.orders.empty() && fixture.timers.now() - restoredAt < 20s)
+        fixture.timers.advance(10ms);
+    REQUIRE_FALSE(fixture.replicaClient.orders.empty());
+    CHECK(fixture.timers.now() - restoredAt >= 6s);
+}
