--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cassert>
+#include <poll.h>
 #include <set>
 
 namespace chestnut {
@@ -33,6 +34,7 @@
     using Clock = std::chrono::steady_clock;
 
     constexpr Duration waitCheckPeriod = std::chrono::milliseconds(100);
+    constexpr Duration pauseAfterFailedAccept = std::chrono::milliseconds(100);
 
     Duration idleTimeoutOf(const HttpServerLimits& limits)
     {
@@ -91,13 +93,11 @@
             });
         }
 
-        bool isClosed()
+        /** Also when bytes that were sent before the close have not been read. */
+        bool isClosed() const
         {
-            char byte = 0;
-            error_code error;
-            socket.non_blocking(true, error);
-            auto count = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-            return error ? error != asio::error::would_block : count == 0;
+            pollfd connection { socket.native_handle(), POLLRDHUP, 0 };
+            return !socket.is_open() || ::poll(&connection, 1, 0) > 0;
         }
 
         tcp::socket& socket;
@@ -195,6 +195,7 @@
         }
 
         void onCallerDisconnect(std::function<void()> callback) override { m_watcher->arm(std::move(callback)); }
+        bool isCallerDisconnected() const override { return m_watcher->isClosed(); }
         bool hasBegun() const override { return m_hasBegun; }
         bool isFinished() const { return m_isFinished; }
 
@@ -452,13 +453,28 @@
         asio::co_spawn(state->context, serveConnection(state, std::move(socket), std::move(count)), asio::detached);
     }
 
+    /** Waits until the cause may have passed, such as exhausted file descriptors. The connection stays in the queue of the kernel. */
+    asio::awaitable<void> pauseAccepting(ServerState state)
+    {
+        error_code ignored;
+        asio::steady_timer timer(state->context, pauseAfterFailedAccept);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
     asio::awaitable<void> acceptLoop(ServerState state)
     {
+        error_code lastError;
         while (state->isAccepting) {
             error_code error;
             auto socket = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            auto isNewError = std::exchange(lastError, error) != error;
             if (!error)
                 startConnection(state, std::move(socket));
+            else if (state->isAccepting) {
+                if (isNewError)
+                    state->log.write(EventId::AcceptFailed, { { "reason", error.message() } });
+                co_await pauseAccepting(state);
+            }
         }
     }
 
