--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -63,7 +63,8 @@
 {
     auto isOwn = item.value == m_settings.self.value();
     recordHolder(!isOwn || item.createdAt != m_acquiredAt);
-    // The response to the write was lost, or the key is bound to a lease of another epoch, which may be that of another daemon.
+    // Such a key is left when the response to the write is lost, by a process before a restart, or by a restore of the store. Its
+    // lease may be that of another daemon, so it might never expire.
     m_strayRevision = isOwn && m_lease.id == 0 ? item.revision : 0;
 }
 
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -144,7 +144,7 @@
     CHECK(fixture.log.recent(EventId::LeaseAcquired).size() == 2);
 }
 
-// Guards against an order that engines or operators cannot tell from an older one.
+// Guards against an order that an engine cannot tell from an older one.
 TEST_CASE("fencing numbers increase across restores of the store")
 {
     TwoDaemons fixture;
