--- a/modules/decisions/drains/Shutdown.h
+++ b/modules/decisions/drains/Shutdown.h
@@ -7,7 +7,7 @@
 namespace chestnut {
 
 /** Requests that arrive up to this long after the start of a shutdown may be started although their deadline lies after its end;
-    later ones come from callers that ignore the list of daemons. RULES.md (LOST) allows 3 s from the signal, which a busy daemon
+    later ones come from callers that ignore the list of daemons. Callers may rely on 3 s from the signal, which a busy daemon
     handles late. */
 constexpr Duration longestShutdownStartTime = std::chrono::milliseconds(2800);
 
--- a/modules/decisions/leases/StoreFencing.cpp
+++ b/modules/decisions/leases/StoreFencing.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    /** Bits of the revision: enough for 80 years at 400 changes a second. */
+    /** Bits of the revision. A store with ten thousand changes a second takes more than three years to exceed them. */
     constexpr unsigned revisionBits = 40;
     /** Keeps the number a positive 64-bit integer for engines that read it as a signed one. */
     constexpr uint64_t largestEpoch = (uint64_t(1) << (63U - revisionBits)) - 1;
--- a/modules/gateway/members/DaemonDirectory.h
+++ b/modules/gateway/members/DaemonDirectory.h
@@ -81,6 +81,7 @@
     asio::awaitable<Result<void>> registerSelf();
     /** Whether the lease is of an earlier epoch of the store. */
     bool wasRestored() const;
+    /** Gives up the lease of the earlier epoch, and waits so that not all daemons register at the same moment. */
     asio::awaitable<void> waitToRegister();
     void onItem(const StoreItem&);
     void onRemoval(const std::string& key);
