Review case 3: a stream goes on at another engine while a sound one that was silent still works on it

Rule TWICE: a request goes on at another replica while the replica before still works on it 400 ms later.

--- a/review/standins/Clients.cpp
+++ b/review/standins/Clients.cpp
@@ -29,13 +29,19 @@
 
 void Clients::start(uint32_t requestsPerSecond)
 {
-    asio::co_spawn(m_fleet.context, sendSteadily(std::chrono::microseconds(std::chrono::seconds(1)) / requestsPerSecond), asio::detached);
+    asio::co_spawn(m_fleet.context, sendSteadily(requestsPerSecond, false), asio::detached);
 }
 
-asio::awaitable<void> Clients::sendSteadily(Duration pause)
+void Clients::startStreams(uint32_t requestsPerSecond)
 {
+    asio::co_spawn(m_fleet.context, sendSteadily(requestsPerSecond, true), asio::detached);
+}
+
+asio::awaitable<void> Clients::sendSteadily(uint32_t requestsPerSecond, bool isStream)
+{
+    auto pause = std::chrono::microseconds(std::chrono::seconds(1)) / requestsPerSecond;
     while (!m_isStopped) {
-        asio::co_spawn(m_fleet.context, book(), asio::detached);
+        asio::co_spawn(m_fleet.context, callAnyDaemon(isStream), asio::detached);
         co_await m_fleet.timers.sleep(pause);
     }
 }
@@ -50,12 +56,13 @@
     return offered.empty() ? nullptr : offered[m_fleet.random(0, static_cast<uint32_t>(offered.size()) - 1)];
 }
 
-asio::awaitable<void> Clients::book()
+asio::awaitable<void> Clients::callAnyDaemon(bool isStream)
 {
     auto* daemon = randomDaemon();
     if (!daemon)
         co_return;
-    co_await call({ "/book/" + std::to_string(m_sent), "booking " + std::to_string(m_sent), daemon });
+    auto number = std::to_string(m_sent);
+    co_await call({ (isStream ? "/live/" : "/book/") + number, "body " + number, daemon, isStream });
 }
 
 asio::awaitable<ClientOutcome> Clients::call(ClientCall call)
@@ -66,11 +73,17 @@
     request.headers.set("Host", ReviewFleet::host);
     request.headers.set(names::requestId, outcome.request);
     request.headers.set(daemonHeader, call.daemon->name);
-    request.headers.set(names::timeLeft, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(ReviewFleet::clientTimeout).count()));
+    auto timeout = call.isStream ? ReviewFleet::streamTimeout : ReviewFleet::clientTimeout;
+    request.headers.set(names::timeLeft, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count()));
+    if (call.isStream) {
+        request.headers.set(names::model, "m");
+        request.headers.set(names::tokenCount, "140,90");
+        request.headers.set(names::promptParts, "a1:50," + std::to_string(m_sent) + ":90");
+    }
     m_fleet.record.write("request " + outcome.request + " is sent to " + call.daemon->name);
     ExchangeOptions options;
-    options.timeout = ReviewFleet::clientTimeout;
-    options.bodyReadTimeout = ReviewFleet::clientTimeout;
+    options.timeout = timeout;
+    options.bodyReadTimeout = timeout;
     auto stream = co_await m_pool.open(call.daemon->clientEndpoint, std::move(request), std::move(options));
     if (stream) {
         auto body = co_await readWholeBody(**stream, maximumResponseBytes);
--- a/review/standins/Clients.h
+++ b/review/standins/Clients.h
@@ -11,6 +11,7 @@
     std::string path = "/book/1";
     std::string body;
     ReviewDaemon* daemon = nullptr;
+    bool isStream = false;
 };
 
 /** What became of one attempt. */
@@ -26,6 +27,8 @@
 
     /** Sends bookings that may run once at most, at this rate, to all daemons that are not stopping. */
     void start(uint32_t requestsPerSecond);
+    /** Sends generations on the resumable route in the same way. */
+    void startStreams(uint32_t requestsPerSecond);
     void stop() { m_isStopped = true; }
 
     asio::awaitable<ClientOutcome> call(ClientCall);
@@ -37,8 +40,8 @@
     uint32_t failed() const { return m_failed; }
 
 private:
-    asio::awaitable<void> sendSteadily(Duration pause);
-    asio::awaitable<void> book();
+    asio::awaitable<void> sendSteadily(uint32_t requestsPerSecond, bool isStream);
+    asio::awaitable<void> callAnyDaemon(bool isStream);
     ReviewDaemon* randomDaemon();
 
     ReviewFleet& m_fleet;
--- a/review/standins/ReviewFleet.cpp
+++ b/review/standins/ReviewFleet.cpp
@@ -91,8 +91,13 @@
 void ReviewFleet::writeManifest()
 {
     auto routes = json::array({ routeJson("/book/", "non_idempotent", 1), routeJson("/look/", "idempotent", 2) });
+    auto stream = routeJson("/live/", "streaming", 2);
+    stream.update({ { "service", engineService }, { "timeout_ms", 15000 }, { "target_latency_ms", 120 }, { "target_gap_ms", 150 }, { "sticky", true }, { "resumable", true } });
+    routes.push_back(stream);
     auto services = json::array();
     services.push_back({ { "name", service }, { "health_path", "/health" }, { "max_conns", 96 } });
+    json engine { { "slots", 48 }, { "kv_capacity", 1118332 }, { "kv_hold_s", 5.0 }, { "switch_s", 3.0 } };
+    services.push_back({ { "name", engineService }, { "health_path", "/health" }, { "max_conns", 290 }, { "engine", engine } });
     json limits { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } };
     json manifest { { "version", 1 }, { "routes", routes }, { "services", services }, { "limits", limits } };
     store.put(std::string(platform::names::configurationKey), manifest.dump());
--- a/review/standins/ReviewFleet.h
+++ b/review/standins/ReviewFleet.h
@@ -51,6 +51,8 @@
     static constexpr Duration heartbeatPeriod = std::chrono::milliseconds(1200);
     static constexpr const char* host = "review.example";
     static constexpr const char* service = "desk";
+    static constexpr const char* engineService = "lm";
+    static constexpr Duration streamTimeout = std::chrono::milliseconds(15000);
 
     explicit ReviewFleet(const RunOptions&);
 
