--- a/review/standins/Clients.cpp
+++ b/review/standins/Clients.cpp
@@ -95,6 +95,8 @@
     if (!isNotSent && !isSuccess && !(outcome.status && promisesNotRun(*outcome.status)))
         ++m_failed;
     m_fleet.record.write("request " + outcome.request + (outcome.status ? " gets " + std::to_string(*outcome.status) : " gets no response") + " from " + call.daemon->name);
+    if (onOutcome)
+        onOutcome(*call.daemon, outcome);
     co_return outcome;
 }
 
--- a/review/standins/Clients.h
+++ b/review/standins/Clients.h
@@ -2,6 +2,7 @@
 
 #include "review/standins/ReviewFleet.h"
 
+#include <functional>
 #include <map>
 
 namespace chestnut::review {
@@ -33,6 +34,9 @@
 
     asio::awaitable<ClientOutcome> call(ClientCall);
 
+    /** Called when an attempt has ended. */
+    std::function<void(const ReviewDaemon&, const ClientOutcome&)> onOutcome;
+
     /** When the client sent the request. */
     TimePoint sentAt(const std::string& request) const { return m_sentAt.at(request); }
     uint32_t sent() const { return m_sent; }
--- a/review/standins/StreamEngine.cpp
+++ b/review/standins/StreamEngine.cpp
@@ -55,6 +55,12 @@
     m_fleet.record.write("engine " + m_id + " falls silent with " + std::to_string(m_running) + " requests running");
 }
 
+void StreamEngine::beFull(Duration time)
+{
+    m_fullUntil = m_fleet.timers.now() + time;
+    m_fleet.record.write("engine " + m_id + " is full with " + std::to_string(m_running) + " requests running");
+}
+
 asio::awaitable<void> StreamEngine::handle(HttpRequest request, HttpResponseWriter& writer)
 {
     auto id = std::string(request.headers.value(names::requestId));
@@ -86,6 +92,12 @@
         (void)co_await writer.send({ 200, headers, body.dump() });
         co_return;
     }
+    if (m_fleet.timers.now() < m_fullUntil) {
+        m_fleet.record.write("engine " + m_id + " refuses request " + id + " with 503, not run");
+        headers.set(names::notExecuted, "1");
+        (void)co_await writer.send({ 503, headers, {} });
+        co_return;
+    }
     co_await stream(id, numberOf(request.headers.value(names::lastEventId)), writer);
 }
 
--- a/review/standins/StreamEngine.h
+++ b/review/standins/StreamEngine.h
@@ -18,6 +18,9 @@
     /** Makes no events until the time has passed; then goes on with all its requests. */
     void fallSilent(Duration);
 
+    /** Refuses new requests until the time has passed, as an engine does whose memory is full. Running ones go on. */
+    void beFull(Duration);
+
     const std::string& id() const { return m_id; }
     uint32_t running() const { return m_running; }
 
@@ -36,6 +39,7 @@
     bool m_keepsRequests;
     HttpServer m_server;
     TimePoint m_silentUntil;
+    TimePoint m_fullUntil;
     uint32_t m_running = 0;
     uint64_t m_handles = 0;
 };
