--- a/review/1/main.cpp
+++ b/review/1/main.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <set>
 
 /* A request that crashes replicas comes again while the daemons are restarted one after the other. Counts the retries that reach
    replicas after the daemons have seen three crashes. */
@@ -22,7 +23,7 @@
 constexpr Duration longestDetection = 20s; /**< of the crashing request, before the restarts */
 constexpr Duration pauseBetweenRestarts = 1s;
 constexpr uint32_t crashesToDetect = 3;
-constexpr uint32_t allowedRetries = 3;
+constexpr size_t allowedRetries = 3;
 constexpr const char* crashingPath = "/book/crash";
 constexpr const char* crashingBody = "booking that crashes replicas";
 
@@ -114,16 +115,17 @@
             return;
         auto* daemon = m_fleet.find(arrival.daemon);
         auto isCounted = m_detectableAt && m_fleet.timers.now() > *m_detectableAt + ReviewFleet::stableTime && daemon && m_fleet.isInTouch(*daemon);
-        m_lateRetries += isCounted ? 1 : 0;
-        m_fleet.record.write("crashing request " + arrival.request + " reaches a replica from " + arrival.daemon + (isCounted ? ", BUDGET: retry " + std::to_string(m_lateRetries) + " after the bound" : ", not counted"));
+        if (isCounted)
+            m_lateRetries.insert(arrival.request);
+        m_fleet.record.write("crashing request " + arrival.request + " reaches a replica from " + arrival.daemon + (isCounted ? ", BUDGET: retry " + std::to_string(m_lateRetries.size()) + " after the bound" : ", not counted"));
     }
 
     Verdict judge()
     {
         auto& record = m_fleet.record;
-        record.write("crashes of replicas: " + std::to_string(m_crashes) + "; retries after the bound by daemons in touch: " + std::to_string(m_lateRetries) + ", allowed: " + std::to_string(allowedRetries));
+        record.write("crashes of replicas: " + std::to_string(m_crashes) + "; retries after the bound by daemons in touch: " + std::to_string(m_lateRetries.size()) + ", allowed: " + std::to_string(allowedRetries));
         record.write("requests sent: " + std::to_string(m_clients.sent()) + ", without an answer or a promise: " + std::to_string(m_clients.failed()) + ", of these after the restarts began: " + std::to_string(m_clients.failed() - m_failedBefore));
-        return m_lateRetries > allowedRetries ? Verdict::Broken : Verdict::Held;
+        return m_lateRetries.size() > allowedRetries ? Verdict::Broken : Verdict::Held;
     }
 
     bool m_hasTrouble;
@@ -132,7 +134,7 @@
     std::vector<std::unique_ptr<PlainReplica>> m_replicas;
     std::optional<TimePoint> m_detectableAt; /**< when the third replica crashed */
     uint32_t m_crashes = 0;
-    uint32_t m_lateRetries = 0;
+    std::set<std::string> m_lateRetries; /**< attempts of the caller that reached a replica after the bound */
     uint32_t m_failedBefore = 0;
     bool m_isOver = false;
 };
@@ -142,5 +144,5 @@
 int main(int argumentCount, char** arguments)
 {
     CrashingRequestScenario scenario(parseOptions(argumentCount, arguments));
-    return runScenario(scenario.fleet(), scenario.run());
+    runScenario(scenario.fleet(), scenario.run());
 }
--- a/review/4/main.cpp
+++ b/review/4/main.cpp
@@ -119,5 +119,5 @@
 int main(int argumentCount, char** arguments)
 {
     CutStreamScenario scenario(parseOptions(argumentCount, arguments));
-    return runScenario(scenario.fleet(), scenario.run());
+    runScenario(scenario.fleet(), scenario.run());
 }
--- a/review/standins/Record.h
+++ b/review/standins/Record.h
@@ -13,6 +13,7 @@
     Record(const std::string& path, TimerService&);
 
     void write(const std::string& line);
+    void close() { m_file.close(); }
 
 private:
     TimerService& m_timers;
--- a/review/standins/ReviewFleet.cpp
+++ b/review/standins/ReviewFleet.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <filesystem>
 #include <map>
 
@@ -155,7 +156,7 @@
     return std::uniform_int_distribution<uint32_t>(lowest, highest)(m_random);
 }
 
-int runScenario(ReviewFleet& fleet, asio::awaitable<Verdict> scenario)
+void runScenario(ReviewFleet& fleet, asio::awaitable<Verdict> scenario)
 {
     auto verdict = Verdict::NotRun;
     asio::co_spawn(fleet.context, std::move(scenario), [&](const std::exception_ptr& exception, Verdict result) {
@@ -169,7 +170,11 @@
     } catch (const std::exception& exception) {
         fleet.record.write(std::string("the case could not run: ") + exception.what());
     }
-    return static_cast<int>(verdict);
+    for (auto& daemon : fleet.daemons)
+        daemon->process.reset();
+    fleet.record.close();
+    // Coroutines that still wait refer to objects that would be destroyed before them.
+    std::_Exit(static_cast<int>(verdict));
 }
 
 } // namespace chestnut::review
--- a/review/standins/ReviewFleet.h
+++ b/review/standins/ReviewFleet.h
@@ -86,7 +86,7 @@
     std::mt19937 m_random { std::random_device {}() };
 };
 
-/** Runs a scenario to its end and returns the exit code of the program. */
-int runScenario(ReviewFleet&, asio::awaitable<Verdict> scenario);
+/** Runs a scenario to its end, ends the daemons, and exits with the verdict. */
+[[noreturn]] void runScenario(ReviewFleet&, asio::awaitable<Verdict> scenario);
 
 } // namespace chestnut::review
--- a/review/standins/StreamEngine.cpp
+++ b/review/standins/StreamEngine.cpp
@@ -23,6 +23,15 @@
         return number;
     }
 
+    std::string eventOf(const std::string& request, const std::string& number)
+    {
+        std::string event = "id: " + number;
+        event += "\ndata: " + request;
+        event += "/" + number;
+        event += "\n\n";
+        return event;
+    }
+
 } // namespace
 
 StreamEngine::StreamEngine(ReviewFleet& fleet, std::string stage, std::string zone, int number, bool keepsRequests)
@@ -118,10 +127,13 @@
         auto text = std::to_string(number);
         if (!isConnected)
             continue;
-        isConnected = static_cast<bool>(co_await writer.write("id: " + text + "\ndata: " + request + "/" + text + "\n\n"));
+        isConnected = static_cast<bool>(co_await writer.write(eventOf(request, text)));
         if (isConnected)
             continue;
-        m_fleet.record.write("engine " + m_id + " has lost the channel of request " + request + " and " + (m_keepsRequests ? "goes on with" : "drops it at") + " event " + text);
+        std::string line = "engine " + m_id + " has lost the channel of request " + request;
+        line += m_keepsRequests ? " and goes on with event " : " and drops it at event ";
+        line += text;
+        m_fleet.record.write(line);
         if (!m_keepsRequests)
             break;
     }
