--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -264,6 +264,11 @@
 
 ConnectionPool::~ConnectionPool() = default;
 
+void ConnectionPool::closeIdle(const Endpoint& endpoint)
+{
+    m_state->idle.erase(endpoint);
+}
+
 uint64_t ConnectionPool::openedConnections() const
 {
     return m_state->opened;
--- a/modules/http/client/ConnectionPool.h
+++ b/modules/http/client/ConnectionPool.h
@@ -49,6 +49,10 @@
         to its end. */
     asio::awaitable<Result<std::unique_ptr<HttpBodyStream>>> open(Endpoint, HttpRequest, ExchangeOptions);
 
+    /** Closes the idle connections to an endpoint, so that the next request uses a new one. Idle connections may have stopped
+        working without being closed, which only a request without a response shows. */
+    void closeIdle(const Endpoint&);
+
     /** Number of connections opened so far, for the metrics. */
     uint64_t openedConnections() const;
 
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -244,3 +244,31 @@
     REQUIRE(page.has_value());
     CHECK(page->error().kind == ErrorKind::PlatformAnswerLost);
 }
+
+// Guards against calls that get no response one after the other because each reuses another connection that got silent at the same time.
+TEST_CASE("after a call without a response the idle connections to the store are not used again")
+{
+    StoreFixture fixture;
+    fixture.response = { 200, {}, R"({"items":[],"current_rev":9})" };
+    // Two calls at the same time leave two idle connections.
+    fixture.delayed = [&]() -> asio::awaitable<std::optional<HttpResponse>> {
+        co_await fixture.timers.sleep(50ms);
+        co_return std::nullopt;
+    };
+    auto callTwice = [&]() -> asio::awaitable<bool> {
+        asio::co_spawn(fixture.http.context, fixture.store.list("my/", ""), asio::detached);
+        auto page = co_await fixture.store.list("my/", "");
+        co_await fixture.timers.sleep(100ms);
+        co_return page.has_value();
+    };
+    REQUIRE(fixture.http.run(callTwice()));
+    REQUIRE(fixture.pool.openedConnections() == 2);
+    fixture.delayed = [&]() -> asio::awaitable<std::optional<HttpResponse>> {
+        co_await fixture.timers.sleep(1s);
+        co_return std::nullopt;
+    };
+    CHECK(fixture.http.run(fixture.store.list("my/", "")).error().kind == ErrorKind::PlatformAnswerLost);
+    fixture.delayed = nullptr;
+    CHECK(fixture.http.run(fixture.store.list("my/", "")).has_value());
+    CHECK(fixture.pool.openedConnections() == 3);
+}
