Keep the blocks of crashing requests in the store for daemons that start later

Callers saw: a request that crashes the replicas that run it reached replicas again after each planned restart of a daemon.

Cause: a block lived in the memory of the daemons that ran when the crashes happened. Peers report a crash for 3 s, so that a daemon that starts later learns of none. Blocked prompt parts had the same fault.

Change: daemons write a block to the store 2 s after its last crash, one of them after a random delay, under a lease that ends with the block. A daemon reads the blocks before it serves. A release is a value, so that a key that a restore or an outage has lost ends no block; any daemon that knows the block writes it again. 256 blocks at most, and no calls without crashes.

Before and after: the test in GatewayTest starts a second daemon 10 s after three crashes.

Conclusion: what follows from crashes outlasts every process, as long as the platform's store keeps it or one daemon knows it.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -110,7 +110,10 @@
         { EventId::PartSuspected, "part_suspected", Severity::Warning, "Engines crashed while requests with one prompt part waited there for their first event; the fields give the part, crashes and replicas." },
         { EventId::PartBlocked, "part_blocked", Severity::Error, "A prompt part explains the crashes of several engines; requests with it are refused by all daemons." },
         { EventId::PartReleased, "part_released", Severity::Info, "A prompt part is no longer suspected or blocked, because a request with it has begun or another part explains the crashes." },
+        { EventId::BlockStored, "block_stored", Severity::Info, "The block of a request content or prompt part that crashes replicas, or its release, was written to the store." },
+        { EventId::BlockNotStored, "block_not_stored", Severity::Warning, "A block was not written to the store; it is tried again unless another daemon has written it." },
         { EventId::SettingsReloaded, "settings_reloaded", Severity::Info, "SIGHUP was received; the limits and the log level of the settings file are applied." },
+        { EventId::BlockApplied, "block_applied", Severity::Info, "A block, or its release, was read from the store; it applies on this daemon from now on." },
     });
 
     constexpr bool isSortedById()
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -116,7 +116,10 @@
     PartSuspected = 2235,
     PartBlocked = 2236,
     PartReleased = 2237,
+    BlockStored = 2238,
+    BlockNotStored = 2239,
     SettingsReloaded = 2240,
+    BlockApplied = 2241,
 };
 
 struct EventDescription {
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -23,6 +23,7 @@
 #include "decisions/outages/StoreAvailability.h"
 #include "decisions/quarantine/CrashingParts.h"
 #include "decisions/quarantine/RequestQuarantine.h"
+#include "decisions/quarantine/SharedBlocks.h"
 #include "decisions/replicas/ReplicaBackoff.h"
 #include "decisions/retries/Retries.h"
 #include "decisions/roles/Roles.h"
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -3,6 +3,8 @@
 /** @module gateway
     Routes opaque requests by host and path to engines and backend servers that are listed in a store, without tickets. */
 
+#include "gateway/blocks/BlockCodec.h"
+#include "gateway/blocks/BlockDirectory.h"
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/members/LoadExchange.h"
 #include "gateway/members/LoadMessage.h"
--- a/modules/gateway/requests/CrashTracker.cpp
+++ b/modules/gateway/requests/CrashTracker.cpp
@@ -86,9 +86,16 @@
     return m_losses.try_emplace(loss, times).second;
 }
 
+void CrashTracker::recordCompletion(const Digest& content)
+{
+    releaseSharedBlock(m_sharedBlocks, content, m_timers.now(), m_timers.now());
+    recordCompletion({ content, Duration::zero() });
+}
+
 void CrashTracker::recordCompletion(const SuccessReport& report)
 {
     expire();
+    releaseSharedBlock(m_sharedBlocks, report.content, m_timers.now() - report.age, std::nullopt);
     auto& success = m_successes[report.content];
     success.at = std::max(success.at, m_timers.now() - report.age);
     auto loss = m_losses.lower_bound(LostAttempt { report.content, RequestId(), ReplicaId() });
@@ -107,15 +114,42 @@
     });
 }
 
-bool CrashTracker::isBlocked(const Digest& content) const
+std::optional<ObservedBlock> CrashTracker::observedBlockOf(const Digest& content) const
 {
     std::map<ReplicaStart, std::vector<LostAttemptTimes>> lossesOf;
-    for (auto loss = m_losses.lower_bound(LostAttempt { content, RequestId(), ReplicaId() }); loss != m_losses.end() && loss->first.content == content; ++loss)
+    ObservedBlock block { content };
+    for (auto loss = m_losses.lower_bound(LostAttempt { content, RequestId(), ReplicaId() }); loss != m_losses.end() && loss->first.content == content; ++loss) {
+        if (m_timers.now() - loss->second.detectedAt > lossRetention)
+            continue;
         lossesOf[{ loss->first.replica, loss->first.replicaStart }].push_back(loss->second);
+        block.lastCrash = std::max(block.lastCrash, loss->second.detectedAt);
+    }
     size_t crashes = 0;
     for (auto& [start, losses] : lossesOf)
         crashes += countCrashes(start, std::move(losses));
-    return crashes >= crashesToBlock;
+    block.crashes = static_cast<uint32_t>(crashes);
+    return crashes >= crashesToBlock ? std::optional(block) : std::nullopt;
+}
+
+bool CrashTracker::isBlocked(const Digest& content) const
+{
+    return findSharedBlock(m_sharedBlocks, content, m_timers.now()) || observedBlockOf(content);
+}
+
+std::vector<ObservedBlock> CrashTracker::observedBlocks() const
+{
+    std::vector<ObservedBlock> blocks;
+    for (auto loss = m_losses.begin(); loss != m_losses.end();) {
+        const auto& content = loss->first.content;
+        if (auto block = observedBlockOf(content))
+            blocks.push_back(*block);
+        loss = std::find_if(loss, m_losses.end(), [&](const auto& entry) { return entry.first.content != content; });
+    }
+    for (const auto& part : findCrashingParts(m_parts, m_timers.now())) {
+        if (part.state == PartState::Blocked)
+            blocks.push_back({ PromptPartId { part.part }, part.crashes, part.lastCrash });
+    }
+    return blocks;
 }
 
 std::vector<LostAttemptReport> CrashTracker::recentLosses() const
@@ -172,11 +206,14 @@
     expire();
     recordEngineResponse(m_parts, engine, sentAt);
     chestnut::recordPartsBegun(m_parts, parts, m_timers.now());
+    for (const auto& part : parts)
+        releaseSharedBlock(m_sharedBlocks, PromptPartId { part.id }, m_timers.now(), m_timers.now());
 }
 
 void CrashTracker::recordPartBegin(const PartBeginReport& report)
 {
     mergePartBegin(m_parts, report, m_timers.now());
+    releaseSharedBlock(m_sharedBlocks, PromptPartId { report.part }, m_timers.now() - report.age, std::nullopt);
 }
 
 PartAdmission CrashTracker::admitParts(std::span<const SharedPart> parts, bool mayHaveRun)
@@ -204,18 +241,32 @@
     return static_cast<size_t>(std::ranges::count_if(m_crashingParts, [](const auto& entry) { return entry.second.state == PartState::Blocked; }));
 }
 
+void CrashTracker::addSharedParts(std::map<uint64_t, CrashingPart>& parts) const
+{
+    for (const auto& [subject, block] : m_sharedBlocks.blocks) {
+        const auto* id = std::get_if<PromptPartId>(&subject);
+        if (!id || !findSharedBlock(m_sharedBlocks, subject, m_timers.now()))
+            continue;
+        auto& part = parts[id->value];
+        if (part.state != PartState::Blocked)
+            part = { id->value, PartState::Blocked, block.crashes, lastCrashOf(subject, block), {} };
+    }
+}
+
 void CrashTracker::updateCrashingParts()
 {
     auto now = m_timers.now();
-    if (now - m_partsUpdatedAt < partsUpdatePeriod || (m_parts.crashes.empty() && m_crashingParts.empty()))
+    if (now - m_partsUpdatedAt < partsUpdatePeriod || (m_parts.crashes.empty() && m_crashingParts.empty() && m_sharedBlocks.blocks.empty()))
         return;
     m_partsUpdatedAt = now;
     std::map<uint64_t, CrashingPart> current;
-    for (auto& part : findCrashingParts(m_parts, now)) {
-        auto former = m_crashingParts.find(part.part);
+    for (auto& part : findCrashingParts(m_parts, now))
+        current.emplace(part.part, std::move(part));
+    addSharedParts(current);
+    for (const auto& [id, part] : current) {
+        auto former = m_crashingParts.find(id);
         if (former == m_crashingParts.end() || former->second.state != part.state)
             m_partChanges.push_back({ part, false });
-        current.emplace(part.part, std::move(part));
     }
     for (const auto& [id, part] : m_crashingParts) {
         if (!current.contains(id))
--- a/modules/gateway/requests/CrashTracker.h
+++ b/modules/gateway/requests/CrashTracker.h
@@ -3,9 +3,11 @@
 #include "base/digest/Digest.h"
 #include "base/ids/StrongId.h"
 #include "decisions/quarantine/CrashingParts.h"
+#include "decisions/quarantine/SharedBlocks.h"
 #include "kernel/timers/TimerService.h"
 
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -72,13 +74,14 @@
     bool add(const LostAttempt&, TimePoint sentAt);
     bool add(const LostAttemptReport&);
     /** Records that the content was answered, so that earlier lost attempts are not counted against it. */
-    void recordCompletion(const Digest& content) { recordCompletion({ content, Duration::zero() }); }
+    void recordCompletion(const Digest& content);
     void recordCompletion(const SuccessReport&);
     /** Records that the replica has answered a request sent at this time, so attempts lost there just before were not lost
         in a crash. */
     void recordReplicaResponse(const ReplicaId&, TimePoint sentAt);
     bool isBlocked(const Digest& content) const;
-    bool hasLosses() const { return !m_losses.empty(); }
+    /** Whether any content is suspected or blocked; otherwise no digest has to be computed. */
+    bool hasSuspectedContents() const { return !m_losses.empty() || hasContents(m_sharedBlocks); }
 
     /** Attempts lost within the last seconds, for the peers. */
     std::vector<LostAttemptReport> recentLosses() const;
@@ -100,6 +103,11 @@
     std::vector<PartChange> takePartChanges() { return std::exchange(m_partChanges, {}); }
     size_t blockedParts() const;
 
+    /** The blocks that follow from the crashes known to this daemon. */
+    std::vector<ObservedBlock> observedBlocks() const;
+    /** The blocks of all daemons, which apply as well. */
+    SharedBlockTable& sharedBlocks() { return m_sharedBlocks; }
+
 private:
     struct Success {
         TimePoint at;
@@ -107,6 +115,10 @@
     };
 
     bool addLoss(const LostAttempt&, LostAttemptTimes);
+    /** The block that follows from the crashes with the content, if any. */
+    std::optional<ObservedBlock> observedBlockOf(const Digest& content) const;
+    /** Adds the shared blocks to the parts found here. */
+    void addSharedParts(std::map<uint64_t, CrashingPart>&) const;
     void expire();
     void updateCrashingParts();
 
@@ -117,6 +129,7 @@
     TimePoint m_expiredAt;
     CrashingPartTable m_parts;
     std::map<uint64_t, CrashingPart> m_crashingParts; /**< as of m_partsUpdatedAt */
+    SharedBlockTable m_sharedBlocks;
     std::vector<PartChange> m_partChanges;
     TimePoint m_partsUpdatedAt;
 };
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -1,5 +1,7 @@
 #include "gateway/requests/RelayContext.h"
 
+#include "gateway/blocks/BlockCodec.h"
+
 #include <algorithm>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -26,13 +28,6 @@
     }
 
     /** The id as it is written in a prompt, in hexadecimal. */
-    std::string partName(uint64_t part)
-    {
-        std::array<char, 17> text {};
-        std::snprintf(text.data(), text.size(), "%llx", static_cast<unsigned long long>(part));
-        return text.data();
-    }
-
     std::string listOf(const std::set<ReplicaId>& replicas)
     {
         std::string list;
@@ -232,7 +227,7 @@
 
 bool RelayContext::isBlockedContent() const
 {
-    return services.crashTracker.hasLosses() && services.crashTracker.isBlocked(content());
+    return services.crashTracker.hasSuspectedContents() && services.crashTracker.isBlocked(content());
 }
 
 bool RelayContext::hasBlockedPart()
@@ -267,14 +262,14 @@
     for (const auto& [part, isReleased] : services.crashTracker.takePartChanges()) {
         auto event = isReleased ? EventId::PartReleased : part.state == PartState::Blocked ? EventId::PartBlocked
                                                                                            : EventId::PartSuspected;
-        services.log.write(event, { { "part", partName(part.part) }, { "crashes", part.crashes }, { "replicas", listOf(part.replicas) } });
+        services.log.write(event, { { "part", toHex(PromptPartId { part.part }) }, { "crashes", part.crashes }, { "replicas", listOf(part.replicas) } });
         services.metrics.setGauge("chestnut_blocked_prompt_parts", static_cast<double>(services.crashTracker.blockedParts()));
     }
 }
 
 void RelayContext::recordCompletion()
 {
-    if (services.crashTracker.hasLosses())
+    if (services.crashTracker.hasSuspectedContents())
         services.crashTracker.recordCompletion(content());
 }
 
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -68,6 +68,7 @@
     , m_crashTracker(m_dependencies.timers, hash64(m_settings.self.id.value()))
     , m_ownKeys(std::make_shared<StoreMirror>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::string(ownKeyPrefix), [this] { return m_exchange.receivesStoreChanges() ? memberPause : ownKeysPause; }))
     , m_daemons(std::make_shared<DaemonDirectory>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_settings.self, [this] { restartWatches(); }))
+    , m_blocks(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_crashTracker, [daemons = m_daemons] { return daemons->activeDaemons(); })
     , m_replicas(
           m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_loadTracker, std::move(formats.replicaPrefix), std::move(formats.decodeReplica), [this] { return m_exchange.receivesStoreChanges() ? memberPause : replicasPause; }, [daemons = m_daemons] { return daemons->lastStoreTroubleAt(); })
     , m_routing(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::move(formats.configurationKey), std::move(formats.decodeConfiguration), m_dependencies.onConfiguration)
@@ -97,6 +98,7 @@
     m_replicas.start();
     m_ownKeys->start();
     m_daemons->start();
+    m_blocks.start();
     m_exchange.start();
     m_roles.start();
 }
@@ -140,7 +142,7 @@
 
 bool Gateway::isReady() const
 {
-    return !m_shutdown && m_routing.table() && !m_replicas.isEmpty();
+    return !m_shutdown && m_routing.table() && m_ownKeys->isListed() && !m_replicas.isEmpty();
 }
 
 DiscoveryList Gateway::discover(const AvailabilityZone& zone) const
@@ -166,8 +168,8 @@
         m_dependencies.log.write(EventId::RequestRefused, { { "request", request.id }, { "kind", describe(kind).name }, { "detail", detail } });
         co_await sendErrorResponse(writer, request.id, makeError(kind, std::move(detail)));
     };
-    if (!table) {
-        co_await refuse(ErrorKind::NotReady, "no configuration has been loaded yet");
+    if (!table || !m_ownKeys->isListed()) {
+        co_await refuse(ErrorKind::NotReady, table ? "the blocked requests have not been loaded yet" : "no configuration has been loaded yet");
         co_return;
     }
     const auto* route = table->find(request.host, request.forwarded.path());
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/drains/Shutdown.h"
+#include "gateway/blocks/BlockDirectory.h"
 #include "gateway/members/LoadExchange.h"
 #include "gateway/requests/RelayContext.h"
 #include "gateway/roles/RoleManager.h"
@@ -91,6 +92,7 @@
     CrashTracker m_crashTracker;
     std::shared_ptr<StoreMirror> m_ownKeys;
     std::shared_ptr<DaemonDirectory> m_daemons;
+    BlockDirectory m_blocks;
     ReplicaDirectory m_replicas;
     RoutingSource m_routing;
     RetryBudgets m_budgets;
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -252,3 +252,40 @@
     whole.start(late);
     CHECK(late.status == 503);
 }
+
+// Guards against a request that reaches replicas again after each restart of a daemon although it has crashed three (review/1).
+TEST_CASE("a daemon that starts after a request has crashed three replicas does not send it to a fourth one")
+{
+    WholeGateway whole("idempotent 3000");
+    whole.store.erase("servers/i-1");
+    auto crash = makeError(ErrorKind::BackendFailed, "connection reset");
+    for (const auto* replica : { "i-2", "i-3", "i-4" }) {
+        whole.store.put(std::string("servers/") + replica, testEntry("s", "none"));
+        whole.replicaClient.scripts[ReplicaId(replica)] = { { .error = crash } };
+        whole.timers.advance(1s);
+        FakeWriter writer;
+        whole.start(writer);
+        whole.store.erase(std::string("servers/") + replica);
+    }
+    whole.store.put("servers/i-5", testEntry("s", "none"));
+    whole.timers.advance(10s);
+    REQUIRE(whole.replicaClient.sent.size() == 3);
+    Gateway later {
+        { whole.context, whole.timers, whole.log, whole.metrics, whole.store, whole.replicaClient, [](const RoutingConfiguration&) {} },
+        { "config", "servers/", decodeTestConfiguration, decodeTestEntry },
+        { { DaemonId("d1"), AvailabilityZone("a"), { "127.0.0.1", 1 }, { "127.0.0.1", 0 } }, { {}, 3s, 5s } },
+    };
+    later.start();
+    whole.timers.advance(1s);
+    REQUIRE(later.isReady());
+    FakeWriter writer;
+    RoutedRequest request;
+    request.id = RequestId("repeated");
+    request.host = "h";
+    request.forwarded = { "GET", "/x", {}, "" };
+    request.arrival = whole.timers.now();
+    asio::co_spawn(whole.context, later.handle(std::move(request), writer), asio::detached);
+    whole.timers.advance(100ms);
+    CHECK(writer.status == 503);
+    CHECK(whole.replicaClient.sent.size() == 3);
+}
