Report the lost attempts of the most suspected contents first

Callers would see: a request crashes more than three replicas, because daemons that did not see its crashes do not learn of them.

Cause: a message carries 16 lost attempts, in the order of their digests. One crash loses the attempts of all requests that were running there, so that the one that caused it may be left out.

Change: when there are more than 16, contents that were lost most often go first, then the newest losses.

Before and after: with 41 contents lost in one crash, of which one had been lost before, that one is not the first of the 16 reported on the code before (the new test fails); now it is.

Conclusion: a content that repeatedly crashes replicas is reported whatever else is lost with it.

--- a/modules/gateway/requests/CrashTracker.cpp
+++ b/modules/gateway/requests/CrashTracker.cpp
@@ -157,9 +157,21 @@
     std::vector<LostAttemptReport> losses;
     auto now = m_timers.now();
     for (const auto& [loss, times] : m_losses) {
-        if (now - times.detectedAt < reportTime && losses.size() < maximumReports)
+        if (now - times.detectedAt < reportTime)
             losses.push_back({ loss, now - times.detectedAt, times.detectedAt - times.sentAt });
     }
+    if (losses.size() <= maximumReports)
+        return losses;
+    // One crash loses the attempts of many contents; the one that caused it has been lost before.
+    std::map<Digest, size_t> lossesOf;
+    for (const auto& [loss, times] : m_losses)
+        ++lossesOf[loss.content];
+    std::ranges::stable_sort(losses, [&](const LostAttemptReport& left, const LostAttemptReport& right) {
+        auto leftLosses = lossesOf[left.loss.content];
+        auto rightLosses = lossesOf[right.loss.content];
+        return leftLosses != rightLosses ? leftLosses > rightLosses : left.age < right.age;
+    });
+    losses.resize(maximumReports);
     return losses;
 }
 
--- a/tests/gateway/CrashTrackerTest.cpp
+++ b/tests/gateway/CrashTrackerTest.cpp
@@ -133,3 +133,19 @@
     loseAtStart("q6", 19'000);
     CHECK(fixture.crashTracker.isBlocked(fixture.content));
 }
+
+// Guards against a crashing request that other daemons do not learn of, because each crash loses more attempts than a report carries and
+// its digest sorts behind theirs.
+TEST_CASE("the attempts of the content that was lost most often are reported first")
+{
+    CrashTrackerFixture fixture;
+    fixture.content = Digest { 100, 0 };
+    fixture.loseAt("i-1");
+    fixture.timers.advance(10s);
+    fixture.loseAt("i-2");
+    for (uint64_t i = 0; i < 40; ++i)
+        fixture.crashTracker.add({ Digest { i, 0 }, RequestId("other-" + std::to_string(i)), ReplicaId("i-2") }, fixture.timers.now());
+    auto reports = fixture.crashTracker.recentLosses();
+    CHECK(reports.size() == 16);
+    CHECK(reports.front().loss.content == fixture.content);
+}
