Report an announced departure as long as the store lists the replica as ready

Callers would see: a replica that has announced its departure gets requests again from a daemon that was started some seconds later, and they are lost when it ends.

Cause: departures are reported to peers for 3 s. A daemon that starts later reads the replica's entry, which says that it is ready, and learns of the departure from the replica's next response only.

Change: each daemon goes on to report replicas that are leaving although their entry is not draining, until the entry is removed or the replica starts again.

Before and after: 20 s after the announcement the code before reports 0 departures (the new test fails), now 1; a directory that is started with this report counts the replica as draining.

Conclusion: a new daemon learns of it with the first message of a peer. Until then, and without peers, its first response tells it.

--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -325,6 +325,12 @@
     std::vector<LeavingReplica> replicas;
     for (const auto& [id, report] : m_leaving)
         replicas.push_back(report.replica);
+    // A daemon that starts later reads a ready entry and learns of the departure only here.
+    for (const auto& [id, replica] : m_registry.replicas) {
+        auto isListedAsReady = replica.status == ReplicaStatus::Draining && !replica.entry.isDraining;
+        if (isListedAsReady && !m_leaving.contains(id))
+            replicas.push_back({ id, replica.entry.startedAt, replica.entry.heartbeat, true });
+    }
     return replicas;
 }
 
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -57,7 +57,8 @@
         engines do not count, as decode engines can process prompts. */
     std::optional<Duration> timeUntilBackoffEnds(const ServiceId&) const;
 
-    /** Replicas that started leaving within the last seconds. */
+    /** Replicas that started leaving within the last seconds, and those that the store lists as ready although they have announced
+        their departure. */
     std::vector<LeavingReplica> leaving() const;
 
     /** Applies a peer's report that the replica is leaving. */
--- a/tests/gateway/ReplicaNoticeTest.cpp
+++ b/tests/gateway/ReplicaNoticeTest.cpp
@@ -174,6 +174,37 @@
     CHECK(fixture.replicas.leaving() == std::vector<LeavingReplica> { { ReplicaId("i-none-1"), 1, 1, true } });
 }
 
+// Guards against a replica that has announced its departure and is in use again at a daemon that was started some seconds later.
+TEST_CASE("a departure is reported as long as the store lists the replica as ready, also to a daemon that has not read the entry yet")
+{
+    Replicas fixture;
+    ReplicaId id("i-none-1");
+    fixture.replicas.applyNotice({ id, "10.0.0.1:80", fixture.timers.now(), "q", leaving });
+    fixture.timers.advance(20s);
+    auto reports = fixture.replicas.leaving();
+    REQUIRE(reports.size() == 1);
+    CHECK(reports.front().id == id);
+    CHECK(reports.front().isDraining);
+
+    ReplicaDirectory later { fixture.context, fixture.store, fixture.timers, fixture.log, fixture.loadTracker, "servers/", decodeTestEntry, [] { return 0s; }, [] { return std::nullopt; } };
+    later.applyPeerLeaving(reports.front());
+    later.start();
+    fixture.settle();
+    CHECK(later.find(id)->status == ReplicaStatus::Draining);
+
+    SUBCASE("until its entry is removed")
+    {
+        fixture.store.erase("servers/i-none-1");
+        fixture.timers.advance(10s);
+    }
+    SUBCASE("until it starts again")
+    {
+        fixture.store.put("servers/i-none-1", testEntry("s", "none", "a", "ready", 2));
+        fixture.timers.advance(10s);
+    }
+    CHECK(fixture.replicas.leaving().empty());
+}
+
 TEST_CASE("a plain replica gets no first attempt and no retry until its backoff ends, without being ejected")
 {
     Replicas fixture;
