Notice the end of an outage when a restarted watch has no changes

Callers would see: after an outage the lease over the engines is not acquired for up to 29 s, so that no engine is moved.

Cause: since a watch that is restarted at the end of an outage waits for a change, as the number of its failures has been reset, and the mirror counts as failing until one arrives.

Change: a mirror that counts as failing watches without waiting.

Before and after: the new test fails on the commit before (still failing 100 ms after the restart), and passes.

--- a/modules/gateway/store/StoreMirror.cpp
+++ b/modules/gateway/store/StoreMirror.cpp
@@ -108,7 +108,7 @@
 asio::awaitable<Result<void>> StoreMirror::watchOnce()
 {
     // After a failure, a watch that returns immediately detects the end of the outage before the next one waits for a change.
-    auto wait = m_failures > 0 ? Duration::zero() : watchTime;
+    auto wait = m_failures > 0 || isFailing() ? Duration::zero() : watchTime;
     auto changes = co_await m_store.watch(m_prefix, m_revision, wait, m_abort);
     // A restore that another call has shown interrupts the watch, which is not an outage.
     if (isStale())
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -98,6 +98,21 @@
     CHECK(statusOf(fixture.replicas, "i-1") == ReplicaStatus::Removed);
 }
 
+// Guards against a daemon that counts the store as unavailable after an outage until something changes there, and holds no lease meanwhile.
+TEST_CASE("a mirror that is restarted at the end of an outage notices it although nothing has changed")
+{
+    GatewayFixture fixture;
+    fixture.ownKeys->start();
+    fixture.settle();
+    fixture.store.isDown = true;
+    fixture.timers.advance(20s);
+    CHECK(fixture.ownKeys->isFailing());
+    fixture.store.isDown = false;
+    fixture.ownKeys->restartWatch();
+    fixture.timers.advance(100ms);
+    CHECK_FALSE(fixture.ownKeys->isFailing());
+}
+
 // Guards against a removed replica that gets work for 2.5 s because the store has just cut a waiting watch, which it may do at any time.
 TEST_CASE("a removal that is read after a cut watch takes effect immediately")
 {
