Write blocks as soon as the store is back

Callers would see: a request that crashes replicas reaches one more after an outage of the store, at a daemon that started in it.

Cause: a block that could not be written was tried again every 5 s, also during the outage.

Change: no write is tried while the store is unavailable; it stays due and follows within the check period of 0.5 s.

Before and after: in the test the block is in the store 1.5 s after an outage of 60 s.

Conclusion: daemons that start at the end of an outage read the block about a second later than they become ready.

--- a/modules/decisions/quarantine/SharedBlocks.cpp
+++ b/modules/decisions/quarantine/SharedBlocks.cpp
@@ -16,7 +16,7 @@
     constexpr Duration leastExtension = std::chrono::seconds(10);
     /** A block that ends sooner is not written: its key may just have expired. */
     constexpr Duration leastTimeLeft = std::chrono::seconds(5);
-    constexpr Duration retryTime = std::chrono::seconds(5);
+    constexpr Duration retryTime = std::chrono::seconds(1);
 
     Duration lifetimeOf(const BlockSubject& subject)
     {
--- a/modules/gateway/blocks/BlockDirectory.cpp
+++ b/modules/gateway/blocks/BlockDirectory.cpp
@@ -43,6 +43,9 @@
         auto& table = m_crashTracker.sharedBlocks();
         expireSharedBlocks(table, m_timers.now());
         addObserved();
+        // The writes stay due, so that they follow as soon as the store is back.
+        if (m_mirror->isFailing())
+            continue;
         for (const auto& due : takeDueWrites(table, m_timers.now(), m_timers.wallClock()))
             co_await write(due);
     }
--- a/tests/gateway/BlockDirectoryTest.cpp
+++ b/tests/gateway/BlockDirectoryTest.cpp
@@ -104,6 +104,24 @@
     CHECK(later.tracker.isBlocked(content));
 }
 
+// Guards against a daemon that starts when the store is back and does not learn of a block that could not be written in the outage.
+TEST_CASE("a block that could not be written in an outage is written soon after it, without calls during the outage")
+{
+    BlockFixture fixture;
+    Daemon first(fixture);
+    fixture.crashReplicasWithContent(first);
+    fixture.store.isDown = true;
+    fixture.timers.advance(20s);
+    auto calls = fixture.store.calls;
+    fixture.timers.advance(40s);
+    // The mirrors of this daemon and of its replicas try every 4 s.
+    CHECK(fixture.store.calls - calls <= 24);
+    fixture.store.isDown = false;
+    first.mirror->restartWatch();
+    fixture.timers.advance(1500ms);
+    CHECK(fixture.store.items().contains(contentKey));
+}
+
 // Guards against sound requests that stay blocked at daemons that did not see them answered.
 TEST_CASE("a daemon that starts after a block was refuted does not apply it")
 {
