Keep a release of a block until a later crash, and date an outage by its last failed call only

Callers would see: a sound request is blocked again by a daemon that did not learn of the response that released it, as the crashes it knows still count there.

Cause: a daemon with crashes of its own wrote a block again although it had read its release. When another call than the renewal got no response during an outage, the end of the outage was dated by the answer that ended it.

Change: a released block is written again only after a crash that is later than those it was written for. A lost response of another call counts only when the store was not known to be away. The state is named after what it says: when the store was last out of reach.

Before and after: found by reading.

Conclusion: a release holds whatever the daemons that read it know.

--- a/modules/decisions/outages/StoreAvailability.cpp
+++ b/modules/decisions/outages/StoreAvailability.cpp
@@ -16,11 +16,11 @@
 {
     auto isLost = kind != ErrorKind::PlatformUnavailable;
     if (isLost && ++availability.lostResponses == 1 && !availability.isUnavailable) {
-        availability.lastTroubleAt = std::max(availability.lastTroubleAt, availability.lastResponseAt);
+        availability.lastUnreachableAt = std::max(availability.lastUnreachableAt, availability.lastResponseAt);
         return;
     }
     availability.isUnavailable = true;
-    availability.lastTroubleAt = sentAt;
+    availability.lastUnreachableAt = sentAt;
 }
 
 bool recordResponse(StoreAvailability& availability, TimePoint now)
@@ -32,15 +32,15 @@
     return endsOutage;
 }
 
-std::optional<TimePoint> lastTrouble(const StoreAvailability& availability, TimePoint now)
+std::optional<TimePoint> lastUnreachable(const StoreAvailability& availability, TimePoint now)
 {
     auto isFailing = availability.isUnavailable || availability.lostResponses > 0;
-    return isFailing ? now : availability.lastTroubleAt;
+    return isFailing ? now : availability.lastUnreachableAt;
 }
 
-Duration expiryGraceAt(TimePoint now, const std::optional<TimePoint>& troubleAt)
+Duration expiryGraceAt(TimePoint now, const std::optional<TimePoint>& unreachableAt)
 {
-    return troubleAt ? std::max(Duration::zero(), *troubleAt + expiryGrace - now) : Duration::zero();
+    return unreachableAt ? std::max(Duration::zero(), *unreachableAt + expiryGrace - now) : Duration::zero();
 }
 
 } // namespace chestnut
--- a/modules/decisions/outages/StoreAvailability.h
+++ b/modules/decisions/outages/StoreAvailability.h
@@ -14,7 +14,7 @@
     uint32_t lostResponses = 0; /**< in a row */
     bool isUnavailable = false;
     std::optional<TimePoint> lastResponseAt;
-    std::optional<TimePoint> lastTroubleAt; /**< see lastTrouble() */
+    std::optional<TimePoint> lastUnreachableAt; /**< see lastUnreachable() */
 
     bool operator==(const StoreAvailability&) const = default;
 };
@@ -28,11 +28,11 @@
 
 /** The last time at which this daemon is known to have been without access to the store, if ever; `now` while calls fail. It is a
     lower bound: the access may have returned later, but no later than the next response. */
-std::optional<TimePoint> lastTrouble(const StoreAvailability&, TimePoint now);
+std::optional<TimePoint> lastUnreachable(const StoreAvailability&, TimePoint now);
 
 /** How long an entry whose removal is read now stays in use, because it may have expired while the store was away. The time counts
-    from the last trouble, not from when the removal is read: a daemon that has been back for some time has to act on removals
+    from the last time without the store, not from when the removal is read: a daemon that has been back for some time has to act on removals
     that it reads late as if it had read them at once. */
-Duration expiryGraceAt(TimePoint now, const std::optional<TimePoint>& troubleAt);
+Duration expiryGraceAt(TimePoint now, const std::optional<TimePoint>& unreachableAt);
 
 } // namespace chestnut
--- a/modules/decisions/quarantine/SharedBlocks.cpp
+++ b/modules/decisions/quarantine/SharedBlocks.cpp
@@ -50,7 +50,8 @@
     for (const auto& [subject, crashes, lastCrash] : observed) {
         auto until = lastCrash + lifetimeOf(subject);
         auto entry = table.blocks.find(subject);
-        auto isKnown = entry != table.blocks.end() && !entry->second.isReleased && until < entry->second.until + leastExtension;
+        // A released block stays so unless there is a later crash: this daemon may not know of the response that released it.
+        auto isKnown = entry != table.blocks.end() && until < entry->second.until + leastExtension;
         if (isKnown || now - lastCrash < settleTime || until - now < leastTimeLeft)
             continue;
         if (entry == table.blocks.end() && table.blocks.size() >= table.maximumBlocks) {
--- a/modules/gateway/members/DaemonDirectory.cpp
+++ b/modules/gateway/members/DaemonDirectory.cpp
@@ -140,14 +140,15 @@
         m_wakeUp.notify();
 }
 
-std::optional<TimePoint> DaemonDirectory::lastStoreTroubleAt() const
+std::optional<TimePoint> DaemonDirectory::lastStoreUnreachableAt() const
 {
-    return m_mustVerify ? m_timers.now() : lastTrouble(m_availability, m_timers.now());
+    return m_mustVerify ? m_timers.now() : lastUnreachable(m_availability, m_timers.now());
 }
 
 void DaemonDirectory::recordAnswer()
 {
-    if (std::exchange(m_mustVerify, false) && m_availability.lostResponses == 0)
+    auto isFirstLoss = std::exchange(m_mustVerify, false) && !m_availability.isUnavailable && m_availability.lostResponses == 0;
+    if (isFirstLoss)
         recordFailure(m_availability, ErrorKind::PlatformAnswerLost, m_timers.now());
     auto hadFailure = m_availability.isUnavailable || m_availability.lostResponses > 0;
     recordResponse(m_availability, m_timers.now());
--- a/modules/gateway/members/DaemonDirectory.h
+++ b/modules/gateway/members/DaemonDirectory.h
@@ -78,8 +78,8 @@
     /** Whether the store does not respond to renewals of the registration. */
     bool isStoreUnavailable() const { return m_availability.isUnavailable; }
 
-    /** See chestnut::lastTrouble(). */
-    std::optional<TimePoint> lastStoreTroubleAt() const;
+    /** See chestnut::lastUnreachable(). */
+    std::optional<TimePoint> lastStoreUnreachableAt() const;
 
     /** Renews the registration now, on a new connection, because a call to the store got no response: the open connections,
         those of the watches too, may have stopped working. */
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -37,13 +37,13 @@
     return "gone";
 }
 
-ReplicaDirectory::ReplicaDirectory(asio::io_context& context, VersionedStore& store, TimerService& timers, Log& log, std::shared_ptr<LoadTracker> loadTracker, std::string keyPrefix, ReplicaEntryDecoder decode, std::function<Duration()> watchPause, std::function<std::optional<TimePoint>()> lastStoreTroubleAt)
+ReplicaDirectory::ReplicaDirectory(asio::io_context& context, VersionedStore& store, TimerService& timers, Log& log, std::shared_ptr<LoadTracker> loadTracker, std::string keyPrefix, ReplicaEntryDecoder decode, std::function<Duration()> watchPause, std::function<std::optional<TimePoint>()> lastStoreUnreachableAt)
     : m_timers(timers)
     , m_log(log)
     , m_loadTracker(std::move(loadTracker))
     , m_keyPrefix(std::move(keyPrefix))
     , m_decode(std::move(decode))
-    , m_storeTroubleOfOthers(std::move(lastStoreTroubleAt))
+    , m_unreachableByOtherCalls(std::move(lastStoreUnreachableAt))
 {
     m_mirror = std::make_shared<StoreMirror>(context, store, timers, log, m_keyPrefix, std::move(watchPause));
     m_mirror->subscribe(m_keyPrefix, { [this](const StoreItem& item) { onItem(item); }, [this](const std::string& key) { onRemoval(key); } });
@@ -130,8 +130,8 @@
     for (auto item = m_unconfirmed.begin(); item != m_unconfirmed.end();) {
         auto& [id, appliedAt] = *item;
         // The store cannot confirm an entry during an outage.
-        if (auto trouble = lastStoreTroubleAt())
-            appliedAt = std::max(appliedAt, *trouble);
+        if (auto unreachableAt = lastStoreUnreachableAt())
+            appliedAt = std::max(appliedAt, *unreachableAt);
         if (now - appliedAt < unconfirmedLifetime) {
             ++item;
             continue;
@@ -149,16 +149,16 @@
     m_unconfirmed.erase(id);
     // Removals are deliberate unless they may be an effect of an outage or a restore of the store.
     auto now = m_timers.now();
-    if (!applyRemoval(m_registry, id, now, expiryGraceAt(now, lastStoreTroubleAt())))
+    if (!applyRemoval(m_registry, id, now, expiryGraceAt(now, lastStoreUnreachableAt())))
         return;
     if (find(id)->status == ReplicaStatus::Removed)
         recordLeaving(id);
     logChange(id, "removal");
 }
 
-std::optional<TimePoint> ReplicaDirectory::lastStoreTroubleAt() const
+std::optional<TimePoint> ReplicaDirectory::lastStoreUnreachableAt() const
 {
-    return std::max({ m_mirror->lastTroubleAt(), m_mirror->restoredAt(), m_storeTroubleOfOthers() });
+    return std::max({ m_mirror->lastUnreachableAt(), m_mirror->restoredAt(), m_unreachableByOtherCalls() });
 }
 
 void ReplicaDirectory::recordLeaving(const ReplicaId& id)
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -30,9 +30,9 @@
     static constexpr std::string_view serviceName = "replicadirectory";
     std::string_view name() const final { return serviceName; }
 
-    /** A key consists of `keyPrefix` and the replica's id. `lastStoreTroubleAt` returns when other calls last showed that this
+    /** A key consists of `keyPrefix` and the replica's id. `lastStoreUnreachableAt` returns when other calls last showed that this
         daemon had no access to the store, because a watch may continue through an outage without failing. */
-    ReplicaDirectory(asio::io_context&, VersionedStore&, TimerService&, Log&, std::shared_ptr<LoadTracker>, std::string keyPrefix, ReplicaEntryDecoder, std::function<Duration()> watchPause, std::function<std::optional<TimePoint>()> lastStoreTroubleAt);
+    ReplicaDirectory(asio::io_context&, VersionedStore&, TimerService&, Log&, std::shared_ptr<LoadTracker>, std::string keyPrefix, ReplicaEntryDecoder, std::function<Duration()> watchPause, std::function<std::optional<TimePoint>()> lastStoreUnreachableAt);
 
     void start() override;
 
@@ -122,7 +122,7 @@
     /** Removes replicas whose entries were only reported by peers. */
     void removeUnconfirmed();
     /** The last time at which entries may have expired or been lost although their replicas live. */
-    std::optional<TimePoint> lastStoreTroubleAt() const;
+    std::optional<TimePoint> lastStoreUnreachableAt() const;
     void logChange(const ReplicaId&, std::string_view cause) const;
 
     TimerService& m_timers;
@@ -130,7 +130,7 @@
     std::shared_ptr<LoadTracker> m_loadTracker;
     std::string m_keyPrefix;
     ReplicaEntryDecoder m_decode;
-    std::function<std::optional<TimePoint>()> m_storeTroubleOfOthers;
+    std::function<std::optional<TimePoint>()> m_unreachableByOtherCalls;
     std::shared_ptr<StoreMirror> m_mirror;
     ReplicaRegistry m_registry;
     std::map<ReplicaId, TimePoint> m_startSeenAt; /**< when the present process start of each replica was first read */
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -70,7 +70,7 @@
     , m_daemons(std::make_shared<DaemonDirectory>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_settings.self, [this] { restartWatches(); }))
     , m_blocks(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_crashTracker, [daemons = m_daemons] { return daemons->activeDaemons(); })
     , m_replicas(
-          m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_loadTracker, std::move(formats.replicaPrefix), std::move(formats.decodeReplica), [this] { return m_exchange.receivesStoreChanges() ? memberPause : replicasPause; }, [daemons = m_daemons] { return daemons->lastStoreTroubleAt(); })
+          m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_loadTracker, std::move(formats.replicaPrefix), std::move(formats.decodeReplica), [this] { return m_exchange.receivesStoreChanges() ? memberPause : replicasPause; }, [daemons = m_daemons] { return daemons->lastStoreUnreachableAt(); })
     , m_routing(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::move(formats.configurationKey), std::move(formats.decodeConfiguration), m_dependencies.onConfiguration)
     , m_budgets(m_dependencies.timers, *m_daemons, m_settings.bounds.retryBudget)
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_loadTracker, m_speeds, m_crashTracker, m_replicas)
--- a/modules/gateway/store/StoreMirror.h
+++ b/modules/gateway/store/StoreMirror.h
@@ -47,8 +47,8 @@
     /** Whether the store does not respond to the calls of this mirror. */
     bool isFailing() const { return m_availability.isUnavailable; }
 
-    /** See chestnut::lastTrouble(). */
-    std::optional<TimePoint> lastTroubleAt() const { return lastTrouble(m_availability, m_timers.now()); }
+    /** See chestnut::lastUnreachable(). */
+    std::optional<TimePoint> lastUnreachableAt() const { return lastUnreachable(m_availability, m_timers.now()); }
 
 private:
     static asio::awaitable<void> follow(std::shared_ptr<StoreMirror>);
--- a/tests/decisions/SharedBlocksTest.cpp
+++ b/tests/decisions/SharedBlocksTest.cpp
@@ -116,7 +116,8 @@
         applyStoredBlock(fixture.table, content, { 3, wallClock + 298s, true }, 6, at(20s), wallClock);
         CHECK(fixture.writesAt(20s) == 0);
     }
-    CHECK_FALSE(findSharedBlock(fixture.table, content, at(20s)));
+    fixture.observe(21s);
+    CHECK_FALSE(findSharedBlock(fixture.table, content, at(21s)));
     std::vector<ObservedBlock> observed { { content, 4, at(30s) } };
     addObservedBlocks(fixture.table, observed, at(32s), 0s);
     CHECK(findSharedBlock(fixture.table, content, at(32s)));
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -100,14 +100,14 @@
     MemoryLog log;
     Metrics metrics;
     bool isStoreUnavailable = false; /**< result of the registration renewal */
-    std::optional<TimePoint> troubleEndedAt; /**< when a renewal last failed before the present successful ones */
+    std::optional<TimePoint> unreachableUntil; /**< when a renewal last failed before the present successful ones */
     FakeVersionedStore store { timers };
     FakeReplicaClient replicaClient { timers };
     std::shared_ptr<LoadTracker> loadTracker = std::make_shared<LoadTracker>(timers, log);
     SpeedTracker speeds { timers };
     std::shared_ptr<StreamProgress> streams = std::make_shared<StreamProgress>();
     CrashTracker crashTracker { timers };
-    ReplicaDirectory replicas { context, store, timers, log, loadTracker, "servers/", decodeTestEntry, [] { return std::chrono::milliseconds(400); }, [this] { return isStoreUnavailable ? timers.now() : troubleEndedAt; } };
+    ReplicaDirectory replicas { context, store, timers, log, loadTracker, "servers/", decodeTestEntry, [] { return std::chrono::milliseconds(400); }, [this] { return isStoreUnavailable ? timers.now() : unreachableUntil; } };
     std::shared_ptr<StoreMirror> ownKeys = std::make_shared<StoreMirror>(context, store, timers, log, "chestnutroute/", [] { return Duration::zero(); });
     DaemonDirectory daemons { context, store, timers, log, ownKeys, { DaemonId("d0"), AvailabilityZone("a"), { "10.0.0.9", 1 }, { "10.0.0.9", 2 } }, [] {} };
     RetryBudgets budgets { timers, daemons, { 0.2, 20, std::chrono::seconds(10) } };
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -133,7 +133,7 @@
     fixture.isStoreUnavailable = true;
     fixture.timers.advance(1s);
     fixture.isStoreUnavailable = false;
-    fixture.troubleEndedAt = fixture.timers.now();
+    fixture.unreachableUntil = fixture.timers.now();
     fixture.timers.advance(2s);
     fixture.store.erase("servers/i-1");
     fixture.timers.advance(200ms);
