Give the watches of the store connections of their own

Cause: watches and the other calls shared one pool. The watches that were restarted after the first silence took the idle connection that the renewal had just used. Their connections got silent again; the next renewal opened a new one and succeeded, so that nothing showed the silence.

Evidence: in the logs of the trial no daemon writes a second registration_failed, although all open connections were silent.

Change: the client of the store has a second pool, for watches. The connection of the renewals stays idle between two of them.

Before and after: StoreClientTest makes a call, a watch and a call; with the change 1 connection is opened for each kind (41 cases pass). It was not run against the shared pool, whose interface it does not fit.

Conclusion: a renewal shows a silence of the connections that were open at the renewal before, also just after a restart of the watches.

--- a/programs/chestnutrouted/GatewayDaemon.h
+++ b/programs/chestnutrouted/GatewayDaemon.h
@@ -37,6 +37,7 @@
     ConsoleLog m_log;
     Metrics m_metrics;
     ConnectionPool m_connectionPool;
+    ConnectionPool m_watchPool; /**< of the watches of the store */
     platform::StoreClient m_store;
     platform::HttpReplicaClient m_replicas;
     Gateway m_gateway;
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -27,7 +27,8 @@
     AsioTimerService timers { http.context };
     ConnectionPool pool { http.context, timers, {} };
     MemoryLog log;
-    platform::StoreClient store { pool, log, http.server.endpoint() };
+    ConnectionPool watchPool { http.context, timers, {} };
+    platform::StoreClient store { pool, watchPool, log, http.server.endpoint() };
 };
 
 } // namespace
@@ -100,7 +101,7 @@
 TEST_CASE("a call to an unreachable store is reported as without effect")
 {
     StoreFixture fixture;
-    platform::StoreClient unreachable(fixture.pool, fixture.log, { "127.0.0.1", 1 });
+    platform::StoreClient unreachable(fixture.pool, fixture.watchPool, fixture.log, { "127.0.0.1", 1 });
     CHECK(fixture.http.run(unreachable.grantLease(3s)).error().kind == ErrorKind::PlatformUnavailable);
 }
 
@@ -188,7 +189,8 @@
     size_t sentChunks = chunks; /**< after fewer chunks the body stops without an end */
     test::HttpFixture http { [this](HttpRequest, HttpResponseWriter& writer) { return respond(writer); } };
     ConnectionPool pool { http.context, http.timers, {} };
-    platform::StoreClient store { pool, http.log, http.server.endpoint() };
+    ConnectionPool watchPool { http.context, http.timers, {} };
+    platform::StoreClient store { pool, watchPool, http.log, http.server.endpoint() };
 };
 
 } // namespace
@@ -272,3 +274,16 @@
     CHECK(fixture.http.run(fixture.store.list("my/", "")).has_value());
     CHECK(fixture.pool.openedConnections() == 3);
 }
+
+// Guards against connections that got silent a second time and that no call shows: a watch had taken the renewal's connection, and the next
+// renewal opened a new one (trial of review/4 with a second silence).
+TEST_CASE("a watch leaves the idle connection of the other calls to the next call")
+{
+    StoreFixture fixture;
+    fixture.response = { 200, {}, R"({"items":[],"events":[],"current_rev":9})" };
+    REQUIRE(fixture.http.run(fixture.store.list("my/", "")).has_value());
+    REQUIRE(fixture.http.run(fixture.store.watch("my/", 9, 0s, nullptr)).has_value());
+    REQUIRE(fixture.http.run(fixture.store.list("my/", "")).has_value());
+    CHECK(fixture.pool.openedConnections() == 1);
+    CHECK(fixture.watchPool.openedConnections() == 1);
+}
