--- a/modules/gateway/blocks/BlockDirectory.cpp
+++ b/modules/gateway/blocks/BlockDirectory.cpp
@@ -9,7 +9,8 @@
 
     constexpr std::string_view keyPrefix = "chestnutroute/blocks/";
     constexpr Duration checkPeriod = std::chrono::milliseconds(500);
-    /** Multiplied by the number of daemons. A write reaches the others within some ten milliseconds. */
+    /** Multiplied by the number of daemons. A write ends the waiting watches of the others at once; a daemon that pauses between two
+        watches may try the same write, which fails with a conflict. */
     constexpr Duration writeSpread = std::chrono::milliseconds(100);
 
     std::string keyOf(const BlockSubject& subject)
