--- a/modules/decisions/replicas/ReplicaRegistry.h
+++ b/modules/decisions/replicas/ReplicaRegistry.h
@@ -31,6 +31,8 @@
     EngineStage stage = EngineStage::None;
     int64_t startedAt = 0; /**< Unix milliseconds; distinguishes process starts under one id */
     int64_t heartbeat = 0; /**< increases with each heartbeat of one start */
+    bool isReclaimable = false; /**< the platform may take it away, together with all others of its zone */
+    std::optional<Duration> leavesIn; /**< time left at the heartbeat; absent while unknown */
 
     bool operator==(const ReplicaEntry&) const = default;
 };
--- a/modules/decisions/routes/RouteTable.h
+++ b/modules/decisions/routes/RouteTable.h
@@ -2,6 +2,8 @@
 
 #include "base/ids/StrongId.h"
 #include "base/time/TimePoint.h"
+#include "decisions/accounts/ClientAccount.h"
+#include "decisions/scaling/ScalingProfile.h"
 
 #include <cstdint>
 #include <optional>
@@ -40,6 +42,7 @@
     std::vector<TrafficShare> shares;
     uint32_t maximumAttempts = 1; /**< replicas that one attempt of the client may be sent to */
     bool isResumable = false; /**< a stream may go on at another replica */
+    bool isPublic = false; /**< requests need no key */
 
     bool operator==(const Route&) const = default;
 };
@@ -59,6 +62,7 @@
     std::string healthPath;
     uint32_t maximumConnections = 0; /**< of all callers together; zero: unknown */
     std::optional<EngineProfile> engine;
+    std::optional<ScalingProfile> scaling; /**< absent where the number of replicas is fixed */
 
     bool operator==(const ServiceProfile&) const = default;
 };
@@ -79,6 +83,7 @@
     std::vector<Route> routes;
     std::vector<ServiceProfile> services;
     ClientLimits limits;
+    std::optional<std::vector<ClientAccount>> accounts; /**< absent where requests need no key */
 
     bool operator==(const RoutingConfiguration&) const = default;
 };
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -20,3 +20,4 @@
 #include "gateway/service/RoutingSource.h"
 #include "gateway/store/StoreMirror.h"
 #include "gateway/store/VersionedStore.h"
+#include "gateway/tasks/TaskPlatform.h"
--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -41,6 +41,27 @@
     CHECK(configuration->limits.idleTimeout == Duration(15s));
 }
 
+TEST_CASE("a manifest is decoded with its accounts and the scaling of its services")
+{
+    auto text = replaced(manifest, "\"max_conns\":150,", R"("max_conns":150,"scaling":{"min":1,"max":30,"boot_s":4.0,"spot_price":0.15,"zone_prices":{"a":1.0,"b":0.8}},)");
+    text = replaced(text, "\"limits\":", R"("tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1},{"name":"t2","api_keys":[]}],"limits":)");
+    auto configuration = decodeManifest(replaced(text, "\"max_attempts\":1,", "\"max_attempts\":1,\"public\":true,"));
+    REQUIRE(configuration.has_value());
+    std::vector<ClientAccount> accounts { { AccountId("t1"), { "k1", "k2" }, 1 }, { AccountId("t2"), {}, std::nullopt } };
+    CHECK(configuration->accounts == accounts);
+    CHECK(configuration->routes[0].isPublic);
+    CHECK_FALSE(configuration->routes[1].isPublic);
+    ScalingProfile scaling { 1, 30, Duration(4s), 0.15, { { AvailabilityZone("a"), 1.0 }, { AvailabilityZone("b"), 0.8 } } };
+    CHECK(configuration->services[0].scaling == scaling);
+    CHECK_FALSE(configuration->services[1].scaling.has_value());
+}
+
+TEST_CASE("a manifest without accounts is told from one with an empty list of accounts")
+{
+    CHECK_FALSE(decodeManifest(manifest)->accounts.has_value());
+    CHECK(decodeManifest(replaced(manifest, "\"limits\":", "\"tenants\":[],\"limits\":"))->accounts.has_value());
+}
+
 TEST_CASE("an unknown kind of route is treated like the most restrictive one")
 {
     auto configuration = decodeManifest(replaced(manifest, "\"idempotent\"", "\"novel\""));
@@ -53,6 +74,15 @@
         CHECK_FALSE(decodeManifest(text).has_value());
 }
 
+TEST_CASE("the notice of a reclaimable replica is decoded")
+{
+    auto leaving = decodeServerEntry(ReplicaId("i-1"), replaced(entry, "\"slots\":12,", "\"slots\":12,\"spot\":true,\"leaves_ms\":2700,"));
+    REQUIRE(leaving.has_value());
+    CHECK(leaving->isReclaimable);
+    CHECK(leaving->leavesIn == Duration(2700ms));
+    CHECK_FALSE(decodeServerEntry(ReplicaId("i-1"), entry)->isReclaimable);
+}
+
 TEST_CASE("a server's entry is decoded")
 {
     auto decoded = decodeServerEntry(ReplicaId("i-1"), entry);
