Authenticate requests by the keys of the client accounts

Cause: the configuration names client accounts and their keys, but every request ran without one, no replica learned the account of a request, and no decision knew its priority. Change: AccountTable finds accounts by a digest of the key under a secret of the process and compares in constant time; ambiguous accounts and keys authenticate nothing and are named in one log line per version. The gateway authenticates after the lookup of the route (401, unauthenticated, without Retry-After) and keeps the account for all calls of the request. The codec drops the client's account header always and the key header wherever accounts are configured, and sends the account's name. RelayContext::priority() is the account's priority, else the route's. Faulty accounts no longer lose the whole manifest.

--- a/bench/decisioncost/DecisionCost.cpp
+++ b/bench/decisioncost/DecisionCost.cpp
@@ -1,3 +1,4 @@
+#include "decisions/accounts/AccountTable.h"
 #include "decisions/admission/Admission.h"
 #include "decisions/discovery/Discovery.h"
 #include "decisions/fairness/FairQueue.h"
@@ -8,6 +9,7 @@
 
 #include <atomic>
 #include <cstdlib>
+#include <malloc.h>
 #include <new>
 #include <string>
 
@@ -95,6 +97,44 @@
         benchmark::DoNotOptimize(entryPoints(AccountId("account" + std::to_string(++account)), AvailabilityZone("zone1"), members));
 }
 
+/** Accounts with two keys of 32 bytes each. */
+std::vector<ClientAccount> makeAccounts(int64_t count)
+{
+    std::vector<ClientAccount> accounts;
+    for (int64_t index = 0; index < count; index++) {
+        auto number = std::to_string(1'000'000 + index);
+        accounts.push_back({ AccountId("account-" + number), { "key-a-0123456789abcdefghi" + number, "key-b-0123456789abcdefghi" + number }, {} });
+    }
+    return accounts;
+}
+
+double usedMegabytes()
+{
+    return static_cast<double>(mallinfo2().uordblks) / (1 << 20);
+}
+
+void findAccount(benchmark::State& state)
+{
+    auto before = usedMegabytes();
+    auto accounts = makeAccounts(state.range(0));
+    auto withAccounts = usedMegabytes();
+    AccountTable table(accounts, {});
+    state.counters["accounts_mb"] = withAccounts - before;
+    state.counters["table_mb"] = usedMegabytes() - withAccounts;
+    RandomGenerator random(3);
+    for (auto _ : state) {
+        const auto& account = accounts[random() % accounts.size()];
+        benchmark::DoNotOptimize(table.find(account.keys.back()));
+    }
+}
+
+void buildAccounts(benchmark::State& state)
+{
+    auto accounts = makeAccounts(state.range(0));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(AccountTable(accounts, {}));
+}
+
 } // namespace
 
 void* operator new(size_t size)
@@ -117,5 +157,7 @@
 
 BENCHMARK(routeOneRequest)->Arg(10)->Arg(24)->Arg(100)->Arg(1000);
 BENCHMARK(queueOneRequest)->Arg(10)->Arg(100)->Arg(1000)->Arg(10000);
+BENCHMARK(findAccount)->Arg(73)->Arg(27000);
+BENCHMARK(buildAccounts)->Arg(73)->Arg(27000);
 BENCHMARK(discoverOnce)->Arg(6)->Arg(33)->Arg(330);
 BENCHMARK_MAIN();
--- a/modules/base/digest/Digest.cpp
+++ b/modules/base/digest/Digest.cpp
@@ -32,6 +32,23 @@
     return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+Digest keyedDigestOf(std::string_view bytes, const DigestSecret& secret)
+{
+    auto hash = XXH3_128bits_withSecret(bytes.data(), bytes.size(), secret.data(), secret.size());
+    return { hash.high64, hash.low64 };
+}
+
+bool equalInConstantTime(std::string_view left, std::string_view right)
+{
+    if (left.size() != right.size())
+        return false;
+    // Volatile, because a compiler may otherwise end the loop at the first difference.
+    volatile unsigned char difference = 0;
+    for (size_t i = 0; i < left.size(); ++i)
+        difference = static_cast<unsigned char>(difference | (static_cast<unsigned char>(left[i]) ^ static_cast<unsigned char>(right[i])));
+    return difference == 0;
+}
+
 uint64_t rendezvousScore(std::string_view key, std::string_view node)
 {
     return hash64(node, hash64(key));
--- a/modules/base/digest/Digest.h
+++ b/modules/base/digest/Digest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <functional>
@@ -22,6 +23,16 @@
 /** The 64-bit XXH3 hash of the bytes with a seed. */
 uint64_t hash64(std::string_view bytes, uint64_t seed = 0);
 
+/** A secret that makes digests unpredictable for those who do not know it; random bytes. */
+using DigestSecret = std::array<uint8_t, 192>;
+
+/** The 128-bit XXH3 hash of the bytes under a secret. It places texts in a table at positions that nobody can predict; it is
+    no signature. */
+Digest keyedDigestOf(std::string_view bytes, const DigestSecret&);
+
+/** Whether two texts are equal. The duration depends on their sizes only, so that it does not show where they differ. */
+bool equalInConstantTime(std::string_view, std::string_view);
+
 /** Rendezvous (highest random weight) score of a node for a key; the node with the highest score owns the key. */
 uint64_t rendezvousScore(std::string_view key, std::string_view node);
 
--- a/modules/base/errors/ErrorKind.cpp
+++ b/modules/base/errors/ErrorKind.cpp
@@ -18,6 +18,7 @@
         { ErrorKind::BodyTooLarge, "body_too_large", 413, Outcome::NotRun, false, "The body exceeds the configured limit." },
         { ErrorKind::HeaderTooLarge, "header_too_large", 431, Outcome::NotRun, false, "The header exceeds the configured limit." },
         { ErrorKind::NotFound, "not_found", 404, Outcome::NotRun, false, "The path or object does not exist." },
+        { ErrorKind::Unauthenticated, "unauthenticated", 401, Outcome::NotRun, false, "The request has no key, or one that belongs to no client account." },
         { ErrorKind::Overloaded, "overloaded", 503, Outcome::NotRun, true, "The queue is full." },
         { ErrorKind::DeadlineUnreachable, "deadline_unreachable", 503, Outcome::NotRun, true, "The deadline cannot be met at the present load." },
         { ErrorKind::AccountLimit, "account_limit", 429, Outcome::NotRun, true, "The client account exceeds its share." },
--- a/modules/base/errors/ErrorKind.h
+++ b/modules/base/errors/ErrorKind.h
@@ -25,6 +25,7 @@
     BodyTooLarge,
     HeaderTooLarge,
     NotFound,
+    Unauthenticated,
     Overloaded,
     DeadlineUnreachable,
     AccountLimit,
--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -114,6 +114,9 @@
         { EventId::BlockNotStored, "block_not_stored", Severity::Warning, "A block was not written to the store; it is tried again unless another daemon has written it." },
         { EventId::SettingsReloaded, "settings_reloaded", Severity::Info, "SIGHUP was received; the limits and the log level of the settings file are applied." },
         { EventId::BlockApplied, "block_applied", Severity::Info, "A block, or its release, was read from the store; it applies on this daemon from now on." },
+        { EventId::AccountsInvalid, "accounts_invalid", Severity::Warning, "Some accounts or keys of a configuration are ambiguous or unusable; they authenticate no request. The fields give their number by fault and some names." },
+        { EventId::ConfigurationFetched, "configuration_fetched", Severity::Info, "A configuration was fetched from another daemon, because the store had not delivered it." },
+        { EventId::ConfigurationFetchFailed, "configuration_fetch_failed", Severity::Warning, "Another daemon did not send a usable configuration of the version that it announced; the next attempt asks another daemon." },
     });
 
     constexpr bool isSortedById()
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -120,6 +120,9 @@
     BlockNotStored = 2239,
     SettingsReloaded = 2240,
     BlockApplied = 2241,
+    AccountsInvalid = 2260,
+    ConfigurationFetched = 2261,
+    ConfigurationFetchFailed = 2262,
 };
 
 struct EventDescription {
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -5,6 +5,7 @@
     which daemon may send orders and how claims are logged. I/O and Boost are not used, and the clock and random generator
     are passed in, so that the daemon, the benchmarks and the fuzzer run the same code. */
 
+#include "decisions/accounts/AccountTable.h"
 #include "decisions/accounts/ClientAccount.h"
 #include "decisions/admission/Admission.h"
 #include "decisions/claims/ClaimKey.h"
--- a/modules/decisions/routes/RouteTable.cpp
+++ b/modules/decisions/routes/RouteTable.cpp
@@ -18,9 +18,11 @@
 
 } // namespace
 
-RouteTable::RouteTable(RoutingConfiguration configuration)
+RouteTable::RouteTable(RoutingConfiguration configuration, const DigestSecret& secret)
     : m_configuration(std::move(configuration))
 {
+    if (m_configuration.accounts)
+        m_accounts.emplace(*m_configuration.accounts, secret);
     for (size_t i = 0; i < m_configuration.routes.size(); ++i)
         m_routesOfHost[normalisedHost(m_configuration.routes[i].host)].push_back(i);
     auto longerPrefix = [this](size_t left, size_t right) {
--- a/modules/decisions/routes/RouteTable.h
+++ b/modules/decisions/routes/RouteTable.h
@@ -2,7 +2,7 @@
 
 #include "base/ids/StrongId.h"
 #include "base/time/TimePoint.h"
-#include "decisions/accounts/ClientAccount.h"
+#include "decisions/accounts/AccountTable.h"
 #include "decisions/scaling/ScalingProfile.h"
 
 #include <cstdint>
@@ -93,7 +93,13 @@
 class RouteTable {
 public:
     RouteTable() = default;
-    explicit RouteTable(RoutingConfiguration);
+    /** The secret hides the positions of the accounts' keys; see AccountTable. */
+    explicit RouteTable(RoutingConfiguration, const DigestSecret& = {});
+    RouteTable(const RouteTable&) = delete;
+    RouteTable& operator=(const RouteTable&) = delete;
+    RouteTable(RouteTable&&) = default;
+    RouteTable& operator=(RouteTable&&) = default;
+    ~RouteTable() = default;
 
     /** The route with the longest prefix of the path; null when none matches. A port in the host is ignored. */
     const Route* find(std::string_view host, std::string_view path) const;
@@ -101,6 +107,8 @@
     const ServiceProfile* service(const ServiceId&) const;
     /** The shortest latency objective of the streaming routes to a service; zero when there is none. */
     Duration shortestObjective(const ServiceId&) const;
+    /** The client accounts; null where requests need no key. */
+    const AccountTable* accounts() const { return m_accounts ? &*m_accounts : nullptr; }
     const RoutingConfiguration& configuration() const { return m_configuration; }
 
 private:
@@ -108,6 +116,7 @@
     std::unordered_map<std::string, std::vector<size_t>> m_routesOfHost; /**< longest prefix first */
     std::unordered_map<ServiceId, size_t> m_services;
     std::unordered_map<ServiceId, Duration> m_shortestObjectives;
+    std::optional<AccountTable> m_accounts; /**< refers to the accounts of the configuration */
 };
 
 /** The service for one request: shares are weighted, equal hashes get equal services. Asserts that there is a share. */
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -3,6 +3,7 @@
 /** @module gateway
     Routes opaque requests by host and path to engines and backend servers that are listed in a store, without tickets. */
 
+#include "gateway/accounts/Authentication.h"
 #include "gateway/blocks/BlockCodec.h"
 #include "gateway/blocks/BlockDirectory.h"
 #include "gateway/members/DaemonDirectory.h"
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -73,6 +73,11 @@
         m_sharedParts.push_back({ request.prompt->parts[i].id, i });
 }
 
+uint32_t RelayContext::priority() const
+{
+    return request.account ? request.account->priority.value_or(route.priority) : route.priority;
+}
+
 void RelayContext::abortOnDisconnectOrDeadline(HttpResponseWriter& writer)
 {
     writer.onCallerDisconnect([weak = weak_from_this()] {
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -61,6 +61,8 @@
     void abortOnDisconnectOrDeadline(HttpResponseWriter&);
 
     TimePoint deadline() const { return m_deadline; }
+    /** The priority of the request: that of its account, else that of its route. Zero is the most urgent. */
+    uint32_t priority() const;
     Duration remaining() const { return m_deadline - services.timers.now(); }
     bool isOver() const { return m_isClientDisconnected || m_hasExpired; }
     bool isClientDisconnected() const { return m_isClientDisconnected; }
--- a/modules/gateway/requests/RoutedRequest.h
+++ b/modules/gateway/requests/RoutedRequest.h
@@ -5,11 +5,20 @@
 #include "decisions/placement/PromptPlacement.h"
 #include "http/message/HttpMessage.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
 namespace chestnut {
 
+/** The client account that a request's key has authenticated. */
+struct RequestAccount {
+    AccountId id;
+    std::optional<uint32_t> priority; /**< takes precedence over that of the route; zero is the most urgent */
+
+    bool operator==(const RequestAccount&) const = default;
+};
+
 /** One client request, routed by host and path; its body is opaque. */
 struct RoutedRequest {
     RequestId id;
@@ -18,6 +27,10 @@
     std::optional<PromptShape> prompt;
     std::optional<Duration> timeLeft; /**< at the arrival; absent when the client specifies no timeout */
     TimePoint arrival;
+    std::string key; /**< that the client sent; removed by the authentication, never logged */
+    std::optional<RequestAccount> account; /**< for the calls to replicas; absent on public routes and where there are no accounts */
+    /** Whether the field that carries the key is forwarded like any other. True only where no accounts are configured. */
+    bool forwardsKey = false;
 };
 
 /** Refers to KV cache held by a prefill engine. It can be fetched once. */
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/service/Gateway.h"
 
+#include "gateway/accounts/Authentication.h"
 #include "gateway/requests/GenerationRelay.h"
 #include "gateway/requests/PlainRelay.h"
 
@@ -177,6 +178,12 @@
         co_await refuse(ErrorKind::NotFound, "no route matches");
         co_return;
     }
+    m_dependencies.metrics.count("chestnut_gateway_requests_total");
+    if (auto authenticated = authenticate(request, *route, *table); !authenticated) {
+        m_dependencies.metrics.count("chestnut_gateway_unauthenticated_total");
+        co_await refuse(authenticated.error().kind, authenticated.error().detail);
+        co_return;
+    }
     auto service = serviceFor(*route, hash64(request.id.value()));
     m_budgets.addRequest(service);
     auto context = std::make_shared<RelayContext>(m_relayServices, std::move(request), table, *route, service);
--- a/modules/gateway/service/RoutingSource.cpp
+++ b/modules/gateway/service/RoutingSource.cpp
@@ -1,12 +1,34 @@
 #include "gateway/service/RoutingSource.h"
 
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
 namespace chestnut {
 
+namespace {
+
+    /** Bounds of the names in a log line on invalid accounts. */
+    constexpr size_t maximumLoggedAccounts = 10;
+    constexpr size_t maximumLoggedNameBytes = 60;
+
+    DigestSecret randomSecret()
+    {
+        std::random_device random;
+        DigestSecret secret {};
+        std::ranges::generate(secret, [&random] { return static_cast<uint8_t>(random()); });
+        return secret;
+    }
+
+} // namespace
+
 RoutingSource::RoutingSource(asio::io_context& context, VersionedStore& store, TimerService& timers, Log& log, std::string key, RoutingConfigurationDecoder decode, std::function<void(const RoutingConfiguration&)> onChange)
     : m_log(log)
     , m_key(std::move(key))
     , m_decode(std::move(decode))
     , m_onChange(std::move(onChange))
+    , m_secret(randomSecret())
 {
     m_mirror = std::make_shared<StoreMirror>(context, store, timers, log, m_key, [] { return Duration::zero(); });
     m_mirror->subscribe(m_key, { [this](const StoreItem& item) { onItem(item); },
@@ -14,6 +36,27 @@
                                    [this](const std::string& removed) { m_log.write(EventId::ConfigurationIgnored, { { "key", removed }, { "reason", "removed" } }); } });
 }
 
+void RoutingSource::logAccountProblems() const
+{
+    if (!m_table->accounts() || m_table->accounts()->problems().empty())
+        return;
+    LogFields fields { { "version", m_table->configuration().version } };
+    std::map<AccountFault, size_t> counts;
+    std::set<AccountId> names;
+    for (const auto& [account, fault] : m_table->accounts()->problems()) {
+        ++counts[fault];
+        if (names.size() < maximumLoggedAccounts)
+            names.insert(account);
+    }
+    for (const auto& [fault, count] : counts)
+        fields.emplace_back(nameOf(fault), count);
+    std::string list;
+    for (const auto& name : names)
+        list += (list.empty() ? "" : ",") + name.value().substr(0, maximumLoggedNameBytes);
+    fields.emplace_back("accounts", list);
+    m_log.write(EventId::AccountsInvalid, std::move(fields));
+}
+
 void RoutingSource::onItem(const StoreItem& item)
 {
     if (item.key != m_key)
@@ -27,8 +70,9 @@
         m_log.write(EventId::ConfigurationIgnored, { { "version", configuration->version }, { "in_force", m_table->configuration().version } });
         return;
     }
-    m_table = std::make_shared<const RouteTable>(std::move(*configuration));
+    m_table = std::make_shared<const RouteTable>(std::move(*configuration), m_secret);
     const auto& current = m_table->configuration();
+    logAccountProblems();
     m_log.write(EventId::ConfigurationApplied, { { "version", current.version }, { "routes", current.routes.size() }, { "services", current.services.size() }, { "revision", item.revision } });
     m_onChange(current);
 }
--- a/modules/gateway/service/RoutingSource.h
+++ b/modules/gateway/service/RoutingSource.h
@@ -29,11 +29,14 @@
 
 private:
     void onItem(const StoreItem&);
+    /** Writes one line for a version with ambiguous or unusable accounts or keys. */
+    void logAccountProblems() const;
 
     Log& m_log;
     std::string m_key;
     RoutingConfigurationDecoder m_decode;
     std::function<void(const RoutingConfiguration&)> m_onChange;
+    DigestSecret m_secret; /**< of the accounts' keys, random for each process */
     std::shared_ptr<StoreMirror> m_mirror;
     std::shared_ptr<const RouteTable> m_table;
 };
--- a/modules/http/message/HttpMessage.cpp
+++ b/modules/http/message/HttpMessage.cpp
@@ -43,6 +43,11 @@
     m_fields.emplace_back(name, value);
 }
 
+void HttpHeaders::remove(std::string_view name)
+{
+    std::erase_if(m_fields, [&](const auto& field) { return boost::algorithm::iequals(field.first, name); });
+}
+
 std::string_view HttpRequest::path() const
 {
     std::string_view view = target;
--- a/modules/http/message/HttpMessage.h
+++ b/modules/http/message/HttpMessage.h
@@ -21,6 +21,8 @@
     bool contains(std::string_view name) const;
     /** Replaces the first field of this name, or appends one. */
     void set(std::string_view name, std::string_view value);
+    /** Removes all fields of this name. */
+    void remove(std::string_view name);
     const std::vector<std::pair<std::string, std::string>>& fields() const { return m_fields; }
 
     bool operator==(const HttpHeaders&) const = default;
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -310,7 +310,7 @@
 {
     if (call.abort && call.abort->forbidsSend())
         co_return makeError(ErrorKind::ConnectFailed, "aborted");
-    sent.push_back({ call.replica, call.handle, call.resumeAfter, call.priority, call.timeLeft });
+    sent.push_back({ call.replica, call.handle, call.resumeAfter, call.priority, call.timeLeft, call.request.account });
     auto sentAt = m_timers.now();
     auto response = nextResponse(call.replica);
     if (!co_await waitUnlessAborted(m_timers, m_timers.now() + response.delay, call.abort))
@@ -329,6 +329,7 @@
     if (call.abort && call.abort->forbidsSend())
         co_return makeError(ErrorKind::ConnectFailed, "aborted");
     prefills.push_back(call.replica);
+    prefillAccounts.push_back(call.request.account);
     publish(call.replica, call.address, m_timers.now());
     if (auto error = prefillErrors[call.replica])
         co_return *error;
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -128,6 +128,7 @@
         std::optional<std::string> resumeAfter;
         std::optional<uint32_t> priority;
         Duration timeLeft {};
+        std::optional<RequestAccount> account;
     };
 
     explicit FakeReplicaClient(VirtualTimerService& timers)
@@ -142,6 +143,7 @@
     std::map<ReplicaId, NoticeContent> notices; /**< in each response of the replica, also in errors */
     std::vector<Sent> sent;
     std::vector<ReplicaId> prefills;
+    std::vector<std::optional<RequestAccount>> prefillAccounts; /**< of the prefill calls */
     std::vector<CacheHandle> released;
     size_t reportCalls = 0;
     std::vector<StageOrder> orders;
--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -62,6 +62,24 @@
     CHECK(decodeManifest(replaced(manifest, "\"limits\":", "\"tenants\":[],\"limits\":"))->accounts.has_value());
 }
 
+// Guards against a faulty account that loses the configuration, and against requests without a key because of a fault.
+TEST_CASE("faulty accounts lose no other part of the manifest and authenticate nothing")
+{
+    auto decoded = [](const std::string& accounts) { return decodeManifest(replaced(manifest, "\"limits\":", "\"tenants\":" + accounts + ",\"limits\":")); };
+    for (const auto* list : { "{}", "7", "\"t1\"", "true" }) {
+        CAPTURE(list);
+        REQUIRE(decoded(list).has_value());
+        CHECK(decoded(list)->accounts == std::vector<ClientAccount>());
+        CHECK(decoded(list)->routes.size() == 2);
+    }
+    CHECK_FALSE(decoded("null")->accounts.has_value());
+    auto mixed = decoded(R"([7,{"api_keys":["k0"]},{"name":"t1","api_keys":"k1"},{"name":"t2","api_keys":["k2",5],"priority":-1},{"name":"t3","api_keys":["k3"],"priority":"2"}])");
+    REQUIRE(mixed.has_value());
+    std::vector<ClientAccount> accounts { { AccountId(), {}, {} }, { AccountId(), { "k0" }, {} }, { AccountId("t1"), {}, {} }, { AccountId("t2"), { "k2", "" }, {} }, { AccountId("t3"), { "k3" }, {} } };
+    CHECK(mixed->accounts == accounts);
+    CHECK(mixed->routes.size() == 2);
+}
+
 TEST_CASE("an unknown kind of route is treated like the most restrictive one")
 {
     auto configuration = decodeManifest(replaced(manifest, "\"idempotent\"", "\"novel\""));
--- a/tests/platform/RequestCodecTest.cpp
+++ b/tests/platform/RequestCodecTest.cpp
@@ -97,3 +97,38 @@
     CHECK_FALSE(isResponseTo({ { "X-Chestnutroute-Request-Id", "q0" } }, RequestId("q1")));
     CHECK(isResponseTo({}, RequestId()));
 }
+
+// Guards against a client that runs requests at the cost of another account, or reads the account's header into its own.
+TEST_CASE("a client's value of the account header is dropped, and the authenticated account's name is set")
+{
+    auto http = clientRequest();
+    http.headers.set("x-chestnutroute-tenant", "forged");
+    auto request = decodeRequest(http, TimePoint(1s));
+    CHECK_FALSE(encodeCall(callFor(request)).headers.contains("X-Chestnutroute-Tenant"));
+    request.account = RequestAccount { AccountId("t1"), {} };
+    CHECK(encodeCall(callFor(request)).headers.value("X-Chestnutroute-Tenant") == "t1");
+    // Also in calls after the first one of a stream.
+    auto resumed = callFor(request);
+    resumed.resumeAfter = "4";
+    CHECK(encodeCall(resumed).headers.value("X-Chestnutroute-Tenant") == "t1");
+}
+
+// Guards against keys that reach replicas.
+TEST_CASE("the key header is dropped, and forwarded only where it is an ordinary field")
+{
+    auto http = clientRequest();
+    http.headers.set("x-api-KEY", "k1");
+    auto request = decodeRequest(http, TimePoint(1s));
+    CHECK(request.key == "k1");
+    CHECK_FALSE(encodeCall(callFor(request)).headers.contains("X-Api-Key"));
+    request.forwardsKey = true;
+    CHECK(encodeCall(callFor(request)).headers.value("X-Api-Key") == "k1");
+}
+
+TEST_CASE("several fields with a key count as none")
+{
+    HttpRequest http { "GET", "/", { { "X-Api-Key", "k1" }, { "X-Api-Key", "k2" } }, "" };
+    auto request = decodeRequest(http, TimePoint(1s));
+    CHECK(request.key.empty());
+    CHECK_FALSE(encodeCall(callFor(request)).headers.contains("X-Api-Key"));
+}
