Error responses of plain services count for the replica's health and are repeated

Cause: a sealed response with a status of 500 or above counted as a success. A replica that failed part of its calls kept its share of them, and callers of idempotent routes got the error although another replica would have served the call.

Change: in PlainRelay such a response counts as a run. An idempotent call is repeated at another replica within maximumAttempts, the retry budget and the time left; the first response is kept and passed on unchanged if no other attempt is served. Other calls get the response as it is. The replica's share of errors (moving average, halved in 3 s) raises its weight in chooseLeastOccupied up to 8 instead of ejecting it: ejection would take two of three replicas at once. Contents that several replicas answer with errors count against none (decisions/errors). A response whose header says "not run" is handled as before.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -114,6 +114,8 @@
         { EventId::BlockNotStored, "block_not_stored", Severity::Warning, "A block was not written to the store; it is tried again unless another daemon has written it." },
         { EventId::SettingsReloaded, "settings_reloaded", Severity::Info, "SIGHUP was received; the limits and the log level of the settings file are applied." },
         { EventId::BlockApplied, "block_applied", Severity::Info, "A block, or its release, was read from the store; it applies on this daemon from now on." },
+        { EventId::ReplicaErrorResponse, "replica_error_response", Severity::Warning, "A replica ran a call of a plain service and answered it with a status of 500 or above; the fields give what the daemon does." },
+        { EventId::ReplicaCapacityChanged, "replica_capacity_changed", Severity::Info, "The learned concurrency limit or weight of a replica changed by much; the fields give the old and new values and their evidence." },
     });
 
     constexpr bool isSortedById()
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -120,6 +120,8 @@
     BlockNotStored = 2239,
     SettingsReloaded = 2240,
     BlockApplied = 2241,
+    ReplicaErrorResponse = 2260,
+    ReplicaCapacityChanged = 2261,
 };
 
 struct EventDescription {
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -13,6 +13,7 @@
 #include "decisions/drains/Drain.h"
 #include "decisions/drains/Shutdown.h"
 #include "decisions/ejection/Ejection.h"
+#include "decisions/errors/ErrorCauses.h"
 #include "decisions/estimates/WorkEstimate.h"
 #include "decisions/fairness/FairQueue.h"
 #include "decisions/hedging/Hedging.h"
--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -20,6 +20,13 @@
     /** Weight of relaxed tokens in the placement of an urgent prompt: one of their prefills may be running, and the rest is
         delayed. Deferred ones are late in any case. */
     constexpr double yieldingWeight = 0.5;
+    /** Weight of a replica that answers all its calls with errors: an idle one is then chosen when the others have one and a half
+        times as many requests as 6 slots. Ejection for slowness uses the same limit. */
+    constexpr double highestErrorWeight = 8;
+    /** Occupancy of the other replicas at which one of half their speed gets its first request, for each additional time. A
+        request is still served earlier at a busy replica than at one of half its speed. */
+    constexpr double slownessWeight = 0.5;
+    constexpr double highestSlownessPenalty = 0.5;
     /** Compares engines by their tokens while their speed is unknown. */
     constexpr PrefillSpeed unknownSpeed { 1, 0 };
 
@@ -79,11 +86,12 @@
             auto queued = tokensBefore(view.queued, rank);
             auto repeated = missing - (prompt.promptTokens - shared);
             auto yielding = rank == PrefillRank::Urgent ? view.queued.relaxed * yieldingWeight : 0;
-            auto cost = (queued + missing + yielding + repeated * weight) * view.slowdown;
+            auto slowdown = view.slowdown / view.speed;
+            auto cost = (queued + missing + yielding + repeated * weight) * slowdown;
             if (cost >= best)
                 continue;
             best = cost;
-            auto expected = toSeconds(expectedPrefillTime(speed, queued + missing)) * view.slowdown;
+            auto expected = toSeconds(expectedPrefillTime(speed, queued + missing)) * slowdown;
             choice = PrefillChoice { i, missing, queued + missing, fromSeconds(expected), rank };
         }
         return choice;
@@ -166,6 +174,21 @@
     return earliestEngine(prompt, views, *speed, PrefillRank::Deferred);
 }
 
+double limitOf(const PlacementView& view)
+{
+    return view.limit > 0 ? view.limit : std::max(view.slots, 1U);
+}
+
+double usableSlots(const PlacementView& view)
+{
+    return limitOf(view) * view.speed / (view.slowdown * (1 + view.errorShare * (highestErrorWeight - 1)));
+}
+
+double slownessPenalty(const PlacementView& view)
+{
+    return std::min(slownessWeight * (1 / view.speed - 1), highestSlownessPenalty);
+}
+
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView> views, const AvailabilityZone& ownZone)
 {
     std::optional<size_t> choice;
@@ -174,7 +197,7 @@
         const auto& view = views[i];
         if (view.isEjected)
             continue;
-        auto occupied = static_cast<double>(view.requests + 1) / std::max(view.slots, 1U) * view.slowdown;
+        auto occupied = static_cast<double>(view.requests + 1) / usableSlots(view) + slownessPenalty(view);
         if (view.zone != ownZone)
             occupied += otherZonePenalty;
         if (occupied >= best)
@@ -188,16 +211,18 @@
 std::optional<Duration> expectedSlotWait(std::span<const PlacementView> views, Duration occupancy)
 {
     double slots = 0;
+    double limits = 0;
     double requests = 0;
     for (const auto& view : views) {
         if (!isUsable(view))
             continue;
         slots += view.slots;
+        limits += limitOf(view);
         requests += view.requests;
     }
     if (requests >= slots * fullSlotMultiple)
         return std::nullopt;
-    return fromSeconds(std::max(requests + 1 - slots, 0.0) / slots * toSeconds(occupancy));
+    return fromSeconds(std::max(requests + 1 - limits, 0.0) / limits * toSeconds(occupancy));
 }
 
 } // namespace chestnut
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -68,11 +68,15 @@
     ReplicaId id;
     AvailabilityZone zone;
     uint32_t slots = 1;
+    double limit = 0; /**< learned number of requests that it handles well, at most its slots; zero: its slots */
+    double speed = 1; /**< learned, at low load, relative to the median of the service */
     uint32_t requests = 0; /**< in flight */
+    uint32_t peerRequests = 0; /**< those of them that other daemons have reported */
     QueuedTokens queued; /**< sent and not yet prefilled */
     uint32_t requestsAtRefusal = 0; /**< requests in flight at which the replica refused more; zero: unknown */
     double slowdown = 1; /**< observed time over expected time */
     uint32_t cachedTokens = 0; /**< estimate for the shared parts of this prompt */
+    double errorShare = 0; /**< of its recent responses, those that are an error of its own */
     bool isEjected = false;
 
     bool operator==(const PlacementView&) const = default;
@@ -96,12 +100,23 @@
     their tokens and nothing is deferred. Nothing when all engines are ejected or full, or there is none. */
 std::optional<PrefillChoice> choosePrefillEngine(const PromptShape&, std::span<const PlacementView>, const std::optional<PrefillSpeed>&, Duration onTime, PrefillRank onTimeRank = PrefillRank::Urgent);
 
+/** The number of requests that the replica handles well. */
+double limitOf(const PlacementView&);
+
+/** That number, weighted by the speed, the slowdown and the share of errors. */
+double usableSlots(const PlacementView&);
+
+/** Added to the occupancy of a replica that is slower than the median, so that it gets requests after the others have some:
+    their callers wait longer, also when it is idle. */
+double slownessPenalty(const PlacementView&);
+
 /** Added to the occupancy of a replica in another availability zone, as a share of its slots. The request body then crosses
     zones once more, which is billed. */
 constexpr double otherZonePenalty = 0.15;
 
-/** The replica with the smallest share of occupied slots, weighted by its slowdown; the own zone is preferred. Spreads
-    the load at peaks of demand. Nothing when all are ejected or there is none. */
+/** The replica with the smallest share of occupied usable slots; the own zone is preferred. Spreads the load at peaks of
+    demand. A replica that answers all calls with errors gets one only when the others are overloaded: it is not ejected, so
+    that a small service never loses the capacity of several replicas at once. Nothing when all are ejected or there is none. */
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView>, const AvailabilityZone& ownZone);
 
 /** Expected time until a slot is free for a further request, when each request occupies a slot for `occupancy`. Nothing when
--- a/modules/gateway/replicas/LoadTracker.cpp
+++ b/modules/gateway/replicas/LoadTracker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -17,6 +18,8 @@
     /** Consecutive failures, or the share of failed attempts, that eject a replica. */
     constexpr uint32_t failuresToEject = 3;
     constexpr double failureShareToEject = 0.35;
+    /** Time in which the share of errors halves without further calls, so that a replica recovers without probes. */
+    constexpr Duration errorShareHalfLife = std::chrono::seconds(3);
     constexpr Duration firstEjection = std::chrono::milliseconds(1000);
     constexpr Duration longestEjection = std::chrono::seconds(4);
     /** A refusal reveals the capacity of a replica; the value expires after this time. */
@@ -115,6 +118,7 @@
     observation.work.queued += peers.queued;
     observation.requestsAtRefusal = now < record->refusalValidUntil ? record->requestsAtRefusal : 0;
     observation.slowdown = record->slowdown;
+    observation.errorShare = errorShareOf(*record);
     observation.isEjected = now < record->ejectedUntil;
     observation.completedAt = record->completedAt;
     return observation;
@@ -197,11 +201,26 @@
     record.completedAt = m_timers.now();
     record.consecutiveFailures = 0;
     record.failureShare *= 1 - sampleWeight;
+    record.errorShare *= 1 - sampleWeight;
     if (record.failureShare < failureShareToEject / 2)
         record.ejections = 0;
     record.slowdown += (std::clamp(slowdown, 1 / highestSlowdown, highestSlowdown) - record.slowdown) * sampleWeight;
 }
 
+double LoadTracker::errorShareOf(const Record& record) const
+{
+    return record.errorShare * std::exp2(-toSeconds(m_timers.now() - record.errorShareAt) / toSeconds(errorShareHalfLife));
+}
+
+void LoadTracker::recordErrorResponse(const ReplicaId& replica)
+{
+    auto& record = m_records[replica];
+    auto share = errorShareOf(record);
+    record.errorShare = share + (1 - share) * sampleWeight;
+    record.errorShareAt = m_timers.now();
+    record.completedAt = m_timers.now();
+}
+
 void LoadTracker::recordFailure(const ReplicaId& replica)
 {
     auto& record = m_records[replica];
@@ -261,6 +280,7 @@
     record.parts.clear();
     record.slowdown = 1;
     record.failureShare = 0;
+    record.errorShare = 0;
     record.consecutiveFailures = 0;
     record.ejections = 0;
     record.ejectedUntil = {};
--- a/modules/gateway/replicas/LoadTracker.h
+++ b/modules/gateway/replicas/LoadTracker.h
@@ -2,6 +2,7 @@
 
 #include "base/ids/StrongId.h"
 #include "base/time/TimePoint.h"
+#include "decisions/errors/ErrorCauses.h"
 #include "decisions/placement/PromptPlacement.h"
 #include "kernel/logging/Log.h"
 #include "kernel/timers/TimerService.h"
@@ -35,6 +36,7 @@
     ReplicaWork work; /**< of all daemons */
     uint32_t requestsAtRefusal = 0; /**< requests in flight at its recent refusal of another one; zero without a refusal */
     double slowdown = 1; /**< ratio of observed to expected time */
+    double errorShare = 0; /**< see PlacementView */
     bool isEjected = false;
     TimePoint completedAt; /**< last response to this daemon */
 
@@ -80,6 +82,11 @@
     void recordSuccess(const ReplicaId&, double slowdown);
     /** Records an attempt that ended without a response from the replica. */
     void recordFailure(const ReplicaId&);
+    /** The recent error responses of this daemon's calls, by content. */
+    ErrorCauses& errorCauses() { return m_errorCauses; }
+    /** Records that a replica ran a call and answered it with an error of its own. It reduces the replica's share of the calls for
+        some seconds and does not eject it. */
+    void recordErrorResponse(const ReplicaId&);
     /** Records that a replica refused work. A refusal despite free slots counts as a failure: the replica is busy with unreported work. */
     void recordRefusal(const ReplicaId&, uint32_t slots);
 
@@ -97,6 +104,8 @@
         TimePoint refusalValidUntil;
         double slowdown = 1;
         double failureShare = 0; /**< moving average */
+        double errorShare = 0; /**< moving average, at errorShareAt */
+        TimePoint errorShareAt;
         TimePoint completedAt;
         uint32_t consecutiveFailures = 0;
         uint32_t ejections = 0; /**< consecutive */
@@ -113,10 +122,12 @@
     void subtractPeer(const std::vector<ReplicaWork>&);
     [[nodiscard]] InFlightWork beginWork(ReplicaWork);
     const Record* find(const ReplicaId&) const;
+    double errorShareOf(const Record&) const;
 
     TimerService& m_timers;
     Log& m_log;
     std::unordered_map<ReplicaId, Record> m_records;
+    ErrorCauses m_errorCauses;
     std::unordered_map<DaemonId, PeerWork> m_peers;
 };
 
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -17,7 +17,12 @@
         std::string body;
     };
 
-    const ReplicaEntry* choose(RelayContext& relay)
+    bool isServerError(int status)
+    {
+        return status >= 500;
+    }
+
+    const ReplicaEntry* choose(RelayContext& relay, bool mayUseEjected)
     {
         auto entries = relay.candidates(EngineStage::None);
         std::vector<PlacementView> views;
@@ -26,7 +31,7 @@
             views.push_back(relay.viewOf(*entry));
         auto choice = chooseLeastOccupied(views, relay.services.zone);
         // If every replica is ejected, trying one is better than refusing the request.
-        if (!choice && !entries.empty())
+        if (!choice && mayUseEjected && !entries.empty())
             choice = 0;
         return choice ? entries[*choice] : nullptr;
     }
@@ -61,11 +66,16 @@
             co_return makeError(ErrorKind::BackendFailed, body.error().detail);
         if (response->executionStatus == ExecutionStatus::Unverified)
             co_return makeError(ErrorKind::BackendFailed, "the response has no valid replica seal");
+        CompleteResponse complete { response->body->status(), std::move(response->headers), std::move(*body) };
+        if (isServerError(complete.status)) {
+            relay.recordErrorResponse(replica.id, startedAt, complete.status);
+            co_return complete;
+        }
         auto elapsed = relay.services.timers.now() - startedAt;
         auto expected = relay.services.speeds.speedOf(relay.service).occupancy;
         relay.services.speeds.recordOccupancy(relay.service, elapsed);
         relay.recordAttemptSuccess(replica.id, startedAt, expected ? toSeconds(elapsed) / toSeconds(*expected) : 1);
-        co_return CompleteResponse { response->body->status(), std::move(response->headers), std::move(*body) };
+        co_return complete;
     }
 
     asio::awaitable<Result<CompleteResponse>> callWithRetries(RelayContext& relay)
@@ -73,20 +83,31 @@
         if (relay.isBlockedContent())
             co_return crashingRequestError();
         auto last = makeError(ErrorKind::NoBackend, "the service has no usable replica");
+        // The first error response of a replica; the client gets it unless a later attempt is served.
+        std::optional<CompleteResponse> firstError;
         while (true) {
-            const auto* entry = choose(relay);
+            const auto* entry = choose(relay, !firstError);
             if (!entry || !relay.acquireAttempt())
-                co_return relay.finalError(last);
+                break;
             auto replica = *entry;
             relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", replica.id }, { "in_flight", relay.services.loadTracker->requestsAt(replica.id) }, { "left_ms", relay.remaining().count() / 1000 } });
             auto response = co_await attempt(relay, replica, responseWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
-            if (response)
+            if (response && !isServerError(response->status)) {
+                relay.blameForErrors(true);
                 co_return response;
-            last = response.error();
-            relay.recordAttemptFailure(replica.id, last);
-            if (!relay.mayRetry())
-                co_return relay.finalError(last);
+            }
+            if (!response) {
+                last = response.error();
+                relay.recordAttemptFailure(replica.id, last);
+            } else if (!firstError)
+                firstError = std::move(*response);
+            if (!relay.mayRetry() || (firstError && !relay.canBeServedInTime()))
+                break;
         }
+        relay.blameForErrors(false);
+        if (firstError && !relay.isClientDisconnected())
+            co_return std::move(*firstError);
+        co_return relay.finalError(last);
     }
 
 } // namespace
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -14,6 +14,7 @@
     constexpr std::chrono::milliseconds defaultRetryAfter { 400 };
     /** Retry-After of a refusal for lack of capacity: the queues change within this time. */
     constexpr std::chrono::milliseconds saturatedRetryAfter { 500 };
+    constexpr int gatewayTimeout = 504;
 
     Duration timeAllowed(const RoutedRequest& request, const Route& route)
     {
@@ -150,6 +151,41 @@
     services.crashTracker.recordReplicaResponse(replica, sentAt);
 }
 
+void RelayContext::recordErrorResponse(const ReplicaId& replica, TimePoint sentAt, int status)
+{
+    services.crashTracker.recordReplicaResponse(replica, sentAt);
+    excluded.insert(replica);
+    mayHaveRun = true;
+    ++runs;
+    // A replica that had no time for the call is not at fault.
+    auto hadTime = status != gatewayTimeout || canBeServedInTime();
+    if (hadTime && !isOver())
+        m_erring.push_back(replica);
+    auto action = mayRetry() && canBeServedInTime() ? "repeat" : "pass_on";
+    services.log.write(EventId::ReplicaErrorResponse, { { "request", request.id }, { "replica", replica }, { "status", status }, { "runs", runs }, { "action", action }, { "left_ms", remaining().count() / 1000 } });
+    services.metrics.count("chestnut_gateway_error_responses_total", { { "action", action } });
+}
+
+bool RelayContext::canBeServedInTime() const
+{
+    return remaining() > services.speeds.speedOf(service).occupancy.value_or(Duration::zero());
+}
+
+void RelayContext::blameForErrors(bool wasServed)
+{
+    auto& causes = services.loadTracker->errorCauses();
+    if (wasServed && !causes.isEmpty())
+        causes.addSuccess(content());
+    if (!wasServed) {
+        for (const auto& replica : m_erring)
+            causes.addError(content(), replica, services.timers.now());
+    }
+    if (m_erring.empty() || causes.isRequestTheCause(content()))
+        return;
+    for (const auto& replica : m_erring)
+        services.loadTracker->recordErrorResponse(replica);
+}
+
 void RelayContext::recordAttemptFailure(const ReplicaId& replica, const Error& error)
 {
     (m_isInterrupted ? silent : excluded).insert(replica);
@@ -198,6 +234,7 @@
     view.queued = observation.work.queued;
     view.requestsAtRefusal = observation.requestsAtRefusal;
     view.slowdown = observation.slowdown;
+    view.errorShare = observation.errorShare;
     view.isEjected = observation.isEjected;
     return view;
 }
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -74,6 +74,9 @@
     /** Whether the route allows another attempt after the one in progress, which may have run. */
     bool mayRunAgain() const;
 
+    /** Whether the time left is longer than such a request usually needs. */
+    bool canBeServedInTime() const;
+
     /** Takes the next retry from the retry budget in advance; returns false when the budget is exhausted. */
     bool reserveRetry();
 
@@ -86,6 +89,13 @@
     /** Records an attempt to which the replica has responded; `slowdown` is the ratio of observed to expected time. */
     void recordAttemptSuccess(const ReplicaId&, TimePoint sentAt, double slowdown);
 
+    /** Records an attempt that a replica ran and answered with an error of its own. The replica is blamed by
+        blameForErrors(), as only a later attempt may show that the request is the cause. */
+    void recordErrorResponse(const ReplicaId&, TimePoint sentAt, int status);
+    /** Counts the error responses against the replicas that sent them, unless the request is their cause; called once, when
+        the request is over. `wasServed`: another replica served it. */
+    void blameForErrors(bool wasServed);
+
     /** Records a failed attempt. Afterwards the request may have run, unless the error rules that out. */
     void recordAttemptFailure(const ReplicaId&, const Error&);
 
@@ -130,6 +140,7 @@
 
     TimePoint m_deadline;
     TimerSubscription m_deadlineTimer;
+    std::vector<ReplicaId> m_erring; /**< replicas that answered with an error of their own */
     uint32_t m_attempts = 0;
     TimePoint m_sentAt; /**< of the last attempt */
     bool m_isClientDisconnected = false;
--- a/tests/gateway/PlainRelayTest.cpp
+++ b/tests/gateway/PlainRelayTest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayFixture.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -280,3 +281,164 @@
     CHECK(fixture.replicaClient.prefills.empty());
     CHECK(fixture.replicaClient.sent.empty());
 }
+
+// Guards against an error of one replica that reaches the client although another replica would have served the call.
+TEST_CASE("an idempotent call that a replica answered with an error of its own is repeated at another one")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none", "b");
+    fixture.replicaClient.scripts[ReplicaId("i-1")] = { respondWith("broken", 500) };
+    fixture.replicaClient.scripts[ReplicaId("i-2")] = { respondWith("found") };
+    FakeWriter writer;
+    fixture.runRequest(fixture.route(RouteKind::Idempotent, 2), writer);
+    CHECK(writer.status == 200);
+    CHECK(writer.body == "found");
+    CHECK(fixture.replicaClient.sent.size() == 2);
+    CHECK(fixture.log.recent(EventId::ReplicaErrorResponse).size() == 1);
+    // The error counts against the replica that sent it.
+    CHECK(fixture.loadTracker->observe(ReplicaId("i-1")).errorShare > 0);
+    CHECK(fixture.loadTracker->observe(ReplicaId("i-2")).errorShare == 0);
+}
+
+// Guards against a first response that is lost, changed or late because of a repetition that gets nothing better.
+TEST_CASE("the first error response is passed on unchanged when a repetition gets nothing better")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    auto route = fixture.route(RouteKind::Idempotent, 2);
+    size_t expectedCalls = 2;
+    auto broken = respondWith("broken", 500);
+    broken.headers.set("X-Detail", "first");
+    SUBCASE("as the second replica fails as well")
+    {
+        fixture.addReplica("i-2", "s", "none", "b");
+        fixture.replicaClient.scripts[ReplicaId("i-2")] = { respondWith("also broken", 502) };
+    }
+    SUBCASE("as the second replica sends no response")
+    {
+        fixture.addReplica("i-2", "s", "none", "b");
+        fixture.replicaClient.scripts[ReplicaId("i-2")] = { failWith(ErrorKind::BackendFailed) };
+    }
+    SUBCASE("as the second replica refuses")
+    {
+        fixture.addReplica("i-2", "s", "none", "b");
+        fixture.replicaClient.scripts[ReplicaId("i-2")] = { refuse() };
+    }
+    SUBCASE("as the second replica is silent until the deadline")
+    {
+        fixture.addReplica("i-2", "s", "none", "b");
+        auto silent = respondWith("late");
+        silent.delay = 10s;
+        fixture.replicaClient.scripts[ReplicaId("i-2")] = { silent };
+    }
+    SUBCASE("as there is no other replica") { expectedCalls = 1; }
+    SUBCASE("as the route allows one attempt")
+    {
+        fixture.addReplica("i-2", "s", "none", "b");
+        route.maximumAttempts = 1;
+        expectedCalls = 1;
+    }
+    SUBCASE("as the retry budget is exhausted")
+    {
+        fixture.addReplica("i-2", "s", "none", "b");
+        fixture.budgets.setLimits({ 0, 0, 10s });
+        expectedCalls = 1;
+    }
+    SUBCASE("as such calls take longer than the time left")
+    {
+        fixture.addReplica("i-2", "s", "none", "b");
+        fixture.recordCalls(1, 10ms, 1900ms);
+        broken.delay = 200ms;
+        expectedCalls = 1;
+    }
+    fixture.replicaClient.scripts[ReplicaId("i-1")] = { broken };
+    FakeWriter writer;
+    fixture.runRequest(route, writer, {}, 2100ms);
+    CHECK(writer.status == 500);
+    CHECK(writer.body == "broken");
+    CHECK(writer.headers.value("X-Detail") == "first");
+    CHECK(writer.headers.value("X-Replica") == "i-1");
+    CHECK(fixture.replicaClient.sent.size() == expectedCalls);
+}
+
+// Guards against a booking that is made twice.
+TEST_CASE("a non-idempotent call that was answered with an error is passed on as it is, and the replica is blamed")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none", "b");
+    fixture.replicaClient.scripts[ReplicaId("i-1")] = { respondWith("broken", 500) };
+    FakeWriter writer;
+    fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 3), writer);
+    CHECK(writer.status == 500);
+    CHECK(writer.body == "broken");
+    CHECK(fixture.replicaClient.sent.size() == 1);
+    CHECK(fixture.loadTracker->observe(ReplicaId("i-1")).errorShare > 0);
+}
+
+// Guards against replicas that lose their share because of a call that fails wherever it runs.
+TEST_CASE("a request that several replicas answer with errors is not counted against them")
+{
+    GatewayFixture fixture;
+    for (const auto* id : { "i-1", "i-2", "i-3" }) {
+        fixture.addReplica(id, "s", "none");
+        fixture.replicaClient.scripts[ReplicaId(id)] = { respondWith("broken", 500) };
+    }
+    FakeWriter writer;
+    fixture.runRequest(fixture.route(RouteKind::Idempotent, 3), writer);
+    CHECK(writer.status == 500);
+    CHECK(fixture.replicaClient.sent.size() == 3);
+    for (const auto* id : { "i-1", "i-2", "i-3" })
+        CHECK(fixture.loadTracker->observe(ReplicaId(id)).errorShare == 0);
+    // The next caller's single attempt with the same content is not counted either.
+    FakeWriter repeated;
+    fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 1), repeated);
+    CHECK(repeated.status == 500);
+    for (const auto* id : { "i-1", "i-2", "i-3" })
+        CHECK(fixture.loadTracker->observe(ReplicaId(id)).errorShare == 0);
+}
+
+// Guards against error responses that change how a refusal is handled, which says that the call has not run.
+TEST_CASE("a 503 that says that the call has not run is no error of the replica's own")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.replicaClient.scripts[ReplicaId("i-1")] = { refuse() };
+    FakeWriter writer;
+    fixture.runRequest(fixture.route(RouteKind::Idempotent, 2), writer);
+    CHECK(writer.status == 503);
+    CHECK(writer.headers.contains("Retry-After"));
+    CHECK(fixture.loadTracker->observe(ReplicaId("i-1")).errorShare == 0);
+    CHECK(fixture.log.recent(EventId::ReplicaErrorResponse).empty());
+}
+
+// Guards against a replica that fails part of its calls and keeps its full share, and against a small service that loses the
+// capacity of such replicas: three replicas of four slots, of which two fail every fourth call.
+TEST_CASE("a replica that fails part of its calls gets a smaller share and is not ejected")
+{
+    GatewayFixture fixture;
+    for (const auto* id : { "i-1", "i-2", "i-3" })
+        fixture.addReplica(id, "s", "none");
+    auto slow = respondWith("done");
+    slow.delay = 30ms;
+    auto failed = respondWith("broken", 500);
+    failed.delay = 30ms;
+    fixture.replicaClient.scripts[ReplicaId("i-3")] = { slow };
+    std::vector<FakeWriter> writers(600);
+    for (size_t i = 0; i < writers.size(); ++i) {
+        for (const auto* id : { "i-1", "i-2" })
+            fixture.replicaClient.scripts[ReplicaId(id)] = { i % 4 == 0 ? failed : slow };
+        fixture.body = std::to_string(i);
+        // Six calls at a time, for which two replicas are needed.
+        fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 1), writers[i], {}, 5ms);
+        for (const auto* id : { "i-1", "i-2", "i-3" })
+            CHECK_FALSE(fixture.loadTracker->observe(ReplicaId(id)).isEjected);
+    }
+    fixture.timers.advance(1s);
+    auto callsAt = [&](const char* id) { return std::ranges::count(fixture.replicaClient.sent, ReplicaId(id), &FakeReplicaClient::Sent::replica); };
+    INFO("calls at the faulty replicas " << callsAt("i-1") << " and " << callsAt("i-2") << ", at the other one " << callsAt("i-3"));
+    CHECK(callsAt("i-3") > 300);
+    CHECK(callsAt("i-1") + callsAt("i-2") > 60);
+    CHECK(std::ranges::all_of(writers, [](const FakeWriter& writer) { return writer.status == 200 || writer.status == 500; }));
+}
