--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -123,6 +123,8 @@
     AccountsInvalid = 2260,
     ConfigurationFetched = 2261,
     ConfigurationFetchFailed = 2262,
+    ReplicaErrorResponse = 2280,
+    ReplicaCapacityChanged = 2281,
 };
 
 struct EventDescription {
