Engines admit requests in the order of their priorities

Route::priority was decoded and used by no decision: a short urgent prompt had the same position at the decode engines (4) as any stream, and waited for a slot behind long ones.

ServicePriorities turns the distinct priorities of the routes of a service, and of the accounts, together with the rank of the prefill, into positions 0 to 9. With one priority they stay 4, 5 and 7. The work in flight is counted by position, so that placement counts only what an engine serves before a request. Load messages carry the positions under a key of their own; the three sums remain for daemons without priorities. Requests that are less urgent leave slots free, by the recent peak of the more urgent ones.

--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -38,3 +38,5 @@
 #include "decisions/subsets/Subsets.h"
 #include "decisions/tickets/Configuration.h"
 #include "decisions/tickets/Ticket.h"
+#include "decisions/urgency/DecodeReserve.h"
+#include "decisions/urgency/ServicePriorities.h"
--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -17,7 +17,7 @@
     constexpr double fullSlotMultiple = 2.5;
     /** An objective of this multiple of the shortest one leaves time to wait behind requests with that one. */
     constexpr double relaxedObjectiveMultiple = 1.5;
-    /** Weight of relaxed tokens in the placement of an urgent prompt: one of their prefills may be running, and the rest is
+    /** Weight of tokens that a prompt precedes in its placement: one of their prefills may be running, and the rest is
         delayed. Deferred ones are late in any case. */
     constexpr double yieldingWeight = 0.5;
     /** Compares engines by their tokens while their speed is unknown. */
@@ -51,19 +51,30 @@
         length of a queue at the utilization ρ, which is the share of the engines that have work. */
     double repeatedWeight(std::span<const PlacementView> views)
     {
-        auto busy = static_cast<double>(std::ranges::count_if(views, [](const auto& view) { return tokensBefore(view.queued, PrefillRank::Deferred) > 0; }));
+        auto busy = static_cast<double>(std::ranges::count_if(views, [](const auto& view) { return view.queued.sum() > 0; }));
         auto idle = static_cast<double>(views.size()) - busy;
         return std::clamp(busy / std::max(idle, 1.0), leastRepeatedWeight, mostRepeatedWeight);
     }
 
-    bool isUsable(const PlacementView& view)
+    /** `keptFree` requests below the load at which a replica refuses are left to more urgent ones. */
+    bool isUsable(const PlacementView& view, uint32_t keptFree = 0)
     {
-        return !view.isEjected && (view.requestsAtRefusal == 0 || view.requests < view.requestsAtRefusal);
+        return !view.isEjected && (view.requestsAtRefusal == 0 || view.requests + keptFree < view.requestsAtRefusal);
+    }
+
+    /** Tokens that a prefill at this position delays. */
+    double delayedTokens(const QueuedTokens& queued, EngineOrder order, const ServicePriorities& priorities)
+    {
+        double tokens = 0;
+        for (auto later = order + 1; later < engineOrders; ++later)
+            tokens += priorities.isDeferred(later) ? 0 : queued.at(later);
+        return tokens;
     }
 
     /** The engine that ends a prefill of the rank first. */
-    std::optional<PrefillChoice> earliestEngine(const PromptShape& prompt, std::span<const PlacementView> views, const PrefillSpeed& speed, PrefillRank rank)
+    std::optional<PrefillChoice> earliestEngine(const PromptShape& prompt, std::span<const PlacementView> views, const PrefillSpeed& speed, const PromptUrgency& urgency, PrefillRank rank)
     {
+        auto order = urgency.orderAt(rank);
         auto key = sharingKey(prompt);
         auto shared = sharedTokens(prompt);
         auto home = key == 0 ? std::nullopt : homeOf(key, views);
@@ -76,71 +87,24 @@
                 continue;
             auto cached = home == i ? shared : std::min(view.cachedTokens, shared);
             auto missing = prompt.promptTokens - cached;
-            auto queued = tokensBefore(view.queued, rank);
+            auto queued = tokensBefore(view.queued, order);
             auto repeated = missing - (prompt.promptTokens - shared);
-            auto yielding = rank == PrefillRank::Urgent ? view.queued.relaxed * yieldingWeight : 0;
+            auto yielding = delayedTokens(view.queued, order, urgency.priorities) * yieldingWeight;
             auto cost = (queued + missing + yielding + repeated * weight) * view.slowdown;
             if (cost >= best)
                 continue;
             best = cost;
             auto expected = toSeconds(expectedPrefillTime(speed, queued + missing)) * view.slowdown;
-            choice = PrefillChoice { i, missing, queued + missing, fromSeconds(expected), rank };
+            choice = PrefillChoice { i, missing, queued + missing, fromSeconds(expected), rank, order };
         }
         return choice;
     }
 
 } // namespace
 
-std::string_view nameOf(PrefillRank rank)
-{
-    switch (rank) {
-    case PrefillRank::Urgent:
-        return "urgent";
-    case PrefillRank::Relaxed:
-        return "relaxed";
-    case PrefillRank::Deferred:
-        return "deferred";
-    }
-    return "urgent";
-}
-
-QueuedTokens& QueuedTokens::operator+=(const QueuedTokens& other)
-{
-    urgent += other.urgent;
-    relaxed += other.relaxed;
-    deferred += other.deferred;
-    return *this;
-}
-
-QueuedTokens& QueuedTokens::operator-=(const QueuedTokens& other)
-{
-    urgent = std::max(urgent - other.urgent, 0.0);
-    relaxed = std::max(relaxed - other.relaxed, 0.0);
-    deferred = std::max(deferred - other.deferred, 0.0);
-    return *this;
-}
-
-QueuedTokens queuedTokens(double tokens, PrefillRank rank)
-{
-    switch (rank) {
-    case PrefillRank::Urgent:
-        return { tokens, 0, 0 };
-    case PrefillRank::Relaxed:
-        return { 0, tokens, 0 };
-    case PrefillRank::Deferred:
-        break;
-    }
-    return { 0, 0, tokens };
-}
-
-double tokensBefore(const QueuedTokens& queued, PrefillRank rank)
+double tokensBefore(const QueuedTokens& queued, EngineOrder order)
 {
-    auto tokens = queued.urgent;
-    if (rank != PrefillRank::Urgent)
-        tokens += queued.relaxed;
-    if (rank == PrefillRank::Deferred)
-        tokens += queued.deferred;
-    return tokens;
+    return queued.sum(0, order + 1);
 }
 
 PrefillRank rankOnTime(Duration latencyObjective, Duration shortestObjective)
@@ -153,17 +117,17 @@
     return prompt.parts.size() < 2 ? 0 : prompt.parts[prompt.parts.size() - 2].id;
 }
 
-std::optional<PrefillChoice> choosePrefillEngine(const PromptShape& prompt, std::span<const PlacementView> views, const std::optional<PrefillSpeed>& speed, Duration onTime, PrefillRank onTimeRank)
+std::optional<PrefillChoice> choosePrefillEngine(const PromptShape& prompt, std::span<const PlacementView> views, const std::optional<PrefillSpeed>& speed, Duration onTime, const PromptUrgency& urgency)
 {
     if (!speed) {
-        auto choice = earliestEngine(prompt, views, unknownSpeed, onTimeRank);
+        auto choice = earliestEngine(prompt, views, unknownSpeed, urgency, urgency.onTimeRank);
         if (choice)
             choice->expectedTime.reset();
         return choice;
     }
-    if (auto choice = earliestEngine(prompt, views, *speed, onTimeRank); choice && choice->expectedTime <= onTime)
+    if (auto choice = earliestEngine(prompt, views, *speed, urgency, urgency.onTimeRank); choice && choice->expectedTime <= onTime)
         return choice;
-    return earliestEngine(prompt, views, *speed, PrefillRank::Deferred);
+    return earliestEngine(prompt, views, *speed, urgency, PrefillRank::Deferred);
 }
 
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView> views, const AvailabilityZone& ownZone)
@@ -185,19 +149,21 @@
     return choice;
 }
 
-std::optional<Duration> expectedSlotWait(std::span<const PlacementView> views, Duration occupancy)
+std::optional<Duration> expectedSlotWait(std::span<const PlacementView> views, Duration occupancy, uint32_t keptFree)
 {
     double slots = 0;
     double requests = 0;
+    double ahead = 0;
     for (const auto& view : views) {
-        if (!isUsable(view))
+        if (!isUsable(view, keptFree))
             continue;
-        slots += view.slots;
+        slots += std::max(view.slots, keptFree) - keptFree;
         requests += view.requests;
+        ahead += view.requests - std::min(view.lessUrgentRequests, view.requests);
     }
     if (requests >= slots * fullSlotMultiple)
         return std::nullopt;
-    return fromSeconds(std::max(requests + 1 - slots, 0.0) / slots * toSeconds(occupancy));
+    return fromSeconds(std::max(ahead + 1 - slots, 0.0) / slots * toSeconds(occupancy));
 }
 
 } // namespace chestnut
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -3,12 +3,12 @@
 #include "base/ids/StrongId.h"
 #include "base/time/TimePoint.h"
 #include "decisions/speeds/ServiceSpeed.h"
+#include "decisions/urgency/ServicePriorities.h"
 
 #include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace chestnut {
@@ -34,31 +34,8 @@
 /** Id of the last part that other requests share; zero when none does. Requests with equal keys have the same home engine. */
 uint64_t sharingKey(const PromptShape&);
 
-/** The order in which an engine serves prefills. */
-enum class PrefillRank : uint8_t {
-    Urgent, /**< its objective is among the shortest of the service */
-    Relaxed, /**< its objective is much longer, and it can be on time behind urgent ones */
-    Deferred, /**< it cannot be on time and must not delay those that can */
-};
-
-std::string_view nameOf(PrefillRank);
-
-/** Tokens that wait for their prefill at an engine, by rank. */
-struct QueuedTokens {
-    double urgent = 0;
-    double relaxed = 0;
-    double deferred = 0;
-
-    QueuedTokens& operator+=(const QueuedTokens&);
-    /** Each count stays at zero at least. */
-    QueuedTokens& operator-=(const QueuedTokens&);
-    bool operator==(const QueuedTokens&) const = default;
-};
-
-QueuedTokens queuedTokens(double tokens, PrefillRank);
-
-/** Tokens that an engine processes before a prefill of the rank. */
-double tokensBefore(const QueuedTokens&, PrefillRank);
+/** Tokens that an engine processes before a prefill at this position. */
+double tokensBefore(const QueuedTokens&, EngineOrder);
 
 /** The rank of prefills that can be on time, from the latency objective of their route and the shortest one of the service. */
 PrefillRank rankOnTime(Duration latencyObjective, Duration shortestObjective);
@@ -70,6 +47,8 @@
     uint32_t slots = 1;
     uint32_t requests = 0; /**< in flight */
     QueuedTokens queued; /**< sent and not yet prefilled */
+    uint32_t moreUrgentRequests = 0; /**< in flight, with a more urgent priority than the request to be placed */
+    uint32_t lessUrgentRequests = 0; /**< in flight, with a less urgent priority */
     uint32_t requestsAtRefusal = 0; /**< requests in flight at which the replica refused more; zero: unknown */
     double slowdown = 1; /**< observed time over expected time */
     uint32_t cachedTokens = 0; /**< estimate for the shared parts of this prompt */
@@ -84,17 +63,28 @@
     double workTokens = 0; /**< the missing tokens and those queued before them */
     std::optional<Duration> expectedTime; /**< until the end of the prefill; absent while the speed is unknown */
     PrefillRank rank = PrefillRank::Urgent;
+    EngineOrder order = 0;
 
     bool operator==(const PrefillChoice&) const = default;
 };
 
+/** The urgency of one prompt among the requests to its service. */
+struct PromptUrgency {
+    uint32_t priority = 0;
+    PrefillRank onTimeRank = PrefillRank::Urgent; /**< while it can be on time */
+    ServicePriorities priorities;
+
+    EngineOrder orderAt(PrefillRank rank) const { return priorities.orderOf(priority, rank); }
+};
+
 /** The engine that is expected to finish the prefill first. Each sharing key has a home engine by rendezvous hashing, so
     that daemons agree without messages; the home is assumed to have the shared parts cached. When the home has more work
     queued than another prefill of the shared parts costs, the next engine takes the prompt. For peaks of demand above the
     capacity: a request whose prefill cannot end within `onTime` is deferred, so that those behind it that still can be on
-    time are not late as well; the others have the rank `onTimeRank`. While the speed is unknown, engines are compared by
+    time are not late as well; the others have the rank `onTimeRank`. Tokens of less urgent priorities count half, as only the
+    prefill that is running delays a more urgent one. While the speed is unknown, engines are compared by
     their tokens and nothing is deferred. Nothing when all engines are ejected or full, or there is none. */
-std::optional<PrefillChoice> choosePrefillEngine(const PromptShape&, std::span<const PlacementView>, const std::optional<PrefillSpeed>&, Duration onTime, PrefillRank onTimeRank = PrefillRank::Urgent);
+std::optional<PrefillChoice> choosePrefillEngine(const PromptShape&, std::span<const PlacementView>, const std::optional<PrefillSpeed>&, Duration onTime, const PromptUrgency& = {});
 
 /** Added to the occupancy of a replica in another availability zone, as a share of its slots. The request body then crosses
     zones once more, which is billed. */
@@ -104,8 +94,10 @@
     the load at peaks of demand. Nothing when all are ejected or there is none. */
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView>, const AvailabilityZone& ownZone);
 
-/** Expected time until a slot is free for a further request, when each request occupies a slot for `occupancy`. Nothing when
-    all replicas are ejected or full, or there is none. */
-std::optional<Duration> expectedSlotWait(std::span<const PlacementView>, Duration occupancy);
+/** Expected time until a slot is free for a further request, when each request occupies a slot for `occupancy`. Engines admit
+    more urgent requests first, so less urgent ones in flight are not waited for. Nothing when all replicas are ejected or full,
+    or there is none. For peaks of demand above the capacity: `keptFree` slots of each replica are not counted for the request, so that
+    less urgent requests are refused while more urgent ones are still accepted. */
+std::optional<Duration> expectedSlotWait(std::span<const PlacementView>, Duration occupancy, uint32_t keptFree = 0);
 
 } // namespace chestnut
--- a/modules/decisions/routes/RouteTable.cpp
+++ b/modules/decisions/routes/RouteTable.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <numeric>
+#include <set>
 
 namespace chestnut {
 
@@ -16,6 +17,24 @@
         return lower;
     }
 
+    std::unordered_map<ServiceId, ServicePriorities> collectPriorities(const RoutingConfiguration& configuration)
+    {
+        std::set<uint32_t> ofAccounts;
+        for (const auto& account : configuration.accounts.value_or(std::vector<ClientAccount> {})) {
+            if (account.priority)
+                ofAccounts.insert(*account.priority);
+        }
+        std::unordered_map<ServiceId, std::set<uint32_t>> ofServices;
+        for (const auto& route : configuration.routes) {
+            for (const auto& share : route.shares)
+                ofServices.try_emplace(share.service, ofAccounts).first->second.insert(route.priority);
+        }
+        std::unordered_map<ServiceId, ServicePriorities> priorities;
+        for (const auto& [service, values] : ofServices)
+            priorities[service] = ServicePriorities({ values.begin(), values.end() });
+        return priorities;
+    }
+
 } // namespace
 
 RouteTable::RouteTable(RoutingConfiguration configuration)
@@ -30,6 +49,7 @@
         std::ranges::stable_sort(routes, longerPrefix);
     for (size_t i = 0; i < m_configuration.services.size(); ++i)
         m_services[m_configuration.services[i].id] = i;
+    m_priorities = collectPriorities(m_configuration);
     for (const auto& route : m_configuration.routes) {
         if (route.kind != RouteKind::Streaming)
             continue;
@@ -64,6 +84,13 @@
     return found == m_shortestObjectives.end() ? Duration::zero() : found->second;
 }
 
+const ServicePriorities& RouteTable::prioritiesOf(const ServiceId& id) const
+{
+    static const ServicePriorities single;
+    auto found = m_priorities.find(id);
+    return found == m_priorities.end() ? single : found->second;
+}
+
 const ServiceId& serviceFor(const Route& route, uint64_t hash)
 {
     assert(!route.shares.empty());
--- a/modules/decisions/routes/RouteTable.h
+++ b/modules/decisions/routes/RouteTable.h
@@ -4,6 +4,7 @@
 #include "base/time/TimePoint.h"
 #include "decisions/accounts/ClientAccount.h"
 #include "decisions/scaling/ScalingProfile.h"
+#include "decisions/urgency/ServicePriorities.h"
 
 #include <cstdint>
 #include <optional>
@@ -101,6 +102,8 @@
     const ServiceProfile* service(const ServiceId&) const;
     /** The shortest latency objective of the streaming routes to a service; zero when there is none. */
     Duration shortestObjective(const ServiceId&) const;
+    /** The priorities that requests to a service can have: those of its routes and of the accounts. */
+    const ServicePriorities& prioritiesOf(const ServiceId&) const;
     const RoutingConfiguration& configuration() const { return m_configuration; }
 
 private:
@@ -108,6 +111,7 @@
     std::unordered_map<std::string, std::vector<size_t>> m_routesOfHost; /**< longest prefix first */
     std::unordered_map<ServiceId, size_t> m_services;
     std::unordered_map<ServiceId, Duration> m_shortestObjectives;
+    std::unordered_map<ServiceId, ServicePriorities> m_priorities;
 };
 
 /** The service for one request: shares are weighted, equal hashes get equal services. Asserts that there is a share. */
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -42,10 +42,8 @@
     {
         for (auto& work : sum) {
             auto own = std::ranges::find(part, work.replica, &ReplicaWork::replica);
-            if (own == part.end())
-                continue;
-            work.requests -= std::min(work.requests, own->requests);
-            work.queued -= own->queued;
+            if (own != part.end())
+                work -= *own;
         }
         return sum;
     }
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -13,6 +13,9 @@
 namespace {
 
     constexpr int messageVersion = 8;
+    /** Positions at which the three sums of tokens are divided. */
+    constexpr EngineOrder relaxedOrder = 5;
+    constexpr EngineOrder deferredOrder = 7;
     /** Maximum number of items of each list in one datagram. With ids of up to 40 bytes a full part takes 8 KB; longer ones
         need more parts. */
     constexpr size_t workItemsPerPart = 40;
@@ -32,10 +35,66 @@
     {
         auto list = json::array();
         for (const auto& item : work)
-            list.push_back({ item.replica.value(), item.requests, static_cast<int64_t>(item.queued.urgent), static_cast<int64_t>(item.queued.relaxed), static_cast<int64_t>(item.queued.deferred) });
+            list.push_back({ item.replica.value(), item.requests, static_cast<int64_t>(item.queued.sum(0, relaxedOrder)), static_cast<int64_t>(item.queued.sum(relaxedOrder, deferredOrder)), static_cast<int64_t>(item.queued.sum(deferredOrder)) });
         return list;
     }
 
+    /** The tokens as daemons without priorities understand them. */
+    QueuedTokens tokensOfRanks(const json& urgent, const json& relaxed, const json& deferred)
+    {
+        QueuedTokens tokens;
+        tokens.set(orderOf(PrefillRank::Urgent), urgent.get<double>());
+        tokens.set(relaxedOrder, relaxed.get<double>());
+        tokens.set(deferredOrder, deferred.get<double>());
+        return tokens;
+    }
+
+    bool hasSeveralPriorities(const ReplicaWork& work)
+    {
+        auto ofRanks = work.queued.at(orderOf(PrefillRank::Urgent)) + work.queued.at(relaxedOrder) + work.queued.at(deferredOrder);
+        return work.decodes.sum() > 0 || work.queued.sum() > ofRanks;
+    }
+
+    /** The work by position, for the items whose three sums of tokens do not say it: index of the item, then position, tokens and
+        decode requests of each position with work. */
+    json encodeOrders(const std::vector<ReplicaWork>& work)
+    {
+        auto list = json::array();
+        for (size_t i = 0; i < work.size(); ++i) {
+            if (!hasSeveralPriorities(work[i]))
+                continue;
+            json item { i };
+            for (EngineOrder order = 0; order < engineOrders; ++order) {
+                auto tokens = static_cast<int64_t>(work[i].queued.at(order));
+                auto requests = work[i].decodes.at(order);
+                if (tokens > 0 || requests > 0)
+                    item.insert(item.end(), { order, tokens, requests });
+            }
+            list.push_back(std::move(item));
+        }
+        return list;
+    }
+
+    void decodeOrders(const json& list, std::vector<ReplicaWork>& work)
+    {
+        for (const auto& item : list) {
+            auto index = item.at(0).get<size_t>();
+            if (index >= work.size())
+                throw json::out_of_range::create(406, "item of work out of range", &item);
+            QueuedTokens queued;
+            OrderedRequests decodes;
+            for (size_t i = 1; i + 2 < item.size(); i += 3) {
+                auto order = item.at(i).get<EngineOrder>();
+                if (order >= engineOrders)
+                    throw json::out_of_range::create(406, "position out of range", &item);
+                queued.set(order, item.at(i + 1).get<uint32_t>());
+                decodes.set(order, item.at(i + 2).get<uint32_t>());
+            }
+            work[index].queued = queued;
+            work[index].decodes = decodes;
+        }
+    }
+
     json encodeTime(const TimeSamples& samples)
     {
         return { static_cast<float>(samples.count), static_cast<float>(samples.milliseconds) };
@@ -109,7 +168,7 @@
     {
         std::vector<ReplicaWork> work;
         for (const auto& item : list)
-            work.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>(), { item.at(2).get<double>(), item.at(3).get<double>(), item.at(4).get<double>() } });
+            work.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>(), tokensOfRanks(item.at(2), item.at(3), item.at(4)), {} });
         return work;
     }
 
@@ -276,6 +335,7 @@
             { "scope", static_cast<int>(message.scope) },
             { "leaving", message.isLeaving },
             { "work", encodeWork(message.work) },
+            { "orders", encodeOrders(message.work) },
             { "speeds", encodeSamples(message.speedSamples) },
             { "losses", encodeLosses(message.losses) },
             { "served", encodeSuccesses(message.successes) },
@@ -366,6 +426,7 @@
         LoadMessage message { std::move(*sender), decodeScope(document.at("scope").get<int>()) };
         message.isLeaving = document.at("leaving").get<bool>();
         message.work = decodeWork(document.at("work"));
+        decodeOrders(document.value("orders", json::array()), message.work);
         message.speedSamples = decodeSamples(document.at("speeds"));
         message.losses = decodeLosses(document.at("losses"));
         message.successes = decodeSuccesses(document.at("served"));
--- a/modules/gateway/replicas/LoadTracker.cpp
+++ b/modules/gateway/replicas/LoadTracker.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <tuple>
 #include <utility>
 
 namespace chestnut {
@@ -28,6 +27,22 @@
 
 } // namespace
 
+ReplicaWork& ReplicaWork::operator+=(const ReplicaWork& other)
+{
+    requests += other.requests;
+    queued += other.queued;
+    decodes += other.decodes;
+    return *this;
+}
+
+ReplicaWork& ReplicaWork::operator-=(const ReplicaWork& other)
+{
+    requests -= std::min(requests, other.requests);
+    queued -= other.queued;
+    decodes -= other.decodes;
+    return *this;
+}
+
 LoadTracker::LoadTracker(TimerService& timers, Log& log)
     : m_timers(timers)
     , m_log(log)
@@ -69,16 +84,12 @@
 
 void LoadTracker::add(const ReplicaWork& work, ReplicaWork Record::*side)
 {
-    auto& sum = m_records[work.replica].*side;
-    sum.requests += work.requests;
-    sum.queued += work.queued;
+    m_records[work.replica].*side += work;
 }
 
 void LoadTracker::subtract(const ReplicaWork& work, ReplicaWork Record::*side)
 {
-    auto& sum = m_records[work.replica].*side;
-    sum.requests -= std::min(sum.requests, work.requests);
-    sum.queued -= work.queued;
+    m_records[work.replica].*side -= work;
 }
 
 LoadTracker::InFlightWork LoadTracker::beginWork(ReplicaWork work)
@@ -89,12 +100,17 @@
 
 LoadTracker::InFlightWork LoadTracker::begin(const ReplicaId& replica)
 {
-    return beginWork({ replica, 1, {} });
+    return beginWork({ replica, 1, {}, {} });
+}
+
+LoadTracker::InFlightWork LoadTracker::beginDecode(const ReplicaId& replica, std::optional<EngineOrder> order)
+{
+    return beginWork({ replica, 1, {}, order ? amountAt(1U, *order) : OrderedRequests {} });
 }
 
-LoadTracker::InFlightWork LoadTracker::beginPrefill(const ReplicaId& replica, double tokens, PrefillRank rank)
+LoadTracker::InFlightWork LoadTracker::beginPrefill(const ReplicaId& replica, double tokens, EngineOrder order)
 {
-    return beginWork({ replica, 1, queuedTokens(tokens, rank) });
+    return beginWork({ replica, 1, amountAt(tokens, order), {} });
 }
 
 const LoadTracker::Record* LoadTracker::find(const ReplicaId& replica) const
@@ -107,12 +123,12 @@
 {
     const auto* record = find(replica);
     if (!record)
-        return { { replica } };
+        return { { replica, 0, {}, {} } };
     auto now = m_timers.now();
-    const auto& [own, peers] = std::tie(record->own, record->peers);
     ReplicaObservation observation;
-    observation.work = { replica, own.requests + peers.requests, own.queued };
-    observation.work.queued += peers.queued;
+    observation.work = record->own;
+    observation.work += record->peers;
+    observation.work.replica = replica;
     observation.requestsAtRefusal = now < record->refusalValidUntil ? record->requestsAtRefusal : 0;
     observation.slowdown = record->slowdown;
     observation.isEjected = now < record->ejectedUntil;
@@ -125,7 +141,7 @@
     std::vector<ReplicaWork> work;
     for (const auto& [replica, record] : m_records) {
         if (record.own.requests > 0)
-            work.push_back({ replica, record.own.requests, record.own.queued });
+            work.push_back({ replica, record.own.requests, record.own.queued, record.own.decodes });
     }
     return work;
 }
@@ -137,8 +153,7 @@
         for (const auto& item : work) {
             auto& sum = sums[item.replica];
             sum.replica = item.replica;
-            sum.requests += item.requests;
-            sum.queued += item.queued;
+            sum += item;
         }
     };
     addAll(ownWork());
--- a/modules/gateway/replicas/LoadTracker.h
+++ b/modules/gateway/replicas/LoadTracker.h
@@ -18,7 +18,12 @@
     ReplicaId replica;
     uint32_t requests = 0;
     QueuedTokens queued;
+    OrderedRequests decodes; /**< of services with requests of several priorities */
 
+    /** For the same replica. */
+    ReplicaWork& operator+=(const ReplicaWork&);
+    /** Each amount stays at zero at least. */
+    ReplicaWork& operator-=(const ReplicaWork&);
     bool operator==(const ReplicaWork&) const = default;
 };
 
@@ -63,8 +68,10 @@
     };
 
     [[nodiscard]] InFlightWork begin(const ReplicaId&);
+    /** Counts a decode at an engine; `order` is absent where all requests of the service have the same priority. */
+    [[nodiscard]] InFlightWork beginDecode(const ReplicaId&, std::optional<EngineOrder> order);
     /** Counts a prefill at an engine. */
-    [[nodiscard]] InFlightWork beginPrefill(const ReplicaId&, double tokens, PrefillRank);
+    [[nodiscard]] InFlightWork beginPrefill(const ReplicaId&, double tokens, EngineOrder);
 
     ReplicaObservation observe(const ReplicaId&) const;
     uint32_t requestsAt(const ReplicaId& replica) const { return observe(replica).work.requests; }
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-    /** Priority at the engine of a request without a prefill call. */
-    constexpr uint32_t defaultPriority = 4;
     constexpr uint32_t maximumDecodeCalls = 3;
     /** Decode calls that may be preceded by a prefill; in later ones the decode engine processes the prompt. */
     constexpr uint32_t maximumPrefillRounds = 2;
@@ -92,12 +90,19 @@
     for (const auto* entry : entries)
         views.push_back(relay.viewOf(*entry));
     auto occupancy = relay.services.speeds.speedOf(relay.service).occupancy.value_or(Duration::zero());
-    if (auto wait = expectedSlotWait(views, occupancy); !wait || *wait > relay.remaining())
-        return saturatedError("the decode engines are saturated: " + describeLoad(views));
+    auto keptFree = relay.services.urgentWork.slotsKeptFree(relay.service, relay.priorities().levelOf(relay.priority()), views);
+    if (auto wait = expectedSlotWait(views, occupancy, keptFree); !wait || *wait > relay.remaining())
+        return saturatedError("the decode engines are saturated: " + describeLoad(views) + ", " + std::to_string(keptFree) + " slots of each kept free");
     auto choice = chooseLeastOccupied(views, relay.services.zone);
     return *entries[choice.value_or(0)];
 }
 
+EngineOrder GenerationRelay::order() const
+{
+    auto ofPrefill = m_prefill ? m_prefill->order() : std::nullopt;
+    return ofPrefill.value_or(m_relay->orderAt(PrefillRank::Urgent));
+}
+
 bool GenerationRelay::needsPrefill() const
 {
     return !m_handle && mustReadPrompt();
@@ -117,7 +122,7 @@
     auto& relay = *m_relay;
     ReplicaCall call { relay.request, engine.id, engine.address, relay.remaining() };
     call.abort = relay.abort;
-    call.priority = m_prefill ? m_prefill->priority().value_or(defaultPriority) : defaultPriority;
+    call.priority = order();
     call.handle = m_handle;
     if (!m_lastEventId.empty())
         call.resumeAfter = m_lastEventId;
@@ -277,7 +282,7 @@
 asio::awaitable<Result<void>> GenerationRelay::decodeAt(const ReplicaEntry& engine)
 {
     auto& relay = *m_relay;
-    auto inFlightWork = relay.services.loadTracker->begin(engine.id);
+    auto inFlightWork = relay.services.loadTracker->beginDecode(engine.id, relay.priorities().levels() > 1 ? std::optional(order()) : std::nullopt);
     auto sentAt = relay.services.timers.now();
     StreamProgress::Stream inProgress(relay.services.streams, relay.service, engine.id, sentAt);
     m_lastEventAt.reset();
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -32,6 +32,8 @@
     asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayPrefill);
     /** The engine for the next decode call, or an error if there is none. */
     Result<ReplicaEntry> chooseDecodeEngine() const;
+    /** Position of the decode at the engines. */
+    EngineOrder order() const;
     /** Whether prefill engines should process the prompt; decode engines process short ones themselves. */
     bool needsPrefill() const;
     /** Whether the next decode attempt needs a prefill, unless it has a handle to the KV cache of an earlier one. */
--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -2,14 +2,10 @@
 
 #include "decisions/speeds/WaitLimits.h"
 
-#include <array>
-
 namespace chestnut {
 
 namespace {
 
-    /** Priorities at the engines: requests that can meet their objective precede those that will miss it. */
-    constexpr std::array<uint32_t, 3> priorityOfRank { 4, 5, 7 };
     constexpr uint32_t maximumCalls = 2;
 
     int64_t millisecondsOf(Duration duration)
@@ -45,7 +41,8 @@
     auto speed = services.speeds.speedOf(m_relay.service);
     auto elapsed = services.timers.now() - m_relay.request.arrival;
     auto onTime = m_relay.route.latencyObjective - elapsed - speed.firstEvent.value_or(Duration::zero());
-    auto choice = choosePrefillEngine(m_prompt, views, speed.prefill, onTime, rankOnTime(m_relay.route.latencyObjective, m_relay.table->shortestObjective(m_relay.service)));
+    auto onTimeRank = rankOnTime(m_relay.route.latencyObjective, m_relay.table->shortestObjective(m_relay.service));
+    auto choice = choosePrefillEngine(m_prompt, views, speed.prefill, onTime, { m_relay.priority(), onTimeRank, m_relay.priorities() });
     if (!choice)
         return std::nullopt;
     return Placement { *entries[choice->index], *choice, speed.prefill };
@@ -83,15 +80,15 @@
 {
     const auto& [engine, choice, speed] = placement;
     auto& services = m_relay.services;
-    auto inFlightWork = services.loadTracker->beginPrefill(engine.id, choice.missingTokens, choice.rank);
-    m_priority = priorityOfRank.at(static_cast<size_t>(choice.rank));
+    auto inFlightWork = services.loadTracker->beginPrefill(engine.id, choice.missingTokens, choice.order);
+    m_order = choice.order;
     std::vector<uint64_t> parts;
     for (size_t i = 0; i + 1 < m_prompt.parts.size(); ++i)
         parts.push_back(m_prompt.parts[i].id);
     services.loadTracker->recordSentParts(engine.id, parts);
     ReplicaCall call { m_relay.request, engine.id, engine.address, m_relay.remaining() };
     call.abort = m_relay.abort;
-    call.priority = m_priority;
+    call.priority = choice.order;
     auto startedAt = services.timers.now();
     watchProgress(placement, startedAt);
     auto response = co_await services.replicaClient.prefill(std::move(call));
@@ -137,7 +134,7 @@
             co_return saturatedError("the prefill engines are saturated: expected prefill time " + std::to_string(millisecondsOf(*choice.expectedTime)) + " ms, time left " + std::to_string(millisecondsOf(m_relay.remaining())) + " ms");
         if (isRetry && !services.budgets.tryTakeRetry(m_relay.service))
             co_return std::nullopt;
-        services.log.write(EventId::PrefillPlaced, { { "request", m_relay.request.id }, { "replica", engine.id }, { "missing", choice.missingTokens }, { "queued", choice.workTokens - choice.missingTokens }, { "expected_ms", millisecondsOf(choice.expectedTime) }, { "rank", nameOf(choice.rank) } });
+        services.log.write(EventId::PrefillPlaced, { { "request", m_relay.request.id }, { "replica", engine.id }, { "missing", choice.missingTokens }, { "queued", choice.workTokens - choice.missingTokens }, { "expected_ms", millisecondsOf(choice.expectedTime) }, { "rank", nameOf(choice.rank) }, { "order", choice.order } });
         auto response = co_await callEngine(*placement);
         if (response)
             co_return response->handle;
--- a/modules/gateway/requests/PromptPrefill.h
+++ b/modules/gateway/requests/PromptPrefill.h
@@ -14,8 +14,8 @@
         complete the prefill in time. */
     asio::awaitable<Result<std::optional<CacheHandle>>> run();
 
-    /** Priority of the request at the engines; absent before the first call. */
-    std::optional<uint32_t> priority() const { return m_priority; }
+    /** Position of the request at the engines; absent before the first call. */
+    std::optional<EngineOrder> order() const { return m_order; }
     /** Duration of the last completed call. */
     std::chrono::milliseconds time() const { return m_time; }
 
@@ -38,7 +38,7 @@
 
     RelayContext& m_relay;
     const PromptShape& m_prompt;
-    std::optional<uint32_t> m_priority;
+    std::optional<EngineOrder> m_order;
     std::chrono::milliseconds m_time { 0 };
     TimerSubscription m_progressTimer;
     bool m_mayCallAgain = false; /**< after the call in progress */
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -196,6 +196,8 @@
     view.slots = entry.slots;
     view.requests = observation.work.requests;
     view.queued = observation.work.queued;
+    view.moreUrgentRequests = observation.work.decodes.sum(0, priorities().firstOrderOf(priority()));
+    view.lessUrgentRequests = observation.work.decodes.sum(priorities().endOrderOf(priority()));
     view.requestsAtRefusal = observation.requestsAtRefusal;
     view.slowdown = observation.slowdown;
     view.isEjected = observation.isEjected;
--- a/tests/decisions/PromptPlacementTest.cpp
+++ b/tests/decisions/PromptPlacementTest.cpp
@@ -83,8 +83,8 @@
     for (double now = gap(random); now < length; now += gap(random)) {
         for (size_t i = 0; i < engineCount; ++i) {
             onTime += queues[i].runUntil(now, objective);
-            views[i].queued.urgent = queues[i].queuedTokens(false);
-            views[i].queued.deferred = queues[i].queuedTokens(true);
+            views[i].queued.set(orderOf(PrefillRank::Urgent), queues[i].queuedTokens(false));
+            views[i].queued.set(orderOf(PrefillRank::Deferred), queues[i].queuedTokens(true));
         }
         auto choice = choosePrefillEngine(promptOf(random() % 100'000), views, speed, mayDefer ? Duration(100ms) : Duration(1h));
         queues[choice->index].jobs.push_back({ now, choice->missingTokens / speed.tokensPerMillisecond, choice->rank == PrefillRank::Deferred });
@@ -126,9 +126,9 @@
 {
     auto views = engines(4);
     auto home = choosePrefillEngine(promptOf(7), views, speed, 1s)->index;
-    views[home].queued.urgent = 6300;
+    views[home].queued = amountAt(6300.0, orderOf(PrefillRank::Urgent));
     CHECK(choosePrefillEngine(promptOf(7), views, speed, 1s)->index == home);
-    views[home].queued.urgent = 60'000;
+    views[home].queued = amountAt(60'000.0, orderOf(PrefillRank::Urgent));
     auto other = choosePrefillEngine(promptOf(7), views, speed, 1s);
     CHECK(other->index != home);
     CHECK(other->missingTokens == 9190);
@@ -202,7 +202,7 @@
     auto home = choosePrefillEngine(promptOf(7), views, {}, 1ms);
     CHECK_FALSE(home->expectedTime.has_value());
     CHECK(home->rank == PrefillRank::Urgent);
-    views[home->index].queued.urgent = 60'000;
+    views[home->index].queued = amountAt(60'000.0, orderOf(PrefillRank::Urgent));
     auto other = choosePrefillEngine(promptOf(7), views, {}, 1ms);
     CHECK(other->index != home->index);
     CHECK(other->rank == PrefillRank::Urgent);
@@ -224,10 +224,12 @@
     CHECK(rankOnTime(500ms, 400ms) == PrefillRank::Urgent);
     CHECK(rankOnTime(150ms, 150ms) == PrefillRank::Urgent);
     auto views = engines(1);
-    views[0].queued = { 1000, 20'000, 50'000 };
-    CHECK(choosePrefillEngine(promptOf(1), views, speed, 1s, PrefillRank::Urgent)->workTokens == 1000 + 2890);
-    CHECK(choosePrefillEngine(promptOf(1), views, speed, 1s, PrefillRank::Relaxed)->workTokens == 21'000 + 2890);
-    auto late = choosePrefillEngine(promptOf(1), views, speed, 40ms, PrefillRank::Relaxed);
+    views[0].queued = amountAt(1000.0, orderOf(PrefillRank::Urgent));
+    views[0].queued += amountAt(20'000.0, orderOf(PrefillRank::Relaxed));
+    views[0].queued += amountAt(50'000.0, orderOf(PrefillRank::Deferred));
+    CHECK(choosePrefillEngine(promptOf(1), views, speed, 1s, { 0, PrefillRank::Urgent, {} })->workTokens == 1000 + 2890);
+    CHECK(choosePrefillEngine(promptOf(1), views, speed, 1s, { 0, PrefillRank::Relaxed, {} })->workTokens == 21'000 + 2890);
+    auto late = choosePrefillEngine(promptOf(1), views, speed, 40ms, { 0, PrefillRank::Relaxed, {} });
     CHECK(late->rank == PrefillRank::Deferred);
     CHECK(late->workTokens == 71'000 + 2890);
 }
--- a/tests/decisions/RouteTableTest.cpp
+++ b/tests/decisions/RouteTableTest.cpp
@@ -44,6 +44,22 @@
     CHECK(table.find("a.example", "/x") == nullptr);
 }
 
+TEST_CASE("the priorities of a service are those of its routes and of the accounts")
+{
+    auto urgent = routeTo("a.example", "/urgent/");
+    auto bulk = routeTo("a.example", "/bulk/");
+    bulk.priority = 4;
+    auto other = routeTo("a.example", "/other/", { { ServiceId("t"), 1 } });
+    other.priority = 9;
+    RoutingConfiguration configuration;
+    configuration.routes = { urgent, bulk, other };
+    CHECK(RouteTable(configuration).prioritiesOf(ServiceId("s")) == ServicePriorities({ 0, 4 }));
+    CHECK(RouteTable(configuration).prioritiesOf(ServiceId("t")).levels() == 1);
+    CHECK(RouteTable(configuration).prioritiesOf(ServiceId("unknown")).levels() == 1);
+    configuration.accounts = { { AccountId("first"), { "k1" }, 2 }, { AccountId("second"), { "k2" }, {} } };
+    CHECK(RouteTable(configuration).prioritiesOf(ServiceId("s")) == ServicePriorities({ 0, 2, 4 }));
+}
+
 TEST_CASE("the port and the case of the Host field are ignored")
 {
     auto table = tableOf({ routeTo("a.example", "/x/") });
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -55,7 +55,8 @@
     {
         RoutingConfiguration configuration;
         configuration.version = 1;
-        configuration.routes = { std::move(newRoute) };
+        configuration.routes = otherRoutes;
+        configuration.routes.push_back(std::move(newRoute));
         auto table = std::make_shared<const RouteTable>(std::move(configuration));
         RoutedRequest request;
         request.id = RequestId("q" + std::to_string(++m_requests));
@@ -95,6 +96,7 @@
     static PromptShape longPrompt() { return { "m", 9000, 2, { { 1, 6000 }, { 2, 3000 } } }; }
 
     std::string body = "body"; /**< of the next request */
+    std::vector<Route> otherRoutes; /**< of other hosts, in the configuration of the next request */
     asio::io_context context;
     VirtualTimerService timers { context };
     MemoryLog log;
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -256,9 +256,9 @@
     fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
     std::vector<LoadTracker::InFlightWork> inFlight;
     for (const auto* id : { "i-p1", "i-p2" })
-        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 3 * 1000 * prefillTokensPerMillisecond, PrefillRank::Deferred));
+        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 3 * 1000 * prefillTokensPerMillisecond, orderOf(PrefillRank::Deferred)));
     for (const auto* id : { "i-p1", "i-p2" })
-        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 200 * prefillTokensPerMillisecond, PrefillRank::Urgent));
+        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 200 * prefillTokensPerMillisecond, orderOf(PrefillRank::Urgent)));
     FakeWriter writer;
     fixture.runRequest(fixture.single(), writer, fixture.longPrompt(), 10ms);
     CHECK(writer.status == 503);
@@ -271,7 +271,7 @@
     fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
     std::vector<LoadTracker::InFlightWork> inFlight;
     for (const auto* id : { "i-p1", "i-p2" })
-        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 300 * prefillTokensPerMillisecond, PrefillRank::Urgent));
+        inFlight.push_back(fixture.loadTracker->beginPrefill(ReplicaId(id), 300 * prefillTokensPerMillisecond, orderOf(PrefillRank::Urgent)));
     FakeWriter late;
     fixture.runRequest(fixture.single(), late, fixture.longPrompt(), 10ms);
     inFlight.clear();
@@ -281,6 +281,53 @@
     CHECK(fixture.replicaClient.sent[0].priority > fixture.replicaClient.sent[1].priority);
 }
 
+// Guards against short urgent prompts that engines admit after the streams of less urgent routes.
+TEST_CASE("the engines receive requests in the order of the priorities of their routes")
+{
+    Engines fixture;
+    auto other = fixture.single();
+    other.host = "other";
+    fixture.otherRoutes = { other };
+    auto lessUrgent = fixture.single();
+    lessUrgent.priority = 2;
+    FakeWriter bulk;
+    fixture.runRequest(lessUrgent, bulk, fixture.longPrompt(), 10ms);
+    fixture.otherRoutes = { lessUrgent };
+    fixture.otherRoutes.front().host = "other";
+    FakeWriter urgent;
+    fixture.runRequest(fixture.single(), urgent, PromptShape { "m", 220, 72, {} }, 10ms);
+    REQUIRE(fixture.replicaClient.sent.size() == 2);
+    CHECK(fixture.replicaClient.sent[0].priority == 3);
+    CHECK(fixture.replicaClient.sent[1].priority == 0);
+}
+
+// Guards against engines that less urgent streams fill to the last place.
+TEST_CASE("while the decode engines are nearly full, a less urgent request is refused at once and an urgent one is accepted")
+{
+    Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
+    auto lessUrgent = fixture.single();
+    lessUrgent.priority = 2;
+    lessUrgent.host = "other";
+    std::vector<LoadTracker::InFlightWork> inFlight;
+    for (const auto* id : { "i-d1", "i-d2" }) {
+        for (int i = 0; i < 8; ++i)
+            inFlight.push_back(fixture.loadTracker->beginDecode(ReplicaId(id), 3));
+    }
+    fixture.otherRoutes = { lessUrgent };
+    FakeWriter urgent;
+    fixture.runRequest(fixture.single(), urgent, PromptShape { "m", 220, 72, {} }, 10ms);
+    CHECK(urgent.status == 200);
+    fixture.otherRoutes = { fixture.single() };
+    fixture.otherRoutes.front().host = "other";
+    lessUrgent.host = "h";
+    FakeWriter bulk;
+    fixture.runRequest(lessUrgent, bulk, fixture.longPrompt(), 10ms);
+    CHECK(bulk.status == 503);
+    CHECK(bulk.headers.contains("Retry-After"));
+    CHECK(fixture.replicaClient.prefills.empty());
+}
+
 TEST_CASE("after a failed prefill the request can still be refused as not run")
 {
     Engines fixture;
--- a/tests/gateway/LoadExchangeTest.cpp
+++ b/tests/gateway/LoadExchangeTest.cpp
@@ -70,10 +70,10 @@
 {
     ExchangeFleet fleet(size);
     ReplicaId replica("i-1");
-    auto inFlightWork = fleet.members.back()->loadTracker->beginPrefill(replica, 5000, PrefillRank::Urgent);
+    auto inFlightWork = fleet.members.back()->loadTracker->beginPrefill(replica, 5000, orderOf(PrefillRank::Urgent));
     fleet.advanceSteps(1s);
     for (const auto& member : fleet.members)
-        CHECK(member->loadTracker->observe(replica).work == ReplicaWork { replica, 1, { 5000, 0, 0 } });
+        CHECK(member->loadTracker->observe(replica).work == ReplicaWork { replica, 1, amountAt(5000.0, orderOf(PrefillRank::Urgent)), {} });
     inFlightWork.end();
     fleet.advanceSteps(1s);
     for (const auto& member : fleet.members)
--- a/tests/gateway/LoadMessageTest.cpp
+++ b/tests/gateway/LoadMessageTest.cpp
@@ -14,11 +14,19 @@
     return prefix + "-0123456789abcdef-" + std::to_string(100'000 + number);
 }
 
+QueuedTokens tokensOf(double urgent, double relaxed, double deferred)
+{
+    auto tokens = amountAt(urgent, orderOf(PrefillRank::Urgent));
+    tokens += amountAt(relaxed, orderOf(PrefillRank::Relaxed));
+    tokens += amountAt(deferred, orderOf(PrefillRank::Deferred));
+    return tokens;
+}
+
 LoadMessage fleetMessage(int replicas, int daemons, int leaving)
 {
     LoadMessage message { { DaemonId("d0"), AvailabilityZone("zone-a"), { "10.0.0.1", 80 }, { "10.0.0.1", 9000 } }, LoadScope::Fleet, true };
     for (int i = 0; i < replicas; ++i)
-        message.work.push_back({ ReplicaId(longId("replica", i)), 8, 12345, 67890 });
+        message.work.push_back({ ReplicaId(longId("replica", i)), 8, tokensOf(12345, 67890, 0), {} });
     for (int i = 0; i < daemons; ++i)
         message.liveDaemons.emplace_back(longId("daemon", i));
     for (int i = 0; i < leaving; ++i)
@@ -40,7 +48,7 @@
 
 TEST_CASE("a load message is decoded as it was encoded, and an invalid datagram is rejected")
 {
-    LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Fleet, true, { { ReplicaId("i-1"), 3, { 500, 20, 40 } } }, { { ServiceId("s"), { 4, 1000, 20, 300000, 6000 }, { 2, 30 }, { 9, 90 }, { 2, 80 } } }, { { { Digest { 1, 2 }, RequestId("q1"), ReplicaId("i-1"), 99 }, Duration(5), Duration(6) } }, { { Digest { 3, 4 }, Duration(7) } }, { { { ReplicaId("i-3"), 5 }, Duration(8), true, { { 9, 1 } } } }, { { 10, Duration(11) } }, { { ReplicaId("i-8"), 17, 4, true } }, { { ReplicaId("i-9"), 77 } }, {}, true, { DaemonId("d2") } };
+    LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Fleet, true, { { ReplicaId("i-1"), 3, tokensOf(500, 20, 40), {} } }, { { ServiceId("s"), { 4, 1000, 20, 300000, 6000 }, { 2, 30 }, { 9, 90 }, { 2, 80 } } }, { { { Digest { 1, 2 }, RequestId("q1"), ReplicaId("i-1"), 99 }, Duration(5), Duration(6) } }, { { Digest { 3, 4 }, Duration(7) } }, { { { ReplicaId("i-3"), 5 }, Duration(8), true, { { 9, 1 } } } }, { { 10, Duration(11) } }, { { ReplicaId("i-8"), 17, 4, true } }, { { ReplicaId("i-9"), 77 } }, {}, true, { DaemonId("d2") } };
     auto decoded = decodeLoadMessage(encodeLoadMessage(message).front());
     REQUIRE(decoded.has_value());
     CHECK(*decoded == message);
@@ -61,6 +69,39 @@
     CHECK(*decoded == message);
 }
 
+// Guards against peers that take the work of several priorities for that of one, and against older daemons that lose it.
+TEST_CASE("work of several priorities is decoded as it was encoded, and its sums are those of daemons without priorities")
+{
+    LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Daemon };
+    QueuedTokens queued;
+    OrderedRequests decodes;
+    for (EngineOrder order = 0; order < engineOrders; ++order) {
+        queued.set(order, 100 + order);
+        decodes.set(order, order);
+    }
+    message.work = { { ReplicaId("i-1"), 2, tokensOf(5, 6, 7), {} }, { ReplicaId("i-2"), 60, queued, {} }, { ReplicaId("i-3"), 45, {}, decodes } };
+    auto datagram = encodeLoadMessage(message).front();
+    CHECK(decodeLoadMessage(datagram)->work == message.work);
+    auto document = nlohmann::json::from_cbor(datagram);
+    document.erase("orders");
+    auto bytes = nlohmann::json::to_cbor(document);
+    auto work = decodeLoadMessage(std::string(bytes.begin(), bytes.end()))->work;
+    CHECK(work[1] == ReplicaWork { ReplicaId("i-2"), 60, tokensOf(100 + 101 + 102 + 103 + 104, 105 + 106, 107 + 108 + 109), {} });
+    CHECK(work[2] == ReplicaWork { ReplicaId("i-3"), 45, {}, {} });
+}
+
+TEST_CASE("a load message with a position out of range is rejected")
+{
+    LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Daemon };
+    message.work = { { ReplicaId("i-1"), 2, amountAt(5.0, 0), {} } };
+    auto document = nlohmann::json::from_cbor(encodeLoadMessage(message).front());
+    for (const auto& orders : { nlohmann::json { { 1, 0, 5, 0 } }, nlohmann::json { { 0, engineOrders, 5, 0 } } }) {
+        document["orders"] = orders;
+        auto bytes = nlohmann::json::to_cbor(document);
+        CHECK_FALSE(decodeLoadMessage(std::string(bytes.begin(), bytes.end())).has_value());
+    }
+}
+
 // Guards against datagrams that exceed the buffer of the receiver at the two-year target, 330 daemons and 650 replicas.
 TEST_CASE("the load message of a large fleet is split into datagrams without loss")
 {
--- a/tests/gateway/LoadTrackerTest.cpp
+++ b/tests/gateway/LoadTrackerTest.cpp
@@ -9,18 +9,25 @@
 
 const ReplicaId replica("i-1");
 
+QueuedTokens tokens(double urgent, double deferred)
+{
+    auto sum = amountAt(urgent, orderOf(PrefillRank::Urgent));
+    sum += amountAt(deferred, orderOf(PrefillRank::Deferred));
+    return sum;
+}
+
 } // namespace
 
 TEST_CASE("the work of a peer expires when the peer stops sending messages")
 {
     GatewayFixture fixture;
-    auto inFlightWork = fixture.loadTracker->beginPrefill(replica, 100, PrefillRank::Urgent);
-    fixture.loadTracker->setPeerWork(DaemonId("d1"), { { replica, 3, { 500, 0, 40 } } });
-    fixture.loadTracker->setPeerWork(DaemonId("d1"), { { replica, 2, { 400, 0, 30 } } });
-    CHECK(fixture.loadTracker->observe(replica).work == ReplicaWork { replica, 3, { 500, 0, 30 } });
+    auto inFlightWork = fixture.loadTracker->beginPrefill(replica, 100, orderOf(PrefillRank::Urgent));
+    fixture.loadTracker->setPeerWork(DaemonId("d1"), { { replica, 3, tokens(500, 40), {} } });
+    fixture.loadTracker->setPeerWork(DaemonId("d1"), { { replica, 2, tokens(400, 30), {} } });
+    CHECK(fixture.loadTracker->observe(replica).work == ReplicaWork { replica, 3, tokens(500, 30), {} });
     fixture.timers.advance(2s);
     fixture.loadTracker->expirePeers();
-    CHECK(fixture.loadTracker->observe(replica).work == ReplicaWork { replica, 1, { 100, 0, 0 } });
+    CHECK(fixture.loadTracker->observe(replica).work == ReplicaWork { replica, 1, tokens(100, 0), {} });
     inFlightWork.end();
     CHECK(fixture.loadTracker->requestsAt(replica) == 0);
 }
@@ -110,14 +117,14 @@
     auto& loadTracker = *fixture.loadTracker;
     DaemonId peer("d1");
     ReplicaId other("i-2");
-    loadTracker.setPeerWork(peer, { { replica, 1, 0, 0 } }, { 0, 2 });
-    loadTracker.setPeerWork(peer, { { other, 2, 0, 0 } }, { 1, 2 });
+    loadTracker.setPeerWork(peer, { { replica, 1, {}, {} } }, { 0, 2 });
+    loadTracker.setPeerWork(peer, { { other, 2, {}, {} } }, { 1, 2 });
     CHECK(loadTracker.requestsAt(replica) == 1);
     CHECK(loadTracker.requestsAt(other) == 2);
-    loadTracker.setPeerWork(peer, { { other, 5, 0, 0 } }, { 1, 2 });
+    loadTracker.setPeerWork(peer, { { other, 5, {}, {} } }, { 1, 2 });
     CHECK(loadTracker.requestsAt(replica) == 1);
     CHECK(loadTracker.requestsAt(other) == 5);
-    loadTracker.setPeerWork(peer, { { replica, 3, 0, 0 } }, { 0, 1 });
+    loadTracker.setPeerWork(peer, { { replica, 3, {}, {} } }, { 0, 1 });
     CHECK(loadTracker.requestsAt(replica) == 3);
     CHECK(loadTracker.requestsAt(other) == 0);
 }
