--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -42,3 +42,4 @@
 #include "decisions/tickets/Ticket.h"
 #include "decisions/urgency/DecodeReserve.h"
 #include "decisions/urgency/ServicePriorities.h"
+#include "decisions/versions/PeerVersions.h"
