A fenced lease for engine orders and singleton tasks, and the client of the task platform

Cause: RoleManager held the only lease, with the election inside it. Singleton tasks need the same rules. A holder whose key is removed or replaced (a process with its name on another VM) gives the lease up; it watches the store with short pauses. The tasks' lease also waits after the start of a daemon, because a restore just before it does not show the former lease. Settings tasks.*; without tasks.endpoint nothing changes.

--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include "gateway/blocks/BlockCodec.h"
 #include "gateway/blocks/BlockDirectory.h"
+#include "gateway/leases/FencedLease.h"
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/members/LoadExchange.h"
 #include "gateway/members/LoadMessage.h"
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -1,30 +1,14 @@
 #include "gateway/roles/RoleManager.h"
 
-#include "decisions/leases/StoreFencing.h"
 #include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
-#include <random>
 
 namespace chestnut {
 
 namespace {
 
     constexpr std::string_view holderKey = "chestnutroute/roles/holder";
-    /** Short, so that a killed holder is replaced quickly. */
-    constexpr Duration leaseTime = std::chrono::seconds(3);
-    constexpr Duration renewalPeriod = std::chrono::milliseconds(900);
-    /** Covers the transit time of an order and differences between clock rates. */
-    constexpr Duration leaseMargin = std::chrono::milliseconds(600);
-    constexpr Duration electionPeriod = std::chrono::milliseconds(500);
-    /** Spreads the attempts of the candidates: a failed one costs two calls, and the others see the first success only a
-        second later. */
-    constexpr Duration electionSpread = std::chrono::milliseconds(50);
-    /** The least spread: a daemon that has just started knows few of the others. */
-    constexpr Duration leastElectionSpread = std::chrono::seconds(1);
-    /** Pause after a failed attempt because another daemon holds the lease. It is longer than the pause between two watches
-        of a daemon that relies on its collectors, after which that daemon knows the holder. */
-    constexpr Duration conflictPause = std::chrono::seconds(12);
     constexpr Duration adjustPeriod = std::chrono::milliseconds(500);
     constexpr Duration samplePeriod = std::chrono::milliseconds(200);
     /** Weight of a sample in the moving average of the demand. The time constant of eight seconds filters out fluctuations
@@ -46,38 +30,19 @@
 
 RoleManager::RoleManager(asio::io_context& context, VersionedStore& store, TimerService& timers, Log& log, std::shared_ptr<StoreMirror> mirror, ReplicaClient& replicaClient, ReplicaDirectory& replicas, std::shared_ptr<LoadTracker> loadTracker, RoutingSource& routing, RoleManagerSettings settings)
     : m_context(context)
-    , m_store(store)
     , m_timers(timers)
     , m_log(log)
     , m_replicaClient(replicaClient)
     , m_replicas(replicas)
     , m_loadTracker(std::move(loadTracker))
     , m_routing(routing)
-    , m_settings(std::move(settings))
-    , m_mirror(std::move(mirror))
+    , m_lease(context, store, timers, log, std::move(mirror), { std::string(holderKey), std::move(settings.self), settings.takeoverWait, std::move(settings.candidates) })
 {
-    m_mirror->subscribe(std::string(holderKey), { [this](const StoreItem& item) { onHolder(item); }, [this](const std::string&) { recordHolder(false); } });
-}
-
-void RoleManager::onHolder(const StoreItem& item)
-{
-    auto isOwn = item.value == m_settings.self.value();
-    recordHolder(!isOwn || item.createdAt != m_acquiredAt);
-    // Such a key is left when the response to the write is lost, by a process before a restart, or by a restore of the store. Its
-    // lease may be that of another daemon, so it might never expire.
-    m_strayRevision = isOwn && m_lease.id == 0 ? item.revision : 0;
-}
-
-void RoleManager::recordHolder(bool isAnother)
-{
-    m_strayRevision = 0;
-    m_isHeldByAnother = isAnother;
-    m_nextAttemptAt = {};
 }
 
 void RoleManager::start()
 {
-    spawnPermanentTask(m_context.get_executor(), m_timers, m_log, "role_lease", [this] { return maintainLease(); });
+    m_lease.start();
     spawnPermanentTask(m_context.get_executor(), m_timers, m_log, "role_splits", [this] { return manageSplits(); });
     m_sampleTimer = m_timers.every(samplePeriod, [this] { sampleDemand(); });
 }
@@ -85,84 +50,13 @@
 asio::awaitable<void> RoleManager::stop()
 {
     m_isStopped = true;
-    if (auto lease = std::exchange(m_lease, {}); lease.id != 0) {
-        auto ended = co_await m_store.endLease(lease);
-        m_log.write(EventId::LeaseReleased, { { "key", holderKey }, { "fencing", m_fencingNumber }, { "answered", ended ? 1 : 0 } });
-    }
-}
-
-asio::awaitable<void> RoleManager::maintainLease()
-{
-    std::mt19937 random { std::random_device {}() };
-    while (!m_isStopped) {
-        if (m_lease.id != 0) {
-            auto sentAt = m_timers.nowIncludingSuspend();
-            auto renewed = co_await m_store.renewLease(m_lease);
-            if (renewed)
-                m_renewedAt = sentAt;
-            else if (renewed.error().kind == ErrorKind::NotFound || m_timers.nowIncludingSuspend() - m_renewedAt > leaseTime) {
-                m_log.write(EventId::LeaseLost, { { "key", holderKey }, { "fencing", m_fencingNumber }, { "detail", renewed.error().detail } });
-                m_lease = {};
-            }
-            co_await m_timers.sleep(renewalPeriod);
-            continue;
-        }
-        std::uniform_int_distribution<Duration::rep> jitter(0, std::max(leastElectionSpread, Duration(electionSpread * m_settings.candidates())).count());
-        co_await m_timers.sleep(electionPeriod + Duration(jitter(random)));
-        if (m_strayRevision != 0 && !m_isStopped) {
-            co_await removeStrayKey();
-            continue;
-        }
-        auto mayTry = m_mirror->isListed() && !m_mirror->isFailing() && !m_isHeldByAnother && m_timers.now() >= m_nextAttemptAt;
-        if (!mayTry || m_isStopped)
-            continue;
-        auto acquired = co_await acquire();
-        if (acquired)
-            continue;
-        if (acquired.error().kind == ErrorKind::PlatformConflict)
-            m_nextAttemptAt = m_timers.now() + conflictPause;
-        m_log.write(EventId::LeaseNotAcquired, { { "key", holderKey }, { "kind", describe(acquired.error().kind).name }, { "detail", acquired.error().detail } });
-    }
-}
-
-asio::awaitable<Result<void>> RoleManager::acquire()
-{
-    auto sentAt = m_timers.nowIncludingSuspend();
-    auto lease = co_await m_store.grantLease(leaseTime);
-    if (!lease)
-        co_return lease.error();
-    auto revision = co_await m_store.transact({ { std::string(holderKey), 0 } }, { { std::string(holderKey), m_settings.self.value(), lease->id } }, {});
-    if (!revision)
-        co_return revision.error();
-    if (lease->epoch != m_store.epoch())
-        co_return makeError(ErrorKind::NotFound, "the store was restored during the acquisition");
-    m_lease = *lease;
-    m_acquiredAt = *revision;
-    m_fencingNumber = fencingNumberAt(lease->epoch, *revision);
-    m_renewedAt = sentAt;
-    m_strayRevision = 0;
-    m_ordersAllowedFrom = m_timers.now() + m_settings.takeoverWait;
-    m_pendingOrders.clear();
-    m_log.write(EventId::LeaseAcquired, { { "key", holderKey }, { "fencing", m_fencingNumber } });
-    co_return Result<void>();
-}
-
-asio::awaitable<void> RoleManager::removeStrayKey()
-{
-    auto removed = co_await m_store.transact({ { std::string(holderKey), m_strayRevision } }, {}, { std::string(holderKey) });
-    m_log.write(EventId::LeaseReleased, { { "key", holderKey }, { "revision", m_strayRevision }, { "answered", removed ? 1 : 0 } });
-}
-
-TimePoint RoleManager::formerLeaseEnd() const
-{
-    // A restore removes the lease of a holder that may have renewed it just before, and that sends orders until it ends.
-    auto restoredAt = m_mirror->restoredAt();
-    return restoredAt ? *restoredAt + leaseTime : TimePoint();
+    co_await m_lease.stop();
 }
 
 bool RoleManager::mayOrder() const
 {
-    return m_lease.id != 0 && m_lease.epoch == m_store.epoch() && !m_isStopped && m_timers.now() >= std::max(m_ordersAllowedFrom, formerLeaseEnd() + m_settings.takeoverWait) && m_timers.nowIncludingSuspend() - m_renewedAt < leaseTime - leaseMargin;
+    // An order that is in transit when the lease ends arrives during the takeover wait of the next holder.
+    return !m_isStopped && m_lease.mayAct(Duration::zero());
 }
 
 void RoleManager::sampleDemand()
@@ -217,6 +111,9 @@
         auto table = m_routing.table();
         if (!table || !mayOrder())
             continue;
+        // Orders before this holder's time have taken effect or never will.
+        if (std::exchange(m_ordersOf, m_lease.fencingNumber()) != m_lease.fencingNumber())
+            m_pendingOrders.clear();
         for (const auto& service : table->configuration().services) {
             if (service.engine)
                 co_await adjustSplit(service);
@@ -258,9 +155,9 @@
         co_return;
     if (!m_replicas.acceptsControlCalls(change.id))
         co_return;
-    m_log.write(EventId::OrderSent, { { "replica", change.id }, { "service", service.id }, { "stage", nameOf(change.stage) }, { "fencing", m_fencingNumber }, { "expected_orders", report->acceptedOrders }, { "demand", demand.requests }, { "slots", demand.slots } });
+    m_log.write(EventId::OrderSent, { { "replica", change.id }, { "service", service.id }, { "stage", nameOf(change.stage) }, { "fencing", m_lease.fencingNumber() }, { "expected_orders", report->acceptedOrders }, { "demand", demand.requests }, { "slots", demand.slots } });
     m_replicas.pauseForOrder(change.id, change.stage);
-    auto result = co_await m_replicaClient.order({ change.id, address, change.stage, m_settings.self.value(), m_fencingNumber, report->acceptedOrders });
+    auto result = co_await m_replicaClient.order({ change.id, address, change.stage, m_lease.self().value(), m_lease.fencingNumber(), report->acceptedOrders });
     if (result && *result != OrderResult::Refused) {
         m_log.write(EventId::OrderSettled, { { "replica", change.id }, { "stage", nameOf(change.stage) } });
         co_return;
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -15,7 +15,9 @@
         that shuts down has to wait for that. */
     constexpr Duration discoveryValidity = std::chrono::milliseconds(1500);
 
-    /** Prefix of the keys of the daemons and of the lease on engine orders. */
+    /** Names the daemon that runs the singleton tasks. */
+    constexpr std::string_view taskHolderKey = "chestnutroute/tasks/holder";
+    /** Prefix of the keys of the daemons and of the leases on engine orders and singleton tasks. */
     constexpr std::string_view ownKeyPrefix = "chestnutroute/";
     /** Pauses between two watches. Replicas and daemons change in bursts at a cold start or a release, each change ends the
         watches of all daemons, and each watch is a billed call. */
@@ -66,7 +68,7 @@
     , m_loadTracker(std::make_shared<LoadTracker>(m_dependencies.timers, m_dependencies.log))
     , m_speeds(m_dependencies.timers)
     , m_crashTracker(m_dependencies.timers, hash64(m_settings.self.id.value()))
-    , m_ownKeys(std::make_shared<StoreMirror>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::string(ownKeyPrefix), [this] { return m_exchange.receivesStoreChanges() ? memberPause : ownKeysPause; }))
+    , m_ownKeys(std::make_shared<StoreMirror>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::string(ownKeyPrefix), [this] { return pauseOfOwnKeys(); }))
     , m_daemons(std::make_shared<DaemonDirectory>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_settings.self, [this] { restartWatches(); }))
     , m_blocks(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_crashTracker, [daemons = m_daemons] { return daemons->activeDaemons(); })
     , m_replicas(
@@ -75,6 +77,7 @@
     , m_budgets(m_dependencies.timers, *m_daemons, m_settings.bounds.retryBudget)
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_loadTracker, m_speeds, m_crashTracker, m_replicas)
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
+    , m_taskLease(makeTaskLease())
     , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone, m_settings.bounds.soundSilence }
 {
     m_dependencies.replicaClient.onNotice([this](const ReplicaNotice& notice) { onNotice(notice); });
@@ -83,6 +86,23 @@
     m_dependencies.replicaClient.setAdmission([this](const ReplicaId& replica) { return !m_replicas.isBackingOff(replica); });
 }
 
+std::unique_ptr<FencedLease> Gateway::makeTaskLease()
+{
+    if (!m_dependencies.taskPlatform)
+        return nullptr;
+    FencedLeaseSettings settings { std::string(taskHolderKey), m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); }, true };
+    auto lease = std::make_unique<FencedLease>(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, std::move(settings));
+    m_dependencies.taskPlatform->setAdmission([held = lease.get()](const TaskAuthority& authority) { return held->fencingNumber() == authority.fencingNumber && held->mayAct(longestTaskCall); });
+    return lease;
+}
+
+Duration Gateway::pauseOfOwnKeys() const
+{
+    // A holder of a lease has to notice soon that the key was removed and another daemon has acquired it.
+    auto holdsLease = m_roles.holdsLease() || (m_taskLease && m_taskLease->isHeld());
+    return m_exchange.receivesStoreChanges() && !holdsLease ? memberPause : ownKeysPause;
+}
+
 void Gateway::onNotice(const ReplicaNotice& notice)
 {
     if (notice.content.isLeaving)
@@ -101,6 +121,8 @@
     m_blocks.start();
     m_exchange.start();
     m_roles.start();
+    if (m_taskLease)
+        m_taskLease->start();
 }
 
 void Gateway::setBounds(const GatewayBounds& bounds)
@@ -108,6 +130,8 @@
     m_settings.bounds = bounds;
     m_budgets.setLimits(bounds.retryBudget);
     m_roles.setTakeoverWait(bounds.takeoverWait);
+    if (m_taskLease)
+        m_taskLease->setTakeoverWait(bounds.takeoverWait);
     m_relayServices.soundSilence = bounds.soundSilence;
 }
 
@@ -130,6 +154,8 @@
     m_shutdown = ShutdownPlan { m_dependencies.timers.now(), endsAt };
     m_exchange.announceLeaving();
     co_await m_roles.stop();
+    if (m_taskLease)
+        co_await m_taskLease->stop();
     co_await m_daemons->deregister();
 }
 
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "decisions/drains/Shutdown.h"
+#include "decisions/usage/UsageWindow.h"
 #include "gateway/blocks/BlockDirectory.h"
+#include "gateway/leases/FencedLease.h"
 #include "gateway/members/LoadExchange.h"
 #include "gateway/requests/RelayContext.h"
 #include "gateway/roles/RoleManager.h"
 #include "gateway/service/RoutingSource.h"
+#include "gateway/tasks/TaskPlatform.h"
 
 namespace chestnut {
 
@@ -20,7 +23,7 @@
 /** Settings that may change while the daemon runs. */
 struct GatewayBounds {
     ServiceRetryLimits retryBudget;
-    Duration takeoverWait = std::chrono::seconds(3);
+    Duration takeoverWait = std::chrono::seconds(3); /**< of both leases */
     Duration longestDiscoveryValidity = std::chrono::seconds(5);
     Duration soundSilence = std::chrono::milliseconds(1500); /**< longest silence of a sound engine in the middle of a stream */
 
@@ -30,6 +33,7 @@
 struct GatewaySettings {
     DaemonRecord self;
     GatewayBounds bounds;
+    std::optional<UsageWindows> usage; /**< absent: no usage is reported */
 
     bool operator==(const GatewaySettings&) const = default;
 };
@@ -42,6 +46,7 @@
     VersionedStore& store;
     ReplicaClient& replicaClient;
     std::function<void(const RoutingConfiguration&)> onConfiguration; /**< called after each change */
+    TaskPlatform* taskPlatform = nullptr; /**< null: this daemon runs no singleton tasks */
 };
 
 /** A discovery response: the daemons that clients may connect to. */
@@ -79,6 +84,8 @@
     size_t inProgress() const { return m_inProgress; }
 
 private:
+    std::unique_ptr<FencedLease> makeTaskLease();
+    Duration pauseOfOwnKeys() const;
     void onNotice(const ReplicaNotice&);
     void restartWatches();
     void onStoreRestored();
@@ -98,6 +105,7 @@
     RetryBudgets m_budgets;
     LoadExchange m_exchange;
     RoleManager m_roles;
+    std::unique_ptr<FencedLease> m_taskLease; /**< null without a task platform */
     RelayServices m_relayServices;
     size_t m_inProgress = 0;
     std::shared_ptr<std::set<RelayPointer>> m_requests = std::make_shared<std::set<RelayPointer>>(); /**< in progress */
--- a/modules/gateway/tasks/TaskPlatform.h
+++ b/modules/gateway/tasks/TaskPlatform.h
@@ -2,9 +2,11 @@
 
 #include "base/errors/Result.h"
 #include "base/ids/StrongId.h"
+#include "base/time/TimePoint.h"
 #include "kernel/registry/Service.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 
 namespace chestnut {
@@ -42,6 +44,9 @@
     Refused, /**< rejected for another reason; the same call would be rejected again */
 };
 
+/** Longest time from the check of setAdmission() to the end of the call. */
+constexpr Duration longestTaskCall = std::chrono::seconds(2);
+
 /** The platform calls that belong to singleton tasks. Errors: PlatformUnavailable when the call had no effect,
     PlatformAnswerLost when it may have had or may still get one. */
 class TaskPlatform : public Service {
@@ -51,6 +56,17 @@
 
     virtual asio::awaitable<Result<TaskResult>> reportUsage(UsageReport, TaskAuthority) = 0;
     virtual asio::awaitable<Result<TaskResult>> orderReplicas(ReplicaOrder, TaskAuthority) = 0;
+
+    /** Registers the check of whether a daemon with this authority may still call. It is made when the call is about to be sent,
+        as it may have waited for the rate limit or a connection; a call that is not sent because of it ends with
+        PlatformUnavailable. */
+    void setAdmission(std::function<bool(const TaskAuthority&)> admission) { m_admission = std::move(admission); }
+
+protected:
+    bool admits(const TaskAuthority& authority) const { return !m_admission || m_admission(authority); }
+
+private:
+    std::function<bool(const TaskAuthority&)> m_admission;
 };
 
 } // namespace chestnut
--- a/modules/kernel/timers/AsioTimerService.cpp
+++ b/modules/kernel/timers/AsioTimerService.cpp
@@ -67,6 +67,11 @@
     return std::chrono::duration_cast<UnixSeconds>(std::chrono::system_clock::now().time_since_epoch());
 }
 
+Duration AsioTimerService::timeOfDay() const
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 TimePoint AsioTimerService::nowIncludingSuspend() const
 {
     timespec time {};
--- a/modules/kernel/timers/AsioTimerService.h
+++ b/modules/kernel/timers/AsioTimerService.h
@@ -13,6 +13,7 @@
 
     TimePoint now() const override;
     UnixSeconds wallClock() const override;
+    Duration timeOfDay() const override;
     TimePoint nowIncludingSuspend() const override;
     TimerSubscription every(Duration period, std::function<void()> callback) override;
     TimerSubscription once(Duration delay, std::function<void()> callback) override;
--- a/modules/kernel/timers/TimerService.h
+++ b/modules/kernel/timers/TimerService.h
@@ -33,6 +33,9 @@
     virtual TimePoint now() const = 0;
     virtual UnixSeconds wallClock() const = 0;
 
+    /** Like wallClock(), with the resolution of Duration. */
+    virtual Duration timeOfDay() const { return wallClock(); }
+
     /** Like now(), but includes the time in which the VM was suspended, during which the leases of a store expire as
         well. Not comparable with now(). */
     virtual TimePoint nowIncludingSuspend() const { return now(); }
--- a/modules/kernel/timers/VirtualTimerService.h
+++ b/modules/kernel/timers/VirtualTimerService.h
@@ -14,6 +14,7 @@
 
     TimePoint now() const override { return m_now; }
     UnixSeconds wallClock() const override;
+    Duration timeOfDay() const override { return m_wallClockAtStart + m_now.time_since_epoch(); }
     TimerSubscription every(Duration period, std::function<void()> callback) override;
     TimerSubscription once(Duration delay, std::function<void()> callback) override;
     asio::awaitable<void> sleep(Duration) override;
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -39,12 +39,18 @@
     , m_watchPool(context, m_timers, {})
     , m_store(m_connectionPool, m_watchPool, m_log, m_settings.store)
     , m_replicas(m_connectionPool, m_timers)
-    , m_gateway({ context, m_timers, m_log, m_metrics, m_store, m_replicas, [this](const RoutingConfiguration& configuration) { applyLimits(configuration); } }, platformFormats(), m_settings.gateway)
+    , m_tasks(makeTaskClient())
+    , m_gateway({ context, m_timers, m_log, m_metrics, m_store, m_replicas, [this](const RoutingConfiguration& configuration) { applyLimits(configuration); }, m_tasks.get() }, platformFormats(), m_settings.gateway)
     , m_api(m_gateway, m_timers)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
 }
 
+std::unique_ptr<platform::TaskClient> GatewayDaemon::makeTaskClient()
+{
+    return m_settings.tasks ? std::make_unique<platform::TaskClient>(m_connectionPool, m_timers, m_metrics, *m_settings.tasks) : nullptr;
+}
+
 std::unique_ptr<HttpServer> GatewayDaemon::makeServer(const Endpoint& endpoint, HttpHandler handler)
 {
     auto server = std::make_unique<HttpServer>(m_context, m_log, endpoint, HttpServerLimits {}, std::move(handler), platform::ClientApi::makeErrorResponse);
--- a/programs/chestnutrouted/GatewayDaemon.h
+++ b/programs/chestnutrouted/GatewayDaemon.h
@@ -24,6 +24,7 @@
     void start();
 
 private:
+    std::unique_ptr<platform::TaskClient> makeTaskClient();
     std::unique_ptr<HttpServer> makeServer(const Endpoint&, HttpHandler);
     void applyLimits(const RoutingConfiguration&);
     void waitForSignal();
@@ -40,6 +41,7 @@
     ConnectionPool m_watchPool; /**< of the watches of the store */
     platform::StoreClient m_store;
     platform::HttpReplicaClient m_replicas;
+    std::unique_ptr<platform::TaskClient> m_tasks; /**< null without a task platform */
     Gateway m_gateway;
     platform::ClientApi m_api;
     std::unique_ptr<HttpServer> m_clientServer;
--- a/programs/chestnutrouted/GatewayDaemonSettings.cpp
+++ b/programs/chestnutrouted/GatewayDaemonSettings.cpp
@@ -23,6 +23,21 @@
         settings.shutdownTimeout = secondsSetting(reader, "shutdown_seconds", 8, 3600);
     }
 
+    void readTasks(SettingsReader& reader, GatewayDaemonSettings& settings)
+    {
+        platform::TaskClientSettings tasks;
+        tasks.endpoint = reader.endpoint("tasks", "endpoint", Endpoint());
+        tasks.callsPerSecond = reader.number("tasks", "calls_per_second", tasks.callsPerSecond, 0.1, 100'000);
+        UsageWindows windows;
+        windows.length = fromSeconds(reader.number("tasks", "usage_window_seconds", 0, 0, 3600));
+        windows.dueAfter = fromSeconds(reader.number("tasks", "usage_due_seconds", toSeconds(windows.dueAfter), 0, 3600));
+        if (tasks.endpoint.port == 0)
+            return;
+        settings.tasks = tasks;
+        if (windows.length > Duration::zero())
+            settings.gateway.usage = windows;
+    }
+
 } // namespace
 
 GatewayDaemonSettings readGatewayDaemonSettings(SettingsReader& reader)
@@ -41,6 +56,7 @@
     self.clientEndpoint = settings.clientListener;
     self.peerEndpoint = reader.endpoint("listen", "peers");
     readBounds(reader, settings);
+    readTasks(reader, settings);
     auto level = reader.oneOf("log", "level", "info", { "debug", "info", "warning", "error" });
     for (auto severity : { Severity::Debug, Severity::Info, Severity::Warning, Severity::Error }) {
         if (nameOf(severity) == level)
--- a/programs/chestnutrouted/GatewayDaemonSettings.h
+++ b/programs/chestnutrouted/GatewayDaemonSettings.h
@@ -4,6 +4,7 @@
 #include "http/server/HttpServer.h"
 #include "kernel/logging/ConsoleLog.h"
 #include "kernel/settings/SettingsReader.h"
+#include "platform/TaskClient.h"
 
 namespace chestnut {
 
@@ -15,6 +16,7 @@
     Endpoint discoveryListener;
     std::optional<Endpoint> metricsListener;
     Endpoint store;
+    std::optional<platform::TaskClientSettings> tasks; /**< absent: no singleton tasks */
     Duration shutdownTimeout = std::chrono::seconds(8);
     Severity logLevel = Severity::Info;
 
