Decide the numbers of replicas by zone and kind

decisions/scaling decides the numbers: each stage is sized by its recent peak plus the growth expected within a boot time; regular replicas cover the urgent work and a few engines of each stage; reclaimable ones cover the rest, spread so that those of any one zone can be lost. Prices choose kinds and zones.

--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -30,6 +30,8 @@
 #include "decisions/roles/Roles.h"
 #include "decisions/routing/PrefixIndex.h"
 #include "decisions/routing/Routing.h"
+#include "decisions/scaling/DemandHistory.h"
+#include "decisions/scaling/ReplicaScaling.h"
 #include "decisions/scaling/ScalingProfile.h"
 #include "decisions/speeds/ServiceSpeed.h"
 #include "decisions/speeds/StreamProgress.h"
--- a/modules/decisions/split/RoleSplit.cpp
+++ b/modules/decisions/split/RoleSplit.cpp
@@ -1,5 +1,7 @@
 #include "decisions/split/RoleSplit.h"
 
+#include "decisions/split/StageLoad.h"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -8,8 +10,6 @@
 
 namespace {
 
-    /** Share of the decode slots that the mean demand may occupy; the rest absorbs fluctuations. */
-    constexpr double targetOccupancy = 0.45;
     /** Minimum number of engines of either stage, so that the stage still works after the loss of one. */
     constexpr size_t minimumEngines = 3;
     /** Share of the engines that decode before traffic has been measured. */
@@ -51,7 +51,7 @@
     if (engines < 2)
         return engines;
     auto desired = demand.isMeasured
-        ? static_cast<size_t>(std::ceil(demand.requests / (std::max(demand.slots, 1U) * targetOccupancy)))
+        ? static_cast<size_t>(std::ceil(replicasForSlots(demand.requests, demand.slots)))
         : static_cast<size_t>(std::lround(static_cast<double>(engines) * initialDecodeShare));
     auto least = std::min(minimumEngines, engines / 2);
     return std::clamp(desired, least, engines - least);
