--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -114,6 +114,9 @@
         { EventId::BlockNotStored, "block_not_stored", Severity::Warning, "A block was not written to the store; it is tried again unless another daemon has written it." },
         { EventId::SettingsReloaded, "settings_reloaded", Severity::Info, "SIGHUP was received; the limits and the log level of the settings file are applied." },
         { EventId::BlockApplied, "block_applied", Severity::Info, "A block, or its release, was read from the store; it applies on this daemon from now on." },
+        { EventId::ReplicasOrdered, "replicas_ordered", Severity::Info, "The number of replicas of one kind in one zone is ordered; the fields give the present demand in replicas, the replicas needed for its recent peak, and the reason." },
+        { EventId::ReplicaOrderFailed, "replica_order_failed", Severity::Warning, "An order for replicas was refused, could not be fulfilled in this zone now, or its response was lost; it is decided again after the pause." },
+        { EventId::ReplicasMissing, "replicas_missing", Severity::Warning, "Replicas left without an order, or ordered ones did not appear within a few boot times." },
     });
 
     constexpr bool isSortedById()
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -120,6 +120,9 @@
     BlockNotStored = 2239,
     SettingsReloaded = 2240,
     BlockApplied = 2241,
+    ReplicasOrdered = 2270,
+    ReplicaOrderFailed = 2271,
+    ReplicasMissing = 2272,
 };
 
 struct EventDescription {
--- a/modules/decisions/scaling/ReplicaScaling.cpp
+++ b/modules/decisions/scaling/ReplicaScaling.cpp
@@ -103,11 +103,10 @@
         return true;
     }
 
-    /** Regular replicas in the cheapest zones, at most half of them in one zone where another has room. */
-    void addRegular(ZoneCounts& counts, uint32_t replicas, std::span<const PricedZone> zones, const ZoneCounts& caps)
+    /** Regular replicas in the cheapest zones, at most `limit` in one zone where another has room. */
+    void addRegular(ZoneCounts& counts, uint32_t replicas, uint32_t limitOfZone, std::span<const PricedZone> zones, const ZoneCounts& caps)
     {
-        auto half = (sumOf(counts) + replicas + 1) / 2;
-        for (auto limit : { half, ~uint32_t(0) }) {
+        for (auto limit : { limitOfZone, ~uint32_t(0) }) {
             for (const auto& [zone, price] : zones) {
                 while (replicas > 0 && countOf(counts, zone) < std::min(limit, countOf(caps, zone))) {
                     ++counts[zone];
@@ -130,6 +129,12 @@
         while (leftAfterReclaim(plan) < needed && addToFewest(plan.reclaimable, zones, caps)) { }
     }
 
+    /** At most half of the regular replicas are in one zone where another has room. */
+    uint32_t halfOf(uint32_t replicas)
+    {
+        return (replicas + 1) / 2;
+    }
+
     ZoneCounts equalCaps(std::span<const PricedZone> zones, uint32_t cap)
     {
         ZoneCounts caps;
@@ -171,22 +176,34 @@
         return best;
     }
 
+    /** Whether reclaimable replicas beside the given regular ones fit into the caps with their reserve for a reclaim. */
+    bool fitsReserve(uint32_t regular, uint32_t limitOfZone, const ScalingNeed& need, std::span<const PricedZone> zones, const ZoneCounts& caps)
+    {
+        PoolPlan plan;
+        addRegular(plan.regular, regular, limitOfZone, zones, caps);
+        addReclaimable(plan, need.total(), zones, roomBeside(caps, plan.regular));
+        return leftAfterReclaim(plan) >= need.total();
+    }
+
+    struct RegularPlan {
+        uint32_t replicas = 0;
+        uint32_t limitOfZone = 0; /**< where another zone has room */
+    };
+
     /** Regular replicas of the cheapest plan. They are more than needed when reclaimable ones cost more, or when a reserve
-        for a reclaim does not fit into the maximum of the zones. */
-    uint32_t plannedRegular(const ScalingProfile& profile, std::span<const PricedZone> zones, size_t reclaimableZones, const ScalingNeed& need)
+        for a reclaim does not fit into the maximum of the zones; they are then spread evenly, which leaves most room for it. */
+    RegularPlan plannedRegular(const ScalingProfile& profile, std::span<const PricedZone> zones, size_t reclaimableZones, const ScalingNeed& need)
     {
         if (reclaimableZones == 0)
-            return need.total();
+            return { need.total(), halfOf(need.total()) };
         auto caps = equalCaps(zones, profile.maximumPerZone);
+        if (fitsReserve(need.regular, halfOf(need.regular), need, zones, caps))
+            return { need.regular, halfOf(need.regular) };
+        auto evenLimit = [&zones](uint32_t regular) { return (regular + static_cast<uint32_t>(zones.size()) - 1) / static_cast<uint32_t>(zones.size()); };
         auto regular = need.regular;
-        for (; regular < need.total(); ++regular) {
-            PoolPlan plan;
-            addRegular(plan.regular, regular, zones, caps);
-            addReclaimable(plan, need.total(), zones, roomBeside(caps, plan.regular));
-            if (leftAfterReclaim(plan) >= need.total())
-                break;
-        }
-        return regular;
+        while (regular < need.total() && !fitsReserve(regular, evenLimit(regular), need, zones, caps))
+            ++regular;
+        return { regular, evenLimit(regular) };
     }
 
     Duration patienceOf(const ScalingProfile& profile)
@@ -194,16 +211,6 @@
         return std::max(profile.bootTime * patienceBoots, leastPatience);
     }
 
-    /** Replicas of a pool that serve or are expected. */
-    uint32_t expectedOf(const PoolKey& pool, const PoolViews& pools, const ScalingMemory& memory)
-    {
-        auto remembered = memory.pools.find(pool);
-        if (remembered != memory.pools.end() && remembered->second.ordered)
-            return *remembered->second.ordered;
-        auto view = pools.find(pool);
-        return view == pools.end() ? 0 : view->second.ready;
-    }
-
     uint32_t readyOf(const PoolKey& pool, const PoolViews& pools)
     {
         auto view = pools.find(pool);
@@ -221,8 +228,8 @@
     {
         PoolPlan plan;
         for (const auto& [zone, price] : zones) {
-            plan.regular[zone] = expectedOf({ zone, false }, pools, memory);
-            plan.reclaimable[zone] = expectedOf({ zone, true }, pools, memory);
+            plan.regular[zone] = expectedReplicas({ zone, false }, pools, memory);
+            plan.reclaimable[zone] = expectedReplicas({ zone, true }, pools, memory);
         }
         return plan;
     }
@@ -286,7 +293,8 @@
         auto reclaimableZones = zonesForReclaimable(input.profile, input.zones);
         DesiredPlan plan;
         auto& numbers = plan.numbers;
-        addRegular(numbers.regular, plannedRegular(input.profile, input.zones, reclaimableZones, need), input.zones, input.limits.regular);
+        auto regular = plannedRegular(input.profile, input.zones, reclaimableZones, need);
+        addRegular(numbers.regular, regular.replicas, regular.limitOfZone, input.zones, input.limits.regular);
         if (reclaimableZones > 0) {
             addReclaimable(numbers, need.total(), input.zones.first(reclaimableZones), input.limits.reclaimable);
             // The other zones are used when these have none.
@@ -297,7 +305,7 @@
         if (planned < need.total()) {
             plan.lacksReclaimable = true;
             auto missing = need.total() - sumOf(numbers.regular) - sumOf(numbers.reclaimable);
-            addRegular(numbers.regular, missing, input.zones, input.limits.regular);
+            addRegular(numbers.regular, missing, halfOf(sumOf(numbers.regular) + missing), input.zones, input.limits.regular);
         }
         applyMinimum(numbers, input);
         return plan;
@@ -314,7 +322,7 @@
         for (auto& [zone, limit] : limits)
             limit = std::min(limit, input.profile.maximumPerZone - std::min(input.profile.maximumPerZone, countOf(grown.reclaimable, zone)));
         auto wanted = sumOf(desired.numbers.regular);
-        addRegular(grown.regular, wanted - std::min(wanted, sumOf(grown.regular)), input.zones, limits);
+        addRegular(grown.regular, wanted - std::min(wanted, sumOf(grown.regular)), halfOf(std::max(wanted, sumOf(grown.regular))), input.zones, limits);
         applyMinimum(grown, input);
         return grown;
     }
@@ -465,6 +473,8 @@
         return "replaced";
     case ScalingReason::Surplus:
         return "surplus";
+    case ScalingReason::Repeated:
+        return "repeated";
     }
     return "demand";
 }
@@ -479,6 +489,15 @@
     addSample(demand.urgent, sample.urgent, now);
 }
 
+uint32_t expectedReplicas(const PoolKey& pool, const PoolViews& pools, const ScalingMemory& memory)
+{
+    auto remembered = memory.pools.find(pool);
+    if (remembered != memory.pools.end() && remembered->second.ordered)
+        return *remembered->second.ordered;
+    auto view = pools.find(pool);
+    return view == pools.end() ? 0 : view->second.ready;
+}
+
 std::vector<PoolObservation> observePools(ScalingMemory& memory, const PoolViews& pools, const ScalingProfile& profile, TimePoint now)
 {
     std::vector<PoolObservation> observations;
--- a/modules/decisions/scaling/ReplicaScaling.h
+++ b/modules/decisions/scaling/ReplicaScaling.h
@@ -90,6 +90,9 @@
 /** Records that the platform had no replica for the pool. Returns the time until it is asked again. */
 Duration recordUnavailable(ScalingMemory&, const PoolKey&, TimePoint now);
 
+/** Replicas of a pool that serve or are expected. */
+uint32_t expectedReplicas(const PoolKey&, const PoolViews&, const ScalingMemory&);
+
 /** Why the number of a pool changes. */
 enum class ScalingReason : uint8_t {
     Demand,
@@ -97,6 +100,7 @@
     NoneReclaimable, /**< reclaimable replicas are needed and cannot be had */
     Replaced, /**< reclaimable replicas serve in place of regular ones */
     Surplus, /**< the demand has been lower for some time */
+    Repeated, /**< the response to the last order was lost */
 };
 
 std::string_view nameOf(ScalingReason);
--- a/modules/decisions/split/StageLoad.h
+++ b/modules/decisions/split/StageLoad.h
@@ -25,7 +25,7 @@
 /** Requests in flight that occupy slots of one stage. */
 struct SlotLoad {
     uint32_t requests = 0;
-    uint32_t slots = 1; /**< of one replica; the last one in the list */
+    uint32_t slots = 0; /**< of one replica, the last one in the list; zero: there is none */
 
     bool operator==(const SlotLoad&) const = default;
 };
--- /dev/null
+++ b/modules/gateway/replicas/FleetLoad.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "decisions/split/StageLoad.h"
+#include "gateway/replicas/LoadTracker.h"
+
+namespace chestnut {
+
+/** The work of all daemons at the given replicas, as input of the decisions on their stages and their number. */
+std::vector<ReplicaLoad> loadsOf(const std::vector<const ReplicaEntry*>&, const LoadTracker&);
+
+} // namespace chestnut
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -320,6 +320,16 @@
     return select(service, [](const ReplicaEntry& entry) { return entry.stage != EngineStage::None; });
 }
 
+std::vector<const RegisteredReplica*> ReplicaDirectory::registered(const ServiceId& service) const
+{
+    std::vector<const RegisteredReplica*> found;
+    for (const auto& [id, replica] : m_registry.replicas) {
+        if (replica.entry.service == service && replica.status != ReplicaStatus::Removed)
+            found.push_back(&replica);
+    }
+    return found;
+}
+
 std::vector<LeavingReplica> ReplicaDirectory::leaving() const
 {
     std::vector<LeavingReplica> replicas;
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -45,6 +45,9 @@
     /** All engines of a service that are not leaving, including those that are executing an order or want no requests now. */
     std::vector<const ReplicaEntry*> engines(const ServiceId&) const;
 
+    /** All replicas of a service that are listed, also those that are leaving. */
+    std::vector<const RegisteredReplica*> registered(const ServiceId&) const;
+
     const RegisteredReplica* find(const ReplicaId&) const;
 
     /** Whether the replica wants no requests from this daemon now. */
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -1,6 +1,7 @@
 #include "gateway/roles/RoleManager.h"
 
 #include "decisions/leases/StoreFencing.h"
+#include "gateway/replicas/FleetLoad.h"
 #include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
@@ -174,11 +175,10 @@
         if (!service.engine)
             continue;
         auto& demand = m_demand[service.id];
-        double requests = 0;
-        for (const auto* entry : m_replicas.usable(service.id, EngineStage::Decode)) {
-            requests += m_loadTracker->requestsAt(entry->id);
-            demand.slots = entry->slots;
-        }
+        auto load = slotLoadOf(loadsOf(m_replicas.usable(service.id, EngineStage::Decode), *m_loadTracker), EngineStage::Decode);
+        double requests = load.requests;
+        if (load.slots > 0)
+            demand.slots = load.slots;
         if (!demand.isMeasured && requests == 0)
             continue;
         demand.requests = demand.isMeasured ? demand.requests + (requests - demand.requests) * sampleWeight : requests;
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -401,7 +401,7 @@
     std::vector<std::string> fields;
     std::string copy(text);
     boost::algorithm::split(fields, copy, [](char c) { return c == ' '; });
-    if (fields.size() != 7)
+    if (fields.size() < 7 || fields.size() > 9)
         return makeError(ErrorKind::ProtocolError, "no entry");
     ReplicaEntry entry;
     entry.id = id;
@@ -414,6 +414,9 @@
     entry.heartbeat = std::stoll(fields[5]);
     entry.slots = static_cast<uint32_t>(std::stoul(fields[6]));
     entry.address = "10.0.0.1:80";
+    entry.isReclaimable = fields.size() > 7 && fields[7] == "reclaimable";
+    if (fields.size() > 8)
+        entry.leavesIn = std::chrono::milliseconds(std::stoll(fields[8]));
     return entry;
 }
 
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -182,7 +182,8 @@
     std::function<asio::awaitable<void>()> beforeWrite; /**< delays the client */
 };
 
-/** Encodes a replica entry for decodeTestEntry(): service, stage, zone, state, start, heartbeat, slots. */
+/** Encodes a replica entry for decodeTestEntry(): service, stage, zone, state, start, heartbeat, slots. A test may add the word
+    "reclaimable" and the milliseconds left until it leaves. */
 std::string testEntry(const std::string& service, const std::string& stage, const std::string& zone = "a", const std::string& state = "ready", int start = 1, int heartbeat = 1, int slots = 4);
 Result<ReplicaEntry> decodeTestEntry(const ReplicaId&, std::string_view);
 
