--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -120,9 +120,14 @@
     BlockNotStored = 2239,
     SettingsReloaded = 2240,
     BlockApplied = 2241,
+    AccountsInvalid = 2260,
+    ConfigurationFetched = 2261,
+    ConfigurationFetchFailed = 2262,
     ReplicasOrdered = 2270,
     ReplicaOrderFailed = 2271,
     ReplicasMissing = 2272,
+    ReplicaErrorResponse = 2280,
+    ReplicaCapacityChanged = 2281,
 };
 
 struct EventDescription {
