--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -129,6 +129,9 @@
     AccountsInvalid = 2260,
     ConfigurationFetched = 2261,
     ConfigurationFetchFailed = 2262,
+    ReplicasOrdered = 2270,
+    ReplicaOrderFailed = 2271,
+    ReplicasMissing = 2272,
     ReplicaErrorResponse = 2280,
     ReplicaCapacityChanged = 2281,
 };
