Learned capacity of each replica: weight and limit, shared over the fleet; choice by free capacity

Cause: each daemon compared replicas by a slowdown of its own few calls and by all their slots, and all daemons chose the same least occupied replica from counts that are 50 to 300 ms old.

Change: decisions/capacity learns from calls (load at the start, time over expected time, refusals) a weight and a limit of each replica relative to its service and stage. CapacityTracker keeps the sums, which age, and LoadExchange shares them under the key `capacity` of the load messages (27 bytes for a replica, in slices; version 8 is kept). Plain calls, prefills, first events and event gaps are recorded by single calls. chooseByFreeCapacity distributes what other daemons have probably begun since their reports and draws a replica in proportion; without peers it is chooseLeastOccupied. Fullness refers to the limit in the choice, in expectedSlotWait and in hasFreeReplica. Metrics chestnut_replica_weight and chestnut_replica_limit for at most 64 deviating replicas, event replica_capacity_changed.

--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -7,6 +7,8 @@
 
 #include "decisions/accounts/ClientAccount.h"
 #include "decisions/admission/Admission.h"
+#include "decisions/capacity/CapacityPlacement.h"
+#include "decisions/capacity/ReplicaCapacity.h"
 #include "decisions/claims/ClaimKey.h"
 #include "decisions/claims/ClaimLog.h"
 #include "decisions/discovery/Discovery.h"
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/members/LoadExchange.h"
 #include "gateway/members/LoadMessage.h"
+#include "gateway/replicas/CapacityTracker.h"
 #include "gateway/replicas/LoadTracker.h"
 #include "gateway/replicas/ReplicaDirectory.h"
 #include "gateway/replicas/SpeedTracker.h"
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 
 namespace chestnut {
 
@@ -22,6 +23,16 @@
     constexpr Duration collectorTimeout = std::chrono::milliseconds(700);
     /** Keys of sums in the load tracker; the work of single daemons is stored under their ids. */
     const DaemonId fleetKey("fleet");
+    /** Time in which the capacity samples of all replicas are sent, unless these are too many for maximumCapacityRate. */
+    constexpr Duration capacityCycle = std::chrono::seconds(3);
+    /** Replicas a second whose samples are sent to one receiver. One takes 27 bytes, and a member receives from two collectors. */
+    constexpr double maximumCapacityRate = 50;
+
+    CapacityScope capacityScopeOf(LoadScope scope)
+    {
+        return scope == LoadScope::Daemon ? CapacityScope::Daemon : scope == LoadScope::Zone ? CapacityScope::Zone
+                                                                                             : CapacityScope::Fleet;
+    }
 
     DaemonId zoneKey(const AvailabilityZone& zone)
     {
@@ -127,6 +138,7 @@
     }
     applyWork(*message);
     applySamples(*message);
+    applyCapacities(*message);
     for (const auto& loss : message->losses)
         m_crashTracker.add(loss);
     for (const auto& success : message->successes)
@@ -185,10 +197,32 @@
     return m_speeds.samplesOf([](const DaemonId&) { return true; });
 }
 
-LoadMessage LoadExchange::composeMessage(LoadScope scope, std::vector<ReplicaWork> work) const
+void LoadExchange::applyCapacities(const LoadMessage& message)
+{
+    auto isOwnZone = message.sender.zone == m_directory.self().zone;
+    auto collects = m_topology.isMesh || m_topology.isCollector;
+    auto& capacity = m_loadTracker->capacity();
+    if (message.scope == LoadScope::Daemon && collects)
+        capacity.setPeerSamples(message.sender.id, message.capacities);
+    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone)
+        capacity.setZoneSamples(message.sender.zone, message.capacities);
+    else if (message.scope == LoadScope::Fleet && !collects)
+        capacity.setFleetSamples(message.capacities);
+}
+
+std::vector<CapacitySamples> LoadExchange::capacitiesFor(LoadScope scope)
+{
+    const auto& capacity = m_loadTracker->capacity();
+    auto rate = std::min(static_cast<double>(capacity.size()) / toSeconds(capacityCycle), maximumCapacityRate);
+    auto count = static_cast<size_t>(std::ceil(rate * toSeconds(period())));
+    return capacity.nextSamples(capacityScopeOf(scope), m_capacityCursors[scope], count);
+}
+
+LoadMessage LoadExchange::composeMessage(LoadScope scope, std::vector<ReplicaWork> work)
 {
     LoadMessage message { m_directory.self(), scope, m_isLeaving, std::move(work) };
     message.speedSamples = samplesFor(scope);
+    message.capacities = capacitiesFor(scope);
     message.losses = m_crashTracker.recentLosses();
     message.successes = m_crashTracker.recentSuccesses();
     message.engineCrashes = m_crashTracker.recentPartCrashes();
--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -4,6 +4,7 @@
 #include "gateway/members/LoadTopology.h"
 
 #include <boost/asio/ip/udp.hpp>
+#include <map>
 
 namespace chestnut {
 
@@ -33,11 +34,14 @@
     void send(const LoadMessage&, const std::vector<Endpoint>& targets);
     /** The samples of the daemons that the scope covers. */
     std::vector<ServiceSamples> samplesFor(LoadScope) const;
-    LoadMessage composeMessage(LoadScope, std::vector<ReplicaWork>) const;
+    LoadMessage composeMessage(LoadScope, std::vector<ReplicaWork>);
+    /** The next capacity samples of the daemons that the scope covers; all of them follow each other in a few seconds. */
+    std::vector<CapacitySamples> capacitiesFor(LoadScope);
     std::vector<ReplicaWork> zoneWork() const;
     std::vector<DaemonId> liveDaemonsOfZone() const;
     void applyWork(const LoadMessage&);
     void applySamples(const LoadMessage&);
+    void applyCapacities(const LoadMessage&);
     Duration period() const;
 
     asio::io_context& m_context;
@@ -51,6 +55,7 @@
     asio::ip::udp::socket m_socket;
     TimerSubscription m_timer;
     LoadTopology m_topology;
+    std::map<LoadScope, ReplicaId> m_capacityCursors; /**< replica whose samples were sent last */
     std::vector<ReplicaWork> m_sentWork; /**< own work as last sent; the received sums include it */
     TimePoint m_sentAt;
     std::optional<TimePoint> m_lastCollectorMessageAt; /**< from a collector that can reach the store */
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -18,6 +18,7 @@
     constexpr size_t workItemsPerPart = 40;
     constexpr size_t liveDaemonsPerPart = 30;
     constexpr size_t leavingReplicasPerPart = 15;
+    constexpr size_t capacitiesPerPart = 32;
     constexpr size_t entriesPerPart = 12;
     constexpr size_t engineCrashesPerPart = 3;
     constexpr size_t partBeginsPerPart = 12;
@@ -76,6 +77,72 @@
         return list;
     }
 
+    /** Steps of the encoded logarithms: 12 for a doubling of a count and 24 for a doubling of a mean, so that an encoded value
+        differs from the sum by at most 3%. */
+    constexpr double countSteps = 12;
+    constexpr double meanSteps = 24;
+    constexpr double meanSquareSteps = 16;
+    /** Counts from a quarter of a call on are resolved. */
+    constexpr double countUnit = 0.25;
+    constexpr int middleByte = 128;
+    constexpr size_t capacityBytes = 2 * loadBands + 2;
+
+    uint8_t byteOf(double value)
+    {
+        return static_cast<uint8_t>(std::clamp(std::lround(value), 0L, 255L));
+    }
+
+    uint8_t encodeCount(double count)
+    {
+        return byteOf(countSteps * std::log2(1 + count / countUnit));
+    }
+
+    double decodeCount(uint8_t byte)
+    {
+        return (std::exp2(byte / countSteps) - 1) * countUnit;
+    }
+
+    uint8_t encodeMean(double sum, double count, double steps)
+    {
+        return sum > 0 && count > 0 ? byteOf(middleByte + steps * std::log2(sum / count)) : middleByte;
+    }
+
+    double decodeMean(uint8_t byte, double steps)
+    {
+        return std::exp2((byte - middleByte) / steps);
+    }
+
+    json encodeCapacities(const std::vector<CapacitySamples>& list)
+    {
+        auto items = json::array();
+        for (const auto& samples : list) {
+            std::vector<uint8_t> bytes;
+            for (const auto& [count, timeRatios] : samples.bands) {
+                bytes.push_back(encodeCount(count));
+                bytes.push_back(encodeMean(timeRatios, count, meanSteps));
+            }
+            bytes.push_back(encodeMean(samples.squaredRatios, callsOf(samples), meanSquareSteps));
+            bytes.push_back(encodeCount(samples.errors));
+            items.push_back({ samples.replica.value(), json::binary(std::move(bytes)) });
+        }
+        return items;
+    }
+
+    CapacitySamples decodeCapacity(const json& item)
+    {
+        const auto& bytes = item.at(1).get_binary();
+        if (bytes.size() != capacityBytes)
+            throw json::out_of_range::create(406, "capacity samples of a wrong size", &item);
+        CapacitySamples samples { ReplicaId(item.at(0).get<std::string>()) };
+        for (size_t band = 0; band < loadBands; ++band) {
+            auto count = decodeCount(bytes[2 * band]);
+            samples.bands.at(band) = { count, count * decodeMean(bytes[2 * band + 1], meanSteps) };
+        }
+        samples.squaredRatios = callsOf(samples) * decodeMean(bytes[capacityBytes - 2], meanSquareSteps);
+        samples.errors = decodeCount(bytes[capacityBytes - 1]);
+        return samples;
+    }
+
     json encodeLosses(const std::vector<LostAttemptReport>& losses)
     {
         auto list = json::array();
@@ -277,6 +344,7 @@
             { "leaving", message.isLeaving },
             { "work", encodeWork(message.work) },
             { "speeds", encodeSamples(message.speedSamples) },
+            { "capacity", encodeCapacities(message.capacities) },
             { "losses", encodeLosses(message.losses) },
             { "served", encodeSuccesses(message.successes) },
             { "crashes", encodeEngineCrashes(message.engineCrashes) },
@@ -299,7 +367,7 @@
 
     uint32_t countOfParts(const LoadMessage& message)
     {
-        auto parts = std::max({ partsOf(message.work.size(), workItemsPerPart), partsOf(message.liveDaemons.size(), liveDaemonsPerPart), partsOf(message.leavingReplicas.size(), leavingReplicasPerPart), partsOf(message.entries.size(), entriesPerPart), partsOf(message.engineCrashes.size(), engineCrashesPerPart), partsOf(message.partBegins.size(), partBeginsPerPart), size_t(1) });
+        auto parts = std::max({ partsOf(message.work.size(), workItemsPerPart), partsOf(message.liveDaemons.size(), liveDaemonsPerPart), partsOf(message.leavingReplicas.size(), leavingReplicasPerPart), partsOf(message.entries.size(), entriesPerPart), partsOf(message.engineCrashes.size(), engineCrashesPerPart), partsOf(message.partBegins.size(), partBeginsPerPart), partsOf(message.capacities.size(), capacitiesPerPart), size_t(1) });
         return static_cast<uint32_t>(parts);
     }
 
@@ -323,6 +391,7 @@
         slice.entries = sliceOf(message.entries, part);
         slice.engineCrashes = sliceOf(message.engineCrashes, part);
         slice.partBegins = sliceOf(message.partBegins, part);
+        slice.capacities = sliceOf(message.capacities, part);
         return slice;
     }
 
@@ -367,6 +436,9 @@
         message.isLeaving = document.at("leaving").get<bool>();
         message.work = decodeWork(document.at("work"));
         message.speedSamples = decodeSamples(document.at("speeds"));
+        // Daemons of earlier versions send none.
+        for (const auto& item : document.value("capacity", json::array()))
+            message.capacities.push_back(decodeCapacity(item));
         message.losses = decodeLosses(document.at("losses"));
         message.successes = decodeSuccesses(document.at("served"));
         message.engineCrashes = decodeEngineCrashes(document.at("crashes"));
--- a/modules/gateway/members/LoadMessage.h
+++ b/modules/gateway/members/LoadMessage.h
@@ -32,6 +32,7 @@
     bool isStoreReachable = true; /**< by the sender */
     std::vector<DaemonId> liveDaemons; /**< daemons that send messages to the sender; only in messages of the scope Fleet */
     MessagePart part;
+    std::vector<CapacitySamples> capacities; /**< of the same daemons, for some replicas; the others follow in later messages */
 
     bool operator==(const LoadMessage&) const = default;
 };
--- a/modules/gateway/replicas/LoadTracker.cpp
+++ b/modules/gateway/replicas/LoadTracker.cpp
@@ -15,6 +15,9 @@
     /** Weight of a new sample in the moving averages. */
     constexpr double sampleWeight = 0.15;
     constexpr double highestSlowdown = 8;
+    /** Mean age of what is known of other daemons, in periods between two reports: a daemon, its collector and this daemon each
+        add half a period, and a member receives the reports of two collectors. */
+    constexpr double reportPeriodsOfAge = 2;
     /** Consecutive failures, or the share of failed attempts, that eject a replica. */
     constexpr uint32_t failuresToEject = 3;
     constexpr double failureShareToEject = 0.35;
@@ -34,6 +37,7 @@
 LoadTracker::LoadTracker(TimerService& timers, Log& log)
     : m_timers(timers)
     , m_log(log)
+    , m_capacity(timers, log)
 {
 }
 
@@ -115,6 +119,7 @@
     const auto& [own, peers] = std::tie(record->own, record->peers);
     ReplicaObservation observation;
     observation.work = { replica, own.requests + peers.requests, own.queued };
+    observation.peerRequests = peers.requests;
     observation.work.queued += peers.queued;
     observation.requestsAtRefusal = now < record->refusalValidUntil ? record->requestsAtRefusal : 0;
     observation.slowdown = record->slowdown;
@@ -170,7 +175,13 @@
 void LoadTracker::setPeerWork(const DaemonId& daemon, std::vector<ReplicaWork> work, MessagePart part)
 {
     assert(part.index < part.count);
-    auto& [parts, receivedAt] = m_peers[daemon];
+    auto [peer, isNew] = m_peers.try_emplace(daemon);
+    auto& [parts, receivedAt, reportedAt] = peer->second;
+    if (part.index == 0) {
+        if (!isNew)
+            recordReportPeriod(m_timers.now() - reportedAt);
+        reportedAt = m_timers.now();
+    }
     for (size_t i = part.count; i < parts.size(); ++i)
         subtractPeer(parts[i]);
     parts.resize(part.count);
@@ -182,11 +193,26 @@
     receivedAt = m_timers.now();
 }
 
+void LoadTracker::recordReportPeriod(Duration period)
+{
+    auto seconds = toSeconds(m_reportPeriod.value_or(period));
+    m_reportPeriod = fromSeconds(seconds + (toSeconds(period) - seconds) * sampleWeight);
+}
+
+std::optional<UnseenLoad> LoadTracker::unseenLoad(std::optional<Duration> occupancy)
+{
+    if (m_peers.empty() || !m_reportPeriod)
+        return std::nullopt;
+    auto age = fromSeconds(toSeconds(*m_reportPeriod) * reportPeriodsOfAge);
+    auto draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+    return UnseenLoad { occupancy ? replacedShareAfter(age, *occupancy) : 0, draw };
+}
+
 void LoadTracker::expirePeers()
 {
     auto now = m_timers.now();
     std::erase_if(m_peers, [&](const auto& entry) {
-        const auto& [parts, receivedAt] = entry.second;
+        const auto& [parts, receivedAt, reportedAt] = entry.second;
         if (now - receivedAt < peerTimeout)
             return false;
         for (const auto& part : parts)
@@ -218,6 +244,7 @@
     auto share = errorShareOf(record);
     record.errorShare = share + (1 - share) * sampleWeight;
     record.errorShareAt = m_timers.now();
+    m_capacity.recordError(replica);
     record.completedAt = m_timers.now();
 }
 
@@ -243,6 +270,7 @@
 {
     auto requests = requestsAt(replica);
     if (requests < slots) {
+        m_capacity.recordRefusal(replica, (requests + 1.0) / slots);
         recordFailure(replica);
         return;
     }
@@ -278,6 +306,7 @@
         return;
     auto& record = found->second;
     record.parts.clear();
+    m_capacity.reset(replica);
     record.slowdown = 1;
     record.failureShare = 0;
     record.errorShare = 0;
--- a/modules/gateway/replicas/LoadTracker.h
+++ b/modules/gateway/replicas/LoadTracker.h
@@ -2,13 +2,15 @@
 
 #include "base/ids/StrongId.h"
 #include "base/time/TimePoint.h"
+#include "decisions/capacity/CapacityPlacement.h"
 #include "decisions/errors/ErrorCauses.h"
-#include "decisions/placement/PromptPlacement.h"
+#include "gateway/replicas/CapacityTracker.h"
 #include "kernel/logging/Log.h"
 #include "kernel/timers/TimerService.h"
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <unordered_map>
 #include <vector>
 
@@ -34,6 +36,7 @@
 /** The state of one replica as seen by the placement of a request. */
 struct ReplicaObservation {
     ReplicaWork work; /**< of all daemons */
+    uint32_t peerRequests = 0; /**< those of other daemons */
     uint32_t requestsAtRefusal = 0; /**< requests in flight at its recent refusal of another one; zero without a refusal */
     double slowdown = 1; /**< ratio of observed to expected time */
     double errorShare = 0; /**< see PlacementView */
@@ -78,6 +81,12 @@
     /** Replaces a peer's work, or one part of it. It expires when it is not updated for peerTimeout. */
     void setPeerWork(const DaemonId&, std::vector<ReplicaWork>, MessagePart = {});
     void expirePeers();
+    /** What a choice among replicas cannot see of the load, when each request lasts for `occupancy`; nothing without peers. */
+    std::optional<UnseenLoad> unseenLoad(std::optional<Duration> occupancy);
+    /** Sets the beginning of the random numbers, which should differ between daemons. */
+    void seed(uint64_t value) { m_random.seed(value); }
+
+    CapacityTracker& capacity() { return m_capacity; }
 
     void recordSuccess(const ReplicaId&, double slowdown);
     /** Records an attempt that ended without a response from the replica. */
@@ -115,6 +124,7 @@
     struct PeerWork {
         std::vector<std::vector<ReplicaWork>> parts;
         TimePoint receivedAt;
+        TimePoint reportedAt; /**< when the first part was received */
     };
 
     void add(const ReplicaWork&, ReplicaWork Record::*side);
@@ -123,12 +133,16 @@
     [[nodiscard]] InFlightWork beginWork(ReplicaWork);
     const Record* find(const ReplicaId&) const;
     double errorShareOf(const Record&) const;
+    void recordReportPeriod(Duration);
 
     TimerService& m_timers;
     Log& m_log;
     std::unordered_map<ReplicaId, Record> m_records;
     ErrorCauses m_errorCauses;
     std::unordered_map<DaemonId, PeerWork> m_peers;
+    std::optional<Duration> m_reportPeriod; /**< moving average of the time between two reports of one peer */
+    std::mt19937_64 m_random;
+    CapacityTracker m_capacity;
 };
 
 } // namespace chestnut
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -16,6 +16,8 @@
     /** Decode calls that may be preceded by a prefill; in later ones the decode engine processes the prompt. */
     constexpr uint32_t maximumPrefillRounds = 2;
     constexpr size_t maximumResponseBytes = 8 << 20;
+    /** Weight of the time between two events for the capacity of an engine. The events of a stream are delayed together. */
+    constexpr double eventGapWeight = 0.1;
 
     /** Describes the engines, their requests in flight and the number of ejected ones. */
     std::string describeLoad(const std::vector<PlacementView>& views)
@@ -94,7 +96,7 @@
     auto occupancy = relay.services.speeds.speedOf(relay.service).occupancy.value_or(Duration::zero());
     if (auto wait = expectedSlotWait(views, occupancy); !wait || *wait > relay.remaining())
         return saturatedError("the decode engines are saturated: " + describeLoad(views));
-    auto choice = chooseLeastOccupied(views, relay.services.zone);
+    auto choice = relay.chooseReplica(views);
     return *entries[choice.value_or(0)];
 }
 
@@ -205,6 +207,7 @@
             relay.services.streams->recordEvent(relay.service, engine.id, relay.services.timers.now());
             if (!m_lastEventAt)
                 relay.recordFirstEvent(engine);
+            recordCapacity(engine, sentAt);
             recordEventTime(sentAt);
         }
         if (isEnd && !splitter.isInsideEvent())
@@ -230,6 +233,17 @@
     }
 }
 
+void GenerationRelay::recordCapacity(const ReplicaEntry& engine, TimePoint sentAt)
+{
+    auto& relay = *m_relay;
+    auto speed = relay.services.speeds.speedOf(relay.service);
+    auto time = relay.services.timers.now() - m_lastEventAt.value_or(sentAt);
+    if (m_lastEventAt)
+        relay.recordCapacity(engine, relay.loadShareOf(engine), time, speed.eventGap, eventGapWeight);
+    else
+        relay.recordCapacity(engine, relay.loadShareOf(engine), time, speed.firstEvent);
+}
+
 void GenerationRelay::recordEventTime(TimePoint sentAt)
 {
     auto& relay = *m_relay;
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -52,6 +52,8 @@
     void watchSilence(const ReplicaId& engine, std::optional<Duration> limit);
     SilenceWatch::Callbacks silenceCallbacks();
     void recordEventTime(TimePoint sentAt);
+    /** Records the time of the event that has arrived, before recordEventTime(). */
+    void recordCapacity(const ReplicaEntry&, TimePoint sentAt);
 
     asio::awaitable<void> sendFailure(Error);
     void releaseHandle();
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -29,7 +29,7 @@
         views.reserve(entries.size());
         for (const auto* entry : entries)
             views.push_back(relay.viewOf(*entry));
-        auto choice = chooseLeastOccupied(views, relay.services.zone);
+        auto choice = relay.chooseReplica(views);
         // If every replica is ejected, trying one is better than refusing the request.
         if (!choice && mayUseEjected && !entries.empty())
             choice = 0;
@@ -37,11 +37,14 @@
     }
 
     /** The callbacks of an attempt that waits for its response until `limit`. */
-    SilenceWatch::Callbacks silenceCallbacks(RelayContext& relay, Duration limit)
+    SilenceWatch::Callbacks silenceCallbacks(RelayContext& relay, const ReplicaEntry& replica, Duration limit)
     {
         auto canContinueElsewhere = [&relay](const ReplicaId& replica) { return relay.hasFreeReplica(EngineStage::None, replica); };
         // The call needs at least this time, so that a service that has become slower is abandoned less often.
-        auto onInterrupt = [&relay, limit](TimePoint) { relay.services.speeds.recordOccupancy(relay.service, limit); };
+        auto onInterrupt = [&relay, replica, limit](TimePoint) {
+            relay.recordCapacity(replica, relay.loadShareOf(replica), limit, relay.services.speeds.speedOf(relay.service).occupancy);
+            relay.services.speeds.recordOccupancy(relay.service, limit);
+        };
         return { canContinueElsewhere, [] { return false; }, onInterrupt };
     }
 
@@ -50,9 +53,10 @@
         ReplicaCall call { relay.request, replica.id, replica.address, relay.remaining() };
         call.abort = relay.abort;
         auto startedAt = relay.services.timers.now();
-        SilenceWatch watch(relay, silenceCallbacks(relay, limit));
+        SilenceWatch watch(relay, silenceCallbacks(relay, replica, limit));
         watch.start(replica.id, limit);
         auto inFlightWork = relay.services.loadTracker->begin(replica.id);
+        auto loadShare = relay.loadShareOf(replica);
         auto response = co_await relay.services.replicaClient.send(std::move(call));
         if (!response)
             co_return response.error();
@@ -73,6 +77,7 @@
         }
         auto elapsed = relay.services.timers.now() - startedAt;
         auto expected = relay.services.speeds.speedOf(relay.service).occupancy;
+        relay.recordCapacity(replica, loadShare, elapsed, expected);
         relay.services.speeds.recordOccupancy(relay.service, elapsed);
         relay.recordAttemptSuccess(replica.id, startedAt, expected ? toSeconds(elapsed) / toSeconds(*expected) : 1);
         co_return complete;
--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -84,6 +84,7 @@
     const auto& [engine, choice, speed] = placement;
     auto& services = m_relay.services;
     auto inFlightWork = services.loadTracker->beginPrefill(engine.id, choice.missingTokens, choice.rank);
+    auto loadShare = m_relay.loadShareOf(engine);
     m_priority = priorityOfRank.at(static_cast<size_t>(choice.rank));
     std::vector<uint64_t> parts;
     for (size_t i = 0; i + 1 < m_prompt.parts.size(); ++i)
@@ -100,6 +101,7 @@
     if (response) {
         m_time = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
         services.speeds.recordPrefill(m_relay.service, choice.workTokens, elapsed);
+        m_relay.recordCapacity(engine, loadShare, elapsed, choice.expectedTime ? std::optional(expectedPrefillTime(*speed, choice.workTokens)) : std::nullopt);
         auto slowdown = speed ? toSeconds(elapsed) / toSeconds(expectedPrefillTime(*speed, choice.workTokens)) : 1;
         m_relay.recordAttemptSuccess(engine.id, startedAt, slowdown);
     }
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -21,6 +21,18 @@
         return std::min(request.timeLeft.value_or(route.timeout), route.timeout);
     }
 
+    /** Calls from which on the capacity that the fleet has learned replaces the slowdown that this daemon has seen. */
+    constexpr double fewestCapacitySamples = 4;
+
+    void applyCapacity(PlacementView& view, const ReplicaCapacity& capacity, double ownSlowdown)
+    {
+        auto isKnown = capacity.samples >= fewestCapacitySamples;
+        view.slowdown = isKnown ? 1 : ownSlowdown;
+        view.limit = capacity.limitShare * view.slots;
+        view.speed = capacity.speed;
+        view.errorShare = capacity.errorShare;
+    }
+
     std::string secondsText(std::chrono::milliseconds time)
     {
         std::array<char, 32> text {};
@@ -223,6 +235,23 @@
     return last;
 }
 
+std::optional<size_t> RelayContext::chooseReplica(std::span<const PlacementView> views) const
+{
+    auto unseen = services.loadTracker->unseenLoad(services.speeds.speedOf(service).occupancy);
+    return chooseByFreeCapacity(views, services.zone, unseen);
+}
+
+double RelayContext::loadShareOf(const ReplicaEntry& replica) const
+{
+    return static_cast<double>(services.loadTracker->requestsAt(replica.id)) / std::max(replica.slots, 1U);
+}
+
+void RelayContext::recordCapacity(const ReplicaEntry& replica, double loadShare, Duration time, std::optional<Duration> expected, double weight)
+{
+    if (expected && *expected > Duration::zero())
+        services.loadTracker->capacity().record(replica.id, loadShare, toSeconds(time) / toSeconds(*expected), weight);
+}
+
 PlacementView RelayContext::viewOf(const ReplicaEntry& entry) const
 {
     auto observation = services.loadTracker->observe(entry.id);
@@ -233,8 +262,9 @@
     view.requests = observation.work.requests;
     view.queued = observation.work.queued;
     view.requestsAtRefusal = observation.requestsAtRefusal;
-    view.slowdown = observation.slowdown;
-    view.errorShare = observation.errorShare;
+    view.peerRequests = observation.peerRequests;
+    applyCapacity(view, services.loadTracker->capacity().capacityOf(entry), observation.slowdown);
+    view.errorShare = std::max(view.errorShare, observation.errorShare);
     view.isEjected = observation.isEjected;
     return view;
 }
@@ -251,7 +281,7 @@
 {
     return std::ranges::any_of(candidates(stage), [&](const ReplicaEntry* entry) {
         auto view = viewOf(*entry);
-        return entry->id != other && !view.isEjected && view.requests < view.slots;
+        return entry->id != other && !view.isEjected && view.requests < limitOf(view);
     });
 }
 
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -89,6 +89,11 @@
     /** Records an attempt to which the replica has responded; `slowdown` is the ratio of observed to expected time. */
     void recordAttemptSuccess(const ReplicaId&, TimePoint sentAt, double slowdown);
 
+    /** Share of the replica's slots that are occupied, with the attempt in progress there. */
+    double loadShareOf(const ReplicaEntry&) const;
+    /** Records how long a replica needed for a part of an attempt that began at this load. Without an expected time it says nothing. */
+    void recordCapacity(const ReplicaEntry&, double loadShare, Duration time, std::optional<Duration> expected, double weight = 1);
+
     /** Records an attempt that a replica ran and answered with an error of its own. The replica is blamed by
         blameForErrors(), as only a later attempt may show that the request is the cause. */
     void recordErrorResponse(const ReplicaId&, TimePoint sentAt, int status);
@@ -103,6 +108,8 @@
     Error finalError(Error last) const;
 
     PlacementView viewOf(const ReplicaEntry&) const;
+    /** The replica of a plain service, or the decode engine, for the next attempt. */
+    std::optional<size_t> chooseReplica(std::span<const PlacementView>) const;
 
     /** The replicas that this request has not been sent to, or if there are none, those that were only silent. */
     std::vector<const ReplicaEntry*> candidates(EngineStage) const;
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -77,6 +77,8 @@
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
     , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone, m_settings.bounds.soundSilence }
 {
+    m_loadTracker->seed(hash64(m_settings.self.id.value()));
+    m_loadTracker->capacity().publishTo(m_dependencies.metrics);
     m_dependencies.replicaClient.onNotice([this](const ReplicaNotice& notice) { onNotice(notice); });
     m_dependencies.store.onEpochChange([this] { onStoreRestored(); });
     m_dependencies.store.onResponseLost([this] { m_daemons->verifyStore(); });
--- a/tests/gateway/LoadMessageTest.cpp
+++ b/tests/gateway/LoadMessageTest.cpp
@@ -51,6 +51,49 @@
     CHECK_FALSE(decodeLoadMessage(truncated).has_value());
 }
 
+// Guards against sums that change on their way through the fleet.
+TEST_CASE("capacity samples are decoded with a deviation of a few percent in few bytes")
+{
+    LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } } };
+    auto sizeWithout = encodeLoadMessage(message).front().size();
+    CapacitySamples samples { ReplicaId("i-0123456789") };
+    samples.bands = { { { 0.3, 0.2 }, { 12, 40 }, { 0, 0 }, { 3000, 400 }, { 1.5, 6 } } };
+    samples.squaredRatios = 900;
+    samples.errors = 7;
+    message.capacities = { samples };
+    auto datagram = encodeLoadMessage(message).front();
+    CHECK(datagram.size() - sizeWithout == 27);
+    auto decoded = decodeLoadMessage(datagram);
+    REQUIRE(decoded.has_value());
+    REQUIRE(decoded->capacities.size() == 1);
+    const auto& received = decoded->capacities.front();
+    for (size_t band = 0; band < loadBands; ++band) {
+        CHECK(received.bands.at(band).count == doctest::Approx(samples.bands.at(band).count).epsilon(0.06));
+        CHECK(received.bands.at(band).timeRatios == doctest::Approx(samples.bands.at(band).timeRatios).epsilon(0.08));
+    }
+    CHECK(received.squaredRatios == doctest::Approx(samples.squaredRatios).epsilon(0.08));
+    CHECK(received.errors == doctest::Approx(samples.errors).epsilon(0.06));
+}
+
+TEST_CASE("a load message without capacity samples, as daemons of earlier versions send it, is accepted; invalid samples are not")
+{
+    LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } } };
+    auto document = nlohmann::json::from_cbor(encodeLoadMessage(message).front());
+    auto accepts = [&document] {
+        auto bytes = nlohmann::json::to_cbor(document);
+        return decodeLoadMessage({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }).has_value();
+    };
+    document.erase("capacity");
+    CHECK(accepts());
+    auto withSamples = [](nlohmann::json samples) { return nlohmann::json::array({ nlohmann::json::array({ "i-1", std::move(samples) }) }); };
+    document["capacity"] = withSamples(nlohmann::json::binary(std::vector<uint8_t>(12, 255)));
+    CHECK(accepts());
+    document["capacity"] = withSamples(nlohmann::json::binary(std::vector<uint8_t>(3, 255)));
+    CHECK_FALSE(accepts());
+    document["capacity"] = withSamples("text");
+    CHECK_FALSE(accepts());
+}
+
 TEST_CASE("the load message of a small fleet fits into one datagram and is decoded as it was encoded")
 {
     auto message = fleetMessage(17, 6, 2);
