--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/members/LoadExchange.h"
 #include "gateway/members/LoadMessage.h"
+#include "gateway/replicas/CapacityTracker.h"
 #include "gateway/replicas/FleetLoad.h"
 #include "gateway/replicas/LoadTracker.h"
 #include "gateway/replicas/ReplicaDirectory.h"
--- a/modules/gateway/members/LoadMessage.h
+++ b/modules/gateway/members/LoadMessage.h
@@ -34,6 +34,7 @@
     std::vector<DaemonId> liveDaemons; /**< daemons that send messages to the sender; only in messages of the scope Fleet */
     MessagePart part;
     ConfigurationNotice configuration; /**< of the sender; the holders are only in the first part */
+    std::vector<CapacitySamples> capacities; /**< of the same daemons, for some replicas; the others follow in later messages */
 
     bool operator==(const LoadMessage&) const = default;
 };
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -87,6 +87,8 @@
 {
     m_exchange.shareVersions(m_versions);
     addUsage();
+    m_loadTracker->seed(hash64(m_settings.self.id.value()));
+    m_loadTracker->capacity().publishTo(m_dependencies.metrics);
     m_dependencies.replicaClient.onNotice([this](const ReplicaNotice& notice) { onNotice(notice); });
     m_dependencies.store.onEpochChange([this] { onStoreRestored(); });
     m_dependencies.store.onResponseLost([this] { m_daemons->verifyStore(); });
