--- a/standins/servicestandin/main.cpp
+++ b/standins/servicestandin/main.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <thread>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "loopback address and port to listen on");
 ABSL_FLAG(uint32_t, ports, 1, "number of consecutive ports to listen on; each is the address of one backend server");
@@ -18,6 +19,7 @@
 ABSL_FLAG(uint32_t, crash_before_execution, 0, "fault: abort on the n-th call before it is executed; 0: never");
 ABSL_FLAG(uint32_t, crash_after_execution, 0, "fault: abort on the n-th call after it was executed; 0: never");
 ABSL_FLAG(uint32_t, lost_answers, 0, "fault: number of calls after whose execution the connection is closed without a response");
+ABSL_FLAG(int64_t, listen_delay_ms, 0, "fault: delay of the start before the process listens, in milliseconds");
 ABSL_FLAG(bool, print_executions, false, "print the idempotency key of each execution");
 
 using namespace chestnut;
@@ -134,6 +136,7 @@
     faults.crashAfterExecution = absl::GetFlag(FLAGS_crash_after_execution);
     faults.lostAnswers = absl::GetFlag(FLAGS_lost_answers);
     faults.serviceMs = absl::GetFlag(FLAGS_service_ms);
+    std::this_thread::sleep_for(std::chrono::milliseconds(absl::GetFlag(FLAGS_listen_delay_ms)));
     asio::io_context context;
     ServiceDouble service(context, faults, absl::GetFlag(FLAGS_slots), absl::GetFlag(FLAGS_print_executions));
     return serveStandin(
--- a/tests/processes/ProcessCluster.cpp
+++ b/tests/processes/ProcessCluster.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <filesystem>
 #include <fstream>
 
@@ -33,6 +34,16 @@
         return flags;
     }
 
+    /** Whether the process accepts connections; the connection is closed without a request. */
+    bool isListening(const Endpoint& endpoint)
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        boost::system::error_code error;
+        socket.connect({ asio::ip::make_address(endpoint.address), endpoint.port }, error);
+        return !error;
+    }
+
     std::string listOf(const std::vector<uint16_t>& ports)
     {
         std::string list;
@@ -66,6 +77,9 @@
         startBackendServer(i);
     for (size_t i = 0; i < m_shape.daemons; ++i)
         startDaemon(i);
+    // Daemons become ready without the backend servers, so their readiness does not show that tests can reach these.
+    if (!eventually([this] { return areStandinsListening(); }))
+        return false;
     if (!eventually([this] { return submit(firstTicket()) == 200; }))
         return false;
     return eventually([this] { return areAllReady(); });
@@ -185,6 +199,21 @@
     return { { "service", "orders" }, { "address", formatEndpoint(serverEndpoint(index)) }, { "zone", zoneOf(index) }, { "region", "r1" } };
 }
 
+bool ProcessCluster::areStandinsListening() const
+{
+    if (!isListening(keyValueEndpoint()))
+        return false;
+    for (size_t i = 0; i < m_shape.engines; ++i) {
+        if (!isListening(engineEndpoint(i)))
+            return false;
+    }
+    for (size_t i = 0; i < m_shape.backendServers; ++i) {
+        if (!isListening(serverEndpoint(i)))
+            return false;
+    }
+    return true;
+}
+
 bool ProcessCluster::isReady(size_t daemon)
 {
     HttpRequest request;
--- a/tests/processes/ProcessCluster.h
+++ b/tests/processes/ProcessCluster.h
@@ -30,7 +30,7 @@
 public:
     explicit ProcessCluster(ClusterShape);
 
-    /** Starts all processes, submits the first ticket and waits until all daemons are ready. */
+    /** Starts all processes, submits the first ticket and waits until the stand-ins listen and all daemons are ready. */
     bool start();
 
     void startDaemon(size_t index);
@@ -65,6 +65,7 @@
     nlohmann::json serverObject(size_t index) const;
     bool isReady(size_t daemon);
     bool areAllReady();
+    bool areStandinsListening() const;
 
     /** Runs a program of the build and waits for its exit. */
     struct Run {
--- a/tests/processes/ServiceFailureTest.cpp
+++ b/tests/processes/ServiceFailureTest.cpp
@@ -150,3 +150,15 @@
     CHECK(summary["answered_once"] == summary["sent"]);
     CHECK(summary["wrong_answers"] == 0);
 }
+
+// Guards against tests whose first call to a stand-in fails because its process does not listen yet: daemons are ready without it.
+TEST_CASE("a cluster counts as started only when its stand-ins listen" * doctest::test_suite("services"))
+{
+    auto shape = fastShape("late_servers");
+    shape.daemons = 1;
+    shape.serviceFlags.emplace_back("--listen_delay_ms=6000");
+    ProcessCluster cluster(shape);
+    REQUIRE(cluster.start());
+    for (size_t i = 0; i < cluster.serverCount(); ++i)
+        CHECK(setFaults(cluster, cluster.serverEndpoint(i), { { "serviceMs", 10 } }));
+}
