--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -4,7 +4,6 @@
 #include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
-#include <boost/algorithm/string/predicate.hpp>
 
 namespace chestnut {
 
@@ -34,13 +33,6 @@
         return status >= 200 && status < 300;
     }
 
-    /** Whether the response is a stream of events. Without a content type it is taken for one. */
-    bool isEventStream(const ReplicaResponse& response)
-    {
-        auto type = response.headers.value("Content-Type");
-        return isSuccess(response.body->status()) && (type.empty() || boost::algorithm::istarts_with(type, "text/event-stream"));
-    }
-
 } // namespace
 
 GenerationRelay::GenerationRelay(RelayPointer relay, HttpResponseWriter& writer)
@@ -57,6 +49,8 @@
 {
     if (auto served = co_await generate(); !served)
         co_await sendFailure(m_relay->finalError(served.error()));
+    if (m_move)
+        m_move->cancel();
     releaseHandle();
 }
 
@@ -69,15 +63,28 @@
     auto hasBegun = [this] { return m_writer.hasBegun(); };
     // The event needs at least this time, so that engines that have become slower are abandoned less often.
     auto onInterrupt = [this](TimePoint since) { recordEventTime(since); };
-    return { canContinueElsewhere, hasBegun, onInterrupt };
+    auto openElsewhere = [this](const ReplicaId& engine) { return openMove(engine); };
+    return { canContinueElsewhere, hasBegun, onInterrupt, openElsewhere };
+}
+
+std::shared_ptr<StreamMove> GenerationRelay::openMove(const ReplicaId& silent)
+{
+    m_relay->silent.insert(silent);
+    auto engine = chooseDecodeEngine();
+    if (!engine || engine->id == silent)
+        return nullptr;
+    auto move = std::make_shared<StreamMove>(m_relay, *engine);
+    logRouted(*engine);
+    move->start(m_lastEventId, priority());
+    return move;
 }
 
-void GenerationRelay::watchSilence(const ReplicaId& engine, std::optional<Duration> limit)
+void GenerationRelay::watchSilence(const ReplicaEntry& engine, std::optional<Duration> limit)
 {
     const auto& services = m_relay->services;
-    const auto* registered = services.replicas.find(engine);
+    const auto* registered = services.replicas.find(engine.id);
     // At a full engine the request is queued; sending it to another engine would only add work.
-    auto isFull = registered && services.loadTracker->requestsAt(engine) > registered->entry.slots;
+    auto isFull = registered && services.loadTracker->requestsAt(engine.id) > registered->entry.slots;
     m_silenceWatch.start(engine, isFull ? std::nullopt : limit);
 }
 
@@ -112,35 +119,35 @@
     return !isShortPrompt(m_prompt->promptTokens, m_prompt->maximumOutputTokens, speed, relay.route.gapObjective);
 }
 
+uint32_t GenerationRelay::priority() const
+{
+    return m_prefill ? m_prefill->priority().value_or(defaultPriority) : defaultPriority;
+}
+
+void GenerationRelay::logRouted(const ReplicaEntry& engine) const
+{
+    const auto& relay = *m_relay;
+    relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "in_flight", relay.services.loadTracker->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "left_ms", relay.remaining().count() / 1000 } });
+}
+
 asio::awaitable<Result<ReplicaResponse>> GenerationRelay::openDecodeStream(const ReplicaEntry& engine)
 {
     auto& relay = *m_relay;
+    watchSilence(engine, firstEventWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
+    if (auto move = std::exchange(m_move, nullptr))
+        co_return co_await move->takeResponse();
     ReplicaCall call { relay.request, engine.id, engine.address, relay.remaining() };
     call.abort = relay.abort;
-    call.priority = m_prefill ? m_prefill->priority().value_or(defaultPriority) : defaultPriority;
+    call.priority = priority();
     call.handle = m_handle;
     if (!m_lastEventId.empty())
         call.resumeAfter = m_lastEventId;
-    watchSilence(engine.id, firstEventWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
-    relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "in_flight", relay.services.loadTracker->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "left_ms", relay.remaining().count() / 1000 } });
-    auto response = co_await relay.services.replicaClient.send(std::move(call));
-    if (!response) {
-        // The engine may have fetched the KV cache, and a handle is valid for a single fetch.
-        if (describe(response.error().kind).outcome != Outcome::NotRun)
-            m_handle.reset();
-        co_return response.error();
-    }
-    auto status = std::to_string(response->body->status());
-    if (response->executionStatus == ExecutionStatus::NotExecuted)
-        co_return makeError(ErrorKind::Overloaded, "refused by the replica with status " + status);
-    if (response->executionStatus == ExecutionStatus::WrongReplica)
-        co_return makeError(ErrorKind::NoBackend, "the address belongs to another replica, or the replica does not decode");
-    // The engine has fetched the KV cache, so the handle is no longer valid.
-    m_handle.reset();
-    if (response->executionStatus == ExecutionStatus::Unverified)
-        co_return makeError(ErrorKind::BackendFailed, "the response has no valid replica seal");
-    if (m_isContinuation && !isEventStream(*response))
-        co_return makeError(ErrorKind::BackendFailed, "the replica did not resume the stream: status " + status);
+    logRouted(engine);
+    auto sent = co_await relay.services.replicaClient.send(std::move(call));
+    auto response = checkDecodeResponse(std::move(sent), m_isContinuation);
+    // The engine may have fetched the KV cache, and a handle is valid for a single fetch.
+    if (response || describe(response.error().kind).outcome != Outcome::NotRun)
+        m_handle.reset();
     co_return response;
 }
 
@@ -216,7 +223,7 @@
         if (!fits)
             co_return StreamEnd::Mismatch;
         if (hasEvents && !isEnd)
-            watchSilence(engine.id, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective, relay.remaining(), relay.services.soundSilence));
+            watchSilence(engine, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective, relay.remaining(), relay.services.soundSilence));
         if (!isEnd)
             continue;
         if (splitter.isInsideEvent())
@@ -262,6 +269,8 @@
 
 asio::awaitable<Result<ReplicaEntry>> GenerationRelay::prepareDecode(bool mayPrefill)
 {
+    if (m_move)
+        co_return m_move->engine;
     if (mayPrefill && needsPrefill()) {
         // No prefill starts while the decode engines are saturated. The decode engine is chosen again after the prefill.
         if (auto engine = chooseDecodeEngine(); !engine)
@@ -278,16 +287,14 @@
 {
     auto& relay = *m_relay;
     auto inFlightWork = relay.services.loadTracker->begin(engine.id);
-    auto sentAt = relay.services.timers.now();
+    auto sentAt = m_move ? m_move->sentAt : relay.services.timers.now();
     StreamProgress::Stream inProgress(relay.services.streams, relay.service, engine.id, sentAt);
     m_lastEventAt.reset();
     m_isContinuation = m_writer.hasBegun();
     m_hasEvents = false;
     auto response = co_await openDecodeStream(engine);
-    if (!response) {
-        m_silenceWatch.stop();
+    if (!response)
         co_return response.error();
-    }
     if (!isEventStream(*response)) {
         auto relayed = co_await relayWholeResponse(*response);
         m_silenceWatch.stop();
@@ -297,10 +304,9 @@
         }
         co_return relayed;
     }
-    auto end = co_await relayEvents(engine, *response, sentAt);
-    m_silenceWatch.stop();
-    switch (end) {
+    switch (co_await relayEvents(engine, *response, sentAt)) {
     case StreamEnd::Complete:
+        m_silenceWatch.stop();
         relay.services.speeds.recordOccupancy(relay.service, relay.services.timers.now() - sentAt);
         relay.recordAttemptSuccess(engine.id, sentAt, 1);
         relay.recordCompletion();
@@ -335,8 +341,10 @@
             co_return last;
         ++m_decodeCalls;
         auto served = co_await decodeAt(*engine);
+        relay.abort->detach();
         if (served)
             co_return served;
+        m_move = m_silenceWatch.takeMove();
         last = served.error();
         relay.recordAttemptFailure(engine->id, last);
         if (!m_lastEventAt)
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -49,10 +49,14 @@
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
     /** Waits for the next complete event; bytes of an incomplete one are no progress. */
-    void watchSilence(const ReplicaId& engine, std::optional<Duration> limit);
+    void watchSilence(const ReplicaEntry&, std::optional<Duration> limit);
     SilenceWatch::Callbacks silenceCallbacks();
+    /** Opens the stream at another engine than the silent one; null if none can be chosen. */
+    std::shared_ptr<StreamMove> openMove(const ReplicaId& silent);
     void recordEventTime(TimePoint sentAt);
 
+    uint32_t priority() const;
+    void logRouted(const ReplicaEntry&) const;
     asio::awaitable<void> sendFailure(Error);
     void releaseHandle();
     void logCompletion(int status) const;
@@ -68,6 +72,7 @@
     bool m_isContinuation = false; /**< the client had received events before the present decode attempt */
     std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
     SilenceWatch m_silenceWatch;
+    std::shared_ptr<StreamMove> m_move; /**< the response of the next decode attempt, which has been requested already */
     uint32_t m_decodeCalls = 0;
     TimePoint m_firstEventAt;
     std::optional<TimePoint> m_lastEventAt; /**< of the present decode attempt */
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -37,7 +37,7 @@
         auto canContinueElsewhere = [&relay](const ReplicaId& replica) { return relay.hasFreeReplica(EngineStage::None, replica); };
         // The call needs at least this time, so that a service that has become slower is abandoned less often.
         auto onInterrupt = [&relay, limit](TimePoint) { relay.services.speeds.recordOccupancy(relay.service, limit); };
-        return { canContinueElsewhere, [] { return false; }, onInterrupt };
+        return { canContinueElsewhere, [] { return false; }, onInterrupt, {} };
     }
 
     asio::awaitable<Result<CompleteResponse>> attempt(RelayContext& relay, const ReplicaEntry& replica, Duration limit)
@@ -46,7 +46,7 @@
         call.abort = relay.abort;
         auto startedAt = relay.services.timers.now();
         SilenceWatch watch(relay, silenceCallbacks(relay, limit));
-        watch.start(replica.id, limit);
+        watch.start(replica, limit);
         auto inFlightWork = relay.services.loadTracker->begin(replica.id);
         auto response = co_await relay.services.replicaClient.send(std::move(call));
         if (!response)
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -214,7 +214,9 @@
 {
     return std::ranges::any_of(candidates(stage), [&](const ReplicaEntry* entry) {
         auto view = viewOf(*entry);
-        return entry->id != other && !view.isEjected && view.requests < view.slots;
+        // An engine whose memory is full refuses requests although it has free slots.
+        auto isFull = view.requests >= view.slots || (view.requestsAtRefusal > 0 && view.requests >= view.requestsAtRefusal);
+        return entry->id != other && !view.isEjected && !isFull;
     });
 }
 
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -77,6 +77,12 @@
     /** Takes the next retry from the retry budget in advance; returns false when the budget is exhausted. */
     bool reserveRetry();
 
+    /** Counts the retry that was taken in advance as used, by a call that replaced no attempt. */
+    void useReservedRetry() { m_hasReservedRetry = false; }
+
+    /** The attempt in progress is ended by this daemon, so that its failure counts neither as a crash nor against the content. */
+    void markInterrupted() { m_isInterrupted = true; }
+
     /** Ends the attempt in progress, which then counts neither as a crash of the replica nor against the request's content. */
     void interruptAttempt();
 
--- a/modules/gateway/requests/ReplicaClient.h
+++ b/modules/gateway/requests/ReplicaClient.h
@@ -61,6 +61,19 @@
     uint64_t expectedOrders = 0; /**< orders accepted so far; the engine refuses the order on a mismatch */
 };
 
+/** A run of a request at an engine. */
+struct EngineRun {
+    ReplicaId replica;
+    std::string address;
+    RequestId request;
+};
+
+enum class RunStopResult : uint8_t {
+    Stopped,
+    NotRunning, /**< the engine runs no such request */
+    Refused, /**< the run may go on */
+};
+
 enum class OrderResult : uint8_t {
     Accepted,
     AlreadyDone,
@@ -86,6 +99,12 @@
     virtual asio::awaitable<Result<EngineReport>> report(ReplicaId, std::string address) = 0;
     virtual asio::awaitable<Result<OrderResult>> order(StageOrder) = 0;
 
+    /** Asks an engine whether it still runs a request. An engine that does not list its runs may run it. An error means that it has
+        not answered in time. */
+    virtual asio::awaitable<Result<bool>> mayBeRunning(EngineRun, Duration timeout) = 0;
+    /** Ends a run, whose stream is then closed without its end. `successor` is the address of the engine that continues it. */
+    virtual asio::awaitable<Result<RunStopResult>> stopRun(EngineRun, std::string successor, Duration timeout) = 0;
+
     /** Registers the only receiver of notices. It is called for each response header that contains one, whatever the call
         and its outcome, and before the call returns. */
     void onNotice(std::function<void(const ReplicaNotice&)> receiver) { m_noticeReceiver = std::move(receiver); }
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -51,7 +51,8 @@
         {
             if (m_abort && m_abort->isAborted())
                 co_return makeError(ErrorKind::BackendFailed, "aborted");
-            if (!co_await waitUnlessAborted(m_timers, m_timers.now() + m_response.chunkDelay, m_abort))
+            auto delay = m_response.delays.contains(m_next) ? m_response.delays[m_next] : m_response.chunkDelay;
+            if (!co_await waitUnlessAborted(m_timers, m_timers.now() + delay, m_abort))
                 co_return makeError(ErrorKind::BackendFailed, "interrupted");
             if (m_next < m_response.chunks.size())
                 co_return std::optional(m_response.chunks[m_next++]);
@@ -361,6 +362,30 @@
     co_return OrderResult::Accepted;
 }
 
+asio::awaitable<std::optional<Error>> FakeReplicaClient::failRunCall(ReplicaId replica, Duration timeout)
+{
+    const auto& answers = runAnswers[replica];
+    if (!answers.isUnresponsive)
+        co_return answers.error;
+    co_await m_timers.sleep(timeout);
+    co_return makeError(ErrorKind::DeadlineExceeded, "no answer");
+}
+
+asio::awaitable<Result<bool>> FakeReplicaClient::mayBeRunning(EngineRun run, Duration timeout)
+{
+    if (auto error = co_await failRunCall(run.replica, timeout))
+        co_return *error;
+    co_return runAnswers[run.replica].mayBeRunning;
+}
+
+asio::awaitable<Result<RunStopResult>> FakeReplicaClient::stopRun(EngineRun run, std::string, Duration timeout)
+{
+    stoppedAt.push_back(run.replica);
+    if (auto error = co_await failRunCall(run.replica, timeout))
+        co_return *error;
+    co_return runAnswers[run.replica].stop;
+}
+
 asio::awaitable<Result<void>> FakeWriter::send(HttpResponse response)
 {
     status = response.status;
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -106,6 +106,7 @@
     bool closesEarly = false; /**< after the chunks, without the end of the body */
     Duration delay {};
     Duration chunkDelay {}; /**< before each chunk */
+    std::map<size_t, Duration> delays; /**< before the chunk of this index, or before the end of the body, instead of chunkDelay */
 };
 
 /** Speed and prompt cache of the fake prefill engines. Each serves one prompt after the other, also those of aborted calls. */
@@ -119,6 +120,14 @@
     std::set<ReplicaId> unresponsive; /**< accept calls and never respond */
 };
 
+/** What a fake engine answers to calls about a run. */
+struct RunAnswers {
+    bool mayBeRunning = true;
+    RunStopResult stop = RunStopResult::Stopped;
+    std::optional<Error> error; /**< of each call, at once */
+    bool isUnresponsive = false; /**< calls get no answer */
+};
+
 /** Fake replicas with scripted responses. An aborted call fails like a broken connection. */
 class FakeReplicaClient final : public ReplicaClient {
 public:
@@ -145,14 +154,20 @@
     std::vector<CacheHandle> released;
     size_t reportCalls = 0;
     std::vector<StageOrder> orders;
+    std::map<ReplicaId, RunAnswers> runAnswers;
+    std::vector<ReplicaId> stoppedAt; /**< engines that were asked to end a run */
 
     asio::awaitable<Result<ReplicaResponse>> send(ReplicaCall) override;
     asio::awaitable<Result<PrefillResponse>> prefill(ReplicaCall) override;
     asio::awaitable<Result<void>> release(CacheHandle) override;
     asio::awaitable<Result<EngineReport>> report(ReplicaId, std::string address) override;
     asio::awaitable<Result<OrderResult>> order(StageOrder) override;
+    asio::awaitable<Result<bool>> mayBeRunning(EngineRun, Duration timeout) override;
+    asio::awaitable<Result<RunStopResult>> stopRun(EngineRun, std::string successor, Duration timeout) override;
 
 private:
+    /** The error of a call about a run, if there is one. */
+    asio::awaitable<std::optional<Error>> failRunCall(ReplicaId, Duration timeout);
     void publish(const ReplicaId&, const std::string& address, TimePoint sentAt);
     ScriptedResponse nextResponse(const ReplicaId&);
     /** Reads the missing parts of the prompt; returns when the engine has done so. */
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayFixture.h"
 
+#include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 
@@ -44,6 +45,11 @@
     void script(const std::string& id, std::deque<ScriptedResponse> responses) { replicaClient.scripts[ReplicaId(id)] = std::move(responses); }
 
     Route resumable() const { return route(RouteKind::Streaming, 2, true); }
+    size_t sentTo(const std::string& id) const
+    {
+        return static_cast<size_t>(std::ranges::count(replicaClient.sent, ReplicaId(id), &FakeReplicaClient::Sent::replica));
+    }
+
     Route single() const { return route(RouteKind::Streaming, 1, false); }
 };
 
@@ -448,11 +454,12 @@
         }
     }
 
-    /** Runs a request with 15 s whose stream at i-d1 has two events, each after this pause. */
+    /** Runs a request with 15 s whose stream at i-d1 has two events, with this pause before the second one and before its end. */
     void runStream(FakeWriter& writer, Duration pause)
     {
         auto paused = stream({ event(1), event(2) });
         paused.chunkDelay = pause;
+        paused.delays = { { 0, 10ms } };
         script("i-d1", { paused });
         auto route = resumable();
         route.timeout = 15s;
@@ -471,14 +478,148 @@
     CHECK(fixture.replicaClient.sent.size() == 1);
 }
 
-// Guards against a stream that is ended because the next engine refuses what a silent one would have continued.
-TEST_CASE("a stream returns to its silent engine when all others refuse")
+// Guards against a stream that goes on at two engines, because a sound one was silent for a moment and kept its run.
+TEST_CASE("a stream that has begun is not moved during a silence of 1.7 s of an engine that answers")
+{
+    PacedEngines fixture;
+    FakeWriter writer;
+    fixture.runStream(writer, 1700ms);
+    CHECK(fixture.replicaClient.sent.size() == 1);
+    CHECK(fixture.replicaClient.stoppedAt.empty());
+}
+
+// Guards against a stream that is ended because the other engines refuse what a silent one would have continued.
+TEST_CASE("a silent attempt goes on while all other engines refuse its stream")
 {
     PacedEngines fixture;
+    fixture.addReplica("i-d3", "s", "decode", "b");
     fixture.script("i-d2", { refuse() });
+    fixture.script("i-d3", { refuse() });
+    SUBCASE("of an engine that answers") { }
+    SUBCASE("of an engine that answers nothing") { fixture.replicaClient.runAnswers[ReplicaId("i-d1")].isUnresponsive = true; }
+    FakeWriter writer;
+    fixture.runStream(writer, 3s);
+    CHECK(fixture.sentTo("i-d1") == 1);
+    CHECK(fixture.sentTo("i-d2") == 1);
+    CHECK(fixture.sentTo("i-d3") == 1);
+    CHECK(fixture.replicaClient.stoppedAt.empty());
+}
+
+/** A stream whose engine i-d1 stops sending after the first event; i-d2 has the rest of it. */
+struct StoppedStream : PacedEngines {
+    StoppedStream()
+    {
+        auto stopped = stream({ event(1), event(2) });
+        stopped.chunkDelay = 10ms;
+        stopped.delays = { { 1, 8s } };
+        script("i-d1", { stopped });
+        script("i-d2", { stream({ event(2) + event(3) }) });
+    }
+
+    RunAnswers& answers() { return replicaClient.runAnswers[ReplicaId("i-d1")]; }
+
+    void run(Duration time)
+    {
+        auto newRoute = resumable();
+        newRoute.timeout = 15s;
+        runRequest(newRoute, writer, longPrompt(), time);
+    }
+
+    FakeWriter writer;
+    const std::string body = event(1) + event(2) + event(3);
+};
+
+// Guards against a run that goes on beside its continuation at an engine that does not drop requests.
+TEST_CASE("the run of a silent engine that answers is ended before its stream continues elsewhere")
+{
+    StoppedStream fixture;
+    fixture.run(2s);
+    CHECK(fixture.writer.body == fixture.body);
+    CHECK(fixture.writer.isFinished);
+    CHECK(fixture.replicaClient.stoppedAt == std::vector { ReplicaId("i-d1") });
+    CHECK(fixture.replicaClient.sent.back().resumeAfter == "1");
+}
+
+TEST_CASE("a stream stays at an engine that refuses to end its run")
+{
+    StoppedStream fixture;
+    fixture.answers().stop = RunStopResult::Refused;
+    fixture.run(12s);
+    CHECK(fixture.writer.body == event(1) + event(2));
+    CHECK(fixture.writer.isFinished);
+    CHECK(fixture.replicaClient.stoppedAt.size() == 1);
+    CHECK(fixture.sentTo("i-d2") == 1);
+}
+
+// Guards against clients that wait longer for a dead engine because its run is examined.
+TEST_CASE("a stream of an engine that answers nothing is continued elsewhere after the time of one call")
+{
+    StoppedStream fixture;
+    auto limit = 1800ms;
+    SUBCASE("without an answer") { fixture.answers().isUnresponsive = true; }
+    SUBCASE("as it cannot be reached")
+    {
+        fixture.answers().error = makeError(ErrorKind::ConnectFailed, "refused");
+        limit = 1500ms;
+    }
+    SUBCASE("as it does not run the request")
+    {
+        fixture.answers().mayBeRunning = false;
+        limit = 1500ms;
+    }
+    constexpr auto timeBeforeSilence = 10ms;
+    fixture.run(timeBeforeSilence + limit + 30ms);
+    CHECK(fixture.writer.body == fixture.body);
+}
+
+// Guards against a connection that is lost during the examination being waited for.
+TEST_CASE("a stream whose connection breaks is continued at once")
+{
+    StoppedStream fixture;
+    auto broken = stream({ event(1) }, true);
+    Duration silence {};
+    SUBCASE("without a silence") { silence = 10ms; }
+    SUBCASE("while its engine is asked") { silence = 1600ms; }
+    SUBCASE("while another engine has not responded yet")
+    {
+        silence = 1850ms;
+        auto late = stream({ event(2) + event(3) });
+        late.delay = 200ms;
+        fixture.script("i-d2", { late });
+    }
+    broken.chunkDelay = 10ms;
+    broken.delays = { { 1, silence } };
+    fixture.script("i-d1", { broken });
+    fixture.run(silence + 250ms);
+    CHECK(fixture.writer.body == fixture.body);
+    CHECK(fixture.sentTo("i-d2") == 1);
+}
+
+TEST_CASE("an engine that goes on before another one has accepted its stream keeps it")
+{
+    PacedEngines fixture;
+    auto late = stream({ event(2) });
+    late.delay = 200ms;
+    fixture.script("i-d2", { late });
     FakeWriter writer;
-    fixture.runStream(writer, 1550ms);
-    CHECK(fixture.replicaClient.sent.size() == 3);
+    fixture.runStream(writer, 1850ms);
+    CHECK(fixture.sentTo("i-d1") == 1);
+    CHECK(fixture.replicaClient.stoppedAt.empty());
+}
+
+// Guards against a second run of a request whose engine is still working towards its first event.
+TEST_CASE("a run without events is ended before the request is sent to another engine")
+{
+    Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
+    auto stalled = stream({ event(1) });
+    stalled.delay = 5s;
+    fixture.script("i-d1", { stalled });
+    fixture.script("i-d2", { stream({ event(1) }) });
+    FakeWriter writer;
+    fixture.runRequest(fixture.resumable(), writer, fixture.longPrompt(), 900ms);
+    CHECK(writer.isFinished);
+    CHECK(fixture.replicaClient.stoppedAt == std::vector { ReplicaId("i-d1") });
 }
 
 TEST_CASE("a client that reads slowly is no silence of the engine")
--- a/tests/platform/HttpReplicaClientTest.cpp
+++ b/tests/platform/HttpReplicaClientTest.cpp
@@ -138,3 +138,65 @@
     CHECK(test::runToEnd(replica.context, replica.client.report(id, replica.address())).value().acceptedOrders == 2);
     CHECK(test::runToEnd(replica.context, replica.client.order({ id, replica.address(), EngineStage::Decode, "d0", 1, 2 })).value() == OrderResult::Refused);
 }
+
+namespace {
+
+/** Responds to each request with the given bytes and keeps what was sent; without bytes it never responds. */
+struct AnsweringReplica : ReplicaListener {
+    explicit AnsweringReplica(std::string bytes)
+        : response(std::move(bytes))
+    {
+        asio::co_spawn(context, acceptAll(), asio::detached);
+    }
+
+    asio::awaitable<void> acceptAll()
+    {
+        while (true)
+            asio::co_spawn(context, serve(co_await acceptor.async_accept(asio::use_awaitable)), asio::detached);
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string bytes(4096, '\0');
+        while (true) {
+            auto size = co_await socket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
+            received.append(bytes, 0, size);
+            if (!response.empty() && received.ends_with(received.starts_with("GET") ? "\r\n\r\n" : "}"))
+                co_await asio::async_write(socket, asio::buffer(response), asio::use_awaitable);
+        }
+    }
+
+    static std::string withBody(const std::string& body) { return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body; }
+
+    EngineRun run() const { return { ReplicaId("i-1"), address(), RequestId("q1") }; }
+
+    Result<bool> mayBeRunning() { return test::runToEnd(context, client.mayBeRunning(run(), 200ms)); }
+    Result<RunStopResult> stop() { return test::runToEnd(context, client.stopRun(run(), "10.0.0.2:80", 200ms)); }
+
+    std::string response;
+    std::string received;
+};
+
+} // namespace
+
+// Guards against a second run of a request beside one that its engine still lists, or whose end is unknown.
+TEST_CASE("only a report that lists other runs shows that a run has ended")
+{
+    for (const auto* body : { R"({"runs":[["q2",10,1,5],["q1",900,33,4]]})", R"({"running":1})", R"({"runs":7})", R"({"runs":[{}]})", "?", "" })
+        CHECK(AnsweringReplica(AnsweringReplica::withBody(body)).mayBeRunning().value());
+    for (const auto* body : { R"({"runs":[["q2",10,1,5]]})", R"({"runs":[]})" })
+        CHECK_FALSE(AnsweringReplica(AnsweringReplica::withBody(body)).mayBeRunning().value());
+    CHECK_FALSE(AnsweringReplica("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n").mayBeRunning().value());
+    CHECK_FALSE(AnsweringReplica("").mayBeRunning().has_value());
+}
+
+TEST_CASE("a run counts as ended when its engine has stopped it or does not know it")
+{
+    AnsweringReplica stopping(AnsweringReplica::withBody("{}"));
+    CHECK(stopping.stop().value() == RunStopResult::Stopped);
+    CHECK(stopping.received.starts_with("POST /v1/kv-move "));
+    CHECK(stopping.received.ends_with(R"({"id":"q1","last":true,"to":"10.0.0.2:80"})"));
+    CHECK(AnsweringReplica("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").stop().value() == RunStopResult::NotRunning);
+    CHECK(AnsweringReplica("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").stop().value() == RunStopResult::Refused);
+    CHECK_FALSE(AnsweringReplica("").stop().has_value());
+}
