--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -45,7 +45,7 @@
             relay.recordCapacity(replica, relay.loadShareOf(replica), limit, relay.services.speeds.speedOf(relay.service).occupancy);
             relay.services.speeds.recordOccupancy(relay.service, limit);
         };
-        return { canContinueElsewhere, [] { return false; }, onInterrupt };
+        return { canContinueElsewhere, [] { return false; }, onInterrupt, {} };
     }
 
     asio::awaitable<Result<CompleteResponse>> attempt(RelayContext& relay, const ReplicaEntry& replica, Duration limit)
@@ -54,7 +54,7 @@
         call.abort = relay.abort;
         auto startedAt = relay.services.timers.now();
         SilenceWatch watch(relay, silenceCallbacks(relay, replica, limit));
-        watch.start(replica.id, limit);
+        watch.start(replica, limit);
         auto inFlightWork = relay.services.loadTracker->begin(replica.id);
         auto loadShare = relay.loadShareOf(replica);
         auto response = co_await relay.services.replicaClient.send(std::move(call));
