Share a service that is short of capacity between the client accounts

Cause: when a service refused requests, a large account, or a caller that retried at once, was served in proportion to what it asked for, and displaced the others. Each daemon sees too few requests of an account to know its share. The load of real daemons, the bytes of the messages and the processor time were not measured. test_fuzz, the process tests and the soak were not run.

--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -15,6 +15,7 @@
 #include "decisions/drains/Shutdown.h"
 #include "decisions/ejection/Ejection.h"
 #include "decisions/estimates/WorkEstimate.h"
+#include "decisions/fairness/AccountShares.h"
 #include "decisions/fairness/FairQueue.h"
 #include "decisions/hedging/Hedging.h"
 #include "decisions/leases/Lease.h"
--- a/modules/gateway/accounts/StatusRecorder.h
+++ b/modules/gateway/accounts/StatusRecorder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/requests/RelayContext.h"
 #include "http/server/HttpServer.h"
 
 namespace chestnut {
@@ -15,8 +16,12 @@
     /** Of the response that has begun; zero before that. */
     int status() const { return m_status; }
 
+    /** The kind of error, if this daemon has refused the request; see sendErrorResponse(). */
+    std::optional<ErrorKind> refusal() const { return m_refusal; }
+
     asio::awaitable<Result<void>> send(HttpResponse response) override
     {
+        m_refusal = errorKindOf(response);
         m_status = response.status;
         return m_writer.send(std::move(response));
     }
@@ -35,6 +40,7 @@
 private:
     HttpResponseWriter& m_writer;
     int m_status = 0;
+    std::optional<ErrorKind> m_refusal;
 };
 
 } // namespace chestnut
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -4,6 +4,7 @@
     Routes opaque requests by host and path to engines and backend servers that are listed in a store, without tickets. */
 
 #include "gateway/accounts/AccountMetrics.h"
+#include "gateway/accounts/AccountUseTracker.h"
 #include "gateway/accounts/Authentication.h"
 #include "gateway/blocks/BlockCodec.h"
 #include "gateway/blocks/BlockDirectory.h"
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -129,6 +129,7 @@
         m_versions->record(message->sender.id, message->configuration);
     applyWork(*message);
     applySamples(*message);
+    applyAccountUse(*message);
     for (const auto& loss : message->losses)
         m_crashTracker.add(loss);
     for (const auto& success : message->successes)
@@ -174,6 +175,35 @@
         m_speeds.setFleetSamples(message.speedSamples);
 }
 
+void LoadExchange::applyAccountUse(const LoadMessage& message)
+{
+    if (!m_accountUse || message.part.index > 0)
+        return;
+    auto isOwnZone = message.sender.zone == m_directory.self().zone;
+    auto collects = m_topology.isMesh || m_topology.isCollector;
+    if (message.scope == LoadScope::Daemon && collects)
+        m_accountUse->setPeerUse(message.sender.id, message.accountUse);
+    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone)
+        m_accountUse->setPeerUse(zoneKey(message.sender.zone), message.accountUse);
+    else if (message.scope == LoadScope::Fleet && !collects)
+        m_accountUse->setFleetUse(message.accountUse);
+}
+
+std::vector<ServiceUse> LoadExchange::accountUseFor(LoadScope scope) const
+{
+    if (!m_accountUse)
+        return {};
+    switch (scope) {
+    case LoadScope::Daemon:
+        return m_accountUse->ownUse();
+    case LoadScope::Zone:
+        return m_accountUse->useOf([](const DaemonId& daemon) { return !isSum(daemon); });
+    case LoadScope::Fleet:
+        break;
+    }
+    return m_accountUse->useOf([](const DaemonId&) { return true; });
+}
+
 std::vector<ServiceSamples> LoadExchange::samplesFor(LoadScope scope) const
 {
     switch (scope) {
@@ -191,6 +221,7 @@
 {
     LoadMessage message { m_directory.self(), scope, m_isLeaving, std::move(work) };
     message.speedSamples = samplesFor(scope);
+    message.accountUse = accountUseFor(scope);
     message.losses = m_crashTracker.recentLosses();
     message.successes = m_crashTracker.recentSuccesses();
     message.engineCrashes = m_crashTracker.recentPartCrashes();
--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/accounts/AccountUseTracker.h"
 #include "gateway/configuration/ConfigurationExchange.h"
 #include "gateway/members/LoadMessage.h"
 #include "gateway/members/LoadTopology.h"
@@ -30,6 +31,9 @@
     /** Whether a collector with access to the store reports its changes, so that this daemon can watch the store less often. */
     bool receivesStoreChanges() const;
 
+    /** Sends and receives the use by accounts from now on. */
+    void shareAccountUse(AccountUseTracker& accountUse) { m_accountUse = &accountUse; }
+
 private:
     asio::awaitable<void> receiveAll();
     void receive(std::string_view datagram);
@@ -42,6 +46,8 @@
     std::vector<DaemonId> liveDaemonsOfZone() const;
     void applyWork(const LoadMessage&);
     void applySamples(const LoadMessage&);
+    void applyAccountUse(const LoadMessage&);
+    std::vector<ServiceUse> accountUseFor(LoadScope) const;
     Duration period() const;
 
     asio::io_context& m_context;
@@ -59,6 +65,7 @@
     TimePoint m_sentAt;
     std::optional<TimePoint> m_lastCollectorMessageAt; /**< from a collector that can reach the store */
     ConfigurationExchange* m_versions = nullptr;
+    AccountUseTracker* m_accountUse = nullptr;
     bool m_isLeaving = false;
 };
 
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -25,6 +25,8 @@
     constexpr Duration maximumReportAge = std::chrono::minutes(1);
     /** Limits the memory of a receiver, which stores a list for each part. The two-year target needs far fewer parts. */
     constexpr uint32_t maximumParts = 256;
+    /** Services in one message whose use by accounts is reported. */
+    constexpr size_t maximumShortServices = 16;
     /** Each part carries all lost attempts; one with a longer id, which a client chooses, is not reported. */
     constexpr size_t maximumAttemptIdBytes = 128;
 
@@ -291,6 +293,36 @@
         return notice;
     }
 
+    json encodeAccountUse(const std::vector<ServiceUse>& list)
+    {
+        auto items = json::array();
+        for (const auto& use : list) {
+            auto accounts = json::array();
+            for (const auto& account : use.accounts)
+                accounts.push_back({ account.account.value(), account.priority, static_cast<float>(account.requested) });
+            items.push_back({ use.service.value(), static_cast<float>(use.admitted), static_cast<float>(use.refused), std::move(accounts) });
+        }
+        return items;
+    }
+
+    /** Daemons of earlier versions send no use. */
+    std::vector<ServiceUse> decodeAccountUse(const json& document)
+    {
+        std::vector<ServiceUse> list;
+        auto items = document.find("use");
+        if (items == document.end())
+            return list;
+        checkSize(*items, maximumShortServices);
+        for (const auto& item : *items) {
+            ServiceUse use { ServiceId(item.at(0).get<std::string>()), decodeSum(item.at(1)), decodeSum(item.at(2)), {} };
+            checkSize(item.at(3), maximumListedAccounts + maximumOtherPriorities);
+            for (const auto& account : item.at(3))
+                use.accounts.push_back({ AccountId(account.at(0).get<std::string>()), account.at(1).get<uint32_t>(), decodeSum(account.at(2)) });
+            list.push_back(std::move(use));
+        }
+        return list;
+    }
+
     std::string encodePart(const LoadMessage& message)
     {
         json document {
@@ -312,6 +344,8 @@
             { "part", { message.part.index, message.part.count } },
             { "config", encodeNotice(message.configuration) },
         };
+        if (!message.accountUse.empty())
+            document["use"] = encodeAccountUse(message.accountUse);
         auto bytes = json::to_cbor(document);
         return { bytes.begin(), bytes.end() };
     }
@@ -343,6 +377,8 @@
             slice.speedSamples.clear();
         if (part.index > 0)
             slice.configuration.holders.clear();
+        if (part.index > 0)
+            slice.accountUse.clear();
         slice.work = sliceOf(message.work, part);
         slice.liveDaemons = sliceOf(message.liveDaemons, part);
         slice.leavingReplicas = sliceOf(message.leavingReplicas, part);
@@ -402,6 +438,7 @@
         message.entries = decodeEntries(document.at("entries"));
         message.isStoreReachable = document.at("store").get<bool>();
         message.liveDaemons = decodeIds<DaemonId>(document.at("living"));
+        message.accountUse = decodeAccountUse(document);
         message.configuration = decodeNotice(document);
         message.part = { document.at("part").at(0).get<uint32_t>(), document.at("part").at(1).get<uint32_t>() };
         if (message.part.index >= message.part.count || message.part.count > maximumParts)
--- a/modules/gateway/members/LoadMessage.h
+++ b/modules/gateway/members/LoadMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/fairness/AccountShares.h"
 #include "gateway/configuration/ConfigurationNotice.h"
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/replicas/LoadTracker.h"
@@ -33,6 +34,7 @@
     bool isStoreReachable = true; /**< by the sender */
     std::vector<DaemonId> liveDaemons; /**< daemons that send messages to the sender; only in messages of the scope Fleet */
     MessagePart part;
+    std::vector<ServiceUse> accountUse; /**< of services that are short of capacity, by the same daemons; only in the first part */
     ConfigurationNotice configuration; /**< of the sender; the holders are only in the first part */
 
     bool operator==(const LoadMessage&) const = default;
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -306,4 +306,15 @@
     (void)co_await writer.send(std::move(response));
 }
 
+std::optional<ErrorKind> errorKindOf(const HttpResponse& response)
+{
+    // Most responses are those of replicas, and long; only refusals are parsed.
+    if (response.status != 503 && response.status != 429)
+        return std::nullopt;
+    auto document = nlohmann::json::parse(response.body, nullptr, false);
+    auto error = document.is_object() ? document.value("error", nlohmann::json()) : nlohmann::json();
+    auto kind = error.is_object() ? error.value("kind", nlohmann::json()) : nlohmann::json();
+    return kind.is_string() ? errorKindFromName(kind.get_ref<const std::string&>()) : std::nullopt;
+}
+
 } // namespace chestnut
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -157,4 +157,7 @@
 /** Sends an error response, with a Retry-After header if the client may retry. */
 asio::awaitable<void> sendErrorResponse(HttpResponseWriter&, const RequestId&, const Error&);
 
+/** The kind of error that such a response contains; nothing for responses of replicas. */
+std::optional<ErrorKind> errorKindOf(const HttpResponse&);
+
 } // namespace chestnut
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -26,6 +26,16 @@
     /** The pause while collectors report the changes; limits the delay of changes that they failed to report. */
     constexpr Duration memberPause = std::chrono::seconds(10);
 
+    /** Retry-After of a request beyond its account's share. The shares follow the demand within this time. */
+    constexpr std::chrono::milliseconds accountRetryAfter { 1000 };
+
+    Error accountLimitError()
+    {
+        auto error = makeError(ErrorKind::AccountLimit, "the service is short of capacity, and the account exceeds its share");
+        error.retryAfter = accountRetryAfter;
+        return error;
+    }
+
     /** Counts a request in progress. */
     class InProgressCounter {
     public:
@@ -81,8 +91,10 @@
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
     , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone, m_settings.bounds.soundSilence }
     , m_accountMetrics(m_dependencies.timers, m_dependencies.metrics)
+    , m_accountUse(m_dependencies.timers, hash64(m_settings.self.id.value()))
 {
     m_exchange.shareVersions(m_versions);
+    m_exchange.shareAccountUse(m_accountUse);
     m_dependencies.replicaClient.onNotice([this](const ReplicaNotice& notice) { onNotice(notice); });
     m_dependencies.store.onEpochChange([this] { onStoreRestored(); });
     m_dependencies.store.onResponseLost([this] { m_daemons->verifyStore(); });
@@ -201,19 +213,36 @@
         co_await refuse(request.id, authenticated.error(), writer);
         co_return;
     }
-    if (!request.account) {
-        co_await serve(std::move(request), table, *route, writer);
+    auto service = serviceFor(*route, hash64(request.id.value()));
+    if (request.account)
+        co_await serveAccount(std::move(request), table, *route, service, writer);
+    else
+        co_await serve(std::move(request), table, *route, service, writer);
+}
+
+asio::awaitable<void> Gateway::serveAccount(RoutedRequest request, std::shared_ptr<const RouteTable> table, const Route& route, const ServiceId& service, HttpResponseWriter& writer)
+{
+    auto account = *request.account;
+    auto priority = account.priority.value_or(route.priority);
+    if (!m_accountUse.admit(service, account.id, priority)) {
+        auto part = m_accountUse.partOf(service, account.id, priority);
+        m_dependencies.metrics.count("chestnut_account_limited_total");
+        m_accountMetrics.record(account.id, true);
+        auto error = accountLimitError();
+        m_dependencies.log.write(EventId::RequestRefused, { { "request", request.id }, { "kind", describe(error.kind).name }, { "account", account.id }, { "priority", priority }, { "service", service }, { "admitted_part", part }, { "detail", error.detail } });
+        co_await sendErrorResponse(writer, request.id, error);
         co_return;
     }
-    auto account = request.account->id;
     StatusRecorder recorder(writer);
-    co_await serve(std::move(request), table, *route, recorder);
-    m_accountMetrics.record(account, recorder.status() == 503 || recorder.status() == 429);
+    co_await serve(std::move(request), table, route, service, recorder);
+    if (recorder.refusal() == ErrorKind::Overloaded || recorder.refusal() == ErrorKind::DeadlineUnreachable)
+        m_accountUse.recordRefusal(service);
+    auto isRefused = recorder.status() == 503 || recorder.status() == 429;
+    m_accountMetrics.record(account.id, isRefused);
 }
 
-asio::awaitable<void> Gateway::serve(RoutedRequest request, std::shared_ptr<const RouteTable> table, const Route& route, HttpResponseWriter& writer)
+asio::awaitable<void> Gateway::serve(RoutedRequest request, std::shared_ptr<const RouteTable> table, const Route& route, const ServiceId& service, HttpResponseWriter& writer)
 {
-    auto service = serviceFor(route, hash64(request.id.value()));
     m_budgets.addRequest(service);
     auto context = std::make_shared<RelayContext>(m_relayServices, std::move(request), table, route, service);
     if (m_shutdown && !mayStart(*m_shutdown, context->request.arrival, context->deadline(), m_speeds.speedOf(service).occupancy)) {
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "decisions/drains/Shutdown.h"
 #include "gateway/accounts/AccountMetrics.h"
+#include "gateway/accounts/AccountUseTracker.h"
 #include "gateway/blocks/BlockDirectory.h"
 #include "gateway/configuration/ConfigurationApi.h"
 #include "gateway/configuration/ConfigurationExchange.h"
@@ -92,7 +93,9 @@
     asio::awaitable<void> relay(RoutedRequest, HttpResponseWriter&);
     asio::awaitable<void> refuse(const RequestId&, Error, HttpResponseWriter&);
     /** Serves a request that its account, if it has one, may send. */
-    asio::awaitable<void> serve(RoutedRequest, std::shared_ptr<const RouteTable>, const Route&, HttpResponseWriter&);
+    asio::awaitable<void> serve(RoutedRequest, std::shared_ptr<const RouteTable>, const Route&, const ServiceId&, HttpResponseWriter&);
+    /** Serves the request of an account, or refuses it when the account exceeds its share of a service that is short of capacity. */
+    asio::awaitable<void> serveAccount(RoutedRequest, std::shared_ptr<const RouteTable>, const Route&, const ServiceId&, HttpResponseWriter&);
 
     GatewayDependencies m_dependencies;
     GatewaySettings m_settings;
@@ -112,6 +115,7 @@
     RoleManager m_roles;
     RelayServices m_relayServices;
     AccountMetrics m_accountMetrics;
+    AccountUseTracker m_accountUse;
     size_t m_inProgress = 0;
     std::shared_ptr<std::set<RelayPointer>> m_requests = std::make_shared<std::set<RelayPointer>>(); /**< in progress */
     std::optional<ShutdownPlan> m_shutdown; /**< set when the shutdown starts */
