--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/accounts/AccountUseTracker.h"
 #include "gateway/configuration/ConfigurationExchange.h"
 #include "gateway/members/LoadMessage.h"
 #include "gateway/members/LoadTopology.h"
@@ -37,6 +38,9 @@
     /** Whether a collector with access to the store reports its changes, so that this daemon can watch the store less often. */
     bool receivesStoreChanges() const;
 
+    /** Sends and receives the use by accounts from now on. */
+    void shareAccountUse(AccountUseTracker& accountUse) { m_accountUse = &accountUse; }
+
 private:
     asio::awaitable<void> receiveAll();
     void receive(std::string_view datagram);
@@ -52,6 +56,8 @@
     void applyWork(const LoadMessage&);
     void applySamples(const LoadMessage&);
     void applyCapacities(const LoadMessage&);
+    void applyAccountUse(const LoadMessage&);
+    std::vector<ServiceUse> accountUseFor(LoadScope) const;
     Duration period() const;
 
     asio::io_context& m_context;
@@ -72,6 +78,7 @@
     ConfigurationExchange* m_versions = nullptr;
     std::string m_otherPrefix; /**< of the datagrams that are no load messages */
     std::function<void(std::string_view)> m_otherReceiver;
+    AccountUseTracker* m_accountUse = nullptr;
     bool m_isLeaving = false;
 };
 
--- a/tests/gateway/ScalingManagerTest.cpp
+++ b/tests/gateway/ScalingManagerTest.cpp
@@ -134,7 +134,7 @@
             auto entries = replicas.usable(ServiceId("s"), stage);
             for (size_t i = 0; i < entries.size(); ++i) {
                 auto share = static_cast<uint32_t>(requests * (i + 1) / entries.size() - requests * i / entries.size());
-                work.push_back({ entries[i]->id, share, { share * 100.0, 0, 0 } });
+                work.push_back({ entries[i]->id, share, amountAt(share * 100.0, 4), {} });
             }
         }
         loadTracker->setPeerWork(DaemonId("peer"), work);
