Capacities are estimated periodically; tests with engines and with a fleet of daemons

Cause: the estimate was made when a request looked at a replica, so that a daemon without requests kept records of replicas that had gone, and each look built a text for the replica's group.

Change: LoadTracker::expirePeers() updates the capacities, at most once a second; groups are compared by service and stage. New tests: 4 and 15 daemons learn the capacity of a slow replica from the calls of one of them over UDP; a decode engine with pauses of 50 instead of 20 ms gets fewer streams than the other three; prefills are recorded.

--- a/modules/gateway/replicas/CapacityTracker.cpp
+++ b/modules/gateway/replicas/CapacityTracker.cpp
@@ -9,7 +9,7 @@
 
     /** Time in which a sample loses half of its weight. A daemon of a large fleet reports each replica once in a few seconds. */
     constexpr Duration sampleHalfLife = std::chrono::seconds(8);
-    constexpr Duration refreshPeriod = std::chrono::seconds(1);
+    constexpr Duration updatePeriod = std::chrono::seconds(1);
     /** Sums below this number of calls are neither sent nor kept. */
     constexpr double fewestCalls = 0.25;
     /** A limit or speed that differs from the last logged one by this factor is logged. */
@@ -79,13 +79,12 @@
 
 ReplicaCapacity CapacityTracker::capacityOf(const ReplicaEntry& entry)
 {
-    if (!m_refreshedAt || m_timers.now() - *m_refreshedAt >= refreshPeriod)
-        refresh();
     auto found = m_replicas.find(entry.id);
     if (found == m_replicas.end())
         return {};
     auto& record = found->second;
-    record.group = entry.service.value() + '/' + std::string(nameOf(entry.stage));
+    if (!record.group || record.group->first != entry.service || record.group->second != entry.stage)
+        record.group = Group { entry.service, entry.stage };
     record.slots = entry.slots;
     return record.capacity;
 }
@@ -182,15 +181,22 @@
     }
 }
 
-void CapacityTracker::refresh()
+void CapacityTracker::update()
 {
-    m_refreshedAt = m_timers.now();
+    if (m_updatedAt && m_timers.now() - *m_updatedAt < updatePeriod)
+        return;
+    m_updatedAt = m_timers.now();
     forgetOld();
-    std::map<std::string, std::pair<std::vector<Record*>, std::vector<CapacitySamples>>> groups;
+    estimate();
+}
+
+void CapacityTracker::estimate()
+{
+    std::map<Group, std::pair<std::vector<Record*>, std::vector<CapacitySamples>>> groups;
     for (auto& [replica, record] : m_replicas) {
-        if (record.group.empty())
+        if (!record.group)
             continue;
-        auto& [records, samples] = groups[record.group];
+        auto& [records, samples] = groups[*record.group];
         records.push_back(&record);
         samples.push_back(knownOf(replica, record));
         samples.back().replica = replica;
--- a/modules/gateway/replicas/CapacityTracker.h
+++ b/modules/gateway/replicas/CapacityTracker.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace chestnut {
@@ -32,7 +33,9 @@
     void recordRefusal(const ReplicaId&, double loadShare);
     void recordError(const ReplicaId&);
 
-    /** The present estimate, which is at most a second old. Replicas of one service and stage are compared with each other. */
+    /** Estimates the capacities anew, at most once a second, and forgets replicas without samples. Called periodically. */
+    void update();
+    /** The last estimate. Replicas of one service and stage are compared with each other. */
     ReplicaCapacity capacityOf(const ReplicaEntry&);
 
     /** The sums of the next replicas after `cursor` in the order of their ids, which becomes the last of them; after the last replica
@@ -51,6 +54,8 @@
     void reset(const ReplicaId&);
 
 private:
+    /** Replicas that serve the same kind of calls. */
+    using Group = std::pair<ServiceId, EngineStage>;
     struct AgingSamples {
         CapacitySamples samples;
         TimePoint at;
@@ -60,7 +65,7 @@
         std::map<DaemonId, AgingSamples> peers;
         std::map<AvailabilityZone, AgingSamples> zones;
         std::optional<AgingSamples> fleet;
-        std::string group; /**< service and stage; empty until it is known */
+        std::optional<Group> group; /**< absent until a request has looked at the replica */
         uint32_t slots = 0;
         ReplicaCapacity capacity;
         ReplicaCapacity logged;
@@ -72,7 +77,7 @@
     CapacitySamples aged(const AgingSamples&) const;
     CapacitySamples sumOf(const ReplicaId&, const Record&, CapacityScope) const;
     CapacitySamples knownOf(const ReplicaId&, const Record&) const;
-    void refresh();
+    void estimate();
     void forgetOld();
     void logChange(const ReplicaId&, Record&);
     void publish(const ReplicaId&, Record&);
@@ -81,7 +86,7 @@
     Log& m_log;
     Metrics* m_metrics = nullptr;
     std::map<ReplicaId, Record> m_replicas;
-    std::optional<TimePoint> m_refreshedAt;
+    std::optional<TimePoint> m_updatedAt;
     size_t m_published = 0;
 };
 
--- a/modules/gateway/replicas/LoadTracker.cpp
+++ b/modules/gateway/replicas/LoadTracker.cpp
@@ -211,6 +211,7 @@
 void LoadTracker::expirePeers()
 {
     auto now = m_timers.now();
+    m_capacity.update();
     std::erase_if(m_peers, [&](const auto& entry) {
         const auto& [parts, receivedAt, reportedAt] = entry.second;
         if (now - receivedAt < peerTimeout)
--- a/modules/gateway/replicas/LoadTracker.h
+++ b/modules/gateway/replicas/LoadTracker.h
@@ -80,6 +80,7 @@
     std::vector<ReplicaWork> workOf(const std::function<bool(const DaemonId&)>& isChosen) const;
     /** Replaces a peer's work, or one part of it. It expires when it is not updated for peerTimeout. */
     void setPeerWork(const DaemonId&, std::vector<ReplicaWork>, MessagePart = {});
+    /** Forgets peers without updates, and updates the learned capacities. Called several times a second. */
     void expirePeers();
     /** What a choice among replicas cannot see of the load, when each request lasts for `occupancy`; nothing without peers. */
     std::optional<UnseenLoad> unseenLoad(std::optional<Duration> occupancy);
--- a/tests/gateway/CapacityTrackerTest.cpp
+++ b/tests/gateway/CapacityTrackerTest.cpp
@@ -43,6 +43,7 @@
         for (const auto* known : { "i-1", "i-2", "i-3" })
             tracker.capacityOf(entryOf(known));
         timers.advance(1s);
+        tracker.update();
         return tracker.capacityOf(entryOf(id));
     }
 };
@@ -77,6 +78,7 @@
     fixture.tracker.capacityOf(entryOf("i-1"));
     fixture.tracker.capacityOf(entryOf("i-4", "t"));
     fixture.timers.advance(1s);
+    fixture.tracker.update();
     CHECK(fixture.tracker.capacityOf(entryOf("i-1")).speed == 1);
     CHECK(fixture.tracker.capacityOf(entryOf("i-4", "t")).speed == 1);
 }
@@ -159,8 +161,10 @@
     slow.delay = 120ms;
     fixture.replicaClient.scripts = { { ReplicaId("i-1"), { slow } }, { ReplicaId("i-2"), { fast } }, { ReplicaId("i-3"), { fast } } };
     std::vector<FakeWriter> writers(1200);
-    for (auto& writer : writers)
+    for (auto& writer : writers) {
         fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 1), writer, {}, 10ms);
+        fixture.loadTracker->expirePeers();
+    }
     fixture.timers.advance(1s);
     const auto& sent = fixture.replicaClient.sent;
     auto callsAtSlow = std::count_if(sent.begin() + 600, sent.end(), [](const auto& call) { return call.replica == ReplicaId("i-1"); });
@@ -197,3 +201,37 @@
         used.insert(call.replica);
     CHECK(used.size() == 3);
 }
+
+// Guards against engines whose speed is not learned from their streams and prefills.
+TEST_CASE("a decode engine with longer pauses between its events gets fewer streams, and prefills are recorded")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-p1", "s", "prefill");
+    fixture.recordCalls(300, 20ms, 200ms);
+    auto fast = ScriptedResponse {};
+    for (int i = 1; i <= 10; ++i)
+        fast.chunks.push_back("id: " + std::to_string(i) + "\ndata: t\n\n");
+    fast.headers.set("Content-Type", "text/event-stream");
+    fast.chunkDelay = 20ms;
+    auto slow = fast;
+    slow.chunkDelay = 50ms;
+    for (const auto* id : { "i-1", "i-2", "i-3", "i-4" }) {
+        fixture.addReplica(id, "s", "decode");
+        fixture.replicaClient.scripts[ReplicaId(id)] = { id == std::string("i-1") ? slow : fast };
+    }
+    std::vector<FakeWriter> writers(800);
+    for (auto& writer : writers) {
+        fixture.start(fixture.route(RouteKind::Streaming, 1), writer, GatewayFixture::longPrompt());
+        fixture.timers.advance(25ms);
+        fixture.loadTracker->expirePeers();
+    }
+    const auto& sent = fixture.replicaClient.sent;
+    auto streamsAtSlow = std::count_if(sent.begin() + 400, sent.end(), [](const auto& call) { return call.replica == ReplicaId("i-1"); });
+    INFO("streams at the slow engine: " << streamsAtSlow);
+    CHECK(streamsAtSlow < 50);
+    auto capacityOf = [&](const char* id) { return fixture.loadTracker->capacity().capacityOf(fixture.replicas.find(ReplicaId(id))->entry); };
+    CHECK(capacityOf("i-1").speed < 0.7);
+    CHECK(capacityOf("i-2").speed == 1);
+    CHECK(capacityOf("i-p1").samples > 10);
+    fixture.timers.advance(2s);
+}
--- a/tests/gateway/LoadExchangeTest.cpp
+++ b/tests/gateway/LoadExchangeTest.cpp
@@ -127,6 +127,35 @@
     checkSharedSpeed(15);
 }
 
+// Guards against daemons of a large fleet that know the capacity of a replica from their own few calls only.
+TEST_CASE("every daemon learns the capacity of a slow replica from the calls of one daemon")
+{
+    for (auto size : { 4, 15 }) {
+        ExchangeFleet fleet(size);
+        for (int call = 0; call < 100; ++call) {
+            for (const auto* id : { "i-1", "i-2", "i-3" })
+                fleet.members.back()->loadTracker->capacity().record(ReplicaId(id), 0.3, id == std::string("i-1") ? 2 : 1);
+        }
+        auto entryOf = [](const char* id) {
+            ReplicaEntry entry;
+            entry.id = ReplicaId(id);
+            entry.service = ServiceId("s");
+            return entry;
+        };
+        for (int second = 0; second < 4; ++second) {
+            fleet.advanceSteps(1s);
+            for (const auto& member : fleet.members) {
+                for (const auto* id : { "i-1", "i-2", "i-3" })
+                    member->loadTracker->capacity().capacityOf(entryOf(id));
+            }
+        }
+        for (const auto& member : fleet.members) {
+            CHECK(member->loadTracker->capacity().capacityOf(entryOf("i-1")).speed < 0.65);
+            CHECK(member->loadTracker->capacity().capacityOf(entryOf("i-2")).speed == 1);
+        }
+    }
+}
+
 TEST_CASE("every daemon of a small fleet receives the work of all others")
 {
     checkSharedWork(4);
