--- a/modules/decisions/capacity/ReplicaCapacity.cpp
+++ b/modules/decisions/capacity/ReplicaCapacity.cpp
@@ -22,7 +22,7 @@
     /** Weight of the bands for the speed. A replica that slows down at high load has a lower limit and not a lower speed. */
     constexpr std::array<double, loadBands> speedWeights { 1, 1, 0.5, 0.25, 0.25 };
     /** Deviations of the logarithm of a mean below this many standard errors, or this value, count as none. */
-    constexpr double standardErrors = 2;
+    constexpr double standardErrors = 2.5;
     constexpr double leastDeviation = 0.1;
     /** The gain is the relative increase of the throughput over that of the load. The limit ends where it is below the first
         value, and begins to fall below the second one. */
