--- a/tests/gateway/UsageTest.cpp
+++ b/tests/gateway/UsageTest.cpp
@@ -250,6 +250,30 @@
     CHECK(repeated > 0);
 }
 
+// Guards against counts that a former holder fixes after the next one has read what was fixed.
+TEST_CASE("a holder that has not noticed its successor cannot fix counts")
+{
+    UsageFleet fleet;
+    auto& first = fleet.awaitHolder();
+    fleet.runTraffic(10s);
+    while (fleet.timers.timeOfDay() % Duration(5s) < 2200ms || fleet.timers.timeOfDay() % Duration(5s) > 2300ms)
+        fleet.runTraffic(30ms);
+    auto fixed = [&fleet] {
+        std::map<std::string, StoreItem> items = fleet.store.items();
+        std::erase_if(items, [](const auto& item) { return !item.first.starts_with("chestnutroute-usage/"); });
+        return items;
+    };
+    auto before = fixed();
+    // After this change, the daemons pause before they watch the store again.
+    fleet.store.put("chestnutroute/other", "x");
+    fleet.runTraffic(60ms);
+    fleet.store.put(first.lease.key(), "another");
+    fleet.runTraffic(500ms);
+    CHECK(first.lease.isHeld());
+    CHECK(fixed() == before);
+    CHECK_FALSE(first.log.recent(EventId::UsageNotFixed).empty());
+}
+
 // Guards against a holder that stopped between fixing the counts and sending them, and that goes on later.
 TEST_CASE("a holder that was stopped and continues sends nothing that differs")
 {
