--- a/modules/decisions/routes/RouteTable.h
+++ b/modules/decisions/routes/RouteTable.h
@@ -4,6 +4,7 @@
 #include "base/time/TimePoint.h"
 #include "decisions/accounts/AccountTable.h"
 #include "decisions/scaling/ScalingProfile.h"
+#include "decisions/urgency/ServicePriorities.h"
 
 #include <cstdint>
 #include <optional>
@@ -109,6 +110,8 @@
     Duration shortestObjective(const ServiceId&) const;
     /** The client accounts; null where requests need no key. */
     const AccountTable* accounts() const { return m_accounts ? &*m_accounts : nullptr; }
+    /** The priorities that requests to a service can have: those of its routes and of the accounts. */
+    const ServicePriorities& prioritiesOf(const ServiceId&) const;
     const RoutingConfiguration& configuration() const { return m_configuration; }
 
 private:
@@ -117,6 +120,7 @@
     std::unordered_map<ServiceId, size_t> m_services;
     std::unordered_map<ServiceId, Duration> m_shortestObjectives;
     std::optional<AccountTable> m_accounts; /**< refers to the accounts of the configuration */
+    std::unordered_map<ServiceId, ServicePriorities> m_priorities;
 };
 
 /** The service for one request: shares are weighted, equal hashes get equal services. Asserts that there is a share. */
--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "gateway/configuration/ConfigurationExchange.h"
 #include "gateway/members/LoadMessage.h"
 #include "gateway/members/LoadTopology.h"
 
 #include <boost/asio/ip/udp.hpp>
+#include <map>
 
 namespace chestnut {
 
@@ -23,6 +25,9 @@
     asio::awaitable<void> stop() override;
     void announceLeaving();
 
+    /** Sends and receives the versions of the configurations from now on. */
+    void shareVersions(ConfigurationExchange& versions) { m_versions = &versions; }
+
     /** Passes datagrams that begin with the prefix to another receiver. No load message begins with it. */
     void setReceiver(std::string prefix, std::function<void(std::string_view)> receiver);
 
@@ -39,11 +44,14 @@
     void send(const LoadMessage&, const std::vector<Endpoint>& targets);
     /** The samples of the daemons that the scope covers. */
     std::vector<ServiceSamples> samplesFor(LoadScope) const;
-    LoadMessage composeMessage(LoadScope, std::vector<ReplicaWork>) const;
+    LoadMessage composeMessage(LoadScope, std::vector<ReplicaWork>);
+    /** The next capacity samples of the daemons that the scope covers; all of them follow each other in a few seconds. */
+    std::vector<CapacitySamples> capacitiesFor(LoadScope);
     std::vector<ReplicaWork> zoneWork() const;
     std::vector<DaemonId> liveDaemonsOfZone() const;
     void applyWork(const LoadMessage&);
     void applySamples(const LoadMessage&);
+    void applyCapacities(const LoadMessage&);
     Duration period() const;
 
     asio::io_context& m_context;
@@ -57,9 +65,11 @@
     asio::ip::udp::socket m_socket;
     TimerSubscription m_timer;
     LoadTopology m_topology;
+    std::map<LoadScope, ReplicaId> m_capacityCursors; /**< replica whose samples were sent last */
     std::vector<ReplicaWork> m_sentWork; /**< own work as last sent; the received sums include it */
     TimePoint m_sentAt;
     std::optional<TimePoint> m_lastCollectorMessageAt; /**< from a collector that can reach the store */
+    ConfigurationExchange* m_versions = nullptr;
     std::string m_otherPrefix; /**< of the datagrams that are no load messages */
     std::function<void(std::string_view)> m_otherReceiver;
     bool m_isLeaving = false;
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -32,6 +32,8 @@
     asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayPrefill);
     /** The engine for the next decode call, or an error if there is none. */
     Result<ReplicaEntry> chooseDecodeEngine() const;
+    /** Position of the decode at the engines. */
+    EnginePosition order() const;
     /** Whether prefill engines should process the prompt; decode engines process short ones themselves. */
     bool needsPrefill() const;
     /** Whether the next decode attempt needs a prefill, unless it has a handle to the KV cache of an earlier one. */
@@ -49,10 +51,15 @@
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
     /** Waits for the next complete event; bytes of an incomplete one are no progress. */
-    void watchSilence(const ReplicaId& engine, std::optional<Duration> limit);
+    void watchSilence(const ReplicaEntry&, std::optional<Duration> limit);
     SilenceWatch::Callbacks silenceCallbacks();
+    /** Opens the stream at another engine than the silent one; null if none can be chosen. */
+    std::shared_ptr<StreamMove> openMove(const ReplicaId& silent);
     void recordEventTime(TimePoint sentAt);
+    /** Records the time of the event that has arrived, before recordEventTime(). */
+    void recordCapacity(const ReplicaEntry&, TimePoint sentAt);
 
+    void logRouted(const ReplicaEntry&) const;
     asio::awaitable<void> sendFailure(Error);
     void releaseHandle();
     void logCompletion(int status) const;
@@ -68,6 +75,7 @@
     bool m_isContinuation = false; /**< the client had received events before the present decode attempt */
     std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
     SilenceWatch m_silenceWatch;
+    std::shared_ptr<StreamMove> m_move; /**< the response of the next decode attempt, which has been requested already */
     uint32_t m_decodeCalls = 0;
     TimePoint m_firstEventAt;
     std::optional<TimePoint> m_lastEventAt; /**< of the present decode attempt */
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -2,7 +2,10 @@
 
 #include "decisions/drains/Shutdown.h"
 #include "decisions/usage/UsageWindow.h"
+#include "gateway/accounts/AccountMetrics.h"
 #include "gateway/blocks/BlockDirectory.h"
+#include "gateway/configuration/ConfigurationApi.h"
+#include "gateway/configuration/ConfigurationExchange.h"
 #include "gateway/leases/FencedLease.h"
 #include "gateway/members/LoadExchange.h"
 #include "gateway/requests/RelayContext.h"
@@ -48,6 +51,7 @@
     VersionedStore& store;
     ReplicaClient& replicaClient;
     std::function<void(const RoutingConfiguration&)> onConfiguration; /**< called after each change */
+    ConfigurationClient* configurationClient = nullptr; /**< null: configurations come from the store alone */
     TaskPlatform* taskPlatform = nullptr; /**< null: this daemon runs no singleton tasks */
 };
 
@@ -84,6 +88,9 @@
     /** Handles one request. */
     asio::awaitable<void> handle(RoutedRequest, HttpResponseWriter&);
 
+    /** Handles a request of another daemon for the configuration; see ConfigurationApi. */
+    asio::awaitable<void> handlePeer(HttpRequest, HttpResponseWriter&);
+
     bool isReady() const;
     DiscoveryList discover(const AvailabilityZone&) const;
     size_t inProgress() const { return m_inProgress; }
@@ -97,6 +104,9 @@
     void restartWatches();
     void onStoreRestored();
     asio::awaitable<void> relay(RoutedRequest, HttpResponseWriter&);
+    asio::awaitable<void> refuse(const RequestId&, Error, HttpResponseWriter&);
+    /** Serves a request that its account, if it has one, may send. */
+    asio::awaitable<void> serve(RoutedRequest, std::shared_ptr<const RouteTable>, const Route&, HttpResponseWriter&);
 
     GatewayDependencies m_dependencies;
     GatewaySettings m_settings;
@@ -109,6 +119,8 @@
     BlockDirectory m_blocks;
     ReplicaDirectory m_replicas;
     RoutingSource m_routing;
+    ConfigurationApi m_configurationApi;
+    ConfigurationExchange m_versions;
     RetryBudgets m_budgets;
     LoadExchange m_exchange;
     RoleManager m_roles;
@@ -118,6 +130,7 @@
     std::unique_ptr<UsageExchange> m_usageExchange;
     std::unique_ptr<UsageReporter> m_usageReporter;
     RelayServices m_relayServices;
+    AccountMetrics m_accountMetrics;
     size_t m_inProgress = 0;
     std::shared_ptr<std::set<RelayPointer>> m_requests = std::make_shared<std::set<RelayPointer>>(); /**< in progress */
     std::optional<ShutdownPlan> m_shutdown; /**< set when the shutdown starts */
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -51,7 +51,8 @@
         {
             if (m_abort && m_abort->isAborted())
                 co_return makeError(ErrorKind::BackendFailed, "aborted");
-            if (!co_await waitUnlessAborted(m_timers, m_timers.now() + m_response.chunkDelay, m_abort))
+            auto delay = m_response.delays.contains(m_next) ? m_response.delays[m_next] : m_response.chunkDelay;
+            if (!co_await waitUnlessAborted(m_timers, m_timers.now() + delay, m_abort))
                 co_return makeError(ErrorKind::BackendFailed, "interrupted");
             if (m_next < m_response.chunks.size())
                 co_return std::optional(m_response.chunks[m_next++]);
@@ -362,6 +363,48 @@
     co_return OrderResult::Accepted;
 }
 
+asio::awaitable<Result<std::optional<std::string>>> FakeConfigurationClient::fetch(Endpoint endpoint, uint64_t above)
+{
+    /** Of a fetch without a response. */
+    constexpr Duration fetchTimeout = std::chrono::milliseconds(800);
+    auto daemon = formatEndpoint(endpoint);
+    fetched.push_back(daemon);
+    if (silent.contains(daemon)) {
+        co_await m_timers.sleep(fetchTimeout);
+        co_return makeError(ErrorKind::DeadlineExceeded, "no response");
+    }
+    if (delay > Duration::zero())
+        co_await m_timers.sleep(delay);
+    auto response = responses.find(daemon);
+    if (response == responses.end())
+        co_return makeError(ErrorKind::ConnectFailed, "no daemon");
+    co_return response->second(above);
+}
+
+asio::awaitable<std::optional<Error>> FakeReplicaClient::failRunCall(ReplicaId replica, Duration timeout)
+{
+    const auto& answers = runAnswers[replica];
+    if (!answers.isUnresponsive)
+        co_return answers.error;
+    co_await m_timers.sleep(timeout);
+    co_return makeError(ErrorKind::DeadlineExceeded, "no answer");
+}
+
+asio::awaitable<Result<bool>> FakeReplicaClient::mayBeRunning(EngineRun run, Duration timeout)
+{
+    if (auto error = co_await failRunCall(run.replica, timeout))
+        co_return *error;
+    co_return runAnswers[run.replica].mayBeRunning;
+}
+
+asio::awaitable<Result<RunStopResult>> FakeReplicaClient::stopRun(EngineRun run, std::string, Duration timeout)
+{
+    stoppedAt.push_back(run.replica);
+    if (auto error = co_await failRunCall(run.replica, timeout))
+        co_return *error;
+    co_return runAnswers[run.replica].stop;
+}
+
 asio::awaitable<Result<void>> FakeWriter::send(HttpResponse response)
 {
     status = response.status;
@@ -402,7 +445,7 @@
     std::vector<std::string> fields;
     std::string copy(text);
     boost::algorithm::split(fields, copy, [](char c) { return c == ' '; });
-    if (fields.size() != 7)
+    if (fields.size() < 7 || fields.size() > 9)
         return makeError(ErrorKind::ProtocolError, "no entry");
     ReplicaEntry entry;
     entry.id = id;
@@ -415,6 +458,9 @@
     entry.heartbeat = std::stoll(fields[5]);
     entry.slots = static_cast<uint32_t>(std::stoul(fields[6]));
     entry.address = "10.0.0.1:80";
+    entry.isReclaimable = fields.size() > 7 && fields[7] == "reclaimable";
+    if (fields.size() > 8)
+        entry.leavesIn = std::chrono::milliseconds(std::stoll(fields[8]));
     return entry;
 }
 
