The end of a silent run names the engine that continues it

Cause: the call that ends a run (kv-move) had no target when the request had no events yet, and in the background; an engine may refuse that, and the request would then have stayed at its silent engine. A refused stop was final for the attempt.

Change: the successor is chosen before the run is ended, in each case, and named in the call. An engine that refuses to end a run is asked again after two seconds, for one retry of the budget each time.

--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -63,18 +63,24 @@
     auto hasBegun = [this] { return m_writer.hasBegun(); };
     // The event needs at least this time, so that engines that have become slower are abandoned less often.
     auto onInterrupt = [this](TimePoint since) { recordEventTime(since); };
-    auto openElsewhere = [this](const ReplicaId& engine) { return openMove(engine); };
-    return { canContinueElsewhere, hasBegun, onInterrupt, openElsewhere };
+    auto findSuccessor = [this](const ReplicaId& engine) { return this->findSuccessor(engine); };
+    auto openAt = [this](const ReplicaEntry& engine) { return openMove(engine); };
+    return { canContinueElsewhere, hasBegun, onInterrupt, findSuccessor, openAt };
 }
 
-std::shared_ptr<StreamMove> GenerationRelay::openMove(const ReplicaId& silent)
+std::optional<ReplicaEntry> GenerationRelay::findSuccessor(const ReplicaId& silent)
 {
     m_relay->silent.insert(silent);
     auto engine = chooseDecodeEngine();
     if (!engine || engine->id == silent)
-        return nullptr;
-    auto move = std::make_shared<StreamMove>(m_relay, *engine);
-    logRouted(*engine);
+        return std::nullopt;
+    return *engine;
+}
+
+std::shared_ptr<StreamMove> GenerationRelay::openMove(const ReplicaEntry& engine)
+{
+    auto move = std::make_shared<StreamMove>(m_relay, engine);
+    logRouted(engine);
     move->start(m_lastEventId, priority());
     return move;
 }
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -51,8 +51,9 @@
     /** Waits for the next complete event; bytes of an incomplete one are no progress. */
     void watchSilence(const ReplicaEntry&, std::optional<Duration> limit);
     SilenceWatch::Callbacks silenceCallbacks();
-    /** Opens the stream at another engine than the silent one; null if none can be chosen. */
-    std::shared_ptr<StreamMove> openMove(const ReplicaId& silent);
+    /** Another engine than the silent one for its stream. */
+    std::optional<ReplicaEntry> findSuccessor(const ReplicaId& silent);
+    std::shared_ptr<StreamMove> openMove(const ReplicaEntry&);
     void recordEventTime(TimePoint sentAt);
 
     uint32_t priority() const;
--- a/modules/gateway/requests/SilenceWatch.cpp
+++ b/modules/gateway/requests/SilenceWatch.cpp
@@ -10,6 +10,8 @@
 
     /** Period in which an obstacle is checked again. */
     constexpr Duration recheckPeriod = std::chrono::milliseconds(100);
+    /** An engine may refuse to end a run because of a moment's load. */
+    constexpr Duration pauseAfterRefusedStop = std::chrono::seconds(2);
     /** For an engine that did not answer and may go on with an abandoned run when it answers again. */
     constexpr Duration backgroundStopTimeout = std::chrono::seconds(2);
     /** An engine that refuses a request does so within this time; one that has not may be running it. */
@@ -55,7 +57,7 @@
 {
     stop();
     if (limit && !m_isEndingRun)
-        startTimer({ { replica.id, replica.address, m_relay.request.id }, *limit, m_relay.services.timers.now() }, *limit);
+        startTimer({ { replica.id, replica.address, m_relay.request.id }, {}, *limit, m_relay.services.timers.now() }, *limit);
 }
 
 void SilenceWatch::stop()
@@ -71,7 +73,7 @@
 {
     m_timer.cancel();
     m_examination.reset();
-    m_hasRefusedStop = false;
+    m_stopRefusedAt.reset();
     if (std::exchange(m_isEndingRun, false))
         m_relay.markInterrupted();
     return std::exchange(m_move, nullptr);
@@ -103,7 +105,7 @@
         waitOn(wait, obstacle);
         return;
     }
-    if (!m_callbacks.openElsewhere) {
+    if (!m_callbacks.findSuccessor) {
         interrupt(wait);
         return;
     }
@@ -120,26 +122,27 @@
         co_return;
     auto isAnswering = mayBeRunning && *mayBeRunning;
     wait.isUnreachable = !mayBeRunning;
-    if (!m_callbacks.hasBegun()) {
-        // Another engine needs the prompt again, so that it cannot accept the request before this run has ended.
-        co_await endRunAndInterrupt(std::move(wait), std::move(examination), {}, isAnswering);
-        co_return;
-    }
     // An engine that answers gets as much time to go on as one that does not.
-    if (isAnswering)
+    if (isAnswering && m_callbacks.hasBegun())
         co_await services.timers.sleep(std::max(endOfPatience - services.timers.now(), Duration::zero()));
     if (examination.expired())
         co_return;
-    co_await moveStream(std::move(wait), std::move(examination), isAnswering);
-}
-
-asio::awaitable<void> SilenceWatch::moveStream(Wait wait, ExaminationPointer examination, bool isAnswering)
-{
-    auto move = m_callbacks.openElsewhere(wait.run.replica);
-    if (!move) {
+    auto successor = m_callbacks.findSuccessor(wait.run.replica);
+    if (!successor) {
         waitOn(std::move(wait), RetryObstacle::NoFreeReplica);
         co_return;
     }
+    wait.successor = successor->address;
+    // Without events another engine needs the prompt again, so that it cannot accept the request before this run has ended.
+    if (m_callbacks.hasBegun())
+        co_await moveStream(std::move(wait), std::move(examination), std::move(*successor), isAnswering);
+    else
+        co_await endRunAndInterrupt(std::move(wait), std::move(examination), isAnswering);
+}
+
+asio::awaitable<void> SilenceWatch::moveStream(Wait wait, ExaminationPointer examination, ReplicaEntry successor, bool isAnswering)
+{
+    auto move = m_callbacks.openAt(successor);
     m_move = move;
     co_await move->waitForResponse(refusalTime);
     if (examination.expired())
@@ -151,19 +154,20 @@
         waitOn(std::move(wait), RetryObstacle::RefusedElsewhere);
         co_return;
     }
-    co_await endRunAndInterrupt(std::move(wait), std::move(examination), move->engine.address, isAnswering);
+    co_await endRunAndInterrupt(std::move(wait), std::move(examination), isAnswering);
 }
 
-asio::awaitable<void> SilenceWatch::endRunAndInterrupt(Wait wait, ExaminationPointer examination, std::string successor, bool isAnswering)
+asio::awaitable<void> SilenceWatch::endRunAndInterrupt(Wait wait, ExaminationPointer examination, bool isAnswering)
 {
     m_isEndingRun = true;
     if (isAnswering) {
-        auto stopped = co_await m_relay.services.replicaClient.stopRun(wait.run, std::move(successor), controlCallTimeout);
+        auto stopped = co_await m_relay.services.replicaClient.stopRun(wait.run, wait.successor, controlCallTimeout);
         if (examination.expired())
             co_return;
         if (stopped && *stopped == RunStopResult::Refused) {
             m_isEndingRun = false;
-            m_hasRefusedStop = true;
+            m_stopRefusedAt = m_relay.services.timers.now();
+            m_relay.useReservedRetry();
             cancelMove();
             waitOn(std::move(wait), RetryObstacle::StopRefused);
             co_return;
@@ -182,13 +186,13 @@
     startTimer(wait, recheckPeriod);
 }
 
-void SilenceWatch::stopInBackground(EngineRun run) const
+void SilenceWatch::stopInBackground(const Wait& wait) const
 {
-    auto stop = [](ReplicaClient& client, EngineRun abandoned) -> asio::awaitable<void> {
-        (void)co_await client.stopRun(std::move(abandoned), {}, backgroundStopTimeout);
+    auto stop = [](ReplicaClient& client, EngineRun run, std::string successor) -> asio::awaitable<void> {
+        (void)co_await client.stopRun(std::move(run), std::move(successor), backgroundStopTimeout);
     };
     const auto& services = m_relay.services;
-    spawnTask(services.context.get_executor(), services.log, "run_stop", stop(services.replicaClient, std::move(run)));
+    spawnTask(services.context.get_executor(), services.log, "run_stop", stop(services.replicaClient, wait.run, wait.successor));
 }
 
 void SilenceWatch::interrupt(const Wait& wait)
@@ -196,7 +200,7 @@
     log(wait, "interrupt", RetryObstacle::None);
     m_callbacks.onInterrupt(wait.since);
     if (wait.isUnreachable)
-        stopInBackground(wait.run);
+        stopInBackground(wait);
     m_relay.interruptAttempt();
 }
 
@@ -204,7 +208,7 @@
 {
     if (!m_relay.abort->isAttached())
         return RetryObstacle::NotConnected;
-    if (m_hasRefusedStop)
+    if (m_stopRefusedAt && m_relay.services.timers.now() - *m_stopRefusedAt < pauseAfterRefusedStop)
         return RetryObstacle::StopRefused;
     if (!m_relay.mayRunAgain())
         return RetryObstacle::NoAttemptLeft;
--- a/modules/gateway/requests/SilenceWatch.h
+++ b/modules/gateway/requests/SilenceWatch.h
@@ -33,9 +33,10 @@
         std::function<bool(const ReplicaId&)> canContinueElsewhere; /**< whether another replica than this one is free for the work */
         std::function<bool()> hasBegun; /**< whether the client has received a part of the response */
         std::function<void(TimePoint since)> onInterrupt;
-        /** Opens the stream, which has begun, at another engine than this one; null if none can be chosen. Absent: the replica is no
-            engine and is not examined. */
-        std::function<std::shared_ptr<StreamMove>(const ReplicaId&)> openElsewhere;
+        /** The engine that would take the work of this one. Absent: the replica is no engine and is not examined. */
+        std::function<std::optional<ReplicaEntry>(const ReplicaId&)> findSuccessor;
+        /** Opens the stream, which has begun, at another engine. */
+        std::function<std::shared_ptr<StreamMove>(const ReplicaEntry&)> openAt;
     };
 
     /** Time for an answer of an engine about a run, which takes it milliseconds. */
@@ -57,6 +58,7 @@
 private:
     struct Wait {
         EngineRun run;
+        std::string successor; /**< address of the engine that continues the run */
         Duration limit {};
         TimePoint since;
         bool isExtended = false; /**< because the streams of all engines are silent */
@@ -70,12 +72,12 @@
     void startTimer(const Wait&, Duration);
     void onTimer(Wait);
     asio::awaitable<void> examine(Wait, ExaminationPointer);
-    asio::awaitable<void> moveStream(Wait, ExaminationPointer, bool isAnswering);
-    asio::awaitable<void> endRunAndInterrupt(Wait, ExaminationPointer, std::string successor, bool isAnswering);
+    asio::awaitable<void> moveStream(Wait, ExaminationPointer, ReplicaEntry successor, bool isAnswering);
+    asio::awaitable<void> endRunAndInterrupt(Wait, ExaminationPointer, bool isAnswering);
     void waitOn(Wait, RetryObstacle);
     void interrupt(const Wait&);
     /** Ends an abandoned run that may go on; nobody waits for the result. */
-    void stopInBackground(EngineRun) const;
+    void stopInBackground(const Wait&) const;
     void cancelMove();
     RetryObstacle findObstacle(const ReplicaId&) const;
     void log(const Wait&, std::string_view action, RetryObstacle) const;
@@ -86,7 +88,7 @@
     std::shared_ptr<Examination> m_examination;
     std::shared_ptr<StreamMove> m_move;
     bool m_isEndingRun = false; /**< the move replaces the attempt unless the engine refuses to end the run */
-    bool m_hasRefusedStop = false;
+    std::optional<TimePoint> m_stopRefusedAt; /**< by the engine of the present attempt */
 };
 
 } // namespace chestnut
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -156,6 +156,7 @@
     std::vector<StageOrder> orders;
     std::map<ReplicaId, RunAnswers> runAnswers;
     std::vector<ReplicaId> stoppedAt; /**< engines that were asked to end a run */
+    std::vector<std::string> successors; /**< addresses of the engines that continue these runs */
 
     asio::awaitable<Result<ReplicaResponse>> send(ReplicaCall) override;
     asio::awaitable<Result<PrefillResponse>> prefill(ReplicaCall) override;
