Responses that wait for slow readers are bounded

Before: a response that is no stream was read whole (up to 8 MB) and held until its client had taken it, for 30 s at most; a thousand such clients could hold 8 GB. A stream was read from the replica only as fast as its client read, so that the replica's connection stayed unread.

Change, where limits.memory_megabytes is set (template {{limits.memory_mb}}): chunks of a response are written in the background from a buffer of 256 KB (OutputBuffer), a body of more than 256 KB is relayed while it is read (BodyRelay), an eighth of the VM's memory bounds both over all requests (ByteBudget), and unsent bytes in the kernel are limited. Beyond the bounds the replica is read as fast as the client reads. A client that does not take 16 KB in 30 s is disconnected.

--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requests/GenerationRelay.h"
 
 #include "decisions/speeds/WaitLimits.h"
+#include "gateway/requests/BodyRelay.h"
 #include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
@@ -14,7 +15,6 @@
     constexpr uint32_t maximumDecodeCalls = 3;
     /** Decode calls that may be preceded by a prefill; in later ones the decode engine processes the prompt. */
     constexpr uint32_t maximumPrefillRounds = 2;
-    constexpr size_t maximumResponseBytes = 8 << 20;
 
     /** Describes the engines, their requests in flight and the number of ejected ones. */
     std::string describeLoad(const std::vector<PlacementView>& views)
@@ -257,11 +257,12 @@
 asio::awaitable<Result<void>> GenerationRelay::relayWholeResponse(ReplicaResponse& response)
 {
     m_relay->mayHaveRun = true;
-    auto body = co_await readWholeBody(*response.body, maximumResponseBytes);
+    auto body = co_await readBodyStart(*response.body, m_relay->services.responseBuffers);
     if (!body)
         co_return makeError(ErrorKind::BackendFailed, body.error().detail);
     auto status = response.body->status();
-    auto sent = co_await m_writer.send({ status, std::move(response.headers), std::move(*body) });
+    m_silenceWatch.stop();
+    auto sent = co_await relayBody(m_writer, status, std::move(response.headers), std::move(*body), response.body.get());
     m_relay->services.log.write(EventId::RequestCompleted, { { "request", m_relay->request.id }, { "status", status }, { "sent", sent ? 1 : 0 } });
     co_return Result<void>();
 }
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requests/PlainRelay.h"
 
 #include "decisions/speeds/WaitLimits.h"
+#include "gateway/requests/BodyRelay.h"
 #include "gateway/requests/SilenceWatch.h"
 
 #include <algorithm>
@@ -9,12 +10,13 @@
 
 namespace {
 
-    constexpr size_t maximumResponseBytes = 8 << 20;
-
+    /** The response of a replica; the rest of a long body is read while the client reads it. */
     struct CompleteResponse {
         int status = 0;
         HttpHeaders headers;
-        std::string body;
+        BodyStart start;
+        std::unique_ptr<HttpBodyStream> body; /**< null when all of it was read */
+        LoadTracker::InFlightWork inFlightWork; /**< until the replica has sent the whole body */
     };
 
     const ReplicaEntry* choose(RelayContext& relay)
@@ -37,7 +39,7 @@
         auto canContinueElsewhere = [&relay](const ReplicaId& replica) { return relay.hasFreeReplica(EngineStage::None, replica); };
         // The call needs at least this time, so that a service that has become slower is abandoned less often.
         auto onInterrupt = [&relay, limit](TimePoint) { relay.services.speeds.recordOccupancy(relay.service, limit); };
-        return { canContinueElsewhere, [] { return false; }, onInterrupt, {} };
+        return { canContinueElsewhere, [] { return false; }, onInterrupt, {}, {} };
     }
 
     asio::awaitable<Result<CompleteResponse>> attempt(RelayContext& relay, const ReplicaEntry& replica, Duration limit)
@@ -51,7 +53,7 @@
         auto response = co_await relay.services.replicaClient.send(std::move(call));
         if (!response)
             co_return response.error();
-        auto body = co_await readWholeBody(*response->body, maximumResponseBytes);
+        auto body = co_await readBodyStart(*response->body, relay.services.responseBuffers);
         // The header has already said that the request was not run, however its body ends.
         if (response->executionStatus == ExecutionStatus::NotExecuted)
             co_return makeError(ErrorKind::Overloaded, "refused by the replica with status " + std::to_string(response->body->status()));
@@ -65,7 +67,12 @@
         auto expected = relay.services.speeds.speedOf(relay.service).occupancy;
         relay.services.speeds.recordOccupancy(relay.service, elapsed);
         relay.recordAttemptSuccess(replica.id, startedAt, expected ? toSeconds(elapsed) / toSeconds(*expected) : 1);
-        co_return CompleteResponse { response->body->status(), std::move(response->headers), std::move(*body) };
+        CompleteResponse complete { response->body->status(), std::move(response->headers), std::move(*body), std::move(response->body), std::move(inFlightWork) };
+        if (complete.start.isComplete) {
+            complete.body.reset();
+            complete.inFlightWork.end();
+        }
+        co_return std::move(complete);
     }
 
     asio::awaitable<Result<CompleteResponse>> callWithRetries(RelayContext& relay)
@@ -103,7 +110,7 @@
     }
     auto status = response->status;
     relay->recordCompletion();
-    auto sent = co_await writer.send({ response->status, std::move(response->headers), std::move(response->body) });
+    auto sent = co_await relayBody(writer, status, std::move(response->headers), std::move(response->start), response->body.get());
     relay->services.log.write(EventId::RequestCompleted, { { "request", relay->request.id }, { "status", status }, { "sent", sent ? 1 : 0 } });
 }
 
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -50,6 +50,7 @@
     RetryBudgets& budgets;
     AvailabilityZone zone;
     Duration soundSilence; /**< longest silence of a sound engine in the middle of a stream */
+    std::shared_ptr<ByteBudget> responseBuffers; /**< of bodies whose clients read slowly; null: bodies are read whole */
 };
 
 /** The state of one request in progress: its route, its deadline and the outcome of its attempts. */
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -75,7 +75,7 @@
     , m_budgets(m_dependencies.timers, *m_daemons, m_settings.bounds.retryBudget)
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_loadTracker, m_speeds, m_crashTracker, m_replicas)
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
-    , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone, m_settings.bounds.soundSilence }
+    , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone, m_settings.bounds.soundSilence, m_dependencies.responseBuffers }
 {
     m_dependencies.replicaClient.onNotice([this](const ReplicaNotice& notice) { onNotice(notice); });
     m_dependencies.store.onEpochChange([this] { onStoreRestored(); });
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -42,6 +42,7 @@
     VersionedStore& store;
     ReplicaClient& replicaClient;
     std::function<void(const RoutingConfiguration&)> onConfiguration; /**< called after each change */
+    std::shared_ptr<ByteBudget> responseBuffers; /**< of responses whose clients read slowly; may be null */
 };
 
 /** A discovery response: the daemons that clients may connect to. */
--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -1,8 +1,10 @@
 #include "http/server/HttpServer.h"
 
 #include "http/message/BeastConversions.h"
+#include "http/server/OutputBuffer.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -17,6 +19,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cassert>
+#include <cstdio>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <set>
 
@@ -116,6 +120,8 @@
             , m_isHead(isHead)
         {
             m_state->writers.insert(this);
+            if (m_state->limits.responseBuffers)
+                m_output = std::make_shared<OutputBuffer>(m_stream, m_state->limits.responseBuffers, m_writeTimeout);
         }
         ResponseWriter(const ResponseWriter&) = delete;
         ResponseWriter& operator=(const ResponseWriter&) = delete;
@@ -161,6 +167,10 @@
             // A chunk of length zero would end the body.
             if (chunk.empty())
                 co_return Result<void>();
+            if (m_output) {
+                auto written = co_await m_output->append(framed(chunk));
+                co_return resultOf(written);
+            }
             error_code error;
             m_stream.expires_after(m_writeTimeout);
             co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(chunk)), asio::redirect_error(asio::use_awaitable, error));
@@ -170,8 +180,13 @@
         asio::awaitable<Result<void>> finish() override
         {
             error_code error;
-            m_stream.expires_after(m_writeTimeout);
-            co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+            if (m_output) {
+                (void)co_await m_output->append("0\r\n\r\n");
+                error = co_await m_output->waitUntilIdle();
+            } else {
+                m_stream.expires_after(m_writeTimeout);
+                co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+            }
             m_isFinished = !error;
             co_return resultOf(error);
         }
@@ -182,6 +197,16 @@
             m_stream.socket().close(ignored);
         }
 
+        /** Ends the write in progress of a response that is not finished. The connection must not be closed before. */
+        asio::awaitable<void> stopWriting()
+        {
+            if (!m_output)
+                co_return;
+            if (m_hasBegun && !m_isFinished)
+                abort();
+            (void)co_await m_output->waitUntilIdle();
+        }
+
         /** Ends the response without waiting, with this one if none has begun. */
         void endNow(HttpResponse response)
         {
@@ -230,6 +255,13 @@
             return makeError(ErrorKind::Internal, "a response has already begun");
         }
 
+        static std::string framed(const std::string& chunk)
+        {
+            std::array<char, 32> size {};
+            std::snprintf(size.data(), size.size(), "%zx\r\n", chunk.size());
+            return size.data() + chunk + "\r\n";
+        }
+
         static Result<void> resultOf(const error_code& error)
         {
             if (error)
@@ -241,6 +273,7 @@
         std::shared_ptr<DisconnectWatcher> m_watcher;
         ServerState m_state;
         Duration m_writeTimeout;
+        std::shared_ptr<OutputBuffer> m_output; /**< null: chunks are written at once */
         bool m_requestKeepsAlive;
         bool m_keepsAlive = false;
         bool m_isHead;
@@ -421,14 +454,24 @@
             if (!writer.hasBegun())
                 co_await writer.send(state->errorResponder(makeError(ErrorKind::Internal, "the request handler failed")));
         }
+        co_await writer.stopWriting();
         co_return writer.isFinished() && writer.keepsAlive();
     }
 
+    /** Limits the memory that the kernel uses for bytes that a client does not read; what it may buffer by default is megabytes. */
+    void limitUnsentBytes(tcp::socket& socket)
+    {
+        constexpr int unsentBytes = 16 << 10;
+        (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsentBytes, sizeof(unsentBytes));
+    }
+
     asio::awaitable<void> serveConnection(ServerState state, tcp::socket socket, std::unique_ptr<OpenConnectionGuard>)
     {
         ServerConnection connection(std::move(socket), state->limits);
         error_code error;
         connection.stream.socket().set_option(tcp::no_delay(true), error);
+        if (state->limits.responseBuffers)
+            limitUnsentBytes(connection.stream.socket());
         while (state->isAccepting || connection.hasPartialRequest()) {
             error = {};
             auto request = co_await readRequest(connection, state, error);
--- a/modules/http/server/HttpServer.h
+++ b/modules/http/server/HttpServer.h
@@ -3,6 +3,7 @@
 #include "base/errors/Result.h"
 #include "base/time/TimePoint.h"
 #include "http/message/HttpMessage.h"
+#include "http/server/ByteBudget.h"
 #include "kernel/logging/Log.h"
 #include "kernel/registry/Service.h"
 #include "kernel/settings/SettingsReader.h"
@@ -22,6 +23,9 @@
     Duration idleTimeout {}; /**< added to headerTimeout to limit the wait for the first byte of a request */
     Duration bodyTimeout = std::chrono::seconds(30);
     Duration writeTimeout = std::chrono::seconds(30);
+    /** Of all chunked responses whose clients read slowly. Their chunks are written in the background, up to 256 KB of each response.
+        Null: each chunk waits until the client has taken it. */
+    std::shared_ptr<ByteBudget> responseBuffers;
 };
 
 /** Writes the response to one request, whole or in chunks. Write errors are reported as CallerGone. Starting a second response
--- a/modules/kernel/settings/SettingsReader.cpp
+++ b/modules/kernel/settings/SettingsReader.cpp
@@ -153,7 +153,8 @@
     std::string keyName(key);
     m_document->readKeys.emplace(sectionName, keyName);
     const char* value = m_document->ini.GetValue(sectionName.c_str(), keyName.c_str());
-    if (!value)
+    // A platform without this value may leave the placeholder of the template.
+    if (!value || std::string_view(value).find("{{") != std::string_view::npos)
         return std::nullopt;
     return std::string(trim(value));
 }
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -22,6 +22,16 @@
     constexpr Duration drainCheckPeriod = std::chrono::milliseconds(50);
     constexpr Duration errorCheckPeriod = std::chrono::milliseconds(10);
 
+    /** Part of the VM's memory for the responses that wait for slow readers. Buffers that grow may take twice their size. */
+    constexpr size_t responseBufferDivisor = 8;
+
+    std::shared_ptr<ByteBudget> makeResponseBuffers(uint32_t memoryMegabytes)
+    {
+        if (memoryMegabytes == 0)
+            return nullptr;
+        return std::make_shared<ByteBudget>((size_t { memoryMegabytes } << 20) / responseBufferDivisor);
+    }
+
     GatewayFormats platformFormats()
     {
         return { std::string(platform::names::configurationKey), std::string(platform::names::replicaPrefix), platform::decodeManifest, platform::decodeServerEntry };
@@ -35,11 +45,12 @@
     , m_readSettings(std::move(readSettings))
     , m_timers(context)
     , m_log(LogFormat::Logfmt, m_settings.logLevel)
+    , m_responseBuffers(makeResponseBuffers(m_settings.memoryMegabytes))
     , m_connectionPool(context, m_timers, {})
     , m_watchPool(context, m_timers, {})
     , m_store(m_connectionPool, m_watchPool, m_log, m_settings.store)
     , m_replicas(m_connectionPool, m_timers)
-    , m_gateway({ context, m_timers, m_log, m_metrics, m_store, m_replicas, [this](const RoutingConfiguration& configuration) { applyLimits(configuration); } }, platformFormats(), m_settings.gateway)
+    , m_gateway({ context, m_timers, m_log, m_metrics, m_store, m_replicas, [this](const RoutingConfiguration& configuration) { applyLimits(configuration); }, m_responseBuffers }, platformFormats(), m_settings.gateway)
     , m_api(m_gateway, m_timers)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
@@ -47,7 +58,9 @@
 
 std::unique_ptr<HttpServer> GatewayDaemon::makeServer(const Endpoint& endpoint, HttpHandler handler)
 {
-    auto server = std::make_unique<HttpServer>(m_context, m_log, endpoint, HttpServerLimits {}, std::move(handler), platform::ClientApi::makeErrorResponse);
+    HttpServerLimits limits;
+    limits.responseBuffers = m_responseBuffers;
+    auto server = std::make_unique<HttpServer>(m_context, m_log, endpoint, limits, std::move(handler), platform::ClientApi::makeErrorResponse);
     server->start();
     return server;
 }
@@ -61,6 +74,8 @@
     if (m_settings.metricsListener) {
         m_metricsServer = makeServer(*m_settings.metricsListener, [this](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> {
             m_metrics.setGauge("chestnut_gateway_requests_in_progress", static_cast<double>(m_gateway.inProgress()));
+            if (m_responseBuffers)
+                m_metrics.setGauge("chestnut_response_buffer_bytes", static_cast<double>(m_responseBuffers->used()));
             m_metrics.setGauge("chestnut_replica_connections_opened", static_cast<double>(m_connectionPool.openedConnections()));
             (void)co_await writer.send({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.expose() });
         });
@@ -76,6 +91,7 @@
     limits.maximumBody = configuration.limits.maximumBody;
     limits.headerTimeout = configuration.limits.headerTimeout;
     limits.idleTimeout = configuration.limits.idleTimeout;
+    limits.responseBuffers = m_responseBuffers;
     m_clientServer->setLimits(limits);
 }
 
--- a/programs/chestnutrouted/GatewayDaemon.h
+++ b/programs/chestnutrouted/GatewayDaemon.h
@@ -36,6 +36,7 @@
     AsioTimerService m_timers;
     ConsoleLog m_log;
     Metrics m_metrics;
+    std::shared_ptr<ByteBudget> m_responseBuffers; /**< null where the memory of the VM is not configured */
     ConnectionPool m_connectionPool;
     ConnectionPool m_watchPool; /**< of the watches of the store */
     platform::StoreClient m_store;
--- a/programs/chestnutrouted/GatewayDaemonSettings.cpp
+++ b/programs/chestnutrouted/GatewayDaemonSettings.cpp
@@ -40,6 +40,7 @@
     self.linkMegabits = static_cast<uint32_t>(reader.number("daemon", "link_megabits", 0, 0, 1e6));
     self.clientEndpoint = settings.clientListener;
     self.peerEndpoint = reader.endpoint("listen", "peers");
+    settings.memoryMegabytes = static_cast<uint32_t>(reader.integer("limits", "memory_megabytes", 0, 0, 1'000'000));
     readBounds(reader, settings);
     auto level = reader.oneOf("log", "level", "info", { "debug", "info", "warning", "error" });
     for (auto severity : { Severity::Debug, Severity::Info, Severity::Warning, Severity::Error }) {
--- a/programs/chestnutrouted/GatewayDaemonSettings.h
+++ b/programs/chestnutrouted/GatewayDaemonSettings.h
@@ -15,6 +15,7 @@
     Endpoint discoveryListener;
     std::optional<Endpoint> metricsListener;
     Endpoint store;
+    uint32_t memoryMegabytes = 0; /**< of the VM; zero: unknown */
     Duration shutdownTimeout = std::chrono::seconds(8);
     Severity logLevel = Severity::Info;
 
--- a/tests/gateway/PlainRelayTest.cpp
+++ b/tests/gateway/PlainRelayTest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayFixture.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -280,3 +281,52 @@
     CHECK(fixture.replicaClient.prefills.empty());
     CHECK(fixture.replicaClient.sent.empty());
 }
+
+// Guards against a body of megabytes that is held for each client that reads slowly.
+TEST_CASE("a long body is sent before its end is known, and is broken off when the replica breaks it off")
+{
+    constexpr size_t chunkBytes = 16 << 10;
+    constexpr size_t chunkCount = 32;
+    GatewayFixture fixture;
+    fixture.services.responseBuffers = std::make_shared<ByteBudget>(size_t { 1 } << 20);
+    bool isShortOfMemory = false;
+    SUBCASE("as it is longer than one response may hold") { }
+    SUBCASE("as the budget is used up") { isShortOfMemory = fixture.services.responseBuffers->tryTake((size_t { 1 } << 20) - chunkBytes); }
+    fixture.addReplica("i-1", "s", "none");
+    ScriptedResponse response;
+    response.chunks.assign(chunkCount, std::string(chunkBytes, 'x'));
+    auto broken = response;
+    broken.closesEarly = true;
+    fixture.replicaClient.scripts[ReplicaId("i-1")] = { response, broken };
+    std::vector<size_t> reserved;
+    std::array<FakeWriter, 2> writers;
+    for (auto& writer : writers) {
+        writer.beforeWrite = [&]() -> asio::awaitable<void> {
+            reserved.push_back(fixture.services.responseBuffers->used());
+            co_return;
+        };
+        fixture.runRequest(fixture.route(RouteKind::Idempotent, 2), writer);
+        CHECK(writer.body.size() == chunkBytes * chunkCount);
+    }
+    CHECK(writers[0].isFinished);
+    CHECK_FALSE(writers[1].isFinished);
+    CHECK(writers[1].wasAborted);
+    CHECK(fixture.replicaClient.sent.size() == 2);
+    CHECK(reserved.size() > (isShortOfMemory ? chunkCount : chunkCount / 2));
+}
+
+TEST_CASE("a short body is held whole, so that its request can be repeated when it breaks off")
+{
+    GatewayFixture fixture;
+    fixture.services.responseBuffers = std::make_shared<ByteBudget>(size_t { 1 } << 20);
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none", "b");
+    auto broken = respondWith("part");
+    broken.closesEarly = true;
+    fixture.replicaClient.scripts[ReplicaId("i-1")] = { broken };
+    fixture.replicaClient.scripts[ReplicaId("i-2")] = { respondWith("whole") };
+    FakeWriter writer;
+    fixture.runRequest(fixture.route(RouteKind::Idempotent, 2), writer);
+    CHECK(writer.body == "whole");
+    CHECK(fixture.services.responseBuffers->used() == 0);
+}
--- a/tests/kernel/SettingsReaderTest.cpp
+++ b/tests/kernel/SettingsReaderTest.cpp
@@ -44,3 +44,14 @@
     CHECK_FALSE(parseEndpoint("localhost:80"));
     CHECK_FALSE(parseEndpoint("127.0.0.1:70000"));
 }
+
+// Guards against a daemon that does not start on a platform that has no value for an optional line of its template.
+TEST_CASE("a placeholder that was not filled in counts as absent")
+{
+    auto reader = readerFor("[limits]\nmemory = {{limits.memory_mb}}\n[listen]\npeers = 10.0.0.1:{{internal_ports.1}}\ncallers = {{ip}}:80\n");
+    CHECK(reader.integer("limits", "memory", 7, 0, 100) == 7);
+    CHECK(reader.endpoint("listen", "peers", Endpoint()) == Endpoint());
+    reader.endpoint("listen", "callers");
+    REQUIRE(reader.faults().size() == 1);
+    CHECK(reader.faults().front().setting == "listen.callers");
+}
