--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requests/GenerationRelay.h"
 
 #include "decisions/speeds/WaitLimits.h"
+#include "gateway/requests/BodyRelay.h"
 #include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
@@ -12,7 +13,6 @@
     constexpr uint32_t maximumDecodeCalls = 3;
     /** Decode calls that may be preceded by a prefill; in later ones the decode engine processes the prompt. */
     constexpr uint32_t maximumPrefillRounds = 2;
-    constexpr size_t maximumResponseBytes = 8 << 20;
     /** Weight of the time between two events for the capacity of an engine. The events of a stream are delayed together. */
     constexpr double eventGapWeight = 0.1;
 
@@ -63,18 +63,24 @@
     auto hasBegun = [this] { return m_writer.hasBegun(); };
     // The event needs at least this time, so that engines that have become slower are abandoned less often.
     auto onInterrupt = [this](TimePoint since) { recordEventTime(since); };
-    auto openElsewhere = [this](const ReplicaId& engine) { return openMove(engine); };
-    return { canContinueElsewhere, hasBegun, onInterrupt, openElsewhere };
+    auto findSuccessor = [this](const ReplicaId& engine) { return this->findSuccessor(engine); };
+    auto openAt = [this](const ReplicaEntry& engine) { return openMove(engine); };
+    return { canContinueElsewhere, hasBegun, onInterrupt, findSuccessor, openAt };
 }
 
-std::shared_ptr<StreamMove> GenerationRelay::openMove(const ReplicaId& silent)
+std::optional<ReplicaEntry> GenerationRelay::findSuccessor(const ReplicaId& silent)
 {
     m_relay->silent.insert(silent);
     auto engine = chooseDecodeEngine();
     if (!engine || engine->id == silent)
-        return nullptr;
-    auto move = std::make_shared<StreamMove>(m_relay, *engine);
-    logRouted(*engine);
+        return std::nullopt;
+    return *engine;
+}
+
+std::shared_ptr<StreamMove> GenerationRelay::openMove(const ReplicaEntry& engine)
+{
+    auto move = std::make_shared<StreamMove>(m_relay, engine);
+    logRouted(engine);
     move->start(m_lastEventId, order());
     return move;
 }
@@ -267,11 +273,12 @@
 asio::awaitable<Result<void>> GenerationRelay::relayWholeResponse(ReplicaResponse& response)
 {
     m_relay->mayHaveRun = true;
-    auto body = co_await readWholeBody(*response.body, maximumResponseBytes);
+    auto body = co_await readBodyStart(*response.body, m_relay->services.responseBuffers);
     if (!body)
         co_return makeError(ErrorKind::BackendFailed, body.error().detail);
     auto status = response.body->status();
-    auto sent = co_await m_writer.send({ status, std::move(response.headers), std::move(*body) });
+    m_silenceWatch.stop();
+    auto sent = co_await relayBody(m_writer, status, std::move(response.headers), std::move(*body), response.body.get());
     m_relay->services.log.write(EventId::RequestCompleted, { { "request", m_relay->request.id }, { "status", status }, { "sent", sent ? 1 : 0 } });
     co_return Result<void>();
 }
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -53,8 +53,9 @@
     /** Waits for the next complete event; bytes of an incomplete one are no progress. */
     void watchSilence(const ReplicaEntry&, std::optional<Duration> limit);
     SilenceWatch::Callbacks silenceCallbacks();
-    /** Opens the stream at another engine than the silent one; null if none can be chosen. */
-    std::shared_ptr<StreamMove> openMove(const ReplicaId& silent);
+    /** Another engine than the silent one for its stream. */
+    std::optional<ReplicaEntry> findSuccessor(const ReplicaId& silent);
+    std::shared_ptr<StreamMove> openMove(const ReplicaEntry&);
     void recordEventTime(TimePoint sentAt);
     /** Records the time of the event that has arrived, before recordEventTime(). */
     void recordCapacity(const ReplicaEntry&, TimePoint sentAt);
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -52,6 +52,7 @@
     RetryBudgets& budgets;
     AvailabilityZone zone;
     Duration soundSilence; /**< longest silence of a sound engine in the middle of a stream */
+    std::shared_ptr<ByteBudget> responseBuffers; /**< of bodies whose clients read slowly; null: bodies are read whole */
     UsageMeter* usage = nullptr; /**< null: usage is not counted */
     UrgentWork urgentWork { timers };
 };
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -92,7 +92,7 @@
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_loadTracker, m_speeds, m_crashTracker, m_replicas)
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
     , m_taskLease(makeTaskLease())
-    , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone, m_settings.bounds.soundSilence }
+    , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone, m_settings.bounds.soundSilence, m_dependencies.responseBuffers }
     , m_accountMetrics(m_dependencies.timers, m_dependencies.metrics)
     , m_accountUse(m_dependencies.timers, hash64(m_settings.self.id.value()))
 {
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -54,6 +54,7 @@
     std::function<void(const RoutingConfiguration&)> onConfiguration; /**< called after each change */
     ConfigurationClient* configurationClient = nullptr; /**< null: configurations come from the store alone */
     TaskPlatform* taskPlatform = nullptr; /**< null: this daemon runs no singleton tasks */
+    std::shared_ptr<ByteBudget> responseBuffers; /**< of responses whose clients read slowly; may be null */
 };
 
 /** A discovery response: the daemons that clients may connect to. */
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -37,6 +37,16 @@
         return limits;
     }
 
+    /** Part of the VM's memory for the responses that wait for slow readers. Buffers that grow may take twice their size. */
+    constexpr size_t responseBufferDivisor = 8;
+
+    std::shared_ptr<ByteBudget> makeResponseBuffers(uint32_t memoryMegabytes)
+    {
+        if (memoryMegabytes == 0)
+            return nullptr;
+        return std::make_shared<ByteBudget>((size_t { memoryMegabytes } << 20) / responseBufferDivisor);
+    }
+
     GatewayFormats platformFormats()
     {
         return { std::string(platform::names::configurationKey), std::string(platform::names::replicaPrefix), platform::decodeManifest, platform::decodeServerEntry };
@@ -50,13 +60,14 @@
     , m_readSettings(std::move(readSettings))
     , m_timers(context)
     , m_log(LogFormat::Logfmt, m_settings.logLevel)
+    , m_responseBuffers(makeResponseBuffers(m_settings.memoryMegabytes))
     , m_connectionPool(context, m_timers, {})
     , m_watchPool(context, m_timers, {})
     , m_store(m_connectionPool, m_watchPool, m_log, m_settings.store)
     , m_replicas(m_connectionPool, m_timers)
     , m_configurationClient(m_connectionPool)
     , m_tasks(makeTaskClient())
-    , m_gateway({ context, m_timers, m_log, m_metrics, m_store, m_replicas, [this](const RoutingConfiguration& configuration) { applyLimits(configuration); }, m_settings.peerApiListener ? &m_configurationClient : nullptr, m_tasks.get() }, platformFormats(), m_settings.gateway)
+    , m_gateway({ context, m_timers, m_log, m_metrics, m_store, m_replicas, [this](const RoutingConfiguration& configuration) { applyLimits(configuration); }, m_settings.peerApiListener ? &m_configurationClient : nullptr, m_tasks.get(), m_responseBuffers }, platformFormats(), m_settings.gateway)
     , m_api(m_gateway, m_timers)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
@@ -69,7 +80,9 @@
 
 std::unique_ptr<HttpServer> GatewayDaemon::makeServer(const Endpoint& endpoint, HttpHandler handler, const HttpServerLimits& limits)
 {
-    auto server = std::make_unique<HttpServer>(m_context, m_log, endpoint, limits, std::move(handler), platform::ClientApi::makeErrorResponse);
+    auto bounded = limits;
+    bounded.responseBuffers = m_responseBuffers;
+    auto server = std::make_unique<HttpServer>(m_context, m_log, endpoint, bounded, std::move(handler), platform::ClientApi::makeErrorResponse);
     server->start();
     return server;
 }
@@ -83,6 +96,8 @@
     if (m_settings.metricsListener) {
         m_metricsServer = makeServer(*m_settings.metricsListener, [this](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> {
             m_metrics.setGauge("chestnut_gateway_requests_in_progress", static_cast<double>(m_gateway.inProgress()));
+            if (m_responseBuffers)
+                m_metrics.setGauge("chestnut_response_buffer_bytes", static_cast<double>(m_responseBuffers->used()));
             m_metrics.setGauge("chestnut_replica_connections_opened", static_cast<double>(m_connectionPool.openedConnections()));
             (void)co_await writer.send({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.expose() });
         });
@@ -101,6 +116,7 @@
     limits.maximumBody = configuration.limits.maximumBody;
     limits.headerTimeout = configuration.limits.headerTimeout;
     limits.idleTimeout = configuration.limits.idleTimeout;
+    limits.responseBuffers = m_responseBuffers;
     m_clientServer->setLimits(limits);
 }
 
--- a/programs/chestnutrouted/GatewayDaemonSettings.cpp
+++ b/programs/chestnutrouted/GatewayDaemonSettings.cpp
@@ -58,6 +58,7 @@
     self.clientEndpoint = settings.clientListener;
     self.configurationEndpoint = settings.peerApiListener;
     self.peerEndpoint = reader.endpoint("listen", "peers");
+    settings.memoryMegabytes = static_cast<uint32_t>(reader.integer("limits", "memory_megabytes", 0, 0, 1'000'000));
     readBounds(reader, settings);
     readTasks(reader, settings);
     auto level = reader.oneOf("log", "level", "info", { "debug", "info", "warning", "error" });
--- a/programs/chestnutrouted/GatewayDaemonSettings.h
+++ b/programs/chestnutrouted/GatewayDaemonSettings.h
@@ -18,6 +18,7 @@
     std::optional<Endpoint> peerApiListener; /**< serves the configuration to other daemons */
     Endpoint store;
     std::optional<platform::TaskClientSettings> tasks; /**< absent: no singleton tasks */
+    uint32_t memoryMegabytes = 0; /**< of the VM; zero: unknown */
     Duration shutdownTimeout = std::chrono::seconds(8);
     Severity logLevel = Severity::Info;
 
