Scaling runs in the gateway, and streams leave engines that are taken away

Gateway did not start the scaling. It now does where a task platform is set, under the tasks' lease, and ends its calls before the lease is given up. Nothing is released while LoadExchange does not hear almost all daemons.

A reclaim broke all streams of its engines at the same moment.

The stages of a scaled pool could change by one engine in 10 s only, while its engines are replaced within a minute: up to a tenth of them may change at the same time now. Engines of a zone that is being reclaimed get no order. Pools of a fixed size are as before.

A time left above 24 h is read as 24 h.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -120,6 +120,7 @@
         { EventId::ReplicasOrdered, "replicas_ordered", Severity::Info, "The number of replicas of one kind in one zone is ordered; the fields give the present demand in replicas, the replicas needed for its recent peak, and the reason." },
         { EventId::ReplicaOrderFailed, "replica_order_failed", Severity::Warning, "An order for replicas was refused, could not be fulfilled in this zone now, or its response was lost; it is decided again after the pause." },
         { EventId::ReplicasMissing, "replicas_missing", Severity::Warning, "Replicas left without an order, or ordered ones did not appear within a few boot times." },
+        { EventId::StreamLeftReplica, "stream_left_replica", Severity::Info, "A stream is continued at another engine, because its engine leaves before the stream is expected to end." },
         { EventId::ReplicaErrorResponse, "replica_error_response", Severity::Warning, "A replica ran a call of a plain service and answered it with a status of 500 or above; the fields give what the daemon does." },
         { EventId::ReplicaCapacityChanged, "replica_capacity_changed", Severity::Info, "The learned concurrency limit or weight of a replica changed by much; the fields give the old and new values and their evidence." },
     });
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -126,6 +126,7 @@
     ReplicasOrdered = 2270,
     ReplicaOrderFailed = 2271,
     ReplicasMissing = 2272,
+    StreamLeftReplica = 2273,
     ReplicaErrorResponse = 2280,
     ReplicaCapacityChanged = 2281,
 };
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -11,6 +11,7 @@
 #include "decisions/claims/ClaimKey.h"
 #include "decisions/claims/ClaimLog.h"
 #include "decisions/discovery/Discovery.h"
+#include "decisions/drains/DepartingStream.h"
 #include "decisions/drains/Drain.h"
 #include "decisions/drains/Shutdown.h"
 #include "decisions/ejection/Ejection.h"
--- a/modules/decisions/replicas/ReplicaRegistry.h
+++ b/modules/decisions/replicas/ReplicaRegistry.h
@@ -32,7 +32,7 @@
     int64_t startedAt = 0; /**< Unix milliseconds; distinguishes process starts under one id */
     int64_t heartbeat = 0; /**< increases with each heartbeat of one start */
     bool isReclaimable = false; /**< the platform may take it away, together with all others of its zone */
-    std::optional<Duration> leavesIn; /**< time left at the heartbeat; absent while unknown */
+    std::optional<Duration> leavesIn = std::nullopt; /**< time left at the heartbeat; absent while unknown */
 
     bool operator==(const ReplicaEntry&) const = default;
 };
@@ -82,6 +82,7 @@
     int64_t startedAt = 0; /**< of the start that leaves */
     int64_t heartbeat = 0; /**< last one before it left */
     bool isDraining = false; /**< it announced its departure; otherwise its entry was removed */
+    std::optional<Duration> leavesIn = std::nullopt; /**< absent while unknown */
 
     bool operator==(const LeavingReplica&) const = default;
 };
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -37,6 +37,11 @@
         entryPointTimeout. */
     constexpr Duration livenessTimeout = std::chrono::milliseconds(600);
 
+    /** Work that was reported longer ago has expired in the load tracker. */
+    constexpr Duration workValidity = std::chrono::milliseconds(1500);
+    /** Share of the daemons whose work has to be known. A killed daemon remains registered for some seconds. */
+    constexpr double leastHeardShare = 0.8;
+
     /** Subtracts the work that this daemon sent from a sum that it received. */
     std::vector<ReplicaWork> withoutOwnWork(std::vector<ReplicaWork> sum, const std::vector<ReplicaWork>& part)
     {
@@ -151,10 +156,45 @@
     auto collects = m_topology.isMesh || m_topology.isCollector;
     if (message.scope == LoadScope::Daemon && collects)
         m_loadTracker->setPeerWork(message.sender.id, message.work, message.part);
-    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone)
+    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone) {
         m_loadTracker->setPeerWork(zoneKey(message.sender.zone), message.work, message.part);
-    else if (message.scope == LoadScope::Fleet && !collects)
+        m_zoneWorkAt[message.sender.zone] = m_timers.now();
+    } else if (message.scope == LoadScope::Fleet && !collects) {
         m_loadTracker->setPeerWork(fleetKey, withoutOwnWork(message.work, m_sentWork), message.part);
+        m_fleetWorkAt = m_timers.now();
+    }
+}
+
+bool LoadExchange::knowsFleetLoad() const
+{
+    if (m_topology.isMesh)
+        return hearsDaemons(false);
+    if (m_topology.isCollector)
+        return hearsDaemons(true) && hearsOtherZones();
+    return m_fleetWorkAt && m_timers.now() - *m_fleetWorkAt < workValidity;
+}
+
+bool LoadExchange::hearsDaemons(bool ofOwnZoneOnly) const
+{
+    size_t registered = 0;
+    size_t heard = 0;
+    for (const auto& view : m_directory.others()) {
+        if (!view.isRegistered || view.isLeaving || (ofOwnZoneOnly && view.record.zone != m_directory.self().zone))
+            continue;
+        ++registered;
+        heard += view.hasSentMessage && view.timeSinceMessage < workValidity ? 1 : 0;
+    }
+    return static_cast<double>(heard) >= static_cast<double>(registered) * leastHeardShare;
+}
+
+bool LoadExchange::hearsOtherZones() const
+{
+    return std::ranges::all_of(m_directory.others(), [this](const DaemonView& view) {
+        if (!view.isRegistered || view.isLeaving || view.record.zone == m_directory.self().zone)
+            return true;
+        auto heardAt = m_zoneWorkAt.find(view.record.zone);
+        return heardAt != m_zoneWorkAt.end() && m_timers.now() - heardAt->second < workValidity;
+    });
 }
 
 void LoadExchange::applySamples(const LoadMessage& message)
--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -26,6 +26,9 @@
     /** Whether a collector with access to the store reports its changes, so that this daemon can watch the store less often. */
     bool receivesStoreChanges() const;
 
+    /** Whether the messages of the last second and a half cover the work of almost all daemons. */
+    bool knowsFleetLoad() const;
+
 private:
     asio::awaitable<void> receiveAll();
     void receive(std::string_view datagram);
@@ -38,6 +41,8 @@
     std::vector<DaemonId> liveDaemonsOfZone() const;
     void applyWork(const LoadMessage&);
     void applySamples(const LoadMessage&);
+    bool hearsDaemons(bool ofOwnZoneOnly) const;
+    bool hearsOtherZones() const;
     Duration period() const;
 
     asio::io_context& m_context;
@@ -54,6 +59,8 @@
     std::vector<ReplicaWork> m_sentWork; /**< own work as last sent; the received sums include it */
     TimePoint m_sentAt;
     std::optional<TimePoint> m_lastCollectorMessageAt; /**< from a collector that can reach the store */
+    std::optional<TimePoint> m_fleetWorkAt; /**< last message with the work of all daemons */
+    std::map<AvailabilityZone, TimePoint> m_zoneWorkAt; /**< last message with the work of another zone */
     bool m_isLeaving = false;
 };
 
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -23,6 +23,8 @@
     constexpr size_t partBeginsPerPart = 12;
     /** Older reports are not sent; the limit keeps calculations with reported ages in range. */
     constexpr Duration maximumReportAge = std::chrono::minutes(1);
+    /** Longest time until a replica leaves; the limit keeps calculations with it in range. */
+    constexpr Duration longestTimeLeft = std::chrono::hours(24);
     /** Limits the memory of a receiver, which stores a list for each part. The two-year target needs far fewer parts. */
     constexpr uint32_t maximumParts = 256;
     /** Each part carries all lost attempts; one with a longer id, which a client chooses, is not reported. */
@@ -184,7 +186,7 @@
     {
         auto list = json::array();
         for (const auto& entry : entries)
-            list.push_back({ entry.id.value(), entry.service.value(), entry.address, entry.zone.value(), entry.slots, static_cast<int>(entry.stage), entry.startedAt, entry.heartbeat });
+            list.push_back({ entry.id.value(), entry.service.value(), entry.address, entry.zone.value(), entry.slots, static_cast<int>(entry.stage), entry.startedAt, entry.heartbeat, entry.isReclaimable });
         return list;
     }
 
@@ -208,6 +210,8 @@
             entry.stage = decodeStage(item.at(5).get<int>());
             entry.startedAt = item.at(6).get<int64_t>();
             entry.heartbeat = item.at(7).get<int64_t>();
+            // Earlier versions do not send it.
+            entry.isReclaimable = item.size() > 8 && item.at(8).get<bool>();
             entries.push_back(std::move(entry));
         }
         return entries;
@@ -232,16 +236,32 @@
     json encodeLeaving(const std::vector<LeavingReplica>& replicas)
     {
         auto list = json::array();
-        for (const auto& replica : replicas)
-            list.push_back({ replica.id.value(), replica.startedAt, replica.heartbeat, replica.isDraining });
+        for (const auto& replica : replicas) {
+            json item { replica.id.value(), replica.startedAt, replica.heartbeat, replica.isDraining };
+            if (replica.leavesIn)
+                item.push_back(replica.leavesIn->count());
+            list.push_back(std::move(item));
+        }
         return list;
     }
 
+    Duration decodeTimeLeft(const json& item)
+    {
+        Duration time(item.get<int64_t>());
+        if (time < Duration::zero() || time > longestTimeLeft)
+            throw json::out_of_range::create(406, "time left out of range", &item);
+        return time;
+    }
+
     std::vector<LeavingReplica> decodeLeaving(const json& list)
     {
         std::vector<LeavingReplica> replicas;
-        for (const auto& item : list)
+        for (const auto& item : list) {
             replicas.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<int64_t>(), item.at(2).get<int64_t>(), item.at(3).get<bool>() });
+            // Earlier versions do not send it.
+            if (item.size() > 4)
+                replicas.back().leavesIn = decodeTimeLeft(item.at(4));
+        }
         return replicas;
     }
 
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -87,11 +87,15 @@
 {
     const auto* replica = find(entry.id);
     auto isNewStart = !replica || replica->entry.startedAt != entry.startedAt;
-    if (!applyEntry(m_registry, entry))
+    auto hasChanged = applyEntry(m_registry, entry);
+    if (find(entry.id)->entry == entry && entry.isDraining)
+        recordEnd(entry.id, entry.leavesIn);
+    if (!hasChanged)
         return false;
     if (isNewStart) {
         forget(entry.id);
         m_startSeenAt[entry.id] = m_timers.now();
+        recordEnd(entry.id, entry.isDraining ? entry.leavesIn : std::nullopt);
     }
     if (entry.isDraining)
         recordLeaving(entry.id);
@@ -122,6 +126,30 @@
 {
     m_loadTracker->resetObservations(id);
     m_startSeenAt.erase(id);
+    m_leavesAt.erase(id);
+}
+
+void ReplicaDirectory::recordEnd(const ReplicaId& id, std::optional<Duration> leavesIn)
+{
+    if (!leavesIn)
+        return;
+    auto end = m_timers.now() + *leavesIn;
+    auto [present, isNew] = m_leavesAt.try_emplace(id, end);
+    present->second = std::min(present->second, end);
+}
+
+std::optional<TimePoint> ReplicaDirectory::leavesAt(const ReplicaId& id) const
+{
+    auto found = m_leavesAt.find(id);
+    return found == m_leavesAt.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool ReplicaDirectory::isReclaiming(const ServiceId& service, const AvailabilityZone& zone) const
+{
+    return std::ranges::any_of(m_leavesAt, [&](const auto& entry) {
+        const auto* replica = find(entry.first);
+        return replica && replica->status == ReplicaStatus::Draining && replica->entry.isReclaimable && replica->entry.service == service && replica->entry.zone == zone;
+    });
 }
 
 void ReplicaDirectory::removeUnconfirmed()
@@ -170,6 +198,8 @@
 
 void ReplicaDirectory::applyPeerLeaving(const LeavingReplica& report)
 {
+    if (const auto* replica = find(report.id); replica && replica->entry.startedAt == report.startedAt)
+        recordEnd(report.id, report.leavesIn);
     if (!applyLeavingReport(m_registry, report, m_timers.now()))
         return;
     // Only the first report of a peer is forwarded; it then reaches daemons that get no messages from the sender.
@@ -333,8 +363,11 @@
 std::vector<LeavingReplica> ReplicaDirectory::leaving() const
 {
     std::vector<LeavingReplica> replicas;
-    for (const auto& [id, report] : m_leaving)
+    for (const auto& [id, report] : m_leaving) {
         replicas.push_back(report.replica);
+        if (auto end = leavesAt(id))
+            replicas.back().leavesIn = std::max(*end - m_timers.now(), Duration::zero());
+    }
     // A daemon that starts later reads a ready entry and learns of the departure only here.
     for (const auto& [id, replica] : m_registry.replicas) {
         auto isListedAsReady = replica.status == ReplicaStatus::Draining && !replica.entry.isDraining;
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -53,6 +53,12 @@
     /** Whether the replica wants no requests from this daemon now. */
     bool isBackingOff(const ReplicaId&) const;
 
+    /** When the replica ends, if it has announced that; running streams are broken then. */
+    std::optional<TimePoint> leavesAt(const ReplicaId&) const;
+
+    /** Whether the platform takes the reclaimable replicas of a service in this zone away. */
+    bool isReclaiming(const ServiceId&, const AvailabilityZone&) const;
+
     /** Whether the replica may get requests that are not a client's, such as orders. */
     bool acceptsControlCalls(const ReplicaId&) const;
 
@@ -120,6 +126,8 @@
     /** Erases what was observed of a process start. */
     void forget(const ReplicaId&);
     void recordLeaving(const ReplicaId&);
+    /** Keeps the earliest end that was announced for the present process start. */
+    void recordEnd(const ReplicaId&, std::optional<Duration> leavesIn);
     bool isPaused(const ReplicaId&) const;
     void expireOrders();
     /** Removes replicas whose entries were only reported by peers. */
@@ -138,6 +146,7 @@
     ReplicaRegistry m_registry;
     std::map<ReplicaId, TimePoint> m_startSeenAt; /**< when the present process start of each replica was first read */
     std::map<ReplicaId, LeavingReport> m_leaving;
+    std::map<ReplicaId, TimePoint> m_leavesAt;
     std::map<ReplicaId, TimePoint> m_changedAt; /**< when the change was read from the store */
     std::map<ReplicaId, TimePoint> m_unconfirmed; /**< entries from peers, and when they were applied */
     std::set<ReplicaId> m_unreadable; /**< whose entries could not be read and were logged */
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -1,5 +1,7 @@
 #include "gateway/requests/GenerationRelay.h"
 
+#include "base/digest/Digest.h"
+#include "decisions/drains/DepartingStream.h"
 #include "decisions/speeds/WaitLimits.h"
 #include "kernel/tasks/BackgroundTask.h"
 
@@ -16,6 +18,8 @@
     /** Decode calls that may be preceded by a prefill; in later ones the decode engine processes the prompt. */
     constexpr uint32_t maximumPrefillRounds = 2;
     constexpr size_t maximumResponseBytes = 8 << 20;
+    /** Different positions of streams in the order in which they leave an engine. */
+    constexpr uint64_t positions = 1000;
 
     /** Describes the engines, their requests in flight and the number of ejected ones. */
     std::string describeLoad(const std::vector<PlacementView>& views)
@@ -62,14 +66,32 @@
 
 SilenceWatch::Callbacks GenerationRelay::silenceCallbacks()
 {
-    auto canContinueElsewhere = [this](const ReplicaId& engine) {
-        auto canRead = m_decodeCalls >= maximumPrefillRounds || !mustReadPrompt() || m_prefill->canRunInTime();
-        return m_decodeCalls < maximumDecodeCalls && mayContinue() && canRead && m_relay->hasFreeReplica(EngineStage::Decode, engine);
-    };
+    auto canContinue = [this](const ReplicaId& engine) { return canContinueElsewhere(engine); };
     auto hasBegun = [this] { return m_writer.hasBegun(); };
     // The event needs at least this time, so that engines that have become slower are abandoned less often.
     auto onInterrupt = [this](TimePoint since) { recordEventTime(since); };
-    return { canContinueElsewhere, hasBegun, onInterrupt };
+    return { canContinue, hasBegun, onInterrupt };
+}
+
+bool GenerationRelay::canContinueElsewhere(const ReplicaId& engine) const
+{
+    auto canRead = m_decodeCalls >= maximumPrefillRounds || !mustReadPrompt() || m_prefill->canRunInTime();
+    return m_decodeCalls < maximumDecodeCalls && mayContinue() && canRead && m_relay->hasFreeReplica(EngineStage::Decode, engine);
+}
+
+bool GenerationRelay::mustLeave(const ReplicaEntry& engine, TimePoint sentAt)
+{
+    auto& relay = *m_relay;
+    auto leavesAt = relay.services.replicas.leavesAt(engine.id);
+    if (!leavesAt || !relay.mayRunAgain() || relay.hasSuspectedPart() || !canContinueElsewhere(engine.id))
+        return false;
+    auto now = relay.services.timers.now();
+    auto position = static_cast<double>(hash64(relay.request.id.value()) % positions) / positions;
+    if (!shouldContinueElsewhere({ *leavesAt - now, now - sentAt, relay.services.speeds.speedOf(relay.service).occupancy, position }) || !relay.reserveRetry())
+        return false;
+    relay.services.log.write(EventId::StreamLeftReplica, { { "request", relay.request.id }, { "replica", engine.id }, { "left_ms", (*leavesAt - now).count() / 1000 }, { "after", m_lastEventId } });
+    relay.services.metrics.count("chestnut_gateway_streams_moved_total");
+    return true;
 }
 
 void GenerationRelay::watchSilence(const ReplicaId& engine, std::optional<Duration> limit)
@@ -217,6 +239,10 @@
             co_return StreamEnd::Mismatch;
         if (hasEvents && !isEnd)
             watchSilence(engine.id, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective, relay.remaining(), relay.services.soundSilence));
+        if (hasEvents && !isEnd && mustLeave(engine, sentAt)) {
+            relay.interruptAttempt();
+            co_return StreamEnd::Leaving;
+        }
         if (!isEnd)
             continue;
         if (splitter.isInsideEvent())
@@ -310,6 +336,8 @@
         co_return makeError(ErrorKind::CallerGone, "the client disconnected after event " + m_lastEventId);
     case StreamEnd::Mismatch:
         co_return makeError(ErrorKind::BackendFailed, "the replica did not continue the stream after event " + m_lastEventId);
+    case StreamEnd::Leaving:
+        co_return makeError(ErrorKind::BackendFailed, "the engine is about to leave after event " + m_lastEventId);
     case StreamEnd::Broken:
         break;
     }
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -22,6 +22,7 @@
         Broken, /**< the connection failed or was interrupted, the body ended inside an event, or an event was too long */
         Mismatch, /**< its events do not continue those that the client has received */
         ClientDisconnected,
+        Leaving, /**< the engine leaves soon, and the stream can be continued elsewhere */
     };
 
     // The steps in the order in which they run.
@@ -46,11 +47,15 @@
     asio::awaitable<bool> writeEvents(ReplicaResponse&, EventBatch);
     /** Whether another run may continue what the client has received. */
     bool mayContinue() const;
+    /** Whether the stream is to be continued elsewhere now, because its engine leaves before the stream is expected to end. */
+    bool mustLeave(const ReplicaEntry& engine, TimePoint sentAt);
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
     /** Waits for the next complete event; bytes of an incomplete one are no progress. */
     void watchSilence(const ReplicaId& engine, std::optional<Duration> limit);
     SilenceWatch::Callbacks silenceCallbacks();
+    /** Whether another engine than this one is free for the rest of the work. */
+    bool canContinueElsewhere(const ReplicaId&) const;
     void recordEventTime(TimePoint sentAt);
 
     asio::awaitable<void> sendFailure(Error);
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -19,11 +19,16 @@
     constexpr size_t changesBeforeTraffic = 8;
     constexpr size_t changesWithTraffic = 1;
     constexpr size_t urgentChanges = 3;
+    /** The same with traffic, as a share of the engines of a service whose number of replicas is ordered. */
+    constexpr size_t scaledChangesDivisor = 10;
     /** An engine counts as changing for at most this long: an order without a response may take effect 12 s later, and
         running streams complete before the change. */
     constexpr Duration longestChange = std::chrono::seconds(20);
     /** Minimum time between two changes with traffic, so that the demand reflects the effect of the first. */
     constexpr Duration dwellTime = std::chrono::seconds(10);
+    /** The same for a service whose number of replicas is ordered: its stages change with each replica that comes or leaves. The
+        share of engines that change at the same time limits the orders. */
+    constexpr Duration scaledDwellTime = std::chrono::milliseconds(300);
     /** The same when there are too few decode slots. */
     constexpr Duration urgentDwellTime = std::chrono::seconds(1);
 
@@ -86,8 +91,9 @@
     for (const auto* entry : m_replicas.engines(service)) {
         auto pending = m_pendingOrders.find(entry->id);
         auto isChanging = pending != m_pendingOrders.end();
-        // An engine that wants no requests gets no order either.
-        auto isUnavailable = isChanging || m_replicas.isBackingOff(entry->id);
+        // An engine that wants no requests gets no order either, nor does one that is probably taken away.
+        auto isReclaimed = entry->isReclaimable && m_replicas.isReclaiming(service, entry->zone);
+        auto isUnavailable = isChanging || isReclaimed || m_replicas.isBackingOff(entry->id);
         engines.push_back({ entry->id, entry->zone, isChanging ? pending->second.stage : entry->stage, isUnavailable });
     }
     return engines;
@@ -128,9 +134,12 @@
         expireOrders(service);
         auto engines = enginesOf(service.id);
         auto isUrgent = lacksDecodeCapacity(engines, demand);
-        auto maximumChanges = !demand.isMeasured ? changesBeforeTraffic : isUrgent ? urgentChanges
-                                                                                   : changesWithTraffic;
-        auto isDwelling = demand.isMeasured && m_timers.now() - m_lastOrderAt < (isUrgent ? urgentDwellTime : dwellTime);
+        // New engines of a scaled pool come in one stage, whatever is needed, while old ones of both stages leave.
+        auto usualChanges = service.scaling ? std::max(engines.size() / scaledChangesDivisor, changesWithTraffic) : changesWithTraffic;
+        auto usualDwellTime = service.scaling ? scaledDwellTime : dwellTime;
+        auto maximumChanges = !demand.isMeasured ? changesBeforeTraffic : isUrgent ? std::max(urgentChanges, usualChanges)
+                                                                                   : usualChanges;
+        auto isDwelling = demand.isMeasured && m_timers.now() - m_lastOrderAt < (isUrgent ? urgentDwellTime : usualDwellTime);
         if (m_pendingOrders.size() >= maximumChanges || isDwelling)
             co_return;
         auto change = nextStageChange(engines, demand);
--- a/modules/gateway/scaling/ScalingManager.cpp
+++ b/modules/gateway/scaling/ScalingManager.cpp
@@ -11,8 +11,7 @@
 
     constexpr Duration samplePeriod = std::chrono::milliseconds(200);
     constexpr Duration decisionPeriod = std::chrono::milliseconds(500);
-    /** Longest time of a call to the platform, which ends it with an error by then. */
-    constexpr Duration callTime = std::chrono::seconds(2);
+    constexpr Duration stopCheckPeriod = std::chrono::milliseconds(20);
     /** Pause of all calls after one that failed or exceeded the rate; doubled for each further one. */
     constexpr Duration firstPause = std::chrono::milliseconds(500);
     constexpr Duration longestPause = std::chrono::seconds(4);
@@ -88,7 +87,9 @@
 {
     m_isStopped = true;
     m_sampleTimer.cancel();
-    co_return;
+    auto isCalling = [](const auto& service) { return !service.second.calling.empty(); };
+    while (std::ranges::any_of(m_services, isCalling))
+        co_await m_timers.sleep(stopCheckPeriod);
 }
 
 void ScalingManager::sampleDemand()
@@ -96,11 +97,13 @@
     auto table = m_routing.table();
     if (!table)
         return;
+    auto isNewTable = std::exchange(m_sampledTable, table) != table;
     for (const auto& service : table->configuration().services) {
         if (!service.scaling)
             continue;
         auto& state = m_services[service.id];
-        recordConfiguration(service, state);
+        if (isNewTable)
+            recordConfiguration(*table, service, state);
         std::vector<const ReplicaEntry*> entries;
         for (const auto* replica : m_replicas.registered(service.id))
             entries.push_back(&replica->entry);
@@ -109,9 +112,9 @@
     }
 }
 
-void ScalingManager::recordConfiguration(const ServiceProfile& service, ServiceState& state) const
+void ScalingManager::recordConfiguration(const RouteTable& table, const ServiceProfile& service, ServiceState& state) const
 {
-    auto shares = sharesOf(m_routing.table()->configuration(), service.id);
+    auto shares = sharesOf(table.configuration(), service.id);
     if (state.profile == service.scaling && state.shares == shares)
         return;
     if (state.profile)
@@ -131,7 +134,7 @@
 void ScalingManager::adjustAll()
 {
     auto table = m_routing.table();
-    if (!table || m_isStopped || !m_lease.mayAct(callTime)) {
+    if (!table || m_isStopped || !m_lease.mayAct(longestTaskCall)) {
         withdrawMetrics();
         return;
     }
--- a/modules/gateway/scaling/ScalingManager.h
+++ b/modules/gateway/scaling/ScalingManager.h
@@ -29,6 +29,7 @@
     ScalingManager(asio::io_context&, TimerService&, Log&, Metrics&, TaskPlatform&, TaskLeaseView, ReplicaDirectory&, std::shared_ptr<LoadTracker>, SpeedTracker&, RoutingSource&, std::function<bool()> knowsFleetLoad);
 
     void start() override;
+    /** Waits for the calls in flight, so that the lease can be given up afterwards. */
     asio::awaitable<void> stop() override;
 
 private:
@@ -51,7 +52,7 @@
     };
 
     void sampleDemand();
-    void recordConfiguration(const ServiceProfile&, ServiceState&) const;
+    void recordConfiguration(const RouteTable&, const ServiceProfile&, ServiceState&) const;
     asio::awaitable<void> manage();
     void adjustAll();
     void adjust(const ServiceProfile&);
@@ -83,6 +84,7 @@
     RoutingSource& m_routing;
     std::function<bool()> m_knowsFleetLoad;
     std::map<ServiceId, ServiceState> m_services;
+    std::shared_ptr<const RouteTable> m_sampledTable;
     TimePoint m_nextCallAt; /**< of any pool, after a failed call */
     uint32_t m_failedCalls = 0; /**< consecutive */
     TimerSubscription m_sampleTimer;
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -79,6 +79,7 @@
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_loadTracker, m_speeds, m_crashTracker, m_replicas)
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
     , m_taskLease(makeTaskLease())
+    , m_scaling(makeScaling())
     , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone, m_settings.bounds.soundSilence }
 {
     m_dependencies.replicaClient.onNotice([this](const ReplicaNotice& notice) { onNotice(notice); });
@@ -97,6 +98,15 @@
     return lease;
 }
 
+std::unique_ptr<ScalingManager> Gateway::makeScaling()
+{
+    if (!m_dependencies.taskPlatform)
+        return nullptr;
+    auto mayAct = [this](Duration callTime) { return m_taskLease->mayAct(callTime); };
+    auto authority = [this] { return TaskAuthority { m_taskLease->self(), m_taskLease->fencingNumber() }; };
+    return std::make_unique<ScalingManager>(m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, *m_dependencies.taskPlatform, TaskLeaseView { mayAct, authority }, m_replicas, m_loadTracker, m_speeds, m_routing, [this] { return m_exchange.knowsFleetLoad(); });
+}
+
 Duration Gateway::pauseOfOwnKeys() const
 {
     // A holder of a lease has to notice soon that the key was removed and another daemon has acquired it.
@@ -122,8 +132,10 @@
     m_blocks.start();
     m_exchange.start();
     m_roles.start();
-    if (m_taskLease)
+    if (m_taskLease) {
         m_taskLease->start();
+        m_scaling->start();
+    }
 }
 
 void Gateway::setBounds(const GatewayBounds& bounds)
@@ -155,8 +167,10 @@
     m_shutdown = ShutdownPlan { m_dependencies.timers.now(), endsAt };
     m_exchange.announceLeaving();
     co_await m_roles.stop();
-    if (m_taskLease)
+    if (m_taskLease) {
+        co_await m_scaling->stop();
         co_await m_taskLease->stop();
+    }
     co_await m_daemons->deregister();
 }
 
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/members/LoadExchange.h"
 #include "gateway/requests/RelayContext.h"
 #include "gateway/roles/RoleManager.h"
+#include "gateway/scaling/ScalingManager.h"
 #include "gateway/service/RoutingSource.h"
 #include "gateway/tasks/TaskPlatform.h"
 
@@ -85,6 +86,7 @@
 
 private:
     std::unique_ptr<FencedLease> makeTaskLease();
+    std::unique_ptr<ScalingManager> makeScaling();
     Duration pauseOfOwnKeys() const;
     void onNotice(const ReplicaNotice&);
     void restartWatches();
@@ -106,6 +108,7 @@
     LoadExchange m_exchange;
     RoleManager m_roles;
     std::unique_ptr<FencedLease> m_taskLease; /**< null without a task platform */
+    std::unique_ptr<ScalingManager> m_scaling; /**< null without a task platform */
     RelayServices m_relayServices;
     size_t m_inProgress = 0;
     std::shared_ptr<std::set<RelayPointer>> m_requests = std::make_shared<std::set<RelayPointer>>(); /**< in progress */
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -489,3 +489,50 @@
     fixture.runStream(writer, 10ms);
     CHECK(fixture.replicaClient.sent.size() == 1);
 }
+
+// Guards against streams that break at a reclaim, which takes the engines of a whole zone away with a notice of 2.5 s.
+TEST_CASE("a resumable stream that would outlast its engine is continued elsewhere before the engine leaves")
+{
+    Engines fixture;
+    auto slow = stream({ event(1), event(2), event(3), event(4), event(5), event(6), event(7), event(8), event(9), event(10) });
+    slow.chunkDelay = 300ms;
+    fixture.script("i-d1", { slow });
+    // The engine that resumes the stream repeats it from the start.
+    fixture.script("i-d2", { stream(slow.chunks) });
+    auto isResumable = true;
+    SUBCASE("moved") { }
+    SUBCASE("not resumable") { isResumable = false; }
+    FakeWriter writer;
+    auto streaming = isResumable ? fixture.resumable() : fixture.single();
+    streaming.timeout = 10s;
+    fixture.start(streaming, writer, PromptShape { "m", 220, 90, { { 1, 220 } } });
+    fixture.timers.advance(400ms);
+    fixture.store.put("servers/i-d1", testEntry("s", "decode", "a", "draining", 1, 2) + " reclaimable 2500");
+    fixture.timers.advance(2400ms);
+    CHECK(fixture.replicaClient.sent.size() == (isResumable ? 2 : 1));
+    fixture.timers.advance(2s);
+    CHECK(writer.isFinished);
+    if (!isResumable)
+        return;
+    CHECK(fixture.replicaClient.sent.back().replica == ReplicaId("i-d2"));
+    CHECK(fixture.replicaClient.sent.back().resumeAfter.has_value());
+    CHECK(fixture.log.recent(EventId::StreamLeftReplica).size() == 1);
+    CHECK(fixture.log.recent(EventId::RequestSuspected).empty());
+}
+
+// Guards against a stream that is moved although it ends before its engine leaves.
+TEST_CASE("a stream that ends in time stays at its leaving engine")
+{
+    Engines fixture;
+    fixture.recordCalls(300, 50ms, 600ms);
+    auto slow = stream({ event(1), event(2), event(3) });
+    slow.chunkDelay = 200ms;
+    fixture.script("i-d1", { slow });
+    FakeWriter writer;
+    fixture.start(fixture.resumable(), writer, PromptShape { "m", 220, 90, { { 1, 220 } } });
+    fixture.timers.advance(250ms);
+    fixture.store.put("servers/i-d1", testEntry("s", "decode", "a", "draining", 1, 2) + " reclaimable 2500");
+    fixture.timers.advance(2s);
+    CHECK(writer.isFinished);
+    CHECK(fixture.replicaClient.sent.size() == 1);
+}
--- a/tests/gateway/LoadExchangeTest.cpp
+++ b/tests/gateway/LoadExchangeTest.cpp
@@ -167,3 +167,18 @@
     fleet.advanceSteps(3s);
     CHECK(countInformedMembers() == 15 - 4);
 }
+
+// Guards against decisions on the number of replicas by a daemon that does not hear the others, and takes their work for none.
+TEST_CASE("a daemon knows whether it hears of the work of the fleet, as a member of a mesh, a collector and a member of a zone")
+{
+    for (auto size : { 4, 16 }) {
+        CAPTURE(size);
+        ExchangeFleet fleet(size);
+        for (const auto& member : fleet.members)
+            CHECK(member->exchange.knowsFleetLoad());
+        for (size_t i = 1; i < fleet.members.size(); ++i)
+            asio::co_spawn(fleet.context, fleet.members[i]->exchange.stop(), asio::detached);
+        fleet.advanceSteps(1800ms);
+        CHECK_FALSE(fleet.members[0]->exchange.knowsFleetLoad());
+    }
+}
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayFixture.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace chestnut;
@@ -9,14 +10,15 @@
 
 /** Two daemons that share six decode engines and one store. */
 struct TwoDaemons : GatewayFixture {
-    TwoDaemons()
+    explicit TwoDaemons(std::optional<ScalingProfile> scaling = {})
     {
-        auto decode = [](std::string_view) -> Result<RoutingConfiguration> {
+        auto decode = [scaling](std::string_view) -> Result<RoutingConfiguration> {
             RoutingConfiguration configuration;
             configuration.version = 1;
             ServiceProfile service;
             service.id = ServiceId("s");
             service.engine = EngineProfile {};
+            service.scaling = scaling;
             configuration.services = { service };
             return configuration;
         };
@@ -191,3 +193,64 @@
     REQUIRE_FALSE(fixture.replicaClient.orders.empty());
     CHECK(fixture.timers.now() - restoredAt >= 6s);
 }
+
+namespace {
+
+/** Two daemons with a scaled pool of 40 decode engines that have work, and engines that execute orders at once. */
+struct ScaledPool : TwoDaemons {
+    ScaledPool()
+        : TwoDaemons(ScalingProfile { 1, 40, 4s, 0.15, {} })
+    {
+        for (int i = 6; i < 40; ++i)
+            addEngine("i-" + std::to_string(i), i % 2 == 0 ? "a" : "b", "");
+    }
+
+    void addEngine(const std::string& id, const std::string& zone, const std::string& kind)
+    {
+        store.put("servers/" + id, testEntry("s", "decode", zone) + kind);
+        replicaClient.reports[ReplicaId(id)] = { EngineStage::Decode, false, 7, 0, 0 };
+        settle();
+    }
+
+    void run(Duration time)
+    {
+        for (auto end = timers.now() + time; timers.now() < end; timers.advance(200ms)) {
+            std::vector<ReplicaWork> work;
+            for (const auto* entry : replicas.usable(ServiceId("s"), EngineStage::Decode))
+                work.push_back({ entry->id, 1, {} });
+            loadTracker->setPeerWork(DaemonId("peer"), work);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against both: prefill engines that are missing for minutes while a pool is replaced, and a pool of which a large part
+// changes its stage at the same time.
+TEST_CASE("the stages of a scaled pool follow its replicas, with a bounded share of engines changing at a time")
+{
+    ScaledPool fixture;
+    // The engines do not apply the orders here, so that each remains pending for 20 s; also those from before the traffic.
+    fixture.run(25s);
+    fixture.replicaClient.orders.clear();
+    fixture.run(19s);
+    CHECK(fixture.replicaClient.orders.size() <= 5);
+    CHECK(fixture.replicaClient.orders.size() >= 3);
+}
+
+// Guards against orders to engines that are about to be taken away.
+TEST_CASE("no stage is ordered in a zone whose reclaimable engines are being taken away")
+{
+    ScaledPool fixture;
+    for (const auto* id : { "i-40", "i-41" })
+        fixture.addEngine(id, "c", " reclaimable");
+    CHECK_FALSE(fixture.replicas.isReclaiming(ServiceId("s"), AvailabilityZone("c")));
+    fixture.store.put("servers/i-40", testEntry("s", "decode", "c", "draining", 1, 2) + " reclaimable 2500");
+    fixture.run(1s);
+    CHECK(fixture.replicas.isReclaiming(ServiceId("s"), AvailabilityZone("c")));
+    CHECK_FALSE(fixture.replicas.isReclaiming(ServiceId("s"), AvailabilityZone("a")));
+    REQUIRE(fixture.replicas.leavesAt(ReplicaId("i-40")).has_value());
+    CHECK(*fixture.replicas.leavesAt(ReplicaId("i-40")) - fixture.timers.now() < 2500ms);
+    fixture.run(10s);
+    CHECK(std::ranges::none_of(fixture.replicaClient.orders, [](const StageOrder& order) { return order.replica == ReplicaId("i-41"); }));
+}
--- a/tests/gateway/ScalingManagerTest.cpp
+++ b/tests/gateway/ScalingManagerTest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/GatewayFixture.h"
 
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
 
 using namespace chestnut;
@@ -322,3 +323,64 @@
         CHECK(fixture.running(false) < 24);
     }
 }
+
+// Guards against a gateway that does not start the scaling, or sends calls that the lease does not cover.
+TEST_CASE("a gateway with a task platform orders replicas for its work while it holds the tasks' lease")
+{
+    asio::io_context context;
+    VirtualTimerService timers { context };
+    MemoryLog log;
+    Metrics metrics;
+    FakeVersionedStore store { timers };
+    FakeReplicaClient replicaClient { timers };
+    FakeScalingPlatform platform { store, timers };
+    auto isScaled = true;
+    SUBCASE("with limits in the configuration") { }
+    SUBCASE("without") { isScaled = false; }
+    auto decode = [isScaled](std::string_view) -> Result<RoutingConfiguration> {
+        RoutingConfiguration configuration;
+        configuration.version = 1;
+        Route route;
+        route.name = "r";
+        route.host = "h";
+        route.prefix = "/";
+        route.timeout = 60s;
+        route.shares = { { ServiceId("s"), 1 } };
+        configuration.routes = { route };
+        ServiceProfile service;
+        service.id = ServiceId("s");
+        if (isScaled)
+            service.scaling = ScalingProfile { 1, 10, 4s, 0.15, { { AvailabilityZone("a"), 1.0 }, { AvailabilityZone("b"), 1.0 } } };
+        configuration.services = { service };
+        return configuration;
+    };
+    store.put("config", "1");
+    store.put("servers/i-1", testEntry("s", "none"));
+    replicaClient.scripts[ReplicaId("i-1")] = { { .chunks = { "answer" }, .delay = 50s } };
+    Gateway gateway { { context, timers, log, metrics, store, replicaClient, [](const RoutingConfiguration&) {}, &platform }, { "config", "servers/", decode, decodeTestEntry }, { { DaemonId("d0"), AvailabilityZone("a"), { "127.0.0.1", 1 }, { "127.0.0.1", 0 } }, { {}, 3s, 5s } } };
+    gateway.start();
+    timers.advance(8s);
+    CHECK(platform.calls.empty());
+    std::array<FakeWriter, 8> writers;
+    for (size_t i = 0; i < writers.size(); ++i) {
+        RoutedRequest request;
+        request.id = RequestId("q" + std::to_string(i));
+        request.host = "h";
+        request.forwarded = { "GET", "/x", {}, "" };
+        request.arrival = timers.now();
+        asio::co_spawn(context, gateway.handle(std::move(request), writers[i]), asio::detached);
+    }
+    timers.advance(3s);
+    CHECK(platform.calls.empty() != isScaled);
+    auto holder = store.items().at("chestnutroute/tasks/holder");
+    for (const auto& call : platform.calls) {
+        CHECK(call.authority == TaskAuthority { DaemonId("d0"), holder.createdAt });
+        CHECK(call.order.service == ServiceId("s"));
+    }
+    asio::co_spawn(context, gateway.leave(timers.now() + 8s), asio::detached);
+    timers.advance(3s);
+    auto before = platform.calls.size();
+    CHECK_FALSE(store.items().contains("chestnutroute/tasks/holder"));
+    timers.advance(5s);
+    CHECK(platform.calls.size() == before);
+}
