--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -41,6 +41,9 @@
     /** Sends and receives the use by accounts from now on. */
     void shareAccountUse(AccountUseTracker& accountUse) { m_accountUse = &accountUse; }
 
+    /** Whether the messages of the last second and a half cover the work of almost all daemons. */
+    bool knowsFleetLoad() const;
+
 private:
     asio::awaitable<void> receiveAll();
     void receive(std::string_view datagram);
@@ -58,6 +61,8 @@
     void applyCapacities(const LoadMessage&);
     void applyAccountUse(const LoadMessage&);
     std::vector<ServiceUse> accountUseFor(LoadScope) const;
+    bool hearsDaemons(bool ofOwnZoneOnly) const;
+    bool hearsOtherZones() const;
     Duration period() const;
 
     asio::io_context& m_context;
@@ -79,6 +84,8 @@
     std::string m_otherPrefix; /**< of the datagrams that are no load messages */
     std::function<void(std::string_view)> m_otherReceiver;
     AccountUseTracker* m_accountUse = nullptr;
+    std::optional<TimePoint> m_fleetWorkAt; /**< last message with the work of all daemons */
+    std::map<AvailabilityZone, TimePoint> m_zoneWorkAt; /**< last message with the work of another zone */
     bool m_isLeaving = false;
 };
 
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -92,6 +92,7 @@
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_loadTracker, m_speeds, m_crashTracker, m_replicas)
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
     , m_taskLease(makeTaskLease())
+    , m_scaling(makeScaling())
     , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone, m_settings.bounds.soundSilence, m_dependencies.responseBuffers }
     , m_accountMetrics(m_dependencies.timers, m_dependencies.metrics)
     , m_accountUse(m_dependencies.timers, hash64(m_settings.self.id.value()))
@@ -129,6 +130,15 @@
     m_relayServices.usage = m_usageMeter.get();
 }
 
+std::unique_ptr<ScalingManager> Gateway::makeScaling()
+{
+    if (!m_dependencies.taskPlatform)
+        return nullptr;
+    auto mayAct = [this](Duration callTime) { return m_taskLease->mayAct(callTime); };
+    auto authority = [this] { return TaskAuthority { m_taskLease->self(), m_taskLease->fencingNumber() }; };
+    return std::make_unique<ScalingManager>(m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, *m_dependencies.taskPlatform, TaskLeaseView { mayAct, authority }, m_replicas, m_loadTracker, m_speeds, m_routing, [this] { return m_exchange.knowsFleetLoad(); });
+}
+
 Duration Gateway::pauseOfOwnKeys() const
 {
     // A holder of a lease has to notice soon that the key was removed and another daemon has acquired it.
@@ -155,8 +165,10 @@
     m_exchange.start();
     m_versions.start();
     m_roles.start();
-    if (m_taskLease)
+    if (m_taskLease) {
         m_taskLease->start();
+        m_scaling->start();
+    }
     if (m_usageReporter) {
         m_usageExchange->start();
         m_usageReporter->start();
@@ -201,6 +213,8 @@
     // The next holder acts as soon as the lease has been given up, so the calls in flight end before that.
     if (m_usageReporter)
         co_await m_usageReporter->stop();
+    if (m_scaling)
+        co_await m_scaling->stop();
     if (m_taskLease)
         co_await m_taskLease->stop();
 }
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/members/LoadExchange.h"
 #include "gateway/requests/RelayContext.h"
 #include "gateway/roles/RoleManager.h"
+#include "gateway/scaling/ScalingManager.h"
 #include "gateway/service/RoutingSource.h"
 #include "gateway/tasks/TaskPlatform.h"
 #include "gateway/usage/UsageExchange.h"
@@ -101,6 +102,7 @@
     std::unique_ptr<FencedLease> makeTaskLease();
     void addUsage();
     asio::awaitable<void> stopTasks();
+    std::unique_ptr<ScalingManager> makeScaling();
     Duration pauseOfOwnKeys() const;
     void onNotice(const ReplicaNotice&);
     void restartWatches();
@@ -133,6 +135,7 @@
     std::unique_ptr<UsageMeter> m_usageMeter;
     std::unique_ptr<UsageExchange> m_usageExchange;
     std::unique_ptr<UsageReporter> m_usageReporter;
+    std::unique_ptr<ScalingManager> m_scaling; /**< null without a task platform */
     RelayServices m_relayServices;
     AccountMetrics m_accountMetrics;
     AccountUseTracker m_accountUse;
