--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -114,6 +114,7 @@
         { EventId::BlockNotStored, "block_not_stored", Severity::Warning, "A block was not written to the store; it is tried again unless another daemon has written it." },
         { EventId::SettingsReloaded, "settings_reloaded", Severity::Info, "SIGHUP was received; the limits and the log level of the settings file are applied." },
         { EventId::BlockApplied, "block_applied", Severity::Info, "A block, or its release, was read from the store; it applies on this daemon from now on." },
+        { EventId::SlotAwaited, "slot_awaited", Severity::Info, "A request waited in this daemon for a slot; the fields give the time, the load that caused the wait, and how it ended." },
     });
 
     constexpr bool isSortedById()
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -120,6 +120,7 @@
     BlockNotStored = 2239,
     SettingsReloaded = 2240,
     BlockApplied = 2241,
+    SlotAwaited = 2260,
 };
 
 struct EventDescription {
--- /dev/null
+++ b/modules/decisions/placement/DecodePlacement.cpp
@@ -0,0 +1,98 @@
+#include "decisions/placement/DecodePlacement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace chestnut {
+
+namespace {
+
+    /** Work as a multiple of the slots beyond which further requests are refused: one that is served after it waits for 1.5 times the
+        time that a request occupies a slot. */
+    constexpr double fullSlotMultiple = 2.5;
+    /** Requests at one engine, as a multiple of its slots, up to which the most urgent requests are sent there: its queue keeps its slots
+        busy while the counts of the daemons are old. */
+    constexpr double roomMultiple = 2;
+
+    double roomOf(const PlacementView& view, const DecodeNeed& need)
+    {
+        double limit = need.hasMoreUrgent ? view.slots : view.slots * roomMultiple;
+        if (view.requestsAtRefusal > 0)
+            limit = std::min<double>(limit, std::max(view.requestsAtRefusal, view.slots));
+        return limit - view.requests;
+    }
+
+    double costOf(const PlacementView& view, const AvailabilityZone& ownZone)
+    {
+        auto occupied = static_cast<double>(view.requests + 1) / std::max(view.slots, 1U) * view.slowdown;
+        return occupied + (view.zone == ownZone ? 0 : otherZonePenalty);
+    }
+
+    /** One request more or less at an engine of the same zone is less than what others send unseen. */
+    bool isAsGood(const PlacementView& view, const PlacementView& best, const AvailabilityZone& ownZone)
+    {
+        auto difference = costOf(view, ownZone) - costOf(best, ownZone);
+        return difference <= 0 || (view.zone == best.zone && difference <= 1.0 / std::max(view.slots, 1U));
+    }
+
+    std::optional<size_t> chooseWithRoom(std::span<const PlacementView> views, const DecodeNeed& need)
+    {
+        std::optional<size_t> best;
+        for (size_t i = 0; i < views.size(); ++i) {
+            auto hasRoom = !views[i].isEjected && roomOf(views[i], need) > 0;
+            if (hasRoom && (!best || costOf(views[i], need.ownZone) < costOf(views[*best], need.ownZone)))
+                best = i;
+        }
+        if (!best)
+            return std::nullopt;
+        std::vector<size_t> equals;
+        for (size_t i = 0; i < views.size(); ++i) {
+            if (!views[i].isEjected && roomOf(views[i], need) > 0 && isAsGood(views[i], views[*best], need.ownZone))
+                equals.push_back(i);
+        }
+        return equals[need.choice % equals.size()];
+    }
+
+} // namespace
+
+DecodeDecision placeDecode(std::span<const PlacementView> views, const DecodeNeed& need)
+{
+    double slots = 0;
+    double freeSlots = 0;
+    double ahead = need.waitingAhead;
+    for (const auto& view : views) {
+        if (view.isEjected)
+            continue;
+        slots += view.slots;
+        freeSlots += view.slots - std::min(view.requests, view.slots);
+        ahead += view.requests - std::min(view.lessUrgentRequests, view.requests);
+    }
+    auto usable = slots - std::min<double>(need.keptFree, slots);
+    if (usable == 0)
+        return {};
+    auto occupancy = toSeconds(need.occupancy);
+    if (occupancy > 0)
+        ahead = std::max(ahead - usable * toSeconds(need.startsIn) / occupancy, 0.0);
+    auto wait = fromSeconds(std::max(ahead + 1 - usable, 0.0) / usable * occupancy);
+    if (ahead >= usable * fullSlotMultiple || wait + need.startsIn > need.timeLeft)
+        return { DecodeAction::Refuse, 0, wait };
+    auto leavesEnough = need.keptFree == 0 || freeSlots > need.keptFree;
+    if (auto engine = leavesEnough ? chooseWithRoom(views, need) : std::nullopt)
+        return { DecodeAction::Call, *engine, wait };
+    return { DecodeAction::Wait, 0, wait };
+}
+
+std::optional<size_t> lastResortEngine(std::span<const PlacementView> views, const AvailabilityZone& ownZone)
+{
+    std::optional<size_t> choice;
+    for (size_t i = 0; i < views.size(); ++i) {
+        const auto& view = views[i];
+        if (view.isEjected || (view.requestsAtRefusal > 0 && view.requests >= view.requestsAtRefusal))
+            continue;
+        if (!choice || costOf(view, ownZone) < costOf(views[*choice], ownZone))
+            choice = i;
+    }
+    return choice;
+}
+
+} // namespace chestnut
--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -56,17 +56,16 @@
         return std::clamp(busy / std::max(idle, 1.0), leastRepeatedWeight, mostRepeatedWeight);
     }
 
-    /** `keptFree` requests below the load at which a replica refuses are left to more urgent ones. */
-    bool isUsable(const PlacementView& view, uint32_t keptFree = 0)
+    bool isUsable(const PlacementView& view)
     {
-        return !view.isEjected && (view.requestsAtRefusal == 0 || view.requests + keptFree < view.requestsAtRefusal);
+        return !view.isEjected && (view.requestsAtRefusal == 0 || view.requests < view.requestsAtRefusal);
     }
 
     /** Tokens that a prefill at this position delays. */
-    double delayedTokens(const QueuedTokens& queued, EngineOrder order, const ServicePriorities& priorities)
+    double delayedTokens(const QueuedTokens& queued, EnginePosition order, const ServicePriorities& priorities)
     {
         double tokens = 0;
-        for (auto later = order + 1; later < engineOrders; ++later)
+        for (auto later = order + 1; later < enginePositions; ++later)
             tokens += priorities.isDeferred(later) ? 0 : queued.at(later);
         return tokens;
     }
@@ -102,7 +101,7 @@
 
 } // namespace
 
-double tokensBefore(const QueuedTokens& queued, EngineOrder order)
+double tokensBefore(const QueuedTokens& queued, EnginePosition order)
 {
     return queued.sum(0, order + 1);
 }
@@ -149,21 +148,19 @@
     return choice;
 }
 
-std::optional<Duration> expectedSlotWait(std::span<const PlacementView> views, Duration occupancy, uint32_t keptFree)
+std::optional<Duration> expectedSlotWait(std::span<const PlacementView> views, Duration occupancy)
 {
     double slots = 0;
     double requests = 0;
-    double ahead = 0;
     for (const auto& view : views) {
-        if (!isUsable(view, keptFree))
+        if (!isUsable(view))
             continue;
-        slots += std::max(view.slots, keptFree) - keptFree;
+        slots += view.slots;
         requests += view.requests;
-        ahead += view.requests - std::min(view.lessUrgentRequests, view.requests);
     }
     if (requests >= slots * fullSlotMultiple)
         return std::nullopt;
-    return fromSeconds(std::max(ahead + 1 - slots, 0.0) / slots * toSeconds(occupancy));
+    return fromSeconds(std::max(requests + 1 - slots, 0.0) / slots * toSeconds(occupancy));
 }
 
 } // namespace chestnut
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -35,7 +35,7 @@
 uint64_t sharingKey(const PromptShape&);
 
 /** Tokens that an engine processes before a prefill at this position. */
-double tokensBefore(const QueuedTokens&, EngineOrder);
+double tokensBefore(const QueuedTokens&, EnginePosition);
 
 /** The rank of prefills that can be on time, from the latency objective of their route and the shortest one of the service. */
 PrefillRank rankOnTime(Duration latencyObjective, Duration shortestObjective);
@@ -63,7 +63,7 @@
     double workTokens = 0; /**< the missing tokens and those queued before them */
     std::optional<Duration> expectedTime; /**< until the end of the prefill; absent while the speed is unknown */
     PrefillRank rank = PrefillRank::Urgent;
-    EngineOrder order = 0;
+    EnginePosition order = 0;
 
     bool operator==(const PrefillChoice&) const = default;
 };
@@ -74,7 +74,7 @@
     PrefillRank onTimeRank = PrefillRank::Urgent; /**< while it can be on time */
     ServicePriorities priorities;
 
-    EngineOrder orderAt(PrefillRank rank) const { return priorities.orderOf(priority, rank); }
+    EnginePosition orderAt(PrefillRank rank) const { return priorities.orderOf(priority, rank); }
 };
 
 /** The engine that is expected to finish the prefill first. Each sharing key has a home engine by rendezvous hashing, so
@@ -94,10 +94,8 @@
     the load at peaks of demand. Nothing when all are ejected or there is none. */
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView>, const AvailabilityZone& ownZone);
 
-/** Expected time until a slot is free for a further request, when each request occupies a slot for `occupancy`. Engines admit
-    more urgent requests first, so less urgent ones in flight are not waited for. Nothing when all replicas are ejected or full,
-    or there is none. For peaks of demand above the capacity: `keptFree` slots of each replica are not counted for the request, so that
-    less urgent requests are refused while more urgent ones are still accepted. */
-std::optional<Duration> expectedSlotWait(std::span<const PlacementView>, Duration occupancy, uint32_t keptFree = 0);
+/** Expected time until a slot is free for a further request, when each request occupies a slot for `occupancy`. Nothing when
+    all replicas are ejected or full, or there is none. */
+std::optional<Duration> expectedSlotWait(std::span<const PlacementView>, Duration occupancy);
 
 } // namespace chestnut
--- a/modules/decisions/urgency/DecodeReserve.cpp
+++ b/modules/decisions/urgency/DecodeReserve.cpp
@@ -1,14 +1,13 @@
 #include "decisions/urgency/DecodeReserve.h"
 
 #include <algorithm>
-#include <cassert>
 #include <cmath>
 
 namespace chestnut {
 
 namespace {
 
-    /** Largest share of the slots of an engine that is kept free. */
+    /** Largest share of the slots that is kept free. */
     constexpr double mostKeptShare = 0.3;
 
 } // namespace
@@ -20,12 +19,11 @@
     return { inFlight, std::max(peak, inFlight), now };
 }
 
-uint32_t slotsKeptFree(const UrgentDemand& demand, uint32_t engines, uint32_t slotsOfEngine)
+uint32_t slotsKeptFree(const UrgentDemand& demand, uint32_t slots)
 {
-    assert(engines > 0);
     auto expected = std::max(demand.recentPeak - demand.inFlight, 0.0) + std::sqrt(demand.recentPeak);
-    auto ofEngine = std::max(std::ceil(expected / engines), 1.0);
-    return static_cast<uint32_t>(std::min(ofEngine, std::floor(slotsOfEngine * mostKeptShare)));
+    auto kept = std::max(std::ceil(expected), 1.0);
+    return static_cast<uint32_t>(std::min(kept, std::floor(slots * mostKeptShare)));
 }
 
 } // namespace chestnut
--- a/modules/decisions/urgency/DecodeReserve.h
+++ b/modules/decisions/urgency/DecodeReserve.h
@@ -21,10 +21,10 @@
 /** The demand after a further observation. */
 UrgentDemand withObservation(const UrgentDemand&, double inFlight, TimePoint now);
 
-/** Slots of each engine that less urgent requests leave free. For rare urgent requests among bursts of less urgent ones: the
+/** Slots of a service that less urgent requests leave free. For rare urgent requests among bursts of less urgent ones: the
     urgent ones of the next moment are expected to be as many as recently, plus their usual deviation (the square root, as
-    for independent arrivals). Where more urgent requests are possible at all, an engine of several slots keeps one; none keeps
-    more than a share, so that the less urgent ones are not starved. */
-uint32_t slotsKeptFree(const UrgentDemand&, uint32_t engines, uint32_t slotsOfEngine);
+    for independent arrivals). Where more urgent requests are possible at all, one slot is kept; never more than a share of all, so
+    that the less urgent ones are not starved. */
+uint32_t slotsKeptFree(const UrgentDemand&, uint32_t slots);
 
 } // namespace chestnut
--- a/modules/decisions/urgency/ServicePriorities.cpp
+++ b/modules/decisions/urgency/ServicePriorities.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-    constexpr EngineOrder ranks = 3;
+    constexpr EnginePosition ranks = 3;
     /** Positions of the ranks where all requests have the same priority. Engines take requests without a position as 5. */
-    constexpr std::array<EngineOrder, ranks> ordersOfSinglePriority { 4, 5, 7 };
+    constexpr std::array<EnginePosition, ranks> ordersOfSinglePriority { 4, 5, 7 };
 
 } // namespace
 
@@ -23,7 +23,7 @@
     return "urgent";
 }
 
-EngineOrder orderOf(PrefillRank rank)
+EnginePosition orderOf(PrefillRank rank)
 {
     return ordersOfSinglePriority.at(static_cast<size_t>(rank));
 }
@@ -41,34 +41,34 @@
     return std::min(static_cast<size_t>(level), levels() - 1);
 }
 
-EngineOrder ServicePriorities::ordersOfLevel() const
+EnginePosition ServicePriorities::ordersOfLevel() const
 {
-    return std::min(engineOrders / static_cast<EngineOrder>(levels()), ranks);
+    return std::min(enginePositions / static_cast<EnginePosition>(levels()), ranks);
 }
 
-EngineOrder ServicePriorities::firstOrderOf(uint32_t priority) const
+EnginePosition ServicePriorities::firstOrderOf(uint32_t priority) const
 {
     if (levels() == 1)
         return 0;
     auto level = levelOf(priority);
     if (ordersOfLevel() == 0)
-        return static_cast<EngineOrder>(level * engineOrders / levels());
-    return static_cast<EngineOrder>(level) * ordersOfLevel();
+        return static_cast<EnginePosition>(level * enginePositions / levels());
+    return static_cast<EnginePosition>(level) * ordersOfLevel();
 }
 
-EngineOrder ServicePriorities::endOrderOf(uint32_t priority) const
+EnginePosition ServicePriorities::endOrderOf(uint32_t priority) const
 {
     if (levels() == 1)
-        return engineOrders;
-    return firstOrderOf(priority) + std::max(ordersOfLevel(), EngineOrder(1));
+        return enginePositions;
+    return firstOrderOf(priority) + std::max(ordersOfLevel(), EnginePosition(1));
 }
 
-EngineOrder ServicePriorities::orderOf(uint32_t priority, PrefillRank rank) const
+EnginePosition ServicePriorities::orderOf(uint32_t priority, PrefillRank rank) const
 {
     if (levels() == 1)
         return chestnut::orderOf(rank);
     auto first = firstOrderOf(priority);
-    auto offset = static_cast<EngineOrder>(rank);
+    auto offset = static_cast<EnginePosition>(rank);
     switch (ordersOfLevel()) {
     case ranks:
         return first + offset;
@@ -79,7 +79,7 @@
     }
 }
 
-bool ServicePriorities::isDeferred(EngineOrder order) const
+bool ServicePriorities::isDeferred(EnginePosition order) const
 {
     if (levels() == 1)
         return order >= chestnut::orderOf(PrefillRank::Deferred);
--- a/modules/decisions/urgency/ServicePriorities.h
+++ b/modules/decisions/urgency/ServicePriorities.h
@@ -12,8 +12,8 @@
 namespace chestnut {
 
 /** Position of a request in the order in which an engine admits work: 0 first, 9 last. */
-using EngineOrder = uint32_t;
-constexpr EngineOrder engineOrders = 10;
+using EnginePosition = uint32_t;
+constexpr EnginePosition enginePositions = 10;
 
 /** The order in which an engine serves prefills of one priority. */
 enum class PrefillRank : uint8_t {
@@ -26,54 +26,54 @@
 
 /** Amounts of work by their position in the order of an engine. */
 template <typename Amount>
-class ByEngineOrder {
+class ByEnginePosition {
 public:
-    Amount at(EngineOrder order) const { return m_amounts.at(order); }
-    void set(EngineOrder order, Amount amount) { m_amounts.at(order) = amount; }
+    Amount at(EnginePosition order) const { return m_amounts.at(order); }
+    void set(EnginePosition order, Amount amount) { m_amounts.at(order) = amount; }
     /** The sum over all positions from `first` on and before `end`. */
-    Amount sum(EngineOrder first = 0, EngineOrder end = engineOrders) const
+    Amount sum(EnginePosition first = 0, EnginePosition end = enginePositions) const
     {
-        assert(first <= end && end <= engineOrders);
+        assert(first <= end && end <= enginePositions);
         return std::accumulate(m_amounts.begin() + first, m_amounts.begin() + end, Amount {});
     }
 
-    ByEngineOrder& operator+=(const ByEngineOrder& other)
+    ByEnginePosition& operator+=(const ByEnginePosition& other)
     {
-        for (EngineOrder order = 0; order < engineOrders; ++order)
+        for (EnginePosition order = 0; order < enginePositions; ++order)
             m_amounts[order] += other.m_amounts[order];
         return *this;
     }
 
     /** Each amount stays at zero at least. */
-    ByEngineOrder& operator-=(const ByEngineOrder& other)
+    ByEnginePosition& operator-=(const ByEnginePosition& other)
     {
-        for (EngineOrder order = 0; order < engineOrders; ++order)
+        for (EnginePosition order = 0; order < enginePositions; ++order)
             m_amounts[order] -= std::min(m_amounts[order], other.m_amounts[order]);
         return *this;
     }
 
-    bool operator==(const ByEngineOrder&) const = default;
+    bool operator==(const ByEnginePosition&) const = default;
 
 private:
-    std::array<Amount, engineOrders> m_amounts {};
+    std::array<Amount, enginePositions> m_amounts {};
 };
 
 /** Tokens that wait for their prefill at an engine. */
-using QueuedTokens = ByEngineOrder<double>;
+using QueuedTokens = ByEnginePosition<double>;
 /** Decode requests in flight at an engine. */
-using OrderedRequests = ByEngineOrder<uint32_t>;
+using OrderedRequests = ByEnginePosition<uint32_t>;
 
 /** An amount of work at one position. */
 template <typename Amount>
-ByEngineOrder<Amount> amountAt(Amount amount, EngineOrder order)
+ByEnginePosition<Amount> amountAt(Amount amount, EnginePosition order)
 {
-    ByEngineOrder<Amount> amounts;
+    ByEnginePosition<Amount> amounts;
     amounts.set(order, amount);
     return amounts;
 }
 
 /** The order at the engines of a service whose requests all have the same priority. */
-EngineOrder orderOf(PrefillRank);
+EnginePosition orderOf(PrefillRank);
 
 /** The distinct priorities of the requests to one service, and the order at its engines that follows from them. For peaks of
     demand above the capacity: the positions of a priority precede those of all less urgent ones, also for a request that will be
@@ -89,19 +89,19 @@
     size_t levels() const { return std::max(m_priorities.size(), size_t(1)); }
     /** Number of more urgent distinct priorities. */
     size_t levelOf(uint32_t priority) const;
-    EngineOrder orderOf(uint32_t priority, PrefillRank) const;
+    EnginePosition orderOf(uint32_t priority, PrefillRank) const;
     /** Positions before this one belong to more urgent priorities, if there are any. */
-    EngineOrder firstOrderOf(uint32_t priority) const;
+    EnginePosition firstOrderOf(uint32_t priority) const;
     /** Positions from this one on belong to less urgent priorities, if there are any. */
-    EngineOrder endOrderOf(uint32_t priority) const;
+    EnginePosition endOrderOf(uint32_t priority) const;
     /** Whether only prefills that will be late have this position. */
-    bool isDeferred(EngineOrder) const;
+    bool isDeferred(EnginePosition) const;
 
     bool operator==(const ServicePriorities&) const = default;
 
 private:
     /** Positions of each priority; zero when adjacent priorities share one. */
-    EngineOrder ordersOfLevel() const;
+    EnginePosition ordersOfLevel() const;
 
     std::vector<uint32_t> m_priorities; /**< ascending */
 };
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/requests/PlainRelay.h"
 #include "gateway/requests/ReplicaClient.h"
 #include "gateway/requests/ReplicaNotice.h"
+#include "gateway/requests/SlotQueue.h"
 #include "gateway/requests/UrgentWork.h"
 #include "gateway/roles/RoleManager.h"
 #include "gateway/service/Gateway.h"
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -133,6 +133,8 @@
         m_crashTracker.addPartCrash(crash);
     for (const auto& begin : message->partBegins)
         m_crashTracker.recordPartBegin(begin);
+    for (const auto& refusal : message->refusals)
+        m_loadTracker->recordPeerRefusal(refusal);
     for (const auto& replica : message->leavingReplicas)
         m_replicas.applyPeerLeaving(replica);
     for (const auto& pause : message->pausedReplicas)
@@ -191,6 +193,7 @@
     message.successes = m_crashTracker.recentSuccesses();
     message.engineCrashes = m_crashTracker.recentPartCrashes();
     message.partBegins = m_crashTracker.recentPartBegins();
+    message.refusals = m_loadTracker->recentRefusals();
     message.leavingReplicas = m_replicas.leaving();
     message.pausedReplicas = m_replicas.pausedReplicas();
     message.isStoreReachable = !m_directory.isStoreUnavailable();
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -14,8 +14,8 @@
 
     constexpr int messageVersion = 8;
     /** Positions at which the three sums of tokens are divided. */
-    constexpr EngineOrder relaxedOrder = 5;
-    constexpr EngineOrder deferredOrder = 7;
+    constexpr EnginePosition relaxedOrder = 5;
+    constexpr EnginePosition deferredOrder = 7;
     /** Maximum number of items of each list in one datagram. With ids of up to 40 bytes a full part takes 8 KB; longer ones
         need more parts. */
     constexpr size_t workItemsPerPart = 40;
@@ -64,7 +64,7 @@
             if (!hasSeveralPriorities(work[i]))
                 continue;
             json item { i };
-            for (EngineOrder order = 0; order < engineOrders; ++order) {
+            for (EnginePosition order = 0; order < enginePositions; ++order) {
                 auto tokens = static_cast<int64_t>(work[i].queued.at(order));
                 auto requests = work[i].decodes.at(order);
                 if (tokens > 0 || requests > 0)
@@ -84,8 +84,8 @@
             QueuedTokens queued;
             OrderedRequests decodes;
             for (size_t i = 1; i + 2 < item.size(); i += 3) {
-                auto order = item.at(i).get<EngineOrder>();
-                if (order >= engineOrders)
+                auto order = item.at(i).get<EnginePosition>();
+                if (order >= enginePositions)
                     throw json::out_of_range::create(406, "position out of range", &item);
                 queued.set(order, item.at(i + 1).get<uint32_t>());
                 decodes.set(order, item.at(i + 2).get<uint32_t>());
@@ -304,6 +304,23 @@
         return replicas;
     }
 
+    json encodeRefusals(const std::vector<RefusalReport>& reports)
+    {
+        auto list = json::array();
+        for (const auto& [replica, requests, age] : reports)
+            list.push_back({ replica.value(), requests, age.count() });
+        return list;
+    }
+
+    std::vector<RefusalReport> decodeRefusals(const json& list)
+    {
+        checkSize(list, maximumRefusalReports);
+        std::vector<RefusalReport> reports;
+        for (const auto& item : list)
+            reports.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>(), decodeAge(item.at(2)) });
+        return reports;
+    }
+
     template <typename Id>
     std::vector<Id> decodeIds(const json& list)
     {
@@ -346,6 +363,7 @@
             { "entries", encodeEntries(message.entries) },
             { "store", message.isStoreReachable },
             { "living", valuesOf(message.liveDaemons) },
+            { "refusals", encodeRefusals(message.refusals) },
             { "part", { message.part.index, message.part.count } },
         };
         auto bytes = json::to_cbor(document);
@@ -375,8 +393,10 @@
     {
         auto slice = message;
         slice.part = part;
-        if (part.index > 0)
+        if (part.index > 0) {
             slice.speedSamples.clear();
+            slice.refusals.clear();
+        }
         slice.work = sliceOf(message.work, part);
         slice.liveDaemons = sliceOf(message.liveDaemons, part);
         slice.leavingReplicas = sliceOf(message.leavingReplicas, part);
@@ -435,6 +455,7 @@
         message.leavingReplicas = decodeLeaving(document.at("gone"));
         message.pausedReplicas = decodePauses(document.at("paused"));
         message.entries = decodeEntries(document.at("entries"));
+        message.refusals = decodeRefusals(document.value("refusals", json::array()));
         message.isStoreReachable = document.at("store").get<bool>();
         message.liveDaemons = decodeIds<DaemonId>(document.at("living"));
         message.part = { document.at("part").at(0).get<uint32_t>(), document.at("part").at(1).get<uint32_t>() };
--- a/modules/gateway/members/LoadMessage.h
+++ b/modules/gateway/members/LoadMessage.h
@@ -32,6 +32,7 @@
     bool isStoreReachable = true; /**< by the sender */
     std::vector<DaemonId> liveDaemons; /**< daemons that send messages to the sender; only in messages of the scope Fleet */
     MessagePart part;
+    std::vector<RefusalReport> refusals; /**< recent ones, by any daemon's request; only in the first part of a message */
 
     bool operator==(const LoadMessage&) const = default;
 };
--- a/modules/gateway/replicas/LoadTracker.cpp
+++ b/modules/gateway/replicas/LoadTracker.cpp
@@ -27,6 +27,11 @@
 
 } // namespace
 
+ReplicaId waitingAt(const ServiceId& service)
+{
+    return ReplicaId("waiting/" + service.value());
+}
+
 ReplicaWork& ReplicaWork::operator+=(const ReplicaWork& other)
 {
     requests += other.requests;
@@ -103,12 +108,12 @@
     return beginWork({ replica, 1, {}, {} });
 }
 
-LoadTracker::InFlightWork LoadTracker::beginDecode(const ReplicaId& replica, std::optional<EngineOrder> order)
+LoadTracker::InFlightWork LoadTracker::beginDecode(const ReplicaId& replica, std::optional<EnginePosition> order)
 {
     return beginWork({ replica, 1, {}, order ? amountAt(1U, *order) : OrderedRequests {} });
 }
 
-LoadTracker::InFlightWork LoadTracker::beginPrefill(const ReplicaId& replica, double tokens, EngineOrder order)
+LoadTracker::InFlightWork LoadTracker::beginPrefill(const ReplicaId& replica, double tokens, EnginePosition order)
 {
     return beginWork({ replica, 1, amountAt(tokens, order), {} });
 }
@@ -129,7 +134,7 @@
     observation.work = record->own;
     observation.work += record->peers;
     observation.work.replica = replica;
-    observation.requestsAtRefusal = now < record->refusalValidUntil ? record->requestsAtRefusal : 0;
+    observation.requestsAtRefusal = now - record->refusedAt < refusalValidity ? record->requestsAtRefusal : 0;
     observation.slowdown = record->slowdown;
     observation.isEjected = now < record->ejectedUntil;
     observation.completedAt = record->completedAt;
@@ -242,10 +247,37 @@
         recordFailure(replica);
         return;
     }
-    auto& record = m_records[replica];
+    setRefusal(m_records[replica], requests, m_timers.now());
+}
+
+void LoadTracker::setRefusal(Record& record, uint32_t requests, TimePoint refusedAt)
+{
+    auto isRecent = record.requestsAtRefusal > 0 && refusedAt - record.refusedAt < refusalValidity;
+    record.requestsAtRefusal = isRecent ? std::min(record.requestsAtRefusal, requests) : requests;
+    record.refusedAt = isRecent ? std::max(record.refusedAt, refusedAt) : refusedAt;
+}
+
+std::vector<RefusalReport> LoadTracker::recentRefusals() const
+{
     auto now = m_timers.now();
-    record.requestsAtRefusal = now < record.refusalValidUntil ? std::min(record.requestsAtRefusal, requests) : requests;
-    record.refusalValidUntil = now + refusalValidity;
+    std::vector<RefusalReport> reports;
+    for (const auto& [replica, record] : m_records) {
+        if (record.requestsAtRefusal > 0 && now - record.refusedAt < refusalValidity)
+            reports.push_back({ replica, record.requestsAtRefusal, now - record.refusedAt });
+    }
+    std::ranges::sort(reports, {}, [](const RefusalReport& report) { return std::pair(report.age, report.replica); });
+    reports.resize(std::min(reports.size(), maximumRefusalReports));
+    return reports;
+}
+
+void LoadTracker::recordPeerRefusal(const RefusalReport& report)
+{
+    auto refusedAt = m_timers.now() - report.age;
+    auto& record = m_records[report.replica];
+    // The same refusal is reported repeatedly, through several peers.
+    if (report.requests == 0 || report.age >= refusalValidity || (record.requestsAtRefusal > 0 && refusedAt <= record.refusedAt && report.requests >= record.requestsAtRefusal))
+        return;
+    setRefusal(record, report.requests, refusedAt);
 }
 
 void LoadTracker::recordSentParts(const ReplicaId& replica, const std::vector<uint64_t>& parts)
--- a/modules/gateway/replicas/LoadTracker.h
+++ b/modules/gateway/replicas/LoadTracker.h
@@ -27,6 +27,21 @@
     bool operator==(const ReplicaWork&) const = default;
 };
 
+/** The id under which the requests to a service are counted that wait in the daemons for a slot. */
+ReplicaId waitingAt(const ServiceId&);
+
+/** The load at which a replica refused a request. */
+struct RefusalReport {
+    ReplicaId replica;
+    uint32_t requests = 0; /**< in flight, as known to the daemon that was refused */
+    Duration age {};
+
+    bool operator==(const RefusalReport&) const = default;
+};
+
+/** Maximum number of refusals that one message reports. */
+constexpr size_t maximumRefusalReports = 24;
+
 /** The position of a part in a message that is split over several datagrams. */
 struct MessagePart {
     uint32_t index = 0;
@@ -69,9 +84,9 @@
 
     [[nodiscard]] InFlightWork begin(const ReplicaId&);
     /** Counts a decode at an engine; `order` is absent where all requests of the service have the same priority. */
-    [[nodiscard]] InFlightWork beginDecode(const ReplicaId&, std::optional<EngineOrder> order);
+    [[nodiscard]] InFlightWork beginDecode(const ReplicaId&, std::optional<EnginePosition> order);
     /** Counts a prefill at an engine. */
-    [[nodiscard]] InFlightWork beginPrefill(const ReplicaId&, double tokens, EngineOrder);
+    [[nodiscard]] InFlightWork beginPrefill(const ReplicaId&, double tokens, EnginePosition);
 
     ReplicaObservation observe(const ReplicaId&) const;
     uint32_t requestsAt(const ReplicaId& replica) const { return observe(replica).work.requests; }
@@ -90,6 +105,11 @@
     /** Records that a replica refused work. A refusal despite free slots counts as a failure: the replica is busy with unreported work. */
     void recordRefusal(const ReplicaId&, uint32_t slots);
 
+    /** The latest refusals by each replica, the newest first. */
+    std::vector<RefusalReport> recentRefusals() const;
+    /** Records a refusal of which a peer has reported. */
+    void recordPeerRefusal(const RefusalReport&);
+
     /** Records the shared prompt parts that a replica was sent and probably caches. */
     void recordSentParts(const ReplicaId&, const std::vector<uint64_t>& parts);
     bool hasPart(const ReplicaId&, uint64_t part) const;
@@ -101,7 +121,7 @@
         ReplicaWork own;
         ReplicaWork peers;
         uint32_t requestsAtRefusal = 0;
-        TimePoint refusalValidUntil;
+        TimePoint refusedAt; /**< meaningful if requestsAtRefusal is not zero */
         double slowdown = 1;
         double failureShare = 0; /**< moving average */
         TimePoint completedAt;
@@ -119,6 +139,7 @@
     void subtract(const ReplicaWork&, ReplicaWork Record::*side);
     void subtractPeer(const std::vector<ReplicaWork>&);
     [[nodiscard]] InFlightWork beginWork(ReplicaWork);
+    static void setRefusal(Record&, uint32_t requests, TimePoint refusedAt);
     const Record* find(const ReplicaId&) const;
 
     TimerService& m_timers;
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -15,16 +15,13 @@
     constexpr uint32_t maximumPrefillRounds = 2;
     constexpr size_t maximumResponseBytes = 8 << 20;
 
-    /** Describes the engines, their requests in flight and the number of ejected ones. */
-    std::string describeLoad(const std::vector<PlacementView>& views)
+    /** Share of the validity of a handle that its decode may wait; the rest is for the call and the transfer. */
+    constexpr double usedShareOfValidity = 0.6;
+
+    Duration handleValidity(const RelayContext& relay)
     {
-        uint32_t requests = 0;
-        size_t ejected = 0;
-        for (const auto& view : views) {
-            requests += view.isEjected ? 0 : view.requests;
-            ejected += view.isEjected ? 1 : 0;
-        }
-        return std::to_string(requests) + " requests at " + std::to_string(views.size() - ejected) + " engines, " + std::to_string(ejected) + " ejected";
+        const auto* profile = relay.table->service(relay.service);
+        return profile && profile->engine ? profile->engine->handleValidity : EngineProfile {}.handleValidity;
     }
 
     bool isSuccess(int status)
@@ -79,25 +76,74 @@
     m_silenceWatch.start(engine, isFull ? std::nullopt : limit);
 }
 
-Result<ReplicaEntry> GenerationRelay::chooseDecodeEngine() const
+asio::awaitable<Result<void>> GenerationRelay::awaitPrefillTurn()
 {
     auto& relay = *m_relay;
-    auto entries = relay.candidates(EngineStage::Decode);
-    if (entries.empty())
-        return makeError(ErrorKind::NoBackend, "the service has no usable decode engine");
-    std::vector<PlacementView> views;
-    views.reserve(entries.size());
-    for (const auto* entry : entries)
-        views.push_back(relay.viewOf(*entry));
-    auto occupancy = relay.services.speeds.speedOf(relay.service).occupancy.value_or(Duration::zero());
-    auto keptFree = relay.services.urgentWork.slotsKeptFree(relay.service, relay.priorities().levelOf(relay.priority()), views);
-    if (auto wait = expectedSlotWait(views, occupancy, keptFree); !wait || *wait > relay.remaining())
-        return saturatedError("the decode engines are saturated: " + describeLoad(views) + ", " + std::to_string(keptFree) + " slots of each kept free");
-    auto choice = chooseLeastOccupied(views, relay.services.zone);
-    return *entries[choice.value_or(0)];
+    auto since = relay.services.timers.now();
+    auto longestHold = fromSeconds(toSeconds(handleValidity(relay)) * usedShareOfValidity);
+    DecodePlan plan;
+    auto decide = [&](bool hasWaited) {
+        auto prefillTime = m_prefill->expectedTime();
+        plan = planDecode(relay, { prefillTime, hasWaited, m_decodeCalls });
+        if (plan.decision.action == DecodeAction::Refuse && !hasWaited)
+            return SlotQueue::Step::GiveUp;
+        return plan.decision.action != DecodeAction::Refuse && plan.decision.expectedWait <= longestHold ? SlotQueue::Step::Proceed : SlotQueue::Step::Wait;
+    };
+    auto step = co_await relay.services.slotQueue.wait(relay, { order(), false, relay.deadline(), false }, decide);
+    if (step == SlotQueue::Step::Proceed) {
+        logWait("prefill", since, plan, "proceeded");
+        co_return Result<void>();
+    }
+    logWait("prefill", since, plan, "refused");
+    co_return plan.refusal();
 }
 
-EngineOrder GenerationRelay::order() const
+asio::awaitable<Result<ReplicaEntry>> GenerationRelay::awaitDecodeEngine()
+{
+    auto& relay = *m_relay;
+    auto since = relay.services.timers.now();
+    auto until = relay.deadline();
+    if (m_handle)
+        until = std::min(until, m_handleAt + fromSeconds(toSeconds(handleValidity(relay)) * usedShareOfValidity));
+    DecodePlan plan;
+    auto decide = [&](bool hasWaited) {
+        plan = planDecode(relay, { Duration::zero(), hasWaited, m_decodeCalls });
+        if (plan.decision.action == DecodeAction::Call)
+            return SlotQueue::Step::Proceed;
+        // With a handle the prompt has been read, and after a wait the requests that came later are not ahead.
+        auto mayWait = !plan.engines.empty() && (m_handle || hasWaited || plan.decision.action == DecodeAction::Wait);
+        return mayWait ? SlotQueue::Step::Wait : SlotQueue::Step::GiveUp;
+    };
+    auto step = co_await relay.services.slotQueue.wait(relay, { order(), m_handle.has_value(), until }, decide);
+    if (step == SlotQueue::Step::Proceed) {
+        logWait("decode", since, plan, "proceeded");
+        co_return plan.engines[plan.decision.index];
+    }
+    auto last = m_handle && !relay.isOver() ? lastDecodeEngine() : Result<ReplicaEntry>(plan.refusal());
+    logWait("decode", since, plan, last ? "last_resort" : "refused");
+    co_return last;
+}
+
+Result<ReplicaEntry> GenerationRelay::lastDecodeEngine() const
+{
+    auto plan = planDecode(*m_relay, { Duration::zero(), true, m_decodeCalls });
+    auto choice = lastResortEngine(plan.views, m_relay->services.zone);
+    if (!choice)
+        return plan.refusal();
+    return plan.engines[*choice];
+}
+
+void GenerationRelay::logWait(std::string_view stage, TimePoint since, const DecodePlan& plan, std::string_view end) const
+{
+    const auto& relay = *m_relay;
+    auto waited = relay.services.timers.now() - since;
+    if (waited == Duration::zero() && end == "proceeded")
+        return;
+    relay.services.log.write(EventId::SlotAwaited, { { "request", relay.request.id }, { "stage", stage }, { "ms", waited.count() / 1000 }, { "end", end }, { "priority", relay.priority() }, { "load", describeLoad(plan.views) }, { "kept_free", plan.need.keptFree }, { "ahead", plan.need.waitingAhead }, { "expected_ms", plan.decision.expectedWait.count() / 1000 } });
+    relay.services.metrics.count("chestnut_gateway_slot_waits_total", { { "end", std::string(end) } });
+}
+
+EnginePosition GenerationRelay::order() const
 {
     auto ofPrefill = m_prefill ? m_prefill->order() : std::nullopt;
     return ofPrefill.value_or(m_relay->orderAt(PrefillRank::Urgent));
@@ -268,15 +314,15 @@
 asio::awaitable<Result<ReplicaEntry>> GenerationRelay::prepareDecode(bool mayPrefill)
 {
     if (mayPrefill && needsPrefill()) {
-        // No prefill starts while the decode engines are saturated. The decode engine is chosen again after the prefill.
-        if (auto engine = chooseDecodeEngine(); !engine)
-            co_return engine.error();
+        if (auto turn = co_await awaitPrefillTurn(); !turn)
+            co_return turn.error();
         auto handle = co_await m_prefill->run();
         if (!handle)
             co_return handle.error();
         m_handle = std::move(*handle);
+        m_handleAt = m_relay->services.timers.now();
     }
-    co_return chooseDecodeEngine();
+    co_return co_await awaitDecodeEngine();
 }
 
 asio::awaitable<Result<void>> GenerationRelay::decodeAt(const ReplicaEntry& engine)
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/streams/StreamPosition.h"
+#include "gateway/requests/DecodePlan.h"
 #include "gateway/requests/EventSplitter.h"
 #include "gateway/requests/PromptPrefill.h"
 #include "gateway/requests/SilenceWatch.h"
@@ -30,10 +31,16 @@
     asio::awaitable<Result<void>> generate();
     /** Chooses the decode engine, after running the prefill if needed. */
     asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayPrefill);
-    /** The engine for the next decode call, or an error if there is none. */
-    Result<ReplicaEntry> chooseDecodeEngine() const;
+    /** Waits until the prompt can be read with a slot for its decode in view. */
+    asio::awaitable<Result<void>> awaitPrefillTurn();
+    /** Waits until a decode engine has room; an error when none is expected to have room in time. */
+    asio::awaitable<Result<ReplicaEntry>> awaitDecodeEngine();
+    /** The engine for a decode with a handle that cannot wait any longer. */
+    Result<ReplicaEntry> lastDecodeEngine() const;
+    /** Writes one line about a request that waited, or was refused without a wait. */
+    void logWait(std::string_view stage, TimePoint since, const DecodePlan&, std::string_view end) const;
     /** Position of the decode at the engines. */
-    EngineOrder order() const;
+    EnginePosition order() const;
     /** Whether prefill engines should process the prompt; decode engines process short ones themselves. */
     bool needsPrefill() const;
     /** Whether the next decode attempt needs a prefill, unless it has a handle to the KV cache of an earlier one. */
@@ -64,6 +71,7 @@
     HttpResponseWriter& m_writer;
     const PromptShape* m_prompt;
     std::optional<CacheHandle> m_handle;
+    TimePoint m_handleAt; /**< when it was received */
     std::string m_lastEventId;
     StreamPosition m_position;
     bool m_hasEvents = false; /**< of the present decode attempt */
--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -48,10 +48,15 @@
     return Placement { *entries[choice->index], *choice, speed.prefill };
 }
 
-bool PromptPrefill::canRunInTime() const
+Duration PromptPrefill::expectedTime() const
 {
     auto placement = findEngine();
-    return !placement || placement->choice.expectedTime.value_or(Duration::zero()) < m_relay.remaining();
+    return placement ? placement->choice.expectedTime.value_or(Duration::zero()) : Duration::zero();
+}
+
+bool PromptPrefill::canRunInTime() const
+{
+    return expectedTime() < m_relay.remaining();
 }
 
 void PromptPrefill::watchProgress(const Placement& placement, TimePoint since)
--- a/modules/gateway/requests/PromptPrefill.h
+++ b/modules/gateway/requests/PromptPrefill.h
@@ -15,10 +15,13 @@
     asio::awaitable<Result<std::optional<CacheHandle>>> run();
 
     /** Position of the request at the engines; absent before the first call. */
-    std::optional<EngineOrder> order() const { return m_order; }
+    std::optional<EnginePosition> order() const { return m_order; }
     /** Duration of the last completed call. */
     std::chrono::milliseconds time() const { return m_time; }
 
+    /** Time until the end of a prefill that begins now; zero while it is unknown or when decode engines read the prompt. */
+    Duration expectedTime() const;
+
     /** Whether the prefill can be completed before the request's deadline. Without a prefill engine there is nothing to wait for. */
     bool canRunInTime() const;
 
@@ -38,7 +41,7 @@
 
     RelayContext& m_relay;
     const PromptShape& m_prompt;
-    std::optional<EngineOrder> m_order;
+    std::optional<EnginePosition> m_order;
     std::chrono::milliseconds m_time { 0 };
     TimerSubscription m_progressTimer;
     bool m_mayCallAgain = false; /**< after the call in progress */
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -198,7 +198,8 @@
     view.queued = observation.work.queued;
     view.moreUrgentRequests = observation.work.decodes.sum(0, priorities().firstOrderOf(priority()));
     view.lessUrgentRequests = observation.work.decodes.sum(priorities().endOrderOf(priority()));
-    view.requestsAtRefusal = observation.requestsAtRefusal;
+    // A false or old report of a peer never reduces the capacity below the slots.
+    view.requestsAtRefusal = observation.requestsAtRefusal > 0 ? std::max(observation.requestsAtRefusal, entry.slots) : 0;
     view.slowdown = observation.slowdown;
     view.isEjected = observation.isEjected;
     return view;
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -8,6 +8,7 @@
 #include "gateway/replicas/SpeedTracker.h"
 #include "gateway/requests/CrashTracker.h"
 #include "gateway/requests/ReplicaClient.h"
+#include "gateway/requests/SlotQueue.h"
 #include "gateway/requests/UrgentWork.h"
 #include "http/server/HttpServer.h"
 #include "kernel/metrics/Metrics.h"
@@ -52,6 +53,7 @@
     AvailabilityZone zone;
     Duration soundSilence; /**< longest silence of a sound engine in the middle of a stream */
     UrgentWork urgentWork { timers };
+    SlotQueue slotQueue { context, timers, loadTracker };
 };
 
 /** The state of one request in progress: its route, its deadline and the outcome of its attempts. */
@@ -66,7 +68,7 @@
     /** The effective priority; zero is the most urgent. */
     uint32_t priority() const { return route.priority; }
     /** Position of the request at the engines of its service. */
-    EngineOrder orderAt(PrefillRank rank) const { return priorities().orderOf(priority(), rank); }
+    EnginePosition orderAt(PrefillRank rank) const { return priorities().orderOf(priority(), rank); }
     const ServicePriorities& priorities() const { return table->prioritiesOf(service); }
     Duration remaining() const { return m_deadline - services.timers.now(); }
     bool isOver() const { return m_isClientDisconnected || m_hasExpired; }
--- a/modules/gateway/requests/UrgentWork.cpp
+++ b/modules/gateway/requests/UrgentWork.cpp
@@ -1,7 +1,5 @@
 #include "gateway/requests/UrgentWork.h"
 
-#include <algorithm>
-
 namespace chestnut {
 
 namespace {
@@ -21,14 +19,16 @@
     if (level == 0 || views.empty())
         return 0;
     uint32_t moreUrgent = 0;
-    for (const auto& view : views)
+    uint32_t slots = 0;
+    for (const auto& view : views) {
         moreUrgent += view.moreUrgentRequests;
+        slots += view.slots;
+    }
     if (m_demands.size() >= maximumDemands)
         m_demands.clear();
     auto& demand = m_demands[{ service, level }];
     demand = withObservation(demand, moreUrgent, m_timers.now());
-    auto fewestSlots = std::ranges::min(views, {}, &PlacementView::slots).slots;
-    return chestnut::slotsKeptFree(demand, static_cast<uint32_t>(views.size()), fewestSlots);
+    return chestnut::slotsKeptFree(demand, slots);
 }
 
 } // namespace chestnut
--- a/modules/gateway/requests/UrgentWork.h
+++ b/modules/gateway/requests/UrgentWork.h
@@ -15,7 +15,7 @@
 public:
     explicit UrgentWork(TimerService&);
 
-    /** Slots of each engine that a request leaves free. `level` is the number of more urgent priorities of the service. */
+    /** Slots of the service that a request leaves free. `level` is the number of more urgent priorities of the service. */
     uint32_t slotsKeptFree(const ServiceId&, size_t level, std::span<const PlacementView>);
 
 private:
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -174,7 +174,7 @@
         if (!service.engine)
             continue;
         auto& demand = m_demand[service.id];
-        double requests = 0;
+        double requests = m_loadTracker->requestsAt(waitingAt(service.id));
         for (const auto* entry : m_replicas.usable(service.id, EngineStage::Decode)) {
             requests += m_loadTracker->requestsAt(entry->id);
             demand.slots = entry->slots;
--- a/tests/decisions/DecodeSimulation.cpp
+++ b/tests/decisions/DecodeSimulation.cpp
@@ -1,5 +1,7 @@
 #include "decisions/DecodeSimulation.h"
 
+#include "base/digest/Digest.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -30,6 +32,7 @@
         refreshViews();
         if (std::fmod(m_now, pollPeriod) == 0) {
             auto waiting = std::exchange(m_waiting, {});
+            std::ranges::stable_sort(waiting, {}, [this](const Request& request) { return m_kinds[request.kind].priority; });
             for (auto& request : waiting)
                 serve(std::move(request));
         }
@@ -49,7 +52,7 @@
         for (int j = 0; j < count; ++j) {
             ++m_outcomes[kind.name].requests;
             auto occupancy = std::exponential_distribution<double>(1 / kind.occupancy)(m_arrivals);
-            serve({ i, m_arrivals() % m_fleet.daemons, m_now, occupancy, 0, false, {} });
+            serve({ i, m_arrivals() % m_fleet.daemons, m_now, occupancy, ++m_requests, 0, false, {} });
         }
     }
 }
@@ -69,14 +72,41 @@
         auto job = *next;
         engine.queue.erase(next);
         const auto& kind = m_kinds[job.request.kind];
-        if (m_now > job.request.arrival + kind.timeout) {
+        if (!job.hasStarted && m_now > job.request.arrival + kind.timeout) {
             ++m_outcomes[kind.name].refusedAfterCalls;
             continue;
         }
-        job.end = m_now + job.request.occupancy;
-        record(job.request, m_now);
-        engine.running.push_back(std::move(job));
+        start(engine, std::move(job));
     }
+    if (m_fleet.preempts && !engine.queue.empty())
+        preempt(engine);
+}
+
+void DecodeSimulation::start(Engine& engine, Job job)
+{
+    job.end = m_now + job.request.occupancy;
+    if (!std::exchange(job.hasStarted, true))
+        record(job.request, m_now);
+    engine.running.push_back(std::move(job));
+}
+
+void DecodeSimulation::preempt(Engine& engine)
+{
+    auto next = std::ranges::min_element(engine.queue, {}, &Job::order);
+    auto least = std::ranges::max_element(engine.running, {}, &Job::order);
+    if (next->order >= least->order)
+        return;
+    least->request.occupancy = least->end - m_now;
+    std::swap(*next, *least);
+    auto job = *least;
+    engine.running.erase(least);
+    start(engine, std::move(job));
+}
+
+double DecodeSimulation::waitingAhead(const Request& request) const
+{
+    auto isAhead = [&](const Request& other) { return m_kinds[other.kind].priority <= m_kinds[request.kind].priority; };
+    return static_cast<double>(std::ranges::count_if(m_waiting, isAhead));
 }
 
 void DecodeSimulation::record(const Request& request, double startedAt)
@@ -129,6 +159,12 @@
     return views;
 }
 
+void DecodeSimulation::recordRefusal(Refusal& refusal, uint32_t requests) const
+{
+    auto isRecent = m_now < refusal.until;
+    refusal = { isRecent ? std::min(refusal.requests, requests) : requests, m_now + refusalValidity };
+}
+
 bool DecodeSimulation::call(Request& request, size_t index)
 {
     auto& engine = m_engines[index];
@@ -139,7 +175,7 @@
     auto requests = engine.running.size() + engine.queue.size();
     if (requests >= m_fleet.slots + m_fleet.queueLimit) {
         request.refusedBy.push_back(index);
-        m_refusals[m_rule.sharesRefusals ? 0 : request.daemon][index] = { std::max(m_known[request.daemon][index].sum(), m_fleet.slots), m_now + refusalValidity };
+        recordRefusal(m_refusals[m_rule.sharesRefusals ? 0 : request.daemon][index], std::max(m_known[request.daemon][index].sum(), m_fleet.slots));
         return false;
     }
     m_known[request.daemon][index] += amountAt(1U, order);
@@ -153,7 +189,7 @@
     const auto& kind = m_kinds[request.kind];
     while (true) {
         auto waited = m_now - request.arrival;
-        auto step = waited > kind.timeout ? DecodeStep {} : m_rule.decide({ kind, viewsOf(request), request.calls, waited, m_now, request.daemon });
+        auto step = waited > kind.timeout ? DecodeStep {} : m_rule.decide({ kind, viewsOf(request), request.calls, waitingAhead(request), hash64(std::to_string(request.number), 0), request.hasWaited, waited, m_now, request.daemon });
         if (step.action == DecodeStep::Action::Refuse) {
             ++(request.calls > 0 || request.hasWaited ? m_outcomes[kind.name].refusedAfterCalls : m_outcomes[kind.name].refusedAtOnce);
             return;
--- a/tests/decisions/DecodeSimulation.h
+++ b/tests/decisions/DecodeSimulation.h
@@ -43,7 +43,7 @@
     size_t daemons = 60;
     double viewPeriod = 150; /**< milliseconds between two updates of a daemon's view of the work of the others */
     double length = 20'000;
-    double handleValidity = 5000;
+    bool preempts = false; /**< a more urgent request takes the slot of the least urgent one, which is queued again */
 };
 
 /** What a daemon does with a request now. */
@@ -62,6 +62,9 @@
     const DecodeKind& kind;
     std::vector<PlacementView> views;
     size_t calls = 0; /**< made for the request */
+    double waitingAhead = 0; /**< in all daemons, not less urgent */
+    uint64_t choice = 0;
+    bool hasWaited = false;
     double waited = 0; /**< since its arrival, in milliseconds */
     double now = 0;
     size_t daemon = 0;
@@ -70,7 +73,7 @@
 /** A rule to be compared: the decision, and the position of a request at the engines. */
 struct DecodeRule {
     std::function<DecodeStep(const DecodeSituation&)> decide;
-    std::function<EngineOrder(const DecodeKind&)> orderOf;
+    std::function<EnginePosition(const DecodeKind&)> orderOf;
     ServicePriorities priorities;
     bool sharesRefusals = false; /**< the load at refusals is known to all daemons */
 };
@@ -88,14 +91,16 @@
         size_t daemon = 0;
         double arrival = 0;
         double occupancy = 0;
+        uint64_t number = 0;
         size_t calls = 0;
         bool hasWaited = false;
         std::vector<size_t> refusedBy;
     };
     struct Job {
         Request request;
-        EngineOrder order = 0;
+        EnginePosition order = 0;
         double end = 0;
+        bool hasStarted = false;
     };
     struct Engine {
         std::vector<Job> running;
@@ -110,10 +115,14 @@
     void advanceEngines();
     void refreshViews();
     void serve(Request);
+    void recordRefusal(Refusal&, uint32_t requests) const;
     bool call(Request&, size_t engine);
     void startQueued(Engine&);
+    void preempt(Engine&);
+    void start(Engine&, Job);
     void record(const Request&, double startedAt);
     std::vector<PlacementView> viewsOf(const Request&) const;
+    double waitingAhead(const Request&) const;
     OrderedRequests decodesAt(size_t engine) const;
 
     DecodeFleet m_fleet;
@@ -125,6 +134,7 @@
     std::vector<std::vector<OrderedRequests>> m_known; /**< of each daemon: at its last update, plus what it has sent since */
     std::vector<std::vector<Refusal>> m_refusals; /**< of each daemon, or of all */
     std::vector<Request> m_waiting;
+    uint64_t m_requests = 0;
     std::map<std::string, DecodeOutcome> m_outcomes;
 };
 
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -43,6 +43,15 @@
 
     void script(const std::string& id, std::deque<ScriptedResponse> responses) { replicaClient.scripts[ReplicaId(id)] = std::move(responses); }
 
+    /** Begins decodes of other requests. */
+    std::vector<LoadTracker::InFlightWork> decodesAt(const std::string& id, size_t count, std::optional<EnginePosition> order = {}) const
+    {
+        std::vector<LoadTracker::InFlightWork> inFlight(count);
+        for (auto& work : inFlight)
+            work = loadTracker->beginDecode(ReplicaId(id), order);
+        return inFlight;
+    }
+
     Route resumable() const { return route(RouteKind::Streaming, 2, true); }
     Route single() const { return route(RouteKind::Streaming, 1, false); }
 };
@@ -305,15 +314,12 @@
 TEST_CASE("while the decode engines are nearly full, a less urgent request is refused at once and an urgent one is accepted")
 {
     Engines fixture;
-    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 500ms);
     auto lessUrgent = fixture.single();
     lessUrgent.priority = 2;
     lessUrgent.host = "other";
-    std::vector<LoadTracker::InFlightWork> inFlight;
-    for (const auto* id : { "i-d1", "i-d2" }) {
-        for (int i = 0; i < 8; ++i)
-            inFlight.push_back(fixture.loadTracker->beginDecode(ReplicaId(id), 3));
-    }
+    auto first = fixture.decodesAt("i-d1", 7, 3);
+    auto second = fixture.decodesAt("i-d2", 13, 3);
     fixture.otherRoutes = { lessUrgent };
     FakeWriter urgent;
     fixture.runRequest(fixture.single(), urgent, PromptShape { "m", 220, 72, {} }, 10ms);
@@ -328,6 +334,75 @@
     CHECK(fixture.replicaClient.prefills.empty());
 }
 
+// Guards against prompts that are read and then refused because the engines were full for a moment.
+TEST_CASE("while all decode engines are full, a read prompt waits in the daemon and is decoded once one has room")
+{
+    Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 300ms);
+    auto others = fixture.decodesAt("i-d1", 8);
+    auto inFlight = fixture.decodesAt("i-d2", 8);
+    FakeWriter first;
+    FakeWriter second;
+    fixture.start(fixture.single(), first, fixture.longPrompt());
+    fixture.start(fixture.single(), second, fixture.longPrompt());
+    fixture.timers.advance(200ms);
+    CHECK(fixture.replicaClient.prefills.size() == 2);
+    CHECK(fixture.replicaClient.sent.empty());
+    CHECK(fixture.loadTracker->requestsAt(waitingAt(ServiceId("s"))) == 2);
+    inFlight.pop_back();
+    fixture.timers.advance(50ms);
+    REQUIRE(fixture.replicaClient.sent.size() >= 1);
+    CHECK(fixture.replicaClient.sent[0].replica == ReplicaId("i-d2"));
+    CHECK(fixture.replicaClient.sent[0].handle.has_value());
+    fixture.timers.advance(200ms);
+    CHECK(first.status == 200);
+    CHECK(second.status == 200);
+    CHECK(fixture.loadTracker->requestsAt(waitingAt(ServiceId("s"))) == 0);
+    CHECK(fixture.log.recent(EventId::SlotAwaited).size() == 2);
+}
+
+TEST_CASE("a client that disconnects while its request waits leaves no trace in the queue")
+{
+    Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 300ms);
+    auto others = fixture.decodesAt("i-d1", 8);
+    auto inFlight = fixture.decodesAt("i-d2", 8);
+    FakeWriter writer;
+    fixture.start(fixture.single(), writer, fixture.longPrompt());
+    fixture.timers.advance(100ms);
+    writer.disconnectCallback();
+    fixture.timers.advance(50ms);
+    CHECK(fixture.loadTracker->requestsAt(waitingAt(ServiceId("s"))) == 0);
+    CHECK(fixture.replicaClient.sent.empty());
+    CHECK(fixture.replicaClient.released.size() == 1);
+}
+
+TEST_CASE("before its handle expires, a waiting decode is sent to the least occupied engine that is not known to refuse")
+{
+    Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 300ms);
+    auto others = fixture.decodesAt("i-d1", 9);
+    auto inFlight = fixture.decodesAt("i-d2", 8);
+    auto newRoute = fixture.single();
+    newRoute.timeout = 20s;
+    FakeWriter writer;
+    fixture.runRequest(newRoute, writer, fixture.longPrompt(), 4s);
+    CHECK(writer.status == 200);
+    REQUIRE(fixture.replicaClient.sent.size() == 1);
+    CHECK(fixture.replicaClient.sent[0].replica == ReplicaId("i-d2"));
+    for (const auto* id : { "i-d1", "i-d2" })
+        fixture.loadTracker->recordPeerRefusal({ ReplicaId(id), 8, {} });
+    FakeWriter refused;
+    fixture.start(newRoute, refused, fixture.longPrompt());
+    for (int i = 0; i < 4; ++i) {
+        fixture.timers.advance(1s);
+        for (const auto* id : { "i-d1", "i-d2" })
+            fixture.loadTracker->recordPeerRefusal({ ReplicaId(id), 8, {} });
+    }
+    CHECK(refused.status == 503);
+    CHECK(fixture.replicaClient.sent.size() == 1);
+}
+
 TEST_CASE("after a failed prefill the request can still be refused as not run")
 {
     Engines fixture;
--- a/tests/gateway/LoadMessageTest.cpp
+++ b/tests/gateway/LoadMessageTest.cpp
@@ -75,7 +75,7 @@
     LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Daemon };
     QueuedTokens queued;
     OrderedRequests decodes;
-    for (EngineOrder order = 0; order < engineOrders; ++order) {
+    for (EnginePosition order = 0; order < enginePositions; ++order) {
         queued.set(order, 100 + order);
         decodes.set(order, order);
     }
@@ -90,12 +90,22 @@
     CHECK(work[2] == ReplicaWork { ReplicaId("i-3"), 45, {}, {} });
 }
 
+// Guards against refusals that are lost on the way, and against a peer that reports any number of them.
+TEST_CASE("recent refusals are reported to peers, in a bounded number")
+{
+    LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Daemon };
+    message.refusals.assign(maximumRefusalReports, { ReplicaId("i-1"), 9, std::chrono::seconds(1) });
+    CHECK(decodeLoadMessage(encodeLoadMessage(message).front())->refusals == message.refusals);
+    message.refusals.push_back(message.refusals.front());
+    CHECK_FALSE(decodeLoadMessage(encodeLoadMessage(message).front()).has_value());
+}
+
 TEST_CASE("a load message with a position out of range is rejected")
 {
     LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Daemon };
     message.work = { { ReplicaId("i-1"), 2, amountAt(5.0, 0), {} } };
     auto document = nlohmann::json::from_cbor(encodeLoadMessage(message).front());
-    for (const auto& orders : { nlohmann::json { { 1, 0, 5, 0 } }, nlohmann::json { { 0, engineOrders, 5, 0 } } }) {
+    for (const auto& orders : { nlohmann::json { { 1, 0, 5, 0 } }, nlohmann::json { { 0, enginePositions, 5, 0 } } }) {
         document["orders"] = orders;
         auto bytes = nlohmann::json::to_cbor(document);
         CHECK_FALSE(decodeLoadMessage(std::string(bytes.begin(), bytes.end())).has_value());
--- a/tests/gateway/LoadTrackerTest.cpp
+++ b/tests/gateway/LoadTrackerTest.cpp
@@ -128,3 +128,20 @@
     CHECK(loadTracker.requestsAt(replica) == 3);
     CHECK(loadTracker.requestsAt(other) == 0);
 }
+
+// Guards against each daemon of a fleet that learns of a full engine by its own refused request.
+TEST_CASE("a refusal that a peer reports is known for as long as an own one, and not longer through repeated reports")
+{
+    GatewayFixture fixture;
+    auto& loadTracker = *fixture.loadTracker;
+    for (int i = 0; i < 4; ++i) {
+        loadTracker.recordPeerRefusal({ replica, 9, std::chrono::seconds(i) });
+        CHECK(loadTracker.observe(replica).requestsAtRefusal == 9);
+        CHECK(loadTracker.recentRefusals() == std::vector<RefusalReport> { { replica, 9, std::chrono::seconds(i) } });
+        fixture.timers.advance(1s);
+    }
+    CHECK(loadTracker.observe(replica).requestsAtRefusal == 0);
+    CHECK(loadTracker.recentRefusals().empty());
+    loadTracker.recordPeerRefusal({ replica, 0, {} });
+    CHECK(loadTracker.observe(replica).requestsAtRefusal == 0);
+}
