--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -129,6 +129,7 @@
         { EventId::StreamLeftReplica, "stream_left_replica", Severity::Info, "A stream is continued at another engine, because its engine leaves before the stream is expected to end." },
         { EventId::ReplicaErrorResponse, "replica_error_response", Severity::Warning, "A replica ran a call of a plain service and answered it with a status of 500 or above; the fields give what the daemon does." },
         { EventId::ReplicaCapacityChanged, "replica_capacity_changed", Severity::Info, "The learned concurrency limit or weight of a replica changed by much; the fields give the old and new values and their evidence." },
+        { EventId::SlotAwaited, "slot_awaited", Severity::Info, "A request waited in this daemon for a slot; the fields give the time, the load that caused the wait, and how it ended." },
     });
 
     constexpr bool isSortedById()
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -393,6 +393,23 @@
         return replicas;
     }
 
+    json encodeRefusals(const std::vector<RefusalReport>& reports)
+    {
+        auto list = json::array();
+        for (const auto& [replica, requests, age] : reports)
+            list.push_back({ replica.value(), requests, age.count() });
+        return list;
+    }
+
+    std::vector<RefusalReport> decodeRefusals(const json& list)
+    {
+        checkSize(list, maximumRefusalReports);
+        std::vector<RefusalReport> reports;
+        for (const auto& item : list)
+            reports.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>(), decodeAge(item.at(2)) });
+        return reports;
+    }
+
     template <typename Id>
     std::vector<Id> decodeIds(const json& list)
     {
@@ -489,6 +506,7 @@
             { "entries", encodeEntries(message.entries) },
             { "store", message.isStoreReachable },
             { "living", valuesOf(message.liveDaemons) },
+            { "refusals", encodeRefusals(message.refusals) },
             { "part", { message.part.index, message.part.count } },
             { "config", encodeNotice(message.configuration) },
         };
@@ -521,12 +539,12 @@
     {
         auto slice = message;
         slice.part = part;
-        if (part.index > 0)
+        if (part.index > 0) {
             slice.speedSamples.clear();
-        if (part.index > 0)
             slice.configuration.holders.clear();
-        if (part.index > 0)
             slice.accountUse.clear();
+            slice.refusals.clear();
+        }
         slice.work = sliceOf(message.work, part);
         slice.liveDaemons = sliceOf(message.liveDaemons, part);
         slice.leavingReplicas = sliceOf(message.leavingReplicas, part);
@@ -589,6 +607,7 @@
         message.leavingReplicas = decodeLeaving(document.at("gone"));
         message.pausedReplicas = decodePauses(document.at("paused"));
         message.entries = decodeEntries(document.at("entries"));
+        message.refusals = decodeRefusals(document.value("refusals", json::array()));
         message.isStoreReachable = document.at("store").get<bool>();
         message.liveDaemons = decodeIds<DaemonId>(document.at("living"));
         message.accountUse = decodeAccountUse(document);
--- a/modules/gateway/members/LoadMessage.h
+++ b/modules/gateway/members/LoadMessage.h
@@ -37,6 +37,7 @@
     std::vector<ServiceUse> accountUse; /**< of services that are short of capacity, by the same daemons; only in the first part */
     ConfigurationNotice configuration; /**< of the sender; the holders are only in the first part */
     std::vector<CapacitySamples> capacities; /**< of the same daemons, for some replicas; the others follow in later messages */
+    std::vector<RefusalReport> refusals; /**< recent ones, by any daemon's request; only in the first part of a message */
 
     bool operator==(const LoadMessage&) const = default;
 };
--- a/modules/gateway/replicas/LoadTracker.cpp
+++ b/modules/gateway/replicas/LoadTracker.cpp
@@ -33,6 +33,11 @@
 
 } // namespace
 
+ReplicaId waitingAt(const ServiceId& service)
+{
+    return ReplicaId("waiting/" + service.value());
+}
+
 ReplicaWork& ReplicaWork::operator+=(const ReplicaWork& other)
 {
     requests += other.requests;
@@ -137,7 +142,7 @@
     observation.work += record->peers;
     observation.work.replica = replica;
     observation.peerRequests = record->peers.requests;
-    observation.requestsAtRefusal = now < record->refusalValidUntil ? record->requestsAtRefusal : 0;
+    observation.requestsAtRefusal = now - record->refusedAt < refusalValidity ? record->requestsAtRefusal : 0;
     observation.slowdown = record->slowdown;
     observation.errorShare = errorShareOf(*record);
     observation.isEjected = now < record->ejectedUntil;
@@ -290,10 +295,37 @@
         recordFailure(replica);
         return;
     }
-    auto& record = m_records[replica];
+    setRefusal(m_records[replica], requests, m_timers.now());
+}
+
+void LoadTracker::setRefusal(Record& record, uint32_t requests, TimePoint refusedAt)
+{
+    auto isRecent = record.requestsAtRefusal > 0 && refusedAt - record.refusedAt < refusalValidity;
+    record.requestsAtRefusal = isRecent ? std::min(record.requestsAtRefusal, requests) : requests;
+    record.refusedAt = isRecent ? std::max(record.refusedAt, refusedAt) : refusedAt;
+}
+
+std::vector<RefusalReport> LoadTracker::recentRefusals() const
+{
     auto now = m_timers.now();
-    record.requestsAtRefusal = now < record.refusalValidUntil ? std::min(record.requestsAtRefusal, requests) : requests;
-    record.refusalValidUntil = now + refusalValidity;
+    std::vector<RefusalReport> reports;
+    for (const auto& [replica, record] : m_records) {
+        if (record.requestsAtRefusal > 0 && now - record.refusedAt < refusalValidity)
+            reports.push_back({ replica, record.requestsAtRefusal, now - record.refusedAt });
+    }
+    std::ranges::sort(reports, {}, [](const RefusalReport& report) { return std::pair(report.age, report.replica); });
+    reports.resize(std::min(reports.size(), maximumRefusalReports));
+    return reports;
+}
+
+void LoadTracker::recordPeerRefusal(const RefusalReport& report)
+{
+    auto refusedAt = m_timers.now() - report.age;
+    auto& record = m_records[report.replica];
+    // The same refusal is reported repeatedly, through several peers.
+    if (report.requests == 0 || report.age >= refusalValidity || (record.requestsAtRefusal > 0 && refusedAt <= record.refusedAt && report.requests >= record.requestsAtRefusal))
+        return;
+    setRefusal(record, report.requests, refusedAt);
 }
 
 void LoadTracker::recordSentParts(const ReplicaId& replica, const std::vector<uint64_t>& parts)
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -8,6 +8,7 @@
 #include "gateway/replicas/SpeedTracker.h"
 #include "gateway/requests/CrashTracker.h"
 #include "gateway/requests/ReplicaClient.h"
+#include "gateway/requests/SlotQueue.h"
 #include "gateway/requests/UrgentWork.h"
 #include "gateway/usage/UsageMeter.h"
 #include "http/server/HttpServer.h"
@@ -55,6 +56,7 @@
     std::shared_ptr<ByteBudget> responseBuffers; /**< of bodies whose clients read slowly; null: bodies are read whole */
     UsageMeter* usage = nullptr; /**< null: usage is not counted */
     UrgentWork urgentWork { timers };
+    SlotQueue slotQueue { context, timers, loadTracker };
 };
 
 /** The state of one request in progress: its route, its deadline and the outcome of its attempts. */
