--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -194,6 +194,12 @@
     message.engineCrashes = m_crashTracker.recentPartCrashes();
     message.partBegins = m_crashTracker.recentPartBegins();
     message.refusals = m_loadTracker->recentRefusals();
+    // Where all prefill engines count as full, decode engines read the prompts and delay their streams. One refusal must not
+    // cause that at all daemons.
+    std::erase_if(message.refusals, [this](const RefusalReport& report) {
+        const auto* registered = m_replicas.find(report.replica);
+        return registered && registered->entry.stage == EngineStage::Prefill;
+    });
     message.leavingReplicas = m_replicas.leaving();
     message.pausedReplicas = m_replicas.pausedReplicas();
     message.isStoreReachable = !m_directory.isStoreUnavailable();
--- a/tests/gateway/LoadExchangeTest.cpp
+++ b/tests/gateway/LoadExchangeTest.cpp
@@ -127,6 +127,27 @@
     checkSharedSpeed(15);
 }
 
+// Guards against each daemon calling a full decode engine once, and against one refusal by a prefill engine that sends long
+// prompts of all daemons to the decode engines.
+TEST_CASE("every daemon learns the load at which a decode engine refused one daemon, and not that of prefill engines")
+{
+    for (auto size : { 4, 15 }) {
+        ExchangeFleet fleet(size);
+        fleet.addReplica("i-d1", "s", "decode");
+        fleet.addReplica("i-p1", "s", "prefill");
+        fleet.members.back()->loadTracker->recordPeerRefusal({ ReplicaId("i-d1"), 7, {} });
+        fleet.members.back()->loadTracker->recordPeerRefusal({ ReplicaId("i-p1"), 7, {} });
+        fleet.advanceSteps(1s);
+        for (const auto& member : fleet.members) {
+            CHECK(member->loadTracker->observe(ReplicaId("i-d1")).requestsAtRefusal == 7);
+            CHECK(member->loadTracker->observe(ReplicaId("i-p1")).requestsAtRefusal == (member == fleet.members.back() ? 7 : 0));
+        }
+        fleet.advanceSteps(4s);
+        for (const auto& member : fleet.members)
+            CHECK(member->loadTracker->observe(ReplicaId("i-d1")).requestsAtRefusal == 0);
+    }
+}
+
 TEST_CASE("every daemon of a small fleet receives the work of all others")
 {
     checkSharedWork(4);
