--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -3,13 +3,18 @@
 /** @module gateway
     Routes opaque requests by host and path to engines and backend servers that are listed in a store, without tickets. */
 
+#include "gateway/accounts/AccountMetrics.h"
 #include "gateway/accounts/Authentication.h"
 #include "gateway/blocks/BlockCodec.h"
 #include "gateway/blocks/BlockDirectory.h"
+#include "gateway/configuration/ConfigurationApi.h"
+#include "gateway/configuration/ConfigurationExchange.h"
+#include "gateway/configuration/HttpConfigurationClient.h"
 #include "gateway/leases/FencedLease.h"
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/members/LoadExchange.h"
 #include "gateway/members/LoadMessage.h"
+#include "gateway/replicas/CapacityTracker.h"
 #include "gateway/replicas/FleetLoad.h"
 #include "gateway/replicas/LoadTracker.h"
 #include "gateway/replicas/ReplicaDirectory.h"
@@ -18,6 +23,7 @@
 #include "gateway/requests/PlainRelay.h"
 #include "gateway/requests/ReplicaClient.h"
 #include "gateway/requests/ReplicaNotice.h"
+#include "gateway/requests/UrgentWork.h"
 #include "gateway/roles/RoleManager.h"
 #include "gateway/scaling/ScalingManager.h"
 #include "gateway/service/Gateway.h"
@@ -25,3 +31,6 @@
 #include "gateway/store/StoreMirror.h"
 #include "gateway/store/VersionedStore.h"
 #include "gateway/tasks/TaskPlatform.h"
+#include "gateway/usage/UsageExchange.h"
+#include "gateway/usage/UsageMeter.h"
+#include "gateway/usage/UsageReporter.h"
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 
 namespace chestnut {
 
@@ -22,6 +23,16 @@
     constexpr Duration collectorTimeout = std::chrono::milliseconds(700);
     /** Keys of sums in the load tracker; the work of single daemons is stored under their ids. */
     const DaemonId fleetKey("fleet");
+    /** Time in which the capacity samples of all replicas are sent, unless these are too many for maximumCapacityRate. */
+    constexpr Duration capacityCycle = std::chrono::seconds(3);
+    /** Replicas a second whose samples are sent to one receiver. One takes 27 bytes, and a member receives from two collectors. */
+    constexpr double maximumCapacityRate = 50;
+
+    CapacityScope capacityScopeOf(LoadScope scope)
+    {
+        return scope == LoadScope::Daemon ? CapacityScope::Daemon : scope == LoadScope::Zone ? CapacityScope::Zone
+                                                                                             : CapacityScope::Fleet;
+    }
 
     DaemonId zoneKey(const AvailabilityZone& zone)
     {
@@ -47,10 +58,8 @@
     {
         for (auto& work : sum) {
             auto own = std::ranges::find(part, work.replica, &ReplicaWork::replica);
-            if (own == part.end())
-                continue;
-            work.requests -= std::min(work.requests, own->requests);
-            work.queued -= own->queued;
+            if (own != part.end())
+                work -= *own;
         }
         return sum;
     }
@@ -116,8 +125,27 @@
     }
 }
 
+void LoadExchange::setReceiver(std::string prefix, std::function<void(std::string_view)> receiver)
+{
+    m_otherPrefix = std::move(prefix);
+    m_otherReceiver = std::move(receiver);
+}
+
+void LoadExchange::sendDatagram(const Endpoint& target, std::string_view datagram)
+{
+    error_code error;
+    udp::endpoint address(asio::ip::make_address(target.address, error), target.port);
+    if (!error)
+        m_socket.send_to(asio::buffer(datagram), address, 0, error);
+    // Send errors are ignored: the sender repeats what is not acknowledged.
+}
+
 void LoadExchange::receive(std::string_view datagram)
 {
+    if (m_otherReceiver && datagram.starts_with(m_otherPrefix)) {
+        m_otherReceiver(datagram);
+        return;
+    }
     auto message = decodeLoadMessage(datagram);
     if (!message) {
         m_log.write(EventId::PeerMessageRefused, { { "detail", message.error().detail } });
@@ -130,8 +158,11 @@
         for (const auto& daemon : message->liveDaemons)
             m_directory.recordReportedAlive(daemon);
     }
+    if (m_versions)
+        m_versions->record(message->sender.id, message->configuration);
     applyWork(*message);
     applySamples(*message);
+    applyCapacities(*message);
     for (const auto& loss : message->losses)
         m_crashTracker.add(loss);
     for (const auto& success : message->successes)
@@ -225,10 +256,32 @@
     return m_speeds.samplesOf([](const DaemonId&) { return true; });
 }
 
-LoadMessage LoadExchange::composeMessage(LoadScope scope, std::vector<ReplicaWork> work) const
+void LoadExchange::applyCapacities(const LoadMessage& message)
+{
+    auto isOwnZone = message.sender.zone == m_directory.self().zone;
+    auto collects = m_topology.isMesh || m_topology.isCollector;
+    auto& capacity = m_loadTracker->capacity();
+    if (message.scope == LoadScope::Daemon && collects)
+        capacity.setPeerSamples(message.sender.id, message.capacities);
+    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone)
+        capacity.setZoneSamples(message.sender.zone, message.capacities);
+    else if (message.scope == LoadScope::Fleet && !collects)
+        capacity.setFleetSamples(message.capacities);
+}
+
+std::vector<CapacitySamples> LoadExchange::capacitiesFor(LoadScope scope)
+{
+    const auto& capacity = m_loadTracker->capacity();
+    auto rate = std::min(static_cast<double>(capacity.size()) / toSeconds(capacityCycle), maximumCapacityRate);
+    auto count = static_cast<size_t>(std::ceil(rate * toSeconds(period())));
+    return capacity.nextSamples(capacityScopeOf(scope), m_capacityCursors[scope], count);
+}
+
+LoadMessage LoadExchange::composeMessage(LoadScope scope, std::vector<ReplicaWork> work)
 {
     LoadMessage message { m_directory.self(), scope, m_isLeaving, std::move(work) };
     message.speedSamples = samplesFor(scope);
+    message.capacities = capacitiesFor(scope);
     message.losses = m_crashTracker.recentLosses();
     message.successes = m_crashTracker.recentSuccesses();
     message.engineCrashes = m_crashTracker.recentPartCrashes();
@@ -236,6 +289,8 @@
     message.leavingReplicas = m_replicas.leaving();
     message.pausedReplicas = m_replicas.pausedReplicas();
     message.isStoreReachable = !m_directory.isStoreUnavailable();
+    if (m_versions)
+        message.configuration = m_versions->notice(scope == LoadScope::Fleet);
     return message;
 }
 
--- a/modules/gateway/members/LoadMessage.cpp
+++ b/modules/gateway/members/LoadMessage.cpp
@@ -13,11 +13,15 @@
 namespace {
 
     constexpr int messageVersion = 8;
+    /** Positions at which the three sums of tokens are divided. */
+    constexpr EnginePosition relaxedOrder = 5;
+    constexpr EnginePosition deferredOrder = 7;
     /** Maximum number of items of each list in one datagram. With ids of up to 40 bytes a full part takes 8 KB; longer ones
         need more parts. */
     constexpr size_t workItemsPerPart = 40;
     constexpr size_t liveDaemonsPerPart = 30;
     constexpr size_t leavingReplicasPerPart = 15;
+    constexpr size_t capacitiesPerPart = 32;
     constexpr size_t entriesPerPart = 12;
     constexpr size_t engineCrashesPerPart = 3;
     constexpr size_t partBeginsPerPart = 12;
@@ -34,10 +38,66 @@
     {
         auto list = json::array();
         for (const auto& item : work)
-            list.push_back({ item.replica.value(), item.requests, static_cast<int64_t>(item.queued.urgent), static_cast<int64_t>(item.queued.relaxed), static_cast<int64_t>(item.queued.deferred) });
+            list.push_back({ item.replica.value(), item.requests, static_cast<int64_t>(item.queued.sum(0, relaxedOrder)), static_cast<int64_t>(item.queued.sum(relaxedOrder, deferredOrder)), static_cast<int64_t>(item.queued.sum(deferredOrder)) });
         return list;
     }
 
+    /** The tokens as daemons without priorities understand them. */
+    QueuedTokens tokensOfRanks(const json& urgent, const json& relaxed, const json& deferred)
+    {
+        QueuedTokens tokens;
+        tokens.set(orderOf(PrefillRank::Urgent), urgent.get<double>());
+        tokens.set(relaxedOrder, relaxed.get<double>());
+        tokens.set(deferredOrder, deferred.get<double>());
+        return tokens;
+    }
+
+    bool hasSeveralPriorities(const ReplicaWork& work)
+    {
+        auto ofRanks = work.queued.at(orderOf(PrefillRank::Urgent)) + work.queued.at(relaxedOrder) + work.queued.at(deferredOrder);
+        return work.decodes.sum() > 0 || work.queued.sum() > ofRanks;
+    }
+
+    /** The work by position, for the items whose three sums of tokens do not say it: index of the item, then position, tokens and
+        decode requests of each position with work. */
+    json encodeOrders(const std::vector<ReplicaWork>& work)
+    {
+        auto list = json::array();
+        for (size_t i = 0; i < work.size(); ++i) {
+            if (!hasSeveralPriorities(work[i]))
+                continue;
+            json item { i };
+            for (EnginePosition order = 0; order < enginePositions; ++order) {
+                auto tokens = static_cast<int64_t>(work[i].queued.at(order));
+                auto requests = work[i].decodes.at(order);
+                if (tokens > 0 || requests > 0)
+                    item.insert(item.end(), { order, tokens, requests });
+            }
+            list.push_back(std::move(item));
+        }
+        return list;
+    }
+
+    void decodeOrders(const json& list, std::vector<ReplicaWork>& work)
+    {
+        for (const auto& item : list) {
+            auto index = item.at(0).get<size_t>();
+            if (index >= work.size())
+                throw json::out_of_range::create(406, "item of work out of range", &item);
+            QueuedTokens queued;
+            OrderedRequests decodes;
+            for (size_t i = 1; i + 2 < item.size(); i += 3) {
+                auto order = item.at(i).get<EnginePosition>();
+                if (order >= enginePositions)
+                    throw json::out_of_range::create(406, "position out of range", &item);
+                queued.set(order, item.at(i + 1).get<uint32_t>());
+                decodes.set(order, item.at(i + 2).get<uint32_t>());
+            }
+            work[index].queued = queued;
+            work[index].decodes = decodes;
+        }
+    }
+
     json encodeTime(const TimeSamples& samples)
     {
         return { static_cast<float>(samples.count), static_cast<float>(samples.milliseconds) };
@@ -78,6 +138,72 @@
         return list;
     }
 
+    /** Steps of the encoded logarithms: 12 for a doubling of a count and 24 for a doubling of a mean, so that an encoded value
+        differs from the sum by at most 3%. */
+    constexpr double countSteps = 12;
+    constexpr double meanSteps = 24;
+    constexpr double meanSquareSteps = 16;
+    /** Counts from a quarter of a call on are resolved. */
+    constexpr double countUnit = 0.25;
+    constexpr int middleByte = 128;
+    constexpr size_t capacityBytes = 2 * loadBands + 2;
+
+    uint8_t byteOf(double value)
+    {
+        return static_cast<uint8_t>(std::clamp(std::lround(value), 0L, 255L));
+    }
+
+    uint8_t encodeCount(double count)
+    {
+        return byteOf(countSteps * std::log2(1 + count / countUnit));
+    }
+
+    double decodeCount(uint8_t byte)
+    {
+        return (std::exp2(byte / countSteps) - 1) * countUnit;
+    }
+
+    uint8_t encodeMean(double sum, double count, double steps)
+    {
+        return sum > 0 && count > 0 ? byteOf(middleByte + steps * std::log2(sum / count)) : middleByte;
+    }
+
+    double decodeMean(uint8_t byte, double steps)
+    {
+        return std::exp2((byte - middleByte) / steps);
+    }
+
+    json encodeCapacities(const std::vector<CapacitySamples>& list)
+    {
+        auto items = json::array();
+        for (const auto& samples : list) {
+            std::vector<uint8_t> bytes;
+            for (const auto& [count, timeRatios] : samples.bands) {
+                bytes.push_back(encodeCount(count));
+                bytes.push_back(encodeMean(timeRatios, count, meanSteps));
+            }
+            bytes.push_back(encodeMean(samples.squaredRatios, callsOf(samples), meanSquareSteps));
+            bytes.push_back(encodeCount(samples.errors));
+            items.push_back({ samples.replica.value(), json::binary(std::move(bytes)) });
+        }
+        return items;
+    }
+
+    CapacitySamples decodeCapacity(const json& item)
+    {
+        const auto& bytes = item.at(1).get_binary();
+        if (bytes.size() != capacityBytes)
+            throw json::out_of_range::create(406, "capacity samples of a wrong size", &item);
+        CapacitySamples samples { ReplicaId(item.at(0).get<std::string>()) };
+        for (size_t band = 0; band < loadBands; ++band) {
+            auto count = decodeCount(bytes[2 * band]);
+            samples.bands.at(band) = { count, count * decodeMean(bytes[2 * band + 1], meanSteps) };
+        }
+        samples.squaredRatios = callsOf(samples) * decodeMean(bytes[capacityBytes - 2], meanSquareSteps);
+        samples.errors = decodeCount(bytes[capacityBytes - 1]);
+        return samples;
+    }
+
     json encodeLosses(const std::vector<LostAttemptReport>& losses)
     {
         auto list = json::array();
@@ -111,7 +237,7 @@
     {
         std::vector<ReplicaWork> work;
         for (const auto& item : list)
-            work.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>(), { item.at(2).get<double>(), item.at(3).get<double>(), item.at(4).get<double>() } });
+            work.push_back({ ReplicaId(item.at(0).get<std::string>()), item.at(1).get<uint32_t>(), tokensOfRanks(item.at(2), item.at(3), item.at(4)), {} });
         return work;
     }
 
@@ -288,6 +414,29 @@
                                                            : LoadScope::Daemon;
     }
 
+    json encodeNotice(const ConfigurationNotice& notice)
+    {
+        json item { notice.version, notice.isSettled };
+        for (const auto& holder : notice.holders)
+            item.push_back(holder.value());
+        return item;
+    }
+
+    /** Daemons of earlier versions send no notice. */
+    ConfigurationNotice decodeNotice(const json& document)
+    {
+        ConfigurationNotice notice;
+        auto item = document.find("config");
+        if (item == document.end())
+            return notice;
+        notice.version = item->at(0).get<uint64_t>();
+        notice.isSettled = item->at(1).get<bool>();
+        checkSize(*item, 2 + maximumHolders);
+        for (size_t i = 2; i < item->size(); ++i)
+            notice.holders.emplace_back(item->at(i).get<std::string>());
+        return notice;
+    }
+
     std::string encodePart(const LoadMessage& message)
     {
         json document {
@@ -296,7 +445,9 @@
             { "scope", static_cast<int>(message.scope) },
             { "leaving", message.isLeaving },
             { "work", encodeWork(message.work) },
+            { "orders", encodeOrders(message.work) },
             { "speeds", encodeSamples(message.speedSamples) },
+            { "capacity", encodeCapacities(message.capacities) },
             { "losses", encodeLosses(message.losses) },
             { "served", encodeSuccesses(message.successes) },
             { "crashes", encodeEngineCrashes(message.engineCrashes) },
@@ -307,6 +458,7 @@
             { "store", message.isStoreReachable },
             { "living", valuesOf(message.liveDaemons) },
             { "part", { message.part.index, message.part.count } },
+            { "config", encodeNotice(message.configuration) },
         };
         auto bytes = json::to_cbor(document);
         return { bytes.begin(), bytes.end() };
@@ -319,7 +471,7 @@
 
     uint32_t countOfParts(const LoadMessage& message)
     {
-        auto parts = std::max({ partsOf(message.work.size(), workItemsPerPart), partsOf(message.liveDaemons.size(), liveDaemonsPerPart), partsOf(message.leavingReplicas.size(), leavingReplicasPerPart), partsOf(message.entries.size(), entriesPerPart), partsOf(message.engineCrashes.size(), engineCrashesPerPart), partsOf(message.partBegins.size(), partBeginsPerPart), size_t(1) });
+        auto parts = std::max({ partsOf(message.work.size(), workItemsPerPart), partsOf(message.liveDaemons.size(), liveDaemonsPerPart), partsOf(message.leavingReplicas.size(), leavingReplicasPerPart), partsOf(message.entries.size(), entriesPerPart), partsOf(message.engineCrashes.size(), engineCrashesPerPart), partsOf(message.partBegins.size(), partBeginsPerPart), partsOf(message.capacities.size(), capacitiesPerPart), size_t(1) });
         return static_cast<uint32_t>(parts);
     }
 
@@ -337,12 +489,15 @@
         slice.part = part;
         if (part.index > 0)
             slice.speedSamples.clear();
+        if (part.index > 0)
+            slice.configuration.holders.clear();
         slice.work = sliceOf(message.work, part);
         slice.liveDaemons = sliceOf(message.liveDaemons, part);
         slice.leavingReplicas = sliceOf(message.leavingReplicas, part);
         slice.entries = sliceOf(message.entries, part);
         slice.engineCrashes = sliceOf(message.engineCrashes, part);
         slice.partBegins = sliceOf(message.partBegins, part);
+        slice.capacities = sliceOf(message.capacities, part);
         return slice;
     }
 
@@ -386,7 +541,11 @@
         LoadMessage message { std::move(*sender), decodeScope(document.at("scope").get<int>()) };
         message.isLeaving = document.at("leaving").get<bool>();
         message.work = decodeWork(document.at("work"));
+        decodeOrders(document.value("orders", json::array()), message.work);
         message.speedSamples = decodeSamples(document.at("speeds"));
+        // Daemons of earlier versions send none.
+        for (const auto& item : document.value("capacity", json::array()))
+            message.capacities.push_back(decodeCapacity(item));
         message.losses = decodeLosses(document.at("losses"));
         message.successes = decodeSuccesses(document.at("served"));
         message.engineCrashes = decodeEngineCrashes(document.at("crashes"));
@@ -396,6 +555,7 @@
         message.entries = decodeEntries(document.at("entries"));
         message.isStoreReachable = document.at("store").get<bool>();
         message.liveDaemons = decodeIds<DaemonId>(document.at("living"));
+        message.configuration = decodeNotice(document);
         message.part = { document.at("part").at(0).get<uint32_t>(), document.at("part").at(1).get<uint32_t>() };
         if (message.part.index >= message.part.count || message.part.count > maximumParts)
             return makeError(ErrorKind::ProtocolError, "part number of load message out of range");
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -33,6 +33,8 @@
     asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayPrefill);
     /** The engine for the next decode call, or an error if there is none. */
     Result<ReplicaEntry> chooseDecodeEngine() const;
+    /** Position of the decode at the engines. */
+    EnginePosition order() const;
     /** Whether prefill engines should process the prompt; decode engines process short ones themselves. */
     bool needsPrefill() const;
     /** Whether the next decode attempt needs a prefill, unless it has a handle to the KV cache of an earlier one. */
@@ -49,15 +51,22 @@
     bool mayContinue() const;
     /** Whether the stream is to be continued elsewhere now, because its engine leaves before the stream is expected to end. */
     bool mustLeave(const ReplicaEntry& engine, TimePoint sentAt);
+    /** Ends the run at an engine that leaves. Returns false if it may go on, or the request is over. */
+    asio::awaitable<bool> endRunAt(const ReplicaEntry& engine);
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
     /** Waits for the next complete event; bytes of an incomplete one are no progress. */
-    void watchSilence(const ReplicaId& engine, std::optional<Duration> limit);
+    void watchSilence(const ReplicaEntry&, std::optional<Duration> limit);
     SilenceWatch::Callbacks silenceCallbacks();
     /** Whether another engine than this one is free for the rest of the work. */
     bool canContinueElsewhere(const ReplicaId&) const;
+    /** Opens the stream at another engine than the silent one; null if none can be chosen. */
+    std::shared_ptr<StreamMove> openMove(const ReplicaId& silent);
     void recordEventTime(TimePoint sentAt);
+    /** Records the time of the event that has arrived, before recordEventTime(). */
+    void recordCapacity(const ReplicaEntry&, TimePoint sentAt);
 
+    void logRouted(const ReplicaEntry&) const;
     asio::awaitable<void> sendFailure(Error);
     void releaseHandle();
     void logCompletion(int status) const;
@@ -73,6 +82,8 @@
     bool m_isContinuation = false; /**< the client had received events before the present decode attempt */
     std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
     SilenceWatch m_silenceWatch;
+    std::shared_ptr<StreamMove> m_move; /**< the response of the next decode attempt, which has been requested already */
+    bool m_hasRefusedStop = false; /**< the leaving engine goes on with the run */
     uint32_t m_decodeCalls = 0;
     TimePoint m_firstEventAt;
     std::optional<TimePoint> m_lastEventAt; /**< of the present decode attempt */
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -29,7 +29,7 @@
         views.reserve(entries.size());
         for (const auto* entry : entries)
             views.push_back(relay.viewOf(*entry));
-        auto choice = chooseLeastOccupied(views, relay.services.zone);
+        auto choice = relay.chooseReplica(views);
         // If every replica is ejected, trying one is better than refusing the request.
         if (!choice && mayUseEjected && !entries.empty())
             choice = 0;
@@ -37,12 +37,15 @@
     }
 
     /** The callbacks of an attempt that waits for its response until `limit`. */
-    SilenceWatch::Callbacks silenceCallbacks(RelayContext& relay, Duration limit)
+    SilenceWatch::Callbacks silenceCallbacks(RelayContext& relay, const ReplicaEntry& replica, Duration limit)
     {
         auto canContinueElsewhere = [&relay](const ReplicaId& replica) { return relay.hasFreeReplica(EngineStage::None, replica); };
         // The call needs at least this time, so that a service that has become slower is abandoned less often.
-        auto onInterrupt = [&relay, limit](TimePoint) { relay.services.speeds.recordOccupancy(relay.service, limit); };
-        return { canContinueElsewhere, [] { return false; }, onInterrupt };
+        auto onInterrupt = [&relay, replica, limit](TimePoint) {
+            relay.recordCapacity(replica, relay.loadShareOf(replica), limit, relay.services.speeds.speedOf(relay.service).occupancy);
+            relay.services.speeds.recordOccupancy(relay.service, limit);
+        };
+        return { canContinueElsewhere, [] { return false; }, onInterrupt, {} };
     }
 
     asio::awaitable<Result<CompleteResponse>> attempt(RelayContext& relay, const ReplicaEntry& replica, Duration limit)
@@ -50,9 +53,10 @@
         ReplicaCall call { relay.request, replica.id, replica.address, relay.remaining() };
         call.abort = relay.abort;
         auto startedAt = relay.services.timers.now();
-        SilenceWatch watch(relay, silenceCallbacks(relay, limit));
-        watch.start(replica.id, limit);
+        SilenceWatch watch(relay, silenceCallbacks(relay, replica, limit));
+        watch.start(replica, limit);
         auto inFlightWork = relay.services.loadTracker->begin(replica.id);
+        auto loadShare = relay.loadShareOf(replica);
         auto response = co_await relay.services.replicaClient.send(std::move(call));
         if (!response)
             co_return response.error();
@@ -73,6 +77,7 @@
         }
         auto elapsed = relay.services.timers.now() - startedAt;
         auto expected = relay.services.speeds.speedOf(relay.service).occupancy;
+        relay.recordCapacity(replica, loadShare, elapsed, expected);
         relay.services.speeds.recordOccupancy(relay.service, elapsed);
         relay.recordAttemptSuccess(replica.id, startedAt, expected ? toSeconds(elapsed) / toSeconds(*expected) : 1);
         co_return complete;
@@ -91,7 +96,9 @@
                 break;
             auto replica = *entry;
             relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", replica.id }, { "in_flight", relay.services.loadTracker->requestsAt(replica.id) }, { "left_ms", relay.remaining().count() / 1000 } });
+            relay.beginUsage();
             auto response = co_await attempt(relay, replica, responseWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
+            relay.endUsage(response || describe(response.error().kind).outcome != Outcome::NotRun);
             if (response && !isServerError(response->status)) {
                 relay.blameForErrors(true);
                 co_return response;
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -8,6 +8,8 @@
 #include "gateway/replicas/SpeedTracker.h"
 #include "gateway/requests/CrashTracker.h"
 #include "gateway/requests/ReplicaClient.h"
+#include "gateway/requests/UrgentWork.h"
+#include "gateway/usage/UsageMeter.h"
 #include "http/server/HttpServer.h"
 #include "kernel/metrics/Metrics.h"
 
@@ -50,6 +52,8 @@
     RetryBudgets& budgets;
     AvailabilityZone zone;
     Duration soundSilence; /**< longest silence of a sound engine in the middle of a stream */
+    UsageMeter* usage = nullptr; /**< null: usage is not counted */
+    UrgentWork urgentWork { timers };
 };
 
 /** The state of one request in progress: its route, its deadline and the outcome of its attempts. */
@@ -63,6 +67,9 @@
     TimePoint deadline() const { return m_deadline; }
     /** The priority of the request: that of its account, else that of its route. Zero is the most urgent. */
     uint32_t priority() const;
+    /** Position of the request at the engines of its service. */
+    EnginePosition orderAt(PrefillRank rank) const { return priorities().orderOf(priority(), rank); }
+    const ServicePriorities& priorities() const { return table->prioritiesOf(service); }
     Duration remaining() const { return m_deadline - services.timers.now(); }
     bool isOver() const { return m_isClientDisconnected || m_hasExpired; }
     bool isClientDisconnected() const { return m_isClientDisconnected; }
@@ -82,6 +89,12 @@
     /** Takes the next retry from the retry budget in advance; returns false when the budget is exhausted. */
     bool reserveRetry();
 
+    /** Counts the retry that was taken in advance as used, by a call that replaced no attempt. */
+    void useReservedRetry() { m_hasReservedRetry = false; }
+
+    /** The attempt in progress is ended by this daemon, so that its failure counts neither as a crash nor against the content. */
+    void markInterrupted() { m_isInterrupted = true; }
+
     /** Ends the attempt in progress, which then counts neither as a crash of the replica nor against the request's content. */
     void interruptAttempt();
 
@@ -91,6 +104,11 @@
     /** Records an attempt to which the replica has responded; `slowdown` is the ratio of observed to expected time. */
     void recordAttemptSuccess(const ReplicaId&, TimePoint sentAt, double slowdown);
 
+    /** Share of the replica's slots that are occupied, with the attempt in progress there. */
+    double loadShareOf(const ReplicaEntry&) const;
+    /** Records how long a replica needed for a part of an attempt that began at this load. Without an expected time it says nothing. */
+    void recordCapacity(const ReplicaEntry&, double loadShare, Duration time, std::optional<Duration> expected, double weight = 1);
+
     /** Records an attempt that a replica ran and answered with an error of its own. The replica is blamed by
         blameForErrors(), as only a later attempt may show that the request is the cause. */
     void recordErrorResponse(const ReplicaId&, TimePoint sentAt, int status);
@@ -105,6 +123,8 @@
     Error finalError(Error last) const;
 
     PlacementView viewOf(const ReplicaEntry&) const;
+    /** The replica of a plain service, or the decode engine, for the next attempt. */
+    std::optional<size_t> chooseReplica(std::span<const PlacementView>) const;
 
     /** The replicas that this request has not been sent to, or if there are none, those that were only silent. */
     std::vector<const ReplicaEntry*> candidates(EngineStage) const;
@@ -121,6 +141,12 @@
     void recordFirstEvent(const ReplicaEntry&);
     /** Records that an attempt was lost before its first event, after recordAttemptFailure(). */
     void recordLossBeforeFirstEvent(const ReplicaEntry&, const Error&);
+    /** Counts the request for its account when its first event arrives; further calls change nothing. */
+    void countUsage();
+    /** Notes an attempt whose response shows whether the request has run. */
+    void beginUsage();
+    /** Ends that attempt. The request is counted once, at the first attempt that may have run. */
+    void endUsage(bool mayHaveRun);
     /** Records that the request was answered, so that earlier lost attempts are not counted against its content. */
     void recordCompletion();
 
@@ -152,6 +178,8 @@
     mutable std::optional<Digest> m_content;
     std::vector<SharedPart> m_sharedParts; /**< of the prompt */
     bool m_isPartTrial = false;
+    std::optional<uint64_t> m_usageCall; /**< of the attempt in progress */
+    bool m_isUsageCounted = false;
 };
 
 using RelayPointer = std::shared_ptr<RelayContext>;
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -74,7 +74,7 @@
         if (!service.engine)
             continue;
         auto& demand = m_demand[service.id];
-        auto load = slotLoadOf(loadsOf(m_replicas.usable(service.id, EngineStage::Decode), *m_loadTracker), EngineStage::Decode);
+        auto load = slotLoadOf(loadsOf(m_replicas.usable(service.id, EngineStage::Decode), *m_loadTracker, table->prioritiesOf(service.id)), EngineStage::Decode);
         double requests = load.requests;
         if (load.slots > 0)
             demand.slots = load.slots;
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -2,7 +2,10 @@
 
 #include "decisions/drains/Shutdown.h"
 #include "decisions/usage/UsageWindow.h"
+#include "gateway/accounts/AccountMetrics.h"
 #include "gateway/blocks/BlockDirectory.h"
+#include "gateway/configuration/ConfigurationApi.h"
+#include "gateway/configuration/ConfigurationExchange.h"
 #include "gateway/leases/FencedLease.h"
 #include "gateway/members/LoadExchange.h"
 #include "gateway/requests/RelayContext.h"
@@ -10,6 +13,8 @@
 #include "gateway/scaling/ScalingManager.h"
 #include "gateway/service/RoutingSource.h"
 #include "gateway/tasks/TaskPlatform.h"
+#include "gateway/usage/UsageExchange.h"
+#include "gateway/usage/UsageReporter.h"
 
 namespace chestnut {
 
@@ -47,6 +52,7 @@
     VersionedStore& store;
     ReplicaClient& replicaClient;
     std::function<void(const RoutingConfiguration&)> onConfiguration; /**< called after each change */
+    ConfigurationClient* configurationClient = nullptr; /**< null: configurations come from the store alone */
     TaskPlatform* taskPlatform = nullptr; /**< null: this daemon runs no singleton tasks */
 };
 
@@ -74,12 +80,18 @@
         could or are expected to last beyond `endsAt`; see mayStart(). */
     asio::awaitable<void> leave(TimePoint endsAt);
 
+    /** Sends the last counts of requests to the daemon that reports them, and waits until it has them. */
+    asio::awaitable<void> flushUsage(Duration longestWait);
+
     /** Ends the requests in progress as at their deadlines; those without a response get an error. */
     void endRequests();
 
     /** Handles one request. */
     asio::awaitable<void> handle(RoutedRequest, HttpResponseWriter&);
 
+    /** Handles a request of another daemon for the configuration; see ConfigurationApi. */
+    asio::awaitable<void> handlePeer(HttpRequest, HttpResponseWriter&);
+
     bool isReady() const;
     DiscoveryList discover(const AvailabilityZone&) const;
     size_t inProgress() const { return m_inProgress; }
@@ -87,11 +99,16 @@
 private:
     std::unique_ptr<FencedLease> makeTaskLease();
     std::unique_ptr<ScalingManager> makeScaling();
+    void addUsage();
+    asio::awaitable<void> stopTasks();
     Duration pauseOfOwnKeys() const;
     void onNotice(const ReplicaNotice&);
     void restartWatches();
     void onStoreRestored();
     asio::awaitable<void> relay(RoutedRequest, HttpResponseWriter&);
+    asio::awaitable<void> refuse(const RequestId&, Error, HttpResponseWriter&);
+    /** Serves a request that its account, if it has one, may send. */
+    asio::awaitable<void> serve(RoutedRequest, std::shared_ptr<const RouteTable>, const Route&, HttpResponseWriter&);
 
     GatewayDependencies m_dependencies;
     GatewaySettings m_settings;
@@ -104,12 +121,19 @@
     BlockDirectory m_blocks;
     ReplicaDirectory m_replicas;
     RoutingSource m_routing;
+    ConfigurationApi m_configurationApi;
+    ConfigurationExchange m_versions;
     RetryBudgets m_budgets;
     LoadExchange m_exchange;
     RoleManager m_roles;
     std::unique_ptr<FencedLease> m_taskLease; /**< null without a task platform */
     std::unique_ptr<ScalingManager> m_scaling; /**< null without a task platform */
+    /** Null where no usage is reported. */
+    std::unique_ptr<UsageMeter> m_usageMeter;
+    std::unique_ptr<UsageExchange> m_usageExchange;
+    std::unique_ptr<UsageReporter> m_usageReporter;
     RelayServices m_relayServices;
+    AccountMetrics m_accountMetrics;
     size_t m_inProgress = 0;
     std::shared_ptr<std::set<RelayPointer>> m_requests = std::make_shared<std::set<RelayPointer>>(); /**< in progress */
     std::optional<ShutdownPlan> m_shutdown; /**< set when the shutdown starts */
--- a/programs/chestnutrouted/GatewayDaemon.h
+++ b/programs/chestnutrouted/GatewayDaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/configuration/HttpConfigurationClient.h"
 #include "GatewayDaemonSettings.h"
 #include "http/http.h"
 #include "kernel/kernel.h"
@@ -25,7 +26,7 @@
 
 private:
     std::unique_ptr<platform::TaskClient> makeTaskClient();
-    std::unique_ptr<HttpServer> makeServer(const Endpoint&, HttpHandler);
+    std::unique_ptr<HttpServer> makeServer(const Endpoint&, HttpHandler, const HttpServerLimits& = {});
     void applyLimits(const RoutingConfiguration&);
     void waitForSignal();
     void reloadSettings();
@@ -41,6 +42,7 @@
     ConnectionPool m_watchPool; /**< of the watches of the store */
     platform::StoreClient m_store;
     platform::HttpReplicaClient m_replicas;
+    HttpConfigurationClient m_configurationClient;
     std::unique_ptr<platform::TaskClient> m_tasks; /**< null without a task platform */
     Gateway m_gateway;
     platform::ClientApi m_api;
@@ -48,6 +50,7 @@
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_discoveryServer;
     std::unique_ptr<HttpServer> m_metricsServer;
+    std::unique_ptr<HttpServer> m_peerApiServer;
     asio::signal_set m_signals;
 };
 
--- a/programs/chestnutrouted/GatewayDaemonSettings.h
+++ b/programs/chestnutrouted/GatewayDaemonSettings.h
@@ -15,6 +15,7 @@
     Endpoint readinessListener;
     Endpoint discoveryListener;
     std::optional<Endpoint> metricsListener;
+    std::optional<Endpoint> peerApiListener; /**< serves the configuration to other daemons */
     Endpoint store;
     std::optional<platform::TaskClientSettings> tasks; /**< absent: no singleton tasks */
     Duration shutdownTimeout = std::chrono::seconds(8);
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -55,7 +55,8 @@
     {
         RoutingConfiguration configuration;
         configuration.version = 1;
-        configuration.routes = { std::move(newRoute) };
+        configuration.routes = otherRoutes;
+        configuration.routes.push_back(std::move(newRoute));
         auto table = std::make_shared<const RouteTable>(std::move(configuration));
         RoutedRequest request;
         request.id = RequestId("q" + std::to_string(++m_requests));
@@ -63,6 +64,7 @@
         request.forwarded = { "POST", "/x", {}, body };
         request.prompt = std::move(prompt);
         request.arrival = timers.now();
+        request.account = account;
         budgets.addRequest(ServiceId("s"));
         auto isGeneration = request.prompt.has_value();
         auto relay = std::make_shared<RelayContext>(services, std::move(request), table, *table->find("h", "/x"), ServiceId("s"));
@@ -95,6 +97,8 @@
     static PromptShape longPrompt() { return { "m", 9000, 2, { { 1, 6000 }, { 2, 3000 } } }; }
 
     std::string body = "body"; /**< of the next request */
+    std::vector<Route> otherRoutes; /**< of other hosts, in the configuration of the next request */
+    std::optional<RequestAccount> account; /**< of the next request */
     asio::io_context context;
     VirtualTimerService timers { context };
     MemoryLog log;
--- a/tests/gateway/RoleManagerTest.cpp
+++ b/tests/gateway/RoleManagerTest.cpp
@@ -217,7 +217,7 @@
         for (auto end = timers.now() + time; timers.now() < end; timers.advance(200ms)) {
             std::vector<ReplicaWork> work;
             for (const auto* entry : replicas.usable(ServiceId("s"), EngineStage::Decode))
-                work.push_back({ entry->id, 1, {} });
+                work.push_back({ entry->id, 1, {}, {} });
             loadTracker->setPeerWork(DaemonId("peer"), work);
         }
     }
--- a/tests/gateway/ScalingManagerTest.cpp
+++ b/tests/gateway/ScalingManagerTest.cpp
@@ -135,7 +135,7 @@
             auto entries = replicas.usable(ServiceId("s"), stage);
             for (size_t i = 0; i < entries.size(); ++i) {
                 auto share = static_cast<uint32_t>(requests * (i + 1) / entries.size() - requests * i / entries.size());
-                work.push_back({ entries[i]->id, share, { share * 100.0, 0, 0 } });
+                work.push_back({ entries[i]->id, share, amountAt(share * 100.0, orderOf(PrefillRank::Urgent)), {} });
             }
         }
         loadTracker->setPeerWork(DaemonId("peer"), work);
@@ -357,7 +357,7 @@
     store.put("config", "1");
     store.put("servers/i-1", testEntry("s", "none"));
     replicaClient.scripts[ReplicaId("i-1")] = { { .chunks = { "answer" }, .delay = 50s } };
-    Gateway gateway { { context, timers, log, metrics, store, replicaClient, [](const RoutingConfiguration&) {}, &platform }, { "config", "servers/", decode, decodeTestEntry }, { { DaemonId("d0"), AvailabilityZone("a"), { "127.0.0.1", 1 }, { "127.0.0.1", 0 } }, { {}, 3s, 5s } } };
+    Gateway gateway { { context, timers, log, metrics, store, replicaClient, [](const RoutingConfiguration&) {}, nullptr, &platform }, { "config", "servers/", decode, decodeTestEntry }, { { DaemonId("d0"), AvailabilityZone("a"), { "127.0.0.1", 1 }, { "127.0.0.1", 0 } }, { {}, 3s, 5s } } };
     gateway.start();
     timers.advance(8s);
     CHECK(platform.calls.empty());
@@ -384,3 +384,24 @@
     timers.advance(5s);
     CHECK(platform.calls.size() == before);
 }
+
+// Guards against regular replicas for all work where no work is more urgent than other, and for none where some is.
+TEST_CASE("the most urgent work is told from the rest where a service has several priorities")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-p", "s", "prefill");
+    fixture.addReplica("i-d", "s", "decode");
+    ServicePriorities priorities({ 0, 3 });
+    ReplicaWork prefills { ReplicaId("i-p"), 4, amountAt(300.0, priorities.orderOf(0, PrefillRank::Relaxed)), {} };
+    prefills.queued += amountAt(900.0, priorities.orderOf(3, PrefillRank::Urgent));
+    ReplicaWork decodes { ReplicaId("i-d"), 8, {}, amountAt(2U, priorities.orderOf(0, PrefillRank::Urgent)) };
+    decodes.decodes += amountAt(6U, priorities.orderOf(3, PrefillRank::Urgent));
+    fixture.loadTracker->setPeerWork(DaemonId("peer"), { prefills, decodes });
+    auto entries = fixture.replicas.engines(ServiceId("s"));
+    REQUIRE(entries.size() == 2);
+    auto loads = loadsOf(entries, *fixture.loadTracker, priorities);
+    for (const auto& load : loads)
+        CHECK(load.urgentRequests == (load.stage == EngineStage::Decode ? 2 : 1));
+    for (const auto& load : loadsOf(entries, *fixture.loadTracker, ServicePriorities()))
+        CHECK(load.urgentRequests == 0);
+}
