--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -135,6 +135,7 @@
     StreamLeftReplica = 2273,
     ReplicaErrorResponse = 2280,
     ReplicaCapacityChanged = 2281,
+    SlotAwaited = 2290,
 };
 
 struct EventDescription {
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -19,6 +19,7 @@
 #include "decisions/ejection/Ejection.h"
 #include "decisions/errors/ErrorCauses.h"
 #include "decisions/estimates/WorkEstimate.h"
+#include "decisions/fairness/AccountShares.h"
 #include "decisions/fairness/FairQueue.h"
 #include "decisions/hedging/Hedging.h"
 #include "decisions/leases/Lease.h"
--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -63,10 +63,9 @@
         return std::clamp(busy / std::max(idle, 1.0), leastRepeatedWeight, mostRepeatedWeight);
     }
 
-    /** `keptFree` requests below the load at which a replica refuses are left to more urgent ones. */
-    bool isUsable(const PlacementView& view, uint32_t keptFree = 0)
+    bool isUsable(const PlacementView& view)
     {
-        return !view.isEjected && (view.requestsAtRefusal == 0 || view.requests + keptFree < view.requestsAtRefusal);
+        return !view.isEjected && (view.requestsAtRefusal == 0 || view.requests < view.requestsAtRefusal);
     }
 
     /** Tokens that a prefill at this position delays. */
@@ -153,6 +152,12 @@
     return std::min(slownessWeight * (1 / view.speed - 1), highestSlownessPenalty);
 }
 
+double occupancyOf(const PlacementView& view, const AvailabilityZone& ownZone)
+{
+    auto occupied = static_cast<double>(view.requests + 1) / usableSlots(view) + slownessPenalty(view);
+    return occupied + (view.zone == ownZone ? 0 : otherZonePenalty);
+}
+
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView> views, const AvailabilityZone& ownZone)
 {
     std::optional<size_t> choice;
@@ -161,9 +166,7 @@
         const auto& view = views[i];
         if (view.isEjected)
             continue;
-        auto occupied = static_cast<double>(view.requests + 1) / usableSlots(view) + slownessPenalty(view);
-        if (view.zone != ownZone)
-            occupied += otherZonePenalty;
+        auto occupied = occupancyOf(view, ownZone);
         if (occupied >= best)
             continue;
         best = occupied;
@@ -172,23 +175,21 @@
     return choice;
 }
 
-std::optional<Duration> expectedSlotWait(std::span<const PlacementView> views, Duration occupancy, uint32_t keptFree)
+std::optional<Duration> expectedSlotWait(std::span<const PlacementView> views, Duration occupancy)
 {
     double slots = 0;
     double limits = 0;
     double requests = 0;
-    double ahead = 0;
     for (const auto& view : views) {
-        if (!isUsable(view, keptFree))
+        if (!isUsable(view))
             continue;
-        slots += std::max(view.slots, keptFree) - keptFree;
-        limits += std::max(limitOf(view) - keptFree, 0.0);
+        slots += view.slots;
+        limits += limitOf(view);
         requests += view.requests;
-        ahead += view.requests - std::min(view.lessUrgentRequests, view.requests);
     }
     if (limits <= 0 || requests >= slots * fullSlotMultiple)
         return std::nullopt;
-    return fromSeconds(std::max(ahead + 1 - limits, 0.0) / limits * toSeconds(occupancy));
+    return fromSeconds(std::max(requests + 1 - limits, 0.0) / limits * toSeconds(occupancy));
 }
 
 } // namespace chestnut
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -104,15 +104,17 @@
     zones once more, which is billed. */
 constexpr double otherZonePenalty = 0.15;
 
+/** Share of the usable slots of a replica that are occupied with one more request, as seen from a zone, with the penalties for a
+    slow replica and for another zone. */
+double occupancyOf(const PlacementView&, const AvailabilityZone& ownZone);
+
 /** The replica with the smallest share of occupied usable slots; the own zone is preferred. Spreads the load at peaks of
     demand. A replica that answers all calls with errors gets one only when the others are overloaded: it is not ejected, so
     that a small service never loses the capacity of several replicas at once. Nothing when all are ejected or there is none. */
 std::optional<size_t> chooseLeastOccupied(std::span<const PlacementView>, const AvailabilityZone& ownZone);
 
-/** Expected time until a slot is free for a further request, when each request occupies a slot for `occupancy`. Engines admit
-    more urgent requests first, so less urgent ones in flight are not waited for. Nothing when all replicas are ejected or full,
-    or there is none. For peaks of demand above the capacity: `keptFree` slots of each replica are not counted for the request, so that
-    less urgent requests are refused while more urgent ones are still accepted. */
-std::optional<Duration> expectedSlotWait(std::span<const PlacementView>, Duration occupancy, uint32_t keptFree = 0);
+/** Expected time until a slot is free for a further request, when each request occupies a slot for `occupancy`. Nothing when
+    all replicas are ejected or full, or there is none. */
+std::optional<Duration> expectedSlotWait(std::span<const PlacementView>, Duration occupancy);
 
 } // namespace chestnut
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -163,6 +163,7 @@
     applyWork(*message);
     applySamples(*message);
     applyCapacities(*message);
+    applyAccountUse(*message);
     for (const auto& loss : message->losses)
         m_crashTracker.add(loss);
     for (const auto& success : message->successes)
@@ -171,6 +172,8 @@
         m_crashTracker.addPartCrash(crash);
     for (const auto& begin : message->partBegins)
         m_crashTracker.recordPartBegin(begin);
+    for (const auto& refusal : message->refusals)
+        m_loadTracker->recordPeerRefusal(refusal);
     for (const auto& replica : message->leavingReplicas)
         m_replicas.applyPeerLeaving(replica);
     for (const auto& pause : message->pausedReplicas)
@@ -243,6 +246,35 @@
         m_speeds.setFleetSamples(message.speedSamples);
 }
 
+void LoadExchange::applyAccountUse(const LoadMessage& message)
+{
+    if (!m_accountUse || message.part.index > 0)
+        return;
+    auto isOwnZone = message.sender.zone == m_directory.self().zone;
+    auto collects = m_topology.isMesh || m_topology.isCollector;
+    if (message.scope == LoadScope::Daemon && collects)
+        m_accountUse->setPeerUse(message.sender.id, message.accountUse);
+    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone)
+        m_accountUse->setPeerUse(zoneKey(message.sender.zone), message.accountUse);
+    else if (message.scope == LoadScope::Fleet && !collects)
+        m_accountUse->setFleetUse(message.accountUse);
+}
+
+std::vector<ServiceUse> LoadExchange::accountUseFor(LoadScope scope) const
+{
+    if (!m_accountUse)
+        return {};
+    switch (scope) {
+    case LoadScope::Daemon:
+        return m_accountUse->ownUse();
+    case LoadScope::Zone:
+        return m_accountUse->useOf([](const DaemonId& daemon) { return !isSum(daemon); });
+    case LoadScope::Fleet:
+        break;
+    }
+    return m_accountUse->useOf([](const DaemonId&) { return true; });
+}
+
 std::vector<ServiceSamples> LoadExchange::samplesFor(LoadScope scope) const
 {
     switch (scope) {
@@ -282,10 +314,12 @@
     LoadMessage message { m_directory.self(), scope, m_isLeaving, std::move(work) };
     message.speedSamples = samplesFor(scope);
     message.capacities = capacitiesFor(scope);
+    message.accountUse = accountUseFor(scope);
     message.losses = m_crashTracker.recentLosses();
     message.successes = m_crashTracker.recentSuccesses();
     message.engineCrashes = m_crashTracker.recentPartCrashes();
     message.partBegins = m_crashTracker.recentPartBegins();
+    message.refusals = m_loadTracker->recentRefusals();
     message.leavingReplicas = m_replicas.leaving();
     message.pausedReplicas = m_replicas.pausedReplicas();
     message.isStoreReachable = !m_directory.isStoreUnavailable();
--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/accounts/AccountUseTracker.h"
 #include "gateway/configuration/ConfigurationExchange.h"
 #include "gateway/members/LoadMessage.h"
 #include "gateway/members/LoadTopology.h"
@@ -37,6 +38,9 @@
     /** Whether a collector with access to the store reports its changes, so that this daemon can watch the store less often. */
     bool receivesStoreChanges() const;
 
+    /** Sends and receives the use by accounts from now on. */
+    void shareAccountUse(AccountUseTracker& accountUse) { m_accountUse = &accountUse; }
+
     /** Whether the messages of the last second and a half cover the work of almost all daemons. */
     bool knowsFleetLoad() const;
 
@@ -54,9 +58,11 @@
     std::vector<DaemonId> liveDaemonsOfZone() const;
     void applyWork(const LoadMessage&);
     void applySamples(const LoadMessage&);
+    void applyCapacities(const LoadMessage&);
+    void applyAccountUse(const LoadMessage&);
+    std::vector<ServiceUse> accountUseFor(LoadScope) const;
     bool hearsDaemons(bool ofOwnZoneOnly) const;
     bool hearsOtherZones() const;
-    void applyCapacities(const LoadMessage&);
     Duration period() const;
 
     asio::io_context& m_context;
@@ -74,11 +80,12 @@
     std::vector<ReplicaWork> m_sentWork; /**< own work as last sent; the received sums include it */
     TimePoint m_sentAt;
     std::optional<TimePoint> m_lastCollectorMessageAt; /**< from a collector that can reach the store */
-    std::optional<TimePoint> m_fleetWorkAt; /**< last message with the work of all daemons */
-    std::map<AvailabilityZone, TimePoint> m_zoneWorkAt; /**< last message with the work of another zone */
     ConfigurationExchange* m_versions = nullptr;
     std::string m_otherPrefix; /**< of the datagrams that are no load messages */
     std::function<void(std::string_view)> m_otherReceiver;
+    AccountUseTracker* m_accountUse = nullptr;
+    std::optional<TimePoint> m_fleetWorkAt; /**< last message with the work of all daemons */
+    std::map<AvailabilityZone, TimePoint> m_zoneWorkAt; /**< last message with the work of another zone */
     bool m_isLeaving = false;
 };
 
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -3,6 +3,7 @@
 #include "base/digest/Digest.h"
 #include "decisions/drains/DepartingStream.h"
 #include "decisions/speeds/WaitLimits.h"
+#include "gateway/requests/BodyRelay.h"
 #include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
@@ -14,22 +15,18 @@
     constexpr uint32_t maximumDecodeCalls = 3;
     /** Decode calls that may be preceded by a prefill; in later ones the decode engine processes the prompt. */
     constexpr uint32_t maximumPrefillRounds = 2;
-    constexpr size_t maximumResponseBytes = 8 << 20;
-    /** Different positions of streams in the order in which they leave an engine. */
-    constexpr uint64_t positions = 1000;
     /** Weight of the time between two events for the capacity of an engine. The events of a stream are delayed together. */
     constexpr double eventGapWeight = 0.1;
+    /** Different positions of streams in the order in which they leave an engine. */
+    constexpr uint64_t positions = 1000;
 
-    /** Describes the engines, their requests in flight and the number of ejected ones. */
-    std::string describeLoad(const std::vector<PlacementView>& views)
+    /** Share of the validity of a handle that its decode may wait; the rest is for the call and the transfer. */
+    constexpr double usedShareOfValidity = 0.6;
+
+    Duration handleValidity(const RelayContext& relay)
     {
-        uint32_t requests = 0;
-        size_t ejected = 0;
-        for (const auto& view : views) {
-            requests += view.isEjected ? 0 : view.requests;
-            ejected += view.isEjected ? 1 : 0;
-        }
-        return std::to_string(requests) + " requests at " + std::to_string(views.size() - ejected) + " engines, " + std::to_string(ejected) + " ejected";
+        const auto* profile = relay.table->service(relay.service);
+        return profile && profile->engine ? profile->engine->handleValidity : EngineProfile {}.handleValidity;
     }
 
     bool isSuccess(int status)
@@ -64,8 +61,9 @@
     auto hasBegun = [this] { return m_writer.hasBegun(); };
     // The event needs at least this time, so that engines that have become slower are abandoned less often.
     auto onInterrupt = [this](TimePoint since) { recordEventTime(since); };
-    auto openElsewhere = [this](const ReplicaId& engine) { return openMove(engine); };
-    return { canContinue, hasBegun, onInterrupt, openElsewhere };
+    auto findSuccessor = [this](const ReplicaId& engine) { return this->findSuccessor(engine); };
+    auto openAt = [this](const ReplicaEntry& engine) { return openMove(engine); };
+    return { canContinue, hasBegun, onInterrupt, findSuccessor, openAt };
 }
 
 bool GenerationRelay::canContinueElsewhere(const ReplicaId& engine) const
@@ -102,14 +100,19 @@
     co_return true;
 }
 
-std::shared_ptr<StreamMove> GenerationRelay::openMove(const ReplicaId& silent)
+std::optional<ReplicaEntry> GenerationRelay::findSuccessor(const ReplicaId& silent)
 {
     m_relay->silent.insert(silent);
-    auto engine = chooseDecodeEngine();
-    if (!engine || engine->id == silent)
-        return nullptr;
-    auto move = std::make_shared<StreamMove>(m_relay, *engine);
-    logRouted(*engine);
+    auto plan = planDecode(*m_relay, { Duration::zero(), true, m_decodeCalls });
+    if (plan.decision.action != DecodeAction::Call || plan.engines[plan.decision.index].id == silent)
+        return std::nullopt;
+    return plan.engines[plan.decision.index];
+}
+
+std::shared_ptr<StreamMove> GenerationRelay::openMove(const ReplicaEntry& engine)
+{
+    auto move = std::make_shared<StreamMove>(m_relay, engine);
+    logRouted(engine);
     move->start(m_lastEventId, order());
     return move;
 }
@@ -123,22 +126,71 @@
     m_silenceWatch.start(engine, isFull ? std::nullopt : limit);
 }
 
-Result<ReplicaEntry> GenerationRelay::chooseDecodeEngine() const
+asio::awaitable<Result<void>> GenerationRelay::awaitPrefillTurn()
+{
+    auto& relay = *m_relay;
+    auto since = relay.services.timers.now();
+    auto longestHold = fromSeconds(toSeconds(handleValidity(relay)) * usedShareOfValidity);
+    DecodePlan plan;
+    auto decide = [&](bool hasWaited) {
+        auto prefillTime = m_prefill->expectedTime();
+        plan = planDecode(relay, { prefillTime, hasWaited, m_decodeCalls });
+        if (plan.decision.action == DecodeAction::Refuse && !hasWaited)
+            return SlotQueue::Step::GiveUp;
+        return plan.decision.action != DecodeAction::Refuse && plan.decision.expectedWait <= longestHold ? SlotQueue::Step::Proceed : SlotQueue::Step::Wait;
+    };
+    auto step = co_await relay.services.slotQueue.wait(relay, { order(), false, relay.deadline(), false }, decide);
+    if (step == SlotQueue::Step::Proceed) {
+        logWait("prefill", since, plan, "proceeded");
+        co_return Result<void>();
+    }
+    logWait("prefill", since, plan, "refused");
+    co_return plan.refusal();
+}
+
+asio::awaitable<Result<ReplicaEntry>> GenerationRelay::awaitDecodeEngine()
 {
     auto& relay = *m_relay;
-    auto entries = relay.candidates(EngineStage::Decode);
-    if (entries.empty())
-        return makeError(ErrorKind::NoBackend, "the service has no usable decode engine");
-    std::vector<PlacementView> views;
-    views.reserve(entries.size());
-    for (const auto* entry : entries)
-        views.push_back(relay.viewOf(*entry));
-    auto occupancy = relay.services.speeds.speedOf(relay.service).occupancy.value_or(Duration::zero());
-    auto keptFree = relay.services.urgentWork.slotsKeptFree(relay.service, relay.priorities().levelOf(relay.priority()), views);
-    if (auto wait = expectedSlotWait(views, occupancy, keptFree); !wait || *wait > relay.remaining())
-        return saturatedError("the decode engines are saturated: " + describeLoad(views) + ", " + std::to_string(keptFree) + " slots of each kept free");
-    auto choice = relay.chooseReplica(views);
-    return *entries[choice.value_or(0)];
+    auto since = relay.services.timers.now();
+    auto until = relay.deadline();
+    if (m_handle)
+        until = std::min(until, m_handleAt + fromSeconds(toSeconds(handleValidity(relay)) * usedShareOfValidity));
+    DecodePlan plan;
+    auto decide = [&](bool hasWaited) {
+        plan = planDecode(relay, { Duration::zero(), hasWaited, m_decodeCalls });
+        if (plan.decision.action == DecodeAction::Call)
+            return SlotQueue::Step::Proceed;
+        // With a handle the prompt has been read, and after a wait the requests that came later are not ahead.
+        auto mayWait = !plan.engines.empty() && (m_handle || hasWaited || plan.decision.action == DecodeAction::Wait);
+        return mayWait ? SlotQueue::Step::Wait : SlotQueue::Step::GiveUp;
+    };
+    auto step = co_await relay.services.slotQueue.wait(relay, { order(), m_handle.has_value(), until }, decide);
+    if (step == SlotQueue::Step::Proceed) {
+        logWait("decode", since, plan, "proceeded");
+        co_return plan.engines[plan.decision.index];
+    }
+    auto last = m_handle && !relay.isOver() ? lastDecodeEngine() : Result<ReplicaEntry>(plan.refusal());
+    logWait("decode", since, plan, last ? "last_resort" : "refused");
+    co_return last;
+}
+
+Result<ReplicaEntry> GenerationRelay::lastDecodeEngine() const
+{
+    auto plan = planDecode(*m_relay, { Duration::zero(), true, m_decodeCalls });
+    auto choice = lastResortEngine(plan.views, m_relay->services.zone);
+    if (!choice)
+        return plan.refusal();
+    return plan.engines[*choice];
+}
+
+void GenerationRelay::logWait(std::string_view stage, TimePoint since, const DecodePlan& plan, std::string_view end) const
+{
+    const auto& relay = *m_relay;
+    auto waited = relay.services.timers.now() - since;
+    if (waited == Duration::zero() && end == "proceeded")
+        return;
+    relay.services.log.write(EventId::SlotAwaited, { { "request", relay.request.id }, { "stage", stage }, { "ms", waited.count() / 1000 }, { "end", end }, { "priority", relay.priority() }, { "load", describeLoad(plan.views) }, { "kept_free", plan.need.keptFree }, { "ahead", plan.need.waitingAhead }, { "expected_ms", plan.decision.expectedWait.count() / 1000 } });
+    relay.services.metrics.count("chestnut_gateway_slot_waits_total", { { "end", std::string(end) } });
 }
 
 EnginePosition GenerationRelay::order() const
@@ -304,11 +356,12 @@
 asio::awaitable<Result<void>> GenerationRelay::relayWholeResponse(ReplicaResponse& response)
 {
     m_relay->mayHaveRun = true;
-    auto body = co_await readWholeBody(*response.body, maximumResponseBytes);
+    auto body = co_await readBodyStart(*response.body, m_relay->services.responseBuffers);
     if (!body)
         co_return makeError(ErrorKind::BackendFailed, body.error().detail);
     auto status = response.body->status();
-    auto sent = co_await m_writer.send({ status, std::move(response.headers), std::move(*body) });
+    m_silenceWatch.stop();
+    auto sent = co_await relayBody(m_writer, status, std::move(response.headers), std::move(*body), response.body.get());
     m_relay->services.log.write(EventId::RequestCompleted, { { "request", m_relay->request.id }, { "status", status }, { "sent", sent ? 1 : 0 } });
     co_return Result<void>();
 }
@@ -325,15 +378,15 @@
     if (m_move)
         co_return m_move->engine;
     if (mayPrefill && needsPrefill()) {
-        // No prefill starts while the decode engines are saturated. The decode engine is chosen again after the prefill.
-        if (auto engine = chooseDecodeEngine(); !engine)
-            co_return engine.error();
+        if (auto turn = co_await awaitPrefillTurn(); !turn)
+            co_return turn.error();
         auto handle = co_await m_prefill->run();
         if (!handle)
             co_return handle.error();
         m_handle = std::move(*handle);
+        m_handleAt = m_relay->services.timers.now();
     }
-    co_return chooseDecodeEngine();
+    co_return co_await awaitDecodeEngine();
 }
 
 asio::awaitable<Result<void>> GenerationRelay::decodeAt(const ReplicaEntry& engine)
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -268,7 +268,8 @@
     view.queued = observation.work.queued;
     view.moreUrgentRequests = observation.work.decodes.sum(0, priorities().firstOrderOf(priority()));
     view.lessUrgentRequests = observation.work.decodes.sum(priorities().endOrderOf(priority()));
-    view.requestsAtRefusal = observation.requestsAtRefusal;
+    // A false or old report of a peer never reduces the capacity below the slots.
+    view.requestsAtRefusal = observation.requestsAtRefusal > 0 ? std::max(observation.requestsAtRefusal, entry.slots) : 0;
     view.peerRequests = observation.peerRequests;
     applyCapacity(view, services.loadTracker->capacity().capacityOf(entry), observation.slowdown);
     view.errorShare = std::max(view.errorShare, observation.errorShare);
@@ -399,4 +400,15 @@
     (void)co_await writer.send(std::move(response));
 }
 
+std::optional<ErrorKind> errorKindOf(const HttpResponse& response)
+{
+    // Most responses are those of replicas, and long; only refusals are parsed.
+    if (response.status != 503 && response.status != 429)
+        return std::nullopt;
+    auto document = nlohmann::json::parse(response.body, nullptr, false);
+    auto error = document.is_object() ? document.value("error", nlohmann::json()) : nlohmann::json();
+    auto kind = error.is_object() ? error.value("kind", nlohmann::json()) : nlohmann::json();
+    return kind.is_string() ? errorKindFromName(kind.get_ref<const std::string&>()) : std::nullopt;
+}
+
 } // namespace chestnut
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -8,6 +8,7 @@
 #include "gateway/replicas/SpeedTracker.h"
 #include "gateway/requests/CrashTracker.h"
 #include "gateway/requests/ReplicaClient.h"
+#include "gateway/requests/SlotQueue.h"
 #include "gateway/requests/UrgentWork.h"
 #include "gateway/usage/UsageMeter.h"
 #include "http/server/HttpServer.h"
@@ -52,8 +53,10 @@
     RetryBudgets& budgets;
     AvailabilityZone zone;
     Duration soundSilence; /**< longest silence of a sound engine in the middle of a stream */
+    std::shared_ptr<ByteBudget> responseBuffers; /**< of bodies whose clients read slowly; null: bodies are read whole */
     UsageMeter* usage = nullptr; /**< null: usage is not counted */
     UrgentWork urgentWork { timers };
+    SlotQueue slotQueue { context, timers, loadTracker };
 };
 
 /** The state of one request in progress: its route, its deadline and the outcome of its attempts. */
@@ -196,4 +199,7 @@
 /** Sends an error response, with a Retry-After header if the client may retry. */
 asio::awaitable<void> sendErrorResponse(HttpResponseWriter&, const RequestId&, const Error&);
 
+/** The kind of error that such a response contains; nothing for responses of replicas. */
+std::optional<ErrorKind> errorKindOf(const HttpResponse&);
+
 } // namespace chestnut
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -75,7 +75,7 @@
             continue;
         auto& demand = m_demand[service.id];
         auto load = slotLoadOf(loadsOf(m_replicas.usable(service.id, EngineStage::Decode), *m_loadTracker, table->prioritiesOf(service.id)), EngineStage::Decode);
-        double requests = load.requests;
+        double requests = load.requests + m_loadTracker->requestsAt(waitingAt(service.id));
         if (load.slots > 0)
             demand.slots = load.slots;
         if (!demand.isMeasured && requests == 0)
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -3,6 +3,7 @@
 #include "decisions/drains/Shutdown.h"
 #include "decisions/usage/UsageWindow.h"
 #include "gateway/accounts/AccountMetrics.h"
+#include "gateway/accounts/AccountUseTracker.h"
 #include "gateway/blocks/BlockDirectory.h"
 #include "gateway/configuration/ConfigurationApi.h"
 #include "gateway/configuration/ConfigurationExchange.h"
@@ -54,6 +55,7 @@
     std::function<void(const RoutingConfiguration&)> onConfiguration; /**< called after each change */
     ConfigurationClient* configurationClient = nullptr; /**< null: configurations come from the store alone */
     TaskPlatform* taskPlatform = nullptr; /**< null: this daemon runs no singleton tasks */
+    std::shared_ptr<ByteBudget> responseBuffers; /**< of responses whose clients read slowly; may be null */
 };
 
 /** A discovery response: the daemons that clients may connect to. */
@@ -98,9 +100,9 @@
 
 private:
     std::unique_ptr<FencedLease> makeTaskLease();
-    std::unique_ptr<ScalingManager> makeScaling();
     void addUsage();
     asio::awaitable<void> stopTasks();
+    std::unique_ptr<ScalingManager> makeScaling();
     Duration pauseOfOwnKeys() const;
     void onNotice(const ReplicaNotice&);
     void restartWatches();
@@ -108,7 +110,9 @@
     asio::awaitable<void> relay(RoutedRequest, HttpResponseWriter&);
     asio::awaitable<void> refuse(const RequestId&, Error, HttpResponseWriter&);
     /** Serves a request that its account, if it has one, may send. */
-    asio::awaitable<void> serve(RoutedRequest, std::shared_ptr<const RouteTable>, const Route&, HttpResponseWriter&);
+    asio::awaitable<void> serve(RoutedRequest, std::shared_ptr<const RouteTable>, const Route&, const ServiceId&, HttpResponseWriter&);
+    /** Serves the request of an account, or refuses it when the account exceeds its share of a service that is short of capacity. */
+    asio::awaitable<void> serveAccount(RoutedRequest, std::shared_ptr<const RouteTable>, const Route&, const ServiceId&, HttpResponseWriter&);
 
     GatewayDependencies m_dependencies;
     GatewaySettings m_settings;
@@ -127,13 +131,14 @@
     LoadExchange m_exchange;
     RoleManager m_roles;
     std::unique_ptr<FencedLease> m_taskLease; /**< null without a task platform */
-    std::unique_ptr<ScalingManager> m_scaling; /**< null without a task platform */
     /** Null where no usage is reported. */
     std::unique_ptr<UsageMeter> m_usageMeter;
     std::unique_ptr<UsageExchange> m_usageExchange;
     std::unique_ptr<UsageReporter> m_usageReporter;
+    std::unique_ptr<ScalingManager> m_scaling; /**< null without a task platform */
     RelayServices m_relayServices;
     AccountMetrics m_accountMetrics;
+    AccountUseTracker m_accountUse;
     size_t m_inProgress = 0;
     std::shared_ptr<std::set<RelayPointer>> m_requests = std::make_shared<std::set<RelayPointer>>(); /**< in progress */
     std::optional<ShutdownPlan> m_shutdown; /**< set when the shutdown starts */
--- a/tests/gateway/LoadMessageTest.cpp
+++ b/tests/gateway/LoadMessageTest.cpp
@@ -133,6 +133,16 @@
     CHECK(work[2] == ReplicaWork { ReplicaId("i-3"), 45, {}, {} });
 }
 
+// Guards against refusals that are lost on the way, and against a peer that reports any number of them.
+TEST_CASE("recent refusals are reported to peers, in a bounded number")
+{
+    LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Daemon };
+    message.refusals.assign(maximumRefusalReports, { ReplicaId("i-1"), 9, std::chrono::seconds(1) });
+    CHECK(decodeLoadMessage(encodeLoadMessage(message).front())->refusals == message.refusals);
+    message.refusals.push_back(message.refusals.front());
+    CHECK_FALSE(decodeLoadMessage(encodeLoadMessage(message).front()).has_value());
+}
+
 TEST_CASE("a load message with a position out of range is rejected")
 {
     LoadMessage message { { DaemonId("d1"), AvailabilityZone("a"), { "10.0.0.1", 80 }, { "10.0.0.1", 7660 } }, LoadScope::Daemon };
