--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -76,7 +76,7 @@
 {
     auto& relay = *m_relay;
     auto leavesAt = relay.services.replicas.leavesAt(engine.id);
-    if (!leavesAt || !relay.mayRunAgain() || relay.hasSuspectedPart() || !canContinueElsewhere(engine.id))
+    if (!leavesAt || m_hasRefusedStop || !relay.mayRunAgain() || relay.hasSuspectedPart() || !canContinueElsewhere(engine.id))
         return false;
     auto now = relay.services.timers.now();
     auto position = static_cast<double>(hash64(relay.request.id.value()) % positions) / positions;
@@ -87,6 +87,19 @@
     return true;
 }
 
+asio::awaitable<bool> GenerationRelay::endRunAt(const ReplicaEntry& engine)
+{
+    auto& relay = *m_relay;
+    m_silenceWatch.stop();
+    auto stopped = co_await relay.services.replicaClient.stopRun({ engine.id, engine.address, relay.request.id }, {}, SilenceWatch::controlCallTimeout);
+    m_hasRefusedStop = stopped && *stopped == RunStopResult::Refused;
+    // Without an answer the run may go on; the next event is another occasion.
+    if (!stopped || m_hasRefusedStop || relay.isOver())
+        co_return false;
+    relay.interruptAttempt();
+    co_return true;
+}
+
 std::optional<ReplicaEntry> GenerationRelay::findSuccessor(const ReplicaId& silent)
 {
     m_relay->silent.insert(silent);
@@ -301,12 +314,10 @@
             co_return StreamEnd::ClientDisconnected;
         if (!fits)
             co_return StreamEnd::Mismatch;
+        if (hasEvents && !isEnd && mustLeave(engine, sentAt) && co_await endRunAt(engine))
+            co_return StreamEnd::Leaving;
         if (hasEvents && !isEnd)
             watchSilence(engine, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective, relay.remaining(), relay.services.soundSilence));
-        if (hasEvents && !isEnd && mustLeave(engine, sentAt)) {
-            relay.interruptAttempt();
-            co_return StreamEnd::Leaving;
-        }
         if (!isEnd)
             continue;
         if (splitter.isInsideEvent())
@@ -386,6 +397,7 @@
     StreamProgress::Stream inProgress(relay.services.streams, relay.service, engine.id, sentAt);
     m_lastEventAt.reset();
     m_isContinuation = m_writer.hasBegun();
+    m_hasRefusedStop = false;
     m_hasEvents = false;
     auto response = co_await openDecodeStream(engine);
     if (!response)
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -58,6 +58,8 @@
     bool mayContinue() const;
     /** Whether the stream is to be continued elsewhere now, because its engine leaves before the stream is expected to end. */
     bool mustLeave(const ReplicaEntry& engine, TimePoint sentAt);
+    /** Ends the run at an engine that leaves. Returns false if it may go on, or the request is over. */
+    asio::awaitable<bool> endRunAt(const ReplicaEntry& engine);
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
     /** Waits for the next complete event; bytes of an incomplete one are no progress. */
@@ -90,6 +92,7 @@
     std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
     SilenceWatch m_silenceWatch;
     std::shared_ptr<StreamMove> m_move; /**< the response of the next decode attempt, which has been requested already */
+    bool m_hasRefusedStop = false; /**< the leaving engine goes on with the run */
     uint32_t m_decodeCalls = 0;
     TimePoint m_firstEventAt;
     std::optional<TimePoint> m_lastEventAt; /**< of the present decode attempt */
--- a/modules/gateway/scaling/ScalingManager.cpp
+++ b/modules/gateway/scaling/ScalingManager.cpp
@@ -108,7 +108,7 @@
         for (const auto* replica : m_replicas.registered(service.id))
             entries.push_back(&replica->entry);
         state.demand.hasStages = service.engine.has_value();
-        addSample(state.demand, replicaDemandOf(loadsOf(entries, *m_loadTracker), m_speeds.speedOf(service.id).prefill), m_timers.now());
+        addSample(state.demand, replicaDemandOf(loadsOf(entries, *m_loadTracker, table->prioritiesOf(service.id)), m_speeds.speedOf(service.id).prefill), m_timers.now());
     }
 }
 
