--- a/tests/gateway/ScalingManagerTest.cpp
+++ b/tests/gateway/ScalingManagerTest.cpp
@@ -357,7 +357,7 @@
     store.put("config", "1");
     store.put("servers/i-1", testEntry("s", "none"));
     replicaClient.scripts[ReplicaId("i-1")] = { { .chunks = { "answer" }, .delay = 50s } };
-    Gateway gateway { { context, timers, log, metrics, store, replicaClient, [](const RoutingConfiguration&) {}, &platform }, { "config", "servers/", decode, decodeTestEntry }, { { DaemonId("d0"), AvailabilityZone("a"), { "127.0.0.1", 1 }, { "127.0.0.1", 0 } }, { {}, 3s, 5s } } };
+    Gateway gateway { { context, timers, log, metrics, store, replicaClient, [](const RoutingConfiguration&) {}, nullptr, &platform }, { "config", "servers/", decode, decodeTestEntry }, { { DaemonId("d0"), AvailabilityZone("a"), { "127.0.0.1", 1 }, { "127.0.0.1", 0 } }, { {}, 3s, 5s } } };
     gateway.start();
     timers.advance(8s);
     CHECK(platform.calls.empty());
