An error response that is not held whole is not repeated elsewhere

Cause: two changes that were merged: a call with a replica's own 5xx is repeated at another replica, and a long body is relayed while it is read. Together, the first replica's body stayed unread during the second attempt, and its end released the abort handle that the second attempt uses, so that the second would not have ended with its client.

Change: a response whose body is not complete is relayed at once.

--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -109,6 +109,11 @@
                 relay.blameForErrors(true);
                 co_return response;
             }
+            // The rest of the body is still being received, so that another attempt cannot be made before it is relayed.
+            if (response && !response->start.isComplete) {
+                relay.blameForErrors(false);
+                co_return response;
+            }
             if (!response) {
                 last = response.error();
                 relay.recordAttemptFailure(replica.id, last);
--- a/tests/gateway/PlainRelayTest.cpp
+++ b/tests/gateway/PlainRelayTest.cpp
@@ -492,3 +492,23 @@
     CHECK(writer.body == "whole");
     CHECK(fixture.services.responseBuffers->used() == 0);
 }
+
+// Guards against a replica whose long error response stays unread while the call is repeated elsewhere, and against a second attempt
+// that is not ended with its client, as the end of the first one releases the abort handle.
+TEST_CASE("an error response that is not held whole is relayed and not repeated")
+{
+    GatewayFixture fixture;
+    constexpr size_t budgetBytes = 1 << 10;
+    fixture.services.responseBuffers = std::make_shared<ByteBudget>(budgetBytes);
+    REQUIRE(fixture.services.responseBuffers->tryTake(budgetBytes));
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none", "b");
+    fixture.replicaClient.scripts[ReplicaId("i-1")] = { respondWith("error", 500) };
+    fixture.replicaClient.scripts[ReplicaId("i-2")] = { respondWith("whole") };
+    FakeWriter writer;
+    fixture.runRequest(fixture.route(RouteKind::Idempotent, 2), writer);
+    CHECK(writer.status == 500);
+    CHECK(writer.body == "error");
+    CHECK(writer.isFinished);
+    CHECK(fixture.replicaClient.sent.size() == 1);
+}
