Reading of the diff: one test of a refusing replica, comments and a note that were out of date

Cause: a reader who did not know the project found the same condition written three times, comments that named figures of other places, and a note on a function that generations no longer use.

--- a/modules/decisions/capacity/ReplicaCapacity.cpp
+++ b/modules/decisions/capacity/ReplicaCapacity.cpp
@@ -112,7 +112,7 @@
             speed /= median;
     }
 
-    /** Variance of the ratio of a single call, relative to its squared mean. The load adds to it, so that it is rather too high. */
+    /** Variance of the ratio of a single call, relative to its squared mean. Differences in load add to it, so it is an upper estimate. */
     double varianceOf(std::span<const CapacitySamples> group, std::span<const double> speeds)
     {
         double count = 0;
--- a/modules/decisions/placement/DecodePlacement.cpp
+++ b/modules/decisions/placement/DecodePlacement.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    /** Work as a multiple of the slots beyond which further requests are refused: one that is served after it waits for 1.5 times the
-        time that a request occupies a slot. */
+    /** Work as a multiple of the slots beyond which further requests are refused. Engines queue only some requests beyond their
+        slots, and a prompt whose decode is refused has been read in vain. */
     constexpr double fullSlotMultiple = 2.5;
     /** Requests at one engine, as a multiple of its slots, up to which the most urgent requests are sent there: its queue keeps its slots
         busy while the counts of the daemons are old. */
@@ -29,19 +29,23 @@
         return difference <= 0 || (view.zone == best.zone && difference <= 1 / usableSlots(view));
     }
 
+    bool hasRoom(const PlacementView& view, const DecodeNeed& need)
+    {
+        return !view.isEjected && roomOf(view, need) > 0;
+    }
+
     std::optional<size_t> chooseWithRoom(std::span<const PlacementView> views, const DecodeNeed& need)
     {
         std::optional<size_t> best;
         for (size_t i = 0; i < views.size(); ++i) {
-            auto hasRoom = !views[i].isEjected && roomOf(views[i], need) > 0;
-            if (hasRoom && (!best || occupancyOf(views[i], need.ownZone) < occupancyOf(views[*best], need.ownZone)))
+            if (hasRoom(views[i], need) && (!best || occupancyOf(views[i], need.ownZone) < occupancyOf(views[*best], need.ownZone)))
                 best = i;
         }
         if (!best)
             return std::nullopt;
         std::vector<size_t> equals;
         for (size_t i = 0; i < views.size(); ++i) {
-            if (!views[i].isEjected && roomOf(views[i], need) > 0 && isAsGood(views[i], views[*best], need.ownZone))
+            if (hasRoom(views[i], need) && isAsGood(views[i], views[*best], need.ownZone))
                 equals.push_back(i);
         }
         return equals[need.choice % equals.size()];
@@ -81,7 +85,7 @@
     std::optional<size_t> choice;
     for (size_t i = 0; i < views.size(); ++i) {
         const auto& view = views[i];
-        if (view.isEjected || (view.requestsAtRefusal > 0 && view.requests >= view.requestsAtRefusal))
+        if (view.isEjected || isRefusing(view))
             continue;
         if (!choice || occupancyOf(view, ownZone) < occupancyOf(views[*choice], ownZone))
             choice = i;
--- a/modules/decisions/placement/DecodePlacement.h
+++ b/modules/decisions/placement/DecodePlacement.h
@@ -30,8 +30,8 @@
     bool operator==(const DecodeDecision&) const = default;
 };
 
-/** Whether a decode is called now, waits or is refused. For decode engines that are nearly full and many daemons whose counts are 50 to
-    300 ms old: a call that a full engine refuses costs a retry, and the prompt may have been read in vain, so an engine is called
+/** Whether a decode is called now, waits or is refused. For decode engines that are nearly full and many daemons whose counts of
+    each other's requests are old: a call that a full engine refuses costs a retry, and the prompt may have been read in vain, so an engine is called
     only while it has room below the load at which it refuses. Among engines that are equally good, one request more or less, daemons choose
     differently. A less urgent request takes only slots that are free beyond those kept for more urgent ones, whereas the most
     urgent requests are also sent to the queues of the engines, which admit them first. A request is refused when the requests that
--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -17,14 +17,13 @@
     constexpr double fullSlotMultiple = 2.5;
     /** An objective of this multiple of the shortest one leaves time to wait behind requests with that one. */
     constexpr double relaxedObjectiveMultiple = 1.5;
-    /** Weight of tokens that a prompt precedes in its placement: one of their prefills may be running, and the rest is
+    /** Weight of the queued tokens that a prompt delays, when engines are compared: one of their prefills may be running, and the rest is
         delayed. Deferred ones are late in any case. */
     constexpr double yieldingWeight = 0.5;
-    /** Weight of a replica that answers all its calls with errors: an idle one is then chosen when the others have one and a half
-        times as many requests as 6 slots. Ejection for slowness uses the same limit. */
+    /** Divides the usable slots of a replica that answers all its calls with errors. */
     constexpr double highestErrorWeight = 8;
-    /** Occupancy of the other replicas at which one of half their speed gets its first request, for each additional time. A
-        request is still served earlier at a busy replica than at one of half its speed. */
+    /** Penalty for each additional multiple of the median time: a replica of half the median speed gets its first request when
+        the others are half occupied, as a request is still served earlier at a busy replica than there. */
     constexpr double slownessWeight = 0.5;
     constexpr double highestSlownessPenalty = 0.5;
     /** Compares engines by their tokens while their speed is unknown. */
@@ -65,7 +64,7 @@
 
     bool isUsable(const PlacementView& view)
     {
-        return !view.isEjected && (view.requestsAtRefusal == 0 || view.requests < view.requestsAtRefusal);
+        return !view.isEjected && !isRefusing(view);
     }
 
     /** Tokens that a prefill at this position delays. */
@@ -137,6 +136,11 @@
     return earliestEngine(prompt, views, *speed, urgency, PrefillRank::Deferred);
 }
 
+bool isRefusing(const PlacementView& view)
+{
+    return view.requestsAtRefusal > 0 && view.requests >= view.requestsAtRefusal;
+}
+
 double limitOf(const PlacementView& view)
 {
     return view.limit > 0 ? view.limit : std::max(view.slots, 1U);
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -90,6 +90,9 @@
     their tokens and nothing is deferred. Nothing when all engines are ejected or full, or there is none. */
 std::optional<PrefillChoice> choosePrefillEngine(const PromptShape&, std::span<const PlacementView>, const std::optional<PrefillSpeed>&, Duration onTime, const PromptUrgency& = {});
 
+/** Whether the replica has recently refused a request at no more than its present load. */
+bool isRefusing(const PlacementView&);
+
 /** The number of requests that the replica handles well. */
 double limitOf(const PlacementView&);
 
--- a/modules/decisions/versions/PeerVersions.h
+++ b/modules/decisions/versions/PeerVersions.h
@@ -29,8 +29,7 @@
     std::vector<AnnouncedVersion> peers;
 };
 
-/** The store delivers a change within tenths of a second, and half a second later when large versions change quickly. A
-    daemon waits this long for it before it asks a peer. */
+/** Time that a daemon waits for the store to deliver a higher version before it asks a peer. */
 constexpr Duration storeDeliveryTime = std::chrono::milliseconds(600);
 /** Largest random part of that wait, so that the daemons of a zone do not fetch at the same moment. */
 constexpr Duration peerFetchSpread = std::chrono::milliseconds(300);
--- a/modules/gateway/requests/DecodePlan.cpp
+++ b/modules/gateway/requests/DecodePlan.cpp
@@ -19,8 +19,8 @@
         return ahead;
     }
 
-    /** Prefills in flight that are not less urgent than this request; their decodes begin before its own. The number by priority
-        is that of their tokens. */
+    /** Prefills in flight that are not less urgent than this request; their decodes begin before its own. Their number by
+        priority is estimated from their queued tokens, as only these are counted by priority. */
     double prefillsAhead(const RelayContext& relay)
     {
         double ahead = 0;
--- a/modules/gateway/requests/DecodePlan.h
+++ b/modules/gateway/requests/DecodePlan.h
@@ -7,7 +7,7 @@
 
 /** The state of a request for which a decode is placed. */
 struct DecodeState {
-    Duration startsIn {}; /**< after the prefill that begins now */
+    Duration startsIn {}; /**< until the prefill that begins now has ended; zero without one */
     bool isWaiting = false; /**< it is the first of the waiting requests of this daemon */
     uint32_t calls = 0; /**< made so far */
 };
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -40,7 +40,7 @@
         return text.data();
     }
 
-    /** The id as it is written in a prompt, in hexadecimal. */
+    /** The ids, separated by commas. */
     std::string listOf(const std::set<ReplicaId>& replicas)
     {
         std::string list;
@@ -145,7 +145,7 @@
 
 void RelayContext::interruptAttempt()
 {
-    m_isInterrupted = true;
+    markInterrupted();
     abort->interrupt();
 }
 
@@ -290,7 +290,7 @@
     return std::ranges::any_of(candidates(stage), [&](const ReplicaEntry* entry) {
         auto view = viewOf(*entry);
         // An engine whose memory is full refuses requests although it has free slots.
-        auto isFull = view.requests >= limitOf(view) || (view.requestsAtRefusal > 0 && view.requests >= view.requestsAtRefusal);
+        auto isFull = view.requests >= limitOf(view) || isRefusing(view);
         return entry->id != other && !view.isEjected && !isFull;
     });
 }
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -95,10 +95,10 @@
     /** Counts the retry that was taken in advance as used, by a call that replaced no attempt. */
     void useReservedRetry() { m_hasReservedRetry = false; }
 
-    /** The attempt in progress is ended by this daemon, so that its failure counts neither as a crash nor against the content. */
+    /** Notes that this daemon ends the attempt in progress, whose failure then counts neither as a crash nor against the content. */
     void markInterrupted() { m_isInterrupted = true; }
 
-    /** Ends the attempt in progress, which then counts neither as a crash of the replica nor against the request's content. */
+    /** Ends the attempt in progress; see markInterrupted(). */
     void interruptAttempt();
 
     /** Counts one attempt; returns false when it is a retry and the retry budget is exhausted. */
