--- a/modules/decisions/scaling/DemandHistory.cpp
+++ b/modules/decisions/scaling/DemandHistory.cpp
@@ -10,7 +10,8 @@
     /** Time constant of the moving average. Single arrivals and the age of the counts, up to 300 ms, disappear in it. */
     constexpr Duration smoothingTime = std::chrono::milliseconds(1500);
     constexpr Duration peakLength = std::chrono::seconds(1);
-    /** Longer than the periods with which demand fluctuates, so that two such times in a row have equal peaks. */
+    /** Two spans of this length in a row are compared. Demand that fluctuates with a longer period is taken for growth, which
+        orders replicas too early and never too few. */
     constexpr Duration comparisonTime = std::chrono::seconds(12);
     /** The expected growth is at most this share of the present peak. */
     constexpr double highestGrowth = 1;
--- a/modules/decisions/scaling/ReplicaScaling.cpp
+++ b/modules/decisions/scaling/ReplicaScaling.cpp
@@ -15,7 +15,7 @@
     /** Releases are decided for a demand that is higher by this share, so that a demand near a whole number of replicas
         does not cause orders in both directions. */
     constexpr double releaseMargin = 0.15;
-    /** No replica is released before traffic has been measured for this long, which is more than a period of its fluctuations. */
+    /** No replica is released before traffic has been measured for this long: its first seconds say little about its peaks. */
     constexpr Duration observationTime = std::chrono::seconds(15);
     /** No replica is released for this long after replicas were lost. */
     constexpr Duration quietTime = std::chrono::seconds(15);
