Log discarded responses and requests whose id their connection has carried before

No log line tells whether a refusal is the response to the request or a copy of an earlier one, so hypotheses on the cause cannot be told apart.

Change: response_discarded names the response that was skipped and the request in progress; request_id_repeated is written when a request is about to be sent on an idle connection that has carried its id before. Connections keep 8 bytes for each id.

No change of behavior.

--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -108,6 +108,8 @@
     ReplicaAnnouncedLeaving = 2221,
     ReplicaNoticeUnreadable = 2222,
     ReplicaBackoffStarted = 2223,
+    ResponseDiscarded = 2226,
+    RequestIdRepeated = 2227,
     PrefillPlaced = 2230,
     PrefillFailed = 2231,
     RetryBudgetExhausted = 2232,
--- a/modules/http/client/ClientConnection.h
+++ b/modules/http/client/ClientConnection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <memory>
+#include <vector>
 
 namespace chestnut {
 
@@ -22,6 +23,7 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer { 64 << 10 };
+    std::vector<uint64_t> requestIds; /**< hashes of the ids of the requests that it has carried */
 };
 
 using ClientConnectionPointer = std::unique_ptr<ClientConnection>;
--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -1,5 +1,6 @@
 #include "http/client/ConnectionPool.h"
 
+#include "base/digest/Digest.h"
 #include "http/client/ClientConnection.h"
 
 #include <algorithm>
@@ -31,6 +32,12 @@
         TimePoint usableUntil;
     };
 
+    /** Whether the connection has carried a request with this id. */
+    bool hasCarried(const ClientConnection& connection, const std::string& requestId)
+    {
+        return !requestId.empty() && std::ranges::find(connection.requestIds, hash64(requestId)) != connection.requestIds.end();
+    }
+
     /** Whether the connection is open and has no unread bytes. */
     bool isReusable(tcp::socket& socket)
     {
@@ -280,6 +287,8 @@
     if (options.abort && options.abort->forbidsSend())
         co_return makeError(ErrorKind::ConnectFailed, "aborted before the request was sent");
     auto connection = options.needsFreshConnection ? nullptr : state->take(endpoint);
+    if (connection && options.onRepeatedId && hasCarried(*connection, options.requestId))
+        options.onRepeatedId();
     if (!connection) {
         auto opened = co_await connect(state->context, endpoint, std::min(options.timeout, options.connectTimeout.value_or(state->settings.connectTimeout)));
         if (!opened)
@@ -293,6 +302,8 @@
         state->putBack(endpoint, std::move(connection), {});
         co_return makeError(ErrorKind::Overloaded, "not sent: the server asked for a pause while the connection was opened");
     }
+    if (!options.requestId.empty())
+        connection->requestIds.push_back(hash64(options.requestId));
     auto message = toBeast(endpoint, std::move(request));
     auto isHead = message.method() == http::verb::head;
     auto exchange = std::make_unique<PooledExchange>(state, endpoint, std::move(connection), std::move(options), isHead);
--- a/modules/http/client/ConnectionPool.h
+++ b/modules/http/client/ConnectionPool.h
@@ -32,6 +32,10 @@
     std::function<bool()> maySend;
     bool needsFreshConnection = false; /**< never reuse an idle connection */
     std::shared_ptr<AbortHandle> abort; /**< may be null */
+    /** Identifies the request; empty: nothing does. A server may send a response once more, and that copy has the id of its request. */
+    std::string requestId;
+    /** Called when an idle connection has carried a request with this id before. May be null. */
+    std::function<void()> onRepeatedId;
     /** Returns whether a response with these headers belongs to this request. Other responses, such as late ones to earlier
         requests, are read and discarded. Null accepts all. */
     std::function<bool(const HttpHeaders&)> matchesRequest;
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -64,7 +64,7 @@
     , m_connectionPool(context, m_timers, {})
     , m_watchPool(context, m_timers, {})
     , m_store(m_connectionPool, m_watchPool, m_log, m_settings.store)
-    , m_replicas(m_connectionPool, m_timers)
+    , m_replicas(m_connectionPool, m_timers, m_log)
     , m_configurationClient(m_connectionPool)
     , m_tasks(makeTaskClient())
     , m_gateway({ context, m_timers, m_log, m_metrics, m_store, m_replicas, [this](const RoutingConfiguration& configuration) { applyLimits(configuration); }, m_settings.peerApiListener ? &m_configurationClient : nullptr, m_tasks.get(), m_responseBuffers }, platformFormats(), m_settings.gateway)
--- a/tests/platform/HttpReplicaClientTest.cpp
+++ b/tests/platform/HttpReplicaClientTest.cpp
@@ -1,11 +1,6 @@
-#include "platform/HttpReplicaClient.h"
-
-#include "kernel/timers/AsioTimerService.h"
+#include "platform/ReplicaListener.h"
 #include "support/HttpFixture.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,6 +10,7 @@
 using namespace chestnut;
 using namespace std::chrono_literals;
 using asio::ip::tcp;
+using test::ReplicaListener;
 
 namespace {
 
@@ -31,17 +27,6 @@
     return text;
 }
 
-/** The listener of a replica whose bytes a test writes, and a client. */
-struct ReplicaListener {
-    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
-
-    asio::io_context context;
-    tcp::acceptor acceptor { context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0) };
-    AsioTimerService timers { context };
-    ConnectionPool pool { context, timers, {} };
-    platform::HttpReplicaClient client { pool, timers };
-};
-
 /** Refuses the first request of a connection and responds to the second one with the given bytes. */
 struct KeptConnection : ReplicaListener {
     explicit KeptConnection(std::string bytes)
--- a/tests/platform/NoticeTest.cpp
+++ b/tests/platform/NoticeTest.cpp
@@ -21,7 +21,8 @@
         (void)co_await writer.send(std::move(copy));
     } };
     ConnectionPool pool { http.context, http.timers, {} };
-    platform::HttpReplicaClient client { pool, http.timers };
+    MemoryLog log;
+    platform::HttpReplicaClient client { pool, http.timers, log };
     std::vector<ReplicaNotice> notices;
     std::string address = formatEndpoint(http.server.endpoint());
 
