A connection to a replica carries no request id twice

Callers saw requests that must run once run twice (TWICE), and requests that had been refused with a promise run (REFUSED).

Cause: a response was taken for the request's by the id alone. A replica may send a copy of a refusal. When the same id was under way again on the same connection, the copy was read as the refusal of the second call: the daemon reported 'not run', or sent the request to another replica, while the first replica ran it. Idle connections are reused last in, first out, so the second call nearly always took the connection of the refusal. One id reaches an address twice when a replica there answers 421 and another one is listed under the same address, when a prompt is prefilled again, or when a caller sends the id of a refused request again.

Change: a connection remembers the hashes of the ids that it has carried and is not used for them again; the call takes another idle connection or opens one. After 512 ids (4 KB) a connection is not reused. request_id_repeated now names such calls.

Conclusion: a response that arrives on a connection can only belong to this call, an earlier call with another id, which the id tells, or nothing.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -103,7 +103,7 @@
         { EventId::ReplicaNoticeUnreadable, "replica_notice_unreadable", Severity::Warning, "A header field in which a replica describes its state could not be read; it counts as absent." },
         { EventId::ReplicaBackoffStarted, "replica_backoff_started", Severity::Info, "A replica refused a request and wants no further one from this daemon for the time given." },
         { EventId::ResponseDiscarded, "response_discarded", Severity::Info, "A response on a connection to a replica does not belong to the request in progress, such as a copy of an earlier one." },
-        { EventId::RequestIdRepeated, "request_id_repeated", Severity::Info, "A request is sent to a replica on a connection that has carried its id before." },
+        { EventId::RequestIdRepeated, "request_id_repeated", Severity::Info, "A request is sent to a replica again. It uses another connection, as a copy of the earlier response could not be told from the later one." },
         { EventId::PrefillPlaced, "prefill_placed", Severity::Info, "An engine was chosen to prefill a prompt." },
         { EventId::PrefillFailed, "prefill_failed", Severity::Warning, "An engine did not prefill a prompt; the request was not executed there." },
         { EventId::RetryBudgetExhausted, "retry_budget_exhausted", Severity::Info, "A retry was not sent because the retry budget of the service is used up." },
--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -73,25 +73,35 @@
     {
     }
 
-    ClientConnectionPointer take(const Endpoint& endpoint)
+    /** Returns an idle connection that has not carried a request with the id, the last used one first. */
+    ClientConnectionPointer take(const Endpoint& endpoint, const ExchangeOptions& options)
     {
         auto found = idle.find(endpoint);
         if (found == idle.end())
             return nullptr;
+        auto& connections = found->second;
         auto now = timers.now();
-        while (!found->second.empty()) {
-            auto entry = std::move(found->second.back());
-            found->second.pop_back();
+        auto isRepeated = false;
+        ClientConnectionPointer taken;
+        for (auto i = connections.size(); i-- > 0 && !taken;) {
+            if (hasCarried(*connections[i].connection, options.requestId)) {
+                isRepeated = true;
+                continue;
+            }
+            auto entry = std::move(connections[i]);
+            connections.erase(connections.begin() + static_cast<ptrdiff_t>(i));
             if (now < entry.usableUntil && isReusable(entry.connection->stream.socket()))
-                return std::move(entry.connection);
+                taken = std::move(entry.connection);
         }
-        return nullptr;
+        if (isRepeated && options.onRepeatedId)
+            options.onRepeatedId();
+        return taken;
     }
 
     void putBack(const Endpoint& endpoint, ClientConnectionPointer connection, std::string_view keepAlive)
     {
         auto& connections = idle[endpoint];
-        if (connections.size() >= settings.maximumIdlePerEndpoint)
+        if (connections.size() >= settings.maximumIdlePerEndpoint || connection->requestIds.size() >= settings.maximumRequestIds)
             return;
         auto idleTime = settings.idleTime;
         if (auto seconds = announcedIdleSeconds(keepAlive))
@@ -286,9 +296,7 @@
     auto state = m_state;
     if (options.abort && options.abort->forbidsSend())
         co_return makeError(ErrorKind::ConnectFailed, "aborted before the request was sent");
-    auto connection = options.needsFreshConnection ? nullptr : state->take(endpoint);
-    if (connection && options.onRepeatedId && hasCarried(*connection, options.requestId))
-        options.onRepeatedId();
+    auto connection = options.needsFreshConnection ? nullptr : state->take(endpoint, options);
     if (!connection) {
         auto opened = co_await connect(state->context, endpoint, std::min(options.timeout, options.connectTimeout.value_or(state->settings.connectTimeout)));
         if (!opened)
--- a/modules/http/client/ConnectionPool.h
+++ b/modules/http/client/ConnectionPool.h
@@ -19,6 +19,8 @@
         few seconds; a shorter time avoids sending a request on a connection that the server is closing. */
     Duration idleTime = std::chrono::seconds(2);
     size_t maximumHeader = 16 << 10; /**< bytes of a response header */
+    /** A connection is not reused after this many requests with ids, which it has to remember. They take 8 bytes each. */
+    size_t maximumRequestIds = 512;
 };
 
 /** Options of one exchange on a pooled connection. */
@@ -32,9 +34,10 @@
     std::function<bool()> maySend;
     bool needsFreshConnection = false; /**< never reuse an idle connection */
     std::shared_ptr<AbortHandle> abort; /**< may be null */
-    /** Identifies the request; empty: nothing does. A server may send a response once more, and that copy has the id of its request. */
+    /** Identifies the request; empty: nothing does. A server may send a response once more, and that copy has the id of its
+        request, so no connection carries an id twice: the copy could not be told from the later response. */
     std::string requestId;
-    /** Called when an idle connection has carried a request with this id before. May be null. */
+    /** Called when an idle connection is not used because it has carried a request with this id. May be null. */
     std::function<void()> onRepeatedId;
     /** Returns whether a response with these headers belongs to this request. Other responses, such as late ones to earlier
         requests, are read and discarded. Null accepts all. */
--- a/tests/http/ConnectionPoolTest.cpp
+++ b/tests/http/ConnectionPoolTest.cpp
@@ -86,9 +86,10 @@
 };
 
 struct PoolFixture {
+    ConnectionPoolSettings settings;
     asio::io_context context;
     AsioTimerService timers { context };
-    ConnectionPool pool { context, timers, {} };
+    ConnectionPool pool { context, timers, settings };
     ScriptedServer server { context };
 
     Result<std::string> call(ExchangeOptions options = {}, const std::string& method = "GET")
@@ -128,6 +129,30 @@
     CHECK(fixture.server.connections == 1);
 }
 
+// Guards against unbounded memory of a connection for the ids that it has carried.
+TEST_CASE("a connection carries no id twice, and a bounded number of them")
+{
+    ConnectionPoolSettings settings;
+    settings.maximumRequestIds = 8;
+    PoolFixture fixture { settings };
+    auto call = [&fixture](const std::string& id) {
+        fixture.server.replies = { { response("body") } };
+        ExchangeOptions options;
+        options.requestId = id;
+        CHECK(fixture.call(std::move(options)).value() == "body");
+        return fixture.server.connections;
+    };
+    CHECK(call("q0") == 1);
+    CHECK(call("q1") == 1);
+    CHECK(call("q0") == 2);
+    CHECK(call("q2") == 2);
+    // Both connections have carried two ids.
+    for (size_t i = 0; i < 2 * (settings.maximumRequestIds - 2); ++i)
+        CHECK(call("r" + std::to_string(i)) == 2);
+    CHECK(call("s") == 3);
+    CHECK(call("") == 3);
+}
+
 // Guards against surplus bytes of one response that are taken for the response to the next request.
 TEST_CASE("surplus bytes after a response do not reach another request")
 {
