A refusal of another request does not refuse an engine's request

A caller of the product's own interface could be told 'not run' (503, 429, 404, 413) for a completion that its engine runs, and the completion was run again elsewhere.

Cause: openStream read the status before it compared X-Request-Id, so the refusal of another request counted as this one's.

A refusal without an id still counts, as engines need not name it.

--- a/modules/backends/engines/HttpEngineClient.cpp
+++ b/modules/backends/engines/HttpEngineClient.cpp
@@ -109,9 +109,11 @@
         if (!body)
             co_return body.error();
         auto status = (*body)->status();
-        if (status != 200)
+        auto responseId = (*body)->headers().value(requestIdHeader);
+        // A refusal need not have an id, but that of another request says nothing about this one.
+        if (status != 200 && (responseId.empty() || responseId == id.value()))
             co_return makeError(errorKindOfStatus(status), "the engine responded with status " + std::to_string(status));
-        if (auto responseId = (*body)->headers().value(requestIdHeader); responseId != id.value())
+        if (responseId != id.value())
             co_return makeError(ErrorKind::ProtocolError, "the engine sent the response to request " + std::string(responseId) + " instead of " + id.value());
         co_return std::unique_ptr<CompletionStream>(std::make_unique<HttpCompletionStream>(std::move(*body), std::move(id), afterToken, timeout));
     }
--- a/tests/backends/HttpEngineClientTest.cpp
+++ b/tests/backends/HttpEngineClientTest.cpp
@@ -100,6 +100,17 @@
     CHECK(byChunk.error().kind == ErrorKind::ProtocolError);
 }
 
+// Guards against reporting "not run" for a request that the engine runs: the refusal is that of another request.
+TEST_CASE("a refusal of another request is a protocol error")
+{
+    for (int status : { 400, 404, 413, 429, 503 }) {
+        BackendFixture fixture([status](HttpRequest, HttpResponseWriter& writer) -> asio::awaitable<void> { co_await writer.send({ status, { { "X-Request-Id", "r2" } }, "" }); });
+        auto count = fixture.run(countTokens(fixture.engines, fixture.server.endpoint(), callWith("r1")));
+        REQUIRE_FALSE(count.has_value());
+        CHECK_MESSAGE(count.error().kind == ErrorKind::ProtocolError, status);
+    }
+}
+
 // Guards against lost or repeated tokens that stay undetected.
 TEST_CASE("a token out of order is a protocol error")
 {
