A refused resumption does not mean that the run was refused

After a response to another request the stream is resumed at the same engine. When the engine refused that (404, 503), the caller was told 'not run' (503) and the run was not cancelled.

Cause: the error of the resumption replaced that of the attempt, and its outcome 'not run' was taken for the run's.

Change: such an error counts as a protocol error, whose outcome is 'failed' and after which the run is cancelled.

--- a/modules/frontend/completions/EngineAttempt.cpp
+++ b/modules/frontend/completions/EngineAttempt.cpp
@@ -82,6 +82,9 @@
             state->services.log.write(EventId::AnswerCrossed, { { "replica", attempt->engine }, { "engine_request", attempt->id }, { "detail", error->detail } });
             auto again = co_await state->services.engines.resume(attempt->endpoint, attempt->id, attempt->lastIndex);
             error = co_await readStream(state, attempt, std::move(again));
+            // The engine has refused the resumption only; it may go on with the run.
+            if (error && describe(error->kind).outcome == Outcome::NotRun)
+                error = makeError(ErrorKind::ProtocolError, error->detail);
         }
         if (error && !attempt->isAbandoned)
             fail(*attempt, std::move(*error));
--- a/tests/frontend/CompletionTest.cpp
+++ b/tests/frontend/CompletionTest.cpp
@@ -130,6 +130,22 @@
     CHECK(fixture.engines.calls() == 1);
 }
 
+// Guards against reporting "not run" for a request that its engine runs, and against an engine that generates on for nobody.
+TEST_CASE("a request whose own stream cannot be resumed after a response to another request is not reported as refused")
+{
+    FrontendFixture fixture(1);
+    auto& engine = fixture.engines.at(1);
+    engine.refusesResume = true;
+    auto writer = fixture.sendRequest(fixture.completion("p", 4, false));
+    for (int i = 0; i < 4000 && !writer->isFinished; ++i) {
+        engine.misroutesNext = true;
+        fixture.advance(10ms);
+    }
+    CHECK(writer->status == 502);
+    CHECK(engine.cancelled.size() == engine.bodies.size());
+    CHECK(engine.running.empty());
+}
+
 // Guards against tokens of the slower hedged attempt that reach the caller, and against its engine generating on.
 TEST_CASE("a hedged attempt wins over a hung engine, whose late attempt is cancelled and discarded")
 {
--- a/tests/frontend/Fakes.cpp
+++ b/tests/frontend/Fakes.cpp
@@ -88,6 +88,8 @@
     auto& backend = at(endpoint.port);
     if (backend.isDown)
         co_return makeError(ErrorKind::ConnectFailed, "connection refused");
+    if (backend.refusesResume)
+        co_return makeError(ErrorKind::Overloaded, "the engine is full");
     auto total = m_totals.find(id);
     if (total == m_totals.end())
         co_return makeError(ErrorKind::NotFound, "no such stream");
--- a/tests/frontend/Fakes.h
+++ b/tests/frontend/Fakes.h
@@ -107,6 +107,7 @@
     bool isDown = false; /**< refuses connections */
     bool isHung = false; /**< accepts calls and does not respond */
     bool misroutesNext = false; /**< the next response carries another request's id */
+    bool refusesResume = false; /**< responds to the resumption of a stream that it is full */
     Duration firstDelay = std::chrono::milliseconds(20);
     Duration tokenDelay = std::chrono::milliseconds(10);
     std::optional<uint64_t> crashesAfterTokens; /**< the process crashes after this many tokens of one stream */
