The response to HEAD has no bytes after its header when it is written in chunks

A client that sends HEAD to a streaming route on a kept connection got the end of a chunked body after the header, which it takes for the start of the next response.

Cause: send() omits the body of a response to HEAD, write() and finish() did not.

--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -165,7 +165,7 @@
         {
             assert(m_hasBegun && !m_isFinished);
             // A chunk of length zero would end the body.
-            if (chunk.empty())
+            if (chunk.empty() || m_isHead)
                 co_return Result<void>();
             if (m_output) {
                 auto written = co_await m_output->append(framed(chunk));
@@ -180,6 +180,10 @@
         asio::awaitable<Result<void>> finish() override
         {
             error_code error;
+            if (m_isHead) {
+                m_isFinished = true;
+                co_return Result<void>();
+            }
             if (m_output) {
                 (void)co_await m_output->append("0\r\n\r\n");
                 error = co_await m_output->waitUntilIdle();
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -77,6 +77,32 @@
     CHECK(events->back() == SseEvent { "3", "token" });
 }
 
+namespace {
+
+asio::awaitable<std::string> readAllAfter(Endpoint endpoint, std::string request)
+{
+    asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+    co_await socket.async_connect({ asio::ip::make_address(endpoint.address), endpoint.port }, asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+    std::string text;
+    std::array<char, 1024> bytes {};
+    boost::system::error_code error;
+    while (!error)
+        text.append(bytes.data(), co_await socket.async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error)));
+    co_return text;
+}
+
+} // namespace
+
+// Guards against bytes after a response to HEAD, which the client takes for the next response on its connection.
+TEST_CASE("the response to HEAD has no body, also when it is written in chunks")
+{
+    HttpFixture fixture(streamThree);
+    auto text = fixture.run(readAllAfter(fixture.server.endpoint(), "HEAD /stream HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"));
+    CHECK(text.starts_with("HTTP/1.1 200 "));
+    CHECK(text.find("\r\n\r\n") + 4 == text.size());
+}
+
 // Guards against memory use that grows with the size of a caller's request.
 TEST_CASE("oversized bodies and headers are rejected with status 413 and 431")
 {
