A connection to a server carries HEAD or other methods, not both

A request failed when a copy of an earlier response arrived before its own, and one of the two was the response to HEAD.

Cause: the end of a copy is found by the method of the request in progress. The copy of a response to HEAD took bytes of the response to GET, and the body of a copy was read as the response to HEAD.

Change: where responses are told apart by an id, a connection that has carried the other kind is not used.

--- a/modules/http/client/ClientConnection.h
+++ b/modules/http/client/ClientConnection.h
@@ -24,6 +24,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer { 64 << 10 };
     std::vector<uint64_t> requestIds; /**< hashes of the ids of the requests that it has carried */
+    bool hasCarriedHead = false;
+    bool hasCarriedBodies = false; /**< responses to requests with another method than HEAD */
 };
 
 using ClientConnectionPointer = std::unique_ptr<ClientConnection>;
--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -38,6 +38,12 @@
         return !requestId.empty() && std::ranges::find(connection.requestIds, hash64(requestId)) != connection.requestIds.end();
     }
 
+    /** Whether a copy of an earlier response on the connection could end elsewhere than a response to a request with this method. */
+    bool hasCarriedOtherFraming(const ClientConnection& connection, bool isHead)
+    {
+        return isHead ? connection.hasCarriedBodies : connection.hasCarriedHead;
+    }
+
     /** Whether the connection is open and has no unread bytes. */
     bool isReusable(tcp::socket& socket)
     {
@@ -74,7 +80,7 @@
     }
 
     /** Returns an idle connection that has not carried a request with the id, the last used one first. */
-    ClientConnectionPointer take(const Endpoint& endpoint, const ExchangeOptions& options)
+    ClientConnectionPointer take(const Endpoint& endpoint, const ExchangeOptions& options, bool isHead)
     {
         auto found = idle.find(endpoint);
         if (found == idle.end())
@@ -88,6 +94,8 @@
                 isRepeated = true;
                 continue;
             }
+            if (options.matchesRequest && hasCarriedOtherFraming(*connections[i].connection, isHead))
+                continue;
             auto entry = std::move(connections[i]);
             connections.erase(connections.begin() + static_cast<ptrdiff_t>(i));
             if (now < entry.usableUntil && isReusable(entry.connection->stream.socket()))
@@ -296,7 +304,8 @@
     auto state = m_state;
     if (options.abort && options.abort->forbidsSend())
         co_return makeError(ErrorKind::ConnectFailed, "aborted before the request was sent");
-    auto connection = options.needsFreshConnection ? nullptr : state->take(endpoint, options);
+    auto isHead = request.method == "HEAD";
+    auto connection = options.needsFreshConnection ? nullptr : state->take(endpoint, options, isHead);
     if (!connection) {
         auto opened = co_await connect(state->context, endpoint, std::min(options.timeout, options.connectTimeout.value_or(state->settings.connectTimeout)));
         if (!opened)
@@ -312,8 +321,8 @@
     }
     if (!options.requestId.empty())
         connection->requestIds.push_back(hash64(options.requestId));
+    (isHead ? connection->hasCarriedHead : connection->hasCarriedBodies) = true;
     auto message = toBeast(endpoint, std::move(request));
-    auto isHead = message.method() == http::verb::head;
     auto exchange = std::make_unique<PooledExchange>(state, endpoint, std::move(connection), std::move(options), isHead);
     if (auto sent = co_await exchange->send(message); !sent)
         co_return sent.error();
--- a/tests/http/ConnectionPoolTest.cpp
+++ b/tests/http/ConnectionPoolTest.cpp
@@ -37,6 +37,7 @@
         std::string endless = {}; /**< sent again and again until the client closes the connection */
         Duration pause {}; /**< before each repetition */
         bool resets = false; /**< closes with a reset */
+        std::string copy = {}; /**< of an earlier response on the connection; sent before the bytes unless the connection is new */
     };
     std::deque<Reply> replies;
     int connections = 0;
@@ -56,7 +57,7 @@
     {
         asio::streambuf buffer;
         boost::system::error_code error;
-        while (!error) {
+        for (auto isNew = true; !error; isNew = false) {
             auto size = co_await asio::async_read_until(socket, buffer, "\r\n\r\n", asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 co_return;
@@ -66,6 +67,8 @@
                 continue;
             auto reply = replies.front();
             replies.pop_front();
+            if (!isNew)
+                co_await asio::async_write(socket, asio::buffer(reply.copy), asio::redirect_error(asio::use_awaitable, error));
             co_await asio::async_write(socket, asio::buffer(reply.bytes), asio::redirect_error(asio::use_awaitable, error));
             while (!error && !reply.endless.empty()) {
                 asio::steady_timer timer(socket.get_executor(), reply.pause);
@@ -183,6 +186,38 @@
     CHECK(fixture.call(options).value() == "mine");
 }
 
+namespace {
+
+ExchangeOptions optionsOf(const std::string& id)
+{
+    ExchangeOptions options;
+    options.requestId = id;
+    options.matchesRequest = [id](const HttpHeaders& headers) { return headers.value("Id") == id; };
+    return options;
+}
+
+} // namespace
+
+// Guards against a copy whose end is found by the method of the request in progress instead of that of its own request.
+TEST_CASE("copies of responses to GET and HEAD do not disturb later responses to the other method")
+{
+    auto ofHead = [](const std::string& id) { return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 9\r\n\r\n"; };
+    auto ofGet = [](const std::string& id) { return response("body", "Id: " + id + "\r\n"); };
+    PoolFixture get;
+    get.server.replies = { { ofHead("q0") }, { ofGet("q1") } };
+    get.server.replies.back().copy = ofHead("q0");
+    CHECK(get.call(optionsOf("q0"), "HEAD").value().empty());
+    auto body = get.call(optionsOf("q1"));
+    CHECK_MESSAGE(body.has_value(), (body ? "" : body.error().detail));
+
+    PoolFixture head;
+    head.server.replies = { { ofGet("q0") }, { ofHead("q1") } };
+    head.server.replies.back().copy = ofGet("q0");
+    CHECK(head.call(optionsOf("q0")).value() == "body");
+    auto empty = head.call(optionsOf("q1"), "HEAD");
+    CHECK_MESSAGE(empty.has_value(), (empty ? "" : empty.error().detail));
+}
+
 // Guards against reporting a request as not executed although the server received it.
 TEST_CASE("an invalid or truncated response is an error of a request that may have been executed")
 {
