Failing test: of fields that a client repeats only the last reaches the handler

headersOf() copies the fields with set(), which replaces an earlier field of the same name. Their tests build the header in memory.

Not fixed here: setHeaders() has the same effect on what is sent.

--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -103,6 +103,19 @@
     CHECK(text.find("\r\n\r\n") + 4 == text.size());
 }
 
+// Guards against rules for repeated fields that never see them: an ambiguous key, or the longest Retry-After.
+TEST_CASE("fields that a client repeats reach the handler")
+{
+    size_t keys = 0;
+    HttpFixture fixture([&](HttpRequest request, HttpResponseWriter& writer) -> asio::awaitable<void> {
+        for (const auto& field : request.headers.fields())
+            keys += field.first == "X-Api-Key" ? 1 : 0;
+        co_await writer.send({});
+    });
+    fixture.run(readAllAfter(fixture.server.endpoint(), "GET / HTTP/1.1\r\nHost: x\r\nX-Api-Key: k1\r\nX-Api-Key: k2\r\nConnection: close\r\n\r\n"));
+    CHECK(keys == 2);
+}
+
 // Guards against memory use that grows with the size of a caller's request.
 TEST_CASE("oversized bodies and headers are rejected with status 413 and 431")
 {
