--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -102,6 +102,8 @@
         { EventId::ReplicaAnnouncedLeaving, "replica_announced_leaving", Severity::Info, "A response of a replica says that its process is about to end; it gets no further work, whatever the store says." },
         { EventId::ReplicaNoticeUnreadable, "replica_notice_unreadable", Severity::Warning, "A header field in which a replica describes its state could not be read; it counts as absent." },
         { EventId::ReplicaBackoffStarted, "replica_backoff_started", Severity::Info, "A replica refused a request and wants no further one from this daemon for the time given." },
+        { EventId::ReplicaRateLimited, "replica_rate_limited", Severity::Info, "A replica names the rate of requests that it takes from all daemons together; the daemons share it by their demand." },
+        { EventId::ReplicaRateLimitEnded, "replica_rate_limit_ended", Severity::Info, "A replica no longer names a rate limit, or its limit has not been confirmed for long." },
         { EventId::PrefillPlaced, "prefill_placed", Severity::Info, "An engine was chosen to prefill a prompt." },
         { EventId::PrefillFailed, "prefill_failed", Severity::Warning, "An engine did not prefill a prompt; the request was not executed there." },
         { EventId::RetryBudgetExhausted, "retry_budget_exhausted", Severity::Info, "A retry was not sent because the retry budget of the service is used up." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -108,6 +108,8 @@
     ReplicaAnnouncedLeaving = 2221,
     ReplicaNoticeUnreadable = 2222,
     ReplicaBackoffStarted = 2223,
+    ReplicaRateLimited = 2224,
+    ReplicaRateLimitEnded = 2225,
     PrefillPlaced = 2230,
     PrefillFailed = 2231,
     RetryBudgetExhausted = 2232,
--- a/modules/decisions/capacity/CapacityPlacement.cpp
+++ b/modules/decisions/capacity/CapacityPlacement.cpp
@@ -45,7 +45,7 @@
         std::map<AvailabilityZone, ZoneLoad> zones;
         for (size_t i = 0; i < views.size(); ++i) {
             const auto& view = views[i];
-            if (view.isEjected)
+            if (!isEligible(view))
                 continue;
             auto replaced = replacedShare * view.peerRequests;
             auto& zone = zones[view.zone];
--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -25,6 +25,8 @@
 #include "decisions/leases/Lease.h"
 #include "decisions/leases/Order.h"
 #include "decisions/leases/StoreFencing.h"
+#include "decisions/limits/RateLimit.h"
+#include "decisions/limits/RequestAllotment.h"
 #include "decisions/membership/Member.h"
 #include "decisions/membership/Membership.h"
 #include "decisions/outages/StoreAvailability.h"
--- a/modules/decisions/placement/DecodePlacement.cpp
+++ b/modules/decisions/placement/DecodePlacement.cpp
@@ -31,7 +31,7 @@
 
     bool hasRoom(const PlacementView& view, const DecodeNeed& need)
     {
-        return !view.isEjected && roomOf(view, need) > 0;
+        return isEligible(view) && roomOf(view, need) > 0;
     }
 
     std::optional<size_t> chooseWithRoom(std::span<const PlacementView> views, const DecodeNeed& need)
@@ -51,6 +51,14 @@
         return equals[need.choice % equals.size()];
     }
 
+    /** Slots that requests at the rate that the engine takes keep occupied. */
+    double occupiedAtRateLimit(const PlacementView& view, Duration occupancy)
+    {
+        if (!view.rateLimit || occupancy <= Duration::zero())
+            return view.slots;
+        return std::clamp(*view.rateLimit * toSeconds(occupancy), 1.0, std::max<double>(view.slots, 1));
+    }
+
 } // namespace
 
 DecodeDecision placeDecode(std::span<const PlacementView> views, const DecodeNeed& need)
@@ -61,7 +69,7 @@
     for (const auto& view : views) {
         if (view.isEjected)
             continue;
-        slots += view.slots;
+        slots += occupiedAtRateLimit(view, need.occupancy);
         freeSlots += view.slots - std::min(view.requests, view.slots);
         ahead += view.requests - std::min(view.lessUrgentRequests, view.requests);
     }
@@ -72,6 +80,8 @@
     if (occupancy > 0)
         ahead = std::max(ahead - usable * toSeconds(need.startsIn) / occupancy, 0.0);
     auto wait = fromSeconds(std::max(ahead + 1 - usable, 0.0) / usable * occupancy);
+    auto startedMeanwhile = combinedRateLimit(views).value_or(0) * toSeconds(need.startsIn);
+    wait = std::max(wait, expectedRateWait(views, std::max(need.waitingAhead - startedMeanwhile, 0.0)));
     if (ahead >= usable * fullSlotMultiple || wait + need.startsIn > need.timeLeft)
         return { DecodeAction::Refuse, 0, wait };
     auto leavesEnough = need.keptFree == 0 || freeSlots > need.keptFree;
@@ -85,7 +95,7 @@
     std::optional<size_t> choice;
     for (size_t i = 0; i < views.size(); ++i) {
         const auto& view = views[i];
-        if (view.isEjected || isRefusing(view))
+        if (!isEligible(view) || isRefusing(view))
             continue;
         if (!choice || occupancyOf(view, ownZone) < occupancyOf(views[*choice], ownZone))
             choice = i;
--- a/modules/decisions/placement/PromptPlacement.cpp
+++ b/modules/decisions/placement/PromptPlacement.cpp
@@ -64,7 +64,7 @@
 
     bool isUsable(const PlacementView& view)
     {
-        return !view.isEjected && !isRefusing(view);
+        return isEligible(view) && !isRefusing(view);
     }
 
     /** Tokens that a prefill at this position delays. */
@@ -136,6 +136,30 @@
     return earliestEngine(prompt, views, *speed, urgency, PrefillRank::Deferred);
 }
 
+bool isEligible(const PlacementView& view)
+{
+    return !view.isEjected && !view.isThrottled;
+}
+
+std::optional<double> combinedRateLimit(std::span<const PlacementView> views)
+{
+    double sum = 0;
+    for (const auto& view : views) {
+        if (view.isEjected)
+            continue;
+        if (!view.rateLimit)
+            return std::nullopt;
+        sum += *view.rateLimit;
+    }
+    return sum > 0 ? std::optional(sum) : std::nullopt;
+}
+
+Duration expectedRateWait(std::span<const PlacementView> views, double ahead)
+{
+    auto rate = combinedRateLimit(views);
+    return rate ? fromSeconds(ahead / *rate) : Duration::zero();
+}
+
 bool isRefusing(const PlacementView& view)
 {
     return view.requestsAtRefusal > 0 && view.requests >= view.requestsAtRefusal;
@@ -168,7 +192,7 @@
     auto best = std::numeric_limits<double>::max();
     for (size_t i = 0; i < views.size(); ++i) {
         const auto& view = views[i];
-        if (view.isEjected)
+        if (!isEligible(view))
             continue;
         auto occupied = occupancyOf(view, ownZone);
         if (occupied >= best)
--- a/modules/decisions/placement/PromptPlacement.h
+++ b/modules/decisions/placement/PromptPlacement.h
@@ -57,10 +57,21 @@
     uint32_t cachedTokens = 0; /**< estimate for the shared parts of this prompt */
     double errorShare = 0; /**< of its recent responses, those that are an error of its own */
     bool isEjected = false;
+    std::optional<double> rateLimit; /**< requests per second that it takes from all daemons together */
+    bool isThrottled = false; /**< this daemon has used its part of that rate for now */
 
     bool operator==(const PlacementView&) const = default;
 };
 
+/** Whether a request may be sent to the replica now. */
+bool isEligible(const PlacementView&);
+
+/** The rate of the replicas together, in requests per second; nothing when one of them has no limit, or there is none. */
+std::optional<double> combinedRateLimit(std::span<const PlacementView>);
+
+/** Expected time until the rate limits let a further request through, behind `ahead` waiting ones; zero without limits. */
+Duration expectedRateWait(std::span<const PlacementView>, double ahead);
+
 struct PrefillChoice {
     size_t index = 0; /**< in the views */
     uint32_t missingTokens = 0; /**< to be prefilled, as they are not cached */
--- a/modules/gateway/members/LoadExchange.cpp
+++ b/modules/gateway/members/LoadExchange.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <cmath>
 
 namespace chestnut {
 
@@ -21,29 +20,6 @@
     constexpr Duration periodPerDaemon = std::chrono::milliseconds(4);
     /** A member without a collector's message for this long, which is several periods, watches the store more often itself. */
     constexpr Duration collectorTimeout = std::chrono::milliseconds(700);
-    /** Keys of sums in the load tracker; the work of single daemons is stored under their ids. */
-    const DaemonId fleetKey("fleet");
-    /** Time in which the capacity samples of all replicas are sent, unless these are too many for maximumCapacityRate. */
-    constexpr Duration capacityCycle = std::chrono::seconds(3);
-    /** Replicas a second whose samples are sent to one receiver. One takes 27 bytes, and a member receives from two collectors. */
-    constexpr double maximumCapacityRate = 50;
-
-    CapacityScope capacityScopeOf(LoadScope scope)
-    {
-        return scope == LoadScope::Daemon ? CapacityScope::Daemon : scope == LoadScope::Zone ? CapacityScope::Zone
-                                                                                             : CapacityScope::Fleet;
-    }
-
-    DaemonId zoneKey(const AvailabilityZone& zone)
-    {
-        return DaemonId("zone/" + zone.value());
-    }
-
-    bool isSum(const DaemonId& id)
-    {
-        return id == fleetKey || id.value().starts_with("zone/");
-    }
-
     /** A collector stops reporting a daemon as alive after several periods without a message. The members then still wait for
         entryPointTimeout. */
     constexpr Duration livenessTimeout = std::chrono::milliseconds(600);
@@ -72,9 +48,9 @@
     , m_log(log)
     , m_directory(directory)
     , m_loadTracker(std::move(loadTracker))
-    , m_speeds(speeds)
     , m_crashTracker(crashTracker)
     , m_replicas(replicas)
+    , m_reports(*m_loadTracker, speeds, replicas)
     , m_socket(context, udp::endpoint(asio::ip::make_address(directory.self().peerEndpoint.address), directory.self().peerEndpoint.port))
 {
 }
@@ -161,9 +137,7 @@
     if (m_versions)
         m_versions->record(message->sender.id, message->configuration);
     applyWork(*message);
-    applySamples(*message);
-    applyCapacities(*message);
-    applyAccountUse(*message);
+    m_reports.apply(*message, originOf(*message));
     for (const auto& loss : message->losses)
         m_crashTracker.add(loss);
     for (const auto& success : message->successes)
@@ -177,25 +151,44 @@
     for (const auto& replica : message->leavingReplicas)
         m_replicas.applyPeerLeaving(replica);
     for (const auto& pause : message->pausedReplicas)
-        m_replicas.applyPeerPause(pause);
+        m_replicas.pauses().applyReport(pause);
     for (const auto& entry : message->entries)
         m_replicas.applyPeerEntry(entry);
     if (message->scope == LoadScope::Fleet && message->isStoreReachable)
         m_lastCollectorMessageAt = m_timers.now();
 }
 
-void LoadExchange::applyWork(const LoadMessage& message)
+ReportOrigin LoadExchange::originOf(const LoadMessage& message) const
 {
-    auto isOwnZone = message.sender.zone == m_directory.self().zone;
     auto collects = m_topology.isMesh || m_topology.isCollector;
-    if (message.scope == LoadScope::Daemon && collects)
+    auto isOtherZone = message.sender.zone != m_directory.self().zone;
+    switch (message.scope) {
+    case LoadScope::Daemon:
+        return collects ? ReportOrigin::Daemon : ReportOrigin::Unused;
+    case LoadScope::Zone:
+        return m_topology.isCollector && isOtherZone ? ReportOrigin::Zone : ReportOrigin::Unused;
+    case LoadScope::Fleet:
+        break;
+    }
+    return collects ? ReportOrigin::Unused : ReportOrigin::Fleet;
+}
+
+void LoadExchange::applyWork(const LoadMessage& message)
+{
+    switch (originOf(message)) {
+    case ReportOrigin::Unused:
+        return;
+    case ReportOrigin::Daemon:
         m_loadTracker->setPeerWork(message.sender.id, message.work, message.part);
-    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone) {
+        return;
+    case ReportOrigin::Zone:
         m_loadTracker->setPeerWork(zoneKey(message.sender.zone), message.work, message.part);
         m_zoneWorkAt[message.sender.zone] = m_timers.now();
-    } else if (message.scope == LoadScope::Fleet && !collects) {
+        return;
+    case ReportOrigin::Fleet:
         m_loadTracker->setPeerWork(fleetKey, withoutOwnWork(message.work, m_sentWork), message.part);
         m_fleetWorkAt = m_timers.now();
+        return;
     }
 }
 
@@ -231,90 +224,10 @@
     });
 }
 
-void LoadExchange::applySamples(const LoadMessage& message)
-{
-    // A message in several parts carries the samples in its first one.
-    if (message.part.index > 0)
-        return;
-    auto isOwnZone = message.sender.zone == m_directory.self().zone;
-    auto collects = m_topology.isMesh || m_topology.isCollector;
-    if (message.scope == LoadScope::Daemon && collects)
-        m_speeds.setPeerSamples(message.sender.id, message.speedSamples);
-    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone)
-        m_speeds.setPeerSamples(zoneKey(message.sender.zone), message.speedSamples);
-    else if (message.scope == LoadScope::Fleet && !collects)
-        m_speeds.setFleetSamples(message.speedSamples);
-}
-
-void LoadExchange::applyAccountUse(const LoadMessage& message)
-{
-    if (!m_accountUse || message.part.index > 0)
-        return;
-    auto isOwnZone = message.sender.zone == m_directory.self().zone;
-    auto collects = m_topology.isMesh || m_topology.isCollector;
-    if (message.scope == LoadScope::Daemon && collects)
-        m_accountUse->setPeerUse(message.sender.id, message.accountUse);
-    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone)
-        m_accountUse->setPeerUse(zoneKey(message.sender.zone), message.accountUse);
-    else if (message.scope == LoadScope::Fleet && !collects)
-        m_accountUse->setFleetUse(message.accountUse);
-}
-
-std::vector<ServiceUse> LoadExchange::accountUseFor(LoadScope scope) const
-{
-    if (!m_accountUse)
-        return {};
-    switch (scope) {
-    case LoadScope::Daemon:
-        return m_accountUse->ownUse();
-    case LoadScope::Zone:
-        return m_accountUse->useOf([](const DaemonId& daemon) { return !isSum(daemon); });
-    case LoadScope::Fleet:
-        break;
-    }
-    return m_accountUse->useOf([](const DaemonId&) { return true; });
-}
-
-std::vector<ServiceSamples> LoadExchange::samplesFor(LoadScope scope) const
-{
-    switch (scope) {
-    case LoadScope::Daemon:
-        return m_speeds.ownSamples();
-    case LoadScope::Zone:
-        return m_speeds.samplesOf([](const DaemonId& daemon) { return !isSum(daemon); });
-    case LoadScope::Fleet:
-        break;
-    }
-    return m_speeds.samplesOf([](const DaemonId&) { return true; });
-}
-
-void LoadExchange::applyCapacities(const LoadMessage& message)
-{
-    auto isOwnZone = message.sender.zone == m_directory.self().zone;
-    auto collects = m_topology.isMesh || m_topology.isCollector;
-    auto& capacity = m_loadTracker->capacity();
-    if (message.scope == LoadScope::Daemon && collects)
-        capacity.setPeerSamples(message.sender.id, message.capacities);
-    else if (message.scope == LoadScope::Zone && m_topology.isCollector && !isOwnZone)
-        capacity.setZoneSamples(message.sender.zone, message.capacities);
-    else if (message.scope == LoadScope::Fleet && !collects)
-        capacity.setFleetSamples(message.capacities);
-}
-
-std::vector<CapacitySamples> LoadExchange::capacitiesFor(LoadScope scope)
-{
-    const auto& capacity = m_loadTracker->capacity();
-    auto rate = std::min(static_cast<double>(capacity.size()) / toSeconds(capacityCycle), maximumCapacityRate);
-    auto count = static_cast<size_t>(std::ceil(rate * toSeconds(period())));
-    return capacity.nextSamples(capacityScopeOf(scope), m_capacityCursors[scope], count);
-}
-
 LoadMessage LoadExchange::composeMessage(LoadScope scope, std::vector<ReplicaWork> work)
 {
     LoadMessage message { m_directory.self(), scope, m_isLeaving, std::move(work) };
-    message.speedSamples = samplesFor(scope);
-    message.capacities = capacitiesFor(scope);
-    message.accountUse = accountUseFor(scope);
+    m_reports.addTo(message, period());
     message.losses = m_crashTracker.recentLosses();
     message.successes = m_crashTracker.recentSuccesses();
     message.engineCrashes = m_crashTracker.recentPartCrashes();
@@ -327,7 +240,7 @@
         return registered && registered->entry.stage == EngineStage::Prefill;
     });
     message.leavingReplicas = m_replicas.leaving();
-    message.pausedReplicas = m_replicas.pausedReplicas();
+    message.pausedReplicas = m_replicas.pauses().pausedReplicas();
     message.isStoreReachable = !m_directory.isStoreUnavailable();
     if (m_versions)
         message.configuration = m_versions->notice(scope == LoadScope::Fleet);
--- a/modules/gateway/members/LoadExchange.h
+++ b/modules/gateway/members/LoadExchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/accounts/AccountUseTracker.h"
 #include "gateway/configuration/ConfigurationExchange.h"
+#include "gateway/members/FleetReports.h"
 #include "gateway/members/LoadMessage.h"
 #include "gateway/members/LoadTopology.h"
 
@@ -39,7 +39,10 @@
     bool receivesStoreChanges() const;
 
     /** Sends and receives the use by accounts from now on. */
-    void shareAccountUse(AccountUseTracker& accountUse) { m_accountUse = &accountUse; }
+    void shareAccountUse(AccountUseTracker& accountUse) { m_reports.shareAccountUse(accountUse); }
+
+    /** Sends and receives the demand for services with rate-limited replicas from now on. */
+    void shareDemand(RateLimiter& rateLimiter) { m_reports.shareDemand(rateLimiter); }
 
     /** Whether the messages of the last second and a half cover the work of almost all daemons. */
     bool knowsFleetLoad() const;
@@ -49,18 +52,11 @@
     void receive(std::string_view datagram);
     void sendAll();
     void send(const LoadMessage&, const std::vector<Endpoint>& targets);
-    /** The samples of the daemons that the scope covers. */
-    std::vector<ServiceSamples> samplesFor(LoadScope) const;
     LoadMessage composeMessage(LoadScope, std::vector<ReplicaWork>);
-    /** The next capacity samples of the daemons that the scope covers; all of them follow each other in a few seconds. */
-    std::vector<CapacitySamples> capacitiesFor(LoadScope);
     std::vector<ReplicaWork> zoneWork() const;
     std::vector<DaemonId> liveDaemonsOfZone() const;
+    ReportOrigin originOf(const LoadMessage&) const;
     void applyWork(const LoadMessage&);
-    void applySamples(const LoadMessage&);
-    void applyCapacities(const LoadMessage&);
-    void applyAccountUse(const LoadMessage&);
-    std::vector<ServiceUse> accountUseFor(LoadScope) const;
     bool hearsDaemons(bool ofOwnZoneOnly) const;
     bool hearsOtherZones() const;
     Duration period() const;
@@ -70,20 +66,18 @@
     Log& m_log;
     DaemonDirectory& m_directory;
     std::shared_ptr<LoadTracker> m_loadTracker;
-    SpeedTracker& m_speeds;
     CrashTracker& m_crashTracker;
     ReplicaDirectory& m_replicas;
+    FleetReports m_reports;
     asio::ip::udp::socket m_socket;
     TimerSubscription m_timer;
     LoadTopology m_topology;
-    std::map<LoadScope, ReplicaId> m_capacityCursors; /**< replica whose samples were sent last */
     std::vector<ReplicaWork> m_sentWork; /**< own work as last sent; the received sums include it */
     TimePoint m_sentAt;
     std::optional<TimePoint> m_lastCollectorMessageAt; /**< from a collector that can reach the store */
     ConfigurationExchange* m_versions = nullptr;
     std::string m_otherPrefix; /**< of the datagrams that are no load messages */
     std::function<void(std::string_view)> m_otherReceiver;
-    AccountUseTracker* m_accountUse = nullptr;
     std::optional<TimePoint> m_fleetWorkAt; /**< last message with the work of all daemons */
     std::map<AvailabilityZone, TimePoint> m_zoneWorkAt; /**< last message with the work of another zone */
     bool m_isLeaving = false;
--- a/modules/gateway/members/LoadMessage.h
+++ b/modules/gateway/members/LoadMessage.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "decisions/fairness/AccountShares.h"
+#include "decisions/limits/RateLimit.h"
 #include "gateway/configuration/ConfigurationNotice.h"
+#include "gateway/limits/RateLimiter.h"
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/replicas/LoadTracker.h"
 #include "gateway/replicas/ReplicaDirectory.h"
@@ -37,11 +39,16 @@
     std::vector<ServiceUse> accountUse; /**< of services that are short of capacity, by the same daemons; only in the first part */
     ConfigurationNotice configuration; /**< of the sender; the holders are only in the first part */
     std::vector<CapacitySamples> capacities; /**< of the same daemons, for some replicas; the others follow in later messages */
+    std::vector<RateLimitReport> rateLimits; /**< that replicas name, some of them; the others follow in later messages. Only in the first part */
+    std::vector<RequestDemand> demands; /**< at the same daemons, for services with rate-limited replicas; only in the first part */
     std::vector<RefusalReport> refusals; /**< recent ones, by any daemon's request; only in the first part of a message */
 
     bool operator==(const LoadMessage&) const = default;
 };
 
+/** Maximum number of rate limits in one message. With 650 limited replicas and four messages a second, each is sent every 10 s. */
+constexpr size_t maximumRateLimitReports = 16;
+
 /** Maximum size of a datagram in bytes. */
 constexpr size_t maximumDatagram = 8192;
 
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -8,11 +8,6 @@
 namespace {
 
     constexpr Duration expiryPeriod = std::chrono::milliseconds(250);
-    /** After this time an engine is used in the stage of its entry even if the order has not taken effect; streams run up to 15 s. */
-    constexpr Duration longestOrderPause = std::chrono::seconds(20);
-    /** A replica gets no work for this long after a peer's report of its pause; each later tick extends the pause. */
-    constexpr Duration peerPauseTimeout = std::chrono::milliseconds(800);
-    constexpr Duration orderTickLength = std::chrono::milliseconds(100);
     /** Leaving replicas are reported to peers for this long, so in several datagrams. */
     constexpr Duration leavingReportTime = std::chrono::seconds(3);
     /** Changed entries are reported to peers for this long, so in several datagrams. */
@@ -44,6 +39,8 @@
     , m_keyPrefix(std::move(keyPrefix))
     , m_decode(std::move(decode))
     , m_unreachableByOtherCalls(std::move(lastStoreUnreachableAt))
+    , m_pauses(timers)
+    , m_rateLimits(timers, log)
 {
     m_mirror = std::make_shared<StoreMirror>(context, store, timers, log, m_keyPrefix, std::move(watchPause));
     m_mirror->subscribe(m_keyPrefix, { [this](const StoreItem& item) { onItem(item); }, [this](const std::string& key) { onRemoval(key); } });
@@ -53,8 +50,9 @@
 {
     m_mirror->start();
     m_expiryTimer = m_timers.every(expiryPeriod, [this] {
-        expireOrders();
+        expirePauses();
         expireBackoffs(m_backoffs, m_timers.now());
+        m_rateLimits.expire();
         removeUnconfirmed();
         for (const auto& id : expireLapsed(m_registry, m_timers.now())) {
             recordLeaving(id);
@@ -229,6 +227,8 @@
         applyDeparture(notice, replica->entry);
     if (content.backoff)
         applyRequestedBackoff(notice, replica->entry, *content.backoff);
+    if (content.rate)
+        m_rateLimits.recordResponse(notice.replica, { replica->entry.startedAt, content.rate->perSecond }, notice.sentAt, notice.request);
 }
 
 void ReplicaDirectory::applyDeparture(const ReplicaNotice& notice, const ReplicaEntry& entry)
@@ -263,7 +263,7 @@
 {
     std::optional<Duration> shortest;
     auto now = m_timers.now();
-    for (const auto* entry : select(service, [this](const ReplicaEntry& candidate) { return candidate.stage != EngineStage::Prefill && !isPaused(candidate.id); })) {
+    for (const auto* entry : select(service, [this](const ReplicaEntry& candidate) { return candidate.stage != EngineStage::Prefill && !m_pauses.isPaused(candidate.id); })) {
         auto end = backoffEnd(m_backoffs, entry->id, entry->startedAt, now);
         if (!end)
             return std::nullopt;
@@ -272,56 +272,24 @@
     return shortest;
 }
 
-bool ReplicaDirectory::isPaused(const ReplicaId& id) const
+void ReplicaDirectory::expirePauses()
 {
-    if (m_ordered.contains(id))
-        return true;
-    auto found = m_pauses.find(id);
-    return found != m_pauses.end() && m_timers.now() < found->second.until;
-}
-
-void ReplicaDirectory::pauseForOrder(const ReplicaId& id, EngineStage stage)
-{
-    m_ordered[id] = { stage, m_timers.now() };
-}
-
-void ReplicaDirectory::endPause(const ReplicaId& id)
-{
-    m_ordered.erase(id);
-}
-
-void ReplicaDirectory::expireOrders()
-{
-    auto now = m_timers.now();
-    std::erase_if(m_ordered, [&](const auto& entry) {
-        const auto* replica = find(entry.first);
-        return !replica || replica->entry.stage == entry.second.stage || now - entry.second.orderedAt > longestOrderPause;
+    m_pauses.expire([this](const ReplicaId& id) {
+        const auto* replica = find(id);
+        return replica ? std::optional(replica->entry.stage) : std::nullopt;
     });
 }
 
-std::vector<PausedReplica> ReplicaDirectory::pausedReplicas() const
+std::set<ServiceId> ReplicaDirectory::rateLimitedServices() const
 {
-    std::vector<PausedReplica> paused;
-    auto now = m_timers.now();
-    for (const auto& [id, order] : m_ordered)
-        paused.push_back({ id, static_cast<uint64_t>(now.time_since_epoch() / orderTickLength) });
-    for (const auto& [id, pause] : m_pauses) {
-        if (now < pause.until && !m_ordered.contains(id))
-            paused.push_back({ id, pause.orderTick });
+    std::set<ServiceId> services;
+    if (m_rateLimits.isEmpty())
+        return services;
+    for (const auto& [id, replica] : m_registry.replicas) {
+        if (rateLimitOf(replica.entry))
+            services.insert(replica.entry.service);
     }
-    return paused;
-}
-
-void ReplicaDirectory::applyPeerPause(const PausedReplica& report)
-{
-    auto& pause = m_pauses[report.replica];
-    auto now = m_timers.now();
-    // The ticks of another ordering daemon may be lower; they count once the reports of the previous one have stopped.
-    if (report.orderTick <= pause.orderTick && now < pause.until)
-        return;
-    if (report.orderTick == pause.orderTick)
-        return;
-    pause = { report.orderTick, now + peerPauseTimeout };
+    return services;
 }
 
 const RegisteredReplica* ReplicaDirectory::find(const ReplicaId& id) const
@@ -342,7 +310,7 @@
 
 std::vector<const ReplicaEntry*> ReplicaDirectory::usable(const ServiceId& service, EngineStage stage, const std::set<ReplicaId>& excluded) const
 {
-    return select(service, [&](const ReplicaEntry& entry) { return entry.stage == stage && !excluded.contains(entry.id) && !isPaused(entry.id) && !isBackingOff(entry.id); });
+    return select(service, [&](const ReplicaEntry& entry) { return entry.stage == stage && !excluded.contains(entry.id) && !m_pauses.isPaused(entry.id) && !isBackingOff(entry.id); });
 }
 
 std::vector<const ReplicaEntry*> ReplicaDirectory::engines(const ServiceId& service) const
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -3,7 +3,9 @@
 #include "decisions/placement/PromptPlacement.h"
 #include "decisions/replicas/ReplicaBackoff.h"
 #include "decisions/replicas/ReplicaRegistry.h"
+#include "gateway/limits/RateLimitRegistry.h"
 #include "gateway/replicas/LoadTracker.h"
+#include "gateway/replicas/OrderPauses.h"
 #include "gateway/requests/ReplicaNotice.h"
 #include "gateway/store/StoreMirror.h"
 
@@ -15,15 +17,6 @@
 /** Decodes the entry of one replica. Fails with ProtocolError when the entry describes no usable replica. */
 using ReplicaEntryDecoder = std::function<Result<ReplicaEntry>(const ReplicaId&, std::string_view value)>;
 
-/** A replica that is executing an order. Only the daemon that sent the order advances the tick, so that daemons that forward
-    the report cannot extend the pause indefinitely. */
-struct PausedReplica {
-    ReplicaId replica;
-    uint64_t orderTick = 0; /**< tenths of a second on the clock of the daemon that sent the order */
-
-    bool operator==(const PausedReplica&) const = default;
-};
-
 /** The replicas of all services, from their entries in the store and from reports of peers. */
 class ReplicaDirectory : public Service {
 public:
@@ -83,18 +76,17 @@
         within unconfirmedLifetime: the peer may be behind, and this daemon, after a restart, does not learn of an earlier removal. */
     void applyPeerEntry(const ReplicaEntry&);
 
-    /** Stops sending work to a replica until its entry shows the ordered stage: the replica first completes its running
+    /** The replicas that get no work because they execute an order. Before it changes its stage, a replica completes its running
         work, which may take as long as its longest stream. */
-    void pauseForOrder(const ReplicaId&, EngineStage);
-
-    /** Ends the pause after an order was refused. */
-    void endPause(const ReplicaId&);
+    OrderPauses& pauses() { return m_pauses; }
+    const OrderPauses& pauses() const { return m_pauses; }
 
-    /** Applies a peer's report that the replica is executing an order. The replica gets no work until the reports stop. */
-    void applyPeerPause(const PausedReplica&);
-
-    /** Replicas that are executing an order from this daemon or a peer. */
-    std::vector<PausedReplica> pausedReplicas() const;
+    /** What replicas have said about the rate of requests that they take. */
+    RateLimitRegistry& rateLimits() { return m_rateLimits; }
+    /** Requests per second that the replica takes from all daemons together; nothing without a limit. */
+    std::optional<double> rateLimitOf(const ReplicaEntry& entry) const { return m_rateLimits.rateOf(entry.id, entry.startedAt); }
+    /** The services with a replica that names a rate limit. */
+    std::set<ServiceId> rateLimitedServices() const;
 
     bool isEmpty() const { return m_registry.replicas.empty(); }
 
@@ -103,15 +95,6 @@
         LeavingReplica replica;
         TimePoint since;
     };
-    /** An order that a peer has reported. */
-    struct PeerPause {
-        uint64_t orderTick = 0;
-        TimePoint until;
-    };
-    struct OrderedStage {
-        EngineStage stage = EngineStage::None;
-        TimePoint orderedAt;
-    };
 
     void applyDeparture(const ReplicaNotice&, const ReplicaEntry&);
     void applyRequestedBackoff(const ReplicaNotice&, const ReplicaEntry&, Duration);
@@ -128,8 +111,7 @@
     void recordLeaving(const ReplicaId&);
     /** Keeps the earliest end that was announced for the present process start. */
     void recordEnd(const ReplicaId&, std::optional<Duration> leavesIn);
-    bool isPaused(const ReplicaId&) const;
-    void expireOrders();
+    void expirePauses();
     /** Removes replicas whose entries were only reported by peers. */
     void removeUnconfirmed();
     /** The last time at which entries may have expired or been lost although their replicas live. */
@@ -150,9 +132,9 @@
     std::map<ReplicaId, TimePoint> m_changedAt; /**< when the change was read from the store */
     std::map<ReplicaId, TimePoint> m_unconfirmed; /**< entries from peers, and when they were applied */
     std::set<ReplicaId> m_unreadable; /**< whose entries could not be read and were logged */
-    std::map<ReplicaId, PeerPause> m_pauses;
-    std::map<ReplicaId, OrderedStage> m_ordered;
+    OrderPauses m_pauses;
     ReplicaBackoffs m_backoffs;
+    RateLimitRegistry m_rateLimits;
     TimerSubscription m_expiryTimer;
 };
 
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -131,21 +131,29 @@
     auto& relay = *m_relay;
     auto since = relay.services.timers.now();
     auto longestHold = fromSeconds(toSeconds(handleValidity(relay)) * usedShareOfValidity);
+    // A slot is taken only after the prefill, but a part of an engine's rate at once.
+    auto takesRate = relay.services.replicas.rateLimitedServices().contains(relay.service);
+    auto isThrottled = false;
     DecodePlan plan;
     auto decide = [&](bool hasWaited) {
         auto prefillTime = m_prefill->expectedTime();
         plan = planDecode(relay, { prefillTime, hasWaited, m_decodeCalls });
         if (plan.decision.action == DecodeAction::Refuse && !hasWaited)
             return SlotQueue::Step::GiveUp;
+        isThrottled = takesRate && m_prefill->isThrottled();
+        if (isThrottled) {
+            auto wait = m_prefill->expectedRateWait(hasWaited ? 1 : plan.need.waitingAhead + 1);
+            return hasWaited || wait < relay.remaining() ? SlotQueue::Step::Wait : SlotQueue::Step::GiveUp;
+        }
         return plan.decision.action != DecodeAction::Refuse && plan.decision.expectedWait <= longestHold ? SlotQueue::Step::Proceed : SlotQueue::Step::Wait;
     };
-    auto step = co_await relay.services.slotQueue.wait(relay, { order(), false, relay.deadline(), false }, decide);
+    auto step = co_await relay.services.slotQueue.wait(relay, { order(), false, relay.deadline(), takesRate }, decide);
     if (step == SlotQueue::Step::Proceed) {
         logWait("prefill", since, plan, "proceeded");
         co_return Result<void>();
     }
     logWait("prefill", since, plan, "refused");
-    co_return plan.refusal();
+    co_return isThrottled ? rateLimitedError(m_prefill->expectedRateWait(plan.need.waitingAhead + 1)) : plan.refusal();
 }
 
 asio::awaitable<Result<ReplicaEntry>> GenerationRelay::awaitDecodeEngine()
@@ -232,6 +240,7 @@
     if (!m_lastEventId.empty())
         call.resumeAfter = m_lastEventId;
     logRouted(engine);
+    relay.recordRequestTo(engine);
     auto sent = co_await relay.services.replicaClient.send(std::move(call));
     auto response = checkDecodeResponse(std::move(sent), m_isContinuation);
     // The engine may have fetched the KV cache, and a handle is valid for a single fetch.
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -19,23 +19,81 @@
         LoadTracker::InFlightWork inFlightWork; /**< until the replica has sent the whole body */
     };
 
+    void logWait(const RelayContext& relay, TimePoint since, Duration expected, SlotQueue::Step step)
+    {
+        auto end = step == SlotQueue::Step::Proceed ? "proceeded" : "refused";
+        auto waited = relay.services.timers.now() - since;
+        relay.services.log.write(EventId::SlotAwaited, { { "request", relay.request.id }, { "stage", "call" }, { "ms", waited.count() / 1000 }, { "end", end }, { "priority", relay.priority() }, { "expected_ms", expected.count() / 1000 } });
+        relay.services.metrics.count("chestnut_gateway_slot_waits_total", { { "end", end } });
+    }
+
     bool isServerError(int status)
     {
         return status >= 500;
     }
 
-    const ReplicaEntry* choose(RelayContext& relay, bool mayUseEjected)
+    /** The replica for the next attempt and what the choice was based on. */
+    struct CallPlan {
+        std::vector<PlacementView> views;
+        std::optional<ReplicaEntry> choice;
+    };
+
+    CallPlan planCall(RelayContext& relay, bool mayUseEjected)
     {
+        CallPlan plan;
         auto entries = relay.candidates(EngineStage::None);
-        std::vector<PlacementView> views;
-        views.reserve(entries.size());
         for (const auto* entry : entries)
-            views.push_back(relay.viewOf(*entry));
-        auto choice = relay.chooseReplica(views);
+            plan.views.push_back(relay.viewOf(*entry));
+        auto choice = relay.chooseReplica(plan.views);
         // If every replica is ejected, trying one is better than refusing the request.
-        if (!choice && mayUseEjected && !entries.empty())
-            choice = 0;
-        return choice ? entries[*choice] : nullptr;
+        if (!choice && mayUseEjected) {
+            auto found = std::ranges::find(plan.views, false, &PlacementView::isThrottled);
+            if (found != plan.views.end())
+                choice = static_cast<size_t>(found - plan.views.begin());
+        }
+        if (choice)
+            plan.choice = *entries[*choice];
+        return plan;
+    }
+
+    bool isThrottled(const CallPlan& plan)
+    {
+        return !plan.choice && std::ranges::any_of(plan.views, &PlacementView::isThrottled);
+    }
+
+    /** Requests that wait in the daemons and are not less urgent than this one. */
+    double waitingAhead(const RelayContext& relay)
+    {
+        auto work = relay.services.loadTracker->observe(waitingAt(relay.service)).work;
+        auto hasSeveral = relay.priorities().levels() > 1;
+        return hasSeveral ? work.decodes.sum(0, relay.priorities().endOrderOf(relay.priority())) : work.requests;
+    }
+
+    /** Returns a replica for the request. While the rate limits of all replicas leave none, the most urgent requests wait, and those
+        that are not expected to be let through in time are refused at once. */
+    asio::awaitable<Result<ReplicaEntry>> awaitReplica(RelayContext& relay, bool hasErrorResponse)
+    {
+        CallPlan plan;
+        Duration expectedWait {};
+        auto decide = [&](bool hasWaited) {
+            plan = planCall(relay, !hasErrorResponse);
+            if (plan.choice)
+                return SlotQueue::Step::Proceed;
+            // An error response at hand is not held back for a replica that may send a better one.
+            if (!isThrottled(plan) || hasErrorResponse)
+                return SlotQueue::Step::GiveUp;
+            expectedWait = expectedRateWait(plan.views, hasWaited ? 1 : waitingAhead(relay) + 1);
+            return hasWaited || expectedWait < relay.remaining() ? SlotQueue::Step::Wait : SlotQueue::Step::GiveUp;
+        };
+        auto since = relay.services.timers.now();
+        auto step = co_await relay.services.slotQueue.wait(relay, { relay.orderAt(PrefillRank::Urgent), false, relay.deadline() }, decide);
+        if (isThrottled(plan) || relay.services.timers.now() > since)
+            logWait(relay, since, expectedWait, step);
+        if (step == SlotQueue::Step::Proceed)
+            co_return *plan.choice;
+        if (isThrottled(plan))
+            co_return rateLimitedError(expectedWait);
+        co_return makeError(ErrorKind::NoBackend, "the service has no usable replica");
     }
 
     /** The callbacks of an attempt that waits for its response until `limit`. */
@@ -58,6 +116,7 @@
         SilenceWatch watch(relay, silenceCallbacks(relay, replica, limit));
         watch.start(replica, limit);
         auto inFlightWork = relay.services.loadTracker->begin(replica.id);
+        relay.recordRequestTo(replica);
         auto loadShare = relay.loadShareOf(replica);
         auto response = co_await relay.services.replicaClient.send(std::move(call));
         if (!response)
@@ -97,10 +156,15 @@
         // The first error response of a replica; the client gets it unless a later attempt is served.
         std::optional<CompleteResponse> firstError;
         while (true) {
-            const auto* entry = choose(relay, !firstError);
-            if (!entry || !relay.acquireAttempt())
+            auto chosen = co_await awaitReplica(relay, firstError.has_value());
+            if (!chosen) {
+                if (chosen.error().kind == ErrorKind::Overloaded)
+                    last = chosen.error();
+                break;
+            }
+            if (!relay.acquireAttempt())
                 break;
-            auto replica = *entry;
+            auto replica = std::move(*chosen);
             relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", replica.id }, { "in_flight", relay.services.loadTracker->requestsAt(replica.id) }, { "left_ms", relay.remaining().count() / 1000 } });
             relay.beginUsage();
             auto response = co_await attempt(relay, replica, responseWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -2,6 +2,8 @@
 
 #include "decisions/speeds/WaitLimits.h"
 
+#include <algorithm>
+
 namespace chestnut {
 
 namespace {
@@ -26,18 +28,35 @@
 {
 }
 
-std::optional<PromptPrefill::Placement> PromptPrefill::findEngine() const
+PromptPrefill::Candidates PromptPrefill::candidates() const
 {
     auto& services = m_relay.services;
-    auto entries = services.replicas.usable(m_relay.service, EngineStage::Prefill, m_relay.excluded);
-    std::vector<PlacementView> views;
-    views.reserve(entries.size());
-    for (const auto* entry : entries) {
+    Candidates found { services.replicas.usable(m_relay.service, EngineStage::Prefill, m_relay.excluded), {} };
+    found.views.reserve(found.entries.size());
+    for (const auto* entry : found.entries) {
         auto view = m_relay.viewOf(*entry);
         for (size_t i = 0; i + 1 < m_prompt.parts.size() && services.loadTracker->hasPart(entry->id, m_prompt.parts[i].id); ++i)
             view.cachedTokens += m_prompt.parts[i].tokens;
-        views.push_back(std::move(view));
+        found.views.push_back(std::move(view));
     }
+    return found;
+}
+
+bool PromptPrefill::isThrottled() const
+{
+    auto views = candidates().views;
+    return std::ranges::any_of(views, &PlacementView::isThrottled) && std::ranges::none_of(views, isEligible);
+}
+
+Duration PromptPrefill::expectedRateWait(double ahead) const
+{
+    return chestnut::expectedRateWait(candidates().views, ahead);
+}
+
+std::optional<PromptPrefill::Placement> PromptPrefill::findEngine() const
+{
+    auto& services = m_relay.services;
+    auto [entries, views] = candidates();
     auto speed = services.speeds.speedOf(m_relay.service);
     auto elapsed = services.timers.now() - m_relay.request.arrival;
     auto onTime = m_relay.route.latencyObjective - elapsed - speed.firstEvent.value_or(Duration::zero());
@@ -86,6 +105,7 @@
     const auto& [engine, choice, speed] = placement;
     auto& services = m_relay.services;
     auto inFlightWork = services.loadTracker->beginPrefill(engine.id, choice.missingTokens, choice.order);
+    m_relay.recordRequestTo(engine);
     m_order = choice.order;
     auto loadShare = m_relay.loadShareOf(engine);
     std::vector<uint64_t> parts;
@@ -133,6 +153,8 @@
         auto isRetry = !std::exchange(m_isFirstCall, false);
         m_mayCallAgain = calls + 1 < maximumCalls;
         auto placement = findEngine();
+        if (!placement && isThrottled())
+            co_return rateLimitedError(expectedRateWait(1));
         // Without a prefill engine the decode engine processes the prompt.
         if (!placement)
             co_return std::nullopt;
--- a/modules/gateway/requests/PromptPrefill.h
+++ b/modules/gateway/requests/PromptPrefill.h
@@ -25,6 +25,12 @@
     /** Whether the prefill can be completed before the request's deadline. Without a prefill engine there is nothing to wait for. */
     bool canRunInTime() const;
 
+    /** Whether only the rate limits of the engines keep the prefill from beginning now. */
+    bool isThrottled() const;
+
+    /** Expected time until the rate limits let the prefill begin, behind `ahead` waiting requests. */
+    Duration expectedRateWait(double ahead) const;
+
 private:
     struct Placement {
         ReplicaEntry engine;
@@ -32,6 +38,13 @@
         std::optional<PrefillSpeed> speed; /**< at the time of the choice */
     };
 
+    /** The usable engines as this request sees them. */
+    struct Candidates {
+        std::vector<const ReplicaEntry*> entries;
+        std::vector<PlacementView> views; /**< of the entries */
+    };
+
+    Candidates candidates() const;
     std::optional<Placement> findEngine() const;
     asio::awaitable<Result<PrefillResponse>> callEngine(const Placement&);
     /** Interrupts a call that takes far longer than expected, if its engine completes no other work either and another engine
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -274,9 +274,17 @@
     applyCapacity(view, services.loadTracker->capacity().capacityOf(entry), observation.slowdown);
     view.errorShare = std::max(view.errorShare, observation.errorShare);
     view.isEjected = observation.isEjected;
+    view.rateLimit = services.replicas.rateLimitOf(entry);
+    view.isThrottled = view.rateLimit && !services.rateLimiter.mayRequest(entry, *view.rateLimit);
     return view;
 }
 
+void RelayContext::recordRequestTo(const ReplicaEntry& entry)
+{
+    if (auto perSecond = services.replicas.rateLimitOf(entry))
+        services.rateLimiter.recordRequest(entry, *perSecond);
+}
+
 std::vector<const ReplicaEntry*> RelayContext::candidates(EngineStage stage) const
 {
     auto used = excluded;
@@ -291,7 +299,7 @@
         auto view = viewOf(*entry);
         // An engine whose memory is full refuses requests although it has free slots.
         auto isFull = view.requests >= limitOf(view) || isRefusing(view);
-        return entry->id != other && !view.isEjected && !isFull;
+        return entry->id != other && isEligible(view) && !isFull;
     });
 }
 
@@ -389,6 +397,13 @@
     return error;
 }
 
+Error rateLimitedError(Duration expectedWait)
+{
+    auto error = makeError(ErrorKind::Overloaded, "the replicas take no further request now: all name a rate limit");
+    error.retryAfter = std::max(std::chrono::ceil<std::chrono::milliseconds>(expectedWait), defaultRetryAfter);
+    return error;
+}
+
 asio::awaitable<void> sendErrorResponse(HttpResponseWriter& writer, const RequestId& request, const Error& error)
 {
     const auto& description = describe(error.kind);
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -3,6 +3,7 @@
 #include "decisions/retries/ServiceRetryBudget.h"
 #include "decisions/routes/RouteTable.h"
 #include "decisions/speeds/StreamProgress.h"
+#include "gateway/limits/RateLimiter.h"
 #include "gateway/members/DaemonDirectory.h"
 #include "gateway/replicas/ReplicaDirectory.h"
 #include "gateway/replicas/SpeedTracker.h"
@@ -51,6 +52,7 @@
     std::shared_ptr<StreamProgress> streams;
     CrashTracker& crashTracker;
     RetryBudgets& budgets;
+    RateLimiter& rateLimiter;
     AvailabilityZone zone;
     Duration soundSilence; /**< longest silence of a sound engine in the middle of a stream */
     std::shared_ptr<ByteBudget> responseBuffers; /**< of bodies whose clients read slowly; null: bodies are read whole */
@@ -125,6 +127,9 @@
     /** The error for the client when no attempt succeeded; its outcome is "not run" only when that is certain. */
     Error finalError(Error last) const;
 
+    /** Counts a request to the replica, whatever becomes of it, against the rate that the replica takes. */
+    void recordRequestTo(const ReplicaEntry&);
+
     PlacementView viewOf(const ReplicaEntry&) const;
     /** The replica of a plain service, or the decode engine, for the next attempt. */
     std::optional<size_t> chooseReplica(std::span<const PlacementView>) const;
@@ -196,6 +201,9 @@
 /** The refusal of a request for which the engines have no capacity before its deadline. */
 Error saturatedError(std::string detail);
 
+/** The refusal of a request that the rate limits of the replicas do not let through before its deadline. */
+Error rateLimitedError(Duration expectedWait);
+
 /** Sends an error response, with a Retry-After header if the client may retry. */
 asio::awaitable<void> sendErrorResponse(HttpResponseWriter&, const RequestId&, const Error&);
 
--- a/modules/gateway/requests/StreamMove.cpp
+++ b/modules/gateway/requests/StreamMove.cpp
@@ -20,6 +20,7 @@
 {
     const auto& services = m_relay->services;
     m_inFlightWork = services.loadTracker->begin(engine.id);
+    m_relay->recordRequestTo(engine);
     ReplicaCall call { m_relay->request, engine.id, engine.address, m_relay->remaining() };
     call.abort = m_abort;
     call.priority = priority;
--- a/modules/gateway/roles/RoleManager.cpp
+++ b/modules/gateway/roles/RoleManager.cpp
@@ -165,7 +165,7 @@
     if (!m_replicas.acceptsControlCalls(change.id))
         co_return;
     m_log.write(EventId::OrderSent, { { "replica", change.id }, { "service", service.id }, { "stage", nameOf(change.stage) }, { "fencing", m_lease.fencingNumber() }, { "expected_orders", report->acceptedOrders }, { "demand", demand.requests }, { "slots", demand.slots } });
-    m_replicas.pauseForOrder(change.id, change.stage);
+    m_replicas.pauses().begin(change.id, change.stage);
     auto result = co_await m_replicaClient.order({ change.id, address, change.stage, m_lease.self().value(), m_lease.fencingNumber(), report->acceptedOrders });
     if (result && *result != OrderResult::Refused) {
         m_log.write(EventId::OrderSettled, { { "replica", change.id }, { "stage", nameOf(change.stage) } });
@@ -173,7 +173,7 @@
     }
     // An order without a response may still take effect, so the replica stays paused.
     if (result)
-        m_replicas.endPause(change.id);
+        m_replicas.pauses().end(change.id);
     m_log.write(EventId::OrderFailed, { { "replica", change.id }, { "detail", result ? "refused" : result.error().detail } });
 }
 
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -89,11 +89,12 @@
     , m_configurationApi(m_routing)
     , m_versions(m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_routing, *m_daemons, m_ownKeys, m_dependencies.configurationClient)
     , m_budgets(m_dependencies.timers, *m_daemons, m_settings.bounds.retryBudget)
+    , m_rateLimiter(m_dependencies.timers, [daemons = m_daemons] { return daemons->activeDaemons(); }, hash64(m_settings.self.id.value()))
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_loadTracker, m_speeds, m_crashTracker, m_replicas)
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
     , m_taskLease(makeTaskLease())
     , m_scaling(makeScaling())
-    , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_settings.self.zone, m_settings.bounds.soundSilence, m_dependencies.responseBuffers }
+    , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_rateLimiter, m_settings.self.zone, m_settings.bounds.soundSilence, m_dependencies.responseBuffers }
     , m_accountMetrics(m_dependencies.timers, m_dependencies.metrics)
     , m_accountUse(m_dependencies.timers, hash64(m_settings.self.id.value()))
 {
@@ -102,6 +103,7 @@
     m_loadTracker->seed(hash64(m_settings.self.id.value()));
     m_loadTracker->capacity().publishTo(m_dependencies.metrics);
     m_exchange.shareAccountUse(m_accountUse);
+    m_exchange.shareDemand(m_rateLimiter);
     m_dependencies.replicaClient.onNotice([this](const ReplicaNotice& notice) { onNotice(notice); });
     m_dependencies.store.onEpochChange([this] { onStoreRestored(); });
     m_dependencies.store.onResponseLost([this] { m_daemons->verifyStore(); });
@@ -317,6 +319,7 @@
 asio::awaitable<void> Gateway::serve(RoutedRequest request, std::shared_ptr<const RouteTable> table, const Route& route, const ServiceId& service, HttpResponseWriter& writer)
 {
     m_budgets.addRequest(service);
+    m_rateLimiter.recordDemand(service);
     auto context = std::make_shared<RelayContext>(m_relayServices, std::move(request), table, route, service);
     if (m_shutdown && !mayStart(*m_shutdown, context->request.arrival, context->deadline(), m_speeds.speedOf(service).occupancy)) {
         co_await refuse(context->request.id, makeError(ErrorKind::Leaving, "the request could outlast this daemon, which is shutting down"), writer);
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -128,6 +128,7 @@
     ConfigurationApi m_configurationApi;
     ConfigurationExchange m_versions;
     RetryBudgets m_budgets;
+    RateLimiter m_rateLimiter;
     LoadExchange m_exchange;
     RoleManager m_roles;
     std::unique_ptr<FencedLease> m_taskLease; /**< null without a task platform */
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -66,6 +66,7 @@
         request.arrival = timers.now();
         request.account = account;
         budgets.addRequest(ServiceId("s"));
+        rateLimiter.recordDemand(ServiceId("s"));
         auto isGeneration = request.prompt.has_value();
         auto relay = std::make_shared<RelayContext>(services, std::move(request), table, *table->find("h", "/x"), ServiceId("s"));
         relay->abortOnDisconnectOrDeadline(writer);
@@ -115,7 +116,8 @@
     std::shared_ptr<StoreMirror> ownKeys = std::make_shared<StoreMirror>(context, store, timers, log, "chestnutroute/", [] { return Duration::zero(); });
     DaemonDirectory daemons { context, store, timers, log, ownKeys, { DaemonId("d0"), AvailabilityZone("a"), { "10.0.0.9", 1 }, { "10.0.0.9", 2 } }, [] {} };
     RetryBudgets budgets { timers, daemons, { 0.2, 20, std::chrono::seconds(10) } };
-    RelayServices services { context, timers, log, metrics, replicaClient, replicas, loadTracker, speeds, streams, crashTracker, budgets, AvailabilityZone("a"), std::chrono::milliseconds(1500) };
+    RateLimiter rateLimiter { timers, [] { return 1U; }, 1 };
+    RelayServices services { context, timers, log, metrics, replicaClient, replicas, loadTracker, speeds, streams, crashTracker, budgets, rateLimiter, AvailabilityZone("a"), std::chrono::milliseconds(1500) };
 
 private:
     static asio::awaitable<void> generate(RelayPointer relay, HttpResponseWriter& writer)
--- a/tests/gateway/StoreMirrorTest.cpp
+++ b/tests/gateway/StoreMirrorTest.cpp
@@ -244,7 +244,7 @@
     GatewayFixture fixture;
     fixture.addReplica("i-1", "s", "decode");
     ServiceId service("s");
-    fixture.replicas.pauseForOrder(ReplicaId("i-1"), EngineStage::Prefill);
+    fixture.replicas.pauses().begin(ReplicaId("i-1"), EngineStage::Prefill);
     fixture.timers.advance(9s);
     CHECK(fixture.replicas.usable(service, EngineStage::Decode).empty());
     CHECK(fixture.replicas.engines(service).size() == 1);
--- a/tests/platform/NoticeTest.cpp
+++ b/tests/platform/NoticeTest.cpp
@@ -178,3 +178,45 @@
     };
     CHECK(rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters).is<rc::detail::SuccessResult>());
 }
+
+TEST_CASE("Server-Limit is read in requests per second; invalid values are reported as unreadable")
+{
+    struct Case {
+        HttpHeaders headers;
+        std::optional<double> perSecond;
+        bool isReadable;
+    };
+    for (const auto& [headers, perSecond, isReadable] : std::vector<Case> {
+             { { { "server-limit", " 26.3 " } }, 26.3, true },
+             { { { "Server-Limit", "0" } }, 0, true },
+             { { { "Server-Limit", "1e300" } }, 1e300, true },
+             { { { "Server-Limit", "8" }, { "Server-Limit", "3" }, { "Server-Limit", "5" } }, 3, true },
+             { { { "Server-Limit", "few" }, { "Server-Limit", "2" } }, 2, false },
+             { { { "Server-Limit", "-1" } }, std::nullopt, false },
+             { { { "Server-Limit", "nan" } }, std::nullopt, false },
+             { { { "Server-Limit", "inf" } }, std::nullopt, false },
+             { { { "Server-Limit", "" } }, std::nullopt, false },
+             { { { "Server-Limit", "1, 2" } }, std::nullopt, false } }) {
+        for (int status : { 200, 500, 503 }) {
+            auto content = platform::decodeNotice(status, headers);
+            const auto value = headers.fields().front().second;
+            CAPTURE(value);
+            CHECK(content.rate == (perSecond ? std::optional(RateNotice { perSecond }) : std::nullopt));
+            CHECK(content.unreadable.empty() == isReadable);
+        }
+        // A late response may be older than what the replica says now.
+        CHECK_FALSE(platform::decodeLateNotice(headers).rate.has_value());
+    }
+}
+
+TEST_CASE("only a response to a request shows by a missing Server-Limit that there is no limit")
+{
+    ReplicaFixture fixture;
+    fixture.response = { 200, {}, "" };
+    fixture.callAll();
+    for (const auto& notice : fixture.notices) {
+        CHECK(notice.request == "q1");
+        CHECK(notice.content.rate == RateNotice {});
+    }
+    CHECK(fixture.notices.size() == 2);
+}
