Relays: errors, retry budgets and the waits of generations are files of their own

Change: ErrorResponses, RetryBudgets and GenerationTurns are split off without a change of behavior; RelayContext::waitingAhead() replaces both counts. The continuation of a stream is a free function beside the splitting of events. A plain request logs slot_awaited only if rate limits held it back.

--- a/modules/gateway/requests/DecodePlan.cpp
+++ b/modules/gateway/requests/DecodePlan.cpp
@@ -8,17 +8,6 @@
 
 namespace {
 
-    /** Requests that wait in the daemons and are not less urgent than this one, which does not wait yet. Of a waiting one it is
-        not known how many precede it; it is the first one of its daemon. */
-    double waitingRequests(const RelayContext& relay)
-    {
-        auto work = relay.services.loadTracker->observe(waitingAt(relay.service)).work;
-        double ahead = work.requests;
-        if (relay.priorities().levels() > 1)
-            ahead = work.decodes.sum(0, relay.priorities().endOrderOf(relay.priority()));
-        return ahead;
-    }
-
     /** Prefills in flight that are not less urgent than this request; their decodes begin before its own. Their number by
         priority is estimated from their queued tokens, as only these are counted by priority. */
     double prefillsAhead(const RelayContext& relay)
@@ -57,7 +46,7 @@
     need.startsIn = state.startsIn;
     need.hasMoreUrgent = level > 0;
     need.keptFree = services.urgentWork.slotsKeptFree(relay.service, level, plan.views);
-    need.waitingAhead = (state.isWaiting ? 0 : waitingRequests(relay)) + (state.startsIn > Duration::zero() ? prefillsAhead(relay) : 0);
+    need.waitingAhead = (state.isWaiting ? 0 : relay.waitingAhead()) + (state.startsIn > Duration::zero() ? prefillsAhead(relay) : 0);
     need.choice = hash64(relay.request.id.value(), state.calls);
     need.ownZone = services.zone;
     plan.decision = placeDecode(plan.views, need);
--- a/modules/gateway/requests/EventSplitter.cpp
+++ b/modules/gateway/requests/EventSplitter.cpp
@@ -106,4 +106,27 @@
     return events;
 }
 
+bool keepContinuation(EventBatch& batch, StreamPosition& position, bool isContinuation, std::string& lastEventId)
+{
+    std::string kept;
+    auto fits = true;
+    for (const auto& event : eventsOf(batch.bytes)) {
+        auto number = eventNumber(event.id);
+        auto fit = isContinuation && !event.isComment ? position.fitOf(number) : EventFit::Next;
+        fits = fit != EventFit::Mismatch;
+        if (!fits)
+            break;
+        if (fit == EventFit::Repeated)
+            continue;
+        kept.append(event.text);
+        if (event.isComment)
+            continue;
+        position.recordSent(number);
+        if (!event.id.empty())
+            lastEventId = event.id;
+    }
+    batch.bytes = std::move(kept);
+    return fits;
+}
+
 } // namespace chestnut
--- a/modules/gateway/requests/EventSplitter.h
+++ b/modules/gateway/requests/EventSplitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decisions/streams/StreamPosition.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -56,4 +58,8 @@
 /** Parses a numeric event id. */
 std::optional<uint64_t> eventNumber(std::string_view id);
 
+/** Removes the events that the client has received, and all from the first one on that does not continue its stream.
+    Returns false if there is such an event. `lastEventId` becomes the id of the last event that is kept. */
+bool keepContinuation(EventBatch&, StreamPosition&, bool isContinuation, std::string& lastEventId);
+
 } // namespace chestnut
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -4,7 +4,7 @@
 #include "decisions/drains/DepartingStream.h"
 #include "decisions/speeds/WaitLimits.h"
 #include "gateway/requests/BodyRelay.h"
-#include "kernel/tasks/BackgroundTask.h"
+#include "gateway/requests/DecodePlan.h"
 
 #include <algorithm>
 
@@ -20,15 +20,6 @@
     /** Different positions of streams in the order in which they leave an engine. */
     constexpr uint64_t positions = 1000;
 
-    /** Share of the validity of a handle that its decode may wait; the rest is for the call and the transfer. */
-    constexpr double usedShareOfValidity = 0.6;
-
-    Duration handleValidity(const RelayContext& relay)
-    {
-        const auto* profile = relay.table->service(relay.service);
-        return profile && profile->engine ? profile->engine->handleValidity : EngineProfile {}.handleValidity;
-    }
-
     bool isSuccess(int status)
     {
         return status >= 200 && status < 300;
@@ -52,7 +43,8 @@
         co_await sendFailure(m_relay->finalError(served.error()));
     if (m_move)
         m_move->cancel();
-    releaseHandle();
+    if (m_handle)
+        releaseHandle(m_relay->services, *m_handle);
 }
 
 SilenceWatch::Callbacks GenerationRelay::silenceCallbacks()
@@ -126,79 +118,9 @@
     m_silenceWatch.start(engine, isFull ? std::nullopt : limit);
 }
 
-asio::awaitable<Result<void>> GenerationRelay::awaitPrefillTurn()
-{
-    auto& relay = *m_relay;
-    auto since = relay.services.timers.now();
-    auto longestHold = fromSeconds(toSeconds(handleValidity(relay)) * usedShareOfValidity);
-    // A slot is taken only after the prefill, but a part of an engine's rate at once.
-    auto takesRate = relay.services.replicas.rateLimitedServices().contains(relay.service);
-    auto isThrottled = false;
-    DecodePlan plan;
-    auto decide = [&](bool hasWaited) {
-        auto prefillTime = m_prefill->expectedTime();
-        plan = planDecode(relay, { prefillTime, hasWaited, m_decodeCalls });
-        if (plan.decision.action == DecodeAction::Refuse && !hasWaited)
-            return SlotQueue::Step::GiveUp;
-        isThrottled = takesRate && m_prefill->isThrottled();
-        if (isThrottled) {
-            auto wait = m_prefill->expectedRateWait(hasWaited ? 1 : plan.need.waitingAhead + 1);
-            return hasWaited || wait < relay.remaining() ? SlotQueue::Step::Wait : SlotQueue::Step::GiveUp;
-        }
-        return plan.decision.action != DecodeAction::Refuse && plan.decision.expectedWait <= longestHold ? SlotQueue::Step::Proceed : SlotQueue::Step::Wait;
-    };
-    auto step = co_await relay.services.slotQueue.wait(relay, { order(), false, relay.deadline(), takesRate }, decide);
-    if (step == SlotQueue::Step::Proceed) {
-        logWait("prefill", since, plan, "proceeded");
-        co_return Result<void>();
-    }
-    logWait("prefill", since, plan, "refused");
-    co_return isThrottled ? rateLimitedError(m_prefill->expectedRateWait(plan.need.waitingAhead + 1)) : plan.refusal();
-}
-
-asio::awaitable<Result<ReplicaEntry>> GenerationRelay::awaitDecodeEngine()
+GenerationProgress GenerationRelay::progress() const
 {
-    auto& relay = *m_relay;
-    auto since = relay.services.timers.now();
-    auto until = relay.deadline();
-    if (m_handle)
-        until = std::min(until, m_handleAt + fromSeconds(toSeconds(handleValidity(relay)) * usedShareOfValidity));
-    DecodePlan plan;
-    auto decide = [&](bool hasWaited) {
-        plan = planDecode(relay, { Duration::zero(), hasWaited, m_decodeCalls });
-        if (plan.decision.action == DecodeAction::Call)
-            return SlotQueue::Step::Proceed;
-        // With a handle the prompt has been read, and after a wait the requests that came later are not ahead.
-        auto mayWait = !plan.engines.empty() && (m_handle || hasWaited || plan.decision.action == DecodeAction::Wait);
-        return mayWait ? SlotQueue::Step::Wait : SlotQueue::Step::GiveUp;
-    };
-    auto step = co_await relay.services.slotQueue.wait(relay, { order(), m_handle.has_value(), until }, decide);
-    if (step == SlotQueue::Step::Proceed) {
-        logWait("decode", since, plan, "proceeded");
-        co_return plan.engines[plan.decision.index];
-    }
-    auto last = m_handle && !relay.isOver() ? lastDecodeEngine() : Result<ReplicaEntry>(plan.refusal());
-    logWait("decode", since, plan, last ? "last_resort" : "refused");
-    co_return last;
-}
-
-Result<ReplicaEntry> GenerationRelay::lastDecodeEngine() const
-{
-    auto plan = planDecode(*m_relay, { Duration::zero(), true, m_decodeCalls });
-    auto choice = lastResortEngine(plan.views, m_relay->services.zone);
-    if (!choice)
-        return plan.refusal();
-    return plan.engines[*choice];
-}
-
-void GenerationRelay::logWait(std::string_view stage, TimePoint since, const DecodePlan& plan, std::string_view end) const
-{
-    const auto& relay = *m_relay;
-    auto waited = relay.services.timers.now() - since;
-    if (waited == Duration::zero() && end == "proceeded")
-        return;
-    relay.services.log.write(EventId::SlotAwaited, { { "request", relay.request.id }, { "stage", stage }, { "ms", waited.count() / 1000 }, { "end", end }, { "priority", relay.priority() }, { "load", describeLoad(plan.views) }, { "kept_free", plan.need.keptFree }, { "ahead", plan.need.waitingAhead }, { "expected_ms", plan.decision.expectedWait.count() / 1000 } });
-    relay.services.metrics.count("chestnut_gateway_slot_waits_total", { { "end", std::string(end) } });
+    return { order(), m_decodeCalls, m_handle ? std::optional(m_handleAt) : std::nullopt };
 }
 
 EnginePosition GenerationRelay::order() const
@@ -249,29 +171,6 @@
     co_return response;
 }
 
-bool GenerationRelay::keepContinuation(EventBatch& batch)
-{
-    std::string kept;
-    auto fits = true;
-    for (const auto& event : eventsOf(batch.bytes)) {
-        auto number = eventNumber(event.id);
-        auto fit = m_isContinuation && !event.isComment ? m_position.fitOf(number) : EventFit::Next;
-        fits = fit != EventFit::Mismatch;
-        if (!fits)
-            break;
-        if (fit == EventFit::Repeated)
-            continue;
-        kept.append(event.text);
-        if (event.isComment)
-            continue;
-        m_position.recordSent(number);
-        if (!event.id.empty())
-            m_lastEventId = event.id;
-    }
-    batch.bytes = std::move(kept);
-    return fits;
-}
-
 bool GenerationRelay::mayContinue() const
 {
     return !m_writer.hasBegun() || (m_relay->route.isResumable && m_position.canContinue());
@@ -318,7 +217,7 @@
         if (isEnd && !splitter.isInsideEvent())
             batch.bytes += splitter.takeRemainder();
         m_hasEvents = m_hasEvents || hasEvents;
-        auto fits = keepContinuation(batch);
+        auto fits = keepContinuation(batch, m_position, m_isContinuation, m_lastEventId);
         if (!co_await writeEvents(response, std::move(batch)))
             co_return StreamEnd::ClientDisconnected;
         if (!fits)
@@ -387,7 +286,7 @@
     if (m_move)
         co_return m_move->engine;
     if (mayPrefill && needsPrefill()) {
-        if (auto turn = co_await awaitPrefillTurn(); !turn)
+        if (auto turn = co_await awaitPrefillTurn(*m_relay, *m_prefill, progress()); !turn)
             co_return turn.error();
         auto handle = co_await m_prefill->run();
         if (!handle)
@@ -395,7 +294,7 @@
         m_handle = std::move(*handle);
         m_handleAt = m_relay->services.timers.now();
     }
-    co_return co_await awaitDecodeEngine();
+    co_return co_await awaitDecodeEngine(*m_relay, progress());
 }
 
 asio::awaitable<Result<void>> GenerationRelay::decodeAt(const ReplicaEntry& engine)
@@ -490,17 +389,4 @@
     m_relay->services.log.write(EventId::RequestRefused, { { "request", m_relay->request.id }, { "kind", describe(error.kind).name }, { "begun", m_writer.hasBegun() ? 1 : 0 }, { "detail", error.detail } });
 }
 
-void GenerationRelay::releaseHandle()
-{
-    // An unused handle expires by itself.
-    if (!m_handle || m_relay->services.replicas.isBackingOff(m_handle->engine))
-        return;
-    auto release = [](RelayServices& services, CacheHandle handle) -> asio::awaitable<void> {
-        auto released = co_await services.replicaClient.release(handle);
-        if (!released)
-            services.log.write(EventId::HandleReleaseFailed, { { "source", handle.source }, { "handle", handle.id }, { "detail", released.error().detail } });
-    };
-    spawnTask(m_relay->services.context.get_executor(), m_relay->services.log, "handle_release", release(m_relay->services, *m_handle));
-}
-
 } // namespace chestnut
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "decisions/streams/StreamPosition.h"
-#include "gateway/requests/DecodePlan.h"
 #include "gateway/requests/EventSplitter.h"
+#include "gateway/requests/GenerationTurns.h"
 #include "gateway/requests/PromptPrefill.h"
 #include "gateway/requests/SilenceWatch.h"
 
@@ -32,14 +31,7 @@
     asio::awaitable<Result<void>> generate();
     /** Chooses the decode engine, after running the prefill if needed. */
     asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayPrefill);
-    /** Waits until the prompt can be read with a slot for its decode in view. */
-    asio::awaitable<Result<void>> awaitPrefillTurn();
-    /** Waits until a decode engine has room; an error when none is expected to have room in time. */
-    asio::awaitable<Result<ReplicaEntry>> awaitDecodeEngine();
-    /** The engine for a decode with a handle that cannot wait any longer. */
-    Result<ReplicaEntry> lastDecodeEngine() const;
-    /** Writes one line about a request that waited, or was refused without a wait. */
-    void logWait(std::string_view stage, TimePoint since, const DecodePlan&, std::string_view end) const;
+    GenerationProgress progress() const;
     /** Position of the decode at the engines. */
     EnginePosition order() const;
     /** Whether prefill engines should process the prompt; decode engines process short ones themselves. */
@@ -50,9 +42,6 @@
     asio::awaitable<Result<void>> decodeAt(const ReplicaEntry&);
     asio::awaitable<Result<ReplicaResponse>> openDecodeStream(const ReplicaEntry&);
     asio::awaitable<StreamEnd> relayEvents(const ReplicaEntry& engine, ReplicaResponse&, TimePoint sentAt);
-    /** Removes the events that the client has received, and all from the first one on that does not continue its stream.
-        Returns false if there is such an event. */
-    bool keepContinuation(EventBatch&);
     asio::awaitable<bool> writeEvents(ReplicaResponse&, EventBatch);
     /** Whether another run may continue what the client has received. */
     bool mayContinue() const;
@@ -76,7 +65,6 @@
 
     void logRouted(const ReplicaEntry&) const;
     asio::awaitable<void> sendFailure(Error);
-    void releaseHandle();
     void logCompletion(int status) const;
     void logRefusal(const Error&) const;
 
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -61,14 +61,6 @@
         return !plan.choice && std::ranges::any_of(plan.views, &PlacementView::isThrottled);
     }
 
-    /** Requests that wait in the daemons and are not less urgent than this one. */
-    double waitingAhead(const RelayContext& relay)
-    {
-        auto work = relay.services.loadTracker->observe(waitingAt(relay.service)).work;
-        auto hasSeveral = relay.priorities().levels() > 1;
-        return hasSeveral ? work.decodes.sum(0, relay.priorities().endOrderOf(relay.priority())) : work.requests;
-    }
-
     /** Returns a replica for the request. While the rate limits of all replicas leave none, the most urgent requests wait, and those
         that are not expected to be let through in time are refused at once. */
     asio::awaitable<Result<ReplicaEntry>> awaitReplica(RelayContext& relay, bool hasErrorResponse)
@@ -82,12 +74,12 @@
             // An error response at hand is not held back for a replica that may send a better one.
             if (!isThrottled(plan) || hasErrorResponse)
                 return SlotQueue::Step::GiveUp;
-            expectedWait = expectedRateWait(plan.views, hasWaited ? 1 : waitingAhead(relay) + 1);
+            expectedWait = expectedRateWait(plan.views, hasWaited ? 1 : relay.waitingAhead() + 1);
             return hasWaited || expectedWait < relay.remaining() ? SlotQueue::Step::Wait : SlotQueue::Step::GiveUp;
         };
         auto since = relay.services.timers.now();
         auto step = co_await relay.services.slotQueue.wait(relay, { relay.orderAt(PrefillRank::Urgent), false, relay.deadline() }, decide);
-        if (isThrottled(plan) || relay.services.timers.now() > since)
+        if (expectedWait > Duration::zero())
             logWait(relay, since, expectedWait, step);
         if (step == SlotQueue::Step::Proceed)
             co_return *plan.choice;
--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requests/PromptPrefill.h"
 
 #include "decisions/speeds/WaitLimits.h"
+#include "kernel/tasks/BackgroundTask.h"
 
 #include <algorithm>
 
@@ -172,4 +173,16 @@
     co_return saturatedError("no prefill engine accepted the prompt");
 }
 
+void releaseHandle(RelayServices& services, const CacheHandle& handle)
+{
+    if (services.replicas.isBackingOff(handle.engine))
+        return;
+    auto release = [](RelayServices& relayServices, CacheHandle unused) -> asio::awaitable<void> {
+        auto released = co_await relayServices.replicaClient.release(unused);
+        if (!released)
+            relayServices.log.write(EventId::HandleReleaseFailed, { { "source", unused.source }, { "handle", unused.id }, { "detail", released.error().detail } });
+    };
+    spawnTask(services.context.get_executor(), services.log, "handle_release", release(services, handle));
+}
+
 } // namespace chestnut
--- a/modules/gateway/requests/PromptPrefill.h
+++ b/modules/gateway/requests/PromptPrefill.h
@@ -61,4 +61,7 @@
     bool m_isFirstCall = true; /**< the retry budget counts later calls as retries */
 };
 
+/** Frees KV cache that no decode will fetch. An engine that wants no requests now is not asked; its cache expires by itself. */
+void releaseHandle(RelayServices&, const CacheHandle&);
+
 } // namespace chestnut
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "decisions/retries/ServiceRetryBudget.h"
 #include "decisions/routes/RouteTable.h"
 #include "decisions/speeds/StreamProgress.h"
 #include "gateway/limits/RateLimiter.h"
@@ -8,37 +7,20 @@
 #include "gateway/replicas/ReplicaDirectory.h"
 #include "gateway/replicas/SpeedTracker.h"
 #include "gateway/requests/CrashTracker.h"
+#include "gateway/requests/ErrorResponses.h"
 #include "gateway/requests/ReplicaClient.h"
+#include "gateway/requests/RetryBudgets.h"
 #include "gateway/requests/SlotQueue.h"
 #include "gateway/requests/UrgentWork.h"
 #include "gateway/usage/UsageMeter.h"
 #include "http/server/HttpServer.h"
 #include "kernel/metrics/Metrics.h"
 
-#include <map>
 #include <memory>
 #include <set>
 
 namespace chestnut {
 
-/** The retry budgets of all services; the limits apply to all daemons together. */
-class RetryBudgets {
-public:
-    RetryBudgets(TimerService&, DaemonDirectory&, ServiceRetryLimits);
-
-    void setLimits(const ServiceRetryLimits& limits) { m_limits = limits; }
-    void addRequest(const ServiceId&);
-    bool tryTakeRetry(const ServiceId&);
-    /** Charges a rejected first prefill call as a retry; only an accepted first call is free. */
-    void chargeRejection(const ServiceId&);
-
-private:
-    TimerService& m_timers;
-    DaemonDirectory& m_directory;
-    ServiceRetryLimits m_limits;
-    std::map<ServiceId, ServiceRetryBudget> m_budgets;
-};
-
 /** The services that relays use. */
 struct RelayServices {
     asio::io_context& context;
@@ -75,6 +57,9 @@
     /** Position of the request at the engines of its service. */
     EnginePosition orderAt(PrefillRank rank) const { return priorities().orderOf(priority(), rank); }
     const ServicePriorities& priorities() const { return table->prioritiesOf(service); }
+    /** Requests that wait in the daemons and are not less urgent than this one, which does not wait yet. Of a waiting one it is
+        not known how many precede it; it is the first one of its daemon. */
+    double waitingAhead() const;
     Duration remaining() const { return m_deadline - services.timers.now(); }
     bool isOver() const { return m_isClientDisconnected || m_hasExpired; }
     bool isClientDisconnected() const { return m_isClientDisconnected; }
@@ -192,22 +177,4 @@
 
 using RelayPointer = std::shared_ptr<RelayContext>;
 
-/** The error for a request that has crashed the replicas that ran it. */
-Error crashingRequestError();
-
-/** The error for a request with a prompt part that has crashed engines. */
-Error crashingPartError();
-
-/** The refusal of a request for which the engines have no capacity before its deadline. */
-Error saturatedError(std::string detail);
-
-/** The refusal of a request that the rate limits of the replicas do not let through before its deadline. */
-Error rateLimitedError(Duration expectedWait);
-
-/** Sends an error response, with a Retry-After header if the client may retry. */
-asio::awaitable<void> sendErrorResponse(HttpResponseWriter&, const RequestId&, const Error&);
-
-/** The kind of error that such a response contains; nothing for responses of replicas. */
-std::optional<ErrorKind> errorKindOf(const HttpResponse&);
-
 } // namespace chestnut
