--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -89,7 +89,8 @@
     , m_configurationApi(m_routing)
     , m_versions(m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_routing, *m_daemons, m_ownKeys, m_dependencies.configurationClient)
     , m_budgets(m_dependencies.timers, *m_daemons, m_settings.bounds.retryBudget)
-    , m_rateLimiter(m_dependencies.timers, [daemons = m_daemons] { return daemons->activeDaemons(); }, hash64(m_settings.self.id.value()))
+    , m_rateLimiter(
+          m_dependencies.timers, [daemons = m_daemons] { return daemons->activeDaemons(); }, hash64(m_settings.self.id.value()))
     , m_exchange(m_dependencies.context, m_dependencies.timers, m_dependencies.log, *m_daemons, m_loadTracker, m_speeds, m_crashTracker, m_replicas)
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
     , m_taskLease(makeTaskLease())
