The demand of peers is summed up once in each period of an allotment

Cause: each view of a limited replica summed up the demand of all peers, for each replica and each decision on a waiting request (every 10 ms).

Change: the part of a daemon is computed when a period of 250 ms begins.

No change of behavior is intended.

--- a/modules/decisions/limits/RequestAllotment.cpp
+++ b/modules/decisions/limits/RequestAllotment.cpp
@@ -20,10 +20,15 @@
     return demand.own / (demand.own + demand.others);
 }
 
+bool isCurrent(const RequestAllotment& allotment, TimePoint now)
+{
+    return now.time_since_epoch() / allotmentPeriod == allotment.period;
+}
+
 RequestAllotment advanced(const RequestAllotment& allotment, double perSecond, TimePoint now)
 {
     auto period = now.time_since_epoch() / allotmentPeriod;
-    if (period == allotment.period)
+    if (isCurrent(allotment, now))
         return allotment;
     auto fraction = allotment.fraction;
     auto allot = [&](int64_t periods) {
--- a/modules/decisions/limits/RequestAllotment.h
+++ b/modules/decisions/limits/RequestAllotment.h
@@ -32,6 +32,9 @@
     bool operator==(const RequestAllotment&) const = default;
 };
 
+/** Whether the allotment is that of the present period. */
+bool isCurrent(const RequestAllotment&, TimePoint now);
+
 /** The allotment at a later time, for a daemon that may send `perSecond` requests. A daemon whose share is far below one request in
     each period is allotted one in some of them. The first fraction should be a random number, at least 0 and below 1: the
     requests of hundreds of daemons are then spread over the time and add up to the limit. */
--- a/modules/gateway/limits/RateLimiter.cpp
+++ b/modules/gateway/limits/RateLimiter.cpp
@@ -89,7 +89,9 @@
         held.allotment.fraction = std::uniform_real_distribution<double>(0, 1)(m_random);
     }
     held.usedAt = m_timers.now();
-    held.allotment = advanced(held.allotment, perSecond * limitShare(viewOf(replica.service)), m_timers.now());
+    // The demand of many peers is summed up once in each period only.
+    if (!isCurrent(held.allotment, m_timers.now()))
+        held.allotment = advanced(held.allotment, perSecond * limitShare(viewOf(replica.service)), m_timers.now());
     return held.allotment;
 }
 
