Soak: copies of refusals, and clients that send a refused id again

A replica may send the copy of a refusal late, also when a request with the same id is under way again on the same connection. The soak sent a copy only before the response to another request, its clients used each id once, and only 503 was copied.

Replicas refuse a share of their requests, and clients send most refused requests again at once, with the same id to the same daemon. A repeated id is a new attempt in the ledger: one execution is right, two are TWICE, and one after the last refusal is REFUSED. Without the flag the faults are unchanged.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -74,6 +74,7 @@
         { "leave_in_responses", &FaultInjector::leaveInResponses, true, &FaultProfile::includesNotices },
         { "shed", &FaultInjector::shedRequests, true, &FaultProfile::includesNotices },
         { "without_length", &FaultInjector::omitLengths, true, &FaultProfile::includesFraming },
+        { "refusals_copied", &FaultInjector::copyRefusals, true, &FaultProfile::includesCopies },
         // It excuses no lost requests, as planned work does not: requests do not need the store.
         { "restored_store", &FaultInjector::restoreStore, true, &FaultProfile::includesRestore },
         { "broken_response", &FaultInjector::breakResponses, false, &FaultProfile::includesFraming },
@@ -540,6 +541,29 @@
     co_await injectResponseFault(index, ResponseFault::RepeatedRefusal);
 }
 
+asio::awaitable<void> FaultInjector::copyRefusals()
+{
+    constexpr int percent = 100;
+    auto& single = randomReplica();
+    auto isAlone = pick(0, 2) == 0;
+    auto share = static_cast<double>(pick(30, 90)) / percent;
+    std::vector<size_t> refusing;
+    for (size_t i = 0; i < m_fleet.replicas.size(); ++i) {
+        const auto& replica = *m_fleet.replicas[i];
+        if (isAlone ? &replica == &single : replica.isEngine() == single.isEngine())
+            refusing.push_back(i);
+    }
+    for (auto index : refusing) {
+        m_fleet.replicas[index]->faults.refuseShare = share;
+        m_fleet.replicaLinks[index]->setResponseFault(ResponseFault::CopiedRefusal);
+    }
+    co_await m_fleet.timers.sleep(between(500, 4000));
+    for (auto index : refusing) {
+        m_fleet.replicas[index]->faults.refuseShare = 0;
+        m_fleet.replicaLinks[index]->setResponseFault(ResponseFault::None);
+    }
+}
+
 asio::awaitable<void> FaultInjector::injectResponseFault(size_t replica, ResponseFault fault)
 {
     m_fleet.replicaLinks[replica]->setResponseFault(fault);
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -11,6 +11,7 @@
     bool includesNotices = false; /**< replicas that state in their responses that they leave or want a pause */
     bool includesFraming = false; /**< responses that end with the connection, are cut, or are sent twice */
     bool includesRestore = false; /**< restores of the store from a copy some seconds old */
+    bool includesCopies = false; /**< copies of refusals, also before the response to a request with the same id */
     std::string only; /**< name of the only fault to inject, of any kind; empty: all */
 
     bool operator==(const FaultProfile&) const = default;
@@ -49,6 +50,7 @@
     asio::awaitable<void> leaveInResponses();
     asio::awaitable<void> shedRequests();
     asio::awaitable<void> omitLengths();
+    asio::awaitable<void> copyRefusals();
     asio::awaitable<void> restoreStore();
     asio::awaitable<void> restoreOnce();
     /** Engines leave the decode stage without an order, so that the role holder sends orders. */
--- a/tests/soak/FaultyLink.cpp
+++ b/tests/soak/FaultyLink.cpp
@@ -144,9 +144,13 @@
     return connection.isOpen() && (connection.isStalled || m_fault == held);
 }
 
-asio::awaitable<void> FaultyLink::repeatRefusal(Connection& connection)
+asio::awaitable<void> FaultyLink::repeatRefusal(Connection& connection, const std::string& requestBytes)
 {
-    auto refusal = m_responseFault == ResponseFault::RepeatedRefusal ? connection.rewriter.takeRefusal() : std::string();
+    std::string refusal;
+    if (m_responseFault == ResponseFault::RepeatedRefusal)
+        refusal = connection.rewriter.takeRefusal();
+    else if (m_responseFault == ResponseFault::CopiedRefusal)
+        refusal = connection.rewriter.takeCopy(requestBytes);
     error_code ignored;
     if (!refusal.empty())
         co_await asio::async_write(connection.caller, asio::buffer(refusal), asio::redirect_error(asio::use_awaitable, ignored));
@@ -176,7 +180,7 @@
         }
         std::string bytes(buffer.data(), size);
         if (carriesRequests)
-            co_await self->repeatRefusal(*connection);
+            co_await self->repeatRefusal(*connection, bytes);
         else
             bytes = connection->rewriter.rewrite(bytes, self->m_responseFault);
         co_await asio::async_write(to, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
--- a/tests/soak/FaultyLink.h
+++ b/tests/soak/FaultyLink.h
@@ -51,7 +51,7 @@
     static asio::awaitable<void> acceptAll(std::shared_ptr<FaultyLink>);
     static asio::awaitable<void> connectToServer(std::shared_ptr<FaultyLink>, ConnectionPointer);
     static asio::awaitable<void> forwardBytes(std::shared_ptr<FaultyLink>, ConnectionPointer, bool carriesRequests);
-    asio::awaitable<void> repeatRefusal(Connection&);
+    asio::awaitable<void> repeatRefusal(Connection&, const std::string& requestBytes);
     bool isHeld(const Connection&, bool carriesRequests) const;
 
     asio::io_context& m_context;
--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -22,9 +22,7 @@
 
 void Ledger::recordSent(const RequestId& id, CallKind kind)
 {
-    auto& attempt = m_attempts[id];
-    attempt.kind = kind;
-    attempt.sentAt = m_timers.now();
+    m_attempts.insert_or_assign(id, Attempt { kind, m_timers.now(), {}, false });
 }
 
 void Ledger::recordExecution(const RequestId& id, const ReplicaId& replica)
--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -31,6 +31,8 @@
 public:
     explicit Ledger(TimerService&);
 
+    /** Records that a client sends an attempt, or a refused one again with the same id: that is a new attempt. A late execution
+        of the refused one then counts with those of the new one. */
     void recordSent(const RequestId&, CallKind);
     /** Records that a replica has started to execute the attempt. */
     void recordExecution(const RequestId&, const ReplicaId&);
--- a/tests/soak/ReplicaStandin.cpp
+++ b/tests/soak/ReplicaStandin.cpp
@@ -314,7 +314,8 @@
         co_await refuseForTime(writer, daemon, id);
         co_return;
     }
-    if (m_timers.now() < m_refusesUntil || m_isChangingStage || m_running >= slots + queueLength) {
+    auto isRefused = faults.refuseShare > 0 && chance(faults.refuseShare);
+    if (isRefused || m_timers.now() < m_refusesUntil || m_isChangingStage || m_running >= slots + queueLength) {
         (void)co_await writer.send({ 503, { { std::string(names::requestId), id }, { std::string(names::notExecuted), "1" } }, {} });
         co_return;
     }
--- a/tests/soak/ReplicaStandin.h
+++ b/tests/soak/ReplicaStandin.h
@@ -16,6 +16,7 @@
 /** Faults that a replica simulates. */
 struct ReplicaFaults {
     double failShare = 0; /**< share of requests that are executed and get an error response */
+    double refuseShare = 0; /**< share of requests that are refused and not executed */
     double truncateShare = 0; /**< share of responses that are cut off in the middle */
     bool resetsWhenDown = false; /**< after it has stopped, its address accepts connections and resets them */
 };
--- a/tests/soak/ResponseRewriter.cpp
+++ b/tests/soak/ResponseRewriter.cpp
@@ -1,5 +1,7 @@
 #include "soak/ResponseRewriter.h"
 
+#include "platform/Names.h"
+
 #include <absl/strings/match.h>
 #include <absl/strings/str_split.h>
 
@@ -12,15 +14,29 @@
     /** The chunk, counted from 0, in the middle of which a cut stream ends. */
     constexpr int cutChunk = 1;
     constexpr int hexadecimal = 16;
+    /** One in this many requests with another id gets a copy. */
+    constexpr int otherRequestsPerCopy = 4;
+
+    /** The request id in the header of a message, or nothing. */
+    std::string requestIdIn(const std::string& message)
+    {
+        std::vector<std::string> lines = absl::StrSplit(message.substr(0, message.find(headerEnd)), "\r\n");
+        auto start = std::string(platform::names::requestId) + ": ";
+        for (const auto& line : lines) {
+            if (absl::StartsWithIgnoreCase(line, start))
+                return line.substr(start.size());
+        }
+        return {};
+    }
 
 } // namespace
 
 std::string ResponseRewriter::rewrite(const std::string& bytes, ResponseFault fault)
 {
     if (m_fault == ResponseFault::None) {
-        if (bytes.starts_with("HTTP/1.1 503"))
-            m_refusal = bytes;
-        if (fault == ResponseFault::None || fault == ResponseFault::RepeatedRefusal || !bytes.starts_with("HTTP/1.1 200"))
+        keepRefusal(bytes);
+        auto isUnaltered = fault == ResponseFault::None || fault == ResponseFault::RepeatedRefusal || fault == ResponseFault::CopiedRefusal;
+        if (isUnaltered || !bytes.starts_with("HTTP/1.1 200"))
             return bytes;
         m_fault = fault;
     }
@@ -31,6 +47,32 @@
     return output;
 }
 
+void ResponseRewriter::keepRefusal(const std::string& bytes)
+{
+    auto isUnavailable = bytes.starts_with("HTTP/1.1 503");
+    if (isUnavailable)
+        m_refusal = bytes;
+    if (!isUnavailable && !bytes.starts_with("HTTP/1.1 421"))
+        return;
+    // Only an id tells a copy from the response to a report or an order.
+    if (auto id = requestIdIn(bytes); !id.empty())
+        m_refusals.insert_or_assign(std::move(id), bytes);
+}
+
+std::string ResponseRewriter::takeCopy(const std::string& requestBytes)
+{
+    auto isStart = requestBytes.find(" HTTP/1.1\r\n") != std::string::npos;
+    if (!isStart || m_refusals.empty())
+        return {};
+    auto found = m_refusals.find(requestIdIn(requestBytes));
+    if (found == m_refusals.end()) {
+        if (++m_otherRequests % otherRequestsPerCopy != 0)
+            return {};
+        found = m_refusals.begin();
+    }
+    return std::move(m_refusals.extract(found).mapped());
+}
+
 std::string ResponseRewriter::takeHeader()
 {
     auto size = m_input.find(headerEnd);
--- a/tests/soak/SoakClients.cpp
+++ b/tests/soak/SoakClients.cpp
@@ -21,6 +21,8 @@
     constexpr Duration extraWaitTime = std::chrono::milliseconds(1500);
     constexpr size_t maximumResponseBody = 1 << 20;
     constexpr int objectCount = 200;
+    /** How often a client sends a request with the same id, at most. */
+    constexpr int maximumSendings = 4;
 
     std::string prefixOf(CallKind kind)
     {
@@ -53,15 +55,17 @@
     CallKind kind = CallKind::Idempotent;
     std::string id;
     std::string target;
+    std::string promptTokens;
     SoakDaemon* daemon = nullptr;
     TimePoint sentAt;
     Duration limit {};
 };
 
-SoakClients::SoakClients(SoakFleet& fleet, uint32_t seed)
+SoakClients::SoakClients(SoakFleet& fleet, uint32_t seed, bool repeatsIds)
     : m_fleet(fleet)
     , m_random(seed)
     , m_pool(fleet.context, fleet.timers, {})
+    , m_repeatsIds(repeatsIds)
 {
 }
 
@@ -91,6 +95,8 @@
     call.id = "q" + std::to_string(++m_calls);
     // Half of the calls use the same popular object.
     call.target = prefixOf(kind) + std::to_string(std::max(0, pick(-objectCount, objectCount)));
+    // Half of the prompts are long enough for a prefill engine.
+    call.promptTokens = pick(0, 1) == 0 ? "100" : "2000";
     call.daemon = &m_fleet.randomDaemon();
     call.sentAt = m_fleet.timers.now();
     call.limit = isStream(kind) ? SoakFleet::streamTimeout : SoakFleet::plainTimeout;
@@ -106,11 +112,9 @@
     request.headers.set(daemonHeader, call.daemon->name);
     request.headers.set(names::timeLeft, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(call.limit).count()));
     if (isStream(call.kind)) {
-        // Half of the calls, at random, have a prompt long enough for a prefill engine.
-        auto tokens = pick(0, 1) == 0 ? "100" : "2000";
         request.headers.set(names::model, "m");
-        request.headers.set(names::tokenCount, std::string(tokens) + ",50");
-        request.headers.set(names::promptParts, "a1:50,b" + std::to_string(m_calls) + ":50");
+        request.headers.set(names::tokenCount, call.promptTokens + ",50");
+        request.headers.set(names::promptParts, "a1:50,b" + call.id.substr(1) + ":50");
         request.body = "prompt";
     }
     ExchangeOptions options;
@@ -129,7 +133,15 @@
 asio::awaitable<void> SoakClients::callOnce()
 {
     auto call = makeCall(static_cast<CallKind>(pick(0, 3)));
-    checkResponse(call, co_await exchange(call));
+    for (int sendings = 1;; ++sendings) {
+        auto response = co_await exchange(call);
+        checkResponse(call, response);
+        auto mayRepeat = m_repeatsIds && response && promisesNotExecuted(response->status);
+        if (!mayRepeat || sendings == maximumSendings || pick(0, 3) == 0)
+            co_return;
+        call.sentAt = m_fleet.timers.now();
+        m_fleet.ledger.recordSent(RequestId(call.id), call.kind);
+    }
 }
 
 void SoakClients::checkResponse(const Call& call, const std::optional<HttpResponse>& response)
--- a/tests/soak/SoakClients.h
+++ b/tests/soak/SoakClients.h
@@ -8,7 +8,8 @@
 /** Clients that call random daemons on persistent connections and check the responses. */
 class SoakClients {
 public:
-    SoakClients(SoakFleet&, uint32_t seed);
+    /** With `repeatsIds` clients send most refused requests again at once, with the same id to the same daemon. */
+    SoakClients(SoakFleet&, uint32_t seed, bool repeatsIds);
 
     /** Starts the given number of clients. */
     void start(int clients);
@@ -39,6 +40,7 @@
     uint64_t m_reachedTimeout = 0;
     uint64_t m_lateResponses = 0;
     int m_running = 0;
+    bool m_repeatsIds;
     bool m_isStopped = false;
 };
 
