Soak: replicas that state a rate limit, and the check LIMIT

The users' rule on Server-Limit had no check here. LimitChecks sums the requests of all daemons that have passed on such a response and are not excused.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -73,6 +73,7 @@
         { "silence", &FaultInjector::silenceReplicas, true, &FaultProfile::includesSilence },
         { "leave_in_responses", &FaultInjector::leaveInResponses, true, &FaultProfile::includesNotices },
         { "shed", &FaultInjector::shedRequests, true, &FaultProfile::includesNotices },
+        { "limit", &FaultInjector::limitRequests, true, &FaultProfile::includesLimits },
         { "without_length", &FaultInjector::omitLengths, true, &FaultProfile::includesFraming },
         { "refusals_copied", &FaultInjector::copyRefusals, true, &FaultProfile::includesCopies },
         // It excuses no lost requests, as planned work does not: requests do not need the store.
@@ -216,10 +217,10 @@
     auto isRead = std::make_shared<bool>(false);
     auto announcedAt = m_fleet.timers.now();
     replica.drain([this, isRead](const std::string& name, TimePoint since) {
-        auto daemon = std::ranges::find(m_fleet.daemons, name, [](const auto& candidate) { return candidate->name; });
-        if (daemon == m_fleet.daemons.end())
+        auto* daemon = m_fleet.findDaemon(name);
+        if (!daemon)
             return false;
-        return m_fleet.isStableSince(**daemon, since) || (*isRead && (*daemon)->disturbances.isUndisturbedSince(since - SoakFleet::stabilizationTime));
+        return m_fleet.isStableSince(*daemon, since) || (*isRead && daemon->disturbances.isUndisturbedSince(since - SoakFleet::stabilizationTime));
     });
     constexpr Duration maximumDrainTime = std::chrono::seconds(4);
     co_await m_fleet.timers.sleep(ReplicaStandin::drainTime);
@@ -258,6 +259,38 @@
     co_await m_fleet.timers.sleep(duration);
 }
 
+asio::awaitable<void> FaultInjector::limitRequests()
+{
+    static const std::vector<NamedFault> companions {
+        { "terminate beside it", &FaultInjector::terminate, true },
+        { "manifest beside it", &FaultInjector::changeManifest, true },
+        { "pause beside it", &FaultInjector::pauseDaemon, false },
+        { "kill beside it", &FaultInjector::killDaemon, false },
+        { "store_link beside it", &FaultInjector::disturbStoreLink, false },
+    };
+    constexpr int tenths = 10;
+    auto& single = randomReplica();
+    auto isAlone = pick(0, 1) == 0;
+    std::vector<ReplicaStandin*> limited;
+    for (auto& replica : m_fleet.replicas) {
+        auto isIncluded = isAlone ? replica.get() == &single : replica->isEngine() == single.isEngine() && pick(0, 4) > 0;
+        if (isIncluded && !replica->hasLimit() && !replica->isLeavingOrDown())
+            limited.push_back(replica.get());
+    }
+    if (limited.empty())
+        co_return;
+    for (auto changes = pick(1, 3); changes > 0; --changes) {
+        for (auto* replica : limited)
+            replica->limitRequests(static_cast<double>(pick(5, 80)) / tenths);
+        co_await m_fleet.timers.sleep(between(1500, 5000));
+        if (const auto& companion = companions[pickIndex(companions.size())]; companion.isPlanned || !m_profile.isPlannedOnly)
+            begin(companion);
+        co_await m_fleet.timers.sleep(between(500, 3000));
+    }
+    for (auto* replica : limited)
+        replica->limitRequests(0);
+}
+
 asio::awaitable<void> FaultInjector::silenceReplicas()
 {
     auto isAlone = pick(0, 1) == 0;
@@ -493,9 +526,9 @@
     if (m_fleet.replicas[index]->isLeavingOrDown())
         co_return;
     Disturbance disturbance({ &m_fleet.unplannedDisturbances });
-    m_fleet.notices.excusePauses(m_fleet.replicas[index]->id());
+    m_fleet.notices.excuseAll(m_fleet.replicas[index]->id());
     co_await injectLinkFault(m_fleet.replicaLinks[index]);
-    m_fleet.notices.excusePauses(m_fleet.replicas[index]->id());
+    m_fleet.notices.excuseAll(m_fleet.replicas[index]->id());
 }
 
 asio::awaitable<void> FaultInjector::crashReplica()
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -12,6 +12,7 @@
     bool includesFraming = false; /**< responses that end with the connection, are cut, or are sent twice */
     bool includesRestore = false; /**< restores of the store from a copy some seconds old */
     bool includesCopies = false; /**< copies of refusals, also before the response to a request with the same id */
+    bool includesLimits = false; /**< replicas that state how many requests they take from all daemons together */
     std::string only; /**< name of the only fault to inject, of any kind; empty: all */
 
     bool operator==(const FaultProfile&) const = default;
@@ -49,6 +50,7 @@
     asio::awaitable<void> silenceReplicas();
     asio::awaitable<void> leaveInResponses();
     asio::awaitable<void> shedRequests();
+    asio::awaitable<void> limitRequests();
     asio::awaitable<void> omitLengths();
     asio::awaitable<void> copyRefusals();
     asio::awaitable<void> restoreStore();
--- a/tests/soak/NoticeChecks.cpp
+++ b/tests/soak/NoticeChecks.cpp
@@ -12,9 +12,10 @@
 
 } // namespace
 
-NoticeChecks::NoticeChecks(TimerService& timers, Ledger& ledger)
+NoticeChecks::NoticeChecks(TimerService& timers, Ledger& ledger, LimitChecks::IsExcused isExcused)
     : m_timers(timers)
     , m_ledger(ledger)
+    , m_limits(timers, ledger, std::move(isExcused))
 {
 }
 
@@ -27,6 +28,7 @@
 {
     if (auto found = m_leavingResponses.find(request); found != m_leavingResponses.end() && found->second == replica)
         m_leavingSince.try_emplace({ daemon, replica }, m_timers.now());
+    m_limits.recordPassedOn(daemon, request, replica);
 }
 
 void NoticeChecks::recordShedding(const std::string& daemon, const ReplicaId& replica, Duration pause)
@@ -38,6 +40,7 @@
 void NoticeChecks::checkRequest(const std::string& daemon, const RequestId& request, const ReplicaId& replica)
 {
     checkArrival(daemon, replica);
+    m_limits.checkArrival(daemon, replica);
     auto found = m_leavingSince.find({ daemon, replica });
     auto sentAt = m_ledger.sentAt(request);
     if (found == m_leavingSince.end() || !sentAt || *sentAt - found->second <= drainTime)
@@ -70,11 +73,13 @@
     auto isOfDaemon = [&daemon](const auto& entry) { return entry.first.daemon == daemon; };
     std::erase_if(m_leavingSince, isOfDaemon);
     std::erase_if(m_pauses, isOfDaemon);
+    m_limits.excuse(daemon);
 }
 
-void NoticeChecks::excusePauses(const ReplicaId& replica)
+void NoticeChecks::excuseAll(const ReplicaId& replica)
 {
     std::erase_if(m_pauses, [&replica](const auto& entry) { return entry.first.replica == replica; });
+    m_limits.restart(replica);
 }
 
 } // namespace chestnut::soak
--- a/tests/soak/NoticeChecks.h
+++ b/tests/soak/NoticeChecks.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "soak/Ledger.h"
+#include "soak/LimitChecks.h"
 
 namespace chestnut::soak {
 
-/** Checks that a daemon observes what replicas state in their responses to it: that they leave (DRAIN), or for how long they
-    want no requests from it (BUDGET). */
+/** Checks that a daemon observes what replicas state in their responses to it: that they leave (DRAIN), for how long they
+    want no requests from it (BUDGET), or how many they take from all daemons (LIMIT). */
 class NoticeChecks {
 public:
-    NoticeChecks(TimerService&, Ledger&);
+    NoticeChecks(TimerService&, Ledger&, LimitChecks::IsExcused);
 
     /** Records that a replica has stated in its response to the request that it leaves. */
     void recordLeaving(const RequestId&, const ReplicaId&);
@@ -24,8 +24,10 @@
 
     /** Excuses a daemon that was restarted or frozen from what it was told before. */
     void excuse(const std::string& daemon);
-    /** Excuses all daemons from the pauses of a replica whose link has changed. */
-    void excusePauses(const ReplicaId&);
+    /** Excuses all daemons from the pauses and the limit of a replica whose link has changed. */
+    void excuseAll(const ReplicaId&);
+
+    LimitChecks& limits() { return m_limits; }
 
 private:
     struct Pair {
@@ -41,6 +43,7 @@
 
     TimerService& m_timers;
     Ledger& m_ledger;
+    LimitChecks m_limits;
     std::map<RequestId, ReplicaId> m_leavingResponses;
     std::map<Pair, TimePoint> m_leavingSince; /**< when the daemon first passed on such a response */
     std::map<Pair, std::vector<Pause>> m_pauses;
--- a/tests/soak/ReplicaStandin.cpp
+++ b/tests/soak/ReplicaStandin.cpp
@@ -209,7 +209,7 @@
 
 asio::awaitable<void> ReplicaStandin::handle(HttpRequest request, HttpResponseWriter& connection)
 {
-    StandinWriter writer(connection, m_timers, m_behavior);
+    StandinWriter writer(connection, m_timers, m_notices.limits(), m_id, m_behavior);
     auto expected = request.headers.value(names::expectedReplica);
     if (!expected.empty() && expected != m_id.value()) {
         (void)co_await writer.send(withRequestId(request, { 421, { { std::string(names::respondingReplica), m_id.value() } }, {} }));
--- a/tests/soak/ReplicaStandin.h
+++ b/tests/soak/ReplicaStandin.h
@@ -60,6 +60,9 @@
     void beSilent(Duration, bool startsInsideBytes);
     /** Announces its departure in all its responses; its entry in the store stays as it is. */
     void announceDeparture() { m_behavior.announcesDeparture = true; }
+    /** States in all its responses how many requests per second it takes from all daemons together; 0 ends that. */
+    void limitRequests(double perSecond) { m_behavior.requestsPerSecond = perSecond; }
+    bool hasLimit() const { return m_behavior.requestsPerSecond > 0; }
     /** Refuses all requests for a time, each for a random time during which it wants no other request from that daemon. */
     void shed(Duration);
     /** Refuses all requests for a time without such a statement. */
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/Names.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 
@@ -107,6 +108,18 @@
     return daemon.disturbances.isUndisturbedSince(moment - stabilizationTime) && storeDisturbances.isUndisturbedSince(moment - stabilizationTime);
 }
 
+SoakDaemon* SoakFleet::findDaemon(const std::string& name) const
+{
+    auto found = std::ranges::find(daemons, name, [](const auto& daemon) { return daemon->name; });
+    return found == daemons.end() ? nullptr : found->get();
+}
+
+bool SoakFleet::isDisturbed(const std::string& name) const
+{
+    auto* daemon = findDaemon(name);
+    return daemon && !daemon->disturbances.isUndisturbedSince(timers.now() - stabilizationTime);
+}
+
 SoakDaemon& SoakFleet::randomDaemon()
 {
     std::vector<SoakDaemon*> discoverable;
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -58,6 +58,8 @@
     /** Whether daemon and store were undisturbed long enough that the daemon must have read the state of the store at that time. */
     bool isStableSince(const SoakDaemon&, TimePoint) const;
 
+    /** The daemon with the name, or null. */
+    SoakDaemon* findDaemon(const std::string& name) const;
     /** A random daemon that discovery offers to clients. */
     SoakDaemon& randomDaemon();
 
@@ -75,7 +77,7 @@
     AsioTimerService timers { context };
     MemoryLog log;
     Ledger ledger { timers };
-    NoticeChecks notices { timers, ledger };
+    NoticeChecks notices { timers, ledger, [this](const std::string& daemon) { return isDisturbed(daemon); } };
     DisturbanceTracker unplannedDisturbances { timers }; /**< of the whole fleet; planned work does not count */
     DisturbanceTracker storeDisturbances { timers };
     PlatformStore store;
@@ -87,6 +89,8 @@
     LinkPointer makeLink(const Endpoint& server);
     void addReplica(const std::string& service, EngineStage, int number, bool resetsWhenDown);
     void addDaemon(int number);
+    /** Whether the daemon was restarted, frozen or cut off within the stabilization time. */
+    bool isDisturbed(const std::string& daemon) const;
 
     std::mt19937 m_random;
     std::string m_folder;
--- a/tests/soak/StandinWriter.h
+++ b/tests/soak/StandinWriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http/http.h"
-#include "kernel/timers/TimerService.h"
+#include "soak/LimitChecks.h"
 
 namespace chestnut::soak {
 
@@ -15,14 +15,17 @@
 struct ResponseBehavior {
     ReplicaSilence silence;
     bool announcesDeparture = false;
+    double requestsPerSecond = 0; /**< limit that it states; 0: none */
 };
 
 /** Writes the responses of a replica stand-in with its behavior. */
 class StandinWriter final : public HttpResponseWriter {
 public:
-    StandinWriter(HttpResponseWriter& writer, TimerService& timers, const ResponseBehavior& behavior)
+    StandinWriter(HttpResponseWriter& writer, TimerService& timers, LimitChecks& limits, ReplicaId replica, const ResponseBehavior& behavior)
         : m_writer(writer)
         , m_timers(timers)
+        , m_limits(limits)
+        , m_replica(std::move(replica))
         , m_behavior(behavior)
     {
     }
@@ -39,10 +42,12 @@
 private:
     bool isSilent() const { return m_timers.now() < m_behavior.silence.end; }
     asio::awaitable<void> waitForSilence();
-    void addNotice(HttpHeaders&) const;
+    void addNotices(HttpHeaders&) const;
 
     HttpResponseWriter& m_writer;
     TimerService& m_timers;
+    LimitChecks& m_limits;
+    ReplicaId m_replica;
     const ResponseBehavior& m_behavior;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,6 +19,7 @@
 ABSL_FLAG(bool, framing, false, "adds responses that end with the connection, are cut, or are sent twice (issue 22)");
 ABSL_FLAG(bool, restore, false, "adds restores of the store from a copy some seconds old (issue 26)");
 ABSL_FLAG(bool, copies, false, "adds copies of refusals, and clients that send refused requests again with the same id");
+ABSL_FLAG(bool, limits, false, "adds replicas that state how many requests per second they take from all daemons together");
 ABSL_FLAG(std::string, only, "", "injects only the fault with this name (tests/soak/FaultInjector.cpp)");
 ABSL_FLAG(std::string, folder, "/tmp/chestnut_soak", "folder for the settings and logs of the daemons");
 
@@ -66,7 +67,7 @@
 {
     auto seed = absl::GetFlag(FLAGS_seed);
     FleetShape shape { absl::GetFlag(FLAGS_daemons), absl::GetFlag(FLAGS_replicas), absl::GetFlag(FLAGS_engines), absl::GetFlag(FLAGS_dead_replicas_reset) };
-    FaultProfile profile { seed % plannedOnlyInterval == 0, absl::GetFlag(FLAGS_silence), absl::GetFlag(FLAGS_notices), absl::GetFlag(FLAGS_framing), absl::GetFlag(FLAGS_restore), absl::GetFlag(FLAGS_copies), absl::GetFlag(FLAGS_only) };
+    FaultProfile profile { seed % plannedOnlyInterval == 0, absl::GetFlag(FLAGS_silence), absl::GetFlag(FLAGS_notices), absl::GetFlag(FLAGS_framing), absl::GetFlag(FLAGS_restore), absl::GetFlag(FLAGS_copies), absl::GetFlag(FLAGS_limits), absl::GetFlag(FLAGS_only) };
     SoakFleet fleet(shape, seed, absl::GetFlag(FLAGS_folder) + "/" + std::to_string(seed));
     SoakClients clients(fleet, seed + 1, profile.includesCopies);
     FaultInjector faults(fleet, profile, seed + 2);
