--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -102,6 +102,8 @@
         { EventId::ReplicaAnnouncedLeaving, "replica_announced_leaving", Severity::Info, "A response of a replica says that its process is about to end; it gets no further work, whatever the store says." },
         { EventId::ReplicaNoticeUnreadable, "replica_notice_unreadable", Severity::Warning, "A header field in which a replica describes its state could not be read; it counts as absent." },
         { EventId::ReplicaBackoffStarted, "replica_backoff_started", Severity::Info, "A replica refused a request and wants no further one from this daemon for the time given." },
+        { EventId::ReplicaRateLimited, "replica_rate_limited", Severity::Info, "A replica names the rate of requests that it takes from all daemons together; the daemons share it by their demand." },
+        { EventId::ReplicaRateLimitEnded, "replica_rate_limit_ended", Severity::Info, "A replica no longer names a rate limit, or its limit has not been confirmed for long." },
         { EventId::ResponseDiscarded, "response_discarded", Severity::Info, "A response on a connection to a replica does not belong to the request in progress, such as a copy of an earlier one." },
         { EventId::RequestIdRepeated, "request_id_repeated", Severity::Info, "A request is sent to a replica again. It uses another connection, as a copy of the earlier response could not be told from the later one." },
         { EventId::PrefillPlaced, "prefill_placed", Severity::Info, "An engine was chosen to prefill a prompt." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -108,6 +108,8 @@
     ReplicaAnnouncedLeaving = 2221,
     ReplicaNoticeUnreadable = 2222,
     ReplicaBackoffStarted = 2223,
+    ReplicaRateLimited = 2224,
+    ReplicaRateLimitEnded = 2225,
     ResponseDiscarded = 2226,
     RequestIdRepeated = 2227,
     PrefillPlaced = 2230,
