--- a/tests/soak/ReplicaStandin.cpp
+++ b/tests/soak/ReplicaStandin.cpp
@@ -209,7 +209,7 @@
 
 asio::awaitable<void> ReplicaStandin::handle(HttpRequest request, HttpResponseWriter& connection)
 {
-    StandinWriter writer(connection, m_timers, m_behavior);
+    StandinWriter writer(connection, m_timers, m_notices.limits(), m_id, m_behavior);
     auto expected = request.headers.value(names::expectedReplica);
     if (!expected.empty() && expected != m_id.value()) {
         (void)co_await writer.send(withRequestId(request, { 421, { { std::string(names::respondingReplica), m_id.value() } }, {} }));
@@ -314,7 +314,8 @@
         co_await refuseForTime(writer, daemon, id);
         co_return;
     }
-    if (m_timers.now() < m_refusesUntil || m_isChangingStage || m_running >= slots + queueLength) {
+    auto isRefused = faults.refuseShare > 0 && chance(faults.refuseShare);
+    if (isRefused || m_timers.now() < m_refusesUntil || m_isChangingStage || m_running >= slots + queueLength) {
         (void)co_await writer.send({ 503, { { std::string(names::requestId), id }, { std::string(names::notExecuted), "1" } }, {} });
         co_return;
     }
--- a/tests/soak/ReplicaStandin.h
+++ b/tests/soak/ReplicaStandin.h
@@ -16,6 +16,7 @@
 /** Faults that a replica simulates. */
 struct ReplicaFaults {
     double failShare = 0; /**< share of requests that are executed and get an error response */
+    double refuseShare = 0; /**< share of requests that are refused and not executed */
     double truncateShare = 0; /**< share of responses that are cut off in the middle */
     bool resetsWhenDown = false; /**< after it has stopped, its address accepts connections and resets them */
 };
@@ -59,6 +60,9 @@
     void beSilent(Duration, bool startsInsideBytes);
     /** Announces its departure in all its responses; its entry in the store stays as it is. */
     void announceDeparture() { m_behavior.announcesDeparture = true; }
+    /** States in all its responses how many requests per second it takes from all daemons together; 0 ends that. */
+    void limitRequests(double perSecond) { m_behavior.requestsPerSecond = perSecond; }
+    bool hasLimit() const { return m_behavior.requestsPerSecond > 0; }
     /** Refuses all requests for a time, each for a random time during which it wants no other request from that daemon. */
     void shed(Duration);
     /** Refuses all requests for a time without such a statement. */
