--- a/modules/gateway/members/FleetReports.cpp
+++ b/modules/gateway/members/FleetReports.cpp
@@ -194,7 +194,7 @@
     auto reports = m_replicas.rateLimits().reports();
     auto& cursor = m_rateLimitCursors[scope];
     auto next = std::ranges::upper_bound(reports, cursor, {}, &RateLimitReport::replica);
-    std::ranges::rotate(reports, next);
+    std::rotate(reports.begin(), next, reports.end());
     if (reports.size() > maximumRateLimitReports)
         reports.resize(maximumRateLimitReports);
     if (!reports.empty())
