--- a/tests/gateway/RateLimiterTest.cpp
+++ b/tests/gateway/RateLimiterTest.cpp
@@ -156,21 +156,21 @@
         double otherDemand;
         Duration reportPeriod;
     };
-    for (const auto& [daemons, perSecond, busyDemand, otherDemand, reportPeriod] : std::vector<Case> {
+    for (const auto& each : std::vector<Case> {
              { 6, 26, 40, 40, 100ms },
              { 6, 0.3, 10, 10, 100ms },
              { 6, 8, 60, 0, 100ms },
              { 330, 20, 10, 10, 500ms },
              { 330, 1, 10, 0.1, 500ms },
              { 330, 200, 100, 1, 500ms } }) {
-        CAPTURE(daemons);
-        CAPTURE(perSecond);
-        LimitedFleet fleet(daemons, perSecond, reportPeriod);
-        for (size_t i = 0; i < daemons; ++i)
-            fleet.setDemand(i, i % 10 == 0 ? busyDemand : otherDemand);
+        CAPTURE(each.daemons);
+        CAPTURE(each.perSecond);
+        LimitedFleet fleet(each.daemons, each.perSecond, each.reportPeriod);
+        for (size_t i = 0; i < each.daemons; ++i)
+            fleet.setDemand(i, i % 10 == 0 ? each.busyDemand : each.otherDemand);
         fleet.run(30s);
-        CHECK(static_cast<double>(fleet.mostInWindow()) <= mostAllowed(perSecond));
-        CHECK(fleet.rateInLast(20s) >= 0.75 * perSecond);
+        CHECK(static_cast<double>(fleet.mostInWindow()) <= mostAllowed(each.perSecond));
+        CHECK(fleet.rateInLast(20s) >= 0.75 * each.perSecond);
     }
 }
 
