--- a/modules/gateway/requests/BodyRelay.cpp
+++ b/modules/gateway/requests/BodyRelay.cpp
@@ -29,6 +29,8 @@
 
 asio::awaitable<Result<BodyStart>> readBodyStart(HttpBodyStream& body, std::shared_ptr<ByteBudget> budget)
 {
+    if (auto checked = checkAnnouncedLength(body, maximumBodyBytes); !checked)
+        co_return checked.error();
     BodyStart start;
     auto isBounded = budget != nullptr;
     start.reservation = ByteReservation(std::move(budget));
--- a/modules/gateway/requests/BodyRelay.h
+++ b/modules/gateway/requests/BodyRelay.h
@@ -14,7 +14,7 @@
 };
 
 /** Reads a body until its end, `maximumBufferedBody` or the end of the budget. Without a budget a body is always read whole. Fails with
-    ProtocolError when it is longer than `maximumBodyBytes`. */
+    ProtocolError when it is longer than `maximumBodyBytes`, or is announced to be. */
 asio::awaitable<Result<BodyStart>> readBodyStart(HttpBodyStream&, std::shared_ptr<ByteBudget>);
 
 /** Sends a response. What is missing of its body is read as fast as the client reads it; the response is broken off when that fails.
--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest/Digest.h"
 #include "http/client/ClientConnection.h"
+#include "http/message/GrowingBody.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -137,7 +138,7 @@
 
     using PoolState = std::shared_ptr<ConnectionPool::State>;
     using SteadyTime = std::chrono::steady_clock::time_point;
-    using ResponseParser = http::response_parser<http::string_body>;
+    using ResponseParser = http::response_parser<GrowingBody>;
 
     /** An exchange in progress on one connection. */
     class PooledExchange final : public HttpBodyStream {
@@ -188,6 +189,7 @@
         int status() const override { return static_cast<int>(m_parser->get().result_int()); }
         const HttpHeaders& headers() const override { return m_headers; }
         bool endsWithConnection() const override { return m_parser->need_eof(); }
+        std::optional<uint64_t> announcedLength() const override { return m_announcedLength; }
 
         asio::awaitable<Result<std::optional<std::string>>> read() override
         {
@@ -230,6 +232,9 @@
             if (error)
                 co_return errorAfterSend(error, m_endpoint, "read response header from");
             m_headers = headersOf(m_parser->get().base());
+            m_announcedLength.reset();
+            if (auto length = m_parser->content_length(); length && !m_parser->is_done())
+                m_announcedLength = *length;
             m_connection->stream.expires_never();
             if (m_options.bodyTimeout)
                 m_bodyDeadline = std::chrono::steady_clock::now() + *m_options.bodyTimeout;
@@ -240,6 +245,8 @@
         {
             error_code error;
             size_t skipped = 0;
+            if (m_announcedLength.value_or(0) > maximumSkippedBytes)
+                co_return makeError(ErrorKind::BackendFailed, "a response to another request is too long, from " + formatEndpoint(m_endpoint));
             m_connection->stream.expires_at(m_deadline);
             while (!m_parser->is_done() && !error && skipped <= maximumSkippedBytes) {
                 co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
@@ -276,6 +283,7 @@
         bool m_isHead; /**< the response has no body, whatever its header says */
         std::optional<ResponseParser> m_parser;
         HttpHeaders m_headers;
+        std::optional<uint64_t> m_announcedLength;
         bool m_isReleased = false;
     };
 
--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "http/server/HttpServer.h"
 
 #include "http/message/BeastConversions.h"
+#include "http/message/GrowingBody.h"
 #include "http/server/OutputBuffer.h"
 
 #include <algorithm>
@@ -73,7 +74,8 @@
     }
 
     using ServerState = std::shared_ptr<HttpServer::State>;
-    using RequestParser = http::request_parser<http::string_body>;
+    using RequestParser = http::request_parser<GrowingBody>;
+    using ReceivedRequest = http::request<GrowingBody>;
 
     /** Detects that the caller closes the connection while a handler runs. */
     struct DisconnectWatcher : std::enable_shared_from_this<DisconnectWatcher> {
@@ -413,7 +415,7 @@
         }
     }
 
-    asio::awaitable<Result<BeastRequest>> readRequest(ServerConnection& connection, const ServerState& state, error_code& error)
+    asio::awaitable<Result<ReceivedRequest>> readRequest(ServerConnection& connection, const ServerState& state, error_code& error)
     {
         RequestParser parser;
         connection.stream.expires_never();
@@ -442,7 +444,7 @@
     }
 
     /** Runs the handler for one request. Returns false when the connection must be closed. */
-    asio::awaitable<bool> handleRequest(ServerConnection& connection, const ServerState& state, BeastRequest message)
+    asio::awaitable<bool> handleRequest(ServerConnection& connection, const ServerState& state, ReceivedRequest message)
     {
         HttpRequest request { std::string(viewOf(message.method_string())), std::string(viewOf(message.target())), headersOf(message.base()), std::move(message.body()) };
         ResponseWriter writer(connection.stream, connection.watcher, state, message.keep_alive(), request.method == "HEAD");
--- a/tests/http/ConnectionPoolTest.cpp
+++ b/tests/http/ConnectionPoolTest.cpp
@@ -331,6 +331,39 @@
     fixture.server.replies = { { "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + response("final") } };
     CHECK(fixture.call().value() == "final");
 }
+// Guards against a wrong Content-Length that ends the process before a byte of the body has come, and against a caller that waits for
+// bytes that cannot come.
+TEST_CASE("a response that announces more bytes than are accepted is an error at once")
+{
+    for (const std::string& length : { std::string("800800800800800"), std::string("18446744073709551615"), std::string("1048577") }) {
+        PoolFixture fixture;
+        fixture.server.replies = { { "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nsome bytes" } };
+        auto startedAt = fixture.timers.now();
+        auto result = fixture.call();
+        REQUIRE_FALSE(result.has_value());
+        CHECK(result.error().kind == ErrorKind::ProtocolError);
+        CHECK(fixture.timers.now() - startedAt < 500ms);
+    }
+}
+
+// Guards against a late response to an earlier request whose wrong length ends the process.
+TEST_CASE("a response to another request that announces too many bytes ends the exchange at once")
+{
+    PoolFixture fixture;
+    fixture.server.replies = { { "HTTP/1.1 200 OK\r\nId: q0\r\nContent-Length: 800800800800800\r\n\r\nsome bytes" } };
+    auto startedAt = fixture.timers.now();
+    CHECK(fixture.call(optionsOf("q1")).error().kind == ErrorKind::BackendFailed);
+    CHECK(fixture.timers.now() - startedAt < 500ms);
+}
+
+// Guards against a size of a chunk that reserves memory.
+TEST_CASE("a chunk that announces too many bytes is read as far as it comes")
+{
+    PoolFixture fixture;
+    fixture.server.replies = { { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffff\r\nsome bytes", true } };
+    CHECK(fixture.call().error().kind == ErrorKind::BackendFailed);
+}
+
 
 TEST_CASE("a late response without end to an earlier request ends the exchange before its deadline")
 {
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -1,3 +1,4 @@
+#include "http/message/GrowingBody.h"
 #include "support/HttpFixture.h"
 
 #include <array>
@@ -384,6 +385,21 @@
     }
 }
 
+// Guards against memory that each open connection takes for a body that it has only announced.
+TEST_CASE("a body takes memory only for the bytes that have arrived")
+{
+    GrowingBody::value_type body;
+    boost::beast::http::request_header<> header;
+    GrowingBody::reader reader(header, body);
+    boost::system::error_code error;
+    reader.init(std::numeric_limits<uint64_t>::max(), error);
+    CHECK_FALSE(error);
+    CHECK(body.capacity() < 100);
+    CHECK(reader.put(boost::asio::buffer("some bytes", 10), error) == 10);
+    CHECK(reader.put(boost::asio::buffer(" more", 5), error) == 5);
+    CHECK(body == "some bytes more");
+}
+
 // Guards against a decoder that reads past a truncated escape, or that takes an escaped plus sign for a space.
 TEST_CASE("a query value is decoded, and malformed escapes are kept")
 {
