An exception of a callback ends the work of that callback, not the daemon

Handlers of requests and background tasks have guards of their own; the library's callbacks between them, such as those that parse a response, have none.

Change: runEventLoop() logs the exception (callback_failed) and goes on. The coroutine that waited for the callback is destroyed with it, and its connections are closed. Both daemons use it; exceptions before the loop, such as a listener's, still end the process.

--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -17,6 +17,7 @@
         { EventId::SettingsRefused, "settings_refused", Severity::Error, "A setting is unknown, missing or out of range." },
         { EventId::LogLinesDropped, "log_lines_dropped", Severity::Warning, "Earlier log lines were dropped because the output was blocked; the field gives their number." },
         { EventId::TaskFailed, "task_failed", Severity::Error, "A background task ended with an exception; a permanent one is started again after a second." },
+        { EventId::CallbackFailed, "callback_failed", Severity::Error, "A callback of the event loop ended with an exception, and with it the work that it belongs to; all other work goes on." },
 
         // http
         { EventId::ListenerStarted, "listener_started", Severity::Info, "A listener accepts connections." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -23,6 +23,7 @@
     SettingsRefused = 1004,
     LogLinesDropped = 1005,
     TaskFailed = 1006,
+    CallbackFailed = 1007,
 
     // http: 1100 to 1199
     ListenerStarted = 1100,
--- a/modules/kernel/kernel.h
+++ b/modules/kernel/kernel.h
@@ -10,5 +10,6 @@
 #include "kernel/registry/ServiceRegistry.h"
 #include "kernel/settings/SettingsReader.h"
 #include "kernel/tasks/BackgroundTask.h"
+#include "kernel/tasks/EventLoop.h"
 #include "kernel/tasks/ScopedFlag.h"
 #include "kernel/timers/TimerService.h"
--- a/modules/kernel/tasks/BackgroundTask.cpp
+++ b/modules/kernel/tasks/BackgroundTask.cpp
@@ -1,23 +1,13 @@
 #include "kernel/tasks/BackgroundTask.h"
 
+#include "kernel/tasks/ExceptionText.h"
+
 #include <boost/asio/co_spawn.hpp>
-#include <exception>
 
 namespace chestnut {
 
 namespace {
 
-    std::string describe(const std::exception_ptr& exception)
-    {
-        try {
-            std::rethrow_exception(exception);
-        } catch (const std::exception& error) {
-            return error.what();
-        } catch (...) {
-            return "unknown exception";
-        }
-    }
-
     asio::awaitable<void> runUntilReturn(TimerService& timers, Log& log, std::string name, std::function<asio::awaitable<void>()> start)
     {
         while (true) {
@@ -30,7 +20,7 @@
             }
             if (!exception)
                 co_return;
-            log.write(EventId::TaskFailed, { { "task", name }, { "exception", describe(exception) } });
+            log.write(EventId::TaskFailed, { { "task", name }, { "exception", textOf(exception) } });
             co_await timers.sleep(taskRestartPause);
         }
     }
@@ -41,7 +31,7 @@
 {
     asio::co_spawn(executor, std::move(task), [&log, name = std::move(name)](const std::exception_ptr& exception) {
         if (exception)
-            log.write(EventId::TaskFailed, { { "task", name }, { "exception", describe(exception) } });
+            log.write(EventId::TaskFailed, { { "task", name }, { "exception", textOf(exception) } });
     });
 }
 
--- a/programs/chestnutrouted/Daemon.cpp
+++ b/programs/chestnutrouted/Daemon.cpp
@@ -145,6 +145,11 @@
     });
 }
 
+void Daemon::run()
+{
+    runEventLoop(m_context, service<Log>());
+}
+
 bool Daemon::isReady() const
 {
     return !m_isLeaving && service<ConfigurationService>().isReady();
--- a/programs/chestnutrouted/GatewayDaemon.cpp
+++ b/programs/chestnutrouted/GatewayDaemon.cpp
@@ -109,6 +109,11 @@
     waitForSignal();
 }
 
+void GatewayDaemon::run()
+{
+    runEventLoop(m_context, m_log);
+}
+
 void GatewayDaemon::applyLimits(const RoutingConfiguration& configuration)
 {
     HttpServerLimits limits;
--- a/programs/chestnutrouted/GatewayDaemon.h
+++ b/programs/chestnutrouted/GatewayDaemon.h
@@ -23,6 +23,8 @@
 
     /** Opens the listeners. Throws when an address cannot be bound. */
     void start();
+    /** Returns when the daemon has stopped. */
+    void run();
 
 private:
     std::unique_ptr<platform::TaskClient> makeTaskClient();
--- a/programs/chestnutrouted/main.cpp
+++ b/programs/chestnutrouted/main.cpp
@@ -67,7 +67,7 @@
         boost::asio::io_context context(1);
         auto daemon = makeDaemon(context, std::move(*settings));
         daemon->start();
-        context.run();
+        daemon->run();
         // Destructors would wait for the worker threads of the log library, which do not always end: the process and its
         // connections then stay until it is killed. All log lines have been written by now.
         std::_Exit(ExitDone);
