A deeply nested JSON document no longer ends the daemon

Cause: the JSON library takes some 80 bytes for each byte of nested brackets, and writes nested values by recursion. A completion request of 400 KB with a nested field is accepted by parseCompletionBody(), and engineRequestBody() then exhausts the stack.

More than 64 levels are invalid JSON.

Parsing 1 MB of brackets took 42 MB.

--- a/modules/backends/engines/CompletionBody.cpp
+++ b/modules/backends/engines/CompletionBody.cpp
@@ -1,5 +1,7 @@
 #include "backends/engines/CompletionBody.h"
 
+#include "base/text/JsonNesting.h"
+
 #include <nlohmann/json.hpp>
 
 namespace chestnut {
@@ -72,6 +74,8 @@
 
 Result<CompletionBody> parseCompletionBody(std::string_view text)
 {
+    if (isNestedTooDeep(text))
+        return makeError(ErrorKind::BadJson, "the body is nested too deeply");
     try {
         return readBody(json::parse(text));
     } catch (const json::exception& exception) {
@@ -92,6 +96,8 @@
 
 Result<CompletionChunk> parseCompletionChunk(std::string_view text)
 {
+    if (isNestedTooDeep(text))
+        return makeError(ErrorKind::ProtocolError, "invalid completion chunk: nested too deeply");
     try {
         return readChunk(json::parse(text));
     } catch (const json::exception& exception) {
--- a/modules/backends/engines/EngineMessages.cpp
+++ b/modules/backends/engines/EngineMessages.cpp
@@ -1,5 +1,7 @@
 #include "backends/engines/EngineMessages.h"
 
+#include "base/text/JsonNesting.h"
+
 namespace chestnut {
 
 using nlohmann::json;
@@ -10,6 +12,8 @@
     template <typename T, typename Reader>
     Result<T> parseWith(std::string_view text, Reader reader)
     {
+        if (isNestedTooDeep(text))
+            return makeError(ErrorKind::ProtocolError, "the document is nested too deeply");
         try {
             return reader(json::parse(text));
         } catch (const std::exception& exception) {
--- a/modules/backends/servers/HttpBackendServerClient.cpp
+++ b/modules/backends/servers/HttpBackendServerClient.cpp
@@ -1,5 +1,7 @@
 #include "backends/servers/HttpBackendServerClient.h"
 
+#include "base/text/JsonNesting.h"
+
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,6 +21,8 @@
 
     Result<BackendServerLoad> parseLoad(const std::string& text)
     {
+        if (isNestedTooDeep(text))
+            return makeError(ErrorKind::ProtocolError, "the document is nested too deeply");
         try {
             auto document = nlohmann::json::parse(text);
             BackendServerLoad load;
--- a/modules/control/tickets/ConfigurationCodec.cpp
+++ b/modules/control/tickets/ConfigurationCodec.cpp
@@ -1,5 +1,7 @@
 #include "control/tickets/ConfigurationCodec.h"
 
+#include "base/text/JsonNesting.h"
+
 #include <array>
 #include <boost/leaf.hpp>
 #include <cmath>
@@ -256,7 +258,7 @@
 
     leaf::result<json> parseJson(std::string_view text)
     {
-        auto document = json::parse(text, nullptr, false);
+        auto document = isNestedTooDeep(text) ? json(json::value_t::discarded) : json::parse(text, nullptr, false);
         if (document.is_discarded())
             return leaf::new_error(makeError(ErrorKind::BadJson, "the text is not valid JSON"));
         return document;
