--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -55,7 +55,8 @@
     auto onInterrupt = [this](TimePoint since) { recordEventTime(since); };
     auto findSuccessor = [this](const ReplicaId& engine) { return this->findSuccessor(engine); };
     auto openAt = [this](const ReplicaEntry& engine) { return openMove(engine); };
-    return { canContinue, hasBegun, onInterrupt, findSuccessor, openAt };
+    auto stopRun = [this](EngineRun run, std::string successor, Duration timeout) { return chestnut::stopRun(m_relay->services.replicaClient, m_stopCalls, std::move(run), std::move(successor), timeout); };
+    return { canContinue, hasBegun, onInterrupt, findSuccessor, openAt, stopRun };
 }
 
 bool GenerationRelay::canContinueElsewhere(const ReplicaId& engine) const
@@ -68,7 +69,7 @@
 {
     auto& relay = *m_relay;
     auto leavesAt = relay.services.replicas.leavesAt(engine.id);
-    if (!leavesAt || m_hasRefusedStop || !relay.mayRunAgain() || relay.hasSuspectedPart() || !canContinueElsewhere(engine.id))
+    if (!leavesAt || m_isStopFutile || !relay.mayRunAgain() || relay.hasSuspectedPart() || !canContinueElsewhere(engine.id))
         return false;
     auto now = relay.services.timers.now();
     auto position = static_cast<double>(hash64(relay.request.id.value()) % positions) / positions;
@@ -83,10 +84,11 @@
 {
     auto& relay = *m_relay;
     m_silenceWatch.stop();
-    auto stopped = co_await relay.services.replicaClient.stopRun({ engine.id, engine.address, relay.request.id }, {}, SilenceWatch::controlCallTimeout);
-    m_hasRefusedStop = stopped && *stopped == RunStopResult::Refused;
+    auto stopped = co_await stopRun(relay.services.replicaClient, m_stopCalls, { engine.id, engine.address, relay.request.id }, {}, SilenceWatch::controlCallTimeout);
+    // The last events of a run that is not known any more may still be on the way.
+    m_isStopFutile = stopped && (*stopped == RunStopResult::Refused || *stopped == RunStopResult::NotRunning);
     // Without an answer the run may go on; the next event is another occasion.
-    if (!stopped || m_hasRefusedStop || relay.isOver())
+    if (!stopped || m_isStopFutile || relay.isOver())
         co_return false;
     relay.interruptAttempt();
     co_return true;
@@ -149,7 +151,23 @@
     relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "in_flight", relay.services.loadTracker->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "left_ms", relay.remaining().count() / 1000 } });
 }
 
+ConnectionEnd GenerationRelay::connectionEnd(const ReplicaId& engine) const
+{
+    const auto& relay = *m_relay;
+    auto leavesAt = relay.services.replicas.leavesAt(engine);
+    auto hasLeft = leavesAt && *leavesAt <= relay.services.timers.now();
+    return { m_stopCalls->mayHaveEndedRun(), relay.isTimeOver(), hasLeft };
+}
+
 asio::awaitable<Result<ReplicaResponse>> GenerationRelay::openDecodeStream(const ReplicaEntry& engine)
+{
+    auto response = co_await sendDecode(engine);
+    if (response)
+        response->body = std::make_unique<AttemptBody>(std::move(response->body), [this, id = engine.id] { return connectionEnd(id); });
+    co_return response;
+}
+
+asio::awaitable<Result<ReplicaResponse>> GenerationRelay::sendDecode(const ReplicaEntry& engine)
 {
     auto& relay = *m_relay;
     watchSilence(engine, firstEventWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective));
@@ -305,7 +323,8 @@
     StreamProgress::Stream inProgress(relay.services.streams, relay.service, engine.id, sentAt);
     m_lastEventAt.reset();
     m_isContinuation = m_writer.hasBegun();
-    m_hasRefusedStop = false;
+    m_isStopFutile = false;
+    m_stopCalls = std::make_shared<StopCalls>();
     m_hasEvents = false;
     auto response = co_await openDecodeStream(engine);
     if (!response)
@@ -363,6 +382,8 @@
         if (served)
             co_return served;
         m_move = m_silenceWatch.takeMove();
+        if (m_stopCalls->mayHaveEndedRun())
+            relay.markInterrupted();
         last = served.error();
         relay.recordAttemptFailure(engine->id, last);
         if (!m_lastEventAt)
--- a/modules/gateway/requests/PlainRelay.cpp
+++ b/modules/gateway/requests/PlainRelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requests/PlainRelay.h"
 
 #include "decisions/speeds/WaitLimits.h"
+#include "gateway/requests/AttemptBody.h"
 #include "gateway/requests/BodyRelay.h"
 #include "gateway/requests/SilenceWatch.h"
 
@@ -90,7 +91,7 @@
             relay.recordCapacity(replica, relay.loadShareOf(replica), limit, relay.services.speeds.speedOf(relay.service).occupancy);
             relay.services.speeds.recordOccupancy(relay.service, limit);
         };
-        return { canContinueElsewhere, [] { return false; }, onInterrupt, {}, {} };
+        return { canContinueElsewhere, [] { return false; }, onInterrupt, {}, {}, {} };
     }
 
     asio::awaitable<Result<CompleteResponse>> attempt(RelayContext& relay, const ReplicaEntry& replica, Duration limit)
@@ -106,6 +107,7 @@
         auto response = co_await relay.services.replicaClient.send(std::move(call));
         if (!response)
             co_return response.error();
+        response->body = std::make_unique<AttemptBody>(std::move(response->body), [&relay] { return ConnectionEnd { .isRequestOver = relay.isTimeOver() }; });
         auto body = co_await readBodyStart(*response->body, relay.services.responseBuffers);
         // The header has already said that the request was not run, however its body ends.
         if (response->executionStatus == ExecutionStatus::NotExecuted)
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr int gatewayTimeout = 504;
+    /** Replicas are given their time limit in whole milliseconds. */
+    constexpr Duration timeLimitRounding = std::chrono::milliseconds(1);
 
     Duration timeAllowed(const RoutedRequest& request, const Route& route)
     {
@@ -92,6 +94,11 @@
     abort->abort();
 }
 
+bool RelayContext::isTimeOver() const
+{
+    return isOver() || remaining() <= timeLimitRounding;
+}
+
 bool RelayContext::mayRetry() const
 {
     if (isOver())
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -62,6 +62,8 @@
     double waitingAhead() const;
     Duration remaining() const { return m_deadline - services.timers.now(); }
     bool isOver() const { return m_isClientDisconnected || m_hasExpired; }
+    /** Whether the request is over, or the time limit that its replica was given has passed. */
+    bool isTimeOver() const;
     bool isClientDisconnected() const { return m_isClientDisconnected; }
     void onClientDisconnect();
     /** Ends the request as at its deadline. */
--- a/modules/gateway/requests/SilenceWatch.cpp
+++ b/modules/gateway/requests/SilenceWatch.cpp
@@ -161,7 +161,7 @@
 {
     m_isEndingRun = true;
     if (isAnswering) {
-        auto stopped = co_await m_relay.services.replicaClient.stopRun(wait.run, wait.successor, controlCallTimeout);
+        auto stopped = co_await m_callbacks.stopRun(wait.run, wait.successor, controlCallTimeout);
         if (examination.expired())
             co_return;
         if (stopped && *stopped == RunStopResult::Refused) {
@@ -188,11 +188,10 @@
 
 void SilenceWatch::stopInBackground(const Wait& wait) const
 {
-    auto stop = [](ReplicaClient& client, EngineRun run, std::string successor) -> asio::awaitable<void> {
-        (void)co_await client.stopRun(std::move(run), std::move(successor), backgroundStopTimeout);
-    };
+    auto ignoreResult = [](asio::awaitable<Result<RunStopResult>> call) -> asio::awaitable<void> { (void)co_await std::move(call); };
     const auto& services = m_relay.services;
-    spawnTask(services.context.get_executor(), services.log, "run_stop", stop(services.replicaClient, wait.run, wait.successor));
+    auto call = m_callbacks.stopRun(wait.run, wait.successor, backgroundStopTimeout);
+    spawnTask(services.context.get_executor(), services.log, "run_stop", ignoreResult(std::move(call)));
 }
 
 void SilenceWatch::interrupt(const Wait& wait)
--- a/modules/gateway/requests/SilenceWatch.h
+++ b/modules/gateway/requests/SilenceWatch.h
@@ -37,6 +37,8 @@
         std::function<std::optional<ReplicaEntry>(const ReplicaId&)> findSuccessor;
         /** Opens the stream, which has begun, at another engine. */
         std::function<std::shared_ptr<StreamMove>(const ReplicaEntry&)> openAt;
+        /** Asks an engine to end the run of the present attempt. The coroutine may outlive this object. */
+        std::function<asio::awaitable<Result<RunStopResult>>(EngineRun, std::string successor, Duration timeout)> stopRun;
     };
 
     /** Time for an answer of an engine about a run, which takes it milliseconds. */
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -36,10 +36,11 @@
 
     class ScriptedBody final : public HttpBodyStream {
     public:
-        ScriptedBody(VirtualTimerService& timers, ScriptedResponse response, std::shared_ptr<AbortHandle> abort)
+        ScriptedBody(VirtualTimerService& timers, ScriptedResponse response, std::shared_ptr<AbortHandle> abort, std::shared_ptr<const TimePoint> closeTime)
             : m_timers(timers)
             , m_response(std::move(response))
             , m_abort(std::move(abort))
+            , m_closeTime(std::move(closeTime))
         {
         }
 
@@ -52,8 +53,13 @@
             if (m_abort && m_abort->isAborted())
                 co_return makeError(ErrorKind::BackendFailed, "aborted");
             auto delay = m_response.delays.contains(m_next) ? m_response.delays[m_next] : m_response.chunkDelay;
-            if (!co_await waitUnlessAborted(m_timers, m_timers.now() + delay, m_abort))
-                co_return makeError(ErrorKind::BackendFailed, "interrupted");
+            auto sendsAt = m_timers.now() + delay;
+            while (m_timers.now() < std::min(sendsAt, *m_closeTime)) {
+                if (!co_await waitUnlessAborted(m_timers, m_timers.now() + std::chrono::milliseconds(1), m_abort))
+                    co_return makeError(ErrorKind::BackendFailed, "interrupted");
+            }
+            if (*m_closeTime < sendsAt)
+                co_return endOfConnection();
             if (m_next < m_response.chunks.size())
                 co_return std::optional(m_response.chunks[m_next++]);
             if (m_response.closesEarly)
@@ -62,9 +68,17 @@
         }
 
     private:
+        Result<std::optional<std::string>> endOfConnection() const
+        {
+            if (m_response.endsWithConnection)
+                return std::optional<std::string>();
+            return makeError(ErrorKind::BackendFailed, "the connection was closed before the end of the body");
+        }
+
         VirtualTimerService& m_timers;
         ScriptedResponse m_response;
         std::shared_ptr<AbortHandle> m_abort;
+        std::shared_ptr<const TimePoint> m_closeTime;
         HttpHeaders m_headers;
         size_t m_next = 0;
     };
@@ -281,6 +295,14 @@
     publishNotice({ replica, address, sentAt, "call", notices[replica] });
 }
 
+std::shared_ptr<TimePoint> FakeReplicaClient::closeTimeOf(const ReplicaId& replica)
+{
+    auto& closeTime = m_closeTimes[replica];
+    if (!closeTime)
+        closeTime = std::make_shared<TimePoint>(TimePoint::max());
+    return closeTime;
+}
+
 ScriptedResponse FakeReplicaClient::nextResponse(const ReplicaId& replica)
 {
     auto& script = scripts[replica];
@@ -322,7 +344,7 @@
     auto executionStatus = response.executionStatus;
     auto headers = response.headers;
     headers.set("X-Replica", call.replica.value());
-    co_return ReplicaResponse { executionStatus, std::move(headers), std::make_unique<ScriptedBody>(m_timers, std::move(response), call.abort) };
+    co_return ReplicaResponse { executionStatus, std::move(headers), std::make_unique<ScriptedBody>(m_timers, std::move(response), call.abort, closeTimeOf(call.replica)) };
 }
 
 asio::awaitable<Result<PrefillResponse>> FakeReplicaClient::prefill(ReplicaCall call)
@@ -401,9 +423,19 @@
 {
     successors.push_back(std::move(successor));
     stoppedAt.push_back(run.replica);
+    auto answers = runAnswers[run.replica];
+    if (answers.closesStreamAfter) {
+        *closeTimeOf(run.replica) = m_timers.now() + *answers.closesStreamAfter;
+        m_closeTimes.erase(run.replica);
+    }
     if (auto error = co_await failRunCall(run.replica, timeout))
         co_return *error;
-    co_return runAnswers[run.replica].stop;
+    co_await m_timers.sleep(std::min(answers.stopTime, timeout));
+    if (answers.stopTime >= timeout)
+        co_return makeError(ErrorKind::DeadlineExceeded, "no answer");
+    if (answers.stopError)
+        co_return *answers.stopError;
+    co_return answers.stop;
 }
 
 asio::awaitable<Result<void>> FakeWriter::send(HttpResponse response)
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -125,6 +125,10 @@
     bool mayBeRunning = true;
     RunStopResult stop = RunStopResult::Stopped;
     std::optional<Error> error; /**< of each call, at once */
+    std::optional<Error> stopError; /**< of a call to end a run */
+    Duration stopTime {}; /**< until the answer to a call to end a run */
+    /** From a call to end a run until its engine closes the stream without its end. Absent: the stream goes on. */
+    std::optional<Duration> closesStreamAfter;
     bool isUnresponsive = false; /**< calls get no answer */
 };
 
@@ -173,10 +177,13 @@
     asio::awaitable<std::optional<Error>> failRunCall(ReplicaId, Duration timeout);
     void publish(const ReplicaId&, const std::string& address, TimePoint sentAt);
     ScriptedResponse nextResponse(const ReplicaId&);
+    /** When the engine closes the streams that it has sent so far. */
+    std::shared_ptr<TimePoint> closeTimeOf(const ReplicaId&);
     /** Reads the missing parts of the prompt; returns when the engine has done so. */
     TimePoint queuePrefill(const ReplicaCall&, double& missingTokens);
 
     VirtualTimerService& m_timers;
+    std::map<ReplicaId, std::shared_ptr<TimePoint>> m_closeTimes;
 };
 
 /** Fake daemons that serve their configurations. */
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -805,3 +805,174 @@
     CHECK(writer.isFinished);
     CHECK(fixture.replicaClient.sent.size() == 1);
 }
+
+namespace {
+
+/** What an engine answers to the call that ends a run, and when the stream is closed and the answer arrives. */
+struct StopCase {
+    std::string name;
+    RunStopResult result = RunStopResult::Stopped;
+    std::optional<Error> error = {};
+    Duration closesAfter {};
+    Duration answersAfter {};
+};
+
+std::vector<StopCase> stopCases()
+{
+    auto lost = makeError(ErrorKind::BackendFailed, "reset");
+    return {
+        { "the answer comes after the end of the stream", RunStopResult::Stopped, {}, 5ms, 100ms },
+        { "the answer comes before the end of the stream", RunStopResult::Stopped, {}, 100ms, 5ms },
+        { "both come at once", RunStopResult::Stopped, {}, 20ms, 20ms },
+        { "the answer is lost", RunStopResult::Stopped, {}, 5ms, 1h },
+        { "the answer is an error after the end of the stream", RunStopResult::Stopped, lost, 5ms, 50ms },
+        { "the answer is an error before the end of the stream", RunStopResult::Stopped, lost, 50ms, 5ms },
+        { "the engine refuses the call and ends the stream nevertheless", RunStopResult::Refused, {}, 5ms, 50ms },
+        { "the engine refuses the call and ends the stream later", RunStopResult::Refused, {}, 700ms, 5ms },
+    };
+}
+
+} // namespace
+
+// Guards against a stream without length or chunks that ends as complete because the daemon has asked its engine to end the run.
+TEST_CASE("a stream that its engine closes at the daemon's call is continued elsewhere, whatever the answer to the call")
+{
+    for (const auto& stopCase : stopCases()) {
+        CAPTURE(stopCase.name);
+        StoppedStream fixture;
+        auto& script = fixture.replicaClient.scripts[ReplicaId("i-d1")].front();
+        script.endsWithConnection = true;
+        fixture.answers().stop = stopCase.result;
+        fixture.answers().stopError = stopCase.error;
+        fixture.answers().closesStreamAfter = stopCase.closesAfter;
+        fixture.answers().stopTime = stopCase.answersAfter;
+        fixture.run(5s);
+        CHECK(fixture.writer.body == fixture.body);
+        CHECK(fixture.writer.isFinished);
+        CHECK_FALSE(fixture.replicaClient.stoppedAt.empty());
+        // The daemon itself has ended the run, so that its request is no cause of a crash.
+        CHECK(fixture.log.recent(EventId::RequestSuspected).empty());
+    }
+}
+
+// Guards against the same end where a stream is moved because its engine leaves.
+TEST_CASE("a stream that a leaving engine closes at the daemon's call is continued elsewhere, whatever the answer to the call")
+{
+    for (const auto& stopCase : stopCases()) {
+        CAPTURE(stopCase.name);
+        Engines fixture;
+        auto slow = stream({ event(1), event(2), event(3), event(4), event(5), event(6), event(7), event(8), event(9), event(10) });
+        slow.chunkDelay = 300ms;
+        slow.endsWithConnection = true;
+        fixture.script("i-d1", { slow });
+        fixture.script("i-d2", { stream(slow.chunks) });
+        auto& answers = fixture.replicaClient.runAnswers[ReplicaId("i-d1")];
+        answers.stop = stopCase.result;
+        answers.stopError = stopCase.error;
+        answers.closesStreamAfter = stopCase.closesAfter;
+        answers.stopTime = stopCase.answersAfter;
+        FakeWriter writer;
+        auto streaming = fixture.resumable();
+        streaming.timeout = 10s;
+        fixture.start(streaming, writer, PromptShape { "m", 220, 90, { { 1, 220 } } });
+        fixture.timers.advance(400ms);
+        fixture.store.put("servers/i-d1", testEntry("s", "decode", "a", "draining", 1, 2) + " reclaimable 2500");
+        fixture.timers.advance(6s);
+        std::string whole;
+        for (const auto& chunk : slow.chunks)
+            whole += chunk;
+        CHECK(writer.body == whole);
+        CHECK(writer.isFinished);
+        CHECK(fixture.log.recent(EventId::RequestSuspected).empty());
+    }
+}
+
+// Guards against a complete stream that is taken for a stopped one.
+TEST_CASE("a stream whose last chunk arrives during the daemon's call is complete")
+{
+    StoppedStream fixture;
+    auto& script = fixture.replicaClient.scripts[ReplicaId("i-d1")].front();
+    script.chunks = { event(1) };
+    script.delays = { { 1, 1945ms } };
+    fixture.answers().stopTime = 250ms;
+    fixture.run(5s);
+    CHECK(fixture.replicaClient.stoppedAt.size() == 1);
+    CHECK(fixture.writer.body == event(1));
+    CHECK(fixture.writer.isFinished);
+}
+
+// Guards against a stream that is cut because its run has ended by itself while its last events were on the way.
+TEST_CASE("a stream whose leaving engine does not know its run any more is read to its end")
+{
+    Engines fixture;
+    auto slow = stream({ event(1), event(2), event(3), event(4), event(5), event(6), event(7), event(8), event(9) });
+    slow.chunkDelay = 300ms;
+    slow.endsWithConnection = true;
+    slow.delays = { { 9, 1ms } };
+    fixture.script("i-d1", { slow });
+    fixture.replicaClient.runAnswers[ReplicaId("i-d1")].stop = RunStopResult::NotRunning;
+    FakeWriter writer;
+    auto streaming = fixture.resumable();
+    streaming.timeout = 10s;
+    fixture.start(streaming, writer, PromptShape { "m", 220, 90, { { 1, 220 } } });
+    fixture.timers.advance(400ms);
+    fixture.store.put("servers/i-d1", testEntry("s", "decode", "a", "draining", 1, 2) + " reclaimable 2500");
+    fixture.timers.advance(6s);
+    CHECK(fixture.replicaClient.stoppedAt.size() == 1);
+    CHECK(fixture.replicaClient.sent.size() == 1);
+    CHECK(eventsOf(writer.body).size() == slow.chunks.size());
+    CHECK(writer.isFinished);
+}
+
+// Guards against a document whose engine closes the connection at the daemon's call, and which the client takes for whole.
+TEST_CASE("a document that its engine closes at the daemon's call is not complete")
+{
+    Engines fixture;
+    fixture.recordCalls(prefillTokensPerMillisecond, 10ms, 50ms);
+    auto document = stream({ R"({"text":"the first)", R"( and the second part"})" });
+    document.headers.set("Content-Type", "application/json");
+    document.endsWithConnection = true;
+    document.delays = { { 1, 8s } };
+    auto whole = document;
+    whole.delays.clear();
+    fixture.script("i-d1", { document });
+    fixture.script("i-d2", { whole });
+    fixture.replicaClient.runAnswers[ReplicaId("i-d1")].closesStreamAfter = 5ms;
+    fixture.replicaClient.runAnswers[ReplicaId("i-d1")].stopTime = 100ms;
+    FakeWriter writer;
+    auto newRoute = fixture.resumable();
+    newRoute.timeout = 10s;
+    fixture.runRequest(newRoute, writer, fixture.longPrompt(), 6s);
+    CHECK_FALSE(fixture.replicaClient.stoppedAt.empty());
+    CHECK(writer.body == whole.chunks[0] + whole.chunks[1]);
+}
+
+// Guards against a stream that looks complete although its engine has dropped it at the time limit, or has left.
+TEST_CASE("a stream that ends with its connection at the time limit or after the departure of its engine is not complete")
+{
+    Engines fixture;
+    auto slow = stream({ event(1), event(2) });
+    slow.endsWithConnection = true;
+    slow.chunkDelay = 10ms;
+    auto streaming = fixture.single();
+    SUBCASE("at the time limit")
+    {
+        // The connection and the time limit end in the same moment, as for a daemon that was frozen meanwhile.
+        slow.delays = { { 2, streaming.timeout - 20ms } };
+    }
+    SUBCASE("after the departure")
+    {
+        streaming.timeout = 10s;
+        slow.delays = { { 2, 4s } };
+    }
+    fixture.script("i-d1", { slow });
+    FakeWriter writer;
+    fixture.start(streaming, writer, PromptShape { "m", 220, 90, { { 1, 220 } } });
+    fixture.timers.advance(400ms);
+    if (streaming.timeout > 5s)
+        fixture.store.put("servers/i-d1", testEntry("s", "decode", "a", "draining", 1, 2) + " reclaimable 2500");
+    fixture.timers.advance(6s);
+    CHECK(writer.body == event(1) + event(2));
+    CHECK_FALSE(writer.isFinished);
+    CHECK(writer.wasAborted);
+}
