--- a/modules/gateway/requests/ReplicaClient.h
+++ b/modules/gateway/requests/ReplicaClient.h
@@ -71,6 +71,7 @@
 enum class RunStopResult : uint8_t {
     Stopped,
     NotRunning, /**< the engine runs no such request */
+    WrongReplica, /**< the address belongs to another replica; the run has ended with its own */
     Refused, /**< the run may go on */
 };
 
--- a/tests/platform/HttpReplicaClientTest.cpp
+++ b/tests/platform/HttpReplicaClientTest.cpp
@@ -182,6 +182,16 @@
     CHECK(stopping.received.starts_with("POST /v1/kv-move "));
     CHECK(stopping.received.ends_with(R"({"id":"q1","last":true,"to":"10.0.0.2:80"})"));
     CHECK(AnsweringReplica("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").stop().value() == RunStopResult::NotRunning);
+    CHECK(AnsweringReplica("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n").stop().value() == RunStopResult::WrongReplica);
     CHECK(AnsweringReplica("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").stop().value() == RunStopResult::Refused);
     CHECK_FALSE(AnsweringReplica("").stop().has_value());
 }
+
+// Guards against a run that counts as going on although its engine has ended it and only the move of its KV cache has failed.
+TEST_CASE("a stop whose move has failed has ended the run")
+{
+    auto unavailable = [](const std::string& body) { return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body; };
+    CHECK(AnsweringReplica(unavailable(R"({"kv_handle":"3fa09c41b7d5","create_revision":4})")).stop().value() == RunStopResult::Stopped);
+    for (const auto* body : { "", "{}", R"({"kv_handle":7})", R"({"kv_handle":""})", "[]" })
+        CHECK(AnsweringReplica(unavailable(body)).stop().value() == RunStopResult::Refused);
+}
