--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest/Digest.h"
 #include "http/client/ClientConnection.h"
+#include "http/client/ResponseHeaderCheck.h"
 #include "http/message/GrowingBody.h"
 
 #include <algorithm>
@@ -55,6 +56,13 @@
         return error == asio::error::would_block;
     }
 
+    /** Whether the bytes that were received cannot be the header of a response; an incomplete one is not malformed. */
+    bool isMalformed(const error_code& error)
+    {
+        auto isIncomplete = error == http::error::end_of_stream || error == http::error::partial_message;
+        return error.category() == http::make_error_code(http::error::end_of_stream).category() && !isIncomplete;
+    }
+
     /** Reads `timeout=N` of a Keep-Alive field, in seconds. */
     std::optional<int> announcedIdleSeconds(std::string_view keepAlive)
     {
@@ -230,7 +238,9 @@
             error_code error;
             co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
             if (error)
-                co_return errorAfterSend(error, m_endpoint, "read response header from");
+                co_return isMalformed(error) ? malformedError(error.message()) : errorAfterSend(error, m_endpoint, "read response header from");
+            if (auto fault = findHeaderFault(m_parser->get().base()))
+                co_return malformedError(*fault);
             m_headers = headersOf(m_parser->get().base());
             m_announcedLength.reset();
             if (auto length = m_parser->content_length(); length && !m_parser->is_done())
@@ -241,6 +251,11 @@
             co_return Result<void>();
         }
 
+        Error malformedError(const std::string& fault) const
+        {
+            return makeError(ErrorKind::ProtocolError, "malformed response header from " + formatEndpoint(m_endpoint) + ": " + fault);
+        }
+
         asio::awaitable<Result<void>> skipBody()
         {
             error_code error;
--- a/modules/http/client/ConnectionPool.h
+++ b/modules/http/client/ConnectionPool.h
@@ -46,7 +46,8 @@
 
 /** HTTP/1.1 client for requests that must not be executed twice: it never sends a request twice. An idle connection is reused
     only if the server has neither closed it nor sent surplus bytes. Errors: ConnectFailed and Overloaded (see
-    ExchangeOptions::maySend) when no byte was sent, BackendFailed and DeadlineExceeded when the server may have received the request. */
+    ExchangeOptions::maySend) when no byte was sent; when the server may have received the request, ProtocolError for a malformed
+    response header, BackendFailed and DeadlineExceeded. */
 class ConnectionPool {
 public:
     ConnectionPool(asio::io_context&, TimerService&, ConnectionPoolSettings);
--- a/modules/http/client/HttpClient.cpp
+++ b/modules/http/client/HttpClient.cpp
@@ -42,8 +42,8 @@
     auto isSafeMethod = request.method == "GET" || request.method == "HEAD";
     if (isSafeMethod) {
         auto response = co_await exchangeOnce(endpoint, request, timeouts, maximumBody, true);
-        // The server may just have closed the idle connection, so a failure is retried once on a new one.
-        if (response || response.error().kind != ErrorKind::BackendFailed)
+        // The server may just have closed the idle connection, or written to it, so a failure is retried once on a new one.
+        if (response || (response.error().kind != ErrorKind::BackendFailed && response.error().kind != ErrorKind::ProtocolError))
             co_return response;
     }
     co_return co_await exchangeOnNewConnection(std::move(endpoint), std::move(request), timeouts, maximumBody);
--- a/tests/gateway/PlainRelayTest.cpp
+++ b/tests/gateway/PlainRelayTest.cpp
@@ -512,3 +512,45 @@
     CHECK(writer.isFinished);
     CHECK(fixture.replicaClient.sent.size() == 1);
 }
+
+// Guards against a malformed response that leaves its replica in use, that counts as a crash, or whose request is refused as not run.
+TEST_CASE("a malformed response counts against its replica but not as a crash, and its request may have run")
+{
+    constexpr int failuresUntilEjection = 10;
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    fixture.addReplica("i-2", "s", "none");
+    fixture.replicaClient.scripts[ReplicaId("i-1")] = { failWith(ErrorKind::ProtocolError) };
+    fixture.replicaClient.scripts[ReplicaId("i-2")] = { respondWith("body") };
+    int failures = 0;
+    for (int i = 0; i < 2 * failuresUntilEjection; ++i) {
+        FakeWriter once;
+        fixture.runRequest(fixture.route(RouteKind::NonIdempotent, 3), once, {}, 50ms);
+        failures += once.status == 502 ? 1 : 0;
+        CHECK((once.status == 200 || once.status == 502));
+    }
+    CHECK(failures > 0);
+    CHECK(failures <= failuresUntilEjection);
+    FakeWriter repeated;
+    fixture.runRequest(fixture.route(RouteKind::Idempotent, 3), repeated);
+    CHECK(repeated.status == 200);
+    CHECK(fixture.log.recent(EventId::RequestSuspected).empty());
+}
+
+// Guards against a response without a length that looks complete although its replica has dropped the call at the time limit.
+TEST_CASE("a body that ends with its connection at the time limit is not complete")
+{
+    GatewayFixture fixture;
+    fixture.addReplica("i-1", "s", "none");
+    auto route = fixture.route(RouteKind::NonIdempotent, 1);
+    auto cut = respondWith("a part");
+    cut.endsWithConnection = true;
+    SUBCASE("in time") { cut.delays = { { 1, route.timeout - 10ms } }; }
+    SUBCASE("at the limit") { cut.delays = { { 1, route.timeout - 1ms } }; }
+    auto isInTime = cut.delays.at(1) < route.timeout - 5ms;
+    fixture.replicaClient.scripts[ReplicaId("i-1")] = { cut };
+    FakeWriter writer;
+    fixture.runRequest(route, writer);
+    CHECK((writer.status == 200) == isInTime);
+    CHECK((writer.body == "a part") == isInTime);
+}
