A call to end a run that reaches the engine late explains the end of a later run there

An engine that answers nothing is told in the background to end its run. If the engines that continue the stream fail, the silent engine is used again, and the call, which names only the request, may end that run.

Cause: StopCalls was kept for the present attempt only, while a call names the request and may arrive after the attempt has ended.

Change: StopCalls of a request are kept for each engine. Calls without an answer count for all later runs there, answered ones for the run during which they were made. A call that could not be sent counts for none.

--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -55,7 +55,10 @@
     auto onInterrupt = [this](TimePoint since) { recordEventTime(since); };
     auto findSuccessor = [this](const ReplicaId& engine) { return this->findSuccessor(engine); };
     auto openAt = [this](const ReplicaEntry& engine) { return openMove(engine); };
-    auto stopRun = [this](EngineRun run, std::string successor, Duration timeout) { return chestnut::stopRun(m_relay->services.replicaClient, m_stopCalls, std::move(run), std::move(successor), timeout); };
+    auto stopRun = [this](EngineRun run, std::string successor, Duration timeout) {
+        auto calls = stopCallsTo(run.replica);
+        return chestnut::stopRun(m_relay->services.replicaClient, std::move(calls), std::move(run), std::move(successor), timeout);
+    };
     return { canContinue, hasBegun, onInterrupt, findSuccessor, openAt, stopRun };
 }
 
@@ -84,7 +87,7 @@
 {
     auto& relay = *m_relay;
     m_silenceWatch.stop();
-    auto stopped = co_await stopRun(relay.services.replicaClient, m_stopCalls, { engine.id, engine.address, relay.request.id }, {}, SilenceWatch::controlCallTimeout);
+    auto stopped = co_await stopRun(relay.services.replicaClient, stopCallsTo(engine.id), { engine.id, engine.address, relay.request.id }, {}, SilenceWatch::controlCallTimeout);
     // The last events of a run that is not known any more may still be on the way.
     m_isStopFutile = stopped && (*stopped == RunStopResult::Refused || *stopped == RunStopResult::NotRunning);
     // Without an answer the run may go on; the next event is another occasion.
@@ -151,12 +154,20 @@
     relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "in_flight", relay.services.loadTracker->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "left_ms", relay.remaining().count() / 1000 } });
 }
 
-ConnectionEnd GenerationRelay::connectionEnd(const ReplicaId& engine) const
+const std::shared_ptr<StopCalls>& GenerationRelay::stopCallsTo(const ReplicaId& engine)
+{
+    auto& calls = m_stopCalls[engine];
+    if (!calls)
+        calls = std::make_shared<StopCalls>();
+    return calls;
+}
+
+ConnectionEnd GenerationRelay::connectionEnd(const ReplicaId& engine)
 {
     const auto& relay = *m_relay;
     auto leavesAt = relay.services.replicas.leavesAt(engine);
     auto hasLeft = leavesAt && *leavesAt <= relay.services.timers.now();
-    return { m_stopCalls->mayHaveEndedRun(), relay.isTimeOver(), hasLeft };
+    return { stopCallsTo(engine)->explainEnd(), relay.isTimeOver(), hasLeft };
 }
 
 asio::awaitable<Result<ReplicaResponse>> GenerationRelay::openDecodeStream(const ReplicaEntry& engine)
@@ -324,7 +335,7 @@
     m_lastEventAt.reset();
     m_isContinuation = m_writer.hasBegun();
     m_isStopFutile = false;
-    m_stopCalls = std::make_shared<StopCalls>();
+    stopCallsTo(engine.id)->mayHaveEndedRun = false;
     m_hasEvents = false;
     auto response = co_await openDecodeStream(engine);
     if (!response)
@@ -382,7 +393,7 @@
         if (served)
             co_return served;
         m_move = m_silenceWatch.takeMove();
-        if (m_stopCalls->mayHaveEndedRun())
+        if (stopCallsTo(engine->id)->explainEnd())
             relay.markInterrupted();
         last = served.error();
         relay.recordAttemptFailure(engine->id, last);
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -44,8 +44,9 @@
     asio::awaitable<Result<void>> decodeAt(const ReplicaEntry&);
     asio::awaitable<Result<ReplicaResponse>> openDecodeStream(const ReplicaEntry&);
     asio::awaitable<Result<ReplicaResponse>> sendDecode(const ReplicaEntry&);
+    const std::shared_ptr<StopCalls>& stopCallsTo(const ReplicaId& engine);
     /** What is known when the connection of the present decode attempt ends. */
-    ConnectionEnd connectionEnd(const ReplicaId& engine) const;
+    ConnectionEnd connectionEnd(const ReplicaId& engine);
     asio::awaitable<StreamEnd> relayEvents(const ReplicaEntry& engine, ReplicaResponse&, TimePoint sentAt);
     asio::awaitable<bool> writeEvents(ReplicaResponse&, EventBatch);
     /** Whether another run may continue what the client has received. */
@@ -86,7 +87,7 @@
     SilenceWatch m_silenceWatch;
     std::shared_ptr<StreamMove> m_move; /**< the response of the next decode attempt, which has been requested already */
     bool m_isStopFutile = false; /**< the leaving engine has refused to end the run, or does not know it */
-    std::shared_ptr<StopCalls> m_stopCalls = std::make_shared<StopCalls>(); /**< of the present decode attempt */
+    std::map<ReplicaId, std::shared_ptr<StopCalls>> m_stopCalls; /**< to the engines that have run the request */
     uint32_t m_decodeCalls = 0;
     TimePoint m_firstEventAt;
     std::optional<TimePoint> m_lastEventAt; /**< of the present decode attempt */
--- a/modules/gateway/requests/StopCalls.cpp
+++ b/modules/gateway/requests/StopCalls.cpp
@@ -2,13 +2,25 @@
 
 namespace chestnut {
 
+namespace {
+
+    /** Whether the engine has not answered and may have received the call. */
+    bool isUnanswered(const Result<RunStopResult>& result)
+    {
+        return !result && result.error().kind != ErrorKind::ConnectFailed;
+    }
+
+} // namespace
+
 asio::awaitable<Result<RunStopResult>> stopRun(ReplicaClient& client, std::shared_ptr<StopCalls> calls, EngineRun run, std::string successor, Duration timeout)
 {
-    ++calls->notDenied;
+    ++calls->unanswered;
     auto result = co_await client.stopRun(std::move(run), std::move(successor), timeout);
-    // Any other answer, an error included, may come from an engine that has ended the run.
-    if (result && *result == RunStopResult::NotRunning)
-        --calls->notDenied;
+    if (!isUnanswered(result))
+        --calls->unanswered;
+    // A refusal does not show that the run goes on.
+    if (result && *result != RunStopResult::NotRunning)
+        calls->mayHaveEndedRun = true;
     co_return result;
 }
 
--- a/modules/gateway/requests/StopCalls.h
+++ b/modules/gateway/requests/StopCalls.h
@@ -4,12 +4,13 @@
 
 namespace chestnut {
 
-/** The calls that ask an engine to end the run of one attempt. */
+/** The calls that ask one engine to end its run of one request. */
 struct StopCalls {
-    uint32_t notDenied = 0; /**< calls to which the engine has not answered that it knows no such run */
+    uint32_t unanswered = 0; /**< on the way or lost; they may still reach the engine, also during a later run of the request there */
+    bool mayHaveEndedRun = false; /**< the engine has answered, but not that it knows no such run */
 
-    /** Whether the engine may have ended the run because of a call, also while the answer is on the way or after it was lost. */
-    bool mayHaveEndedRun() const { return notDenied > 0; }
+    /** Whether a call explains that the engine closes the stream of the present run. */
+    bool explainEnd() const { return unanswered > 0 || mayHaveEndedRun; }
 
     bool operator==(const StopCalls&) const = default;
 };
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -41,6 +41,7 @@
             , m_response(std::move(response))
             , m_abort(std::move(abort))
             , m_closeTime(std::move(closeTime))
+            , m_openedAt(timers.now())
         {
         }
 
@@ -54,11 +55,11 @@
                 co_return makeError(ErrorKind::BackendFailed, "aborted");
             auto delay = m_response.delays.contains(m_next) ? m_response.delays[m_next] : m_response.chunkDelay;
             auto sendsAt = m_timers.now() + delay;
-            while (m_timers.now() < std::min(sendsAt, *m_closeTime)) {
+            while (m_timers.now() < std::min(sendsAt, closesAt())) {
                 if (!co_await waitUnlessAborted(m_timers, m_timers.now() + std::chrono::milliseconds(1), m_abort))
                     co_return makeError(ErrorKind::BackendFailed, "interrupted");
             }
-            if (*m_closeTime < sendsAt)
+            if (closesAt() < sendsAt)
                 co_return endOfConnection();
             if (m_next < m_response.chunks.size())
                 co_return std::optional(m_response.chunks[m_next++]);
@@ -68,6 +69,8 @@
         }
 
     private:
+        TimePoint closesAt() const { return *m_closeTime < m_openedAt ? TimePoint::max() : *m_closeTime; }
+
         Result<std::optional<std::string>> endOfConnection() const
         {
             if (m_response.endsWithConnection)
@@ -79,6 +82,7 @@
         ScriptedResponse m_response;
         std::shared_ptr<AbortHandle> m_abort;
         std::shared_ptr<const TimePoint> m_closeTime;
+        TimePoint m_openedAt;
         HttpHeaders m_headers;
         size_t m_next = 0;
     };
@@ -424,10 +428,8 @@
     successors.push_back(std::move(successor));
     stoppedAt.push_back(run.replica);
     auto answers = runAnswers[run.replica];
-    if (answers.closesStreamAfter) {
+    if (answers.closesStreamAfter)
         *closeTimeOf(run.replica) = m_timers.now() + *answers.closesStreamAfter;
-        m_closeTimes.erase(run.replica);
-    }
     if (auto error = co_await failRunCall(run.replica, timeout))
         co_return *error;
     co_await m_timers.sleep(std::min(answers.stopTime, timeout));
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -177,7 +177,7 @@
     asio::awaitable<std::optional<Error>> failRunCall(ReplicaId, Duration timeout);
     void publish(const ReplicaId&, const std::string& address, TimePoint sentAt);
     ScriptedResponse nextResponse(const ReplicaId&);
-    /** When the engine closes the streams that it has sent so far. */
+    /** When the engine closes the streams that are open then. */
     std::shared_ptr<TimePoint> closeTimeOf(const ReplicaId&);
     /** Reads the missing parts of the prompt; returns when the engine has done so. */
     TimePoint queuePrefill(const ReplicaCall&, double& missingTokens);
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -887,6 +887,27 @@
     }
 }
 
+// Guards against a call to an earlier run of the request that reaches the engine late and ends a later run there.
+TEST_CASE("a stream that is closed by a late call to an earlier run of its request is not complete")
+{
+    StoppedStream fixture;
+    auto again = stream({ event(2), event(3) });
+    again.endsWithConnection = true;
+    again.delays = { { 1, 8s } };
+    fixture.replicaClient.scripts[ReplicaId("i-d1")].push_back(again);
+    fixture.script("i-d2", { stream({}, true) });
+    fixture.answers().isUnresponsive = true;
+    fixture.answers().closesStreamAfter = 1s;
+    auto newRoute = fixture.resumable();
+    newRoute.timeout = 15s;
+    newRoute.maximumAttempts = 5;
+    fixture.runRequest(newRoute, fixture.writer, fixture.longPrompt(), 12s);
+    CHECK(fixture.sentTo("i-d1") == 2);
+    CHECK(fixture.writer.body == event(1) + event(2));
+    CHECK_FALSE(fixture.writer.isFinished);
+    CHECK(fixture.writer.wasAborted);
+}
+
 // Guards against a complete stream that is taken for a stopped one.
 TEST_CASE("a stream whose last chunk arrives during the daemon's call is complete")
 {
