--- a/modules/http/server/HttpServer.cpp
+++ b/modules/http/server/HttpServer.cpp
@@ -1,301 +1,24 @@
 #include "http/server/HttpServer.h"
 
-#include "http/message/BeastConversions.h"
-#include "http/message/GrowingBody.h"
-#include "http/server/OutputBuffer.h"
+#include "http/server/ResponseWriter.h"
+#include "http/server/ServerConnection.h"
 
-#include <algorithm>
-#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/write.hpp>
-#include <cassert>
-#include <cstdio>
 #include <netinet/tcp.h>
-#include <poll.h>
-#include <set>
 
 namespace chestnut {
 
-namespace http = beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
 
-    struct ServerConnection;
-    class ResponseWriter;
-
-    using Clock = std::chrono::steady_clock;
-
     constexpr Duration waitCheckPeriod = std::chrono::milliseconds(100);
     constexpr Duration pauseAfterFailedAccept = std::chrono::milliseconds(100);
 
-    Duration idleTimeoutOf(const HttpServerLimits& limits)
-    {
-        return limits.headerTimeout + limits.idleTimeout;
-    }
-
-} // namespace
-
-struct HttpServer::State {
-    asio::io_context& context;
-    Log& log;
-    tcp::acceptor acceptor;
-    HttpServerLimits limits;
-    HttpHandler handler;
-    HttpErrorResponder errorResponder;
-    std::set<ServerConnection*> waitingConnections; /**< connections without a complete request header */
-    std::set<ResponseWriter*> writers; /**< of the requests that are being handled */
-    asio::steady_timer waitTimer { context };
-    size_t openConnections = 0;
-    bool isAccepting = true;
-    bool allowsKeepAlive = true;
-};
-
-namespace {
-
-    /** Bytes that a connection buffers beyond a header of maximum size. */
-    constexpr size_t readAheadBytes = 64 << 10;
-
-    size_t maximumBufferOf(const HttpServerLimits& limits)
-    {
-        return limits.maximumHeader + readAheadBytes;
-    }
-
-    using ServerState = std::shared_ptr<HttpServer::State>;
-    using RequestParser = http::request_parser<GrowingBody>;
-    using ReceivedRequest = http::request<GrowingBody>;
-
-    /** Detects that the caller closes the connection while a handler runs. */
-    struct DisconnectWatcher : std::enable_shared_from_this<DisconnectWatcher> {
-        explicit DisconnectWatcher(tcp::socket& connectionSocket)
-            : socket(connectionSocket)
-        {
-        }
-
-        void arm(std::function<void()> newCallback)
-        {
-            callback = std::move(newCallback);
-            if (isArmed)
-                return;
-            isArmed = true;
-            socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
-                self->isArmed = false;
-                if (error || !self->callback)
-                    return;
-                if (self->isClosed())
-                    std::exchange(self->callback, nullptr)();
-            });
-        }
-
-        /** Also when bytes that were sent before the close have not been read. */
-        bool isClosed() const
-        {
-            pollfd connection { socket.native_handle(), POLLRDHUP, 0 };
-            return !socket.is_open() || ::poll(&connection, 1, 0) > 0;
-        }
-
-        tcp::socket& socket;
-        std::function<void()> callback;
-        bool isArmed = false;
-    };
-
-    class ResponseWriter final : public HttpResponseWriter {
-    public:
-        ResponseWriter(beast::tcp_stream& stream, std::shared_ptr<DisconnectWatcher> watcher, ServerState state, bool requestKeepsAlive, bool isHead)
-            : m_stream(stream)
-            , m_watcher(std::move(watcher))
-            , m_state(std::move(state))
-            , m_writeTimeout(m_state->limits.writeTimeout)
-            , m_requestKeepsAlive(requestKeepsAlive)
-            , m_isHead(isHead)
-        {
-            m_state->writers.insert(this);
-            if (m_state->limits.responseBuffers)
-                m_output = std::make_shared<OutputBuffer>(m_stream, m_state->limits.responseBuffers, m_writeTimeout);
-        }
-        ResponseWriter(const ResponseWriter&) = delete;
-        ResponseWriter& operator=(const ResponseWriter&) = delete;
-        ~ResponseWriter() override
-        {
-            m_state->writers.erase(this);
-            m_watcher->callback = nullptr;
-        }
-
-        asio::awaitable<Result<void>> send(HttpResponse response) override
-        {
-            if (m_hasBegun)
-                co_return abandonBegunResponse();
-            m_hasBegun = true;
-            auto message = makeMessage(std::move(response));
-            error_code error;
-            m_stream.expires_after(m_writeTimeout);
-            http::response_serializer<http::string_body> serializer(message);
-            co_await http::async_write(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
-            m_isFinished = !error;
-            co_return resultOf(error);
-        }
-
-        asio::awaitable<Result<void>> begin(int status, HttpHeaders headers) override
-        {
-            if (m_hasBegun)
-                co_return abandonBegunResponse();
-            m_hasBegun = true;
-            http::response<http::empty_body> message(static_cast<http::status>(status), 11);
-            setHeaders(message, headers);
-            message.keep_alive(decideKeepAlive());
-            message.chunked(true);
-            error_code error;
-            m_stream.expires_after(m_writeTimeout);
-            http::response_serializer<http::empty_body> serializer(message);
-            co_await http::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
-            co_return resultOf(error);
-        }
-
-        asio::awaitable<Result<void>> write(std::string chunk) override
-        {
-            assert(m_hasBegun && !m_isFinished);
-            // A chunk of length zero would end the body.
-            if (chunk.empty() || m_isHead)
-                co_return Result<void>();
-            if (m_output) {
-                auto written = co_await m_output->append(framed(chunk));
-                co_return resultOf(written);
-            }
-            error_code error;
-            m_stream.expires_after(m_writeTimeout);
-            co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(chunk)), asio::redirect_error(asio::use_awaitable, error));
-            co_return resultOf(error);
-        }
-
-        asio::awaitable<Result<void>> finish() override
-        {
-            error_code error;
-            if (m_isHead) {
-                m_isFinished = true;
-                co_return Result<void>();
-            }
-            if (m_output) {
-                (void)co_await m_output->append("0\r\n\r\n");
-                error = co_await m_output->waitUntilIdle();
-            } else {
-                m_stream.expires_after(m_writeTimeout);
-                co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
-            }
-            m_isFinished = !error;
-            co_return resultOf(error);
-        }
-
-        void abort() override
-        {
-            error_code ignored;
-            m_stream.socket().close(ignored);
-        }
-
-        /** Ends the write in progress of a response that is not finished. The connection must not be closed before. */
-        asio::awaitable<void> stopWriting()
-        {
-            if (!m_output)
-                co_return;
-            if (m_hasBegun && !m_isFinished)
-                abort();
-            (void)co_await m_output->waitUntilIdle();
-        }
-
-        /** Ends the response without waiting, with this one if none has begun. */
-        void endNow(HttpResponse response)
-        {
-            error_code ignored;
-            m_watcher->callback = nullptr;
-            auto& socket = m_stream.socket();
-            socket.non_blocking(true, ignored);
-            if (!std::exchange(m_hasBegun, true))
-                http::write(socket, makeMessage(std::move(response)), ignored);
-            socket.shutdown(tcp::socket::shutdown_send, ignored);
-        }
-
-        void onCallerDisconnect(std::function<void()> callback) override { m_watcher->arm(std::move(callback)); }
-        bool isCallerDisconnected() const override { return m_watcher->isClosed(); }
-        bool hasBegun() const override { return m_hasBegun; }
-        bool isFinished() const { return m_isFinished; }
-
-        /** Whether the response has announced that the connection stays open for another request. */
-        bool keepsAlive() const { return m_keepsAlive; }
-
-    private:
-        BeastResponse makeMessage(HttpResponse response)
-        {
-            BeastResponse message(static_cast<http::status>(response.status), 11);
-            setHeaders(message, response.headers);
-            message.keep_alive(decideKeepAlive());
-            message.body() = std::move(response.body);
-            message.prepare_payload();
-            if (m_isHead)
-                message.body().clear();
-            return message;
-        }
-
-        bool decideKeepAlive()
-        {
-            m_keepsAlive = m_requestKeepsAlive && m_state->isAccepting && m_state->allowsKeepAlive;
-            return m_keepsAlive;
-        }
-
-        /** A second header would become a part of the first response, so the connection is closed instead. */
-        Result<void> abandonBegunResponse()
-        {
-            m_isFinished = false;
-            abort();
-            m_state->log.write(EventId::HandlerFailed, { { "reason", "a second response was started" } });
-            return makeError(ErrorKind::Internal, "a response has already begun");
-        }
-
-        static std::string framed(const std::string& chunk)
-        {
-            std::array<char, 32> size {};
-            std::snprintf(size.data(), size.size(), "%zx\r\n", chunk.size());
-            return size.data() + chunk + "\r\n";
-        }
-
-        static Result<void> resultOf(const error_code& error)
-        {
-            if (error)
-                return makeError(ErrorKind::CallerGone, "write response to caller: " + error.message());
-            return Result<void>();
-        }
-
-        beast::tcp_stream& m_stream;
-        std::shared_ptr<DisconnectWatcher> m_watcher;
-        ServerState m_state;
-        Duration m_writeTimeout;
-        std::shared_ptr<OutputBuffer> m_output; /**< null: chunks are written at once */
-        bool m_requestKeepsAlive;
-        bool m_keepsAlive = false;
-        bool m_isHead;
-        bool m_hasBegun = false;
-        bool m_isFinished = false;
-    };
-
-    ErrorKind kindOfParseError(const error_code& error)
-    {
-        if (error == http::error::header_limit)
-            return ErrorKind::HeaderTooLarge;
-        if (error == http::error::body_limit)
-            return ErrorKind::BodyTooLarge;
-        return ErrorKind::BadRequest;
-    }
-
     /** Counts a connection as open for the lifetime of this object. */
     class OpenConnectionGuard {
     public:
@@ -312,96 +35,6 @@
         ServerState m_state;
     };
 
-    struct ServerConnection {
-        ServerConnection(tcp::socket socket, const HttpServerLimits& limits)
-            : stream(std::move(socket))
-            , buffer(maximumBufferOf(limits))
-            , watcher(std::make_shared<DisconnectWatcher>(stream.socket()))
-        {
-        }
-        ServerConnection(const ServerConnection&) = delete;
-        ServerConnection& operator=(const ServerConnection&) = delete;
-        ~ServerConnection() { watcher->callback = nullptr; }
-
-        /** Whether bytes of a request were received, including those that the server has not read yet. */
-        bool hasPartialRequest() const
-        {
-            error_code error;
-            return buffer.size() > 0 || stream.socket().available(error) > 0;
-        }
-        void close()
-        {
-            error_code ignored;
-            stream.socket().close(ignored);
-        }
-
-        beast::tcp_stream stream;
-        beast::flat_buffer buffer;
-        RequestParser* parser = nullptr; /**< of the header that the connection waits for */
-        Clock::time_point idleSince;
-        Duration idleTimeout {}; /**< as configured at idleSince */
-        std::optional<Clock::time_point> headerSince; /**< since when a part of a request header has been buffered */
-        std::shared_ptr<DisconnectWatcher> watcher;
-    };
-
-    /** Sets the limits of a request of which no complete header has been read. */
-    void applyLimits(ServerConnection& connection, const HttpServerLimits& limits)
-    {
-        connection.parser->header_limit(static_cast<uint32_t>(limits.maximumHeader));
-        connection.parser->body_limit(limits.maximumBody);
-        // The parser does not limit the sizes of chunk extensions and trailers; the buffer does.
-        connection.buffer.max_size(std::max(connection.buffer.max_size(), maximumBufferOf(limits)));
-    }
-
-    /** Lists a connection in waitingConnections for the lifetime of this object. */
-    class WaitingConnectionGuard {
-    public:
-        WaitingConnectionGuard(ServerState state, ServerConnection& connection, RequestParser& parser)
-            : m_state(std::move(state))
-            , m_connection(&connection)
-        {
-            m_connection->parser = &parser;
-            m_connection->idleSince = Clock::now();
-            m_connection->idleTimeout = idleTimeoutOf(m_state->limits);
-            m_connection->headerSince.reset();
-            applyLimits(*m_connection, m_state->limits);
-            m_state->waitingConnections.insert(m_connection);
-        }
-        WaitingConnectionGuard(const WaitingConnectionGuard&) = delete;
-        WaitingConnectionGuard& operator=(const WaitingConnectionGuard&) = delete;
-        ~WaitingConnectionGuard() { m_state->waitingConnections.erase(m_connection); }
-
-    private:
-        ServerState m_state;
-        ServerConnection* m_connection;
-    };
-
-    /** Sends the response to an invalid request and discards the rest of its bytes. */
-    asio::awaitable<void> sendErrorResponse(ServerConnection& connection, const ServerState& state, const error_code& error)
-    {
-        ResponseWriter writer(connection.stream, connection.watcher, state, false, false);
-        co_await writer.send(state->errorResponder(makeError(kindOfParseError(error), error.message())));
-        // Closing a socket with unread input sends a reset, on which the caller may lose the response. So the rest is read.
-        error_code ignored;
-        connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        connection.stream.expires_after(std::chrono::seconds(1));
-        char discarded[1024];
-        while (!ignored)
-            co_await connection.stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ignored));
-    }
-
-    /** Whether a connection has waited too long for a request header. Bytes that have arrived keep an idle one open, and its idle
-        time does not become shorter while it waits, as its client may rely on it. */
-    bool isOverdue(ServerConnection& connection, const HttpServerLimits& limits, Clock::time_point now)
-    {
-        if (connection.buffer.size() > 0) {
-            connection.headerSince = connection.headerSince.value_or(now);
-            return now - *connection.headerSince >= limits.headerTimeout;
-        }
-        auto timeout = std::max(connection.idleTimeout, idleTimeoutOf(limits));
-        return now - connection.idleSince >= timeout && !connection.hasPartialRequest();
-    }
-
     asio::awaitable<void> closeOverdueConnections(ServerState state)
     {
         while (state->isAccepting || !state->waitingConnections.empty()) {
@@ -409,40 +42,12 @@
             state->waitTimer.expires_after(waitCheckPeriod);
             co_await state->waitTimer.async_wait(asio::redirect_error(asio::use_awaitable, error));
             for (auto* connection : state->waitingConnections) {
-                if (isOverdue(*connection, state->limits, Clock::now()))
+                if (isOverdue(*connection, state->limits, ServerConnection::Clock::now()))
                     connection->close();
             }
         }
     }
 
-    asio::awaitable<Result<ReceivedRequest>> readRequest(ServerConnection& connection, const ServerState& state, error_code& error)
-    {
-        RequestParser parser;
-        connection.stream.expires_never();
-        {
-            WaitingConnectionGuard guard(state, connection, parser);
-            co_await http::async_read_header(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        }
-        if (error)
-            co_return makeError(ErrorKind::BadRequest, error.message());
-        connection.stream.expires_after(state->limits.bodyTimeout);
-        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-            constexpr std::string_view interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-            co_await asio::async_write(connection.stream, asio::buffer(interimResponse), asio::redirect_error(asio::use_awaitable, error));
-        }
-        if (!error)
-            co_await http::async_read(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            co_return makeError(ErrorKind::BadRequest, error.message());
-        co_return parser.release();
-    }
-
-    bool isInvalidRequest(const error_code& error)
-    {
-        return error.category() == http::make_error_code(http::error::end_of_stream).category()
-            && error != http::error::end_of_stream && error != http::error::partial_message;
-    }
-
     /** Runs the handler for one request. Returns false when the connection must be closed. */
     asio::awaitable<bool> handleRequest(ServerConnection& connection, const ServerState& state, ReceivedRequest message)
     {
