--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -1,7 +1,5 @@
 #include "gateway/requests/GenerationRelay.h"
 
-#include "base/digest/Digest.h"
-#include "decisions/drains/DepartingStream.h"
 #include "decisions/speeds/WaitLimits.h"
 #include "gateway/requests/BodyRelay.h"
 #include "gateway/requests/DecodePlan.h"
@@ -17,8 +15,6 @@
     constexpr uint32_t maximumPrefillRounds = 2;
     /** Weight of the time between two events for the capacity of an engine. The events of a stream are delayed together. */
     constexpr double eventGapWeight = 0.1;
-    /** Different positions of streams in the order in which they leave an engine. */
-    constexpr uint64_t positions = 1000;
 
     bool isSuccess(int status)
     {
@@ -31,6 +27,8 @@
     : m_relay(std::move(relay))
     , m_writer(writer)
     , m_prompt(m_relay->request.prompt ? &*m_relay->request.prompt : nullptr)
+    , m_stops(*m_relay)
+    , m_departure(*m_relay, m_stops, [this](const ReplicaId& engine) { return canContinueElsewhere(engine); })
     , m_silenceWatch(*m_relay, silenceCallbacks())
 {
     if (m_prompt)
@@ -55,10 +53,7 @@
     auto onInterrupt = [this](TimePoint since) { recordEventTime(since); };
     auto findSuccessor = [this](const ReplicaId& engine) { return this->findSuccessor(engine); };
     auto openAt = [this](const ReplicaEntry& engine) { return openMove(engine); };
-    auto stopRun = [this](EngineRun run, std::string successor, Duration timeout) {
-        auto calls = stopCallsTo(run.replica);
-        return chestnut::stopRun(m_relay->services.replicaClient, std::move(calls), std::move(run), std::move(successor), timeout);
-    };
+    auto stopRun = [this](EngineRun run, std::string successor, Duration timeout) { return m_stops.stop(std::move(run), std::move(successor), timeout); };
     return { canContinue, hasBegun, onInterrupt, findSuccessor, openAt, stopRun };
 }
 
@@ -68,35 +63,6 @@
     return m_decodeCalls < maximumDecodeCalls && mayContinue() && canRead && m_relay->hasFreeReplica(EngineStage::Decode, engine);
 }
 
-bool GenerationRelay::mustLeave(const ReplicaEntry& engine, TimePoint sentAt)
-{
-    auto& relay = *m_relay;
-    auto leavesAt = relay.services.replicas.leavesAt(engine.id);
-    if (!leavesAt || m_isStopFutile || !relay.mayRunAgain() || relay.hasSuspectedPart() || !canContinueElsewhere(engine.id))
-        return false;
-    auto now = relay.services.timers.now();
-    auto position = static_cast<double>(hash64(relay.request.id.value()) % positions) / positions;
-    if (!shouldContinueElsewhere({ *leavesAt - now, now - sentAt, relay.services.speeds.speedOf(relay.service).occupancy, position }) || !relay.reserveRetry())
-        return false;
-    relay.services.log.write(EventId::StreamLeftReplica, { { "request", relay.request.id }, { "replica", engine.id }, { "left_ms", (*leavesAt - now).count() / 1000 }, { "after", m_lastEventId } });
-    relay.services.metrics.count("chestnut_gateway_streams_moved_total");
-    return true;
-}
-
-asio::awaitable<bool> GenerationRelay::endRunAt(const ReplicaEntry& engine)
-{
-    auto& relay = *m_relay;
-    m_silenceWatch.stop();
-    auto stopped = co_await stopRun(relay.services.replicaClient, stopCallsTo(engine.id), { engine.id, engine.address, relay.request.id }, {}, SilenceWatch::controlCallTimeout);
-    // The last events of a run that is not known any more may still be on the way.
-    m_isStopFutile = stopped && (*stopped == RunStopResult::Refused || *stopped == RunStopResult::NotRunning);
-    // Without an answer the run may go on; the next event is another occasion.
-    if (!stopped || m_isStopFutile || relay.isOver())
-        co_return false;
-    relay.interruptAttempt();
-    co_return true;
-}
-
 std::optional<ReplicaEntry> GenerationRelay::findSuccessor(const ReplicaId& silent)
 {
     m_relay->silent.insert(silent);
@@ -154,20 +120,9 @@
     relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "in_flight", relay.services.loadTracker->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "left_ms", relay.remaining().count() / 1000 } });
 }
 
-const std::shared_ptr<StopCalls>& GenerationRelay::stopCallsTo(const ReplicaId& engine)
+ConnectionEnd GenerationRelay::connectionEnd(const ReplicaId& engine) const
 {
-    auto& calls = m_stopCalls[engine];
-    if (!calls)
-        calls = std::make_shared<StopCalls>();
-    return calls;
-}
-
-ConnectionEnd GenerationRelay::connectionEnd(const ReplicaId& engine)
-{
-    const auto& relay = *m_relay;
-    auto leavesAt = relay.services.replicas.leavesAt(engine);
-    auto hasLeft = leavesAt && *leavesAt <= relay.services.timers.now();
-    return { stopCallsTo(engine)->explainEnd(), relay.isTimeOver(), hasLeft };
+    return { m_stops.explainEnd(engine), m_relay->isTimeOver(), m_departure.hasPassed(engine) };
 }
 
 asio::awaitable<Result<ReplicaResponse>> GenerationRelay::openDecodeStream(const ReplicaEntry& engine)
@@ -251,7 +206,7 @@
             co_return StreamEnd::ClientDisconnected;
         if (!fits)
             co_return StreamEnd::Mismatch;
-        if (hasEvents && !isEnd && mustLeave(engine, sentAt) && co_await endRunAt(engine))
+        if (hasEvents && !isEnd && m_departure.mustLeave(engine, sentAt, m_lastEventId) && co_await m_departure.endRun(engine))
             co_return StreamEnd::Leaving;
         if (hasEvents && !isEnd)
             watchSilence(engine, eventGapWaitLimit(relay.services.speeds.speedOf(relay.service), relay.route.latencyObjective, relay.remaining(), relay.services.soundSilence));
@@ -334,8 +289,8 @@
     StreamProgress::Stream inProgress(relay.services.streams, relay.service, engine.id, sentAt);
     m_lastEventAt.reset();
     m_isContinuation = m_writer.hasBegun();
-    m_isStopFutile = false;
-    stopCallsTo(engine.id)->mayHaveEndedRun = false;
+    m_stops.beginRun(engine.id);
+    m_departure.beginRun();
     m_hasEvents = false;
     auto response = co_await openDecodeStream(engine);
     if (!response)
@@ -393,7 +348,7 @@
         if (served)
             co_return served;
         m_move = m_silenceWatch.takeMove();
-        if (stopCallsTo(engine->id)->explainEnd())
+        if (m_stops.explainEnd(engine->id))
             relay.markInterrupted();
         last = served.error();
         relay.recordAttemptFailure(engine->id, last);
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "gateway/requests/AttemptBody.h"
+#include "gateway/requests/EngineDeparture.h"
 #include "gateway/requests/EventSplitter.h"
 #include "gateway/requests/GenerationTurns.h"
 #include "gateway/requests/PromptPrefill.h"
 #include "gateway/requests/SilenceWatch.h"
-#include "gateway/requests/StopCalls.h"
 
 namespace chestnut {
 
@@ -44,17 +44,12 @@
     asio::awaitable<Result<void>> decodeAt(const ReplicaEntry&);
     asio::awaitable<Result<ReplicaResponse>> openDecodeStream(const ReplicaEntry&);
     asio::awaitable<Result<ReplicaResponse>> sendDecode(const ReplicaEntry&);
-    const std::shared_ptr<StopCalls>& stopCallsTo(const ReplicaId& engine);
     /** What is known when the connection of the present decode attempt ends. */
-    ConnectionEnd connectionEnd(const ReplicaId& engine);
+    ConnectionEnd connectionEnd(const ReplicaId& engine) const;
     asio::awaitable<StreamEnd> relayEvents(const ReplicaEntry& engine, ReplicaResponse&, TimePoint sentAt);
     asio::awaitable<bool> writeEvents(ReplicaResponse&, EventBatch);
     /** Whether another run may continue what the client has received. */
     bool mayContinue() const;
-    /** Whether the stream is to be continued elsewhere now, because its engine leaves before the stream is expected to end. */
-    bool mustLeave(const ReplicaEntry& engine, TimePoint sentAt);
-    /** Ends the run at an engine that leaves. Returns false if it may go on, has ended by itself, or the request is over. */
-    asio::awaitable<bool> endRunAt(const ReplicaEntry& engine);
     /** Relays a response that is not a stream, such as an error from the engine. */
     asio::awaitable<Result<void>> relayWholeResponse(ReplicaResponse&);
     /** Waits for the next complete event; bytes of an incomplete one are no progress. */
@@ -84,10 +79,10 @@
     bool m_hasEvents = false; /**< of the present decode attempt */
     bool m_isContinuation = false; /**< the client had received events before the present decode attempt */
     std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
+    RunStops m_stops;
+    EngineDeparture m_departure;
     SilenceWatch m_silenceWatch;
     std::shared_ptr<StreamMove> m_move; /**< the response of the next decode attempt, which has been requested already */
-    bool m_isStopFutile = false; /**< the leaving engine has refused to end the run, or does not know it */
-    std::map<ReplicaId, std::shared_ptr<StopCalls>> m_stopCalls; /**< to the engines that have run the request */
     uint32_t m_decodeCalls = 0;
     TimePoint m_firstEventAt;
     std::optional<TimePoint> m_lastEventAt; /**< of the present decode attempt */
