Names of header fields are compared without a locale

HttpHeaders::set() compares each new name with all earlier ones, and boost::algorithm::iequals() asks the locale for each character, so that a header of 16 KB with 3,000 empty fields, of a replica or a client, took 189 ms to copy; a VM with an eighth of a core stands still for more than a second.

Change: an ASCII comparison.

--- a/modules/http/message/HttpMessage.cpp
+++ b/modules/http/message/HttpMessage.cpp
@@ -2,13 +2,20 @@
 
 #include "base/text/PercentEncoding.h"
 
+#include <absl/strings/ascii.h>
 #include <algorithm>
-#include <boost/algorithm/string/predicate.hpp>
 
 namespace chestnut {
 
 namespace {
 
+    /** Whether two field names are equal. They are ASCII, so no locale is asked, which takes much longer. */
+    bool isSameName(std::string_view left, std::string_view right)
+    {
+        auto isSameCharacter = [](char a, char b) { return absl::ascii_tolower(static_cast<unsigned char>(a)) == absl::ascii_tolower(static_cast<unsigned char>(b)); };
+        return left.size() == right.size() && std::ranges::equal(left, right, isSameCharacter);
+    }
+
     /** In a query, a plus sign stands for a space. */
     std::string decodeQueryValue(std::string text)
     {
@@ -21,7 +28,7 @@
 std::string_view HttpHeaders::value(std::string_view name) const
 {
     for (const auto& [fieldName, fieldValue] : m_fields) {
-        if (boost::algorithm::iequals(fieldName, name))
+        if (isSameName(fieldName, name))
             return fieldValue;
     }
     return {};
@@ -29,13 +36,13 @@
 
 bool HttpHeaders::contains(std::string_view name) const
 {
-    return std::ranges::any_of(m_fields, [&](const auto& field) { return boost::algorithm::iequals(field.first, name); });
+    return std::ranges::any_of(m_fields, [&](const auto& field) { return isSameName(field.first, name); });
 }
 
 void HttpHeaders::set(std::string_view name, std::string_view value)
 {
     for (auto& [fieldName, fieldValue] : m_fields) {
-        if (boost::algorithm::iequals(fieldName, name)) {
+        if (isSameName(fieldName, name)) {
             fieldValue = value;
             return;
         }
@@ -45,7 +52,7 @@
 
 void HttpHeaders::remove(std::string_view name)
 {
-    std::erase_if(m_fields, [&](const auto& field) { return boost::algorithm::iequals(field.first, name); });
+    std::erase_if(m_fields, [&](const auto& field) { return isSameName(field.first, name); });
 }
 
 std::string_view HttpRequest::path() const
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -450,3 +450,18 @@
     fixture.context.run_for(300ms);
     CHECK(client.available() > 0);
 }
+
+// Guards against a field that is not found, or set twice, because of the case of its name.
+TEST_CASE("names of header fields are compared without regard to case")
+{
+    HttpHeaders headers { { "Content-Type", "a" }, { "X-Id", "1" } };
+    CHECK(headers.value("content-TYPE") == "a");
+    CHECK(headers.contains("x-id"));
+    CHECK_FALSE(headers.contains("x-ids"));
+    CHECK_FALSE(headers.contains("x_id"));
+    headers.set("x-ID", "2");
+    CHECK(headers.fields().size() == 2);
+    CHECK(headers.value("X-Id") == "2");
+    headers.remove("X-ID");
+    CHECK(headers == HttpHeaders { { "Content-Type", "a" } });
+}
