--- a/modules/claims/service/SharedClaimService.cpp
+++ b/modules/claims/service/SharedClaimService.cpp
@@ -30,7 +30,7 @@
             HttpResponse response;
             response.status = message.at("status").get<int>();
             for (const auto& field : message.at("headers"))
-                response.headers.set(field.at(0).get<std::string>(), field.at(1).get<std::string>());
+                response.headers.append(field.at(0).get<std::string>(), field.at(1).get<std::string>());
             const auto& body = message.at("body").get_binary();
             response.body.assign(body.begin(), body.end());
             return response;
--- a/modules/frontend/services/ServiceCall.cpp
+++ b/modules/frontend/services/ServiceCall.cpp
@@ -43,7 +43,7 @@
     parsed.forwarded = { request.method, target.starts_with('/') ? target : "/" + target, {}, request.body };
     for (const auto& [name, value] : request.headers.fields()) {
         if (isForwarded(name))
-            parsed.forwarded.headers.set(name, value);
+            parsed.forwarded.headers.append(name, value);
     }
     if (!parsed.isIdempotent() && parsed.caller.idempotencyKey.empty())
         return makeError(ErrorKind::BadKey, "a call that is not idempotent needs an Idempotency-Key");
--- a/modules/http/client/ConnectionPool.cpp
+++ b/modules/http/client/ConnectionPool.cpp
@@ -186,6 +186,8 @@
                 auto isInterim = status() / 100 == 1;
                 if (isInterim)
                     continue;
+                if (auto fault = m_options.findFault ? m_options.findFault(m_headers) : std::nullopt)
+                    co_return malformedError(*fault);
                 if (!m_options.matchesRequest || m_options.matchesRequest(m_headers))
                     co_return Result<void>();
                 if (auto body = co_await skipBody(); !body)
--- a/modules/http/client/ConnectionPool.h
+++ b/modules/http/client/ConnectionPool.h
@@ -42,6 +42,8 @@
     /** Returns whether a response with these headers belongs to this request. Other responses, such as late ones to earlier
         requests, are read and discarded. Null accepts all. */
     std::function<bool(const HttpHeaders&)> matchesRequest;
+    /** Returns what is wrong with a response header, or nothing; asked before matchesRequest. Null finds no faults. */
+    std::function<std::optional<std::string>(const HttpHeaders&)> findFault;
 };
 
 /** HTTP/1.1 client for requests that must not be executed twice: it never sends a request twice. An idle connection is reused
--- a/modules/http/client/ResponseHeaderCheck.cpp
+++ b/modules/http/client/ResponseHeaderCheck.cpp
@@ -1,5 +1,9 @@
 #include "http/client/ResponseHeaderCheck.h"
 
+#include "http/message/BeastConversions.h"
+
+#include <absl/strings/ascii.h>
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 
 namespace chestnut {
@@ -19,6 +23,32 @@
         return status / 100 == 1 || status == 204;
     }
 
+    /** Whether the text holds the beginning of a response, such as "HTTP/1.1 200". */
+    bool holdsStatusLine(std::string_view text)
+    {
+        constexpr std::string_view protocol = "HTTP/";
+        constexpr std::string_view pattern = "d.d ddd";
+        for (auto start = text.find(protocol); start != std::string_view::npos; start = text.find(protocol, start + 1)) {
+            auto rest = text.substr(start + protocol.size(), pattern.size());
+            auto matches = [](char character, char expected) { return expected == 'd' ? absl::ascii_isdigit(static_cast<unsigned char>(character)) : character == expected; };
+            if (std::ranges::equal(rest, pattern, matches))
+                return true;
+        }
+        return false;
+    }
+
+    /** A header that is cut off and followed by another response is read as one header, of which a reason or a value holds the next status
+        line. */
+    std::optional<std::string> findJoinFault(const ResponseHeader& header)
+    {
+        auto isJoined = holdsStatusLine(viewOf(header.reason()));
+        for (const auto& field : header)
+            isJoined = isJoined || holdsStatusLine(viewOf(field.value()));
+        if (isJoined)
+            return "it holds another status line";
+        return std::nullopt;
+    }
+
     std::optional<std::string> findStatusFault(unsigned status)
     {
         if (status < lowestStatus || status > highestStatus)
@@ -65,6 +95,8 @@
         return fault;
     if (auto fault = findCodingFault(header))
         return fault;
+    if (auto fault = findJoinFault(header))
+        return fault;
     return findBodyFault(header, status);
 }
 
--- a/modules/http/message/BeastConversions.h
+++ b/modules/http/message/BeastConversions.h
@@ -23,7 +23,7 @@
 {
     HttpHeaders headers;
     for (const auto& field : fields)
-        headers.set(std::string_view(field.name_string().data(), field.name_string().size()), std::string_view(field.value().data(), field.value().size()));
+        headers.append(std::string_view(field.name_string().data(), field.name_string().size()), std::string_view(field.value().data(), field.value().size()));
     return headers;
 }
 
@@ -31,7 +31,7 @@
 void setHeaders(Message& message, const HttpHeaders& headers)
 {
     for (const auto& [name, value] : headers.fields())
-        message.set(name, value);
+        message.insert(name, value);
 }
 
 inline std::string_view viewOf(beast::string_view text)
--- a/modules/http/message/HttpMessage.cpp
+++ b/modules/http/message/HttpMessage.cpp
@@ -39,15 +39,21 @@
     return std::ranges::any_of(m_fields, [&](const auto& field) { return isSameName(field.first, name); });
 }
 
+size_t HttpHeaders::count(std::string_view name) const
+{
+    return static_cast<size_t>(std::ranges::count_if(m_fields, [&](const auto& field) { return isSameName(field.first, name); }));
+}
+
 void HttpHeaders::set(std::string_view name, std::string_view value)
 {
-    for (auto& [fieldName, fieldValue] : m_fields) {
-        if (isSameName(fieldName, name)) {
-            fieldValue = value;
-            return;
-        }
+    auto isNamed = [&](const auto& field) { return isSameName(field.first, name); };
+    auto first = std::ranges::find_if(m_fields, isNamed);
+    if (first == m_fields.end()) {
+        append(name, value);
+        return;
     }
-    m_fields.emplace_back(name, value);
+    first->second = value;
+    m_fields.erase(std::remove_if(first + 1, m_fields.end(), isNamed), m_fields.end());
 }
 
 void HttpHeaders::remove(std::string_view name)
--- a/modules/http/message/HttpMessage.h
+++ b/modules/http/message/HttpMessage.h
@@ -19,8 +19,12 @@
     /** Returns the first value, or an empty view. */
     std::string_view value(std::string_view name) const;
     bool contains(std::string_view name) const;
-    /** Replaces the first field of this name, or appends one. */
+    /** Number of fields of this name. */
+    size_t count(std::string_view name) const;
+    /** Replaces all fields of this name, or appends one. */
     void set(std::string_view name, std::string_view value);
+    /** Appends a field, also beside others of this name. */
+    void append(std::string_view name, std::string_view value) { m_fields.emplace_back(name, value); }
     /** Removes all fields of this name. */
     void remove(std::string_view name);
     const std::vector<std::pair<std::string, std::string>>& fields() const { return m_fields; }
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -462,6 +462,11 @@
     headers.set("x-ID", "2");
     CHECK(headers.fields().size() == 2);
     CHECK(headers.value("X-Id") == "2");
+    headers.append("x-id", "3");
+    CHECK(headers.count("X-ID") == 2);
+    CHECK(headers.value("X-Id") == "2");
+    headers.set("X-Id", "4");
+    CHECK(headers.count("X-ID") == 1);
     headers.remove("X-ID");
     CHECK(headers == HttpHeaders { { "Content-Type", "a" } });
 }
--- a/tests/platform/HttpReplicaClientTest.cpp
+++ b/tests/platform/HttpReplicaClientTest.cpp
@@ -52,10 +52,11 @@
         RoutedRequest request;
         request.id = RequestId(id);
         request.forwarded = { "GET", "/", { { "X-Chestnutroute-Request-Id", id } }, {} };
-        auto exchange = [](platform::HttpReplicaClient& replicas, ReplicaCall replicaCall) -> asio::awaitable<Result<ExecutionStatus>> {
+        auto exchange = [this](platform::HttpReplicaClient& replicas, ReplicaCall replicaCall) -> asio::awaitable<Result<ExecutionStatus>> {
             auto result = co_await replicas.send(std::move(replicaCall));
             if (!result)
                 co_return result.error();
+            status = result->body->status();
             auto body = co_await readWholeBody(*result->body, 100);
             if (!body)
                 co_return body.error();
@@ -65,10 +66,44 @@
     }
 
     std::string response;
+    int status = 0; /**< of the last response */
 };
 
 } // namespace
 
+// Guards against a cut copy of a refusal and the next response that are read as one: "not run", or a wrong status, for a request that ran.
+TEST_CASE("an earlier refusal that is cut at any byte never becomes a part of the next response")
+{
+    auto copy = refusalWith("X-Chestnutroute-Request-Id: q1\r\nX-Chestnutroute-Instance-Id: i-1\r\n");
+    size_t answered = 0;
+    for (size_t cut = 0; cut <= copy.size(); ++cut) {
+        KeptConnection replica(copy.substr(0, cut) + success);
+        CHECK(replica.call("q1").value() == ExecutionStatus::NotExecuted);
+        auto result = replica.call("q2");
+        if (!result) {
+            CHECK_MESSAGE(describe(result.error().kind).outcome != Outcome::NotRun, cut);
+            continue;
+        }
+        ++answered;
+        CHECK_MESSAGE(*result == ExecutionStatus::Executed, cut);
+        CHECK_MESSAGE(replica.status == 200, cut);
+    }
+    // Without a copy and after a whole one.
+    CHECK(answered == 2);
+}
+
+// Guards against a response whose fields belong to two requests.
+TEST_CASE("a response that repeats a field about its request is malformed")
+{
+    for (const std::string& field : { std::string("X-Chestnutroute-Request-Id: q2\r\n"), std::string("X-Chestnutroute-Request-Id: q1\r\n"), std::string("X-Chestnutroute-Server-Seal: t\r\n") }) {
+        auto repeated = success;
+        repeated.insert(repeated.find("Content-Length"), field);
+        KeptConnection replica(repeated);
+        CHECK(replica.call("q1").value() == ExecutionStatus::NotExecuted);
+        CHECK(replica.call("q2").error().kind == ErrorKind::ProtocolError);
+    }
+}
+
 // Guards against "not run" for a request that a replica runs, and against its second run.
 TEST_CASE("an earlier refusal that is written once more does not refuse the next request on its connection")
 {
