RunStops: a call that was not sent, such as one to an engine that wants a pause, explains no end

Found in the read-through: only ConnectFailed counted as not sent; Overloaded, with which the client withholds calls during a pause, counted as unanswered, which would break off a whole stream without framing.

--- a/modules/gateway/requests/RunStops.cpp
+++ b/modules/gateway/requests/RunStops.cpp
@@ -7,7 +7,7 @@
     /** Whether the engine has not answered and may have received the call. */
     bool isUnanswered(const Result<RunStopResult>& result)
     {
-        return !result && result.error().kind != ErrorKind::ConnectFailed;
+        return !result && describe(result.error().kind).outcome != Outcome::NotRun;
     }
 
 } // namespace
