--- a/tests/http/ConnectionPoolTest.cpp
+++ b/tests/http/ConnectionPoolTest.cpp
@@ -462,6 +462,18 @@
     }
 }
 
+// Guards against interim responses that are skipped although the well-formed bytes after them belong to another protocol or to a body.
+TEST_CASE("a response after a switch of protocols, or after an interim response with a body, is not read")
+{
+    for (const std::string& head : { std::string("101 Switching Protocols\r\n"), std::string("103 Early Hints\r\nContent-Length: 4\r\n"), std::string("100 Continue\r\nTransfer-Encoding: chunked\r\n") }) {
+        PoolFixture fixture;
+        std::string bytes = "HTTP/1.1 ";
+        bytes.append(head).append("\r\n").append(response("next"));
+        fixture.server.replies = { { bytes } };
+        CHECK_FALSE(fixture.call().has_value());
+    }
+}
+
 // Guards against strictness that rejects what servers may send.
 TEST_CASE("a response with unusual but valid parts is accepted")
 {
