--- a/modules/base/events/EventId.cpp
+++ b/modules/base/events/EventId.cpp
@@ -132,6 +132,7 @@
         { EventId::ReplicaOrderFailed, "replica_order_failed", Severity::Warning, "An order for replicas was refused, could not be fulfilled in this zone now, or its response was lost; it is decided again after the pause." },
         { EventId::ReplicasMissing, "replicas_missing", Severity::Warning, "Replicas left without an order, or ordered ones did not appear within a few boot times." },
         { EventId::StreamLeftReplica, "stream_left_replica", Severity::Info, "A stream is continued at another engine, because its engine leaves before the stream is expected to end." },
+        { EventId::RunStopAnswered, "run_stop_answered", Severity::Info, "An engine was asked to end its run of a request; the fields give its answer, or the error when there was none, and the time." },
         { EventId::ReplicaErrorResponse, "replica_error_response", Severity::Warning, "A replica ran a call of a plain service and answered it with a status of 500 or above; the fields give what the daemon does." },
         { EventId::ReplicaCapacityChanged, "replica_capacity_changed", Severity::Info, "The learned concurrency limit or weight of a replica changed by much; the fields give the old and new values and their evidence." },
         { EventId::SlotAwaited, "slot_awaited", Severity::Info, "A request waited in this daemon for a slot; the fields give the time, the load that caused the wait, and how it ended." },
--- a/modules/base/events/EventId.h
+++ b/modules/base/events/EventId.h
@@ -138,6 +138,7 @@
     ReplicaOrderFailed = 2271,
     ReplicasMissing = 2272,
     StreamLeftReplica = 2273,
+    RunStopAnswered = 2274,
     ReplicaErrorResponse = 2280,
     ReplicaCapacityChanged = 2281,
     SlotAwaited = 2290,
--- a/modules/gateway/requests/RunStops.cpp
+++ b/modules/gateway/requests/RunStops.cpp
@@ -10,8 +10,30 @@
         return !result && describe(result.error().kind).outcome != Outcome::NotRun;
     }
 
+    void logAnswer(RelayServices& services, const EngineRun& run, const Result<RunStopResult>& result, TimePoint sentAt)
+    {
+        auto answer = result ? nameOf(*result) : describe(result.error().kind).name;
+        auto time = services.timers.now() - sentAt;
+        services.log.write(EventId::RunStopAnswered, { { "request", run.request }, { "replica", run.replica }, { "answer", answer }, { "ms", time.count() / 1000 } });
+    }
+
 } // namespace
 
+std::string_view nameOf(RunStopResult result)
+{
+    switch (result) {
+    case RunStopResult::Stopped:
+        return "stopped";
+    case RunStopResult::NotRunning:
+        return "not_running";
+    case RunStopResult::WrongReplica:
+        return "wrong_replica";
+    case RunStopResult::Refused:
+        return "refused";
+    }
+    return "refused";
+}
+
 RunStops::RunStops(RelayContext& relay)
     : m_relay(relay)
 {
@@ -25,7 +47,7 @@
 asio::awaitable<Result<RunStopResult>> RunStops::stop(EngineRun run, std::string successor, Duration timeout)
 {
     auto calls = callsTo(run.replica);
-    return send(m_relay.services.replicaClient, std::move(calls), std::move(run), std::move(successor), timeout);
+    return send(m_relay.services, std::move(calls), std::move(run), std::move(successor), timeout);
 }
 
 bool RunStops::explainEnd(const ReplicaId& engine) const
@@ -42,10 +64,12 @@
     return calls;
 }
 
-asio::awaitable<Result<RunStopResult>> RunStops::send(ReplicaClient& client, CallsPointer calls, EngineRun run, std::string successor, Duration timeout)
+asio::awaitable<Result<RunStopResult>> RunStops::send(RelayServices& services, CallsPointer calls, EngineRun run, std::string successor, Duration timeout)
 {
     ++calls->unanswered;
-    auto result = co_await client.stopRun(std::move(run), std::move(successor), timeout);
+    auto sentAt = services.timers.now();
+    auto result = co_await services.replicaClient.stopRun(run, std::move(successor), timeout);
+    logAnswer(services, run, result, sentAt);
     if (!isUnanswered(result))
         --calls->unanswered;
     // A refusal does not show that the run goes on.
--- a/modules/gateway/requests/RunStops.h
+++ b/modules/gateway/requests/RunStops.h
@@ -6,6 +6,8 @@
 
 namespace chestnut {
 
+std::string_view nameOf(RunStopResult);
+
 /** The calls that ask engines to end their runs of one request. An engine that ends a run closes its stream, so these calls may explain the
     end of a stream. */
 class RunStops {
@@ -31,7 +33,7 @@
     using CallsPointer = std::shared_ptr<Calls>;
 
     CallsPointer callsTo(const ReplicaId&);
-    static asio::awaitable<Result<RunStopResult>> send(ReplicaClient&, CallsPointer, EngineRun, std::string successor, Duration timeout);
+    static asio::awaitable<Result<RunStopResult>> send(RelayServices&, CallsPointer, EngineRun, std::string successor, Duration timeout);
 
     RelayContext& m_relay;
     std::map<ReplicaId, CallsPointer> m_calls;
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -786,6 +786,7 @@
     CHECK(fixture.log.recent(EventId::StreamLeftReplica).size() == 1);
     // The earlier run was ended by its engine.
     CHECK(fixture.replicaClient.stoppedAt == std::vector<ReplicaId> { ReplicaId("i-d1") });
+    CHECK(fixture.log.recent(EventId::RunStopAnswered).size() == 1);
     CHECK(fixture.log.recent(EventId::RequestSuspected).empty());
 }
 
