Failing test: a stream that its engine has stopped and then denied ends as complete

A leaving engine is asked to end a run, answers 404 and closes the stream, which has neither a length nor chunks, 5, 20, 120 or 700 ms after the call. 4 of 4 cases end as complete without their last events (4 of 9 events in the first three).

--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -945,6 +945,23 @@
     CHECK(fixture.writer.isFinished);
 }
 
+// Guards against a stream that ends as complete because its engine has stopped the run and forgotten it before it answered.
+TEST_CASE("a stream that a leaving engine closes after it has denied the run is continued elsewhere")
+{
+    for (auto [closesAfter, answersAfter] : std::vector<std::pair<Duration, Duration>> { { 5ms, 50ms }, { 20ms, 20ms }, { 120ms, 0ms }, { 700ms, 5ms } }) {
+        CAPTURE(closesAfter.count());
+        LeavingStream fixture;
+        fixture.answers().stop = RunStopResult::NotRunning;
+        fixture.answers().closesStreamAfter = closesAfter;
+        fixture.answers().stopTime = answersAfter;
+        fixture.run();
+        CHECK(fixture.replicaClient.stoppedAt.size() == 1);
+        CHECK(fixture.writer.body == fixture.whole);
+        CHECK(fixture.writer.isFinished);
+        CHECK(fixture.log.recent(EventId::RequestSuspected).empty());
+    }
+}
+
 // Guards against a stream that is cut because its run has ended by itself while its last events were on the way.
 TEST_CASE("a stream whose leaving engine does not know its run any more is read to its end")
 {
