A stream whose engine denies the run that it was asked to end no longer ends as complete (ORDER)

Cause: RunStops took 404 for proof that the call had no effect, so that the closed connection was the end of the stream. An engine that forgets a run before it closes its stream gives the same answer.

Change: after any call that ends a run, the end of the connection ends no stream. A run that had ended by itself is not lost: another engine is asked for what follows its last event, and even an empty response confirms that nothing is missing.

--- a/modules/gateway/requests/RunStops.cpp
+++ b/modules/gateway/requests/RunStops.cpp
@@ -41,7 +41,9 @@
 
 void RunStops::beginRun(const ReplicaId& engine)
 {
-    callsTo(engine)->mayHaveEndedRun = false;
+    auto calls = callsTo(engine);
+    calls->mayHaveEndedRun = false;
+    calls->isDenied = false;
 }
 
 asio::awaitable<Result<RunStopResult>> RunStops::stop(EngineRun run, std::string successor, Duration timeout)
@@ -51,9 +53,21 @@
 }
 
 bool RunStops::explainEnd(const ReplicaId& engine) const
+{
+    auto calls = findCalls(engine);
+    return calls.unanswered > 0 || calls.mayHaveEndedRun || calls.isDenied;
+}
+
+bool RunStops::isRunDenied(const ReplicaId& engine) const
+{
+    auto calls = findCalls(engine);
+    return calls.isDenied && calls.unanswered == 0 && !calls.mayHaveEndedRun;
+}
+
+RunStops::Calls RunStops::findCalls(const ReplicaId& engine) const
 {
     auto found = m_calls.find(engine);
-    return found != m_calls.end() && (found->second->unanswered > 0 || found->second->mayHaveEndedRun);
+    return found == m_calls.end() ? Calls {} : *found->second;
 }
 
 RunStops::CallsPointer RunStops::callsTo(const ReplicaId& engine)
@@ -73,8 +87,8 @@
     if (!isUnanswered(result))
         --calls->unanswered;
     // A refusal does not show that the run goes on.
-    if (result && *result != RunStopResult::NotRunning)
-        calls->mayHaveEndedRun = true;
+    if (result)
+        (*result == RunStopResult::NotRunning ? calls->isDenied : calls->mayHaveEndedRun) = true;
     co_return result;
 }
 
