An empty response without framing confirms no end of a stream

After a 404 the stream was complete when a second engine closed its connection without an event, which an engine that crashes after its header does too: 4 of 9 events would have been a complete response. Now any answer to the call that ends a run counts alike, and only a body with a length or chunks, or one with events, confirms the end.

--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -120,9 +120,8 @@
     relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "in_flight", relay.services.loadTracker->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "left_ms", relay.remaining().count() / 1000 } });
 }
 
-ConnectionEnd GenerationRelay::onConnectionEnd(const ReplicaId& engine)
+ConnectionEnd GenerationRelay::connectionEnd(const ReplicaId& engine) const
 {
-    m_mayBeComplete = m_writer.hasBegun() && (m_mayBeComplete || m_stops.isRunDenied(engine));
     return { m_stops.explainEnd(engine), m_relay->isTimeOver(), m_departure.hasPassed(engine) };
 }
 
@@ -130,7 +129,7 @@
 {
     auto response = co_await sendDecode(engine);
     if (response)
-        response->body = std::make_unique<AttemptBody>(std::move(response->body), [this, id = engine.id] { return onConnectionEnd(id); });
+        response->body = std::make_unique<AttemptBody>(std::move(response->body), [this, id = engine.id] { return connectionEnd(id); });
     co_return response;
 }
 
@@ -181,14 +180,13 @@
         auto bytes = co_await response.body->read();
         if (relay.isClientDisconnected())
             co_return StreamEnd::ClientDisconnected;
-        auto isEnd = bytes && !*bytes;
-        if (bytes && !isEnd)
+        if (!bytes || splitter.isOverlong())
+            co_return StreamEnd::Broken;
+        auto isEnd = !*bytes;
+        if (!isEnd)
             splitter.append(**bytes);
         auto batch = splitter.takeEvents();
         auto hasEvents = !batch.bytes.empty();
-        m_mayBeComplete = m_mayBeComplete && !hasEvents && !splitter.isInsideEvent();
-        if (!bytes || splitter.isOverlong())
-            co_return StreamEnd::Broken;
         if (hasEvents) {
             // A client that reads slowly is no silence of the engine.
             m_silenceWatch.stop();
@@ -216,9 +214,8 @@
             continue;
         if (splitter.isInsideEvent())
             co_return StreamEnd::Broken;
-        // An empty stream is a complete response, unless its connection may have been closed after the header. After a stream that may
-        // be complete, it shows that no event is missing.
-        if (!m_hasEvents && !m_mayBeComplete && response.body->endsWithConnection())
+        // An empty stream is a complete response, unless its connection may have been closed after the header.
+        if (!m_hasEvents && response.body->endsWithConnection())
             co_return StreamEnd::Broken;
         if (!m_writer.hasBegun() && !co_await m_writer.begin(response.body->status(), response.headers))
             co_return StreamEnd::ClientDisconnected;
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -45,7 +45,7 @@
     asio::awaitable<Result<ReplicaResponse>> openDecodeStream(const ReplicaEntry&);
     asio::awaitable<Result<ReplicaResponse>> sendDecode(const ReplicaEntry&);
     /** What is known when the connection of the present decode attempt ends. */
-    ConnectionEnd onConnectionEnd(const ReplicaId& engine);
+    ConnectionEnd connectionEnd(const ReplicaId& engine) const;
     asio::awaitable<StreamEnd> relayEvents(const ReplicaEntry& engine, ReplicaResponse&, TimePoint sentAt);
     asio::awaitable<bool> writeEvents(ReplicaResponse&, EventBatch);
     /** Whether another run may continue what the client has received. */
@@ -78,8 +78,6 @@
     StreamPosition m_position;
     bool m_hasEvents = false; /**< of the present decode attempt */
     bool m_isContinuation = false; /**< the client had received events before the present decode attempt */
-    /** The connection of a decode attempt has ended after the last event so far, and its engine had denied that the run existed. */
-    bool m_mayBeComplete = false;
     std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
     RunStops m_stops;
     EngineDeparture m_departure;
--- a/modules/gateway/requests/RunStops.cpp
+++ b/modules/gateway/requests/RunStops.cpp
@@ -41,9 +41,7 @@
 
 void RunStops::beginRun(const ReplicaId& engine)
 {
-    auto calls = callsTo(engine);
-    calls->mayHaveEndedRun = false;
-    calls->isDenied = false;
+    callsTo(engine)->mayHaveEndedRun = false;
 }
 
 asio::awaitable<Result<RunStopResult>> RunStops::stop(EngineRun run, std::string successor, Duration timeout)
@@ -53,21 +51,9 @@
 }
 
 bool RunStops::explainEnd(const ReplicaId& engine) const
-{
-    auto calls = findCalls(engine);
-    return calls.unanswered > 0 || calls.mayHaveEndedRun || calls.isDenied;
-}
-
-bool RunStops::isRunDenied(const ReplicaId& engine) const
-{
-    auto calls = findCalls(engine);
-    return calls.isDenied && calls.unanswered == 0 && !calls.mayHaveEndedRun;
-}
-
-RunStops::Calls RunStops::findCalls(const ReplicaId& engine) const
 {
     auto found = m_calls.find(engine);
-    return found == m_calls.end() ? Calls {} : *found->second;
+    return found != m_calls.end() && (found->second->unanswered > 0 || found->second->mayHaveEndedRun);
 }
 
 RunStops::CallsPointer RunStops::callsTo(const ReplicaId& engine)
@@ -86,9 +72,9 @@
     logAnswer(services, run, result, sentAt);
     if (!isUnanswered(result))
         --calls->unanswered;
-    // A refusal does not show that the run goes on.
+    // A refusal does not show that the run goes on, and an engine that has ended the run may deny that it existed.
     if (result)
-        (*result == RunStopResult::NotRunning ? calls->isDenied : calls->mayHaveEndedRun) = true;
+        calls->mayHaveEndedRun = true;
     co_return result;
 }
 
--- a/modules/gateway/requests/RunStops.h
+++ b/modules/gateway/requests/RunStops.h
@@ -23,23 +23,16 @@
     /** Whether a call explains that the engine closes the stream of its present run. */
     bool explainEnd(const ReplicaId&) const;
 
-    /** Whether the only explanation is a call after which the engine has denied that the run existed. Either the run had ended by itself,
-        or the engine has stopped it and forgotten it before it answered. */
-    bool isRunDenied(const ReplicaId&) const;
-
 private:
     /** The calls to one engine. */
     struct Calls {
         uint32_t unanswered = 0; /**< on the way or lost; they name only the request, so they may end a later run at the engine too */
-        bool mayHaveEndedRun = false; /**< the engine has answered, but not that it knows no such run */
-        bool isDenied = false; /**< the engine has answered that it knows no such run */
+        bool mayHaveEndedRun = false; /**< the engine has answered, whatever it said */
     };
 
     using CallsPointer = std::shared_ptr<Calls>;
 
     CallsPointer callsTo(const ReplicaId&);
-    /** The calls to an engine; none if it was not called. */
-    Calls findCalls(const ReplicaId&) const;
     static asio::awaitable<Result<RunStopResult>> send(RelayServices&, CallsPointer, EngineRun, std::string successor, Duration timeout);
 
     RelayContext& m_relay;
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -969,19 +969,12 @@
     fixture.answers().stop = RunStopResult::NotRunning;
     auto needsConfirmation = true;
     SUBCASE("with events that the client has") { }
-    SUBCASE("without an event, by the end of its connection")
-    {
-        auto empty = stream({});
-        empty.endsWithConnection = true;
-        fixture.script("i-d2", { empty });
-    }
+    SUBCASE("by an empty body with a length") { fixture.script("i-d2", { stream({}) }); }
     SUBCASE("after a third engine has refused to")
     {
         fixture.script("i-d2", { refuse() });
         fixture.addReplica("i-d3", "s", "decode", "b");
-        auto empty = stream({});
-        empty.endsWithConnection = true;
-        fixture.script("i-d3", { empty });
+        fixture.script("i-d3", { stream({}) });
     }
     SUBCASE("a body with a length needs no confirmation")
     {
@@ -1007,6 +1000,7 @@
     fixture.script("i-d2", { empty });
     fixture.answers().closesStreamAfter = 20ms;
     SUBCASE("after the engine has confirmed the stop") { }
+    SUBCASE("after the engine has denied the run") { fixture.answers().stop = RunStopResult::NotRunning; }
     SUBCASE("after the engine has denied the run and broken the stream inside an event")
     {
         fixture.answers().stop = RunStopResult::NotRunning;
