Software versions of replicas are kept and logged, and resumed requests are marked

ReplicaEntry has the version now, also in the entries that peers pass on; request_routed names it, and the first attempt of the stream that the client resumes.

The case of LoadMessageTest on earlier versions removes the new field as well, and checks that its absence is read as no version.

--- a/modules/base/ids/StrongId.h
+++ b/modules/base/ids/StrongId.h
@@ -38,6 +38,8 @@
 /** Identifies a plain service, such as order processing, that runs on several backend servers. */
 using ServiceId = StrongId<struct ServiceTag>;
 using RequestId = StrongId<struct RequestTag>;
+/** Version of a replica's software, not of the weights that it serves. Versions have no order. */
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 /** Identifies a group of engines; one daemon at a time may send orders to them. */
 using EngineGroupId = StrongId<struct EngineGroupTag>;
 
--- a/modules/decisions/replicas/ReplicaRegistry.h
+++ b/modules/decisions/replicas/ReplicaRegistry.h
@@ -33,6 +33,7 @@
     int64_t heartbeat = 0; /**< increases with each heartbeat of one start */
     bool isReclaimable = false; /**< the platform may take it away, together with all others of its zone */
     std::optional<Duration> leavesIn = std::nullopt; /**< time left at the heartbeat; absent while unknown */
+    SoftwareVersion version; /**< of its software */
 
     bool operator==(const ReplicaEntry&) const = default;
 };
--- a/modules/gateway/members/LoadReportCodec.cpp
+++ b/modules/gateway/members/LoadReportCodec.cpp
@@ -117,7 +117,7 @@
 {
     auto list = json::array();
     for (const auto& entry : entries)
-        list.push_back({ entry.id.value(), entry.service.value(), entry.address, entry.zone.value(), entry.slots, static_cast<int>(entry.stage), entry.startedAt, entry.heartbeat, entry.isReclaimable });
+        list.push_back({ entry.id.value(), entry.service.value(), entry.address, entry.zone.value(), entry.slots, static_cast<int>(entry.stage), entry.startedAt, entry.heartbeat, entry.isReclaimable, entry.version.value() });
     return list;
 }
 
@@ -137,6 +137,8 @@
         entry.heartbeat = item.at(7).get<int64_t>();
         // Earlier versions do not send it.
         entry.isReclaimable = item.size() > 8 && item.at(8).get<bool>();
+        if (item.size() > 9)
+            entry.version = SoftwareVersion(item.at(9).get<std::string>());
         entries.push_back(std::move(entry));
     }
     return entries;
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -117,7 +117,9 @@
 void GenerationRelay::logRouted(const ReplicaEntry& engine) const
 {
     const auto& relay = *m_relay;
-    relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "in_flight", relay.services.loadTracker->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "left_ms", relay.remaining().count() / 1000 } });
+    const auto& resumption = relay.request.resumption;
+    auto firstAttempt = resumption ? resumption->firstAttempt.value_or(RequestId("unnamed")).value() : "";
+    relay.services.log.write(EventId::RequestRouted, { { "request", relay.request.id }, { "route", relay.route.name }, { "replica", engine.id }, { "version", engine.version }, { "in_flight", relay.services.loadTracker->requestsAt(engine.id) }, { "handle", m_handle ? m_handle->id : "" }, { "resume_after", m_lastEventId }, { "first_attempt", firstAttempt }, { "left_ms", relay.remaining().count() / 1000 } });
 }
 
 ConnectionEnd GenerationRelay::connectionEnd(const ReplicaId& engine) const
--- a/modules/gateway/requests/RoutedRequest.h
+++ b/modules/gateway/requests/RoutedRequest.h
@@ -19,6 +19,13 @@
     bool operator==(const RequestAccount&) const = default;
 };
 
+/** What a client says of a stream that it has received a part of and takes up again. */
+struct StreamResumption {
+    std::optional<RequestId> firstAttempt; /**< the attempt that brought the first event; absent where the client has not named one */
+
+    bool operator==(const StreamResumption&) const = default;
+};
+
 /** One client request, routed by host and path; its body is opaque. */
 struct RoutedRequest {
     RequestId id;
@@ -31,6 +38,7 @@
     std::optional<RequestAccount> account; /**< for the calls to replicas; absent on public routes and where there are no accounts */
     /** Whether the field that carries the key is forwarded like any other. True only where no accounts are configured. */
     bool forwardsKey = false;
+    std::optional<StreamResumption> resumption; /**< absent for a new request */
 };
 
 /** Refers to KV cache held by a prefill engine. It can be fetched once. */
--- a/tests/gateway/Fakes.cpp
+++ b/tests/gateway/Fakes.cpp
@@ -480,9 +480,14 @@
     std::vector<std::string> fields;
     std::string copy(text);
     boost::algorithm::split(fields, copy, [](char c) { return c == ' '; });
+    ReplicaEntry entry;
+    constexpr std::string_view versionMark = "version=";
+    if (fields.back().starts_with(versionMark)) {
+        entry.version = SoftwareVersion(fields.back().substr(versionMark.size()));
+        fields.pop_back();
+    }
     if (fields.size() < 7 || fields.size() > 9)
         return makeError(ErrorKind::ProtocolError, "no entry");
-    ReplicaEntry entry;
     entry.id = id;
     entry.service = ServiceId(fields[0]);
     entry.stage = fields[1] == "prefill" ? EngineStage::Prefill : fields[1] == "decode" ? EngineStage::Decode
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -229,7 +229,7 @@
 };
 
 /** Encodes a replica entry for decodeTestEntry(): service, stage, zone, state, start, heartbeat, slots. A test may add the word
-    "reclaimable" and the milliseconds left until it leaves. */
+    "reclaimable" and the milliseconds left until it leaves, and last "version=" with the software version. */
 std::string testEntry(const std::string& service, const std::string& stage, const std::string& zone = "a", const std::string& state = "ready", int start = 1, int heartbeat = 1, int slots = 4);
 Result<ReplicaEntry> decodeTestEntry(const ReplicaId&, std::string_view);
 
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -15,9 +15,9 @@
     }
 
     /** Adds a replica and waits until the directory lists it. */
-    void addReplica(const std::string& id, const std::string& service, const std::string& stage, const std::string& zone = "a")
+    void addReplica(const std::string& id, const std::string& service, const std::string& stage, const std::string& zone = "a", const std::string& version = "")
     {
-        store.put("servers/" + id, testEntry(service, stage, zone));
+        store.put("servers/" + id, testEntry(service, stage, zone) + (version.empty() ? "" : " version=" + version));
         settle();
     }
 
@@ -65,6 +65,7 @@
         request.prompt = std::move(prompt);
         request.arrival = timers.now();
         request.account = account;
+        request.resumption = resumption;
         budgets.addRequest(ServiceId("s"));
         rateLimiter.recordDemand(ServiceId("s"));
         auto isGeneration = request.prompt.has_value();
@@ -100,6 +101,7 @@
     std::string body = "body"; /**< of the next request */
     std::vector<Route> otherRoutes; /**< of other hosts, in the configuration of the next request */
     std::optional<RequestAccount> account; /**< of the next request */
+    std::optional<StreamResumption> resumption; /**< of the next request */
     asio::io_context context;
     VirtualTimerService timers { context };
     MemoryLog log;
--- a/tests/gateway/LoadMessageTest.cpp
+++ b/tests/gateway/LoadMessageTest.cpp
@@ -286,19 +286,21 @@
 }
 
 // Guards against daemons that learn of a replica from a peer and take it for a regular one, or let its streams break.
-TEST_CASE("the kind of a replica and the time until it leaves are passed on, and messages of earlier versions lack both")
+TEST_CASE("the kind and the version of a replica and the time until it leaves are passed on, and messages of earlier versions lack them")
 {
     auto message = fleetMessage(2, 2, 1);
     message.entries.resize(1);
-    message.entries.push_back({ ReplicaId("i-9"), ServiceId("s"), "10.0.0.9:80", AvailabilityZone("a"), 6, false, EngineStage::Decode, 5, 6, true });
+    message.entries.push_back({ ReplicaId("i-9"), ServiceId("s"), "10.0.0.9:80", AvailabilityZone("a"), 6, false, EngineStage::Decode, 5, 6, true, {}, SoftwareVersion("v2") });
     message.leavingReplicas.push_back({ ReplicaId("i-8"), 5, 6, true, std::chrono::milliseconds(2300) });
     auto datagram = encodeLoadMessage(message).front();
     auto decoded = decodeLoadMessage(datagram);
     REQUIRE(decoded.has_value());
     CHECK(*decoded == message);
     auto document = nlohmann::json::from_cbor(datagram);
-    for (auto& entry : document["entries"])
-        entry.erase(8);
+    for (auto& entry : document["entries"]) {
+        while (entry.size() > 8)
+            entry.erase(8);
+    }
     for (auto& replica : document["gone"]) {
         while (replica.size() > 4)
             replica.erase(4);
@@ -307,6 +309,7 @@
     auto earlier = decodeLoadMessage({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
     REQUIRE(earlier.has_value());
     CHECK_FALSE(earlier->entries.back().isReclaimable);
+    CHECK(earlier->entries.back().version.empty());
     CHECK_FALSE(earlier->leavingReplicas.back().leavesIn.has_value());
     document["gone"][0].push_back(-1);
     bytes = nlohmann::json::to_cbor(document);
