--- /dev/null
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -0,0 +1,108 @@
+#include "gateway/GatewayFixture.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace chestnut;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) + "\n\n";
+}
+
+ScriptedResponse stream(std::vector<std::string> chunks, bool closesEarly = false)
+{
+    ScriptedResponse response;
+    response.chunks = std::move(chunks);
+    response.closesEarly = closesEarly;
+    return response;
+}
+
+/** Three decode engines; i-d1 is in the daemon's zone and therefore preferred. Only i-d2 has the version v2. */
+struct TwoVersions : GatewayFixture {
+    TwoVersions()
+    {
+        addReplica("i-d1", "s", "decode", "a", "v1");
+        addReplica("i-d2", "s", "decode", "b", "v2");
+        addReplica("i-d3", "s", "decode", "b", "v1");
+    }
+
+    void script(const std::string& id, std::deque<ScriptedResponse> responses) { replicaClient.scripts[ReplicaId(id)] = std::move(responses); }
+
+    bool wasSentTo(const std::string& id) const
+    {
+        return std::ranges::any_of(replicaClient.sent, [&id](const auto& sent) { return sent.replica == ReplicaId(id); });
+    }
+
+    Route resumable() const
+    {
+        auto result = route(RouteKind::Streaming, 3, true);
+        result.timeout = 15s;
+        return result;
+    }
+
+    static PromptShape shortPrompt() { return { "m", 220, 90, { { 1, 220 } } }; }
+};
+
+} // namespace
+
+// Guards against a response whose events come from engines of two software versions.
+TEST_CASE("a stream goes on only at engines of the version that began it")
+{
+    TwoVersions fixture;
+    std::vector<std::string> events { event(1), event(2), event(3), event(4), event(5), event(6) };
+    auto first = stream({ event(1), event(2) }, true);
+    auto isLeaving = false;
+    auto hasSuccessor = true;
+    SUBCASE("after its connection has broken") { }
+    SUBCASE("after its engine has fallen silent")
+    {
+        for (int i = 0; i < 6; ++i) {
+            fixture.speeds.recordFirstEvent(ServiceId("s"), 200ms);
+            fixture.speeds.recordEventGap(ServiceId("s"), 10ms);
+        }
+        first = stream(events);
+        first.delays = { { 2, 8s } };
+    }
+    SUBCASE("before its engine leaves")
+    {
+        first = stream(events);
+        first.chunkDelay = 600ms;
+        isLeaving = true;
+    }
+    SUBCASE("of which none is left")
+    {
+        fixture.removeReplica("i-d3");
+        hasSuccessor = false;
+    }
+    fixture.script("i-d1", { first });
+    fixture.script("i-d2", { stream(events) });
+    fixture.script("i-d3", { stream(events) });
+    FakeWriter writer;
+    fixture.start(fixture.resumable(), writer, TwoVersions::shortPrompt());
+    fixture.timers.advance(700ms);
+    if (isLeaving)
+        fixture.store.put("servers/i-d1", testEntry("s", "decode", "a", "draining", 1, 2) + " reclaimable 2500 version=v1");
+    fixture.timers.advance(6s);
+    CHECK_FALSE(fixture.wasSentTo("i-d2"));
+    CHECK(fixture.wasSentTo("i-d3") == hasSuccessor);
+    CHECK(writer.isFinished == hasSuccessor);
+    CHECK(writer.wasAborted == !hasSuccessor);
+}
+
+// Guards against a request that is refused because its first engine was the last one of its version.
+TEST_CASE("a request without an event may change the version")
+{
+    TwoVersions fixture;
+    fixture.removeReplica("i-d3");
+    fixture.script("i-d1", { stream({}, true) });
+    fixture.script("i-d2", { stream({ event(1), event(2) }) });
+    FakeWriter writer;
+    fixture.runRequest(fixture.resumable(), writer, TwoVersions::shortPrompt());
+    CHECK(fixture.wasSentTo("i-d1"));
+    CHECK(writer.body == event(1) + event(2));
+    CHECK(writer.isFinished);
+}
