Streams go on only at the software version that began them (ORDER)

Cause: nothing kept the version of a stream. A daemon that continues a broken, silent or leaving stream chose any decode engine, and a stream that its client resumes was placed like a new request. Once its daemon had ended, nobody knew the version at all.

Change: VersionBinding binds a stream to the version of the engine that sends its first event, and every choice of an engine goes through RelayContext::usable(). The daemons agree in the store on a default version of each service (DefaultVersions). A stream at another version has a record under a lease, which is written before its client receives the first event (StreamRecords); so a stream without a record is of the default version, also after all daemons were killed at once, and no write is needed while one version serves. The default changes when no stream of the former one can be resumed any more. A stream that cannot be placed is refused as not run; while no record can be written, new streams begin at the default version if it has engines. KV cache is read only by decode engines of its version.

--- a/modules/decisions/decisions.h
+++ b/modules/decisions/decisions.h
@@ -45,6 +45,7 @@
 #include "decisions/speeds/StreamProgress.h"
 #include "decisions/speeds/WaitLimits.h"
 #include "decisions/streams/ConnectionEnd.h"
+#include "decisions/streams/DefaultVersion.h"
 #include "decisions/streams/StreamPosition.h"
 #include "decisions/subsets/Subsets.h"
 #include "decisions/tickets/Configuration.h"
--- a/modules/decisions/routes/RouteTable.cpp
+++ b/modules/decisions/routes/RouteTable.cpp
@@ -55,6 +55,8 @@
     for (const auto& route : m_configuration.routes) {
         if (route.kind != RouteKind::Streaming)
             continue;
+        if (route.isResumable)
+            m_longestResumableTimeout = std::max(m_longestResumableTimeout, route.timeout);
         for (const auto& share : route.shares) {
             auto [shortest, isNew] = m_shortestObjectives.try_emplace(share.service, route.latencyObjective);
             shortest->second = std::min(shortest->second, route.latencyObjective);
--- a/modules/decisions/routes/RouteTable.h
+++ b/modules/decisions/routes/RouteTable.h
@@ -108,6 +108,8 @@
     const ServiceProfile* service(const ServiceId&) const;
     /** The shortest latency objective of the streaming routes to a service; zero when there is none. */
     Duration shortestObjective(const ServiceId&) const;
+    /** The longest timeout of the routes whose streams may be resumed; zero when there is none. */
+    Duration longestResumableTimeout() const { return m_longestResumableTimeout; }
     /** The client accounts; null where requests need no key. */
     const AccountTable* accounts() const { return m_accounts ? &*m_accounts : nullptr; }
     /** The priorities that requests to a service can have: those of its routes and of the accounts. */
@@ -119,6 +121,7 @@
     std::unordered_map<std::string, std::vector<size_t>> m_routesOfHost; /**< longest prefix first */
     std::unordered_map<ServiceId, size_t> m_services;
     std::unordered_map<ServiceId, Duration> m_shortestObjectives;
+    Duration m_longestResumableTimeout {};
     std::optional<AccountTable> m_accounts; /**< refers to the accounts of the configuration */
     std::unordered_map<ServiceId, ServicePriorities> m_priorities;
 };
--- a/modules/gateway/replicas/ReplicaDirectory.cpp
+++ b/modules/gateway/replicas/ReplicaDirectory.cpp
@@ -321,6 +321,16 @@
     return select(service, [&](const ReplicaEntry& entry) { return entry.stage == stage && !excluded.contains(entry.id) && !m_pauses.isPaused(entry.id) && !isBackingOff(entry.id); });
 }
 
+std::map<ServiceId, VersionCounts> ReplicaDirectory::engineVersions() const
+{
+    std::map<ServiceId, VersionCounts> versions;
+    for (const auto& [id, replica] : m_registry.replicas) {
+        if (replica.entry.stage != EngineStage::None && replica.status != ReplicaStatus::Removed)
+            ++versions[replica.entry.service][replica.entry.version];
+    }
+    return versions;
+}
+
 std::vector<const ReplicaEntry*> ReplicaDirectory::engines(const ServiceId& service) const
 {
     return select(service, [](const ReplicaEntry& entry) { return entry.stage != EngineStage::None; });
--- a/modules/gateway/replicas/ReplicaDirectory.h
+++ b/modules/gateway/replicas/ReplicaDirectory.h
@@ -3,6 +3,7 @@
 #include "decisions/placement/PromptPlacement.h"
 #include "decisions/replicas/ReplicaBackoff.h"
 #include "decisions/replicas/ReplicaRegistry.h"
+#include "decisions/streams/DefaultVersion.h"
 #include "gateway/limits/RateLimitRegistry.h"
 #include "gateway/replicas/LoadTracker.h"
 #include "gateway/replicas/OrderPauses.h"
@@ -38,6 +39,9 @@
     /** All engines of a service that are not leaving, including those that are executing an order or want no requests now. */
     std::vector<const ReplicaEntry*> engines(const ServiceId&) const;
 
+    /** The software versions of the listed engines of each service, also of those that are leaving, and how many engines have them. */
+    std::map<ServiceId, VersionCounts> engineVersions() const;
+
     /** All replicas of a service that are listed, also those that are leaving. */
     std::vector<const RegisteredReplica*> registered(const ServiceId&) const;
 
--- a/modules/gateway/requests/DecodePlan.cpp
+++ b/modules/gateway/requests/DecodePlan.cpp
@@ -35,7 +35,7 @@
 {
     auto& services = relay.services;
     DecodePlan plan;
-    for (const auto* entry : relay.candidates(EngineStage::Decode)) {
+    for (const auto* entry : relay.candidates(EngineStage::Decode, state.cacheVersion)) {
         plan.engines.push_back(*entry);
         plan.views.push_back(relay.viewOf(*entry));
     }
--- a/modules/gateway/requests/DecodePlan.h
+++ b/modules/gateway/requests/DecodePlan.h
@@ -10,6 +10,7 @@
     Duration startsIn {}; /**< until the prefill that begins now has ended; zero without one */
     bool isWaiting = false; /**< it is the first of the waiting requests of this daemon */
     uint32_t calls = 0; /**< made so far */
+    std::optional<SoftwareVersion> cacheVersion; /**< of the KV cache that the decode reads; absent without one */
 };
 
 /** A decision on a decode and what it was based on. */
--- a/modules/gateway/requests/GenerationRelay.cpp
+++ b/modules/gateway/requests/GenerationRelay.cpp
@@ -27,6 +27,7 @@
     : m_relay(std::move(relay))
     , m_writer(writer)
     , m_prompt(m_relay->request.prompt ? &*m_relay->request.prompt : nullptr)
+    , m_versionBinding(*m_relay)
     , m_stops(*m_relay)
     , m_departure(*m_relay, m_stops, [this](const ReplicaId& engine) { return canContinueElsewhere(engine); })
     , m_silenceWatch(*m_relay, silenceCallbacks())
@@ -37,7 +38,10 @@
 
 asio::awaitable<void> GenerationRelay::run()
 {
-    if (auto served = co_await generate(); !served)
+    auto served = co_await m_versionBinding.resolve();
+    if (served)
+        served = co_await generate();
+    if (!served)
         co_await sendFailure(m_relay->finalError(served.error()));
     if (m_move)
         m_move->cancel();
@@ -91,7 +95,9 @@
 
 GenerationProgress GenerationRelay::progress() const
 {
-    return { order(), m_decodeCalls, m_handle ? std::optional(m_handleAt) : std::nullopt };
+    if (!m_handle)
+        return { order(), m_decodeCalls, std::nullopt, std::nullopt };
+    return { order(), m_decodeCalls, m_handleAt, m_handle->version };
 }
 
 EnginePosition GenerationRelay::order() const
@@ -162,11 +168,12 @@
     return !m_writer.hasBegun() || (m_relay->route.isResumable && m_position.canContinue());
 }
 
-asio::awaitable<bool> GenerationRelay::writeEvents(ReplicaResponse& response, EventBatch batch)
+asio::awaitable<bool> GenerationRelay::writeEvents(const ReplicaEntry& engine, ReplicaResponse& response, EventBatch batch)
 {
     if (batch.bytes.empty())
         co_return true;
     if (!m_writer.hasBegun()) {
+        co_await m_versionBinding.bind(engine);
         m_firstEventAt = m_relay->services.timers.now();
         if (!co_await m_writer.begin(response.body->status(), response.headers))
             co_return false;
@@ -204,7 +211,7 @@
             batch.bytes += splitter.takeRemainder();
         m_hasEvents = m_hasEvents || hasEvents;
         auto fits = keepContinuation(batch, m_position, m_isContinuation, m_lastEventId);
-        if (!co_await writeEvents(response, std::move(batch)))
+        if (!co_await writeEvents(engine, response, std::move(batch)))
             co_return StreamEnd::ClientDisconnected;
         if (!fits)
             co_return StreamEnd::Mismatch;
@@ -280,9 +287,18 @@
         m_handle = std::move(*handle);
         m_handleAt = m_relay->services.timers.now();
     }
+    releaseUnreadableCache();
     co_return co_await awaitDecodeEngine(*m_relay, progress());
 }
 
+void GenerationRelay::releaseUnreadableCache()
+{
+    if (!m_handle || !m_relay->candidates(EngineStage::Decode, m_handle->version).empty())
+        return;
+    releaseHandle(m_relay->services, *m_handle);
+    m_handle.reset();
+}
+
 asio::awaitable<Result<void>> GenerationRelay::decodeAt(const ReplicaEntry& engine)
 {
     auto& relay = *m_relay;
@@ -291,6 +307,7 @@
     StreamProgress::Stream inProgress(relay.services.streams, relay.service, engine.id, sentAt);
     m_lastEventAt.reset();
     m_isContinuation = m_writer.hasBegun();
+    m_versionBinding.beginRun(engine);
     m_stops.beginRun(engine.id);
     m_departure.beginRun();
     m_hasEvents = false;
--- a/modules/gateway/requests/GenerationRelay.h
+++ b/modules/gateway/requests/GenerationRelay.h
@@ -6,6 +6,7 @@
 #include "gateway/requests/GenerationTurns.h"
 #include "gateway/requests/PromptPrefill.h"
 #include "gateway/requests/SilenceWatch.h"
+#include "gateway/requests/VersionBinding.h"
 
 namespace chestnut {
 
@@ -34,6 +35,8 @@
     /** Chooses the decode engine, after running the prefill if needed. */
     asio::awaitable<Result<ReplicaEntry>> prepareDecode(bool mayPrefill);
     GenerationProgress progress() const;
+    /** Gives the KV cache up if no decode engine is left that can read it. */
+    void releaseUnreadableCache();
     /** Position of the decode at the engines. */
     EnginePosition order() const;
     /** Whether prefill engines should process the prompt; decode engines process short ones themselves. */
@@ -47,7 +50,7 @@
     /** What is known when the connection of the present decode attempt ends. */
     ConnectionEnd connectionEnd(const ReplicaId& engine) const;
     asio::awaitable<StreamEnd> relayEvents(const ReplicaEntry& engine, ReplicaResponse&, TimePoint sentAt);
-    asio::awaitable<bool> writeEvents(ReplicaResponse&, EventBatch);
+    asio::awaitable<bool> writeEvents(const ReplicaEntry& engine, ReplicaResponse&, EventBatch);
     /** Whether another run may continue what the client has received. */
     bool mayContinue() const;
     /** Relays a response that is not a stream, such as an error from the engine. */
@@ -79,6 +82,7 @@
     bool m_hasEvents = false; /**< of the present decode attempt */
     bool m_isContinuation = false; /**< the client had received events before the present decode attempt */
     std::optional<PromptPrefill> m_prefill; /**< present for requests with a prompt */
+    VersionBinding m_versionBinding;
     RunStops m_stops;
     EngineDeparture m_departure;
     SilenceWatch m_silenceWatch;
--- a/modules/gateway/requests/GenerationTurns.cpp
+++ b/modules/gateway/requests/GenerationTurns.cpp
@@ -20,7 +20,7 @@
     /** The engine for a decode with a handle that cannot wait any longer. */
     Result<ReplicaEntry> lastDecodeEngine(const RelayContext& relay, const GenerationProgress& progress)
     {
-        auto plan = planDecode(relay, { Duration::zero(), true, progress.decodeCalls });
+        auto plan = planDecode(relay, { Duration::zero(), true, progress.decodeCalls, progress.cacheVersion });
         auto choice = lastResortEngine(plan.views, relay.services.zone);
         if (!choice)
             return plan.refusal();
@@ -76,7 +76,7 @@
         until = std::min(until, *progress.handleAt + fromSeconds(toSeconds(handleValidity(relay)) * usedShareOfValidity));
     DecodePlan plan;
     auto decide = [&](bool hasWaited) {
-        plan = planDecode(relay, { Duration::zero(), hasWaited, progress.decodeCalls });
+        plan = planDecode(relay, { Duration::zero(), hasWaited, progress.decodeCalls, progress.cacheVersion });
         if (plan.decision.action == DecodeAction::Call)
             return SlotQueue::Step::Proceed;
         // With a handle the prompt has been read, and after a wait the requests that came later are not ahead.
--- a/modules/gateway/requests/GenerationTurns.h
+++ b/modules/gateway/requests/GenerationTurns.h
@@ -9,6 +9,7 @@
     EnginePosition order = 0; /**< of the decode at the engines */
     uint32_t decodeCalls = 0; /**< made so far */
     std::optional<TimePoint> handleAt; /**< when the prefill was completed, if its KV cache waits for the decode */
+    std::optional<SoftwareVersion> cacheVersion; /**< of that KV cache */
 };
 
 /** Waits until a prefill engine takes the prompt and a slot for its decode is in view. Fails with Overloaded or NoBackend when that is
--- a/modules/gateway/requests/PromptPrefill.cpp
+++ b/modules/gateway/requests/PromptPrefill.cpp
@@ -11,6 +11,16 @@
 
     constexpr uint32_t maximumCalls = 2;
 
+    using Engines = std::vector<const ReplicaEntry*>;
+
+    bool haveOneVersion(const Engines& left, const Engines& right)
+    {
+        if (left.empty())
+            return true;
+        auto hasVersion = [&version = left.front()->version](const ReplicaEntry* entry) { return entry->version == version; };
+        return std::ranges::all_of(left, hasVersion) && std::ranges::all_of(right, hasVersion);
+    }
+
     int64_t millisecondsOf(Duration duration)
     {
         return duration.count() / 1000;
@@ -32,7 +42,8 @@
 PromptPrefill::Candidates PromptPrefill::candidates() const
 {
     auto& services = m_relay.services;
-    Candidates found { services.replicas.usable(m_relay.service, EngineStage::Prefill, m_relay.excluded), {} };
+    Candidates found { m_relay.usable(EngineStage::Prefill, m_relay.excluded), {} };
+    keepDecodableVersions(found.entries);
     found.views.reserve(found.entries.size());
     for (const auto* entry : found.entries) {
         auto view = m_relay.viewOf(*entry);
@@ -43,6 +54,24 @@
     return found;
 }
 
+void PromptPrefill::keepDecodableVersions(std::vector<const ReplicaEntry*>& entries) const
+{
+    auto decodeEngines = m_relay.candidates(EngineStage::Decode);
+    if (haveOneVersion(entries, decodeEngines))
+        return;
+    std::set<SoftwareVersion> decodable;
+    std::set<SoftwareVersion> free;
+    for (const auto* engine : decodeEngines) {
+        auto view = m_relay.viewOf(*engine);
+        decodable.insert(engine->version);
+        if (isEligible(view) && !isRefusing(view) && view.requests < limitOf(view))
+            free.insert(engine->version);
+    }
+    auto isFree = [&free](const ReplicaEntry* entry) { return free.contains(entry->version); };
+    const auto& allowed = std::ranges::any_of(entries, isFree) ? free : decodable;
+    std::erase_if(entries, [&allowed](const ReplicaEntry* entry) { return !allowed.contains(entry->version); });
+}
+
 bool PromptPrefill::isWaitingForRate() const
 {
     return chestnut::isWaitingForRate(candidates().views);
@@ -126,6 +155,7 @@
         m_relay.recordCapacity(engine, loadShare, elapsed, choice.expectedTime ? std::optional(expectedPrefillTime(*speed, choice.workTokens)) : std::nullopt);
         auto slowdown = speed ? toSeconds(elapsed) / toSeconds(expectedPrefillTime(*speed, choice.workTokens)) : 1;
         m_relay.recordAttemptSuccess(engine.id, startedAt, slowdown);
+        response->handle.version = engine.version;
     }
     co_return response;
 }
--- a/modules/gateway/requests/PromptPrefill.h
+++ b/modules/gateway/requests/PromptPrefill.h
@@ -45,6 +45,9 @@
     };
 
     Candidates candidates() const;
+    /** Leaves the engines whose KV cache a decode engine can read: those of the versions that have a free decode engine, or, if there are none, any
+        decode engine. */
+    void keepDecodableVersions(std::vector<const ReplicaEntry*>&) const;
     std::optional<Placement> findEngine() const;
     asio::awaitable<Result<PrefillResponse>> callEngine(const Placement&);
     /** Interrupts a call that takes far longer than expected, if its engine completes no other work either and another engine
--- a/modules/gateway/requests/RelayContext.cpp
+++ b/modules/gateway/requests/RelayContext.cpp
@@ -29,6 +29,20 @@
         view.errorShare = capacity.errorShare;
     }
 
+    void keepVersion(std::vector<const ReplicaEntry*>& entries, const SoftwareVersion& version)
+    {
+        std::erase_if(entries, [&version](const ReplicaEntry* entry) { return entry->version != version; });
+    }
+
+    /** Leaves the entries of the version, or all if none has it. */
+    void preferVersion(std::vector<const ReplicaEntry*>& entries, const SoftwareVersion& version)
+    {
+        auto preferred = entries;
+        keepVersion(preferred, version);
+        if (!preferred.empty())
+            entries = std::move(preferred);
+    }
+
     /** The ids, separated by commas. */
     std::string listOf(const std::set<ReplicaId>& replicas)
     {
@@ -268,8 +282,31 @@
 {
     auto used = excluded;
     used.insert(silent.begin(), silent.end());
-    auto entries = services.replicas.usable(service, stage, used);
-    return entries.empty() ? services.replicas.usable(service, stage, excluded) : entries;
+    auto entries = usable(stage, used);
+    return entries.empty() ? usable(stage, excluded) : entries;
+}
+
+std::vector<const ReplicaEntry*> RelayContext::candidates(EngineStage stage, const std::optional<SoftwareVersion>& wanted) const
+{
+    auto entries = candidates(stage);
+    if (wanted)
+        keepVersion(entries, *wanted);
+    return entries;
+}
+
+std::vector<const ReplicaEntry*> RelayContext::usable(EngineStage stage, const std::set<ReplicaId>& without) const
+{
+    auto entries = services.replicas.usable(service, stage, without);
+    if (version)
+        keepVersion(entries, *version);
+    else if (mustBeginAtDefault())
+        preferVersion(entries, services.streamRecords->defaultVersion(service)->version);
+    return entries;
+}
+
+bool RelayContext::mustBeginAtDefault() const
+{
+    return route.isResumable && services.streamRecords && !services.streamRecords->canWrite() && services.streamRecords->defaultVersion(service);
 }
 
 bool RelayContext::hasFreeReplica(EngineStage stage, const ReplicaId& other) const
--- a/modules/gateway/requests/RelayContext.h
+++ b/modules/gateway/requests/RelayContext.h
@@ -12,6 +12,7 @@
 #include "gateway/requests/RetryBudgets.h"
 #include "gateway/requests/SlotQueue.h"
 #include "gateway/requests/UrgentWork.h"
+#include "gateway/streams/StreamRecords.h"
 #include "gateway/usage/UsageMeter.h"
 #include "http/server/HttpServer.h"
 #include "kernel/metrics/Metrics.h"
@@ -38,6 +39,7 @@
     AvailabilityZone zone;
     Duration soundSilence; /**< longest silence of a sound engine in the middle of a stream */
     std::shared_ptr<ByteBudget> responseBuffers; /**< of bodies whose clients read slowly; null: bodies are read whole */
+    StreamRecords* streamRecords = nullptr; /**< null: streams are not resumed across software versions */
     UsageMeter* usage = nullptr; /**< null: usage is not counted */
     UrgentWork urgentWork { timers };
     SlotQueue slotQueue { context, timers, loadTracker };
@@ -123,6 +125,10 @@
 
     /** The replicas that this request has not been sent to, or if there are none, those that were only silent. */
     std::vector<const ReplicaEntry*> candidates(EngineStage) const;
+    /** Those of the candidates that have this software version; all without one. */
+    std::vector<const ReplicaEntry*> candidates(EngineStage, const std::optional<SoftwareVersion>&) const;
+    /** The usable replicas of a stage at which this request may run: those of the version of its stream, if it has one. */
+    std::vector<const ReplicaEntry*> usable(EngineStage, const std::set<ReplicaId>& without) const;
     /** Whether a replica other than this one has a free slot for the request. */
     bool hasFreeReplica(EngineStage, const ReplicaId& other) const;
 
@@ -152,6 +158,7 @@
     const ServiceId service;
     const std::shared_ptr<AbortHandle> abort = std::make_shared<AbortHandle>();
     std::set<ReplicaId> excluded; /**< replicas that failed this request */
+    std::optional<SoftwareVersion> version; /**< at which the stream has begun; absent before its first event */
     std::set<ReplicaId> silent; /**< replicas whose attempts were interrupted; they are used again when no other one is left */
     bool mayHaveRun = false;
     uint32_t runs = 0; /**< attempts that may have run */
@@ -159,6 +166,8 @@
 private:
     const Digest& content() const;
     bool isRetryable() const;
+    /** Whether the version of a new stream cannot be recorded now, so that it begins at the default version if possible. */
+    bool mustBeginAtDefault() const;
     void reportPartChanges();
 
     TimePoint m_deadline;
--- a/modules/gateway/requests/RoutedRequest.h
+++ b/modules/gateway/requests/RoutedRequest.h
@@ -46,6 +46,7 @@
     std::string source; /**< IP:PORT of the engine */
     std::string id;
     ReplicaId engine;
+    SoftwareVersion version; /**< of the engine; no other version can read the cache */
 
     bool operator==(const CacheHandle&) const = default;
 };
--- a/modules/gateway/service/Gateway.cpp
+++ b/modules/gateway/service/Gateway.cpp
@@ -20,6 +20,9 @@
     /** Names the daemon that runs the singleton tasks. */
     constexpr std::string_view taskHolderKey = "chestnutroute/tasks/holder";
     /** Prefix of the keys of the daemons and of the leases on engine orders and singleton tasks. */
+    /** The client's attempts at one stream, each of which may last as long as the timeout of its route. */
+    constexpr int attemptsOfStream = 2;
+    constexpr Duration shortestStreamLifetime = std::chrono::seconds(30);
     constexpr std::string_view ownKeyPrefix = "chestnutroute/";
     /** Pauses between two watches. Replicas and daemons change in bursts at a cold start or a release, each change ends the
         watches of all daemons, and each watch is a billed call. */
@@ -86,6 +89,9 @@
     , m_replicas(
           m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_loadTracker, std::move(formats.replicaPrefix), std::move(formats.decodeReplica), [this] { return m_exchange.receivesStoreChanges() ? memberPause : replicasPause; }, [daemons = m_daemons] { return daemons->lastStoreUnreachableAt(); })
     , m_routing(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, std::move(formats.configurationKey), std::move(formats.decodeConfiguration), m_dependencies.onConfiguration)
+    , m_defaultVersions(
+          m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_replicas, [this] { return streamLifetime(); }, [daemons = m_daemons] { return daemons->activeDaemons(); })
+    , m_streamRecords(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_defaultVersions, [this] { return streamLifetime(); })
     , m_configurationApi(m_routing)
     , m_versions(m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_routing, *m_daemons, m_ownKeys, m_dependencies.configurationClient)
     , m_budgets(m_dependencies.timers, *m_daemons, m_settings.bounds.retryBudget)
@@ -95,7 +101,7 @@
     , m_roles(m_dependencies.context, m_dependencies.store, m_dependencies.timers, m_dependencies.log, m_ownKeys, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_routing, { m_settings.self.id, m_settings.bounds.takeoverWait, [daemons = m_daemons] { return daemons->activeDaemons(); } })
     , m_taskLease(makeTaskLease())
     , m_scaling(makeScaling())
-    , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_rateLimiter, m_settings.self.zone, m_settings.bounds.soundSilence, m_dependencies.responseBuffers }
+    , m_relayServices { m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, m_dependencies.replicaClient, m_replicas, m_loadTracker, m_speeds, m_streams, m_crashTracker, m_budgets, m_rateLimiter, m_settings.self.zone, m_settings.bounds.soundSilence, m_dependencies.responseBuffers, &m_streamRecords }
     , m_accountMetrics(m_dependencies.timers, m_dependencies.metrics)
     , m_accountUse(m_dependencies.timers, hash64(m_settings.self.id.value()))
 {
@@ -142,6 +148,13 @@
     return std::make_unique<ScalingManager>(m_dependencies.context, m_dependencies.timers, m_dependencies.log, m_dependencies.metrics, *m_dependencies.taskPlatform, TaskLeaseView { mayAct, authority }, m_replicas, m_loadTracker, m_speeds, m_routing, [this] { return m_exchange.knowsFleetLoad(); });
 }
 
+Duration Gateway::streamLifetime() const
+{
+    auto table = m_routing.table();
+    auto timeout = table ? table->longestResumableTimeout() : Duration::zero();
+    return std::max(shortestStreamLifetime, timeout * attemptsOfStream);
+}
+
 Duration Gateway::pauseOfOwnKeys() const
 {
     // A holder of a lease has to notice soon that the key was removed and another daemon has acquired it.
@@ -165,6 +178,8 @@
     m_ownKeys->start();
     m_daemons->start();
     m_blocks.start();
+    m_defaultVersions.start();
+    m_streamRecords.start();
     m_exchange.start();
     m_versions.start();
     m_roles.start();
@@ -199,6 +214,7 @@
 {
     m_dependencies.log.write(EventId::StoreRestored, { { "epoch", m_dependencies.store.epoch() } });
     m_dependencies.metrics.count("chestnut_store_restores_total");
+    m_streamRecords.rewrite();
     restartWatches();
 }
 
--- a/modules/gateway/service/Gateway.h
+++ b/modules/gateway/service/Gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/roles/RoleManager.h"
 #include "gateway/scaling/ScalingManager.h"
 #include "gateway/service/RoutingSource.h"
+#include "gateway/streams/StreamRecords.h"
 #include "gateway/tasks/TaskPlatform.h"
 #include "gateway/usage/UsageExchange.h"
 #include "gateway/usage/UsageReporter.h"
@@ -99,6 +100,8 @@
     size_t inProgress() const { return m_inProgress; }
 
 private:
+    /** How long a stream may be resumed after it has begun. */
+    Duration streamLifetime() const;
     std::unique_ptr<FencedLease> makeTaskLease();
     void addUsage();
     asio::awaitable<void> stopTasks();
@@ -125,6 +128,8 @@
     BlockDirectory m_blocks;
     ReplicaDirectory m_replicas;
     RoutingSource m_routing;
+    DefaultVersions m_defaultVersions;
+    StreamRecords m_streamRecords;
     ConfigurationApi m_configurationApi;
     ConfigurationExchange m_versions;
     RetryBudgets m_budgets;
--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -106,3 +106,111 @@
     CHECK(writer.body == event(1) + event(2));
     CHECK(writer.isFinished);
 }
+
+namespace {
+
+/** The same engines, and the parts that know the versions of streams. */
+struct ResumedStream : TwoVersions {
+    ResumedStream()
+    {
+        services.streamRecords = &records;
+        ownKeys->start();
+        defaults.start();
+        records.start();
+        settle();
+        for (const auto* id : { "i-d1", "i-d2", "i-d3" })
+            script(id, { stream({ event(3) }) });
+    }
+
+    /** Records a stream of another daemon. */
+    void addStream(const std::string& attempt, const std::string& version)
+    {
+        records.beginWriting({ ServiceId("s"), {}, RequestId(attempt) }, 1, SoftwareVersion(version));
+        settle();
+    }
+
+    void resume(std::optional<RequestId> firstAttempt)
+    {
+        resumption = StreamResumption { std::move(firstAttempt) };
+        runRequest(resumable(), writer, shortPrompt());
+    }
+
+    DefaultVersions defaults { context, store, timers, log, ownKeys, replicas, [] { return 30s; }, [] { return 1U; } };
+    StreamRecords records { context, store, timers, log, metrics, defaults, [] { return 30s; } };
+    FakeWriter writer;
+};
+
+} // namespace
+
+// Guards against a stream that its client resumes and that is placed like a new request.
+TEST_CASE("a stream that its client resumes goes on only at its version")
+{
+    ResumedStream fixture;
+    auto version = std::string("v1");
+    SUBCASE("recorded at the other version")
+    {
+        fixture.addStream("first", "v2");
+        version = "v2";
+    }
+    SUBCASE("without a record, at the default version") { }
+    fixture.resume(RequestId("first"));
+    CHECK(fixture.writer.isFinished);
+    CHECK(fixture.writer.body == event(3));
+    CHECK(fixture.wasSentTo("i-d2") == (version == "v2"));
+    CHECK(fixture.log.recent(EventId::ResumedStreamVersion).size() == 1);
+}
+
+// Guards against a resumed stream that waits for an engine that will not come, or goes on at any version.
+TEST_CASE("a resumed stream that cannot be placed is refused as not run")
+{
+    ResumedStream fixture;
+    auto first = std::optional(RequestId("first"));
+    SUBCASE("as no engine of its version is left") { fixture.addStream("first", "v3"); }
+    SUBCASE("as the client names no stream, and streams of two versions can be resumed")
+    {
+        fixture.addStream("other", "v2");
+        first.reset();
+    }
+    SUBCASE("as the store does not answer") { fixture.store.isDown = true; }
+    fixture.resume(first);
+    CHECK(fixture.writer.status == 503);
+    CHECK(fixture.replicaClient.sent.empty());
+}
+
+// Guards against new streams that are recorded too late to be resumed, where the default version has room.
+TEST_CASE("while no record can be written, new streams begin at the default version")
+{
+    ResumedStream fixture;
+    fixture.store.put("servers/i-d1", testEntry("s", "decode", "a", "ready", 1, 2) + " version=v2");
+    fixture.settle();
+    FakeWriter writer;
+    fixture.runRequest(fixture.resumable(), writer, TwoVersions::shortPrompt());
+    CHECK(writer.isFinished);
+    CHECK(fixture.replicaClient.sent.back().replica == ReplicaId("i-d1"));
+    fixture.store.isDown = true;
+    fixture.addStream("waiting", "v2");
+    fixture.timers.advance(1s);
+    FakeWriter later;
+    fixture.runRequest(fixture.resumable(), later, TwoVersions::shortPrompt());
+    CHECK(later.isFinished);
+    CHECK(fixture.replicaClient.sent.back().replica == ReplicaId("i-d3"));
+}
+
+// Guards against KV cache that an engine of another software version reads.
+TEST_CASE("the KV cache of a prefill is read only by engines of its version")
+{
+    TwoVersions fixture;
+    auto isReadable = true;
+    SUBCASE("at a decode engine of the version") { fixture.addReplica("i-p1", "s", "prefill", "a", "v2"); }
+    SUBCASE("without a decode engine of the version")
+    {
+        fixture.addReplica("i-p1", "s", "prefill", "a", "v3");
+        isReadable = false;
+    }
+    FakeWriter writer;
+    fixture.runRequest(fixture.resumable(), writer, GatewayFixture::longPrompt());
+    CHECK(writer.isFinished);
+    CHECK(fixture.replicaClient.prefills.empty() == !isReadable);
+    CHECK(fixture.replicaClient.sent.back().handle.has_value() == isReadable);
+    CHECK(fixture.wasSentTo("i-d2") == isReadable);
+}
