A later run at the default version replaces the record of an earlier run

A first run at another version was refused after its record had been queued, and the second run, at the default version, wrote none, so that other daemons resumed the stream at the version of the first run. From the second run of an attempt on, each run has a record.

--- a/modules/gateway/requests/VersionBinding.cpp
+++ b/modules/gateway/requests/VersionBinding.cpp
@@ -54,7 +54,9 @@
 {
     if (m_isBound || !mayBeResumed())
         return;
-    m_writing = m_relay.services.streamRecords->beginWriting(nameOf(m_relay.request.id), ++m_runs, engine.version);
+    m_writing = m_relay.services.streamRecords->beginWriting(nameOf(m_relay.request.id), m_records + 1, engine.version);
+    if (m_writing)
+        ++m_records;
 }
 
 asio::awaitable<void> VersionBinding::bind(const ReplicaEntry& engine)
--- a/modules/gateway/requests/VersionBinding.h
+++ b/modules/gateway/requests/VersionBinding.h
@@ -26,7 +26,7 @@
 
     RelayContext& m_relay;
     StreamRecords::WritingPointer m_writing; /**< of the present run; null where it needs no record */
-    uint32_t m_runs = 0;
+    uint32_t m_records = 0; /**< of runs before the first event */
     bool m_isBound = false; /**< the client has received an event of this response */
 };
 
--- a/modules/gateway/streams/StreamRecords.cpp
+++ b/modules/gateway/streams/StreamRecords.cpp
@@ -98,12 +98,12 @@
     std::erase_if(m_written, [oldest](const WritingPointer& writing) { return writing->since < oldest; });
 }
 
-StreamRecords::WritingPointer StreamRecords::beginWriting(const StreamName& name, uint32_t run, const SoftwareVersion& version)
+StreamRecords::WritingPointer StreamRecords::beginWriting(const StreamName& name, uint32_t number, const SoftwareVersion& version)
 {
-    if (!needsVersionRecord(m_defaults.find(name.service), version))
+    if (number == 1 && !needsVersionRecord(m_defaults.find(name.service), version))
         return nullptr;
-    // Lists are sorted by key, and the record of the last run counts.
-    auto digits = std::to_string(run);
+    // Lists are sorted by key, and the last record counts.
+    auto digits = std::to_string(number);
     auto key = streamKeyOf(name) + std::string(digits.size() < 4 ? 4 - digits.size() : 0, '0') + digits;
     auto writing = std::make_shared<Writing>(m_context, std::move(key), version, m_timers.now());
     m_pending.push_back(writing);
--- a/modules/gateway/streams/StreamRecords.h
+++ b/modules/gateway/streams/StreamRecords.h
@@ -52,9 +52,9 @@
 
     void start() override;
 
-    /** Begins to write the version of a stream that begins there. `run` counts the runs of the attempt; a later one replaces the record.
-        Returns null if the stream needs no record. */
-    WritingPointer beginWriting(const StreamName&, uint32_t run, const SoftwareVersion&);
+    /** Begins to write the version of a stream that begins there. `number` counts the records of the attempt from 1; a later run, at whatever
+        version, replaces an earlier record. Returns null if the stream needs none. */
+    WritingPointer beginWriting(const StreamName&, uint32_t number, const SoftwareVersion&);
 
     /** Waits until the record has been written. Returns false if that has not succeeded in time; the write is then still tried. */
     asio::awaitable<bool> awaitWritten(WritingPointer, Duration timeout);
--- a/tests/gateway/StreamRecordsTest.cpp
+++ b/tests/gateway/StreamRecordsTest.cpp
@@ -120,10 +120,12 @@
 {
     Fleet fleet;
     auto& daemon = fleet.start();
-    const SoftwareVersion v3("v3");
+    auto last = SoftwareVersion("v3");
+    SUBCASE("at another version") { }
+    SUBCASE("at the default version") { last = v1; }
     CHECK(daemon.begin("q1", v2, 1));
-    CHECK(daemon.begin("q1", v3, 2));
-    CHECK(fleet.start().find("q1").value().version == v3);
+    CHECK(daemon.begin("q1", last, 2));
+    CHECK(fleet.start().find("q1").value().version == last);
 }
 
 // Guards against a client that receives an event of a stream whose version nobody knows once its daemon has ended.
--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -214,3 +214,27 @@
     CHECK(fixture.replicaClient.sent.back().handle.has_value() == isReadable);
     CHECK(fixture.wasSentTo("i-d2") == isReadable);
 }
+
+// Guards against the record of a run that has brought no event, which hides that the stream has begun at the default version.
+TEST_CASE("a stream that begins at the default version after a failed run elsewhere is resumed at the default version")
+{
+    ResumedStream fixture;
+    fixture.store.put("servers/i-d1", testEntry("s", "decode", "a", "ready", 1, 2) + " version=v2");
+    fixture.removeReplica("i-d2");
+    ScriptedResponse failure;
+    failure.error = makeError(ErrorKind::ConnectFailed, "connection refused");
+    fixture.script("i-d1", { failure });
+    fixture.script("i-d3", { stream({ event(1) }) });
+    FakeWriter writer;
+    fixture.runRequest(fixture.resumable(), writer, TwoVersions::shortPrompt());
+    REQUIRE(writer.isFinished);
+    CHECK(fixture.wasSentTo("i-d1"));
+    StreamRecords later { fixture.context, fixture.store, fixture.timers, fixture.log, fixture.metrics, fixture.defaults, [] { return 30s; } };
+    fixture.services.streamRecords = &later;
+    fixture.replicaClient.sent.clear();
+    fixture.script("i-d1", { stream({ event(2) }) });
+    fixture.script("i-d3", { stream({ event(2) }) });
+    fixture.resume(RequestId("q1"));
+    CHECK(fixture.wasSentTo("i-d3"));
+    CHECK_FALSE(fixture.wasSentTo("i-d1"));
+}
