A resumed stream is sent to an ejected engine when no other one of its version is left

A stream that has begun has no other engines than those of its version, so that ejection leaves it nothing. Now ejected engines are admitted for it when all of its version are ejected. The new test fails before; test_gateway 298 of 298.

--- a/modules/gateway/requests/DecodePlan.cpp
+++ b/modules/gateway/requests/DecodePlan.cpp
@@ -22,6 +22,15 @@
         return ahead;
     }
 
+    /** A stream that has begun can go on at no other engines, so that ejected ones are tried when they are all that is left. */
+    void admitEjectedEngines(std::vector<PlacementView>& views)
+    {
+        if (std::ranges::any_of(views, isEligible))
+            return;
+        for (auto& view : views)
+            view.isEjected = false;
+    }
+
 } // namespace
 
 Error DecodePlan::refusal() const
@@ -39,6 +48,8 @@
         plan.engines.push_back(*entry);
         plan.views.push_back(relay.viewOf(*entry));
     }
+    if (relay.version)
+        admitEjectedEngines(plan.views);
     auto level = relay.priorities().levelOf(relay.priority());
     auto& need = plan.need;
     need.occupancy = services.speeds.speedOf(relay.service).occupancy.value_or(Duration::zero());
--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -238,3 +238,16 @@
     CHECK(fixture.wasSentTo("i-d3"));
     CHECK_FALSE(fixture.wasSentTo("i-d1"));
 }
+
+// Guards against a resumed stream that is refused while engines of other versions would serve a new one.
+TEST_CASE("a resumed stream is sent to an ejected engine when no other one of its version is left")
+{
+    ResumedStream fixture;
+    fixture.addStream("first", "v2");
+    for (int i = 0; i < 3; ++i)
+        fixture.loadTracker->recordFailure(ReplicaId("i-d2"));
+    REQUIRE(fixture.loadTracker->observe(ReplicaId("i-d2")).isEjected);
+    fixture.resume(RequestId("first"));
+    CHECK(fixture.writer.isFinished);
+    CHECK(fixture.wasSentTo("i-d2"));
+}
