The fault soak plays engines of two software versions (--versions)

Nothing showed whether a stream goes on only at the version that began it. With the flag the engines have two versions, which the events name; engines of one version are replaced, all daemons are killed at once, engines break streams off, and clients resume their streams at random daemons. ORDER: no stream has events of two versions, over all tries of its client. LOST: the share of resumed streams that go on.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -75,11 +75,14 @@
         { "shed", &FaultInjector::shedRequests, true, &FaultProfile::includesNotices },
         { "limit", &FaultInjector::limitRequests, true, &FaultProfile::includesLimits },
         { "without_length", &FaultInjector::omitLengths, true, &FaultProfile::includesFraming },
+        { "replace_version", &FaultInjector::replaceVersion, true, &FaultProfile::includesVersions },
         { "refusals_copied", &FaultInjector::copyRefusals, true, &FaultProfile::includesCopies },
         // It excuses no lost requests, as planned work does not: requests do not need the store.
         { "restored_store", &FaultInjector::restoreStore, true, &FaultProfile::includesRestore },
         { "broken_response", &FaultInjector::breakResponses, false, &FaultProfile::includesFraming },
         { "refusal_repeated", &FaultInjector::repeatRefusals, false, &FaultProfile::includesFraming },
+        { "restart_all", &FaultInjector::restartAll, false, &FaultProfile::includesVersions },
+        { "streams_break_off", &FaultInjector::breakOffStreams, false, &FaultProfile::includesVersions },
         { "kill", &FaultInjector::killDaemon, false },
         { "kill_all", &FaultInjector::killAll, false },
         { "pause", &FaultInjector::pauseDaemon, false },
@@ -134,8 +137,13 @@
 {
     auto seconds = std::to_string(toSeconds(m_fleet.timers.now() - m_startedAt));
     m_history.push_back(seconds + " s " + fault.name);
+    spawn((this->*fault.fault)());
+}
+
+void FaultInjector::spawn(asio::awaitable<void> fault)
+{
     ++m_active;
-    asio::co_spawn(m_fleet.context, (this->*fault.fault)(), [this](const std::exception_ptr& exception) {
+    asio::co_spawn(m_fleet.context, std::move(fault), [this](const std::exception_ptr& exception) {
         --m_active;
         if (exception)
             std::rethrow_exception(exception);
@@ -291,6 +299,52 @@
         replica->limitRequests(0);
 }
 
+asio::awaitable<void> FaultInjector::replaceVersion()
+{
+    static const std::vector<NamedFault> companions {
+        { "restart_all beside it", &FaultInjector::restartAll, false },
+        { "streams_break_off beside it", &FaultInjector::breakOffStreams, false },
+    };
+    constexpr int initialVersions = 2;
+    if (!m_profile.isPlannedOnly && pick(0, 3) > 0)
+        begin(companions[pickIndex(companions.size())]);
+    // One at a time, so that engines of another version go on serving.
+    if (m_leavingEngines > 0)
+        co_return;
+    std::vector<ReplicaStandin*> engines;
+    for (auto& replica : m_fleet.replicas) {
+        if (replica->isEngine())
+            engines.push_back(replica.get());
+    }
+    auto version = engines[pickIndex(engines.size())]->version();
+    ++m_replacements;
+    auto nextVersion = pick(0, 1) == 0 ? "v" + std::to_string(initialVersions + m_replacements) : version;
+    for (auto* engine : engines) {
+        if (engine->version() != version || pick(0, 3) == 0)
+            continue;
+        if (canLeave(*engine)) {
+            ++m_leavingEngines;
+            spawn(replaceEngine(*engine, nextVersion));
+        }
+        co_await m_fleet.timers.sleep(between(0, 500));
+    }
+}
+
+asio::awaitable<void> FaultInjector::replaceEngine(ReplicaStandin& engine, std::string version)
+{
+    engine.changeVersion(std::move(version));
+    auto isAnnounced = m_profile.isPlannedOnly || (pick(0, 1) == 0 && !m_fleet.store.faults.isDown && !m_fleet.store.faults.isUnresponsive);
+    if (isAnnounced) {
+        co_await drain(engine);
+    } else {
+        Disturbance disturbance({ &m_fleet.unplannedDisturbances });
+        engine.crash();
+        co_await m_fleet.timers.sleep(addressReuse + between(0, 1500));
+        engine.restart();
+    }
+    --m_leavingEngines;
+}
+
 asio::awaitable<void> FaultInjector::silenceReplicas()
 {
     auto isAlone = pick(0, 1) == 0;
@@ -338,6 +392,29 @@
     co_return;
 }
 
+asio::awaitable<void> FaultInjector::restartAll()
+{
+    // Streams begin between two of these faults.
+    if (m_fleet.timers.now() < m_nextRestartAt)
+        co_return;
+    m_nextRestartAt = m_fleet.timers.now() + between(3000, 6000);
+    Disturbance disturbance({ &m_fleet.unplannedDisturbances });
+    std::vector<SoakDaemon*> killed;
+    std::vector<std::unique_ptr<ProcessFault>> faults;
+    for (auto& daemon : m_fleet.daemons) {
+        if (daemon->hasProcessFault)
+            continue;
+        faults.push_back(std::make_unique<ProcessFault>(*daemon));
+        killed.push_back(daemon.get());
+        daemon->process->signal(SIGKILL);
+    }
+    for (auto* daemon : killed)
+        daemon->process->wait(1);
+    co_await m_fleet.timers.sleep(between(500, 2000));
+    for (auto* daemon : killed)
+        m_fleet.startProcess(*daemon);
+}
+
 asio::awaitable<void> FaultInjector::pauseDaemon()
 {
     auto* daemon = randomDaemonWithoutFault();
@@ -552,6 +629,21 @@
     return injectReplicaFault(&ReplicaFaults::truncateShare);
 }
 
+asio::awaitable<void> FaultInjector::breakOffStreams()
+{
+    constexpr int percent = 100;
+    Disturbance disturbance({ &m_fleet.unplannedDisturbances });
+    auto setShare = [this](double share) {
+        for (auto& replica : m_fleet.replicas) {
+            if (replica->isEngine())
+                replica->faults.truncateShare = share;
+        }
+    };
+    setShare(static_cast<double>(pick(20, 60)) / percent);
+    co_await m_fleet.timers.sleep(between(500, 4000));
+    setShare(0);
+}
+
 asio::awaitable<void> FaultInjector::omitLengths()
 {
     return injectResponseFault(pickIndex(m_fleet.replicas.size()), ResponseFault::WithoutLength);
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -13,6 +13,7 @@
     bool includesRestore = false; /**< restores of the store from a copy some seconds old */
     bool includesCopies = false; /**< copies of refusals, also before the response to a request with the same id */
     bool includesLimits = false; /**< replicas that state how many requests they take from all daemons together */
+    bool includesVersions = false; /**< engines of several software versions, which are replaced, and interrupted streams */
     std::string only; /**< name of the only fault to inject, of any kind; empty: all */
 
     bool operator==(const FaultProfile&) const = default;
@@ -47,6 +48,9 @@
     asio::awaitable<void> sendHangup();
     asio::awaitable<void> changeManifest();
     asio::awaitable<void> drainReplica();
+    /** Most engines of one version leave; they return with a new version, or with new ids only. */
+    asio::awaitable<void> replaceVersion();
+    asio::awaitable<void> replaceEngine(ReplicaStandin&, std::string version);
     asio::awaitable<void> silenceReplicas();
     asio::awaitable<void> leaveInResponses();
     asio::awaitable<void> shedRequests();
@@ -61,6 +65,7 @@
 
     asio::awaitable<void> killDaemon();
     asio::awaitable<void> killAll();
+    asio::awaitable<void> restartAll();
     asio::awaitable<void> pauseDaemon();
     asio::awaitable<void> takeStoreDown();
     asio::awaitable<void> makeStoreUnresponsive();
@@ -74,6 +79,7 @@
     asio::awaitable<void> crashReplica();
     asio::awaitable<void> failRequests();
     asio::awaitable<void> truncateResponses();
+    asio::awaitable<void> breakOffStreams();
     asio::awaitable<void> breakResponses();
     asio::awaitable<void> repeatRefusals();
     asio::awaitable<void> injectResponseFault(size_t replica, ResponseFault);
@@ -81,6 +87,7 @@
     bool canLeave(const ReplicaStandin&) const;
     asio::awaitable<void> drain(ReplicaStandin&);
     asio::awaitable<void> kill(SoakDaemon&);
+    void spawn(asio::awaitable<void>);
     asio::awaitable<void> injectLinkFault(LinkPointer);
     asio::awaitable<void> injectReplicaFault(double ReplicaFaults::*share);
     SoakDaemon* randomDaemonWithoutFault();
@@ -94,9 +101,12 @@
     FaultProfile m_profile;
     TimePoint m_startedAt;
     TimePoint m_nextRestoreAt;
+    TimePoint m_nextRestartAt; /**< of all daemons */
     std::mt19937 m_random;
     std::vector<std::string> m_history;
     int m_active = 0;
+    int m_replacements = 0;
+    int m_leavingEngines = 0; /**< that are being replaced */
     TimerSubscription m_processTimer;
 };
 
--- a/tests/soak/ReplicaStandin.cpp
+++ b/tests/soak/ReplicaStandin.cpp
@@ -70,16 +70,21 @@
     return ReplicaId(std::string(seal.substr(seal.find('@') + 1)));
 }
 
+std::string streamOf(const std::string& requestId)
+{
+    return requestId.substr(0, requestId.find('.'));
+}
+
 std::string expectedEventData(const std::string& requestId, uint64_t number)
 {
-    return requestId + "/" + std::to_string(number);
+    return streamOf(requestId) + "/" + std::to_string(number);
 }
 
 uint64_t expectedEventCount(const std::string& requestId)
 {
     constexpr uint64_t fewest = 2;
     constexpr uint64_t variety = 40;
-    return fewest + hash64(requestId) % variety;
+    return fewest + hash64(streamOf(requestId)) % variety;
 }
 
 ReplicaStandin::ReplicaStandin(asio::io_context& context, TimerService& timers, Log& log, PlatformStore& store, Ledger& ledger, NoticeChecks& notices, ReplicaPlacement placement, LinkPointer link, uint32_t seed)
@@ -91,6 +96,7 @@
     , m_placement(std::move(placement))
     , m_link(std::move(link))
     , m_random(seed)
+    , m_nextVersion(m_placement.version)
     , m_server(
           context, log, { "127.0.0.1", m_placement.serverPort }, {}, [this](HttpRequest request, HttpResponseWriter& writer) { return handle(std::move(request), writer); }, makeErrorResponse)
 {
@@ -109,6 +115,7 @@
 void ReplicaStandin::restart()
 {
     ++m_starts;
+    m_placement.version = m_nextVersion;
     m_id = ReplicaId("i-" + std::to_string(m_placement.serverPort) + "-" + std::to_string(m_starts));
     m_startedAt = (m_timers.wallClock().count() * 1000) + std::chrono::duration_cast<std::chrono::milliseconds>(clockError).count();
     m_heartbeat = 0;
@@ -139,7 +146,7 @@
         { "service", m_placement.service },
         { "address", formatEndpoint(m_link->endpoint()) },
         { "zone", m_placement.zone },
-        { "version", "v1" },
+        { "version", m_placement.version },
         { "slots", slots },
         { "cold_left_ms", 0 },
         { "state", m_drainingSince ? "draining" : "ready" },
@@ -157,6 +164,13 @@
         asio::co_spawn(m_context, changeStage(EngineStage::Prefill), asio::detached);
 }
 
+bool ReplicaStandin::servesDecodes() const
+{
+    if (m_placement.stage != EngineStage::Decode || m_isChangingStage || isLeavingOrDown())
+        return false;
+    return !m_store.keysBelow(key()).empty();
+}
+
 void ReplicaStandin::renewEntry()
 {
     if (!m_isDown)
@@ -369,12 +383,15 @@
     auto next = resumed.empty() ? 1 : std::stoull(std::string(resumed)) + 1;
     auto isTruncated = chance(faults.truncateShare);
     auto last = expectedEventCount(id);
+    // A resumed stream that is cut off has gone on for at least one event.
+    auto lastWhole = m_placement.namesVersion ? (next + last) / 2 : last / 2;
+    auto suffix = m_placement.namesVersion ? versionSeparator + m_placement.version : std::string();
     if (!co_await writer.begin(200, std::move(headers)))
         co_return;
     for (auto number = next; number <= last; ++number) {
         co_await m_timers.sleep(eventInterval);
-        auto text = "id: " + std::to_string(number) + "\ndata: " + expectedEventData(id, number) + "\n\n";
-        auto isCutOff = isTruncated && number > last / 2;
+        auto text = "id: " + std::to_string(number) + "\ndata: " + expectedEventData(id, number) + suffix + "\n\n";
+        auto isCutOff = isTruncated && number > lastWhole;
         auto sent = co_await writer.write(isCutOff ? text.substr(0, text.size() / 2) : text);
         if (start != m_starts || isCutOff || !sent) {
             writer.abort();
--- a/tests/soak/ReplicaStandin.h
+++ b/tests/soak/ReplicaStandin.h
@@ -27,15 +27,23 @@
     EngineStage stage = EngineStage::None;
     std::string zone;
     uint16_t serverPort = 0;
+    std::string version = "v1"; /**< of its software */
+    bool namesVersion = false; /**< states its version in each event of a stream */
 };
 
+/** Separates the contents of an event from the version of its writer. */
+constexpr char versionSeparator = '@';
+
 /** Header in which clients name the daemon that they call, for the checks in the replica. */
 constexpr std::string_view daemonHeader = "X-Soak-Daemon";
 
-/** Contents that a correct response has: the body of a plain response, and the events of a stream. */
+/** Body that a correct plain response has. */
 std::string expectedBody(const std::string& requestId);
 /** The replica that sent the response, as its seal states. */
 ReplicaId sealedBy(const HttpHeaders&);
+/** The request that began the stream of this request: the id without the number of the try. */
+std::string streamOf(const std::string& requestId);
+/** Contents of an event without the version, and number of events. They are the same for all tries at a stream. */
 std::string expectedEventData(const std::string& requestId, uint64_t number);
 uint64_t expectedEventCount(const std::string& requestId);
 
@@ -78,6 +86,11 @@
     const ReplicaId& id() const { return m_id; }
     /** Starts again with a new id. */
     void restart();
+    /** Changes the version of its software at its next start. */
+    void changeVersion(std::string version) { m_nextVersion = std::move(version); }
+    const std::string& version() const { return m_placement.version; }
+    /** Whether it is a decode engine that is listed in the store and not leaving. */
+    bool servesDecodes() const;
 
     bool isEngine() const { return m_placement.stage != EngineStage::None; }
     bool isDown() const { return m_isDown; }
@@ -118,6 +131,7 @@
     uint64_t m_highestFencingNumber = 0;
     std::string m_holder; /**< role holder that sent the highest fencing number */
     uint64_t m_handles = 0;
+    std::string m_nextVersion; /**< from its next start on */
     uint32_t m_running = 0;
     bool m_isChangingStage = false;
     bool m_isDown = false;
--- a/tests/soak/SoakClients.cpp
+++ b/tests/soak/SoakClients.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/Names.h"
 
+#include <absl/strings/numbers.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -23,6 +24,13 @@
     constexpr int objectCount = 200;
     /** How often a client sends a request with the same id, at most. */
     constexpr int maximumSendings = 4;
+    /** How often a client takes up a stream at most, and how long it waits for the whole stream. */
+    constexpr int maximumResumptions = 8;
+    constexpr Duration streamPatience = SoakFleet::streamTimeout * 2;
+    /** A client with less time left gives up. */
+    constexpr Duration minimumTimeLeft = std::chrono::milliseconds(200);
+    constexpr size_t neededEngines = 2; /**< for a resumption to count; see ResumptionChecks */
+    constexpr std::string_view resumedRequestHeader = "Resumes";
 
     std::string prefixOf(CallKind kind)
     {
@@ -49,6 +57,20 @@
         return status == 408 || status == 421 || status == 429 || status == 503;
     }
 
+    /** Appends what arrives of the body, also when it breaks off. Returns whether it is complete. */
+    asio::awaitable<bool> readBody(HttpBodyStream& stream, std::string& received)
+    {
+        if (!checkAnnouncedLength(stream, maximumResponseBody))
+            co_return false;
+        while (received.size() <= maximumResponseBody) {
+            auto bytes = co_await stream.read();
+            if (!bytes || !*bytes)
+                co_return static_cast<bool>(bytes);
+            received += **bytes;
+        }
+        co_return false;
+    }
+
 } // namespace
 
 struct SoakClients::Call {
@@ -59,13 +81,19 @@
     SoakDaemon* daemon = nullptr;
     TimePoint sentAt;
     Duration limit {};
+    int resumptions = 0;
+    std::string received; /**< bytes of the present response */
+    uint64_t nextEvent = 1; /**< of its stream, over all tries */
+    std::string version; /**< that the events of its stream name */
+    bool isOver = false; /**< the stream is complete, or wrong */
 };
 
-SoakClients::SoakClients(SoakFleet& fleet, uint32_t seed, bool repeatsIds)
+SoakClients::SoakClients(SoakFleet& fleet, uint32_t seed, bool repeatsIds, bool resumesStreams)
     : m_fleet(fleet)
     , m_random(seed)
     , m_pool(fleet.context, fleet.timers, {})
     , m_repeatsIds(repeatsIds)
+    , m_resumesStreams(resumesStreams)
 {
 }
 
@@ -104,7 +132,7 @@
     return call;
 }
 
-asio::awaitable<std::optional<HttpResponse>> SoakClients::exchange(const Call& call)
+HttpRequest SoakClients::requestOf(const Call& call) const
 {
     HttpRequest request { call.kind == CallKind::Idempotent ? "GET" : "POST", call.target, {}, {} };
     request.headers.set("Host", SoakFleet::host);
@@ -114,28 +142,41 @@
     if (isStream(call.kind)) {
         request.headers.set(names::model, "m");
         request.headers.set(names::tokenCount, call.promptTokens + ",50");
-        request.headers.set(names::promptParts, "a1:50,b" + call.id.substr(1) + ":50");
+        request.headers.set(names::promptParts, "a1:50,b" + streamOf(call.id).substr(1) + ":50");
         request.body = "prompt";
     }
+    if (call.resumptions > 0) {
+        request.headers.set(names::lastEventId, std::to_string(call.nextEvent - 1));
+        request.headers.set(resumedRequestHeader, streamOf(call.id));
+    }
+    return request;
+}
+
+asio::awaitable<std::optional<HttpResponse>> SoakClients::exchange(Call& call)
+{
+    call.received.clear();
     ExchangeOptions options;
+    options.needsFreshConnection = call.resumptions > 0;
     options.timeout = call.limit + extraWaitTime;
     options.bodyReadTimeout = call.limit + extraWaitTime;
-    auto stream = co_await m_pool.open(call.daemon->clientLink->endpoint(), std::move(request), std::move(options));
+    auto stream = co_await m_pool.open(call.daemon->clientLink->endpoint(), requestOf(call), std::move(options));
     if (!stream)
         co_return std::nullopt;
     m_fleet.notices.recordPassedOn(call.daemon->name, RequestId(call.id), sealedBy((*stream)->headers()));
-    auto body = co_await readWholeBody(**stream, maximumResponseBody);
-    if (!body)
+    if (!co_await readBody(**stream, call.received))
         co_return std::nullopt;
-    co_return HttpResponse { (*stream)->status(), (*stream)->headers(), std::move(*body) };
+    co_return HttpResponse { (*stream)->status(), (*stream)->headers(), call.received };
 }
 
 asio::awaitable<void> SoakClients::callOnce()
 {
-    auto call = makeCall(static_cast<CallKind>(pick(0, 3)));
+    auto call = makeCall(m_resumesStreams && pick(0, 1) == 0 ? CallKind::Resumable : static_cast<CallKind>(pick(0, 3)));
     for (int sendings = 1;; ++sendings) {
-        auto response = co_await exchange(call);
-        checkResponse(call, response);
+        auto response = co_await attempt(call);
+        if (m_resumesStreams && call.kind == CallKind::Resumable && call.nextEvent > 1 && !call.isOver) {
+            co_await resume(std::move(call), std::move(response));
+            co_return;
+        }
         auto mayRepeat = m_repeatsIds && response && promisesNotExecuted(response->status);
         if (!mayRepeat || sendings == maximumSendings || pick(0, 3) == 0)
             co_return;
@@ -144,7 +185,56 @@
     }
 }
 
-void SoakClients::checkResponse(const Call& call, const std::optional<HttpResponse>& response)
+asio::awaitable<std::optional<HttpResponse>> SoakClients::attempt(Call& call)
+{
+    auto eventBefore = call.nextEvent;
+    auto hasEngines = [this, &call] { return m_fleet.decodeEngines(call.version) >= neededEngines; };
+    auto hadEngines = call.resumptions > 0 && hasEngines();
+    auto response = co_await exchange(call);
+    checkResponse(call, response);
+    auto hasGoneOn = call.nextEvent > eventBefore || call.isOver;
+    if (!m_resumesStreams || call.kind != CallKind::Resumable || (!response && !hasGoneOn))
+        co_return response;
+    if (call.resumptions == 0)
+        m_fleet.resumptions.recordNew(hasGoneOn);
+    else
+        m_fleet.resumptions.recordResumed(hasGoneOn, hadEngines && hasEngines());
+    co_return response;
+}
+
+asio::awaitable<void> SoakClients::resume(Call call, std::optional<HttpResponse> response)
+{
+    auto endsAt = call.sentAt + streamPatience;
+    while (call.resumptions < maximumResumptions && !call.isOver) {
+        co_await m_fleet.timers.sleep(pauseBeforeRetry(response, endsAt - m_fleet.timers.now()));
+        auto timeLeft = endsAt - m_fleet.timers.now();
+        if (timeLeft < minimumTimeLeft)
+            co_return;
+        prepareResumption(call, timeLeft);
+        response = co_await attempt(call);
+    }
+}
+
+void SoakClients::prepareResumption(Call& call, Duration timeLeft)
+{
+    ++call.resumptions;
+    call.id = streamOf(call.id) + "." + std::to_string(call.resumptions);
+    call.daemon = &m_fleet.randomDaemon();
+    call.sentAt = m_fleet.timers.now();
+    call.limit = std::min(timeLeft, SoakFleet::streamTimeout);
+    m_fleet.ledger.recordSent(RequestId(call.id), call.kind);
+}
+
+Duration SoakClients::pauseBeforeRetry(const std::optional<HttpResponse>& response, Duration timeLeft)
+{
+    constexpr int longestPauseShare = 3; /**< of the time left; clients wait no longer for a Retry-After */
+    double seconds = 0;
+    if (!response || !absl::SimpleAtod(std::string(response->headers.value("Retry-After")), &seconds))
+        return std::chrono::milliseconds(pick(200, 800));
+    return std::min(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)), timeLeft / longestPauseShare);
+}
+
+void SoakClients::checkResponse(Call& call, const std::optional<HttpResponse>& response)
 {
     auto& ledger = m_fleet.ledger;
     auto elapsed = m_fleet.timers.now() - call.sentAt;
@@ -156,6 +246,8 @@
         checkSuccess(call, *response);
         return;
     }
+    if (!response && m_resumesStreams && isStream(call.kind))
+        checkEvents(call, call.received);
     if (response && promisesNotExecuted(response->status)) {
         ledger.recordRefused(RequestId(call.id), response->status);
         return;
@@ -170,9 +262,10 @@
         ledger.reportViolation("LOST", call.id + " was executed and its connection to " + call.daemon->name + " ended without a response");
 }
 
-void SoakClients::checkSuccess(const Call& call, const HttpResponse& response)
+void SoakClients::checkSuccess(Call& call, const HttpResponse& response)
 {
     m_fleet.ledger.recordServed();
+    call.isOver = true;
     if (response.headers.value(names::requestId) != call.id || response.headers.value(names::seal).empty())
         m_fleet.ledger.reportViolation("MIXED", call.id + " received a response without its id or seal");
     if (isStream(call.kind))
@@ -181,20 +274,40 @@
         m_fleet.ledger.reportViolation("MIXED", call.id + " received a wrong body of " + std::to_string(response.body.size()) + " bytes");
 }
 
-void SoakClients::checkStream(const Call& call, const std::string& body)
+void SoakClients::checkStream(Call& call, const std::string& body)
+{
+    auto count = expectedEventCount(call.id);
+    if (checkEvents(call, body) && call.nextEvent != count + 1)
+        m_fleet.ledger.reportViolation("ORDER", call.id + " ended as complete after event " + std::to_string(call.nextEvent - 1) + " of " + std::to_string(count));
+}
+
+bool SoakClients::checkEvents(Call& call, const std::string& body)
 {
     SseParser parser;
     parser.append(body);
-    uint64_t next = 1;
     while (auto event = parser.next()) {
-        if (event->id != std::to_string(next) || event->data != expectedEventData(call.id, next)) {
-            m_fleet.ledger.reportViolation("ORDER", call.id + " received event " + event->id + " (" + event->data + ") instead of event " + std::to_string(next));
-            return;
+        auto separator = m_resumesStreams ? event->data.find(versionSeparator) : std::string::npos;
+        if (event->id != std::to_string(call.nextEvent) || event->data.substr(0, separator) != expectedEventData(call.id, call.nextEvent)) {
+            call.isOver = true;
+            m_fleet.ledger.reportViolation("ORDER", call.id + " received event " + event->id + " (" + event->data + ") instead of event " + std::to_string(call.nextEvent));
+            return false;
         }
-        ++next;
+        if (separator != std::string::npos && !checkVersion(call, event->data.substr(separator + 1)))
+            return false;
+        ++call.nextEvent;
     }
-    if (next != expectedEventCount(call.id) + 1)
-        m_fleet.ledger.reportViolation("ORDER", call.id + " ended as complete after event " + std::to_string(next - 1) + " of " + std::to_string(expectedEventCount(call.id)));
+    return true;
+}
+
+bool SoakClients::checkVersion(Call& call, const std::string& version)
+{
+    if (call.nextEvent == 1)
+        call.version = version;
+    if (call.version == version)
+        return true;
+    call.isOver = true;
+    m_fleet.ledger.reportViolation("ORDER", call.id + " received event " + std::to_string(call.nextEvent) + " of version " + version + " from " + call.daemon->name + " after events of version " + call.version);
+    return false;
 }
 
 asio::awaitable<void> SoakClients::checkNewRoute()
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -16,6 +16,10 @@
     constexpr const char* plainService = "desk";
     constexpr const char* engineService = "lm";
     constexpr int zones = 2;
+    constexpr int softwareVersions = 2;
+    /** With several software versions: one prefill engine and three decode engines of each, so that two are left when one leaves. */
+    constexpr int enginesWithVersions = 8;
+    constexpr int prefillEnginesWithVersions = 2;
 
     std::string zoneOf(int number)
     {
@@ -44,9 +48,8 @@
     std::filesystem::remove_all(m_folder);
     std::filesystem::create_directories(m_folder);
     for (int i = 0; i < shape.plainReplicas; ++i)
-        addReplica(plainService, EngineStage::None, i, shape.deadReplicasReset);
-    for (int i = 0; i < shape.engines; ++i)
-        addReplica(engineService, i < shape.engines / 2 ? EngineStage::Prefill : EngineStage::Decode, i, shape.deadReplicasReset);
+        addReplica({ plainService, EngineStage::None, zoneOf(i), test::freePort() }, shape.deadReplicasReset);
+    addEngines(shape);
     for (int i = 0; i < shape.daemons; ++i)
         addDaemon(i);
 }
@@ -58,12 +61,27 @@
     return link;
 }
 
-void SoakFleet::addReplica(const std::string& service, EngineStage stage, int number, bool resetsWhenDown)
+void SoakFleet::addEngines(const FleetShape& shape)
+{
+    auto engines = shape.hasVersions ? std::max(shape.engines, enginesWithVersions) : shape.engines;
+    auto prefillEngines = shape.hasVersions ? prefillEnginesWithVersions : engines / 2;
+    for (int i = 0; i < engines; ++i) {
+        ReplicaPlacement placement { engineService, i < prefillEngines ? EngineStage::Prefill : EngineStage::Decode, zoneOf(i), test::freePort() };
+        if (shape.hasVersions) {
+            // Each version has engines in all zones.
+            placement.zone = zoneOf(i / softwareVersions);
+            placement.version = "v" + std::to_string(1 + i % softwareVersions);
+            placement.namesVersion = true;
+        }
+        addReplica(std::move(placement), shape.deadReplicasReset);
+    }
+}
+
+void SoakFleet::addReplica(ReplicaPlacement placement, bool resetsWhenDown)
 {
-    ReplicaPlacement placement { service, stage, zoneOf(number), test::freePort() };
     auto link = makeLink({ "127.0.0.1", placement.serverPort });
     replicaLinks.push_back(link);
-    replicas.push_back(std::make_unique<ReplicaStandin>(context, timers, log, store, ledger, notices, placement, link, static_cast<uint32_t>(m_random())));
+    replicas.push_back(std::make_unique<ReplicaStandin>(context, timers, log, store, ledger, notices, std::move(placement), link, static_cast<uint32_t>(m_random())));
     replicas.back()->faults.resetsWhenDown = resetsWhenDown;
 }
 
@@ -108,6 +126,11 @@
     return daemon.disturbances.isUndisturbedSince(moment - stabilizationTime) && storeDisturbances.isUndisturbedSince(moment - stabilizationTime);
 }
 
+size_t SoakFleet::decodeEngines(const std::string& version) const
+{
+    return static_cast<size_t>(std::ranges::count_if(replicas, [&version](const auto& replica) { return replica->version() == version && replica->servesDecodes(); }));
+}
+
 SoakDaemon* SoakFleet::findDaemon(const std::string& name) const
 {
     auto found = std::ranges::find(daemons, name, [](const auto& daemon) { return daemon->name; });
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -4,6 +4,7 @@
 #include "processes/ChildProcess.h"
 #include "soak/DisturbanceTracker.h"
 #include "soak/ReplicaStandin.h"
+#include "soak/ResumptionChecks.h"
 
 namespace chestnut::soak {
 
@@ -12,6 +13,7 @@
     int plainReplicas = 3;
     int engines = 5;
     bool deadReplicasReset = false; /**< see ReplicaFaults::resetsWhenDown */
+    bool hasVersions = false; /**< the engines have two software versions, which their events name */
 
     bool operator==(const FleetShape&) const = default;
 };
@@ -57,6 +59,8 @@
 
     /** Whether daemon and store were undisturbed long enough that the daemon must have read the state of the store at that time. */
     bool isStableSince(const SoakDaemon&, TimePoint) const;
+    /** Number of decode engines of the version that serve. */
+    size_t decodeEngines(const std::string& version) const;
 
     /** The daemon with the name, or null. */
     SoakDaemon* findDaemon(const std::string& name) const;
@@ -78,6 +82,7 @@
     MemoryLog log;
     Ledger ledger { timers };
     NoticeChecks notices { timers, ledger, [this](const std::string& daemon) { return isDisturbed(daemon); } };
+    ResumptionChecks resumptions;
     DisturbanceTracker unplannedDisturbances { timers }; /**< of the whole fleet; planned work does not count */
     DisturbanceTracker storeDisturbances { timers };
     PlatformStore store;
@@ -87,7 +92,8 @@
 
 private:
     LinkPointer makeLink(const Endpoint& server);
-    void addReplica(const std::string& service, EngineStage, int number, bool resetsWhenDown);
+    void addReplica(ReplicaPlacement, bool resetsWhenDown);
+    void addEngines(const FleetShape&);
     void addDaemon(int number);
     /** Whether the daemon was restarted, frozen or cut off within the stabilization time. */
     bool isDisturbed(const std::string& daemon) const;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -20,6 +20,7 @@
 ABSL_FLAG(bool, restore, false, "adds restores of the store from a copy some seconds old (issue 26)");
 ABSL_FLAG(bool, copies, false, "adds copies of refusals, and clients that send refused requests again with the same id");
 ABSL_FLAG(bool, limits, false, "adds replicas that state how many requests per second they take from all daemons together");
+ABSL_FLAG(bool, versions, false, "adds engines of two software versions, their replacement, and clients that resume streams that were broken off");
 ABSL_FLAG(std::string, only, "", "injects only the fault with this name (tests/soak/FaultInjector.cpp)");
 ABSL_FLAG(std::string, folder, "/tmp/chestnut_soak", "folder for the settings and logs of the daemons");
 
@@ -61,15 +62,16 @@
     while (!clients.hasEnded())
         co_await fleet.timers.sleep(50ms);
     clients.checkLateShare();
+    fleet.resumptions.check(fleet.ledger);
 }
 
 int run()
 {
     auto seed = absl::GetFlag(FLAGS_seed);
-    FleetShape shape { absl::GetFlag(FLAGS_daemons), absl::GetFlag(FLAGS_replicas), absl::GetFlag(FLAGS_engines), absl::GetFlag(FLAGS_dead_replicas_reset) };
-    FaultProfile profile { seed % plannedOnlyInterval == 0, absl::GetFlag(FLAGS_silence), absl::GetFlag(FLAGS_notices), absl::GetFlag(FLAGS_framing), absl::GetFlag(FLAGS_restore), absl::GetFlag(FLAGS_copies), absl::GetFlag(FLAGS_limits), absl::GetFlag(FLAGS_only) };
+    FleetShape shape { absl::GetFlag(FLAGS_daemons), absl::GetFlag(FLAGS_replicas), absl::GetFlag(FLAGS_engines), absl::GetFlag(FLAGS_dead_replicas_reset), absl::GetFlag(FLAGS_versions) };
+    FaultProfile profile { seed % plannedOnlyInterval == 0, absl::GetFlag(FLAGS_silence), absl::GetFlag(FLAGS_notices), absl::GetFlag(FLAGS_framing), absl::GetFlag(FLAGS_restore), absl::GetFlag(FLAGS_copies), absl::GetFlag(FLAGS_limits), absl::GetFlag(FLAGS_versions), absl::GetFlag(FLAGS_only) };
     SoakFleet fleet(shape, seed, absl::GetFlag(FLAGS_folder) + "/" + std::to_string(seed));
-    SoakClients clients(fleet, seed + 1, profile.includesCopies);
+    SoakClients clients(fleet, seed + 1, profile.includesCopies, shape.hasVersions);
     FaultInjector faults(fleet, profile, seed + 2);
     asio::co_spawn(fleet.context, runSoak(fleet, clients, faults), [&fleet](const std::exception_ptr& exception) {
         fleet.context.stop();
@@ -80,6 +82,8 @@
     auto counts = fleet.ledger.counts();
     std::printf("seed %u: %zu faults, %llu served, %llu refused, %llu failed, %zu broken promises\n", seed, faults.history().size(), static_cast<unsigned long long>(counts.served),
         static_cast<unsigned long long>(counts.refused), static_cast<unsigned long long>(counts.failed), fleet.ledger.violations().size());
+    if (shape.hasVersions)
+        std::printf("  %s\n", fleet.resumptions.summary().c_str());
     for (const auto& violation : fleet.ledger.violations())
         std::printf("  %s\n", violation.c_str());
     if (!fleet.ledger.violations().empty()) {
