--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -118,6 +118,7 @@
     daemon.process = std::make_unique<test::ChildProcess>(daemonProgram, std::vector<std::string> { "--gateway", "--config=" + daemon.settingsPath }, daemon.outputPath);
     daemon.startedAt = timers.now();
     daemon.servedVersion = 0;
+    daemon.hasBegunStreams = false;
     daemon.isDiscoverable = true;
 }
 
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -37,6 +37,7 @@
     TimePoint startedAt; /**< start of the present process */
     uint64_t servedVersion = 0; /**< newest manifest whose route the present process has served */
     TimePoint servedVersionAt; /**< when a client first saw that */
+    bool hasBegunStreams = false; /**< the present process has begun a new stream that may be resumed */
     bool isDiscoverable = true; /**< discovery offers it to clients */
     bool hasProcessFault = false; /**< a fault of its process is in progress, so it may exit */
 };
