--- a/modules/gateway/streams/StreamRecords.cpp
+++ b/modules/gateway/streams/StreamRecords.cpp
@@ -170,6 +170,7 @@
     if (auto granted = co_await ensureLease(); !granted)
         co_return granted.error();
     std::vector<StoreWrite> writes;
+    writes.reserve(batch.size());
     for (const auto& writing : batch)
         writes.push_back({ writing->key, encodeStreamVersion(writing->version), m_lease.id });
     auto revision = co_await m_store.transact({}, std::move(writes), {});
--- a/tests/gateway/GenerationRelayTest.cpp
+++ b/tests/gateway/GenerationRelayTest.cpp
@@ -948,12 +948,18 @@
 // Guards against a stream that ends as complete because its engine has stopped the run and forgotten it before it answered.
 TEST_CASE("a stream that a leaving engine closes after it has denied the run is continued elsewhere")
 {
-    for (auto [closesAfter, answersAfter] : std::vector<std::pair<Duration, Duration>> { { 5ms, 50ms }, { 20ms, 20ms }, { 120ms, 0ms }, { 700ms, 5ms } }) {
-        CAPTURE(closesAfter.count());
+    std::vector<StopCase> cases {
+        { "closed before the answer", RunStopResult::NotRunning, {}, 5ms, 50ms },
+        { "closed with the answer", RunStopResult::NotRunning, {}, 20ms, 20ms },
+        { "closed after the answer", RunStopResult::NotRunning, {}, 120ms, 0ms },
+        { "closed long after the answer", RunStopResult::NotRunning, {}, 700ms, 5ms },
+    };
+    for (const auto& stopCase : cases) {
+        CAPTURE(stopCase.name);
         LeavingStream fixture;
-        fixture.answers().stop = RunStopResult::NotRunning;
-        fixture.answers().closesStreamAfter = closesAfter;
-        fixture.answers().stopTime = answersAfter;
+        fixture.answers().stop = stopCase.result;
+        fixture.answers().closesStreamAfter = stopCase.closesAfter;
+        fixture.answers().stopTime = stopCase.answersAfter;
         fixture.run();
         CHECK(fixture.replicaClient.stoppedAt.size() == 1);
         CHECK(fixture.writer.body == fixture.whole);
